--- a/common/log.c
+++ b/common/log.c
@@ -1,10 +1,20 @@
 #include "common/log.h"
 
+#include <errno.h>
 #include <jansson.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+
+/* Lines a second at most on standard output, less severe than a warning; a request takes one to
+ * three. */
+#define LINES_PER_SECOND 400
+
+/* A pipe that is writable takes this much without blocking (PIPE_BUF). */
+#define LINE_BYTES 4096
 
 /*
  * The one piece of process-wide state: standard error is process-wide too, and
@@ -18,6 +28,10 @@
   CmLogSink sink;
   gpointer sink_data;
   guint64 invariant_failures;
+  gboolean to_stdout;
+  gint64 second; /* the one that `lines` is of */
+  guint lines;
+  guint64 dropped;
 } logger = { .program = "alderturn", .limit = CM_LOG_INFO };
 
 static const char *const severity_names[] = {
@@ -74,8 +88,60 @@
     }
 }
 
+void
+cm_log_to_stdout (void)
+{
+  logger.to_stdout = TRUE;
+}
+
+static gboolean
+write_nonblocking (const char *text, gsize length)
+{
+  struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  if (length > LINE_BYTES || poll (&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0)
+    return FALSE;
+  return write (STDOUT_FILENO, text, length) == (ssize_t)length;
+}
+
+static gboolean
+is_over_rate (CmLogSeverity severity)
+{
+  gint64 second = g_get_monotonic_time () / G_USEC_PER_SEC;
+
+  if (second != logger.second)
+    {
+      logger.second = second;
+      logger.lines = 0;
+    }
+  return severity > CM_LOG_WARNING && ++logger.lines > LINES_PER_SECOND;
+}
+
+static void
+write_stdout (CmLogSeverity severity, const char *text)
+{
+  g_autofree char *line = NULL;
+
+  if (is_over_rate (severity))
+    {
+      logger.dropped++;
+      return;
+    }
+  if (logger.dropped > 0)
+    line =
+        g_strdup_printf ("{\"severity\":\"warning\",\"program\":\"%s\",\"instance\":\"%s\","
+                         "\"event\":\"log-lines-dropped\",\"count\":%" G_GUINT64_FORMAT "}\n%s\n",
+                         logger.program, logger.instance, logger.dropped, text);
+  else
+    line = g_strdup_printf ("%s\n", text);
+  if (write_nonblocking (line, strlen (line)))
+    logger.dropped = 0;
+  else
+    logger.dropped++;
+}
+
 static void
-write_line (json_t *line)
+write_line (CmLogSeverity severity, json_t *line)
 {
   char *text = json_dumps (line, JSON_COMPACT | JSON_PRESERVE_ORDER);
 
@@ -83,6 +149,8 @@
     return;
   if (logger.sink != NULL)
     logger.sink (text, logger.sink_data);
+  else if (logger.to_stdout)
+    write_stdout (severity, text);
   else
     fprintf (stderr, "%s\n", text);
   free (text);
@@ -114,7 +182,7 @@
         json_object_set_new (line, name, value);
     }
   va_end (args);
-  write_line (line);
+  write_line (severity, line);
   json_decref (line);
   g_free (stamp);
   g_date_time_unref (now);
--- a/controller/controller.c
+++ b/controller/controller.c
@@ -47,7 +47,7 @@
   ct_members_free (controller->members);
   co_leases_free (controller->leases);
   co_shares_free (controller->shares);
-  pf_platform_free (controller->platform);
+  tb_platform_free (controller->platform);
   g_free (controller);
 }
 
--- a/controller/main.c
+++ b/controller/main.c
@@ -8,7 +8,7 @@
 #include "controller/http.h"
 #include "endpoint/http.h"
 #include "kernel/process.h"
-#include "platform/http.h"
+#include "table/http.h"
 #include "wire/tcp.h"
 
 #define PROGRAM "alderturn-controller"
@@ -20,7 +20,7 @@
   WrIdentity identity;
   CoConfig *config;
   CmMetrics *metrics;
-  PfPlatform *platform;
+  TbTable *platform;
   EpClient *endpoints;
   WrTransport *transport;
   CtController *controller;
@@ -52,7 +52,7 @@
   program->config = co_config_new ();
   program->metrics = cm_metrics_new ();
   program->platform =
-      pf_http_platform_new (program->process.kernel, program->process.base,
+      tb_http_platform_new (program->process.kernel, program->process.base,
                             settings->platform_address, settings->platform_timeout_ms * KNL_MSEC);
   program->endpoints = ep_http_client_new (program->process.kernel, program->process.base);
   program->identity = (WrIdentity){
@@ -111,7 +111,7 @@
   knl_kernel_run_due (program->process.kernel);
   wr_transport_free (program->transport);
   ep_client_free (program->endpoints);
-  pf_platform_free (program->platform);
+  tb_platform_free (program->platform);
   co_config_free (program->config);
   cm_metrics_free (program->metrics);
   knl_process_close (&program->process);
--- a/controller/members.c
+++ b/controller/members.c
@@ -13,7 +13,7 @@
   CtMembersOptions options;
   CoMembers *known;
   GPtrArray *view;
-  PfCallId call;
+  TbCallId call;
   KnlTimerId poll;
   KnlTimerId refresh;
   gboolean listed;      /* the list has been read */
@@ -127,7 +127,7 @@
 }
 
 static void
-on_instances (PfStatus status, Alderturn__Member *const *list, guint n_list, gpointer data)
+on_instances (TbStatus status, Alderturn__Member *const *list, guint n_list, gpointer data)
 {
   CtMembers *members = data;
   guint controllers =
@@ -138,7 +138,7 @@
       members->options.kernel,
       MAX (members->options.poll_interval, controllers * (KNL_SEC / READS_PER_SECOND)), poll_list,
       members);
-  if (status != PF_OK)
+  if (status != TB_OK)
     return;
   members->listed = TRUE;
   co_members_seed (members->known, list, n_list);
@@ -151,7 +151,7 @@
   CtMembers *members = data;
 
   members->poll = 0;
-  members->call = pf_instances (members->options.platform, on_instances, members);
+  members->call = tb_instances (members->options.platform, on_instances, members);
 }
 
 CtMembers *
@@ -183,7 +183,7 @@
 {
   if (members == NULL)
     return;
-  pf_call_cancel (members->options.platform, &members->call);
+  tb_call_cancel (members->options.platform, &members->call);
   knl_timer_stop (members->options.kernel, &members->poll);
   knl_timer_stop (members->options.kernel, &members->refresh);
   co_members_free (members->known);
--- a/controller/metered.c
+++ b/controller/metered.c
@@ -17,8 +17,8 @@
 
 typedef struct
 {
-  PfPlatform base;
-  PfPlatform *beneath;
+  TbTable base;
+  TbTable *beneath;
   KnlKernel *kernel;
   CmMetric *calls;
   CmMetric *times;
@@ -27,15 +27,15 @@
 
 typedef struct
 {
-  PfCallId id;
+  TbCallId id;
   Metered *metered;
   Operation operation;
   KnlTime started;
   union
   {
-    PfTransactFunc transact;
-    PfRowsFunc rows;
-    PfInstancesFunc instances;
+    TbTransactFunc transact;
+    TbRowsFunc rows;
+    TbInstancesFunc instances;
   } done;
   gpointer data;
 } Call;
@@ -56,7 +56,7 @@
 };
 
 static Call *
-call_new (PfPlatform *platform, Operation operation, gpointer data)
+call_new (TbTable *platform, Operation operation, gpointer data)
 {
   Call *call = g_new0 (Call, 1);
 
@@ -67,8 +67,8 @@
   return call;
 }
 
-static PfCallId
-call_opened (Call *call, PfCallId id)
+static TbCallId
+call_opened (Call *call, TbCallId id)
 {
   call->id = id;
   g_hash_table_insert (call->metered->open, &call->id, call);
@@ -76,19 +76,19 @@
 }
 
 static void
-count (Call *call, PfStatus status)
+count (Call *call, TbStatus status)
 {
   Metered *metered = call->metered;
   const char *name = operation_names[call->operation];
 
-  cm_series_add (cm_metric_series (metered->calls, name, pf_status_name (status), NULL), 1);
+  cm_series_add (cm_metric_series (metered->calls, name, tb_status_name (status), NULL), 1);
   cm_series_record (cm_metric_series (metered->times, name, NULL, NULL),
                     (guint64)(knl_kernel_now (metered->kernel) - call->started));
   g_hash_table_steal (metered->open, &call->id);
 }
 
 static void
-on_transacted (PfStatus status, guint64 version, gpointer data)
+on_transacted (TbStatus status, guint64 version, gpointer data)
 {
   Call *call = data;
 
@@ -98,7 +98,7 @@
 }
 
 static void
-on_rows (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_rows (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   Call *call = data;
 
@@ -108,7 +108,7 @@
 }
 
 static void
-on_instances (PfStatus status, Alderturn__Member *const *members, guint n_members, gpointer data)
+on_instances (TbStatus status, Alderturn__Member *const *members, guint n_members, gpointer data)
 {
   Call *call = data;
 
@@ -117,56 +117,56 @@
   g_free (call);
 }
 
-static PfCallId
-metered_transact (PfPlatform *platform,
-                  const PfTransaction *transaction,
-                  PfTransactFunc done,
+static TbCallId
+metered_transact (TbTable *platform,
+                  const TbTransaction *transaction,
+                  TbTransactFunc done,
                   gpointer data)
 {
   Call *call = call_new (platform, OP_TRANSACT, data);
 
   call->done.transact = done;
-  return call_opened (call, pf_transact (call->metered->beneath, transaction, on_transacted, call));
+  return call_opened (call, tb_transact (call->metered->beneath, transaction, on_transacted, call));
 }
 
-static PfCallId
-metered_read (PfPlatform *platform,
+static TbCallId
+metered_read (TbTable *platform,
               const char *key,
               gboolean prefix,
               const char *after,
               guint limit,
-              PfRowsFunc done,
+              TbRowsFunc done,
               gpointer data)
 {
   Call *call = call_new (platform, prefix ? OP_SCAN : OP_READ, data);
-  PfPlatform *beneath = call->metered->beneath;
+  TbTable *beneath = call->metered->beneath;
 
   call->done.rows = done;
   return call_opened (call,
                       beneath->klass->read (beneath, key, prefix, after, limit, on_rows, call));
 }
 
-static PfCallId
-metered_instances (PfPlatform *platform, PfInstancesFunc done, gpointer data)
+static TbCallId
+metered_instances (TbTable *platform, TbInstancesFunc done, gpointer data)
 {
   Call *call = call_new (platform, OP_INSTANCES, data);
 
   call->done.instances = done;
-  return call_opened (call, pf_instances (call->metered->beneath, on_instances, call));
+  return call_opened (call, tb_instances (call->metered->beneath, on_instances, call));
 }
 
 static void
-metered_cancel (PfPlatform *platform, PfCallId id)
+metered_cancel (TbTable *platform, TbCallId id)
 {
   Metered *metered = (Metered *)platform;
-  PfCallId beneath = id;
+  TbCallId beneath = id;
 
-  pf_call_cancel (metered->beneath, &beneath);
+  tb_call_cancel (metered->beneath, &beneath);
   g_hash_table_remove (metered->open, &id);
 }
 
 static void
-metered_free (PfPlatform *platform)
+metered_free (TbTable *platform)
 {
   Metered *metered = (Metered *)platform;
   GHashTableIter iter;
@@ -175,15 +175,15 @@
   g_hash_table_iter_init (&iter, metered->open);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      PfCallId beneath = ((Call *)value)->id;
+      TbCallId beneath = ((Call *)value)->id;
 
-      pf_call_cancel (metered->beneath, &beneath);
+      tb_call_cancel (metered->beneath, &beneath);
     }
   g_hash_table_destroy (metered->open);
   g_free (metered);
 }
 
-static const PfPlatformClass metered_class = {
+static const TbTableClass metered_class = {
   .transact = metered_transact,
   .read = metered_read,
   .instances = metered_instances,
@@ -191,8 +191,8 @@
   .free = metered_free,
 };
 
-PfPlatform *
-ct_metered_platform_new (PfPlatform *beneath, KnlKernel *kernel, CmMetrics *metrics)
+TbTable *
+ct_metered_platform_new (TbTable *beneath, KnlKernel *kernel, CmMetrics *metrics)
 {
   Metered *metered = g_new0 (Metered, 1);
 
--- a/controller/operators.c
+++ b/controller/operators.c
@@ -25,7 +25,7 @@
   Operators *operators;
   KnlTaskId sender;
   guint64 number;
-  PfCallId read;
+  TbCallId read;
   KnlTimerId step;
   char *table;
   guint64 wanted;   /* revision waited for */
@@ -90,7 +90,7 @@
   g_ptr_array_remove_fast (call->operators->calls, call);
   knl_timer_stop (call->operators->base.kernel, &call->step);
   if (controller != NULL)
-    pf_call_cancel (controller->platform, &call->read);
+    tb_call_cancel (controller->platform, &call->read);
   g_free (call->table);
   g_free (call);
 }
@@ -143,13 +143,13 @@
 }
 
 static void
-on_history (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_history (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   Call *call = data;
   json_t *list;
 
   call->read = 0;
-  if (status != PF_OK)
+  if (status != TB_OK)
     {
       answer_error (call, 503, "the platform's table does not answer");
       return;
@@ -176,7 +176,7 @@
   char *after = co_change_key (revision > HISTORY_SHOWN ? revision - HISTORY_SHOWN : 0);
 
   call->read =
-      pf_scan (controller->platform, CO_CHANGE_PREFIX, after, HISTORY_SHOWN + 1, on_history, call);
+      tb_scan (controller->platform, CO_CHANGE_PREFIX, after, HISTORY_SHOWN + 1, on_history, call);
   g_free (after);
 }
 
--- a/coord/config_apply.c
+++ b/coord/config_apply.c
@@ -19,7 +19,7 @@
   gboolean dry_run;
   CoApplyFunc done;
   gpointer data;
-  PfCallId call;
+  TbCallId call;
   KnlTimerId retry;
   KnlTimerId deadline;
   CmBackoff backoff;
@@ -38,7 +38,7 @@
 static void
 apply_free (CoConfigApply *apply)
 {
-  pf_call_cancel (apply->host->platform, &apply->call);
+  tb_call_cancel (apply->host->platform, &apply->call);
   knl_timer_stop (apply->host->kernel, &apply->retry);
   knl_timer_stop (apply->host->kernel, &apply->deadline);
   if (apply->plan != NULL)
@@ -102,8 +102,8 @@
 }
 
 static void
-on_conflicting_object (PfStatus status,
-                       const PfRow *rows,
+on_conflicting_object (TbStatus status,
+                       const TbRow *rows,
                        guint n_rows,
                        gboolean more,
                        gpointer data)
@@ -133,7 +133,7 @@
 {
   char *key = co_object_key (apply->plan->kind, apply->plan->name);
 
-  apply->call = pf_read (apply->host->platform, key, on_conflicting_object, apply);
+  apply->call = tb_read (apply->host->platform, key, on_conflicting_object, apply);
   g_free (key);
 }
 
@@ -168,13 +168,13 @@
 }
 
 static void
-on_written (PfStatus status, guint64 version, gpointer data)
+on_written (TbStatus status, guint64 version, gpointer data)
 {
   CoConfigApply *apply = data;
 
   apply->call = 0;
   apply->sent = FALSE;
-  if (status == PF_OK)
+  if (status == TB_OK)
     {
       apply_to_replica (apply);
       finish_done (apply, apply->revision + apply->plan->changes->len);
@@ -185,7 +185,7 @@
    * for a failure, the operator would be told that nothing happened and apply
    * again. begin() reads back; the same check sees to it that it counts once.
    */
-  if (status == PF_UNKNOWN)
+  if (status == TB_UNKNOWN)
     {
       apply->open = TRUE;
       apply->open_version = apply->revision_version;
@@ -244,12 +244,12 @@
 write_rows (CoConfigApply *apply)
 {
   Rows rows = rows_to_write (apply);
-  PfWrite *writes = g_new0 (PfWrite, rows.keys->len);
-  PfCheck checks[] = {
+  TbWrite *writes = g_new0 (TbWrite, rows.keys->len);
+  TbCheck checks[] = {
     { .key = CO_REVISION_ROW, .version = apply->revision_version },
     { .key = g_ptr_array_index (rows.keys, 1), .version = 0 },
   };
-  PfTransaction transaction = { .checks = checks,
+  TbTransaction transaction = { .checks = checks,
                                 .n_checks = G_N_ELEMENTS (checks),
                                 .writes = writes };
 
@@ -261,7 +261,7 @@
       writes[transaction.n_writes++].value = g_ptr_array_index (rows.values, i);
     }
   apply->sent = TRUE;
-  apply->call = pf_transact (apply->host->platform, &transaction, on_written, apply);
+  apply->call = tb_transact (apply->host->platform, &transaction, on_written, apply);
   g_ptr_array_free (rows.keys, TRUE);
   g_ptr_array_free (rows.values, TRUE);
   g_free (writes);
@@ -290,14 +290,14 @@
 }
 
 static void
-on_operation (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_operation (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigApply *apply = data;
   json_t *row = n_rows > 0 ? json_loads (rows[0].value, 0, NULL) : NULL;
   const char *digest = json_string_value (json_object_get (row, "digest"));
 
   apply->call = 0;
-  if (status != PF_OK)
+  if (status != TB_OK)
     try_again (apply);
   else if (row == NULL)
     {
@@ -319,13 +319,13 @@
 }
 
 static void
-on_revision (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_revision (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigApply *apply = data;
   char *key;
 
   apply->call = 0;
-  if (status != PF_OK)
+  if (status != TB_OK)
     {
       try_again (apply);
       return;
@@ -333,7 +333,7 @@
   apply->revision = n_rows > 0 ? co_row_revision (rows[0].value) : 0;
   apply->revision_version = n_rows > 0 ? rows[0].version : 0;
   key = co_operation_key (apply->operation);
-  apply->call = pf_read (apply->host->platform, key, on_operation, apply);
+  apply->call = tb_read (apply->host->platform, key, on_operation, apply);
   g_free (key);
 }
 
@@ -343,7 +343,7 @@
   CoConfigApply *apply = data;
 
   apply->retry = 0;
-  apply->call = pf_read (apply->host->platform, CO_REVISION_ROW, on_revision, apply);
+  apply->call = tb_read (apply->host->platform, CO_REVISION_ROW, on_revision, apply);
 }
 
 void
--- a/coord/config_compact.c
+++ b/coord/config_compact.c
@@ -16,7 +16,7 @@
   CoConfigCompactOptions options;
   guint shard;
   KnlTimerId timer;
-  PfCallId call;
+  TbCallId call;
   guint64 revision_version; /* of the revision's row, at our replica's revision */
   GPtrArray *doomed;        /* keys */
 };
@@ -40,14 +40,14 @@
 {
   if (compact == NULL)
     return;
-  pf_call_cancel (compact->options.platform, &compact->call);
+  tb_call_cancel (compact->options.platform, &compact->call);
   knl_timer_stop (compact->options.kernel, &compact->timer);
   g_ptr_array_free (compact->doomed, TRUE);
   g_free (compact);
 }
 
 static char *
-operation_of (const PfRow *row)
+operation_of (const TbRow *row)
 {
   json_t *value = json_loads (row->value, 0, NULL);
   char *operation = g_strdup (json_string_value (json_object_get (value, "operation")));
@@ -57,7 +57,7 @@
 }
 
 static gboolean
-same_operation (const PfRow *a, const PfRow *b)
+same_operation (const TbRow *a, const TbRow *b)
 {
   char *x = operation_of (a);
   char *y = operation_of (b);
@@ -70,7 +70,7 @@
 
 /* How many rows can go: old ones, and of each operation all or none. */
 static guint
-count_doomed (const CoConfigCompact *compact, const PfRow *rows, guint n_rows, gboolean more)
+count_doomed (const CoConfigCompact *compact, const TbRow *rows, guint n_rows, gboolean more)
 {
   guint64 revision = *co_config_revision (compact->options.replica);
   guint n = 0;
@@ -85,7 +85,7 @@
 }
 
 static void
-doom_row (CoConfigCompact *compact, const PfRow *row)
+doom_row (CoConfigCompact *compact, const TbRow *row)
 {
   Alderturn__ConfigChange *change = co_row_to_change (row);
   char *operation = operation_of (row);
@@ -105,7 +105,7 @@
 }
 
 static void
-on_deleted (PfStatus status, guint64 version, gpointer data)
+on_deleted (TbStatus status, guint64 version, gpointer data)
 {
   ((CoConfigCompact *)data)->call = 0;
 }
@@ -114,13 +114,13 @@
 static void
 delete_doomed (CoConfigCompact *compact)
 {
-  PfWrite *writes = g_new0 (PfWrite, compact->doomed->len);
+  TbWrite *writes = g_new0 (TbWrite, compact->doomed->len);
   GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
-  PfCheck checks[] = {
+  TbCheck checks[] = {
     { .key = CO_REVISION_ROW, .version = compact->revision_version },
     co_lease_check (compact->options.leases, compact->shard),
   };
-  PfTransaction transaction = { .checks = checks,
+  TbTransaction transaction = { .checks = checks,
                                 .n_checks = G_N_ELEMENTS (checks),
                                 .writes = writes };
 
@@ -130,19 +130,19 @@
         writes[transaction.n_writes++].key = g_ptr_array_index (compact->doomed, i);
     }
   if (transaction.n_writes > 0 && co_lease_valid (compact->options.leases, compact->shard, NULL))
-    compact->call = pf_transact (compact->options.platform, &transaction, on_deleted, compact);
+    compact->call = tb_transact (compact->options.platform, &transaction, on_deleted, compact);
   g_hash_table_destroy (seen);
   g_free (writes);
 }
 
 static void
-on_changes (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_changes (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigCompact *compact = data;
   guint n_doomed;
 
   compact->call = 0;
-  if (status != PF_OK)
+  if (status != TB_OK)
     return;
   n_doomed = count_doomed (compact, rows, n_rows, more);
   g_ptr_array_set_size (compact->doomed, 0);
@@ -152,17 +152,17 @@
 }
 
 static void
-on_revision (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_revision (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigCompact *compact = data;
 
   compact->call = 0;
-  if (status != PF_OK || n_rows == 0
+  if (status != TB_OK || n_rows == 0
       || co_row_revision (rows[0].value) != *co_config_revision (compact->options.replica))
     return;
   compact->revision_version = rows[0].version;
   compact->call =
-      pf_scan (compact->options.platform, CO_CHANGE_PREFIX, NULL, PAGE_ROWS, on_changes, compact);
+      tb_scan (compact->options.platform, CO_CHANGE_PREFIX, NULL, PAGE_ROWS, on_changes, compact);
 }
 
 static void
@@ -174,5 +174,5 @@
       knl_timer_start (compact->options.kernel, compact->options.interval, look, compact);
   if (compact->call == 0 && *co_config_revision (compact->options.replica) > compact->options.keep
       && co_lease_valid (compact->options.leases, compact->shard, NULL))
-    compact->call = pf_read (compact->options.platform, CO_REVISION_ROW, on_revision, compact);
+    compact->call = tb_read (compact->options.platform, CO_REVISION_ROW, on_revision, compact);
 }
--- a/coord/config_pull.c
+++ b/coord/config_pull.c
@@ -9,11 +9,11 @@
 
 struct CoConfigPull
 {
-  PfPlatform *platform;
+  TbTable *platform;
   CoConfig *replica;
   CoConfigPullFunc ended;
   gpointer data;
-  PfCallId call;
+  TbCallId call;
   char *after;        /* key of the last row read */
   GPtrArray *changes; /* Alderturn__ConfigChange, of the snapshot so far */
   guint64 revision;   /* that the snapshot began at */
@@ -31,7 +31,7 @@
 }
 
 CoConfigPull *
-co_config_pull_new (PfPlatform *platform, CoConfig *replica, CoConfigPullFunc ended, gpointer data)
+co_config_pull_new (TbTable *platform, CoConfig *replica, CoConfigPullFunc ended, gpointer data)
 {
   CoConfigPull *pull = g_new0 (CoConfigPull, 1);
 
@@ -48,7 +48,7 @@
 {
   if (pull == NULL)
     return;
-  pf_call_cancel (pull->platform, &pull->call);
+  tb_call_cancel (pull->platform, &pull->call);
   g_ptr_array_free (pull->changes, TRUE);
   g_free (pull->after);
   g_free (pull);
@@ -77,37 +77,37 @@
 }
 
 static void
-remember_last_key (CoConfigPull *pull, const PfRow *rows, guint n_rows)
+remember_last_key (CoConfigPull *pull, const TbRow *rows, guint n_rows)
 {
   g_free (pull->after);
   pull->after = g_strdup (rows[n_rows - 1].key);
 }
 
 static void
-on_snapshot_end (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_snapshot_end (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigPull *pull = data;
   guint64 now = n_rows > 0 ? co_row_revision (rows[0].value) : 0;
 
   pull->call = 0;
   /* Objects read while the revision moved may be of different revisions: read them again. */
-  if (status == PF_OK && now != pull->revision && ++pull->tries < SNAPSHOT_TRIES)
+  if (status == TB_OK && now != pull->revision && ++pull->tries < SNAPSHOT_TRIES)
     {
       read_snapshot_start (pull);
       return;
     }
-  if (status == PF_OK && now == pull->revision)
+  if (status == TB_OK && now == pull->revision)
     apply (pull, 0, now);
   end (pull);
 }
 
 static void
-on_snapshot_page (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_snapshot_page (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigPull *pull = data;
 
   pull->call = 0;
-  if (status != PF_OK)
+  if (status != TB_OK)
     {
       end (pull);
       return;
@@ -127,23 +127,23 @@
       read_snapshot_page (pull);
       return;
     }
-  pull->call = pf_read (pull->platform, CO_REVISION_ROW, on_snapshot_end, pull);
+  pull->call = tb_read (pull->platform, CO_REVISION_ROW, on_snapshot_end, pull);
 }
 
 static void
 read_snapshot_page (CoConfigPull *pull)
 {
   pull->call =
-      pf_scan (pull->platform, CO_OBJECT_PREFIX, pull->after, PAGE_ROWS, on_snapshot_page, pull);
+      tb_scan (pull->platform, CO_OBJECT_PREFIX, pull->after, PAGE_ROWS, on_snapshot_page, pull);
 }
 
 static void
-on_snapshot_start (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_snapshot_start (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigPull *pull = data;
 
   pull->call = 0;
-  if (status != PF_OK || n_rows == 0)
+  if (status != TB_OK || n_rows == 0)
     {
       end (pull);
       return;
@@ -157,11 +157,11 @@
 {
   g_clear_pointer (&pull->after, g_free);
   g_ptr_array_set_size (pull->changes, 0);
-  pull->call = pf_read (pull->platform, CO_REVISION_ROW, on_snapshot_start, pull);
+  pull->call = tb_read (pull->platform, CO_REVISION_ROW, on_snapshot_start, pull);
 }
 
 static void
-on_changes_page (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_changes_page (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigPull *pull = data;
   guint64 have = *co_config_revision (pull->replica);
@@ -182,14 +182,14 @@
       g_ptr_array_add (pull->changes, change);
     }
   /* Rows that we would need next have been compacted. */
-  if (status == PF_OK && last == have)
+  if (status == TB_OK && last == have)
     {
       read_snapshot_start (pull);
       return;
     }
   if (last > have)
     apply (pull, have, last);
-  if (status != PF_OK || !more)
+  if (status != TB_OK || !more)
     {
       end (pull);
       return;
@@ -202,7 +202,7 @@
 read_changes_page (CoConfigPull *pull)
 {
   pull->call =
-      pf_scan (pull->platform, CO_CHANGE_PREFIX, pull->after, PAGE_ROWS, on_changes_page, pull);
+      tb_scan (pull->platform, CO_CHANGE_PREFIX, pull->after, PAGE_ROWS, on_changes_page, pull);
 }
 
 void
--- a/coord/config_rows.c
+++ b/coord/config_rows.c
@@ -98,7 +98,7 @@
 }
 
 Alderturn__ConfigChange *
-co_row_to_change (const PfRow *row)
+co_row_to_change (const TbRow *row)
 {
   json_t *root = json_loads (row->value, 0, NULL);
   const json_t *fields = json_object_get (root, "fields");
--- a/coord/config_store.c
+++ b/coord/config_store.c
@@ -15,7 +15,7 @@
   gboolean compared; /* with the table or a ready peer */
   gboolean ready;
   guint64 highest;
-  PfCallId poll_call;
+  TbCallId poll_call;
   KnlTimerId poll_timer;
 };
 
@@ -66,7 +66,7 @@
 }
 
 static void
-on_polled (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_polled (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoConfigStore *store = data;
   guint64 revision = n_rows > 0 ? co_row_revision (rows[0].value) : 0;
@@ -75,7 +75,7 @@
   store->poll_call = 0;
   schedule_poll (store, store->reader || !store->ready ? store->options.poll_interval
                                                        : store->options.idle_interval);
-  if (status != PF_OK)
+  if (status != TB_OK)
     return;
   if (revision < have)
     cm_log (CM_LOG_WARNING, "configuration-table-behind", "i", "revision", (gint64)revision, "i",
@@ -93,7 +93,7 @@
 
   store->poll_timer = 0;
   if (store->poll_call == 0)
-    store->poll_call = pf_read (store->options.platform, CO_REVISION_ROW, on_polled, store);
+    store->poll_call = tb_read (store->options.platform, CO_REVISION_ROW, on_polled, store);
 }
 
 static void
@@ -142,7 +142,7 @@
   while (store->applies != NULL)
     co_config_apply_abandon (store->applies->data);
   co_config_pull_free (store->pull);
-  pf_call_cancel (store->options.platform, &store->poll_call);
+  tb_call_cancel (store->options.platform, &store->poll_call);
   knl_timer_stop (store->options.kernel, &store->poll_timer);
   g_free (store);
 }
--- a/coord/idem.c
+++ b/coord/idem.c
@@ -31,7 +31,7 @@
 
   while ((op = g_queue_pop_head (&key->ops)) != NULL)
     op_free (op);
-  pf_call_cancel (key->idem->options.platform, &key->call);
+  tb_call_cancel (key->idem->options.platform, &key->call);
   knl_timer_stop (key->idem->options.kernel, &key->retry);
   co_idem_record_clear (&key->record);
   co_idem_record_clear (&key->next);
@@ -130,13 +130,13 @@
 }
 
 static void
-on_read (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_read (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoIdemKey *key = data;
 
   key->call = 0;
   key->busy = FALSE;
-  if (status != PF_OK)
+  if (status != TB_OK)
     {
       retry_later (key);
       return;
@@ -210,7 +210,7 @@
       if (!key->known && (key->read || !op->is_begin))
         {
           key->busy = TRUE;
-          key->call = pf_read (idem->options.platform, key->name, on_read, key);
+          key->call = tb_read (idem->options.platform, key->name, on_read, key);
           return;
         }
       decision = decide (key, op);
@@ -249,7 +249,7 @@
 }
 
 void
-co_idem_key_written (CoIdemKey *key, PfStatus status, guint64 version)
+co_idem_key_written (CoIdemKey *key, TbStatus status, guint64 version)
 {
   key->busy = FALSE;
   if (key->gone)
@@ -259,16 +259,16 @@
     }
   switch (status)
     {
-    case PF_OK:
+    case TB_OK:
       adopt_next (key, version);
       break;
-    case PF_UNAVAILABLE:
+    case TB_UNAVAILABLE:
       retry_later (key);
       return;
-    case PF_UNKNOWN:
+    case TB_UNKNOWN:
       key->open = TRUE;
       G_GNUC_FALLTHROUGH;
-    case PF_CONFLICT:
+    case TB_CONFLICT:
       /*
        * Of a batch that collided one key may be to blame, or the lease; after a
        * lost answer the rows may be written or not. Taken for either, a request
--- a/coord/idem_batch.c
+++ b/coord/idem_batch.c
@@ -13,7 +13,7 @@
 {
   CoIdem *idem;
   GPtrArray *keys; /* CoIdemKey */
-  PfCallId call;
+  TbCallId call;
 } CoIdemBatch;
 
 static void flush_due (gpointer data);
@@ -34,7 +34,7 @@
 }
 
 static void
-on_written (PfStatus status, guint64 version, gpointer data)
+on_written (TbStatus status, guint64 version, gpointer data)
 {
   CoIdemBatch *batch = data;
   CoIdem *idem = batch->idem;
@@ -52,10 +52,10 @@
 static void
 add_fence_check (const CoIdem *idem,
                  const CoIdemKey *key,
-                 PfTransaction *transaction,
-                 PfCheck *checks)
+                 TbTransaction *transaction,
+                 TbCheck *checks)
 {
-  PfCheck fence = co_lease_check (idem->options.leases, key->shard);
+  TbCheck fence = co_lease_check (idem->options.leases, key->shard);
 
   for (guint i = 0; i < transaction->n_checks; i++)
     {
@@ -68,9 +68,9 @@
 static void
 send_batch (CoIdem *idem, GPtrArray *keys, GPtrArray *values)
 {
-  PfCheck *checks = g_new0 (PfCheck, 2 * (gsize)keys->len);
-  PfWrite *writes = g_new0 (PfWrite, keys->len);
-  PfTransaction transaction = { .checks = checks, .writes = writes, .n_writes = keys->len };
+  TbCheck *checks = g_new0 (TbCheck, 2 * (gsize)keys->len);
+  TbWrite *writes = g_new0 (TbWrite, keys->len);
+  TbTransaction transaction = { .checks = checks, .writes = writes, .n_writes = keys->len };
   CoIdemBatch *batch = g_new0 (CoIdemBatch, 1);
 
   batch->idem = idem;
@@ -80,17 +80,17 @@
       const CoIdemKey *key = g_ptr_array_index (keys, i);
 
       add_fence_check (idem, key, &transaction, checks);
-      writes[i] = (PfWrite){ key->name, g_ptr_array_index (values, i) };
+      writes[i] = (TbWrite){ key->name, g_ptr_array_index (values, i) };
     }
   for (guint i = 0; i < keys->len; i++)
     {
       const CoIdemKey *key = g_ptr_array_index (keys, i);
 
-      checks[transaction.n_checks++] = (PfCheck){ key->name, key->known ? key->version : 0 };
+      checks[transaction.n_checks++] = (TbCheck){ key->name, key->known ? key->version : 0 };
     }
   idem->n_batches++;
   idem->batches = g_list_prepend (idem->batches, batch);
-  batch->call = pf_transact (idem->options.platform, &transaction, on_written, batch);
+  batch->call = tb_transact (idem->options.platform, &transaction, on_written, batch);
   g_free (checks);
   g_free (writes);
 }
@@ -114,7 +114,7 @@
       /* Right before the act: this process may have been paused since the request came. */
       if (key->gone || !co_lease_valid (idem->options.leases, key->shard, NULL))
         {
-          co_idem_key_written (key, PF_UNAVAILABLE, 0);
+          co_idem_key_written (key, TB_UNAVAILABLE, 0);
           alone = FALSE;
           continue;
         }
@@ -149,7 +149,7 @@
 {
   CoIdemBatch *batch = data;
 
-  pf_call_cancel (batch->idem->options.platform, &batch->call);
+  tb_call_cancel (batch->idem->options.platform, &batch->call);
   for (guint i = 0; i < batch->keys->len; i++)
     {
       CoIdemKey *key = g_ptr_array_index (batch->keys, i);
--- a/coord/idem_sweep.c
+++ b/coord/idem_sweep.c
@@ -13,8 +13,8 @@
   guint shard;
   KnlTimerId timer;
   KnlTimerId page;
-  PfCallId epoch_call;
-  PfCallId page_call;
+  TbCallId epoch_call;
+  TbCallId page_call;
   guint64 epoch;
   guint64 version;         /* of the epoch's row */
   KnlTime unchanged_since; /* when this epoch was first seen here */
@@ -43,8 +43,8 @@
 {
   if (sweep == NULL)
     return;
-  pf_call_cancel (sweep->options.platform, &sweep->epoch_call);
-  pf_call_cancel (sweep->options.platform, &sweep->page_call);
+  tb_call_cancel (sweep->options.platform, &sweep->epoch_call);
+  tb_call_cancel (sweep->options.platform, &sweep->page_call);
   knl_timer_stop (sweep->options.kernel, &sweep->timer);
   knl_timer_stop (sweep->options.kernel, &sweep->page);
   g_free (sweep->after);
@@ -64,7 +64,7 @@
 }
 
 static void
-on_raised (PfStatus status, guint64 version, gpointer data)
+on_raised (TbStatus status, guint64 version, gpointer data)
 {
   /* Whether it worked, the next read tells. */
   ((CoIdemSweep *)data)->epoch_call = 0;
@@ -74,14 +74,14 @@
 raise_epoch (CoIdemSweep *sweep)
 {
   char *value = g_strdup_printf ("%" G_GUINT64_FORMAT, sweep->epoch + 1);
-  PfCheck checks[] = {
+  TbCheck checks[] = {
     { .key = EPOCH_ROW, .version = sweep->version },
     co_lease_check (sweep->options.leases, sweep->shard),
   };
-  PfWrite write = { .key = EPOCH_ROW, .value = value };
-  PfTransaction transaction = { checks, G_N_ELEMENTS (checks), &write, 1 };
+  TbWrite write = { .key = EPOCH_ROW, .value = value };
+  TbTransaction transaction = { checks, G_N_ELEMENTS (checks), &write, 1 };
 
-  sweep->epoch_call = pf_transact (sweep->options.platform, &transaction, on_raised, sweep);
+  sweep->epoch_call = tb_transact (sweep->options.platform, &transaction, on_raised, sweep);
   g_free (value);
 }
 
@@ -95,7 +95,7 @@
 }
 
 static void
-on_epoch (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_epoch (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoIdemSweep *sweep = data;
   KnlTime now = knl_kernel_now (sweep->options.kernel);
@@ -103,7 +103,7 @@
   gboolean new_epoch = epoch > sweep->epoch;
 
   sweep->epoch_call = 0;
-  if (status != PF_OK)
+  if (status != TB_OK)
     return;
   if (new_epoch || sweep->unchanged_since == 0)
     sweep->unchanged_since = now;
@@ -126,7 +126,7 @@
   sweep->timer = knl_timer_start (sweep->options.kernel, sweep->options.epoch_time / READS_A_TIME,
                                   read_epoch, sweep);
   if (sweep->epoch_call == 0)
-    sweep->epoch_call = pf_read (sweep->options.platform, EPOCH_ROW, on_epoch, sweep);
+    sweep->epoch_call = tb_read (sweep->options.platform, EPOCH_ROW, on_epoch, sweep);
 }
 
 static void
@@ -140,19 +140,19 @@
 }
 
 static void
-on_deleted (PfStatus status, guint64 version, gpointer data)
+on_deleted (TbStatus status, guint64 version, gpointer data)
 {
   CoIdemSweep *sweep = data;
 
   sweep->page_call = 0;
   /* After a collision the rest of the page is left to the next epoch's sweep. */
-  if (status == PF_OK)
+  if (status == TB_OK)
     sweep->deleted += sweep->n_doomed;
   next_page (sweep);
 }
 
 static gboolean
-is_old (const CoIdemSweep *sweep, const PfRow *row)
+is_old (const CoIdemSweep *sweep, const TbRow *row)
 {
   CoIdemRecord record;
   gboolean old = co_idem_record_parse (row->value, &record)
@@ -163,27 +163,27 @@
 }
 
 static void
-on_page (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_page (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoIdemSweep *sweep = data;
-  PfCheck checks[PAGE_ROWS];
-  PfWrite writes[PAGE_ROWS];
-  PfTransaction transaction = { .checks = checks, .writes = writes };
+  TbCheck checks[PAGE_ROWS];
+  TbWrite writes[PAGE_ROWS];
+  TbTransaction transaction = { .checks = checks, .writes = writes };
 
   sweep->page_call = 0;
   g_clear_pointer (&sweep->after, g_free);
-  if (status == PF_OK && more && n_rows > 0)
+  if (status == TB_OK && more && n_rows > 0)
     sweep->after = g_strdup (rows[n_rows - 1].key);
   for (guint i = 0; i < MIN (n_rows, PAGE_ROWS); i++)
     {
       if (!is_old (sweep, &rows[i]))
         continue;
-      checks[transaction.n_checks++] = (PfCheck){ rows[i].key, rows[i].version };
-      writes[transaction.n_writes++] = (PfWrite){ rows[i].key, NULL };
+      checks[transaction.n_checks++] = (TbCheck){ rows[i].key, rows[i].version };
+      writes[transaction.n_writes++] = (TbWrite){ rows[i].key, NULL };
     }
   sweep->n_doomed = transaction.n_writes;
   if (transaction.n_writes > 0 && is_holder (sweep))
-    sweep->page_call = pf_transact (sweep->options.platform, &transaction, on_deleted, sweep);
+    sweep->page_call = tb_transact (sweep->options.platform, &transaction, on_deleted, sweep);
   else
     next_page (sweep);
 }
@@ -201,5 +201,5 @@
       return;
     }
   sweep->page_call =
-      pf_scan (sweep->options.platform, ROW_PREFIX, sweep->after, PAGE_ROWS, on_page, sweep);
+      tb_scan (sweep->options.platform, ROW_PREFIX, sweep->after, PAGE_ROWS, on_page, sweep);
 }
--- a/coord/lease.c
+++ b/coord/lease.c
@@ -65,8 +65,8 @@
 {
   if (leases == NULL)
     return;
-  pf_call_cancel (leases->options.platform, &leases->scan_call);
-  pf_call_cancel (leases->options.platform, &leases->write_call);
+  tb_call_cancel (leases->options.platform, &leases->scan_call);
+  tb_call_cancel (leases->options.platform, &leases->write_call);
   knl_timer_stop (leases->options.kernel, &leases->tick);
   knl_timer_stop (leases->options.kernel, &leases->lapse_timer);
   knl_timer_stop (leases->options.kernel, &leases->release_timer);
@@ -185,12 +185,12 @@
   return TRUE;
 }
 
-PfCheck
+TbCheck
 co_lease_check (const CoLeases *leases, guint number)
 {
   const CoLeaseShard *shard = &leases->shards[number];
 
-  return (PfCheck){ .key = shard->fence_key, .version = shard->fence_version };
+  return (TbCheck){ .key = shard->fence_key, .version = shard->fence_version };
 }
 
 guint
@@ -349,12 +349,12 @@
 }
 
 static void
-on_scanned (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_scanned (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoLeases *leases = data;
 
   leases->scan_call = 0;
-  if (status != PF_OK)
+  if (status != TB_OK)
     return;
   leases->scanned = leases->scan_sent;
   for (guint i = 0; i < n_rows; i++)
@@ -387,7 +387,7 @@
       || (!wanted && leases->scanned >= 0 && now - leases->scan_sent < scan_interval (leases)))
     return;
   leases->scan_sent = now;
-  leases->scan_call = pf_scan (leases->options.platform, LEASE_PREFIX, NULL,
+  leases->scan_call = tb_scan (leases->options.platform, LEASE_PREFIX, NULL,
                                leases->options.n_shards, on_scanned, leases);
 }
 
--- a/coord/lease_write.c
+++ b/coord/lease_write.c
@@ -43,7 +43,7 @@
 }
 
 static void
-on_written (PfStatus status, guint64 version, gpointer data)
+on_written (TbStatus status, guint64 version, gpointer data)
 {
   CoLeases *leases = data;
 
@@ -52,24 +52,24 @@
     {
       CoLeaseShard *shard = &leases->shards[g_array_index (leases->written, guint, i)];
 
-      if (status == PF_OK && version > shard->version)
+      if (status == TB_OK && version > shard->version)
         adopt_written (leases, shard, version);
-      else if (status != PF_UNKNOWN)
+      else if (status != TB_UNKNOWN)
         shard->acquiring = FALSE;
     }
   /* What the rows are now is found out by reading: a write on a guess would only conflict. */
-  if (status == PF_CONFLICT || status == PF_UNKNOWN)
+  if (status == TB_CONFLICT || status == TB_UNKNOWN)
     leases->blocked_until = co_leases_now (leases);
-  if (status == PF_CONFLICT && leases->write_kind == CO_LEASE_ACQUIRE)
+  if (status == TB_CONFLICT && leases->write_kind == CO_LEASE_ACQUIRE)
     leases->acquire_batch = MAX (1, leases->acquire_batch / 4);
-  if (status == PF_OK)
+  if (status == TB_OK)
     leases->acquire_batch = MIN (leases->options.n_shards, leases->acquire_batch * 2);
-  if (status != PF_OK && leases->write_kind == CO_LEASE_RENEW)
+  if (status != TB_OK && leases->write_kind == CO_LEASE_RENEW)
     leases->renewed = 0;
-  if (status == PF_UNAVAILABLE)
+  if (status == TB_UNAVAILABLE)
     return;
   knl_timer_stop (leases->options.kernel, &leases->tick);
-  leases->tick = knl_timer_start (leases->options.kernel, status == PF_OK ? 0 : CONFLICT_DELAY,
+  leases->tick = knl_timer_start (leases->options.kernel, status == TB_OK ? 0 : CONFLICT_DELAY,
                                   co_leases_tick, leases);
 }
 
@@ -78,10 +78,10 @@
 send_write (CoLeases *leases, CoLeaseWrite kind)
 {
   guint n = leases->written->len;
-  PfCheck *checks = g_new0 (PfCheck, n);
-  PfWrite *writes = g_new0 (PfWrite, 2 * n);
+  TbCheck *checks = g_new0 (TbCheck, n);
+  TbWrite *writes = g_new0 (TbWrite, 2 * n);
   GPtrArray *values = g_ptr_array_new_with_free_func (free);
-  PfTransaction transaction = { .checks = checks, .writes = writes };
+  TbTransaction transaction = { .checks = checks, .writes = writes };
 
   leases->write_kind = kind;
   leases->write_sent = co_leases_now (leases);
@@ -92,15 +92,15 @@
       char *value = co_lease_row_value (&row);
 
       g_ptr_array_add (values, value);
-      checks[transaction.n_checks++] = (PfCheck){ shard->key, shard->version };
-      writes[transaction.n_writes++] = (PfWrite){ shard->key, value };
+      checks[transaction.n_checks++] = (TbCheck){ shard->key, shard->version };
+      writes[transaction.n_writes++] = (TbWrite){ shard->key, value };
       if (kind != CO_LEASE_ACQUIRE)
         continue;
-      writes[transaction.n_writes++] = (PfWrite){ shard->fence_key, value };
+      writes[transaction.n_writes++] = (TbWrite){ shard->fence_key, value };
       shard->acquiring = TRUE;
       shard->acquiring_fence = row.fence;
     }
-  leases->write_call = pf_transact (leases->options.platform, &transaction, on_written, leases);
+  leases->write_call = tb_transact (leases->options.platform, &transaction, on_written, leases);
   g_ptr_array_free (values, TRUE);
   g_free (checks);
   g_free (writes);
--- a/coord/suspect.c
+++ b/coord/suspect.c
@@ -32,8 +32,8 @@
 {
   CoSuspectOptions options;
   GHashTable *table; /* fingerprint -> Suspect */
-  PfCallId scan;
-  PfCallId write;
+  TbCallId scan;
+  TbCallId write;
   GArray *written; /* fingerprints */
   char *after;     /* key of the last row scanned */
   guint64 scans;   /* number of the scan under way */
@@ -71,8 +71,8 @@
 {
   if (suspects == NULL)
     return;
-  pf_call_cancel (suspects->options.platform, &suspects->scan);
-  pf_call_cancel (suspects->options.platform, &suspects->write);
+  tb_call_cancel (suspects->options.platform, &suspects->scan);
+  tb_call_cancel (suspects->options.platform, &suspects->write);
   knl_timer_stop (suspects->options.kernel, &suspects->scan_timer);
   knl_timer_stop (suspects->options.kernel, &suspects->write_timer);
   g_hash_table_destroy (suspects->table);
@@ -225,7 +225,7 @@
 }
 
 static void
-see_row (CoSuspects *suspects, const PfRow *row)
+see_row (CoSuspects *suspects, const TbRow *row)
 {
   guint64 fingerprint = g_ascii_strtoull (row->key + strlen (ROW_PREFIX), NULL, 16);
   Suspect *suspect = find_or_make (suspects, fingerprint);
@@ -302,7 +302,7 @@
 }
 
 static void
-on_scanned (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_scanned (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   CoSuspects *suspects = data;
   KnlTime delay = suspects->options.scan_interval;
@@ -311,12 +311,12 @@
   for (guint i = 0; i < n_rows; i++)
     see_row (suspects, &rows[i]);
   g_clear_pointer (&suspects->after, g_free);
-  if (status == PF_OK && more && n_rows > 0)
+  if (status == TB_OK && more && n_rows > 0)
     {
       suspects->after = g_strdup (rows[n_rows - 1].key);
       delay = 0;
     }
-  else if (status == PF_OK)
+  else if (status == TB_OK)
     forget_deleted_rows (suspects);
   schedule_scan (suspects, delay);
   expire (suspects);
@@ -330,7 +330,7 @@
 
   suspects->scan_timer = 0;
   if (suspects->scan == 0)
-    suspects->scan = pf_scan (suspects->options.platform, ROW_PREFIX, suspects->after, PAGE_ROWS,
+    suspects->scan = tb_scan (suspects->options.platform, ROW_PREFIX, suspects->after, PAGE_ROWS,
                               on_scanned, suspects);
 }
 
@@ -359,19 +359,19 @@
 }
 
 static void
-on_written (PfStatus status, guint64 version, gpointer data)
+on_written (TbStatus status, guint64 version, gpointer data)
 {
   CoSuspects *suspects = data;
 
   suspects->write = 0;
-  if (status == PF_OK)
+  if (status == TB_OK)
     {
       adopt_written (suspects, version);
       want_write (suspects, WRITE_DELAY);
       return;
     }
   /* Rows changed by others, or written without our knowing, are read; the rest is tried again. */
-  if (status != PF_UNAVAILABLE)
+  if (status != TB_UNAVAILABLE)
     schedule_scan (suspects, 0);
   want_write (suspects, RETRY_DELAY);
 }
@@ -396,9 +396,9 @@
 write_dirty (gpointer data)
 {
   CoSuspects *suspects = data;
-  PfCheck checks[WRITE_ROWS];
-  PfWrite writes[WRITE_ROWS];
-  PfTransaction transaction = { .checks = checks, .writes = writes };
+  TbCheck checks[WRITE_ROWS];
+  TbWrite writes[WRITE_ROWS];
+  TbTransaction transaction = { .checks = checks, .writes = writes };
   GHashTableIter iter;
   gpointer value;
 
@@ -415,13 +415,13 @@
       if (!suspect->dirty)
         continue;
       key = row_key (suspect->fingerprint);
-      checks[transaction.n_checks++] = (PfCheck){ key, suspect->version };
+      checks[transaction.n_checks++] = (TbCheck){ key, suspect->version };
       writes[transaction.n_writes++] =
-          (PfWrite){ key, is_expired (suspects, suspect) ? NULL : row_value (suspect) };
+          (TbWrite){ key, is_expired (suspects, suspect) ? NULL : row_value (suspect) };
       g_array_append_val (suspects->written, suspect->fingerprint);
     }
   if (transaction.n_writes > 0)
-    suspects->write = pf_transact (suspects->options.platform, &transaction, on_written, suspects);
+    suspects->write = tb_transact (suspects->options.platform, &transaction, on_written, suspects);
   for (guint i = 0; i < transaction.n_writes; i++)
     {
       g_free ((char *)writes[i].key);
--- a/examples/duties.c
+++ b/examples/duties.c
@@ -18,7 +18,7 @@
 #include "coord/lease.h"
 #include "coord/member.h"
 #include "kernel/event_runtime.h"
-#include "platform/http.h"
+#include "table/http.h"
 #include "wire/tcp.h"
 
 #define DUTIES        8
@@ -68,7 +68,7 @@
   KnlKernel *kernel;
   WrIdentity identity;
   WrTransport *transport;
-  PfPlatform *platform;
+  TbTable *platform;
   CoMembers *members;
   CoLeases *leases;
   GList *peers; /* Peer */
@@ -310,7 +310,7 @@
   };
   node->kernel = knl_kernel_new (node->runtime, (guint32)node->identity.incarnation);
   node->platform =
-      pf_http_platform_new (node->kernel, node->base, node->settings.platform, PLATFORM_TIME);
+      tb_http_platform_new (node->kernel, node->base, node->settings.platform, PLATFORM_TIME);
   node->transport = wr_tcp_transport_new (node->kernel, node->base, &node->identity, NULL);
   if (!wr_transport_listen (node->transport, node->settings.address, on_link_accepted, node))
     return FALSE;
@@ -328,7 +328,7 @@
     co_leases_free (node->leases);
   wr_transport_free (node->transport);
   g_list_free_full (node->peers, peer_free);
-  pf_platform_free (node->platform);
+  tb_platform_free (node->platform);
   knl_kernel_free (node->kernel);
   knl_event_runtime_free (node->runtime);
   event_base_free (node->base);
--- /dev/null
+++ b/gateway/follow.c
@@ -0,0 +1,113 @@
+/** Configuration and endpoints, as they change in the store. */
+
+#include <string.h>
+
+#include "common/log.h"
+#include "gateway.h"
+
+/* How long the store holds an answer back when nothing changes. Each answer confirms what is known,
+ * so the wait for the configuration is a fraction of the time for which keys are trusted. */
+#define CONFIG_WAIT    (1 * KNL_SEC)
+#define ENDPOINTS_WAIT (2 * KNL_SEC)
+
+static void
+ignore (gpointer data)
+{
+}
+
+static void
+on_config_row (const PlRow *row, gpointer data)
+{
+  Gateway *self = data;
+  SvConfig *config;
+
+  if (strcmp (row->key, PL_CONFIG_KEY) != 0 || row->gone)
+    return;
+  config = pl_decode_config (row->value);
+  if (config == NULL)
+    {
+      cm_log (CM_LOG_ERR, "configuration-unreadable", "i", "row-version", (gint64)row->version);
+      return;
+    }
+  if (sv_core_set_config (self->core, config))
+    gateway_apply_limits (self);
+  sv_config_unref (config);
+}
+
+static void
+on_config_confirmed (KnlTime asked_at, gpointer data)
+{
+  Gateway *self = data;
+
+  sv_core_confirm (self->core, asked_at);
+  sv_peers_set_ready (self->peers, sv_core_is_ready (self->core));
+}
+
+static const PlFeedEvents config_events = {
+  .begin_list = ignore,
+  .end_list = ignore,
+  .row = on_config_row,
+  .confirmed = on_config_confirmed,
+};
+
+static void
+on_begin_endpoints (gpointer data)
+{
+  sv_fleet_begin_list (((Gateway *)data)->fleet);
+}
+
+static void
+on_end_endpoints (gpointer data)
+{
+  sv_fleet_end_list (((Gateway *)data)->fleet);
+}
+
+static void
+on_endpoint_row (const PlRow *row, gpointer data)
+{
+  Gateway *self = data;
+  SvEndpointEntry entry;
+
+  if (row->gone)
+    {
+      cm_log (CM_LOG_INFO, "endpoint-unlisted", "s", "endpoint", row->key, "i", "row-version",
+              (gint64)row->version);
+      sv_fleet_remove (self->fleet, row->key);
+    }
+  else if (pl_decode_endpoint (row->key, row->value, &entry))
+    {
+      cm_log (CM_LOG_INFO, "endpoint-listed", "s", "endpoint", row->key, "s", "service",
+              entry.service, "s", "address", entry.address, "b", "draining", entry.draining, "i",
+              "row-version", (gint64)row->version);
+      sv_fleet_update (self->fleet, &entry);
+    }
+  else
+    cm_log (CM_LOG_ERR, "endpoint-unreadable", "s", "endpoint", row->key);
+}
+
+static void
+on_endpoints_confirmed (KnlTime asked_at, gpointer data)
+{
+}
+
+static const PlFeedEvents endpoint_events = {
+  .begin_list = on_begin_endpoints,
+  .end_list = on_end_endpoints,
+  .row = on_endpoint_row,
+  .confirmed = on_endpoints_confirmed,
+};
+
+void
+gateway_start_following (Gateway *self)
+{
+  self->config_feed = pl_feed_new (self->store, PL_CONFIG_TABLE, CONFIG_WAIT, &config_events, self);
+  self->endpoints_feed =
+      pl_feed_new (self->store, PL_ENDPOINT_TABLE, ENDPOINTS_WAIT, &endpoint_events, self);
+}
+
+void
+gateway_stop_following (Gateway *self)
+{
+  pl_feed_free (self->config_feed);
+  pl_feed_free (self->endpoints_feed);
+}
--- /dev/null
+++ b/gateway/main.c
@@ -0,0 +1,178 @@
+/** alderturn-gateway: the whole of one instance on the users' platform, in one process. */
+
+#include <signal.h>
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "gateway.h"
+
+#define PROGRAM "alderturn-gateway"
+
+/* How often readiness, the settings file and the end of a drain are looked at. */
+#define TICK (250 * KNL_MSEC)
+
+/* After the order to stop, callers may come for as long as they keep old answers of the directory:
+ * three times their time to live. */
+#define DRAIN_LEAST (6500 * KNL_MSEC)
+
+/* Left of the grace when the process ends at the latest. */
+#define DRAIN_MARGIN (300 * KNL_MSEC)
+
+/* Longest answer taken whole from an endpoint or the store. */
+#define ANSWER_HEAD_BYTES 32768
+#define ANSWER_BODY_BYTES (64 * 1024 * 1024)
+
+/* Idle connections to endpoints and the store are kept at most this long. */
+#define KEEP_IDLE (20 * KNL_SEC)
+
+static void
+stop (Gateway *self)
+{
+  event_base_loopexit (self->process.base, NULL);
+}
+
+static gboolean
+is_drained (const Gateway *self)
+{
+  KnlTime since = knl_kernel_now (self->process.kernel) - self->drain_since;
+
+  if (since > self->boot->bounds.grace - DRAIN_MARGIN)
+    return TRUE;
+  return since > DRAIN_LEAST && ht_server_n_busy (self->callers) == 0;
+}
+
+static void
+on_tick (gpointer data)
+{
+  Gateway *self = data;
+
+  sv_peers_set_ready (self->peers, sv_core_is_ready (self->core));
+  if (self->drain_since == 0)
+    gateway_reload (self, FALSE);
+  else if (is_drained (self))
+    stop (self);
+  self->tick_timer = knl_timer_start (self->process.kernel, TICK, on_tick, self);
+}
+
+static void
+on_stop_signal (evutil_socket_t number, short what, void *data)
+{
+  Gateway *self = data;
+
+  if (self->drain_since != 0)
+    return;
+  self->drain_since = knl_kernel_now (self->process.kernel);
+  cm_log (CM_LOG_NOTICE, "stopping", "i", "requests", (gint64)sv_core_n_requests (self->core));
+  sv_core_drain (self->core);
+  sv_peers_set_ready (self->peers, FALSE);
+  ht_server_drain (self->callers);
+  gateway_leave (self);
+}
+
+static void
+on_reload_signal (evutil_socket_t number, short what, void *data)
+{
+  gateway_reload (data, TRUE);
+}
+
+static void
+on_suspect (guint64 fingerprint, gpointer data)
+{
+  sv_core_note_suspect (((Gateway *)data)->core, fingerprint);
+}
+
+static void
+open_clients (Gateway *self)
+{
+  HtLimits limits = { ANSWER_HEAD_BYTES, ANSWER_BODY_BYTES };
+
+  self->endpoints_client =
+      ht_client_new (self->process.kernel, self->process.base, &limits, KEEP_IDLE);
+  self->store_client = ht_client_new (self->process.kernel, self->process.base, &limits, KEEP_IDLE);
+  self->store = pl_store_new (self->process.kernel, self->store_client, self->boot->store_address);
+}
+
+static gboolean
+open_peers (Gateway *self, guint64 incarnation)
+{
+  self->fleet = sv_fleet_new (self->process.kernel, self->boot->leave_grace);
+  self->member = (SvMember){
+    .name = self->boot->name,
+    .incarnation = incarnation,
+    .link_address = self->boot->link_address,
+    .callers_address = self->boot->callers_address,
+    .zone = self->boot->zone,
+    .region = self->boot->region,
+  };
+  self->peers = sv_peers_new (self->process.kernel, self->process.base, self->fleet, &self->member);
+  if (self->peers != NULL)
+    return TRUE;
+  cm_log (CM_LOG_ERR, "listen-failed", "s", "address", self->boot->link_address);
+  return FALSE;
+}
+
+static void
+open_core (Gateway *self)
+{
+  SvCoreParts parts;
+
+  self->metrics = cm_metrics_new ();
+  self->dialect = pl_dialect_new ();
+  parts = (SvCoreParts){
+    .kernel = self->process.kernel,
+    .client = self->endpoints_client,
+    .dialect = self->dialect,
+    .fleet = self->fleet,
+    .link = sv_peers_link (self->peers),
+    .metrics = self->metrics,
+    .zone = self->boot->zone,
+  };
+  self->core = sv_core_new (&parts, &self->boot->bounds);
+  sv_peers_on_suspect (self->peers, on_suspect, self);
+}
+
+static void
+run (Gateway *self)
+{
+  self->reload_signal = evsignal_new (self->process.base, SIGHUP, on_reload_signal, self);
+  event_add (self->reload_signal, NULL);
+  knl_process_catch_signals (&self->process, on_stop_signal, self);
+  gateway_start_following (self);
+  gateway_start_membership (self);
+  on_tick (self);
+  cm_log (CM_LOG_NOTICE, "started", "s", "address", self->boot->callers_address, "s", "zone",
+          self->boot->zone);
+  event_base_dispatch (self->process.base);
+  cm_log (CM_LOG_NOTICE, "stopped", "i", "requests", (gint64)sv_core_n_requests (self->core));
+}
+
+int
+main (int argc, char **argv)
+{
+  /* The one use of wall time: a process started later has a higher incarnation. */
+  guint64 incarnation = (guint64)g_get_real_time ();
+  Gateway self = { .boot_path = pl_boot_path () };
+  CmFindings findings;
+
+  g_set_prgname (PROGRAM);
+  signal (SIGPIPE, SIG_IGN);
+  cm_findings_init (&findings);
+  if (self.boot_path == NULL)
+    cm_findings_add (&findings, "environment", 0, 0, NULL, "names no settings file");
+  else
+    self.boot = pl_boot_load (self.boot_path, &findings);
+  if (cm_findings_report (&findings))
+    return 2;
+  cm_log_init (PROGRAM, self.boot->name, CM_LOG_INFO);
+  cm_log_to_stdout ();
+  knl_process_open (&self.process, (guint32)incarnation);
+  open_clients (&self);
+  if (!open_peers (&self, incarnation))
+    return EXIT_FAILURE;
+  open_core (&self);
+  if (!gateway_open_servers (&self))
+    return EXIT_FAILURE;
+  run (&self);
+  /* All that is left belongs to this process and ends with it. */
+  return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/gateway/reload.c
@@ -0,0 +1,43 @@
+/** Changes of the settings file while the process runs. */
+
+#include <sys/stat.h>
+
+#include "common/log.h"
+#include "gateway.h"
+
+static gint64
+changed_at (const char *path)
+{
+  struct stat status;
+
+  return stat (path, &status) == 0 ? (gint64)status.st_mtime : 0;
+}
+
+/* Addresses are bound for the life of the process; all else takes effect at once. */
+void
+gateway_reload (Gateway *self, gboolean always)
+{
+  gint64 changed = changed_at (self->boot_path);
+  CmFindings findings;
+  PlBoot *boot;
+
+  if (!always && changed == self->boot_changed_at)
+    return;
+  self->boot_changed_at = changed;
+  cm_findings_init (&findings);
+  boot = pl_boot_load (self->boot_path, &findings);
+  if (boot != NULL)
+    {
+      pl_boot_free (self->boot);
+      self->boot = boot;
+      sv_core_set_bounds (self->core, &boot->bounds);
+      cm_log (CM_LOG_NOTICE, "settings-reloaded");
+    }
+  else
+    {
+      g_autofree char *text = cm_findings_to_string (&findings);
+
+      cm_log (CM_LOG_ERR, "settings-refused", "s", "findings", text);
+    }
+  cm_findings_clear (&findings);
+}
--- /dev/null
+++ b/gateway/servers.c
@@ -0,0 +1,145 @@
+/** The listening sockets: callers, readiness, directory, metrics. */
+
+#include <errno.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "gateway.h"
+
+/* Until a configuration states limits for callers. */
+#define DEFAULT_HEAD_BYTES   16384
+#define DEFAULT_BODY_BYTES   (4 * 1024 * 1024)
+#define DEFAULT_HEAD_TIMEOUT (3 * KNL_SEC)
+#define DEFAULT_IDLE_TIMEOUT (15 * KNL_SEC)
+
+/* Descriptors that are no callers' connections: files, store, listening, and connections to
+ * endpoints, of which at times each request has one. */
+#define OTHER_FILES      400
+#define CALLERS_PART     0.5
+#define SMALL_SERVER_MAX 256
+
+/* Addresses in one answer of the directory; more would not be used by its callers. */
+#define DIRECTORY_ADDRESSES 64
+
+/* Callers keep an answer for at most this, so that an instance that stops is left in time. */
+#define DIRECTORY_KEEP_S 2
+
+static void
+on_request (HtCall *call, gpointer data)
+{
+  sv_core_take (((Gateway *)data)->core, call);
+}
+
+static void
+on_gone (HtCall *call, gpointer data)
+{
+  sv_core_gone (((Gateway *)data)->core, call);
+}
+
+static const HtServerEvents caller_events = { .request = on_request, .gone = on_gone };
+
+static void
+on_ready_request (HtCall *call, gpointer data)
+{
+  Gateway *self = data;
+
+  ht_call_answer (call, sv_core_is_ready (self->core) ? 200 : 503, NULL, NULL, 0);
+}
+
+static const HtServerEvents ready_events = { .request = on_ready_request };
+
+static void
+on_directory_request (HtCall *call, gpointer data)
+{
+  Gateway *self = data;
+  g_autofree char *zone = ht_message_query (ht_call_request (call), "zone");
+  g_autoptr (GPtrArray) addresses =
+      sv_peers_ready_addresses (self->peers, zone, DIRECTORY_ADDRESSES);
+  char *body;
+
+  if (addresses->len == 0)
+    {
+      ht_call_answer (call, 503, NULL, NULL, 0);
+      return;
+    }
+  body = pl_encode_directory (addresses, MIN (DIRECTORY_KEEP_S, self->boot->answer_keep_s));
+  ht_call_answer (call, 200, "Content-Type: application/json\r\n", body, strlen (body));
+  free (body);
+}
+
+static const HtServerEvents directory_events = { .request = on_directory_request };
+
+static void
+on_metrics_request (HtCall *call, gpointer data)
+{
+  Gateway *self = data;
+  GString *text = cm_metrics_render (self->metrics);
+
+  ht_call_answer (call, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
+  g_string_free (text, TRUE);
+}
+
+static const HtServerEvents metrics_events = { .request = on_metrics_request };
+
+static HtServerLimits
+caller_limits (const Gateway *self)
+{
+  const SvConfig *config = sv_core_config (self->core);
+  guint files =
+      self->boot->max_files > 2 * OTHER_FILES ? self->boot->max_files - OTHER_FILES : OTHER_FILES;
+  HtServerLimits limits = {
+    .message = { DEFAULT_HEAD_BYTES, DEFAULT_BODY_BYTES },
+    .head_timeout = DEFAULT_HEAD_TIMEOUT,
+    .idle_timeout = DEFAULT_IDLE_TIMEOUT,
+    .max_connections = (guint)(CALLERS_PART * files),
+  };
+
+  if (config == NULL || config->limits.max_head_bytes == 0)
+    return limits;
+  limits.message = (HtLimits){ config->limits.max_head_bytes, config->limits.max_body_bytes };
+  limits.head_timeout = config->limits.head_timeout;
+  limits.idle_timeout = config->limits.idle_timeout;
+  return limits;
+}
+
+void
+gateway_apply_limits (Gateway *self)
+{
+  HtServerLimits limits = caller_limits (self);
+
+  ht_server_set_limits (self->callers, &limits);
+}
+
+static HtServer *
+open_server (Gateway *self, const char *address, const HtServerEvents *events)
+{
+  HtServerLimits limits = caller_limits (self);
+  HtServer *server;
+
+  if (events != &caller_events)
+    limits.max_connections = SMALL_SERVER_MAX;
+  server = ht_server_new (self->process.kernel, self->process.base, address, &limits, events, self);
+  if (server == NULL)
+    cm_log (CM_LOG_ERR, "listen-failed", "s", "address", address, "s", "error", strerror (errno));
+  return server;
+}
+
+gboolean
+gateway_open_servers (Gateway *self)
+{
+  self->callers = open_server (self, self->boot->callers_address, &caller_events);
+  self->ready = open_server (self, self->boot->ready_address, &ready_events);
+  self->directory = open_server (self, self->boot->directory_address, &directory_events);
+  self->metrics_server = open_server (self, self->boot->metrics_address, &metrics_events);
+  return self->callers != NULL && self->ready != NULL && self->directory != NULL
+         && self->metrics_server != NULL;
+}
+
+void
+gateway_close_servers (Gateway *self)
+{
+  ht_server_free (self->callers);
+  ht_server_free (self->ready);
+  ht_server_free (self->directory);
+  ht_server_free (self->metrics_server);
+}
--- /dev/null
+++ b/http/client.c
@@ -0,0 +1,428 @@
+#include "http/client.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http/socket.h"
+
+/* Of the idle time that a peer allows, the part that is used: its clock started before ours. */
+#define IDLE_PART 0.6
+
+/* Idle time where the peer states none. */
+#define IDLE_DEFAULT (1500 * KNL_MSEC)
+
+/* Answers to other requests that are passed over on one connection before it is given up. */
+#define SKIP_LIMIT 2
+
+typedef struct Connection Connection;
+
+struct HtExchange
+{
+  Connection *connection;
+  const HtExchangeEvents *events;
+  gpointer data;
+  gboolean reused;
+  gboolean skipping;
+  guint skipped;
+};
+
+struct Connection
+{
+  HtClient *client;
+  char *address;
+  struct bufferevent *stream;
+  HtReader *reader;
+  HtExchange *exchange; /* NULL: idle */
+  KnlTimerId timer;     /* of connecting, or of idleness */
+  KnlTime idle_since;
+  gboolean connected;
+  gboolean spoilt;    /* never used again */
+  gboolean in_read;   /* callbacks of the exchange are running; it can't be freed under them */
+  gboolean cancelled; /* during them */
+};
+
+struct HtClient
+{
+  KnlKernel *kernel;
+  struct event_base *base;
+  HtLimits limits;
+  KnlTime keep_idle;
+  GHashTable *connections; /* Connection, all */
+  GHashTable *idle;        /* address -> GPtrArray of Connection, the last used at the end */
+  guint64 opened;
+};
+
+const char *
+ht_failure_name (HtFailure failure)
+{
+  static const char *const names[] = { "connect", "closed", "bad-answer", "large-answer" };
+
+  return names[failure];
+}
+
+static void
+connection_free (Connection *self)
+{
+  knl_timer_stop (self->client->kernel, &self->timer);
+  bufferevent_free (self->stream);
+  ht_reader_free (self->reader);
+  g_free (self->exchange);
+  g_free (self->address);
+  g_free (self);
+}
+
+static void
+leave_idle (Connection *self)
+{
+  GPtrArray *idle = g_hash_table_lookup (self->client->idle, self->address);
+
+  if (idle != NULL && g_ptr_array_remove (idle, self) && idle->len == 0)
+    g_hash_table_remove (self->client->idle, self->address);
+}
+
+static void
+connection_drop (Connection *self)
+{
+  if (self->exchange == NULL)
+    leave_idle (self);
+  g_hash_table_remove (self->client->connections, self);
+}
+
+/* Ends the exchange with a failure; the connection goes with it. */
+static void
+fail (Connection *self, HtFailure failure)
+{
+  HtExchange *exchange = self->exchange;
+
+  if (exchange == NULL)
+    {
+      connection_drop (self);
+      return;
+    }
+  exchange->events->failed (exchange, failure, exchange->data);
+  g_hash_table_remove (self->client->connections, self);
+}
+
+static void
+on_timer (gpointer data)
+{
+  Connection *self = data;
+
+  self->timer = 0;
+  fail (self, HT_FAIL_CONNECT);
+}
+
+static KnlTime
+idle_limit (const Connection *self, const HtMessage *answer)
+{
+  const char *stated = ht_message_get (answer, "keep-alive");
+  const char *timeout = stated != NULL ? strstr (stated, "timeout=") : NULL;
+  KnlTime limit = IDLE_DEFAULT;
+
+  if (timeout != NULL)
+    limit = (KnlTime)(IDLE_PART * strtod (timeout + strlen ("timeout="), NULL) * KNL_SEC);
+  return MIN (limit, self->client->keep_idle);
+}
+
+static void
+go_idle (Connection *self, KnlTime limit)
+{
+  HtClient *client = self->client;
+  GPtrArray *idle = g_hash_table_lookup (client->idle, self->address);
+
+  if (idle == NULL)
+    {
+      idle = g_ptr_array_new ();
+      g_hash_table_insert (client->idle, g_strdup (self->address), idle);
+    }
+  g_ptr_array_add (idle, self);
+  self->idle_since = knl_kernel_now (client->kernel);
+  self->timer = knl_timer_start (client->kernel, limit, on_timer, self);
+}
+
+static gboolean
+may_be_kept (const Connection *self, const HtMessage *answer)
+{
+  return !self->spoilt && answer->keep_alive && !ht_reader_ends_by_close (self->reader)
+         && self->exchange->skipped == 0
+         && evbuffer_get_length (bufferevent_get_input (self->stream)) == 0
+         && evbuffer_get_length (bufferevent_get_output (self->stream)) == 0
+         && idle_limit (self, answer) > 0;
+}
+
+static void
+complete (Connection *self)
+{
+  g_autoptr (HtMessage) answer = ht_reader_steal (self->reader);
+  HtExchange *exchange = self->exchange;
+  KnlTime limit = idle_limit (self, answer);
+
+  if (may_be_kept (self, answer))
+    {
+      self->exchange = NULL;
+      go_idle (self, limit);
+      exchange->events->done (exchange, answer, exchange->data);
+      g_free (exchange);
+      return;
+    }
+  exchange->events->done (exchange, answer, exchange->data);
+  g_hash_table_remove (self->client->connections, self);
+}
+
+/* An answer to another request is over; the next message on the connection may be ours. */
+static gboolean
+skip_on (Connection *self)
+{
+  self->exchange->skipping = FALSE;
+  if (++self->exchange->skipped > SKIP_LIMIT || !ht_reader_message (self->reader)->keep_alive)
+    return FALSE;
+  ht_reader_begin (self->reader, FALSE);
+  return TRUE;
+}
+
+static gboolean
+on_head (HtMessage *message, gpointer data)
+{
+  Connection *self = data;
+  HtExchange *exchange = self->exchange;
+
+  switch (exchange->events->head (exchange, message, exchange->data))
+    {
+    case HT_HEAD_TAKE:
+      return TRUE;
+    case HT_HEAD_SKIP:
+      exchange->skipping = TRUE;
+      return TRUE;
+    case HT_HEAD_REFUSE:
+      return FALSE;
+    }
+  return FALSE;
+}
+
+static void
+on_body (const char *bytes, gsize length, gpointer data)
+{
+  Connection *self = data;
+  HtExchange *exchange = self->exchange;
+
+  if (exchange->skipping || self->cancelled)
+    return;
+  if (exchange->events->body != NULL)
+    exchange->events->body (exchange, bytes, length, exchange->data);
+  else
+    g_string_append_len (ht_reader_message (self->reader)->body, bytes, (gssize)length);
+}
+
+static const HtReaderEvents reader_events = { .head = on_head, .body = on_body };
+
+static void
+on_readable (struct bufferevent *stream, void *data)
+{
+  Connection *self = data;
+  struct evbuffer *input = bufferevent_get_input (stream);
+  HtReadStatus status = HT_READ_COMPLETE;
+
+  if (self->exchange == NULL)
+    {
+      connection_drop (self);
+      return;
+    }
+  self->in_read = TRUE;
+  while (evbuffer_get_length (input) > 0)
+    {
+      gsize length = evbuffer_get_length (input);
+      gsize taken = 0;
+
+      status =
+          ht_reader_feed (self->reader, (const char *)evbuffer_pullup (input, -1), length, &taken);
+      evbuffer_drain (input, taken);
+      if (self->cancelled)
+        break;
+      if (status == HT_READ_COMPLETE && self->exchange->skipping && skip_on (self))
+        continue;
+      if (status != HT_READ_MORE)
+        break;
+    }
+  self->in_read = FALSE;
+  if (self->cancelled)
+    g_hash_table_remove (self->client->connections, self);
+  else if (status == HT_READ_MORE)
+    return;
+  else if (status == HT_READ_COMPLETE && !self->exchange->skipping
+           && ht_reader_has_head (self->reader))
+    complete (self);
+  else if (status == HT_READ_HEAD_LARGE || status == HT_READ_BODY_LARGE)
+    fail (self, HT_FAIL_LARGE);
+  else if (status != HT_READ_COMPLETE || evbuffer_get_length (input) > 0)
+    fail (self, HT_FAIL_BAD);
+}
+
+/*
+ * Some answers have no length and end with their connection. One that is reset
+ * on the way looks the same but for the error, so only an orderly end completes.
+ */
+static void
+take_end (Connection *self, gboolean orderly)
+{
+  if (self->exchange == NULL)
+    connection_drop (self);
+  else if (orderly && !self->exchange->skipping
+           && ht_reader_finish (self->reader) == HT_READ_COMPLETE)
+    {
+      self->spoilt = TRUE;
+      complete (self);
+    }
+  else
+    fail (self, HT_FAIL_CLOSED);
+}
+
+static void
+on_event (struct bufferevent *stream, short what, void *data)
+{
+  Connection *self = data;
+
+  if ((what & BEV_EVENT_CONNECTED) != 0)
+    {
+      self->connected = TRUE;
+      knl_timer_stop (self->client->kernel, &self->timer);
+    }
+  else if (!self->connected)
+    fail (self, HT_FAIL_CONNECT);
+  else
+    take_end (self, (what & BEV_EVENT_EOF) != 0);
+}
+
+HtClient *
+ht_client_new (KnlKernel *kernel,
+               struct event_base *base,
+               const HtLimits *limits,
+               KnlTime keep_idle)
+{
+  HtClient *self = g_new0 (HtClient, 1);
+
+  self->kernel = kernel;
+  self->base = base;
+  self->limits = *limits;
+  self->keep_idle = keep_idle;
+  self->connections = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)connection_free, NULL);
+  self->idle =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  return self;
+}
+
+void
+ht_client_free (HtClient *self)
+{
+  if (self == NULL)
+    return;
+  g_hash_table_unref (self->idle);
+  g_hash_table_unref (self->connections);
+  g_free (self);
+}
+
+static Connection *
+connect_to (HtClient *self, const char *address, KnlTime timeout)
+{
+  struct sockaddr_storage peer;
+  int length = sizeof peer;
+  Connection *connection = g_new0 (Connection, 1);
+  evutil_socket_t fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+  connection->client = self;
+  connection->address = g_strdup (address);
+  connection->stream =
+      bufferevent_socket_new (self->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  connection->reader = ht_reader_new (TRUE, &self->limits, &reader_events, connection);
+  bufferevent_setcb (connection->stream, on_readable, NULL, on_event, connection);
+  g_hash_table_add (self->connections, connection);
+  self->opened++;
+  if (fd < 0 || evutil_parse_sockaddr_port (address, (struct sockaddr *)&peer, &length) != 0)
+    timeout = 0;
+  else
+    {
+      ht_socket_tune (fd);
+      if (bufferevent_socket_connect (connection->stream, (struct sockaddr *)&peer, length) != 0)
+        timeout = 0;
+    }
+  connection->timer = knl_timer_start (self->kernel, timeout, on_timer, connection);
+  bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+  return connection;
+}
+
+static Connection *
+take_idle (HtClient *self, const char *address, KnlTime max_idle)
+{
+  GPtrArray *idle = g_hash_table_lookup (self->idle, address);
+  Connection *connection;
+
+  if (idle == NULL || max_idle == 0)
+    return NULL;
+  connection = g_ptr_array_index (idle, idle->len - 1);
+  if (knl_kernel_now (self->kernel) - connection->idle_since > max_idle)
+    return NULL;
+  leave_idle (connection);
+  knl_timer_stop (self->kernel, &connection->timer);
+  return connection;
+}
+
+HtExchange *
+ht_client_send (HtClient *self,
+                const HtExchangeRequest *request,
+                const HtExchangeEvents *events,
+                gpointer data)
+{
+  HtExchange *exchange = g_new0 (HtExchange, 1);
+  Connection *connection = take_idle (self, request->address, request->max_idle);
+
+  exchange->reused = connection != NULL;
+  if (connection == NULL)
+    connection = connect_to (self, request->address, request->connect_timeout);
+  exchange->connection = connection;
+  exchange->events = events;
+  exchange->data = data;
+  connection->exchange = exchange;
+  ht_reader_begin (connection->reader, request->is_head);
+  bufferevent_write (connection->stream, request->head, strlen (request->head));
+  bufferevent_write (connection->stream, "\r\n", 2);
+  if (request->body_length > 0)
+    bufferevent_write (connection->stream, request->body, request->body_length);
+  return exchange;
+}
+
+void
+ht_exchange_cancel (HtExchange *self)
+{
+  Connection *connection = self->connection;
+
+  if (connection->in_read)
+    connection->cancelled = TRUE;
+  else
+    g_hash_table_remove (connection->client->connections, connection);
+}
+
+gboolean
+ht_exchange_is_reused (const HtExchange *self)
+{
+  return self->reused;
+}
+
+void
+ht_client_forget (HtClient *self, const char *address)
+{
+  GPtrArray *idle = g_hash_table_lookup (self->idle, address);
+
+  while (idle != NULL)
+    {
+      connection_drop (g_ptr_array_index (idle, idle->len - 1));
+      idle = g_hash_table_lookup (self->idle, address);
+    }
+}
+
+guint64
+ht_client_n_opened (const HtClient *self)
+{
+  return self->opened;
+}
--- /dev/null
+++ b/http/reader.c
@@ -0,0 +1,324 @@
+#include "http/reader.h"
+
+#include <http_parser.h>
+#include <string.h>
+
+struct HtReader
+{
+  http_parser parser;
+  gboolean responses;
+  HtLimits limits;
+  const HtReaderEvents *events;
+  gpointer data;
+  HtMessage *message;
+  GString *name;
+  GString *value;
+  gsize head_bytes;
+  gsize body_bytes;
+  gboolean no_body;
+  gboolean has_value;   /* a value has begun: the next name is another field's */
+  gboolean until_close; /* the response has no length and ends with its connection */
+  gboolean begun;
+  gboolean head_done;
+  gboolean complete;
+  HtReadStatus refusal; /* HT_READ_MORE: none */
+};
+
+static gboolean
+is_token (const GString *text)
+{
+  for (gsize i = 0; i < text->len; i++)
+    {
+      if (!g_ascii_isalnum (text->str[i]) && strchr ("!#$%&'*+-.^_`|~", text->str[i]) == NULL)
+        return FALSE;
+    }
+  return text->len > 0;
+}
+
+static gboolean
+is_clean (const char *text, gsize length)
+{
+  for (gsize i = 0; i < length; i++)
+    {
+      if ((guchar)text[i] < ' ' && text[i] != '\t')
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static int
+refuse (HtReader *self, HtReadStatus status)
+{
+  if (self->refusal == HT_READ_MORE)
+    self->refusal = status;
+  return 1;
+}
+
+static int
+take_field (HtReader *self)
+{
+  if (!self->has_value)
+    return 0;
+  self->has_value = FALSE;
+  if (!is_token (self->name) || !is_clean (self->value->str, self->value->len))
+    return refuse (self, HT_READ_BAD);
+  g_strchomp (self->value->str);
+  ht_message_add (self->message, self->name->str, self->value->str);
+  g_string_truncate (self->name, 0);
+  g_string_truncate (self->value, 0);
+  return 0;
+}
+
+static int
+count_head (HtReader *self, gsize length)
+{
+  self->head_bytes += length;
+  return self->head_bytes > self->limits.max_head_bytes ? refuse (self, HT_READ_HEAD_LARGE) : 0;
+}
+
+static int
+on_url (http_parser *parser, const char *at, size_t length)
+{
+  HtReader *self = parser->data;
+  char *joined;
+
+  for (size_t i = 0; i < length; i++)
+    {
+      if (at[i] <= ' ' || at[i] == 0x7f)
+        return refuse (self, HT_READ_BAD);
+    }
+  joined = g_strdup_printf ("%s%.*s", self->message->target != NULL ? self->message->target : "",
+                            (int)length, at);
+  g_free (self->message->target);
+  self->message->target = joined;
+  return count_head (self, length);
+}
+
+static int
+on_field (http_parser *parser, const char *at, size_t length)
+{
+  HtReader *self = parser->data;
+
+  if (self->head_done) /* trailers are not passed on */
+    return 0;
+  if (take_field (self) != 0)
+    return 1;
+  g_string_append_len (self->name, at, (gssize)length);
+  return count_head (self, length);
+}
+
+static int
+on_value (http_parser *parser, const char *at, size_t length)
+{
+  HtReader *self = parser->data;
+
+  if (self->head_done)
+    return 0;
+  self->has_value = TRUE;
+  g_string_append_len (self->value, at, (gssize)length);
+  return count_head (self, length + 4);
+}
+
+static gboolean
+has_clear_framing (const HtMessage *message)
+{
+  guint lengths = ht_message_count (message, "content-length");
+  guint encodings = ht_message_count (message, "transfer-encoding");
+  const char *encoding = ht_message_get (message, "transfer-encoding");
+
+  if (lengths > 1 || encodings > 1 || (lengths > 0 && encodings > 0))
+    return FALSE;
+  return encoding == NULL || g_ascii_strcasecmp (encoding, "chunked") == 0;
+}
+
+static int
+on_head (http_parser *parser)
+{
+  HtReader *self = parser->data;
+  HtMessage *message = self->message;
+
+  if (take_field (self) != 0)
+    return -1;
+  if (!has_clear_framing (message) || parser->http_major != 1)
+    return -refuse (self, HT_READ_BAD);
+  if (!self->responses && parser->method == HTTP_CONNECT)
+    return -refuse (self, HT_READ_BAD);
+  parser->upgrade = 0;
+  message->status = parser->status_code;
+  message->keep_alive = http_should_keep_alive (parser) != 0;
+  g_strlcpy (message->method, http_method_str ((enum http_method)parser->method),
+             sizeof message->method);
+  if (parser->content_length != G_MAXUINT64 && parser->content_length > self->limits.max_body_bytes)
+    return -refuse (self, HT_READ_BODY_LARGE);
+  self->head_done = TRUE;
+  self->until_close = self->responses && !self->no_body && message->status >= 200
+                      && message->status != 204 && message->status != 304
+                      && parser->content_length == G_MAXUINT64 && (parser->flags & F_CHUNKED) == 0;
+  if (self->events->head != NULL && !(self->responses && message->status < 200)
+      && !self->events->head (message, self->data))
+    return -refuse (self, HT_READ_BAD);
+  return self->no_body ? 1 : 0;
+}
+
+static int
+on_body (http_parser *parser, const char *at, size_t length)
+{
+  HtReader *self = parser->data;
+
+  self->body_bytes += length;
+  if (self->body_bytes > self->limits.max_body_bytes)
+    return refuse (self, HT_READ_BODY_LARGE);
+  if (self->events->body != NULL)
+    self->events->body (at, length, self->data);
+  else
+    g_string_append_len (self->message->body, at, (gssize)length);
+  return 0;
+}
+
+static int
+on_complete (http_parser *parser)
+{
+  HtReader *self = parser->data;
+
+  self->complete = TRUE;
+  http_parser_pause (parser, 1);
+  return 0;
+}
+
+static const http_parser_settings callbacks = {
+  .on_url = on_url,
+  .on_header_field = on_field,
+  .on_header_value = on_value,
+  .on_headers_complete = on_head,
+  .on_body = on_body,
+  .on_message_complete = on_complete,
+};
+
+HtReader *
+ht_reader_new (gboolean responses,
+               const HtLimits *limits,
+               const HtReaderEvents *events,
+               gpointer data)
+{
+  HtReader *self = g_new0 (HtReader, 1);
+
+  self->responses = responses;
+  self->limits = *limits;
+  self->events = events;
+  self->data = data;
+  self->name = g_string_new (NULL);
+  self->value = g_string_new (NULL);
+  ht_reader_begin (self, FALSE);
+  return self;
+}
+
+void
+ht_reader_free (HtReader *self)
+{
+  if (self == NULL)
+    return;
+  ht_message_free (self->message);
+  g_string_free (self->name, TRUE);
+  g_string_free (self->value, TRUE);
+  g_free (self);
+}
+
+void
+ht_reader_set_limits (HtReader *self, const HtLimits *limits)
+{
+  self->limits = *limits;
+}
+
+void
+ht_reader_begin (HtReader *self, gboolean no_body)
+{
+  http_parser_init (&self->parser, self->responses ? HTTP_RESPONSE : HTTP_REQUEST);
+  self->parser.data = self;
+  ht_message_free (self->message);
+  self->message = ht_message_new ();
+  g_string_truncate (self->name, 0);
+  g_string_truncate (self->value, 0);
+  self->head_bytes = self->body_bytes = 0;
+  self->no_body = no_body;
+  self->begun = self->head_done = self->complete = FALSE;
+  self->has_value = self->until_close = FALSE;
+  self->refusal = HT_READ_MORE;
+}
+
+static HtReadStatus
+end_status (HtReader *self, gboolean failed)
+{
+  if (self->complete)
+    return HT_READ_COMPLETE;
+  if (self->refusal != HT_READ_MORE)
+    return self->refusal;
+  if (!failed)
+    return HT_READ_MORE;
+  return HTTP_PARSER_ERRNO (&self->parser) == HPE_HEADER_OVERFLOW ? HT_READ_HEAD_LARGE
+                                                                  : HT_READ_BAD;
+}
+
+HtReadStatus
+ht_reader_feed (HtReader *self, const char *bytes, gsize length, gsize *taken)
+{
+  HtReadStatus status;
+
+  if (length > 0)
+    self->begun = TRUE;
+  *taken = http_parser_execute (&self->parser, &callbacks, bytes, length);
+  status = end_status (self, HTTP_PARSER_ERRNO (&self->parser) != HPE_OK);
+  /* Interim responses are no answer; the next message on the stream is. */
+  if (status == HT_READ_COMPLETE && self->responses && self->message->status < 200)
+    {
+      gsize more = 0;
+
+      ht_reader_begin (self, self->no_body);
+      status = ht_reader_feed (self, bytes + *taken, length - *taken, &more);
+      *taken += more;
+    }
+  return status;
+}
+
+HtReadStatus
+ht_reader_finish (HtReader *self)
+{
+  if (self->complete)
+    return HT_READ_COMPLETE;
+  if (!self->head_done || !ht_reader_ends_by_close (self))
+    return HT_READ_BAD;
+  http_parser_execute (&self->parser, &callbacks, NULL, 0);
+  return self->complete ? HT_READ_COMPLETE : HT_READ_BAD;
+}
+
+gboolean
+ht_reader_ends_by_close (const HtReader *self)
+{
+  return self->until_close;
+}
+
+gboolean
+ht_reader_has_begun (const HtReader *self)
+{
+  return self->begun;
+}
+
+gboolean
+ht_reader_has_head (const HtReader *self)
+{
+  return self->head_done;
+}
+
+HtMessage *
+ht_reader_message (HtReader *self)
+{
+  return self->message;
+}
+
+HtMessage *
+ht_reader_steal (HtReader *self)
+{
+  HtMessage *message = self->message;
+
+  self->message = ht_message_new ();
+  return message;
+}
--- /dev/null
+++ b/http/server.c
@@ -0,0 +1,466 @@
+#include "http/server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <http_parser.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "common/settings.h"
+#include "http/socket.h"
+
+/* How often connections are looked at for their time limits: a tenth of the shortest in use. */
+#define SWEEP_INTERVAL (250 * KNL_MSEC)
+
+/* Bytes of a next request that are read while one is answered; more stay with the network. */
+#define READ_AHEAD_BYTES 65536
+
+/* Answer bytes that a caller leaves unread before it is given up, so that it can't take memory. */
+#define UNREAD_BYTES (4 * 1024 * 1024)
+
+/* An answer that closes its connection waits this long for the caller to take it. */
+#define CLOSE_LINGER (2 * KNL_SEC)
+
+typedef struct Connection Connection;
+
+struct HtCall
+{
+  Connection *connection;
+  HtMessage *request;
+  KnlTime begun_at;
+  gboolean begun;
+  gboolean keep_alive;
+  gpointer data;
+};
+
+struct Connection
+{
+  HtServer *server;
+  struct bufferevent *stream;
+  HtReader *reader;
+  HtCall *call;     /* the request being answered */
+  KnlTime since;    /* the last answer's end, or the first byte of the request being read */
+  gboolean reading; /* some of a request has been read */
+  gboolean closing; /* only unsent answer bytes keep it */
+};
+
+struct HtServer
+{
+  KnlKernel *kernel;
+  struct event_base *base;
+  struct evconnlistener *listener;
+  HtServerLimits limits;
+  const HtServerEvents *events;
+  gpointer data;
+  GHashTable *connections; /* Connection */
+  KnlTimerId sweep_timer;
+  gboolean draining;
+};
+
+static const HtReaderEvents reader_events = { 0 };
+
+static void
+call_free (HtCall *call)
+{
+  ht_message_free (call->request);
+  g_free (call);
+}
+
+static void
+connection_free (Connection *self)
+{
+  if (self->call != NULL)
+    call_free (self->call);
+  bufferevent_free (self->stream);
+  ht_reader_free (self->reader);
+  g_free (self);
+}
+
+static void
+connection_drop (Connection *self)
+{
+  if (self->call != NULL && self->server->events->gone != NULL)
+    self->server->events->gone (self->call, self->server->data);
+  g_hash_table_remove (self->server->connections, self);
+}
+
+static void
+close_after_answer (Connection *self)
+{
+  self->closing = TRUE;
+  self->since = knl_kernel_now (self->server->kernel);
+  if (evbuffer_get_length (bufferevent_get_output (self->stream)) == 0)
+    connection_drop (self);
+}
+
+static void
+write_text (Connection *self, const char *text, gsize length)
+{
+  bufferevent_write (self->stream, text, length);
+}
+
+static void
+write_head (HtCall *call, guint status, const char *fields, const char *framing)
+{
+  Connection *self = call->connection;
+  g_autofree char *head = NULL;
+
+  if (self->server->draining)
+    call->keep_alive = FALSE;
+  head = g_strdup_printf ("HTTP/1.1 %u %s\r\n%s%s%s\r\n", status,
+                          http_status_str ((enum http_status)status), fields != NULL ? fields : "",
+                          framing, call->keep_alive ? "" : "Connection: close\r\n");
+  write_text (self, head, strlen (head));
+}
+
+static void
+on_answered (HtCall *call)
+{
+  Connection *self = call->connection;
+  gboolean keep = call->keep_alive && !self->server->draining;
+
+  self->call = NULL;
+  call_free (call);
+  if (!keep)
+    {
+      close_after_answer (self);
+      return;
+    }
+  self->since = knl_kernel_now (self->server->kernel);
+  ht_reader_begin (self->reader, FALSE);
+  if (evbuffer_get_length (bufferevent_get_input (self->stream)) > 0)
+    bufferevent_trigger (self->stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static void
+refuse_unread (Connection *self, guint status)
+{
+  g_autofree char *head =
+      g_strdup_printf ("HTTP/1.1 %u %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status,
+                       http_status_str ((enum http_status)status));
+
+  write_text (self, head, strlen (head));
+  close_after_answer (self);
+}
+
+static void
+take_request (Connection *self)
+{
+  HtCall *call = g_new0 (HtCall, 1);
+
+  call->connection = self;
+  call->request = ht_reader_steal (self->reader);
+  call->begun_at = self->since;
+  call->keep_alive = call->request->keep_alive;
+  self->call = call;
+  self->reading = FALSE;
+  self->server->events->request (call, self->server->data);
+}
+
+static void
+read_on (Connection *self)
+{
+  struct evbuffer *input = bufferevent_get_input (self->stream);
+  gsize length = evbuffer_get_length (input);
+  gsize taken = 0;
+  HtReadStatus status;
+
+  if (self->closing)
+    {
+      evbuffer_drain (input, length);
+      return;
+    }
+  if (self->call != NULL || length == 0)
+    return;
+  if (!self->reading)
+    {
+      self->reading = TRUE;
+      self->since = knl_kernel_now (self->server->kernel);
+    }
+  status = ht_reader_feed (self->reader, (const char *)evbuffer_pullup (input, -1), length, &taken);
+  evbuffer_drain (input, taken);
+  switch (status)
+    {
+    case HT_READ_MORE:
+      return;
+    case HT_READ_COMPLETE:
+      take_request (self);
+      return;
+    case HT_READ_HEAD_LARGE:
+      refuse_unread (self, 431);
+      return;
+    case HT_READ_BODY_LARGE:
+      refuse_unread (self, 413);
+      return;
+    case HT_READ_BAD:
+      refuse_unread (self, 400);
+      return;
+    }
+}
+
+static void
+on_readable (struct bufferevent *stream, void *data)
+{
+  read_on (data);
+}
+
+static void
+on_written (struct bufferevent *stream, void *data)
+{
+  Connection *self = data;
+
+  if (self->closing)
+    connection_drop (self);
+}
+
+static void
+on_event (struct bufferevent *stream, short what, void *data)
+{
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    connection_drop (data);
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int length,
+           void *data)
+{
+  HtServer *self = data;
+  Connection *connection;
+
+  if (g_hash_table_size (self->connections) >= self->limits.max_connections)
+    {
+      evutil_closesocket (fd);
+      return;
+    }
+  ht_socket_tune (fd);
+  connection = g_new0 (Connection, 1);
+  connection->server = self;
+  connection->since = knl_kernel_now (self->kernel);
+  connection->stream = bufferevent_socket_new (self->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  connection->reader = ht_reader_new (FALSE, &self->limits.message, &reader_events, connection);
+  bufferevent_setcb (connection->stream, on_readable, on_written, on_event, connection);
+  bufferevent_setwatermark (connection->stream, EV_READ, 0, READ_AHEAD_BYTES);
+  bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+  g_hash_table_add (self->connections, connection);
+}
+
+static gboolean
+is_overdue (const Connection *self, KnlTime now)
+{
+  const HtServerLimits *limits = &self->server->limits;
+  gsize unsent = evbuffer_get_length (bufferevent_get_output (self->stream));
+
+  if (unsent > UNREAD_BYTES)
+    return TRUE;
+  if (self->closing)
+    return now - self->since > CLOSE_LINGER;
+  if (self->call != NULL)
+    return FALSE;
+  if (self->reading)
+    return now - self->since > limits->head_timeout;
+  return now - self->since > limits->idle_timeout;
+}
+
+static void
+on_sweep (gpointer data)
+{
+  HtServer *self = data;
+  KnlTime now = knl_kernel_now (self->kernel);
+  g_autoptr (GPtrArray) overdue = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, self->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      if (is_overdue (key, now))
+        g_ptr_array_add (overdue, key);
+    }
+  for (guint i = 0; i < overdue->len; i++)
+    {
+      Connection *connection = g_ptr_array_index (overdue, i);
+
+      if (connection->reading && connection->call == NULL && !connection->closing)
+        refuse_unread (connection, 408);
+      else
+        connection_drop (connection);
+    }
+  self->sweep_timer = knl_timer_start (self->kernel, SWEEP_INTERVAL, on_sweep, self);
+}
+
+HtServer *
+ht_server_new (KnlKernel *kernel,
+               struct event_base *base,
+               const char *address,
+               const HtServerLimits *limits,
+               const HtServerEvents *events,
+               gpointer data)
+{
+  struct sockaddr_storage bound;
+  int length = sizeof bound;
+  HtServer *self = g_new0 (HtServer, 1);
+
+  self->kernel = kernel;
+  self->base = base;
+  self->limits = *limits;
+  self->events = events;
+  self->data = data;
+  self->connections = g_hash_table_new_full (NULL, NULL, (GDestroyNotify)connection_free, NULL);
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&bound, &length) == 0)
+    self->listener = evconnlistener_new_bind (
+        base, on_accept, self, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+        HT_BACKLOG, (struct sockaddr *)&bound, length);
+  if (self->listener == NULL)
+    {
+      ht_server_free (self);
+      return NULL;
+    }
+  self->sweep_timer = knl_timer_start (kernel, SWEEP_INTERVAL, on_sweep, self);
+  return self;
+}
+
+void
+ht_server_free (HtServer *self)
+{
+  if (self == NULL)
+    return;
+  ht_server_stop_listening (self);
+  knl_timer_stop (self->kernel, &self->sweep_timer);
+  g_hash_table_unref (self->connections);
+  g_free (self);
+}
+
+void
+ht_server_set_limits (HtServer *self, const HtServerLimits *limits)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  self->limits = *limits;
+  g_hash_table_iter_init (&iter, self->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    ht_reader_set_limits (((Connection *)key)->reader, &limits->message);
+}
+
+void
+ht_server_drain (HtServer *self)
+{
+  self->draining = TRUE;
+}
+
+void
+ht_server_stop_listening (HtServer *self)
+{
+  g_clear_pointer (&self->listener, evconnlistener_free);
+}
+
+guint
+ht_server_n_connections (const HtServer *self)
+{
+  return g_hash_table_size (self->connections);
+}
+
+guint
+ht_server_n_busy (const HtServer *self)
+{
+  guint busy = 0;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, self->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const Connection *connection = key;
+
+      busy += connection->call != NULL || connection->reading
+              || evbuffer_get_length (bufferevent_get_output (connection->stream)) > 0;
+    }
+  return busy;
+}
+
+HtMessage *
+ht_call_request (HtCall *call)
+{
+  return call->request;
+}
+
+void
+ht_call_set_data (HtCall *call, gpointer data)
+{
+  call->data = data;
+}
+
+gpointer
+ht_call_data (HtCall *call)
+{
+  return call->data;
+}
+
+KnlTime
+ht_call_begun_at (const HtCall *call)
+{
+  return call->begun_at;
+}
+
+void
+ht_call_answer (HtCall *call, guint status, const char *fields, const char *body, gsize length)
+{
+  char framing[48];
+  Connection *self = call->connection;
+
+  g_snprintf (framing, sizeof framing, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
+  write_head (call, status, fields, status == 204 || status == 304 ? "" : framing);
+  if (length > 0 && strcmp (call->request->method, "HEAD") != 0)
+    write_text (self, body, length);
+  on_answered (call);
+}
+
+void
+ht_call_begin (HtCall *call, guint status, const char *fields)
+{
+  call->begun = TRUE;
+  write_head (call, status, fields, "Transfer-Encoding: chunked\r\n");
+}
+
+void
+ht_call_send (HtCall *call, const char *bytes, gsize length)
+{
+  char size[24];
+
+  if (length == 0)
+    return;
+  g_snprintf (size, sizeof size, "%" G_GSIZE_MODIFIER "x\r\n", length);
+  write_text (call->connection, size, strlen (size));
+  write_text (call->connection, bytes, length);
+  write_text (call->connection, "\r\n", 2);
+}
+
+gboolean
+ht_call_has_begun (const HtCall *call)
+{
+  return call->begun;
+}
+
+void
+ht_call_end (HtCall *call)
+{
+  write_text (call->connection, "0\r\n\r\n", 5);
+  on_answered (call);
+}
+
+void
+ht_call_abort (HtCall *call)
+{
+  Connection *self = call->connection;
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  self->call = NULL;
+  call_free (call);
+  setsockopt (bufferevent_getfd (self->stream), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  g_hash_table_remove (self->server->connections, self);
+}
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -21,6 +21,13 @@
   CM_LOG_DEBUG,
 } CmLogSeverity;
 
+/**
+ * Sends lines to standard output from now on, without ever blocking: a line that
+ * its reader has no room for, or beyond a bounded number a second, is dropped,
+ * and the next line that goes out is preceded by one that counts those.
+ */
+void cm_log_to_stdout (void);
+
 /** Where lines go when not to standard error; tests collect them. */
 typedef void (*CmLogSink) (const char *line, gpointer data);
 
--- a/include/controller/controller.h
+++ b/include/controller/controller.h
@@ -11,7 +11,7 @@
 #include "controller/settings.h"
 #include "coord/config.h"
 #include "endpoint/endpoint.h"
-#include "platform/platform.h"
+#include "table/table.h"
 #include "wire/link.h"
 
 typedef struct CtController CtController;
@@ -22,7 +22,7 @@
   KnlKernel *kernel;
   WrTransport *transport; /**< its config_revision is that of `config` */
   const WrIdentity *identity;
-  PfPlatform *platform;
+  TbTable *platform;
   EpClient *endpoints;
   CoConfig *config; /**< empty; the controller fills it */
   CmMetrics *metrics;
--- a/include/controller/members.h
+++ b/include/controller/members.h
@@ -10,7 +10,7 @@
 #include "coord/config.h"
 #include "coord/credit.h"
 #include "coord/member.h"
-#include "platform/platform.h"
+#include "table/table.h"
 
 typedef struct CtMembers CtMembers;
 
@@ -20,7 +20,7 @@
 typedef struct
 {
   KnlKernel *kernel;
-  PfPlatform *platform;
+  TbTable *platform;
   const CoConfig *config;
   CtLinks *links;
   const WrIdentity *identity;
--- a/include/controller/state.h
+++ b/include/controller/state.h
@@ -31,7 +31,7 @@
   CtControllerOptions options;
   KnlKernel *kernel;
   const CtSettings *settings;
-  PfPlatform *platform; /* options.platform, metered */
+  TbTable *platform; /* options.platform, metered */
   CoConfig *config;
   CoConfigStore *store;
   CtLinks *links;
--- a/include/coord/config_apply.h
+++ b/include/coord/config_apply.h
@@ -10,7 +10,7 @@
 typedef struct
 {
   KnlKernel *kernel;
-  PfPlatform *platform;
+  TbTable *platform;
   CoConfig *replica;
   KnlTime limit;
   /** The table is ahead of the replica: co_config_apply_resume() is wanted after a pull. */
--- a/include/coord/config_compact.h
+++ b/include/coord/config_compact.h
@@ -16,7 +16,7 @@
 typedef struct
 {
   KnlKernel *kernel;
-  PfPlatform *platform;
+  TbTable *platform;
   CoLeases *leases;
   const CoConfig *replica;
   guint keep;       /**< changes */
--- a/include/coord/config_pull.h
+++ b/include/coord/config_pull.h
@@ -7,7 +7,7 @@
  */
 
 #include "coord/config.h"
-#include "platform/platform.h"
+#include "table/table.h"
 
 typedef struct CoConfigPull CoConfigPull;
 
@@ -15,7 +15,7 @@
 typedef void (*CoConfigPullFunc) (gpointer data);
 
 CoConfigPull *
-co_config_pull_new (PfPlatform *platform, CoConfig *replica, CoConfigPullFunc ended, gpointer data);
+co_config_pull_new (TbTable *platform, CoConfig *replica, CoConfigPullFunc ended, gpointer data);
 void co_config_pull_free (CoConfigPull *pull);
 
 /** Starts a pull unless one is under way. */
--- a/include/coord/config_rows.h
+++ b/include/coord/config_rows.h
@@ -3,7 +3,7 @@
 /** The rows of the declared configuration in the table, and their JSON. */
 
 #include "coord/apply.h"
-#include "platform/platform.h"
+#include "table/table.h"
 
 #define CO_REVISION_ROW     "config/revision"
 #define CO_OBJECT_PREFIX    "config/object/"
@@ -31,7 +31,7 @@
 guint64 co_row_revision (const char *value);
 
 /** The change that a change row or an object row tells of; free as protobuf-c does. */
-Alderturn__ConfigChange *co_row_to_change (const PfRow *row);
+Alderturn__ConfigChange *co_row_to_change (const TbRow *row);
 
 /** Names the changes of an operation, so that another use of its id is noticed. */
 char *co_changes_digest (const json_t *changes);
--- a/include/coord/config_store.h
+++ b/include/coord/config_store.h
@@ -18,7 +18,7 @@
 
 #include "common/findings.h"
 #include "coord/config.h"
-#include "platform/platform.h"
+#include "table/table.h"
 
 typedef struct CoConfigStore CoConfigStore;
 
@@ -65,7 +65,7 @@
 typedef struct
 {
   KnlKernel *kernel;
-  PfPlatform *platform;
+  TbTable *platform;
   CoConfig *replica;
   KnlTime poll_interval;            /**< between reads of the revision by a reader of the zone */
   KnlTime idle_interval;            /**< the same, by the others */
--- a/include/coord/idem.h
+++ b/include/coord/idem.h
@@ -21,7 +21,7 @@
 typedef struct
 {
   KnlKernel *kernel;
-  PfPlatform *platform;
+  TbTable *platform;
   CoLeases *leases;
   KnlTime batch_delay;   /**< that a write waits for others to go with */
   KnlTime begin_limit;   /**< a begin without a durable record by then is refused */
--- a/include/coord/idem_private.h
+++ b/include/coord/idem_private.h
@@ -34,7 +34,7 @@
   CoIdemRecord record;
   CoIdemRecord next; /* being written */
   KnlTime begun_at;  /* when this holder first saw the record begun */
-  PfCallId call;
+  TbCallId call;
   KnlTimerId retry;
   GList *recent; /* link in CoIdem.recent, when idle */
 };
@@ -56,7 +56,7 @@
 void co_idem_want_write (CoIdemKey *key, CoIdemRecord next);
 
 /** What became of that; the key may be freed. */
-void co_idem_key_written (CoIdemKey *key, PfStatus status, guint64 version);
+void co_idem_key_written (CoIdemKey *key, TbStatus status, guint64 version);
 
 void co_idem_key_free (CoIdemKey *key);
 
--- a/include/coord/idem_sweep.h
+++ b/include/coord/idem_sweep.h
@@ -17,7 +17,7 @@
 typedef struct
 {
   KnlKernel *kernel;
-  PfPlatform *platform;
+  TbTable *platform;
   CoLeases *leases;
   CoIdem *idem;       /**< is told the epoch */
   KnlTime epoch_time; /**< how long an epoch lasts at least */
--- a/include/coord/lease.h
+++ b/include/coord/lease.h
@@ -15,7 +15,7 @@
  * carried out for a former holder, and does not collide with renewals.
  */
 
-#include "platform/platform.h"
+#include "table/table.h"
 
 typedef struct CoLeases CoLeases;
 
@@ -29,7 +29,7 @@
 typedef struct
 {
   KnlKernel *kernel;
-  PfPlatform *platform;
+  TbTable *platform;
   const char *name;    /**< of this candidate; outlives the leases */
   guint64 incarnation; /**< of this process */
   guint n_shards;
@@ -64,7 +64,7 @@
 
 /** A check for transactions that only the holder may make; the key is valid as long as the leases.
  */
-PfCheck co_lease_check (const CoLeases *leases, guint shard);
+TbCheck co_lease_check (const CoLeases *leases, guint shard);
 
 CoLeaseView co_lease_view (CoLeases *leases, guint shard);
 
--- a/include/coord/lease_private.h
+++ b/include/coord/lease_private.h
@@ -50,11 +50,11 @@
   KnlTime renewed;        /* when renewals were last sent */
   KnlTime handed_over;
   /* The scan: */
-  PfCallId scan_call;
+  TbCallId scan_call;
   KnlTime scan_sent;
   KnlTime scanned; /* when the last one that succeeded was sent */
   /* The one write under way: */
-  PfCallId write_call;
+  TbCallId write_call;
   CoLeaseWrite write_kind;
   KnlTime write_sent;
   GArray *written;       /* shard numbers */
--- a/include/coord/suspect.h
+++ b/include/coord/suspect.h
@@ -10,7 +10,7 @@
  * Rows: "suspect/HEX16".
  */
 
-#include "platform/platform.h"
+#include "table/table.h"
 
 typedef struct CoSuspects CoSuspects;
 
@@ -20,7 +20,7 @@
 typedef struct
 {
   KnlKernel *kernel;
-  PfPlatform *platform;
+  TbTable *platform;
   KnlTime ttl;           /**< of an entry, from the last crash that it was told of */
   KnlTime scan_interval; /**< between reads of the rows */
   guint limit;           /**< entries at most; the one expiring first goes */
--- /dev/null
+++ b/include/platform/boot.h
@@ -0,0 +1,34 @@
+#pragma once
+
+/** The settings file that the platform writes for each process. */
+
+#include "common/findings.h"
+#include "kernel/kernel.h"
+#include "serve/core.h"
+
+/** Times in microseconds. */
+typedef struct
+{
+  char *name; /**< of this instance */
+  char *zone;
+  char *region;
+  char *callers_address;   /**< where callers connect */
+  char *ready_address;     /**< where the platform asks whether this instance is ready */
+  char *directory_address; /**< where callers ask for addresses */
+  char *link_address;      /**< datagrams of the other instances */
+  char *metrics_address;
+  char *store_address;
+  guint max_files;     /**< descriptors that the process may open */
+  guint store_reads;   /**< read calls a second that all instances together may make */
+  guint answer_keep_s; /**< longest time for which callers keep an answer of the directory */
+  KnlTime leave_grace; /**< how long a leaving endpoint may still be sent requests */
+  SvBounds bounds;
+} PlBoot;
+
+/** Path of the file, from the environment; NULL: not set. */
+const char *pl_boot_path (void);
+
+/** Reads the file; NULL with all that is wrong in `findings`. */
+PlBoot *pl_boot_load (const char *path, CmFindings *findings);
+
+void pl_boot_free (PlBoot *boot);
--- /dev/null
+++ b/include/platform/decode.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/** The platform's JSON for configurations, endpoints and members, decoded into the core's types. */
+
+#include <jansson.h>
+
+#include "serve/config.h"
+#include "serve/fleet.h"
+#include "serve/peers.h"
+
+/** Where the operator's newest configuration lies. */
+#define PL_CONFIG_TABLE "op"
+#define PL_CONFIG_KEY   "config"
+
+/** Where endpoints enter themselves, each under its id. */
+#define PL_ENDPOINT_TABLE "servers"
+
+/** Where our own instances enter themselves, each under its name. */
+#define PL_MEMBER_TABLE "instances"
+
+/** NULL: it is no configuration. */
+SvConfig *pl_decode_config (json_t *value);
+
+/** FALSE: it is no entry. Strings live as long as `value` and `id`. */
+gboolean pl_decode_endpoint (const char *id, json_t *value, SvEndpointEntry *entry);
+
+json_t *pl_encode_member (const SvMember *member);
+
+/** Where the member takes datagrams; NULL: not said. Lives as long as `value`. */
+const char *pl_decode_member (json_t *value);
+
+/** Body of an answer of the directory; free with free(). */
+char *pl_encode_directory (const GPtrArray *addresses, guint keep_s);
--- /dev/null
+++ b/include/platform/store.h
@@ -0,0 +1,88 @@
+#pragma once
+
+/**
+ * The one client of the platform's store: conditional writes, reads, and feeds
+ * of changes. Every call ends by one callback, never inside the call itself.
+ */
+
+#include <jansson.h>
+
+#include "http/client.h"
+
+typedef struct PlStore PlStore;
+typedef struct PlCall PlCall;
+typedef struct PlFeed PlFeed;
+
+typedef enum
+{
+  PL_OK,
+  PL_CONFLICT,  /**< a condition does not hold; nothing was written */
+  PL_FORGOTTEN, /**< the history asked for is no longer there */
+  PL_REFUSED,   /**< refused, certainly without effect: too many calls, or not available */
+  PL_UNKNOWN,   /**< no answer; a write may have taken effect, or may yet */
+} PlStatus;
+
+const char *pl_status_name (PlStatus status);
+
+/** `body` is the decoded answer, or NULL; it lives until the callback returns. */
+typedef void (*PlCallFunc) (PlStatus status, json_t *body, gpointer data);
+
+PlStore *pl_store_new (KnlKernel *kernel, HtClient *client, const char *address);
+void pl_store_free (PlStore *store);
+
+/** Reads the rows of a table from the key `from` (may be NULL) on, in pages. */
+PlCall *
+pl_store_get (PlStore *store, const char *table, const char *from, PlCallFunc func, gpointer data);
+
+/** Writes a row whatever it holds now; `value` is taken over. */
+PlCall *pl_store_put (PlStore *store,
+                      const char *table,
+                      const char *key,
+                      json_t *value,
+                      PlCallFunc func,
+                      gpointer data);
+
+/** Removes a row that still has the version `ver`; 0: whatever version. */
+PlCall *pl_store_remove (PlStore *store,
+                         const char *table,
+                         const char *key,
+                         guint64 ver,
+                         PlCallFunc func,
+                         gpointer data);
+
+/** Drops the callback; a write may take effect all the same. */
+void pl_call_cancel (PlCall *call);
+
+/** A row as calls and feeds hand it on. */
+typedef struct
+{
+  const char *key;
+  guint64 version;
+  json_t *value; /**< NULL: the row is gone, or holds no JSON */
+  gboolean gone;
+} PlRow;
+
+/** Decodes a row of an answer; free `value` with json_decref. FALSE: it is none. */
+gboolean pl_row_decode (json_t *item, PlRow *row);
+
+/** What a feed hands on. */
+typedef struct
+{
+  /** The whole table follows, row by row. */
+  void (*begin_list) (gpointer data);
+  void (*end_list) (gpointer data);
+  void (*row) (const PlRow *row, gpointer data);
+  /** All changes up to `asked_at` have been handed on. */
+  void (*confirmed) (KnlTime asked_at, gpointer data);
+} PlFeedEvents;
+
+/**
+ * Follows a table for ever: reads it whole, then waits for changes, each time
+ * for `wait`; begins again when the store has forgotten too much.
+ */
+PlFeed *pl_feed_new (PlStore *store,
+                     const char *table,
+                     KnlTime wait,
+                     const PlFeedEvents *events,
+                     gpointer data);
+void pl_feed_free (PlFeed *feed);
--- /dev/null
+++ b/include/serve/core.h
@@ -0,0 +1,96 @@
+#pragma once
+
+/**
+ * The core: what becomes of each caller's request from its reception to its
+ * answer. It opens no listening socket and reads no format; those come from
+ * outside through HtCall, HtClient, SvDialect and SvPeerLink.
+ */
+
+#include "common/metrics.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "serve/budget.h"
+#include "serve/config.h"
+#include "serve/dialect.h"
+#include "serve/fleet.h"
+#include "serve/router.h"
+
+typedef struct SvCore SvCore;
+typedef struct SvPeerLink SvPeerLink;
+
+/** How other instances hear of what this one does. */
+typedef struct
+{
+  /** A prompt's parts were placed. */
+  void (*read_placed) (SvPeerLink *link, const SvPlacement *placement);
+  /** What this instance has in flight has changed somewhere. */
+  void (*load_changed) (SvPeerLink *link);
+  /** A request with this fingerprint ended the connection of the endpoint that ran it. */
+  void (*suspect) (SvPeerLink *link, guint64 fingerprint);
+  /** How many instances there are, this one counted. */
+  guint (*n_instances) (const SvPeerLink *link);
+} SvPeerLinkClass;
+
+struct SvPeerLink
+{
+  const SvPeerLinkClass *klass;
+};
+
+/** Bounds that the deployment states. */
+typedef struct
+{
+  KnlTime key_confirmation;   /**< callers' keys are trusted for so long after a confirmation; 0:
+                                 always */
+  KnlTime route_confirmation; /**< the same for what the configuration lacks */
+  KnlTime stall;              /**< an endpoint's work that depends on a dead one ends after this */
+  KnlTime grace;              /**< from the order to stop to the end of the process */
+  KnlTime reserve_hold;       /**< memory set aside comes back by itself after this */
+  SvBudgetRule retries;
+} SvBounds;
+
+typedef struct
+{
+  KnlKernel *kernel;
+  HtClient *client;
+  SvDialect *dialect;
+  SvFleet *fleet;
+  SvPeerLink *link;
+  CmMetrics *metrics;
+  const char *zone;
+} SvCoreParts;
+
+/** The parts outlive the core. */
+SvCore *sv_core_new (const SvCoreParts *parts, const SvBounds *bounds);
+void sv_core_free (SvCore *core);
+
+void sv_core_set_bounds (SvCore *core, const SvBounds *bounds);
+
+/** A configuration; one that is not newer than that in use is ignored (FALSE). */
+gboolean sv_core_set_config (SvCore *core, SvConfig *config);
+
+/** The configuration in use, or NULL. */
+const SvConfig *sv_core_config (const SvCore *core);
+
+/** At `asked_at` the configuration in use was the newest. */
+void sv_core_confirm (SvCore *core, KnlTime asked_at);
+
+/** When the configuration was last known to be the newest; -KNL_NEVER: never. */
+KnlTime sv_core_confirmed_at (const SvCore *core);
+
+/** Takes a request; it is answered by and by. */
+void sv_core_take (SvCore *core, HtCall *call);
+
+/** Its caller has left. */
+void sv_core_gone (SvCore *core, HtCall *call);
+
+/** From now on long work is refused, so that what runs can end within the grace. */
+void sv_core_drain (SvCore *core);
+
+/** Whether callers can be served: there is a configuration, recent enough, and no drain. */
+gboolean sv_core_is_ready (const SvCore *core);
+
+/** Requests that have not ended. */
+guint sv_core_n_requests (const SvCore *core);
+
+/** Another instance reports a suspect, see SvPeerLinkClass. */
+void sv_core_note_suspect (SvCore *core, guint64 fingerprint);
--- /dev/null
+++ b/include/serve/fleet.h
@@ -0,0 +1,132 @@
+#pragma once
+
+/**
+ * The endpoints that requests can be sent to: who they are, what this instance
+ * and its peers have in flight there, and how they have behaved.
+ */
+
+#include <glib.h>
+
+#include "kernel/kernel.h"
+#include "serve/config.h"
+
+typedef struct SvFleet SvFleet;
+
+/** What one or more instances have in flight at an endpoint. */
+typedef struct
+{
+  guint calls;                /**< requests sent and not ended */
+  guint writers[SV_N_PAUSES]; /**< of them, streams */
+  guint64 tokens;             /**< context that they will have at their end */
+} SvLoad;
+
+typedef struct
+{
+  guint32 peer;
+  KnlTime heard_at;
+  SvLoad load;
+} SvPeerLoad;
+
+typedef enum
+{
+  SV_ENDPOINT_READY,
+  SV_ENDPOINT_LEAVING, /**< it says so, or its entry is gone; a last resort for a short while */
+} SvEndpointState;
+
+typedef struct
+{
+  gint refs;
+  char *id; /**< of this start of the endpoint; another start has another one */
+  char *service;
+  char *address;
+  char *zone;
+  guint slots;
+  guint64 key; /**< hash of the id, the same at every instance */
+  SvEndpointState state;
+  KnlTime leaving_since;
+  gboolean listed; /**< in the fleet */
+
+  SvLoad own;
+  SvLoad others;        /**< sum of `peers` */
+  GArray *peers;        /**< SvPeerLoad */
+  KnlTime read_until;   /**< when the prompts sent there by anyone will have been read */
+  gboolean own_changed; /**< since peers were told */
+
+  guint losses;            /**< in a row: not reached, broken off, or silent */
+  guint errors;            /**< in a row: answers that report a failure */
+  KnlTime suspended_until; /**< no request before, but where nothing else is left */
+  double failure_rate;     /**< of answers, moving average */
+  double pace;             /**< time taken against time expected, moving average; 1: as expected */
+} SvEndpoint;
+
+/** What the platform's list says of an endpoint. */
+typedef struct
+{
+  const char *id;
+  const char *service;
+  const char *address;
+  const char *zone;
+  guint slots;
+  gboolean draining;
+} SvEndpointEntry;
+
+/** `leave_grace`: how long a leaving endpoint may still be sent requests. */
+SvFleet *sv_fleet_new (KnlKernel *kernel, KnlTime leave_grace);
+void sv_fleet_free (SvFleet *fleet);
+
+/** The entry is new or has changed. */
+void sv_fleet_update (SvFleet *fleet, const SvEndpointEntry *entry);
+
+/** The entry is gone. */
+void sv_fleet_remove (SvFleet *fleet, const char *id);
+
+/** A whole list follows by sv_fleet_update(), ended by sv_fleet_end_list(), which removes all
+ * others. */
+void sv_fleet_begin_list (SvFleet *fleet);
+void sv_fleet_end_list (SvFleet *fleet);
+
+/** Endpoints of the service by rising key; owned by the fleet, NULL: none. */
+const GPtrArray *sv_fleet_service (const SvFleet *fleet, const char *service);
+
+SvEndpoint *sv_fleet_by_key (const SvFleet *fleet, guint64 key);
+
+/** All endpoints. */
+const GPtrArray *sv_fleet_all (const SvFleet *fleet);
+
+SvEndpoint *sv_endpoint_ref (SvEndpoint *endpoint);
+void sv_endpoint_unref (SvEndpoint *endpoint);
+
+/** Whether requests may go there now. */
+gboolean sv_endpoint_usable (const SvEndpoint *endpoint, KnlTime now);
+
+/** Whether it may be sent requests when no usable one is left. */
+gboolean sv_endpoint_last_resort (const SvFleet *fleet, const SvEndpoint *endpoint);
+
+/** Whether it counts as leaving for too long to be sent anything. */
+gboolean sv_endpoint_is_gone (const SvFleet *fleet, const SvEndpoint *endpoint);
+
+/** Adds to (or with `sign` -1 takes from) what this instance has in flight there. */
+void sv_endpoint_charge (SvEndpoint *endpoint, const SvLoad *load, gint sign);
+
+/** `length` of reading was placed there. */
+void sv_endpoint_add_read (SvEndpoint *endpoint, KnlTime now, KnlTime length);
+
+/** Time until all that was placed there has been read. */
+KnlTime sv_endpoint_read_left (const SvEndpoint *endpoint, KnlTime now);
+
+/** A peer has `load` in flight there. */
+void sv_endpoint_set_peer (SvEndpoint *endpoint, guint32 peer, const SvLoad *load, KnlTime now);
+
+/** Drops what peers said before `oldest`. */
+void sv_endpoint_expire_peers (SvEndpoint *endpoint, KnlTime oldest);
+
+/** All that is in flight there, as far as is known. */
+SvLoad sv_endpoint_load (const SvEndpoint *endpoint);
+
+void sv_endpoint_note_success (SvEndpoint *endpoint);
+
+/** An answer that reports a failure of the endpoint's own. */
+void sv_endpoint_note_error (SvEndpoint *endpoint, KnlTime now);
+
+/** It could not be reached, broke off, or said nothing. */
+void sv_endpoint_note_loss (SvEndpoint *endpoint, KnlTime now);
--- /dev/null
+++ b/include/serve/router.h
@@ -0,0 +1,39 @@
+#pragma once
+
+/** Chooses endpoints for a request: where it runs, and which others read parts of its prompt. */
+
+#include "serve/config.h"
+#include "serve/fleet.h"
+
+/** Endpoints that read parts of one prompt beside the first one, at most. */
+#define SV_HELPERS 16
+
+/** What a choice depends on. */
+typedef struct
+{
+  const SvConfig *config;
+  const SvService *service;
+  const char *zone;          /**< this instance's own */
+  guint64 prompt_tokens;     /**< 0: a plain request */
+  guint64 answer_tokens;     /**< expected */
+  KnlTime objective_left;    /**< until the first event counts in full */
+  KnlTime gap_objective;     /**< longest pause for full credit */
+  const GPtrArray *excluded; /**< SvEndpoint that failed this request; may be NULL */
+} SvDemand;
+
+typedef struct
+{
+  SvEndpoint *first;
+  SvEndpoint *helpers[SV_HELPERS];
+  guint n_helpers;
+  KnlTime part;     /**< reading at each of them */
+  KnlTime expected; /**< time to the first event */
+  SvLoad load;      /**< of the first endpoint */
+} SvPlacement;
+
+/** FALSE: there is no endpoint to send it to. */
+gboolean
+sv_router_place (const SvFleet *fleet, const SvDemand *demand, KnlTime now, SvPlacement *placement);
+
+/** Enters the placement's reading in the endpoints. */
+void sv_placement_note_reads (const SvPlacement *placement, KnlTime now);
--- a/kernel/event_runtime.c
+++ b/kernel/event_runtime.c
@@ -1,6 +1,7 @@
 #include "kernel/event_runtime.h"
 
 #include <event2/event.h>
+#include <time.h>
 
 typedef struct
 {
@@ -10,10 +11,18 @@
   KnlKernel *kernel;
 } EventRuntime;
 
+/*
+ * CLOCK_MONOTONIC stands still while a machine is suspended. A lease or a
+ * confirmation would then look fresh on waking although its time has long
+ * passed for everyone else; the boot clock counts the suspended time.
+ */
 static KnlTime
 event_now (KnlRuntime *runtime)
 {
-  return g_get_monotonic_time ();
+  struct timespec now;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (KnlTime)now.tv_sec * KNL_SEC + now.tv_nsec / 1000;
 }
 
 static void
--- /dev/null
+++ b/serve/admission.c
@@ -0,0 +1,161 @@
+/** From the reception of a request to its admission: who asks, for what, and whether it may run. */
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "serve/core_internal.h"
+
+/* Of the grace after the order to stop, the part in which streams are still taken: later ones
+ * could not end within it. */
+#define DRAIN_STREAM_PART 0.35
+
+/* Refuses for what the configuration lacks, which only holds while it is known to be the newest:
+ * a route or key that was just added must not be denied. */
+static gboolean
+refuse_unknown (SvRequest *self, guint status, const char *reason)
+{
+  const SvCore *core = self->core;
+  KnlTime age = knl_kernel_now (core->parts.kernel) - core->confirmed_at;
+
+  if (age > core->bounds.route_confirmation)
+    sv_request_refuse (self, 503, "configuration-not-confirmed");
+  else
+    sv_request_fail (self, status, reason);
+  return FALSE;
+}
+
+static gboolean
+check_config (SvRequest *self)
+{
+  if (self->core->config == NULL)
+    {
+      sv_request_refuse (self, 503, "no-configuration");
+      return FALSE;
+    }
+  self->config = sv_config_ref (self->core->config);
+  return TRUE;
+}
+
+static gboolean
+check_form (SvRequest *self)
+{
+  if (self->ask.id != NULL && self->ask.host != NULL)
+    return TRUE;
+  sv_request_fail (self, 400, "incomplete-request");
+  return FALSE;
+}
+
+static gboolean
+check_route (SvRequest *self)
+{
+  g_autofree char *path = ht_message_path (ht_call_request (self->call));
+  KnlTime limit;
+
+  self->route = sv_config_route (self->config, self->ask.host, path);
+  if (self->route == NULL)
+    return refuse_unknown (self, 404, "no-route");
+  limit = self->ask.limit;
+  if (self->route->timeout > 0 && (limit <= 0 || self->route->timeout < limit))
+    limit = self->route->timeout;
+  self->deadline = limit > 0 ? self->begun_at + limit : KNL_NEVER;
+  return TRUE;
+}
+
+/*
+ * A key that was taken away must not work a few seconds later, whatever this
+ * instance has heard since. It trusts a key only for a bounded time after the
+ * store last confirmed the configuration, counted from before it asked.
+ */
+static gboolean
+check_key (SvRequest *self)
+{
+  const SvCore *core = self->core;
+  KnlTime age = knl_kernel_now (core->parts.kernel) - core->confirmed_at;
+
+  if (!self->config->has_workspaces || self->route->is_public)
+    return TRUE;
+  if (core->bounds.key_confirmation > 0 && age >= core->bounds.key_confirmation)
+    {
+      sv_request_refuse (self, 503, "keys-not-confirmed");
+      return FALSE;
+    }
+  if (self->ask.key != NULL)
+    self->workspace = sv_config_workspace (self->config, self->ask.key);
+  return self->workspace != NULL || refuse_unknown (self, 401, "unknown-key");
+}
+
+static gboolean
+check_drain (SvRequest *self)
+{
+  const SvCore *core = self->core;
+  KnlTime since = core->drain_since;
+
+  if (since == 0 || self->route->kind != SV_STREAM)
+    return TRUE;
+  if (knl_kernel_now (core->parts.kernel) - since
+      < (KnlTime)(DRAIN_STREAM_PART * (double)core->bounds.grace))
+    return TRUE;
+  sv_request_refuse (self, 503, "stopping");
+  return FALSE;
+}
+
+static gboolean
+check_suspect (SvRequest *self)
+{
+  const HtMessage *request = ht_call_request (self->call);
+  guint64 seed = XXH64 (request->target, strlen (request->target), 0);
+
+  if (self->ask.key != NULL)
+    seed = XXH64 (self->ask.key, strlen (self->ask.key), seed);
+  self->fingerprint = XXH64 (request->body->str, request->body->len, seed);
+  if (!sv_suspects_is_refused (self->core->suspects, self->fingerprint))
+    return TRUE;
+  sv_request_refuse (self, 503, "crashes-endpoints");
+  return FALSE;
+}
+
+static void
+on_deadline (gpointer data)
+{
+  SvRequest *self = data;
+
+  self->deadline_timer = 0;
+  if (self->runs > 0 || self->exchange != NULL)
+    sv_request_fail (self, 504, "deadline");
+  else
+    sv_request_refuse (self, 503, "deadline-before-run");
+}
+
+static void
+admit (SvRequest *self)
+{
+  SvCore *core = self->core;
+  KnlTime now = knl_kernel_now (core->parts.kernel);
+  double point = (double)(XXH64 (self->ask.id, strlen (self->ask.id), 0) >> 11) / 0x1p53;
+  const char *service = sv_route_service (self->route, point);
+
+  self->service = sv_config_service (self->config, service);
+  sv_budget_note_request (sv_core_budget (core, service), &core->bounds.retries, now);
+  if (self->deadline != KNL_NEVER)
+    self->deadline_timer =
+        knl_timer_start (core->parts.kernel, self->deadline - now, on_deadline, self);
+}
+
+gboolean
+sv_request_admit (SvRequest *self)
+{
+  static gboolean (*const checks[]) (SvRequest *) = {
+    check_config, check_form, check_route, check_key, check_drain, check_suspect,
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (checks); i++)
+    {
+      if (!checks[i](self))
+        return FALSE;
+    }
+  admit (self);
+  if (self->service != NULL)
+    return TRUE;
+  sv_request_refuse (self, 503, "service-not-declared");
+  return FALSE;
+}
--- /dev/null
+++ b/serve/config.c
@@ -0,0 +1,241 @@
+#include "serve/config.h"
+
+#include <string.h>
+
+/* Taken as the pause that a stream bears whose route states none. */
+#define LOOSE_GAP (1 * KNL_SEC)
+
+SvPause
+sv_pause_of (KnlTime gap_objective)
+{
+  if (gap_objective <= 0 || gap_objective >= SV_PAUSE_MEDIUM_LIMIT)
+    return SV_PAUSE_LOOSE;
+  return gap_objective < SV_PAUSE_TIGHT_LIMIT ? SV_PAUSE_TIGHT : SV_PAUSE_MEDIUM;
+}
+
+static void
+split_clear (gpointer data)
+{
+  g_free (((SvSplit *)data)->service);
+}
+
+SvRoute *
+sv_route_new (void)
+{
+  SvRoute *self = g_new0 (SvRoute, 1);
+
+  self->max_attempts = 1;
+  self->splits = g_array_new (FALSE, TRUE, sizeof (SvSplit));
+  g_array_set_clear_func (self->splits, split_clear);
+  return self;
+}
+
+void
+sv_route_free (SvRoute *self)
+{
+  if (self == NULL)
+    return;
+  g_free (self->name);
+  g_free (self->host);
+  g_free (self->prefix);
+  g_array_unref (self->splits);
+  g_free (self);
+}
+
+void
+sv_route_add_split (SvRoute *self, const char *service, double weight)
+{
+  SvSplit split = { .service = g_strdup (service), .weight = weight };
+
+  g_array_append_val (self->splits, split);
+}
+
+static void
+service_free (gpointer data)
+{
+  SvService *self = data;
+
+  g_free (self->name);
+  g_free (self->health_path);
+  g_free (self);
+}
+
+static void
+workspace_free (gpointer data)
+{
+  g_free (((SvWorkspace *)data)->name);
+  g_free (data);
+}
+
+SvConfig *
+sv_config_new (guint64 version)
+{
+  SvConfig *self = g_new0 (SvConfig, 1);
+
+  self->refs = 1;
+  self->version = version;
+  self->hosts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  self->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  self->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  self->workspaces = g_ptr_array_new_with_free_func (workspace_free);
+  return self;
+}
+
+SvConfig *
+sv_config_ref (SvConfig *self)
+{
+  self->refs++;
+  return self;
+}
+
+void
+sv_config_unref (SvConfig *self)
+{
+  if (self == NULL || --self->refs > 0)
+    return;
+  g_hash_table_unref (self->hosts);
+  g_hash_table_unref (self->services);
+  g_hash_table_unref (self->keys);
+  g_ptr_array_unref (self->workspaces);
+  g_free (self);
+}
+
+void
+sv_config_add_route (SvConfig *self, SvRoute *route)
+{
+  GPtrArray *routes = g_hash_table_lookup (self->hosts, route->host);
+
+  if (routes == NULL)
+    {
+      routes = g_ptr_array_new_with_free_func ((GDestroyNotify)sv_route_free);
+      g_hash_table_insert (self->hosts, g_ascii_strdown (route->host, -1), routes);
+    }
+  g_ptr_array_add (routes, route);
+}
+
+SvService *
+sv_config_add_service (SvConfig *self, const char *name)
+{
+  SvService *service = g_new0 (SvService, 1);
+
+  service->name = g_strdup (name);
+  g_hash_table_replace (self->services, service->name, service);
+  return service;
+}
+
+SvWorkspace *
+sv_config_add_workspace (SvConfig *self, const char *name)
+{
+  SvWorkspace *workspace = g_new0 (SvWorkspace, 1);
+
+  workspace->name = g_strdup (name);
+  workspace->priority = -1;
+  g_ptr_array_add (self->workspaces, workspace);
+  return workspace;
+}
+
+void
+sv_config_add_key (SvConfig *self, SvWorkspace *workspace, const char *key)
+{
+  g_hash_table_replace (self->keys, g_strdup (key), workspace);
+}
+
+static int
+compare_prefixes (gconstpointer a, gconstpointer b)
+{
+  const SvRoute *x = *(SvRoute *const *)a;
+  const SvRoute *y = *(SvRoute *const *)b;
+  gsize x_length = strlen (x->prefix);
+  gsize y_length = strlen (y->prefix);
+
+  return x_length == y_length ? strcmp (x->prefix, y->prefix) : x_length < y_length ? 1 : -1;
+}
+
+static void
+note_gap (SvConfig *self, const SvRoute *route)
+{
+  KnlTime *shortest = &self->shortest_gaps[sv_pause_of (route->gap_objective)];
+
+  if (route->kind == SV_STREAM && route->gap_objective > 0)
+    *shortest = MIN (*shortest, route->gap_objective);
+}
+
+void
+sv_config_seal (SvConfig *self)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  self->shortest_gaps[SV_PAUSE_TIGHT] = SV_PAUSE_TIGHT_LIMIT;
+  self->shortest_gaps[SV_PAUSE_MEDIUM] = SV_PAUSE_MEDIUM_LIMIT;
+  self->shortest_gaps[SV_PAUSE_LOOSE] = LOOSE_GAP;
+  g_hash_table_iter_init (&iter, self->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      GPtrArray *routes = value;
+
+      g_ptr_array_sort (routes, compare_prefixes);
+      for (guint i = 0; i < routes->len; i++)
+        note_gap (self, g_ptr_array_index (routes, i));
+    }
+}
+
+const SvRoute *
+sv_config_route (const SvConfig *self, const char *host, const char *path)
+{
+  g_autofree char *name = g_ascii_strdown (host, (gssize)strcspn (host, ":"));
+  const GPtrArray *routes = g_hash_table_lookup (self->hosts, name);
+
+  for (guint i = 0; routes != NULL && i < routes->len; i++)
+    {
+      const SvRoute *route = g_ptr_array_index (routes, i);
+
+      if (g_str_has_prefix (path, route->prefix))
+        return route;
+    }
+  return NULL;
+}
+
+const SvService *
+sv_config_service (const SvConfig *self, const char *name)
+{
+  return g_hash_table_lookup (self->services, name);
+}
+
+const SvWorkspace *
+sv_config_workspace (const SvConfig *self, const char *key)
+{
+  return g_hash_table_lookup (self->keys, key);
+}
+
+const char *
+sv_route_service (const SvRoute *self, double point)
+{
+  double sum = 0;
+  double passed = 0;
+
+  for (guint i = 0; i < self->splits->len; i++)
+    sum += g_array_index (self->splits, SvSplit, i).weight;
+  for (guint i = 0; i < self->splits->len; i++)
+    {
+      const SvSplit *split = &g_array_index (self->splits, SvSplit, i);
+
+      passed += split->weight;
+      if (point * sum < passed)
+        return split->service;
+    }
+  return g_array_index (self->splits, SvSplit, self->splits->len - 1).service;
+}
+
+gboolean
+sv_route_is_idempotent (const SvRoute *self)
+{
+  return self->kind == SV_IDEMPOTENT || (self->kind == SV_STREAM && self->resumable);
+}
+
+gboolean
+sv_service_is_engine (const SvService *self)
+{
+  return self != NULL && self->engine.read_tokens_per_ms > 0;
+}
--- /dev/null
+++ b/serve/core.c
@@ -0,0 +1,144 @@
+#include "common/log.h"
+#include "serve/core_internal.h"
+
+SvCore *
+sv_core_new (const SvCoreParts *parts, const SvBounds *bounds)
+{
+  SvCore *self = g_new0 (SvCore, 1);
+
+  self->parts = *parts;
+  self->bounds = *bounds;
+  self->confirmed_at = -KNL_NEVER;
+  self->requests = g_hash_table_new (NULL, NULL);
+  self->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->suspects = sv_suspects_new (parts->kernel);
+  self->meters = sv_meters_new (parts->metrics);
+  return self;
+}
+
+void
+sv_core_free (SvCore *self)
+{
+  if (self == NULL)
+    return;
+  sv_meters_free (self->meters);
+  sv_suspects_free (self->suspects);
+  g_hash_table_unref (self->budgets);
+  g_hash_table_unref (self->requests);
+  sv_config_unref (self->config);
+  g_free (self);
+}
+
+void
+sv_core_set_bounds (SvCore *self, const SvBounds *bounds)
+{
+  self->bounds = *bounds;
+}
+
+gboolean
+sv_core_set_config (SvCore *self, SvConfig *config)
+{
+  if (self->config != NULL && config->version <= self->config->version)
+    return FALSE;
+  cm_log (CM_LOG_NOTICE, "configuration-in-use", "i", "version", (gint64)config->version, "i",
+          "replaces", self->config != NULL ? (gint64)self->config->version : (gint64)-1);
+  sv_config_unref (self->config);
+  self->config = sv_config_ref (config);
+  return TRUE;
+}
+
+const SvConfig *
+sv_core_config (const SvCore *self)
+{
+  return self->config;
+}
+
+void
+sv_core_confirm (SvCore *self, KnlTime asked_at)
+{
+  self->confirmed_at = MAX (self->confirmed_at, asked_at);
+}
+
+KnlTime
+sv_core_confirmed_at (const SvCore *self)
+{
+  return self->confirmed_at;
+}
+
+static void
+prepare (SvRequest *self)
+{
+  self->excluded = g_ptr_array_new_with_free_func ((GDestroyNotify)sv_endpoint_unref);
+  self->last_event = -1;
+  sv_events_init (&self->events);
+  self->begun_at = ht_call_begun_at (self->call);
+  self->core->parts.dialect->klass->read_ask (self->core->parts.dialect,
+                                              ht_call_request (self->call), &self->ask);
+}
+
+void
+sv_core_take (SvCore *self, HtCall *call)
+{
+  SvRequest *request = g_new0 (SvRequest, 1);
+
+  request->core = self;
+  request->call = call;
+  ht_call_set_data (call, request);
+  g_hash_table_add (self->requests, request);
+  prepare (request);
+  if (sv_request_admit (request))
+    sv_request_send (request);
+}
+
+void
+sv_core_gone (SvCore *self, HtCall *call)
+{
+  static const SvOutcome gone = { .reason = "caller-left" };
+
+  sv_request_end (ht_call_data (call), &gone);
+}
+
+void
+sv_core_drain (SvCore *self)
+{
+  if (self->drain_since == 0)
+    self->drain_since = knl_kernel_now (self->parts.kernel);
+}
+
+gboolean
+sv_core_is_ready (const SvCore *self)
+{
+  KnlTime age;
+
+  if (self->config == NULL || self->drain_since != 0)
+    return FALSE;
+  if (self->bounds.key_confirmation == 0 || !self->config->has_workspaces)
+    return TRUE;
+  age = knl_kernel_now (self->parts.kernel) - self->confirmed_at;
+  return age < self->bounds.key_confirmation;
+}
+
+guint
+sv_core_n_requests (const SvCore *self)
+{
+  return g_hash_table_size (self->requests);
+}
+
+void
+sv_core_note_suspect (SvCore *self, guint64 fingerprint)
+{
+  sv_suspects_note (self->suspects, fingerprint);
+}
+
+SvBudget *
+sv_core_budget (SvCore *self, const char *service)
+{
+  SvBudget *budget = g_hash_table_lookup (self->budgets, service);
+
+  if (budget == NULL)
+    {
+      budget = g_new0 (SvBudget, 1);
+      g_hash_table_insert (self->budgets, g_strdup (service), budget);
+    }
+  return budget;
+}
--- /dev/null
+++ b/serve/core_internal.h
@@ -0,0 +1,108 @@
+#pragma once
+
+/** What the parts of the core share; nothing outside of it includes this. */
+
+#include "serve/core.h"
+#include "serve/events.h"
+#include "serve/meters.h"
+#include "serve/suspects.h"
+
+struct SvCore
+{
+  SvCoreParts parts;
+  SvBounds bounds;
+  SvConfig *config;
+  KnlTime confirmed_at; /* -KNL_NEVER: never */
+  KnlTime drain_since;  /* 0: no drain */
+  GHashTable *requests; /* SvRequest */
+  GHashTable *budgets;  /* service -> SvBudget */
+  SvSuspects *suspects;
+  SvMeters *meters;
+};
+
+/** One request of a caller, from its reception to the end of its answer. */
+typedef struct
+{
+  SvCore *core;
+  HtCall *call;
+  SvConfig *config;
+  const SvRoute *route;
+  const SvService *service;
+  const SvWorkspace *workspace; /* NULL: none */
+  SvAsk ask;
+  KnlTime begun_at;
+  KnlTime deadline;
+  KnlTimerId deadline_timer;
+  guint64 fingerprint;
+  guint offers;           /* sends, those that certainly did not run among them */
+  guint runs;             /* sends that ran or may have run */
+  GPtrArray *excluded;    /* SvEndpoint that failed it, each with a reference */
+  const char *last_fault; /* why the last send failed; NULL: none has */
+
+  /* the send that is under way */
+  HtExchange *exchange;
+  SvPlacement placement;
+  KnlTime sent_at;
+  KnlTimerId watch_timer;
+  HtMessage *answer; /* its head has come; owned by the exchange */
+  SvReply reply;
+  gboolean is_resumed; /* it goes on after last_event */
+
+  /* the answer to the caller */
+  GString *fields; /* of the first endpoint's answer */
+  SvEvents events;
+  gint64 last_event; /* id of the last event passed on; -1: none */
+  KnlTime first_at;  /* when the first event or the answer went out; 0: not yet */
+  KnlTime last_at;   /* when an endpoint's last bytes came */
+} SvRequest;
+
+/** How a request ended, for the log and the metrics. */
+typedef struct
+{
+  guint status;
+  const char *reason;
+} SvOutcome;
+
+/* admission.c */
+
+/** Runs all checks; FALSE: the request was refused and is gone. */
+gboolean sv_request_admit (SvRequest *self);
+
+/* attempt.c */
+
+/** Sends the request to an endpoint, or ends it. */
+void sv_request_send (SvRequest *self);
+
+/** Closes the send that is under way. */
+void sv_request_stop_send (SvRequest *self);
+
+/** What becomes of a send that gave no answer; `ran`: it may have run. Sends again or ends. */
+void sv_request_take_loss (SvRequest *self, const char *fault, gboolean ran);
+
+/* stream.c */
+
+/** Whether the answer that is coming is passed on event by event. */
+gboolean sv_request_is_streaming (const SvRequest *self);
+
+void sv_request_take_bytes (SvRequest *self, const char *bytes, gsize length);
+
+/** The endpoint's stream is complete; TRUE: so is the answer, and the request is gone. */
+gboolean sv_request_end_stream (SvRequest *self);
+
+/* finish.c: the only ways for a request to end */
+
+/** An answer of our own that promises that the request has not run. */
+void sv_request_refuse (SvRequest *self, guint status, const char *reason);
+
+/** An answer of our own that promises nothing, or the end of a begun answer. */
+void sv_request_fail (SvRequest *self, guint status, const char *reason);
+
+/** Passes a whole answer of an endpoint on. */
+void sv_request_pass (SvRequest *self, const HtMessage *answer);
+
+/** The caller has left, or has the whole answer. */
+void sv_request_end (SvRequest *self, const SvOutcome *outcome);
+
+/* core.c */
+
+SvBudget *sv_core_budget (SvCore *core, const char *service);
--- /dev/null
+++ b/serve/finish.c
@@ -0,0 +1,141 @@
+/** How requests end: each has one answer, one log line, and leaves nothing behind. */
+
+#include "common/log.h"
+#include "serve/core_internal.h"
+
+/* Callers are told to come back after this and up to as much again, at random, so that those
+ * refused together don't come back together. */
+#define RETRY_AFTER (150 * KNL_MSEC)
+
+/* Of a request's time left, what it is told to wait at most: the rest is for its second try. */
+#define RETRY_AFTER_PART 0.2
+
+/* Prompts of so many tokens and more have a class of their own in the metrics. */
+static const struct
+{
+  guint64 tokens;
+  const char *name;
+} length_classes[] = {
+  { 100000, "prompt-100k" },
+  { 20000, "prompt-20k" },
+  { 1, "prompt" },
+};
+
+static const char *
+class_of (const SvRequest *self)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (length_classes); i++)
+    {
+      if (self->ask.prompt_tokens >= length_classes[i].tokens)
+        return length_classes[i].name;
+    }
+  if (self->route == NULL)
+    return "none";
+  return self->route->kind == SV_AT_MOST_ONCE ? "at-most-once" : "idempotent";
+}
+
+static void
+log_end (const SvRequest *self, const SvOutcome *outcome, KnlTime now)
+{
+  const SvCore *core = self->core;
+
+  cm_log (CM_LOG_INFO, "request-ended", "s", "request", self->ask.id, "s", "route",
+          self->route != NULL ? self->route->name : NULL, "s", "workspace",
+          self->workspace != NULL ? self->workspace->name : NULL, "i", "status",
+          (gint64)outcome->status, "s", "reason", outcome->reason, "s", "endpoint",
+          self->placement.first != NULL ? self->placement.first->id : NULL, "i", "sends",
+          (gint64)self->offers, "s", "last-fault", self->last_fault, "i", "prompt-tokens",
+          (gint64)self->ask.prompt_tokens, "i", "parts", (gint64)self->placement.n_helpers + 1, "i",
+          "expected-us", (gint64)self->placement.expected, "i", "first-us",
+          self->first_at > 0 ? self->first_at - self->begun_at : (gint64)-1, "i", "total-us",
+          now - self->begun_at, "i", "config",
+          self->config != NULL ? (gint64)self->config->version : (gint64)-1, "i", "config-age-us",
+          core->confirmed_at > 0 ? now - core->confirmed_at : (gint64)-1);
+}
+
+void
+sv_request_end (SvRequest *self, const SvOutcome *outcome)
+{
+  SvCore *core = self->core;
+  KnlTime now = knl_kernel_now (core->parts.kernel);
+  SvMeasured measured = {
+    .workspace = self->workspace != NULL ? self->workspace->name : "",
+    .route_class = class_of (self),
+    .outcome = outcome->reason,
+    .first = self->first_at > 0 ? self->first_at - self->begun_at : 0,
+    .total = now - self->begun_at,
+  };
+
+  sv_meters_note_request (core->meters, &measured);
+  log_end (self, outcome, now);
+  sv_request_stop_send (self);
+  knl_timer_stop (core->parts.kernel, &self->deadline_timer);
+  g_hash_table_remove (core->requests, self);
+  g_ptr_array_unref (self->excluded);
+  sv_events_clear (&self->events);
+  if (self->fields != NULL)
+    g_string_free (self->fields, TRUE);
+  sv_endpoint_unref (self->placement.first);
+  sv_config_unref (self->config);
+  g_free (self);
+}
+
+static void
+answer_own (SvRequest *self, guint status, KnlTime retry_after)
+{
+  SvDialect *dialect = self->core->parts.dialect;
+  GString *fields = dialect->klass->write_refusal (dialect, &self->ask, retry_after);
+
+  ht_call_answer (self->call, status, fields->str, NULL, 0);
+  g_string_free (fields, TRUE);
+}
+
+static KnlTime
+retry_after_of (const SvRequest *self)
+{
+  KnlKernel *kernel = self->core->parts.kernel;
+  KnlTime delay =
+      (KnlTime)((double)RETRY_AFTER * g_rand_double_range (knl_kernel_rand (kernel), 1, 2));
+  KnlTime left = self->deadline - knl_kernel_now (kernel);
+
+  if (self->deadline != KNL_NEVER && self->deadline > 0)
+    delay = MIN (delay, (KnlTime)(RETRY_AFTER_PART * (double)MAX (left, 0)));
+  return delay;
+}
+
+void
+sv_request_refuse (SvRequest *self, guint status, const char *reason)
+{
+  SvOutcome outcome = { .status = status, .reason = reason };
+
+  answer_own (self, status, retry_after_of (self));
+  sv_request_end (self, &outcome);
+}
+
+void
+sv_request_fail (SvRequest *self, guint status, const char *reason)
+{
+  SvOutcome outcome = { .status = status, .reason = reason };
+
+  if (ht_call_has_begun (self->call))
+    ht_call_abort (self->call);
+  else
+    answer_own (self, status, 0);
+  sv_request_end (self, &outcome);
+}
+
+void
+sv_request_pass (SvRequest *self, const HtMessage *answer)
+{
+  SvDialect *dialect = self->core->parts.dialect;
+  GString *fields = dialect->klass->write_reply (dialect, answer);
+  SvOutcome outcome = {
+    .status = answer->status,
+    .reason = answer->status < 300 ? "answered" : "endpoint-failed",
+  };
+
+  self->first_at = knl_kernel_now (self->core->parts.kernel);
+  ht_call_answer (self->call, answer->status, fields->str, answer->body->str, answer->body->len);
+  g_string_free (fields, TRUE);
+  sv_request_end (self, &outcome);
+}
--- /dev/null
+++ b/serve/fleet.c
@@ -0,0 +1,351 @@
+#include "serve/fleet.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* An endpoint that was lost is tried again after this, doubled with each loss in a row. */
+#define SUSPEND_FIRST (400 * KNL_MSEC)
+#define SUSPEND_LIMIT (4 * KNL_SEC)
+
+/* Errors in a row after which an endpoint rests; one alone is a matter of the request. */
+#define ERRORS_IN_A_ROW 4
+
+/* Weight of the newest answer in the moving average of failures: about the last dozen. */
+#define FAILURE_WEIGHT 0.08
+
+struct SvFleet
+{
+  KnlKernel *kernel;
+  KnlTime leave_grace;
+  GHashTable *by_id;    /* id -> SvEndpoint, holds a reference */
+  GHashTable *by_key;   /* &key -> SvEndpoint */
+  GHashTable *services; /* name -> GPtrArray of SvEndpoint by key */
+  GPtrArray *all;
+  GHashTable *unlisted; /* ids that the list being read has not named yet */
+};
+
+SvEndpoint *
+sv_endpoint_ref (SvEndpoint *self)
+{
+  self->refs++;
+  return self;
+}
+
+void
+sv_endpoint_unref (SvEndpoint *self)
+{
+  if (self == NULL || --self->refs > 0)
+    return;
+  g_free (self->id);
+  g_free (self->service);
+  g_free (self->address);
+  g_free (self->zone);
+  g_array_unref (self->peers);
+  g_free (self);
+}
+
+static void
+endpoint_release (gpointer data)
+{
+  ((SvEndpoint *)data)->listed = FALSE;
+  sv_endpoint_unref (data);
+}
+
+SvFleet *
+sv_fleet_new (KnlKernel *kernel, KnlTime leave_grace)
+{
+  SvFleet *self = g_new0 (SvFleet, 1);
+
+  self->kernel = kernel;
+  self->leave_grace = leave_grace;
+  self->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, endpoint_release);
+  self->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
+  self->services =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  self->all = g_ptr_array_new ();
+  return self;
+}
+
+void
+sv_fleet_free (SvFleet *self)
+{
+  if (self == NULL)
+    return;
+  if (self->unlisted != NULL)
+    g_hash_table_unref (self->unlisted);
+  g_ptr_array_unref (self->all);
+  g_hash_table_unref (self->services);
+  g_hash_table_unref (self->by_key);
+  g_hash_table_unref (self->by_id);
+  g_free (self);
+}
+
+static int
+compare_keys (gconstpointer a, gconstpointer b)
+{
+  const SvEndpoint *x = *(SvEndpoint *const *)a;
+  const SvEndpoint *y = *(SvEndpoint *const *)b;
+
+  return x->key < y->key ? -1 : x->key > y->key;
+}
+
+static void
+drop (SvFleet *self, SvEndpoint *endpoint)
+{
+  GPtrArray *service = g_hash_table_lookup (self->services, endpoint->service);
+
+  if (service != NULL && g_ptr_array_remove (service, endpoint) && service->len == 0)
+    g_hash_table_remove (self->services, endpoint->service);
+  g_ptr_array_remove (self->all, endpoint);
+  g_hash_table_remove (self->by_key, &endpoint->key);
+  g_hash_table_remove (self->by_id, endpoint->id);
+}
+
+static SvEndpoint *
+add (SvFleet *self, const SvEndpointEntry *entry)
+{
+  SvEndpoint *endpoint = g_new0 (SvEndpoint, 1);
+  GPtrArray *service = g_hash_table_lookup (self->services, entry->service);
+
+  endpoint->refs = 1;
+  endpoint->id = g_strdup (entry->id);
+  endpoint->service = g_strdup (entry->service);
+  endpoint->address = g_strdup (entry->address);
+  endpoint->key = XXH64 (entry->id, strlen (entry->id), 0);
+  endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
+  endpoint->pace = 1;
+  endpoint->listed = TRUE;
+  if (service == NULL)
+    {
+      service = g_ptr_array_new ();
+      g_hash_table_insert (self->services, g_strdup (entry->service), service);
+    }
+  g_ptr_array_add (service, endpoint);
+  g_ptr_array_sort (service, compare_keys);
+  g_ptr_array_add (self->all, endpoint);
+  g_hash_table_insert (self->by_key, &endpoint->key, endpoint);
+  g_hash_table_insert (self->by_id, endpoint->id, endpoint);
+  return endpoint;
+}
+
+void
+sv_fleet_update (SvFleet *self, const SvEndpointEntry *entry)
+{
+  SvEndpoint *endpoint = g_hash_table_lookup (self->by_id, entry->id);
+
+  if (self->unlisted != NULL)
+    g_hash_table_remove (self->unlisted, entry->id);
+  if (endpoint != NULL
+      && (strcmp (endpoint->service, entry->service) != 0
+          || strcmp (endpoint->address, entry->address) != 0))
+    {
+      drop (self, endpoint);
+      endpoint = NULL;
+    }
+  if (endpoint == NULL)
+    endpoint = add (self, entry);
+  g_free (endpoint->zone);
+  endpoint->zone = g_strdup (entry->zone);
+  endpoint->slots = entry->slots;
+  if (!entry->draining)
+    endpoint->state = SV_ENDPOINT_READY;
+  else if (endpoint->state != SV_ENDPOINT_LEAVING)
+    {
+      endpoint->state = SV_ENDPOINT_LEAVING;
+      endpoint->leaving_since = knl_kernel_now (self->kernel);
+    }
+}
+
+/*
+ * Entries lapse while the store is away although their endpoints live, and are
+ * back within about two seconds. Dropping them at once would leave nothing to
+ * send to; they stay as a last resort for the time that a leaving endpoint
+ * serves on.
+ */
+void
+sv_fleet_remove (SvFleet *self, const char *id)
+{
+  SvEndpoint *endpoint = g_hash_table_lookup (self->by_id, id);
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  if (endpoint == NULL)
+    return;
+  if (endpoint->state != SV_ENDPOINT_LEAVING)
+    {
+      endpoint->state = SV_ENDPOINT_LEAVING;
+      endpoint->leaving_since = now;
+    }
+  if (sv_endpoint_is_gone (self, endpoint))
+    drop (self, endpoint);
+}
+
+void
+sv_fleet_begin_list (SvFleet *self)
+{
+  if (self->unlisted == NULL)
+    self->unlisted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < self->all->len; i++)
+    g_hash_table_add (self->unlisted,
+                      g_strdup (((SvEndpoint *)g_ptr_array_index (self->all, i))->id));
+}
+
+void
+sv_fleet_end_list (SvFleet *self)
+{
+  GHashTableIter iter;
+  gpointer id;
+
+  g_hash_table_iter_init (&iter, self->unlisted);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    sv_fleet_remove (self, id);
+  g_clear_pointer (&self->unlisted, g_hash_table_unref);
+}
+
+const GPtrArray *
+sv_fleet_service (const SvFleet *self, const char *service)
+{
+  return g_hash_table_lookup (self->services, service);
+}
+
+SvEndpoint *
+sv_fleet_by_key (const SvFleet *self, guint64 key)
+{
+  return g_hash_table_lookup (self->by_key, &key);
+}
+
+const GPtrArray *
+sv_fleet_all (const SvFleet *self)
+{
+  return self->all;
+}
+
+gboolean
+sv_endpoint_usable (const SvEndpoint *self, KnlTime now)
+{
+  if (self->state != SV_ENDPOINT_READY || now < self->suspended_until)
+    return FALSE;
+  /* After a loss one request goes first, and the others when it has an answer. */
+  return self->losses == 0 || self->own.calls == 0;
+}
+
+gboolean
+sv_endpoint_is_gone (const SvFleet *fleet, const SvEndpoint *self)
+{
+  return self->state == SV_ENDPOINT_LEAVING
+         && knl_kernel_now (fleet->kernel) - self->leaving_since > fleet->leave_grace;
+}
+
+gboolean
+sv_endpoint_last_resort (const SvFleet *fleet, const SvEndpoint *self)
+{
+  return !sv_endpoint_is_gone (fleet, self);
+}
+
+void
+sv_endpoint_charge (SvEndpoint *self, const SvLoad *load, gint sign)
+{
+  self->own.calls += (guint)sign * load->calls;
+  for (guint i = 0; i < SV_N_PAUSES; i++)
+    self->own.writers[i] += (guint)sign * load->writers[i];
+  self->own.tokens += (guint64)(gint64)sign * load->tokens;
+  self->own_changed = TRUE;
+}
+
+void
+sv_endpoint_add_read (SvEndpoint *self, KnlTime now, KnlTime length)
+{
+  self->read_until = MAX (self->read_until, now) + length;
+}
+
+KnlTime
+sv_endpoint_read_left (const SvEndpoint *self, KnlTime now)
+{
+  return MAX (self->read_until - now, 0);
+}
+
+static void
+add_load (SvLoad *sum, const SvLoad *load, gint sign)
+{
+  sum->calls += (guint)sign * load->calls;
+  for (guint i = 0; i < SV_N_PAUSES; i++)
+    sum->writers[i] += (guint)sign * load->writers[i];
+  sum->tokens += (guint64)(gint64)sign * load->tokens;
+}
+
+void
+sv_endpoint_set_peer (SvEndpoint *self, guint32 peer, const SvLoad *load, KnlTime now)
+{
+  SvPeerLoad row = { .peer = peer, .heard_at = now, .load = *load };
+
+  add_load (&self->others, load, 1);
+  for (guint i = 0; i < self->peers->len; i++)
+    {
+      SvPeerLoad *old = &g_array_index (self->peers, SvPeerLoad, i);
+
+      if (old->peer != peer)
+        continue;
+      add_load (&self->others, &old->load, -1);
+      *old = row;
+      return;
+    }
+  g_array_append_val (self->peers, row);
+}
+
+void
+sv_endpoint_expire_peers (SvEndpoint *self, KnlTime oldest)
+{
+  for (guint i = self->peers->len; i > 0; i--)
+    {
+      const SvPeerLoad *row = &g_array_index (self->peers, SvPeerLoad, i - 1);
+
+      if (row->heard_at >= oldest)
+        continue;
+      add_load (&self->others, &row->load, -1);
+      g_array_remove_index_fast (self->peers, i - 1);
+    }
+}
+
+SvLoad
+sv_endpoint_load (const SvEndpoint *self)
+{
+  SvLoad load = self->own;
+
+  add_load (&load, &self->others, 1);
+  return load;
+}
+
+void
+sv_endpoint_note_success (SvEndpoint *self)
+{
+  self->losses = 0;
+  self->errors = 0;
+  self->suspended_until = 0;
+  self->failure_rate -= FAILURE_WEIGHT * self->failure_rate;
+}
+
+static void
+suspend (SvEndpoint *self, KnlTime now, guint times)
+{
+  KnlTime delay = SUSPEND_FIRST;
+
+  for (guint i = 1; i < times && delay < SUSPEND_LIMIT; i++)
+    delay *= 2;
+  self->suspended_until = now + MIN (delay, SUSPEND_LIMIT);
+}
+
+void
+sv_endpoint_note_error (SvEndpoint *self, KnlTime now)
+{
+  self->failure_rate += FAILURE_WEIGHT * (1 - self->failure_rate);
+  self->losses = 0;
+  if (++self->errors >= ERRORS_IN_A_ROW)
+    suspend (self, now, self->errors - ERRORS_IN_A_ROW + 1);
+}
+
+void
+sv_endpoint_note_loss (SvEndpoint *self, KnlTime now)
+{
+  self->failure_rate += FAILURE_WEIGHT * (1 - self->failure_rate);
+  self->losses++;
+  suspend (self, now, self->losses);
+}
--- /dev/null
+++ b/serve/meters.c
@@ -0,0 +1,96 @@
+#include "serve/meters.h"
+
+static const CmMetricDef requests_def = {
+  .name = "alderturn_requests_total",
+  .help = "Requests that have ended, by outcome",
+  .type = CM_METRIC_COUNTER,
+  .labels = { "workspace", "class", "outcome" },
+};
+
+static const CmMetricDef first_def = {
+  .name = "alderturn_first_answer_seconds",
+  .help = "From the request to its first event or whole answer",
+  .type = CM_METRIC_HISTOGRAM,
+  .labels = { "workspace", "class" },
+  .scale = 1e6,
+};
+
+static const CmMetricDef total_def = {
+  .name = "alderturn_request_seconds",
+  .help = "From the request to the end of its answer",
+  .type = CM_METRIC_HISTOGRAM,
+  .labels = { "workspace", "class" },
+  .scale = 1e6,
+};
+
+static const CmMetricDef sends_def = {
+  .name = "alderturn_sends_total",
+  .help = "Requests sent to endpoints, by result",
+  .type = CM_METRIC_COUNTER,
+  .labels = { "service", "result" },
+};
+
+static const CmMetricDef late_def = {
+  .name = "alderturn_first_event_error_seconds",
+  .help = "Distance between the expected and the seen time to the first event",
+  .type = CM_METRIC_HISTOGRAM,
+  .labels = { "direction" },
+  .scale = 1e6,
+};
+
+struct SvMeters
+{
+  CmMetric *requests;
+  CmMetric *first;
+  CmMetric *total;
+  CmMetric *sends;
+  CmMetric *late;
+};
+
+SvMeters *
+sv_meters_new (CmMetrics *metrics)
+{
+  SvMeters *self = g_new0 (SvMeters, 1);
+
+  self->requests = cm_metrics_add (metrics, &requests_def);
+  self->first = cm_metrics_add (metrics, &first_def);
+  self->total = cm_metrics_add (metrics, &total_def);
+  self->sends = cm_metrics_add (metrics, &sends_def);
+  self->late = cm_metrics_add (metrics, &late_def);
+  return self;
+}
+
+void
+sv_meters_free (SvMeters *self)
+{
+  g_free (self);
+}
+
+void
+sv_meters_note_request (SvMeters *self, const SvMeasured *measured)
+{
+  const char *workspace = measured->workspace;
+  const char *class = measured->route_class;
+
+  cm_series_add (cm_metric_series (self->requests, workspace, class, measured->outcome), 1);
+  if (measured->first > 0)
+    cm_series_record (cm_metric_series (self->first, workspace, class, NULL),
+                      (guint64)measured->first);
+  cm_series_record (cm_metric_series (self->total, workspace, class, NULL),
+                    (guint64)measured->total);
+}
+
+void
+sv_meters_note_send (SvMeters *self, const char *service, const char *result)
+{
+  cm_series_add (cm_metric_series (self->sends, service, result, NULL), 1);
+}
+
+void
+sv_meters_note_prediction (SvMeters *self, KnlTime expected, KnlTime seen)
+{
+  KnlTime error = seen - expected;
+
+  cm_series_record (cm_metric_series (self->late, error > 0 ? "late" : "early", NULL, NULL),
+                    (guint64)ABS (error));
+}
--- /dev/null
+++ b/serve/peers.c
@@ -0,0 +1,666 @@
+#include "serve/peers.h"
+
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "common/log.h"
+#include "wire/datagram.pb-c.h"
+
+/* Whole datagrams: each peer hears one this often, less often when there are many peers so that
+ * their number a second stays bounded. */
+#define WHOLE_INTERVAL (400 * KNL_MSEC)
+#define WHOLE_PER_PEER (20 * KNL_MSEC)
+
+/* Whole datagrams in a row that may be lost before a peer counts as gone. */
+#define SILENT_INTERVALS 4
+
+/* A peer that was not heard of for this long is forgotten; its row in the store brings it back. */
+#define FORGET_AFTER (30 * KNL_SEC)
+
+/* Changes of load wait this long for others to go with them. Reads go at once: another instance
+ * that places a read on top of them in the meantime makes streams pause. */
+#define LOAD_DELAY (30 * KNL_MSEC)
+#define READ_DELAY (2 * KNL_MSEC)
+
+/* Rows in a datagram, so that it stays below the usual packet size. */
+#define ROWS_MOST 36
+
+#define DATAGRAM_BYTES 2048
+
+typedef struct
+{
+  char *name;
+  char *link_address;
+  char *callers_address;
+  char *zone;
+  struct sockaddr_storage socket_address;
+  int socket_length;
+  guint32 id;
+  guint64 incarnation;
+  guint64 sequence;
+  gboolean ready;
+  KnlTime heard_at; /* -KNL_NEVER: never */
+  KnlTime learned_at;
+} Peer;
+
+struct SvPeers
+{
+  SvPeerLink link;
+  KnlKernel *kernel;
+  SvFleet *fleet;
+  SvMember self;
+  guint32 id;
+  guint64 sequence;
+  gboolean ready;
+  evutil_socket_t socket;
+  struct event *readable;
+  GHashTable *peers; /* link address -> Peer */
+  GHashTable *by_id; /* id -> Peer */
+  GArray *reads;     /* PlacedReadRow not told yet */
+  GArray *suspects;  /* guint64 not told yet */
+  KnlTimerId whole_timer;
+  KnlTimerId change_timer;
+  SvPeerSuspectFunc on_suspect;
+  gpointer on_suspect_data;
+};
+
+typedef struct
+{
+  guint64 endpoint;
+  KnlTime length;
+} PlacedReadRow;
+
+static void
+peer_free (gpointer data)
+{
+  Peer *self = data;
+
+  g_free (self->name);
+  g_free (self->link_address);
+  g_free (self->callers_address);
+  g_free (self->zone);
+  g_free (self);
+}
+
+static guint32
+id_of (const char *name)
+{
+  return (guint32)XXH64 (name, strlen (name), 0);
+}
+
+static KnlTime
+whole_interval (const SvPeers *self)
+{
+  return MAX (WHOLE_INTERVAL, (KnlTime)g_hash_table_size (self->peers) * WHOLE_PER_PEER);
+}
+
+static gboolean
+is_alive (const SvPeers *self, const Peer *peer)
+{
+  return peer->heard_at > 0
+         && knl_kernel_now (self->kernel) - peer->heard_at
+                < SILENT_INTERVALS * whole_interval (self);
+}
+
+static void
+send_to (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
+{
+  guint8 bytes[DATAGRAM_BYTES];
+  gsize length = alderturn__datagram__get_packed_size (datagram);
+
+  if (length > sizeof bytes)
+    {
+      cm_log (CM_LOG_ERR, "datagram-too-large", "i", "bytes", (gint64)length);
+      return;
+    }
+  alderturn__datagram__pack (datagram, bytes);
+  /* A datagram that can't be sent now is a lost one. */
+  if (sendto (self->socket, bytes, length, MSG_DONTWAIT,
+              (const struct sockaddr *)&peer->socket_address, (socklen_t)peer->socket_length)
+      < 0)
+    cm_log (CM_LOG_DEBUG, "datagram-not-sent", "s", "peer", peer->link_address);
+}
+
+static void
+fill_load (Alderturn__EndpointLoad *row, SvEndpoint *endpoint)
+{
+  alderturn__endpoint_load__init (row);
+  row->endpoint = endpoint->key;
+  row->calls = endpoint->own.calls;
+  row->tight = endpoint->own.writers[SV_PAUSE_TIGHT];
+  row->medium = endpoint->own.writers[SV_PAUSE_MEDIUM];
+  row->loose = endpoint->own.writers[SV_PAUSE_LOOSE];
+  row->tokens = endpoint->own.tokens;
+}
+
+/* Rows of one kind, with the pointers that protobuf-c wants. */
+typedef struct
+{
+  Alderturn__EndpointLoad loads[ROWS_MOST];
+  Alderturn__EndpointLoad *load_rows[ROWS_MOST];
+  Alderturn__PlacedRead reads[ROWS_MOST];
+  Alderturn__PlacedRead *read_rows[ROWS_MOST];
+} Rows;
+
+static void
+begin_datagram (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
+{
+  alderturn__datagram__init (datagram);
+  datagram->sender = self->id;
+  datagram->incarnation = self->self.incarnation;
+  datagram->sequence = ++self->sequence;
+  datagram->ready = self->ready;
+  datagram->loads = rows->load_rows;
+  datagram->reads = rows->read_rows;
+}
+
+static void
+add_load_row (Alderturn__Datagram *datagram, Rows *rows, SvEndpoint *endpoint)
+{
+  fill_load (&rows->loads[datagram->n_loads], endpoint);
+  rows->load_rows[datagram->n_loads] = &rows->loads[datagram->n_loads];
+  datagram->n_loads++;
+  endpoint->own_changed = FALSE;
+}
+
+static void
+send_to_all (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  GHashTableIter iter;
+  gpointer peer;
+
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &peer))
+    send_to (self, peer, datagram);
+}
+
+static void
+fill_whole (SvPeers *self, Alderturn__Datagram *datagram, Alderturn__Sender *member, Rows *rows)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+
+  begin_datagram (self, datagram, rows);
+  alderturn__sender__init (member);
+  member->name = (char *)self->self.name;
+  member->link_address = (char *)self->self.link_address;
+  member->callers_address = (char *)self->self.callers_address;
+  member->zone = (char *)self->self.zone;
+  member->region = (char *)self->self.region;
+  datagram->from = member;
+  datagram->whole = TRUE;
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (endpoint->own.calls == 0)
+        continue;
+      if (datagram->n_loads == ROWS_MOST)
+        {
+          datagram->whole = FALSE;
+          break;
+        }
+      add_load_row (datagram, rows, endpoint);
+    }
+}
+
+static void
+send_whole (SvPeers *self, const Peer *peer)
+{
+  Alderturn__Datagram datagram;
+  Alderturn__Sender member;
+  Rows rows;
+
+  fill_whole (self, &datagram, &member, &rows);
+  if (peer != NULL)
+    send_to (self, peer, &datagram);
+  else
+    send_to_all (self, &datagram);
+}
+
+static void
+fill_reads (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
+{
+  guint n = MIN (self->reads->len, ROWS_MOST);
+
+  for (guint i = 0; i < n; i++)
+    {
+      const PlacedReadRow *read = &g_array_index (self->reads, PlacedReadRow, i);
+
+      alderturn__placed_read__init (&rows->reads[i]);
+      rows->reads[i].endpoint = read->endpoint;
+      rows->reads[i].length_us = (guint32)read->length;
+      rows->read_rows[i] = &rows->reads[i];
+    }
+  datagram->n_reads = n;
+  g_array_remove_range (self->reads, 0, n);
+}
+
+/* FALSE: there was nothing to tell. */
+static gboolean
+send_changes (SvPeers *self)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+  Alderturn__Datagram datagram;
+  Rows rows;
+
+  begin_datagram (self, &datagram, &rows);
+  for (guint i = 0; i < endpoints->len && datagram.n_loads < ROWS_MOST / 2; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (endpoint->own_changed)
+        add_load_row (&datagram, &rows, endpoint);
+    }
+  fill_reads (self, &datagram, &rows);
+  datagram.suspects = (guint64 *)(gpointer)self->suspects->data;
+  datagram.n_suspects = MIN (self->suspects->len, ROWS_MOST);
+  if (datagram.n_loads + datagram.n_reads + datagram.n_suspects == 0)
+    return FALSE;
+  send_to_all (self, &datagram);
+  g_array_set_size (self->suspects, 0);
+  return TRUE;
+}
+
+static void
+on_change_due (gpointer data)
+{
+  SvPeers *self = data;
+
+  self->change_timer = 0;
+  while (send_changes (self))
+    ;
+}
+
+static void
+tell_within (SvPeers *self, KnlTime delay)
+{
+  if (self->change_timer == 0)
+    self->change_timer = knl_timer_start (self->kernel, delay, on_change_due, self);
+}
+
+static gboolean
+is_forgotten (gpointer key, gpointer value, gpointer data)
+{
+  SvPeers *self = data;
+  Peer *peer = value;
+
+  if (knl_kernel_now (self->kernel) - MAX (peer->heard_at, peer->learned_at) <= FORGET_AFTER)
+    return FALSE;
+  g_hash_table_remove (self->by_id, GUINT_TO_POINTER (peer->id));
+  return TRUE;
+}
+
+static void
+on_whole_due (gpointer data)
+{
+  SvPeers *self = data;
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+  KnlTime oldest = knl_kernel_now (self->kernel) - SILENT_INTERVALS * whole_interval (self);
+
+  g_hash_table_foreach_remove (self->peers, is_forgotten, self);
+  for (guint i = 0; i < endpoints->len; i++)
+    sv_endpoint_expire_peers (g_ptr_array_index (endpoints, i), oldest);
+  send_whole (self, NULL);
+  self->whole_timer = knl_timer_start (self->kernel, whole_interval (self), on_whole_due, self);
+}
+
+static Peer *
+add_peer (SvPeers *self, const char *link_address)
+{
+  Peer *peer = g_new0 (Peer, 1);
+
+  peer->link_address = g_strdup (link_address);
+  peer->socket_length = sizeof peer->socket_address;
+  peer->heard_at = -KNL_NEVER;
+  peer->learned_at = knl_kernel_now (self->kernel);
+  if (evutil_parse_sockaddr_port (link_address, (struct sockaddr *)&peer->socket_address,
+                                  &peer->socket_length)
+      != 0)
+    {
+      cm_log (CM_LOG_WARNING, "peer-address-unreadable", "s", "address", link_address);
+      peer_free (peer);
+      return NULL;
+    }
+  g_hash_table_insert (self->peers, peer->link_address, peer);
+  return peer;
+}
+
+void
+sv_peers_learn (SvPeers *self, const char *link_address)
+{
+  Peer *peer;
+
+  if (strcmp (link_address, self->self.link_address) == 0)
+    return;
+  peer = g_hash_table_lookup (self->peers, link_address);
+  if (peer != NULL)
+    {
+      peer->learned_at = knl_kernel_now (self->kernel);
+      return;
+    }
+  peer = add_peer (self, link_address);
+  if (peer != NULL)
+    send_whole (self, peer);
+}
+
+static void
+replace_text (char **field, const char *text)
+{
+  if (g_strcmp0 (*field, text) == 0)
+    return;
+  g_free (*field);
+  *field = g_strdup (text);
+}
+
+/* Who the sender is; a new one is answered, so that it need not wait for our next whole one. */
+static Peer *
+take_member (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  const Alderturn__Sender *member = datagram->from;
+  Peer *peer;
+  gboolean is_new;
+
+  if (datagram->sender == self->id || strcmp (member->link_address, self->self.link_address) == 0)
+    return NULL;
+  peer = g_hash_table_lookup (self->peers, member->link_address);
+  is_new = peer == NULL || peer->heard_at < 0;
+  if (peer == NULL)
+    peer = add_peer (self, member->link_address);
+  if (peer == NULL)
+    return NULL;
+  if (peer->id != datagram->sender)
+    {
+      g_hash_table_remove (self->by_id, GUINT_TO_POINTER (peer->id));
+      peer->id = datagram->sender;
+      g_hash_table_insert (self->by_id, GUINT_TO_POINTER (peer->id), peer);
+    }
+  replace_text (&peer->name, member->name);
+  replace_text (&peer->callers_address, member->callers_address);
+  replace_text (&peer->zone, member->zone);
+  if (is_new)
+    {
+      cm_log (CM_LOG_NOTICE, "peer-found", "s", "peer", peer->name, "s", "address",
+              peer->link_address);
+      send_whole (self, peer);
+    }
+  return peer;
+}
+
+static void
+take_loads (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  if (datagram->whole)
+    {
+      static const SvLoad none;
+
+      for (guint i = 0; i < endpoints->len; i++)
+        sv_endpoint_set_peer (g_ptr_array_index (endpoints, i), peer->id, &none, now);
+    }
+  for (guint i = 0; i < datagram->n_loads; i++)
+    {
+      const Alderturn__EndpointLoad *row = datagram->loads[i];
+      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, row->endpoint);
+      SvLoad load = {
+        .calls = row->calls,
+        .writers = { row->tight, row->medium, row->loose },
+        .tokens = row->tokens,
+      };
+
+      if (endpoint != NULL)
+        sv_endpoint_set_peer (endpoint, peer->id, &load, now);
+    }
+}
+
+static void
+take_reads (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  for (guint i = 0; i < datagram->n_reads; i++)
+    {
+      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, datagram->reads[i]->endpoint);
+
+      if (endpoint != NULL)
+        sv_endpoint_add_read (endpoint, now, datagram->reads[i]->length_us);
+    }
+}
+
+/* A datagram that was overtaken by a newer one, or of an earlier start, says nothing new. */
+static gboolean
+is_overtaken (const Peer *peer, const Alderturn__Datagram *datagram)
+{
+  if (datagram->incarnation != peer->incarnation)
+    return datagram->incarnation < peer->incarnation;
+  return datagram->sequence <= peer->sequence;
+}
+
+static void
+take (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  Peer *peer = datagram->from != NULL
+                   ? take_member (self, datagram)
+                   : g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (datagram->sender));
+
+  if (peer == NULL || is_overtaken (peer, datagram))
+    return;
+  peer->incarnation = datagram->incarnation;
+  peer->sequence = datagram->sequence;
+  peer->ready = datagram->ready;
+  peer->heard_at = knl_kernel_now (self->kernel);
+  take_loads (self, peer, datagram);
+  take_reads (self, datagram);
+  for (guint i = 0; i < datagram->n_suspects && self->on_suspect != NULL; i++)
+    self->on_suspect (datagram->suspects[i], self->on_suspect_data);
+}
+
+static void
+on_readable (evutil_socket_t fd, short what, void *data)
+{
+  SvPeers *self = data;
+  guint8 bytes[DATAGRAM_BYTES];
+  ssize_t length;
+
+  while ((length = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
+    {
+      Alderturn__Datagram *datagram = alderturn__datagram__unpack (NULL, (size_t)length, bytes);
+
+      if (datagram == NULL)
+        {
+          cm_log (CM_LOG_WARNING, "datagram-unreadable", "i", "bytes", (gint64)length);
+          continue;
+        }
+      take (self, datagram);
+      alderturn__datagram__free_unpacked (datagram, NULL);
+    }
+}
+
+static void
+add_read (SvPeers *self, const SvEndpoint *endpoint, KnlTime length)
+{
+  PlacedReadRow row = { .endpoint = endpoint->key, .length = length };
+
+  g_array_append_val (self->reads, row);
+}
+
+static void
+link_read_placed (SvPeerLink *link, const SvPlacement *placement)
+{
+  SvPeers *self = (SvPeers *)link;
+
+  add_read (self, placement->first, placement->part);
+  for (guint i = 0; i < placement->n_helpers; i++)
+    add_read (self, placement->helpers[i], placement->part);
+  if (placement->n_helpers > 0)
+    knl_timer_stop (self->kernel, &self->change_timer);
+  tell_within (self, placement->n_helpers > 0 ? READ_DELAY : LOAD_DELAY);
+}
+
+static void
+link_load_changed (SvPeerLink *link)
+{
+  tell_within ((SvPeers *)link, LOAD_DELAY);
+}
+
+static void
+link_suspect (SvPeerLink *link, guint64 fingerprint)
+{
+  SvPeers *self = (SvPeers *)link;
+
+  g_array_append_val (self->suspects, fingerprint);
+  tell_within (self, READ_DELAY);
+}
+
+static guint
+link_n_instances (const SvPeerLink *link)
+{
+  return g_hash_table_size (((const SvPeers *)link)->peers) + 1;
+}
+
+static const SvPeerLinkClass link_class = {
+  .read_placed = link_read_placed,
+  .load_changed = link_load_changed,
+  .suspect = link_suspect,
+  .n_instances = link_n_instances,
+};
+
+static gboolean
+open_socket (SvPeers *self, struct event_base *base)
+{
+  struct sockaddr_storage address;
+  int length = sizeof address;
+
+  if (evutil_parse_sockaddr_port (self->self.link_address, (struct sockaddr *)&address, &length)
+      != 0)
+    return FALSE;
+  self->socket = socket (address.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (self->socket < 0 || bind (self->socket, (struct sockaddr *)&address, (socklen_t)length) != 0)
+    return FALSE;
+  self->readable = event_new (base, self->socket, EV_READ | EV_PERSIST, on_readable, self);
+  event_add (self->readable, NULL);
+  return TRUE;
+}
+
+SvPeers *
+sv_peers_new (KnlKernel *kernel, struct event_base *base, SvFleet *fleet, const SvMember *member)
+{
+  SvPeers *self = g_new0 (SvPeers, 1);
+
+  self->link.klass = &link_class;
+  self->kernel = kernel;
+  self->fleet = fleet;
+  self->socket = -1;
+  self->id = id_of (member->name);
+  self->self = (SvMember){
+    .name = g_strdup (member->name),
+    .incarnation = member->incarnation,
+    .link_address = g_strdup (member->link_address),
+    .callers_address = g_strdup (member->callers_address),
+    .zone = g_strdup (member->zone),
+    .region = g_strdup (member->region),
+  };
+  self->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
+  self->by_id = g_hash_table_new (NULL, NULL);
+  self->reads = g_array_new (FALSE, FALSE, sizeof (PlacedReadRow));
+  self->suspects = g_array_new (FALSE, FALSE, sizeof (guint64));
+  if (!open_socket (self, base))
+    {
+      sv_peers_free (self);
+      return NULL;
+    }
+  self->whole_timer = knl_timer_start (kernel, whole_interval (self), on_whole_due, self);
+  return self;
+}
+
+void
+sv_peers_free (SvPeers *self)
+{
+  if (self == NULL)
+    return;
+  knl_timer_stop (self->kernel, &self->whole_timer);
+  knl_timer_stop (self->kernel, &self->change_timer);
+  if (self->readable != NULL)
+    event_free (self->readable);
+  if (self->socket >= 0)
+    close (self->socket);
+  g_hash_table_unref (self->by_id);
+  g_hash_table_unref (self->peers);
+  g_array_unref (self->reads);
+  g_array_unref (self->suspects);
+  g_free ((char *)self->self.name);
+  g_free ((char *)self->self.link_address);
+  g_free ((char *)self->self.callers_address);
+  g_free ((char *)self->self.zone);
+  g_free ((char *)self->self.region);
+  g_free (self);
+}
+
+void
+sv_peers_on_suspect (SvPeers *self, SvPeerSuspectFunc func, gpointer data)
+{
+  self->on_suspect = func;
+  self->on_suspect_data = data;
+}
+
+SvPeerLink *
+sv_peers_link (SvPeers *self)
+{
+  return &self->link;
+}
+
+void
+sv_peers_set_ready (SvPeers *self, gboolean ready)
+{
+  if (self->ready == ready)
+    return;
+  self->ready = ready;
+  send_whole (self, NULL);
+}
+
+static gboolean
+is_in_zone (const Peer *peer, const char *zone)
+{
+  return zone != NULL && g_strcmp0 (peer->zone, zone) == 0;
+}
+
+GPtrArray *
+sv_peers_ready_addresses (const SvPeers *self, const char *zone, guint limit)
+{
+  GPtrArray *addresses = g_ptr_array_new_with_free_func (g_free);
+  gboolean own_zone = g_strcmp0 (self->self.zone, zone) == 0;
+
+  for (guint pass = 0; pass < 2; pass++)
+    {
+      GHashTableIter iter;
+      gpointer value;
+
+      if (self->ready && own_zone == (pass == 0))
+        g_ptr_array_add (addresses, g_strdup (self->self.callers_address));
+      g_hash_table_iter_init (&iter, self->peers);
+      while (g_hash_table_iter_next (&iter, NULL, &value) && addresses->len < limit)
+        {
+          const Peer *peer = value;
+
+          if (peer->ready && is_alive (self, peer) && is_in_zone (peer, zone) == (pass == 0))
+            g_ptr_array_add (addresses, g_strdup (peer->callers_address));
+        }
+    }
+  return addresses;
+}
+
+guint
+sv_peers_n_alive (const SvPeers *self)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint alive = 0;
+
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    alive += is_alive (self, value);
+  return alive;
+}
--- /dev/null
+++ b/serve/stream.c
@@ -0,0 +1,56 @@
+/** Streams are passed on in whole events, so that a broken one can go on at another endpoint. */
+
+#include "serve/core_internal.h"
+
+gboolean
+sv_request_is_streaming (const SvRequest *self)
+{
+  return self->route->kind == SV_STREAM && self->answer != NULL && self->reply.status == 200
+         && !self->reply.not_run;
+}
+
+static void
+begin_answer (SvRequest *self)
+{
+  KnlTime now = knl_kernel_now (self->core->parts.kernel);
+
+  if (ht_call_has_begun (self->call))
+    return;
+  self->first_at = now;
+  sv_meters_note_prediction (self->core->meters, self->placement.expected, now - self->sent_at);
+  ht_call_begin (self->call, 200, self->fields != NULL ? self->fields->str : NULL);
+}
+
+static void
+on_event (const SvEvent *event, gpointer data)
+{
+  SvRequest *self = data;
+
+  /* A second run may begin before where the first was cut. */
+  if (event->id >= 0 && event->id <= self->last_event)
+    return;
+  begin_answer (self);
+  ht_call_send (self->call, event->bytes, event->length);
+  if (event->id >= 0)
+    self->last_event = event->id;
+}
+
+void
+sv_request_take_bytes (SvRequest *self, const char *bytes, gsize length)
+{
+  self->last_at = knl_kernel_now (self->core->parts.kernel);
+  sv_events_feed (&self->events, bytes, length, on_event, self);
+}
+
+gboolean
+sv_request_end_stream (SvRequest *self)
+{
+  static const SvOutcome answered = { .status = 200, .reason = "answered" };
+
+  if (sv_events_is_torn (&self->events))
+    return FALSE;
+  begin_answer (self);
+  ht_call_end (self->call);
+  sv_request_end (self, &answered);
+  return TRUE;
+}
--- a/platform/codec.c
+++ b/table/codec.c
@@ -1,9 +1,9 @@
-#include "platform/codec.h"
+#include "table/codec.h"
 
 #include <string.h>
 
 char *
-pf_codec_transaction (const PfTransaction *transaction)
+tb_codec_transaction (const TbTransaction *transaction)
 {
   json_t *root = json_object ();
   json_t *checks = json_array ();
@@ -12,14 +12,14 @@
 
   for (guint i = 0; i < transaction->n_checks; i++)
     {
-      const PfCheck *check = &transaction->checks[i];
+      const TbCheck *check = &transaction->checks[i];
 
       json_array_append_new (checks, json_pack ("{s:s, s:I}", "key", check->key, "version",
                                                 (json_int_t)check->version));
     }
   for (guint i = 0; i < transaction->n_writes; i++)
     {
-      const PfWrite *write = &transaction->writes[i];
+      const TbWrite *write = &transaction->writes[i];
 
       json_array_append_new (writes,
                              json_pack ("{s:s, s:s?}", "key", write->key, "value", write->value));
@@ -32,7 +32,7 @@
 }
 
 gboolean
-pf_codec_parse_version (const char *body, gsize bytes, guint64 *version)
+tb_codec_parse_version (const char *body, gsize bytes, guint64 *version)
 {
   json_t *root = json_loadb (body, bytes, 0, NULL);
   json_int_t number = json_integer_value (json_object_get (root, "version"));
@@ -45,14 +45,14 @@
 static void
 row_clear (gpointer data)
 {
-  PfRow *row = data;
+  TbRow *row = data;
 
   g_free (row->key);
   g_free (row->value);
 }
 
 GArray *
-pf_codec_parse_rows (const char *body, gsize bytes, gboolean *more)
+tb_codec_parse_rows (const char *body, gsize bytes, gboolean *more)
 {
   json_t *root = json_loadb (body, bytes, 0, NULL);
   const json_t *list = json_object_get (root, "rows");
@@ -62,11 +62,11 @@
 
   if (!json_is_array (list))
     goto out;
-  rows = g_array_new (FALSE, FALSE, sizeof (PfRow));
+  rows = g_array_new (FALSE, FALSE, sizeof (TbRow));
   g_array_set_clear_func (rows, row_clear);
   json_array_foreach (list, index, item)
   {
-    PfRow row = {
+    TbRow row = {
       .key = g_strdup (json_string_value (json_object_get (item, "key"))),
       .value = g_strdup (json_string_value (json_object_get (item, "value"))),
       .version = (guint64)json_integer_value (json_object_get (item, "version")),
@@ -84,7 +84,7 @@
 }
 
 void
-pf_codec_rows_free (GArray *rows)
+tb_codec_rows_free (GArray *rows)
 {
   g_array_free (rows, TRUE);
 }
@@ -144,7 +144,7 @@
 }
 
 GPtrArray *
-pf_codec_parse_instances (const char *body, gsize bytes)
+tb_codec_parse_instances (const char *body, gsize bytes)
 {
   json_t *root = json_loadb (body, bytes, 0, NULL);
   const json_t *list = json_object_get (root, "instances");
--- a/platform/http.c
+++ b/table/http.c
@@ -1,4 +1,4 @@
-#include "platform/http.h"
+#include "table/http.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -9,7 +9,7 @@
 
 #include "common/log.h"
 #include "common/settings.h"
-#include "platform/codec.h"
+#include "table/codec.h"
 
 /* Calls in flight beyond this end as unavailable: a store that hangs must not pile up sockets. */
 #define CALLS_LIMIT 512
@@ -25,29 +25,29 @@
 
 typedef struct
 {
-  PfPlatform base;
+  TbTable base;
   KnlKernel *kernel;
   struct event_base *events;
   char *address;
   char *host;
   guint16 port;
   KnlTime limit;
-  PfCallId last_id;
-  GHashTable *calls;   /* PfCallId -> Call */
+  TbCallId last_id;
+  GHashTable *calls;   /* TbCallId -> Call */
   GPtrArray *finished; /* struct evhttp_connection: evhttp still uses it when it calls us */
   KnlTimerId sweep;
-} PfHttp;
+} TbHttp;
 
 typedef struct
 {
-  PfCallId id;
-  PfHttp *platform;
+  TbCallId id;
+  TbHttp *platform;
   CallKind kind;
   union
   {
-    PfTransactFunc transact;
-    PfRowsFunc rows;
-    PfInstancesFunc instances;
+    TbTransactFunc transact;
+    TbRowsFunc rows;
+    TbInstancesFunc instances;
   } done;
   gpointer data;
   struct evhttp_connection *connection; /* NULL: the call could not be begun */
@@ -58,7 +58,7 @@
 static void
 sweep_connections (gpointer data)
 {
-  PfHttp *http = data;
+  TbHttp *http = data;
 
   http->sweep = 0;
   for (guint i = 0; i < http->finished->len; i++)
@@ -70,7 +70,7 @@
 static void
 call_unlink (Call *call)
 {
-  PfHttp *http = call->platform;
+  TbHttp *http = call->platform;
 
   g_hash_table_remove (http->calls, &call->id);
   knl_timer_stop (http->kernel, &call->timer);
@@ -82,48 +82,48 @@
 }
 
 static void
-finish_rows (const Call *call, PfStatus status, const char *body, gsize bytes)
+finish_rows (const Call *call, TbStatus status, const char *body, gsize bytes)
 {
   gboolean more = FALSE;
-  GArray *rows = status == PF_OK ? pf_codec_parse_rows (body, bytes, &more) : NULL;
+  GArray *rows = status == TB_OK ? tb_codec_parse_rows (body, bytes, &more) : NULL;
 
   if (rows == NULL)
     {
-      call->done.rows (PF_UNAVAILABLE, NULL, 0, FALSE, call->data);
+      call->done.rows (TB_UNAVAILABLE, NULL, 0, FALSE, call->data);
       return;
     }
-  call->done.rows (PF_OK, (const PfRow *)(gpointer)rows->data, rows->len, more, call->data);
-  pf_codec_rows_free (rows);
+  call->done.rows (TB_OK, (const TbRow *)(gpointer)rows->data, rows->len, more, call->data);
+  tb_codec_rows_free (rows);
 }
 
 static void
-finish_instances (const Call *call, PfStatus status, const char *body, gsize bytes)
+finish_instances (const Call *call, TbStatus status, const char *body, gsize bytes)
 {
-  GPtrArray *members = status == PF_OK ? pf_codec_parse_instances (body, bytes) : NULL;
+  GPtrArray *members = status == TB_OK ? tb_codec_parse_instances (body, bytes) : NULL;
 
   if (members == NULL)
     {
-      call->done.instances (PF_UNAVAILABLE, NULL, 0, call->data);
+      call->done.instances (TB_UNAVAILABLE, NULL, 0, call->data);
       return;
     }
-  call->done.instances (PF_OK, (Alderturn__Member *const *)members->pdata, members->len,
+  call->done.instances (TB_OK, (Alderturn__Member *const *)members->pdata, members->len,
                         call->data);
   g_ptr_array_free (members, TRUE);
 }
 
 static void
-finish_transact (const Call *call, PfStatus status, const char *body, gsize bytes)
+finish_transact (const Call *call, TbStatus status, const char *body, gsize bytes)
 {
   guint64 version = 0;
 
   /* An answer that says success and can't be read leaves open which version was written. */
-  if (status == PF_OK && !pf_codec_parse_version (body, bytes, &version))
-    status = PF_UNKNOWN;
+  if (status == TB_OK && !tb_codec_parse_version (body, bytes, &version))
+    status = TB_UNKNOWN;
   call->done.transact (status, version, call->data);
 }
 
 static void
-call_finish (Call *call, PfStatus status, const char *body, gsize bytes)
+call_finish (Call *call, TbStatus status, const char *body, gsize bytes)
 {
   call_unlink (call);
   switch (call->kind)
@@ -141,19 +141,19 @@
   g_free (call);
 }
 
-static PfStatus
+static TbStatus
 status_of_code (int code)
 {
   switch (code)
     {
     case HTTP_OK:
-      return PF_OK;
+      return TB_OK;
     case 409:
-      return PF_CONFLICT;
+      return TB_CONFLICT;
     case HTTP_SERVUNAVAIL:
-      return PF_UNAVAILABLE;
+      return TB_UNAVAILABLE;
     default:
-      return PF_UNKNOWN;
+      return TB_UNKNOWN;
     }
 }
 
@@ -180,12 +180,12 @@
     }
   if (request == NULL)
     {
-      call_finish (call, PF_UNKNOWN, NULL, 0);
+      call_finish (call, TB_UNKNOWN, NULL, 0);
       return;
     }
   if (code == 0)
     {
-      call_finish (call, PF_UNAVAILABLE, NULL, 0);
+      call_finish (call, TB_UNAVAILABLE, NULL, 0);
       return;
     }
   buffer = evhttp_request_get_input_buffer (request);
@@ -210,13 +210,13 @@
       evhttp_connection_free (call->connection);
       call->connection = NULL;
     }
-  call_finish (call, begun ? PF_UNKNOWN : PF_UNAVAILABLE, NULL, 0);
+  call_finish (call, begun ? TB_UNKNOWN : TB_UNAVAILABLE, NULL, 0);
 }
 
 static void
 begin_request (Call *call, enum evhttp_cmd_type method, const char *path, const char *body)
 {
-  PfHttp *http = call->platform;
+  TbHttp *http = call->platform;
   struct evhttp_request *request = evhttp_request_new (on_answer, call);
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
 
@@ -235,7 +235,7 @@
 }
 
 static Call *
-call_new (PfHttp *http, CallKind kind, gpointer data)
+call_new (TbHttp *http, CallKind kind, gpointer data)
 {
   Call *call = g_new0 (Call, 1);
 
@@ -247,10 +247,10 @@
   return call;
 }
 
-static PfCallId
+static TbCallId
 call_start (Call *call, enum evhttp_cmd_type method, const char *path, const char *body)
 {
-  PfHttp *http = call->platform;
+  TbHttp *http = call->platform;
 
   if (g_hash_table_size (http->calls) <= CALLS_LIMIT)
     begin_request (call, method, path, body);
@@ -259,15 +259,15 @@
   return call->id;
 }
 
-static PfCallId
-http_transact (PfPlatform *platform,
-               const PfTransaction *transaction,
-               PfTransactFunc done,
+static TbCallId
+http_transact (TbTable *platform,
+               const TbTransaction *transaction,
+               TbTransactFunc done,
                gpointer data)
 {
-  Call *call = call_new ((PfHttp *)platform, CALL_TRANSACT, data);
-  char *body = pf_codec_transaction (transaction);
-  PfCallId id;
+  Call *call = call_new ((TbHttp *)platform, CALL_TRANSACT, data);
+  char *body = tb_codec_transaction (transaction);
+  TbCallId id;
 
   call->done.transact = done;
   id = call_start (call, EVHTTP_REQ_POST, "/table/transact", body);
@@ -284,18 +284,18 @@
   free (escaped);
 }
 
-static PfCallId
-http_read (PfPlatform *platform,
+static TbCallId
+http_read (TbTable *platform,
            const char *key,
            gboolean prefix,
            const char *after,
            guint limit,
-           PfRowsFunc done,
+           TbRowsFunc done,
            gpointer data)
 {
-  Call *call = call_new ((PfHttp *)platform, CALL_ROWS, data);
+  Call *call = call_new ((TbHttp *)platform, CALL_ROWS, data);
   GString *path = g_string_new (prefix ? "/table/scan" : "/table/read");
-  PfCallId id;
+  TbCallId id;
 
   call->done.rows = done;
   append_escaped (path, prefix ? "?prefix=" : "?key=", key);
@@ -308,19 +308,19 @@
   return id;
 }
 
-static PfCallId
-http_instances (PfPlatform *platform, PfInstancesFunc done, gpointer data)
+static TbCallId
+http_instances (TbTable *platform, TbInstancesFunc done, gpointer data)
 {
-  Call *call = call_new ((PfHttp *)platform, CALL_INSTANCES, data);
+  Call *call = call_new ((TbHttp *)platform, CALL_INSTANCES, data);
 
   call->done.instances = done;
   return call_start (call, EVHTTP_REQ_GET, "/instances", NULL);
 }
 
 static void
-http_cancel (PfPlatform *platform, PfCallId id)
+http_cancel (TbTable *platform, TbCallId id)
 {
-  Call *call = g_hash_table_lookup (((PfHttp *)platform)->calls, &id);
+  Call *call = g_hash_table_lookup (((TbHttp *)platform)->calls, &id);
 
   if (call == NULL)
     return;
@@ -333,13 +333,13 @@
 }
 
 static void
-http_free (PfPlatform *platform)
+http_free (TbTable *platform)
 {
-  PfHttp *http = (PfHttp *)platform;
+  TbHttp *http = (TbHttp *)platform;
   GList *ids = g_hash_table_get_keys (http->calls);
 
   for (GList *l = ids; l != NULL; l = l->next)
-    http_cancel (platform, *(PfCallId *)l->data);
+    http_cancel (platform, *(TbCallId *)l->data);
   g_list_free (ids);
   knl_timer_stop (http->kernel, &http->sweep);
   sweep_connections (http);
@@ -350,7 +350,7 @@
   g_free (http);
 }
 
-static const PfPlatformClass http_class = {
+static const TbTableClass http_class = {
   .transact = http_transact,
   .read = http_read,
   .instances = http_instances,
@@ -358,13 +358,13 @@
   .free = http_free,
 };
 
-PfPlatform *
-pf_http_platform_new (KnlKernel *kernel,
+TbTable *
+tb_http_platform_new (KnlKernel *kernel,
                       struct event_base *base,
                       const char *address,
                       KnlTime limit)
 {
-  PfHttp *http = g_new0 (PfHttp, 1);
+  TbHttp *http = g_new0 (TbHttp, 1);
 
   http->base.klass = &http_class;
   http->kernel = kernel;
--- a/tests/fakes/deployment.c
+++ b/tests/fakes/deployment.c
@@ -94,7 +94,7 @@
   g_clear_pointer (&daemon->controller, ct_controller_free);
   wr_transport_free (daemon->transport);
   ep_client_free (daemon->client);
-  g_clear_pointer (&daemon->platform, pf_platform_free);
+  g_clear_pointer (&daemon->platform, tb_platform_free);
   co_config_free (daemon->config);
   g_clear_pointer (&daemon->metrics, cm_metrics_free);
   g_clear_pointer (&daemon->kernel, knl_kernel_free);
@@ -171,7 +171,7 @@
   return daemon_at (deployment, instance, FK_CONTROLLER)->controller;
 }
 
-PfPlatform *
+TbTable *
 fk_deployment_platform (FkDeployment *deployment, guint instance)
 {
   return daemon_at (deployment, instance, FK_CONTROLLER)->platform;
--- a/tests/fakes/deployment.h
+++ b/tests/fakes/deployment.h
@@ -61,7 +61,7 @@
 /** The entry's core, NULL while it is down. */
 EnCore *fk_deployment_core (FkDeployment *deployment, guint instance);
 CtController *fk_deployment_controller (FkDeployment *deployment, guint instance);
-PfPlatform *fk_deployment_platform (FkDeployment *deployment, guint instance);
+TbTable *fk_deployment_platform (FkDeployment *deployment, guint instance);
 
 /** The revision in force at a daemon; 0 while it is down. */
 guint64 fk_deployment_revision (const FkDeployment *deployment, guint instance, FkDaemonKind kind);
--- a/tests/fakes/deployment_internal.h
+++ b/tests/fakes/deployment_internal.h
@@ -19,7 +19,7 @@
   EpClient *client;
   EnUplink *uplink;
   EnCore *core;
-  PfPlatform *platform;
+  TbTable *platform;
   CmMetrics *metrics;
   CtController *controller;
   gboolean drained;
--- a/tests/fakes/memory_platform.c
+++ b/tests/fakes/memory_platform.c
@@ -1,6 +1,6 @@
 #include "tests/fakes/memory_platform.h"
 
-#include "platform/codec.h"
+#include "table/codec.h"
 #include "tests/fakes/memory_call.h"
 
 #include <stdlib.h>
@@ -18,7 +18,7 @@
 
 typedef struct
 {
-  PfPlatform base;
+  TbTable base;
   FkCalls calls;
   FkStore *store;
   FkPlatformFault fault;
@@ -43,13 +43,13 @@
   char *after;
   gboolean prefix;
   guint limit_rows;
-  PfStatus status;
+  TbStatus status;
   json_t *answer; /* as docs/ADAPTERS.md has it */
   union
   {
-    PfTransactFunc transact;
-    PfRowsFunc rows;
-    PfInstancesFunc instances;
+    TbTransactFunc transact;
+    TbRowsFunc rows;
+    TbInstancesFunc instances;
   } done;
   gpointer data;
 } Call;
@@ -70,28 +70,28 @@
 end_rows (Call *call, const char *text)
 {
   gboolean more = FALSE;
-  GArray *rows = pf_codec_parse_rows (text, strlen (text), &more);
+  GArray *rows = tb_codec_parse_rows (text, strlen (text), &more);
 
   if (rows == NULL)
     {
       call->done.rows (call->status, NULL, 0, FALSE, call->data);
       return;
     }
-  call->done.rows (PF_OK, (const PfRow *)(gpointer)rows->data, rows->len, more, call->data);
-  pf_codec_rows_free (rows);
+  call->done.rows (TB_OK, (const TbRow *)(gpointer)rows->data, rows->len, more, call->data);
+  tb_codec_rows_free (rows);
 }
 
 static void
 end_instances (Call *call, const char *text)
 {
-  g_autoptr (GPtrArray) members = pf_codec_parse_instances (text, strlen (text));
+  g_autoptr (GPtrArray) members = tb_codec_parse_instances (text, strlen (text));
 
   if (members == NULL)
     {
       call->done.instances (call->status, NULL, 0, call->data);
       return;
     }
-  call->done.instances (PF_OK, (Alderturn__Member *const *)members->pdata, members->len,
+  call->done.instances (TB_OK, (Alderturn__Member *const *)members->pdata, members->len,
                         call->data);
 }
 
@@ -107,7 +107,7 @@
     end_instances (call, text);
   else
     {
-      pf_codec_parse_version (text, strlen (text), &version);
+      tb_codec_parse_version (text, strlen (text), &version);
       call->done.transact (call->status, version, call->data);
     }
   free (text);
@@ -121,7 +121,7 @@
 
   if (answered == NULL)
     {
-      call->status = call->kind == CALL_TRANSACT ? PF_UNKNOWN : PF_UNAVAILABLE;
+      call->status = call->kind == CALL_TRANSACT ? TB_UNKNOWN : TB_UNAVAILABLE;
       g_clear_pointer (&call->answer, json_decref);
     }
   fk_call_end (base);
@@ -138,7 +138,7 @@
       call->answer = call->kind == CALL_READ ? sd_table_read (
                          call->store->table, call->key, call->prefix, call->after, call->limit_rows)
                                              : sd_instance_list_visible (call->store->instances);
-      call->status = call->answer != NULL ? PF_OK : PF_UNAVAILABLE;
+      call->status = call->answer != NULL ? TB_OK : TB_UNAVAILABLE;
     }
   if (call->fault != FK_PLATFORM_DEAF)
     fk_call_answer (&call->base, 0, call);
@@ -166,8 +166,8 @@
 };
 
 /* Takes the strings of `from` over. */
-static PfCallId
-call_start (PfPlatform *platform, const Call *from)
+static TbCallId
+call_start (TbTable *platform, const Call *from)
 {
   MemoryPlatform *self = (MemoryPlatform *)platform;
   Call *call = g_memdup2 (from, sizeof *from);
@@ -177,7 +177,7 @@
   fk_call_open (&call->base, &call_class, &self->calls, CALL_LIMIT);
   if (call->fault == FK_PLATFORM_UNREACHABLE)
     {
-      call->status = PF_UNAVAILABLE;
+      call->status = TB_UNAVAILABLE;
       fk_call_answer (&call->base, 0, call);
     }
   else if (call->fault != FK_PLATFORM_SILENT)
@@ -185,13 +185,13 @@
   return call->base.id;
 }
 
-static PfCallId
-memory_transact (PfPlatform *platform,
-                 const PfTransaction *transaction,
-                 PfTransactFunc done,
+static TbCallId
+memory_transact (TbTable *platform,
+                 const TbTransaction *transaction,
+                 TbTransactFunc done,
                  gpointer data)
 {
-  char *text = pf_codec_transaction (transaction);
+  char *text = tb_codec_transaction (transaction);
   Call call = { .kind = CALL_TRANSACT,
                 .transaction = json_loads (text, 0, NULL),
                 .done.transact = done,
@@ -201,13 +201,13 @@
   return call_start (platform, &call);
 }
 
-static PfCallId
-memory_read (PfPlatform *platform,
+static TbCallId
+memory_read (TbTable *platform,
              const char *key,
              gboolean prefix,
              const char *after,
              guint limit,
-             PfRowsFunc done,
+             TbRowsFunc done,
              gpointer data)
 {
   Call call = { .kind = CALL_READ,
@@ -221,8 +221,8 @@
   return call_start (platform, &call);
 }
 
-static PfCallId
-memory_instances (PfPlatform *platform, PfInstancesFunc done, gpointer data)
+static TbCallId
+memory_instances (TbTable *platform, TbInstancesFunc done, gpointer data)
 {
   Call call = { .kind = CALL_INSTANCES, .done.instances = done, .data = data };
 
@@ -230,19 +230,19 @@
 }
 
 static void
-memory_cancel (PfPlatform *platform, PfCallId id)
+memory_cancel (TbTable *platform, TbCallId id)
 {
   fk_calls_drop (&((MemoryPlatform *)platform)->calls, id);
 }
 
 static void
-memory_free (PfPlatform *platform)
+memory_free (TbTable *platform)
 {
   fk_calls_clear (&((MemoryPlatform *)platform)->calls);
   g_free (platform);
 }
 
-static const PfPlatformClass memory_class = {
+static const TbTableClass memory_class = {
   .transact = memory_transact,
   .read = memory_read,
   .instances = memory_instances,
@@ -250,7 +250,7 @@
   .free = memory_free,
 };
 
-PfPlatform *
+TbTable *
 fk_memory_platform_new (FkStore *store, KnlKernel *kernel)
 {
   MemoryPlatform *self = g_new0 (MemoryPlatform, 1);
@@ -262,7 +262,7 @@
 }
 
 void
-fk_memory_platform_set_fault (PfPlatform *platform, FkPlatformFault fault)
+fk_memory_platform_set_fault (TbTable *platform, FkPlatformFault fault)
 {
   ((MemoryPlatform *)platform)->fault = fault;
 }
--- a/tests/fakes/memory_platform.h
+++ b/tests/fakes/memory_platform.h
@@ -2,14 +2,14 @@
 
 /**
  * The platform in memory, for tests under a paused clock: one store, and a
- * PfPlatform for each daemon's kernel.
+ * TbTable for each daemon's kernel.
  *
  * Calls travel to the store and are carried out by the store's kernel, so a
  * write that is under way takes effect even while its sender is frozen. The
  * store's own faults are those of its table and list; those here hit one client.
  */
 
-#include "platform/platform.h"
+#include "table/table.h"
 #include "tests/standins/instance_list_model.h"
 #include "tests/standins/table_model.h"
 
@@ -32,7 +32,7 @@
 SdTable *fk_store_table (FkStore *store);
 SdInstanceList *fk_store_instances (FkStore *store);
 
-/** A client of `store` for the daemon on `kernel`; free with pf_platform_free() before either. */
-PfPlatform *fk_memory_platform_new (FkStore *store, KnlKernel *kernel);
+/** A client of `store` for the daemon on `kernel`; free with tb_platform_free() before either. */
+TbTable *fk_memory_platform_new (FkStore *store, KnlKernel *kernel);
 
-void fk_memory_platform_set_fault (PfPlatform *platform, FkPlatformFault fault);
+void fk_memory_platform_set_fault (TbTable *platform, FkPlatformFault fault);
