--- a/tests/standins/standin_platform.c
+++ b/tests/standins/standin_platform.c
@@ -34,14 +34,14 @@
 transact (SdExchange *exchange, Platform *platform)
 {
   json_t *answer;
-  PfStatus status = sd_table_transact (platform->table, exchange->body, &answer);
+  TbStatus status = sd_table_transact (platform->table, exchange->body, &answer);
 
-  if (status == PF_UNKNOWN)
+  if (status == TB_UNKNOWN)
     sd_exchange_drop (exchange);
-  else if (status == PF_UNAVAILABLE)
+  else if (status == TB_UNAVAILABLE)
     sd_exchange_refuse (exchange, 503, "unavailable");
   else
-    sd_exchange_reply (exchange, status == PF_OK ? 200 : 409, answer);
+    sd_exchange_reply (exchange, status == TB_OK ? 200 : 409, answer);
 }
 
 static void
--- a/tests/standins/table_model.c
+++ b/tests/standins/table_model.c
@@ -12,7 +12,7 @@
 struct SdTable
 {
   KnlKernel *kernel;
-  GTree *rows; /* key -> PfRow */
+  GTree *rows; /* key -> TbRow */
   guint64 version;
   Bucket write_bucket;
   Bucket read_bucket;
@@ -32,7 +32,7 @@
 static void
 row_free (gpointer data)
 {
-  PfRow *row = data;
+  TbRow *row = data;
 
   g_free (row->key);
   g_free (row->value);
@@ -126,14 +126,14 @@
 static void
 write_row (SdTable *table, const json_t *write)
 {
-  PfRow *row;
+  TbRow *row;
 
   if (text_of (write, "value") == NULL)
     {
       g_tree_remove (table->rows, key_of (write));
       return;
     }
-  row = g_new0 (PfRow, 1);
+  row = g_new0 (TbRow, 1);
   row->key = g_strdup (key_of (write));
   row->value = g_strdup (text_of (write, "value"));
   row->version = table->version;
@@ -149,7 +149,7 @@
 
   json_array_foreach (checks, i, check)
   {
-    const PfRow *row = g_tree_lookup (table->rows, key_of (check));
+    const TbRow *row = g_tree_lookup (table->rows, key_of (check));
     guint64 version = (guint64)json_integer_value (json_object_get (check, "version"));
 
     if ((row != NULL ? row->version : 0) != version)
@@ -158,7 +158,7 @@
   return NULL;
 }
 
-PfStatus
+TbStatus
 sd_table_transact (SdTable *table, const json_t *body, json_t **answer)
 {
   const json_t *failed = failed_check (table, json_object_get (body, "checks"));
@@ -168,7 +168,7 @@
   *answer = NULL;
   if (sd_table_refuses (table)
       || !bucket_take (&table->write_bucket, knl_kernel_now (table->kernel)))
-    return PF_UNAVAILABLE;
+    return TB_UNAVAILABLE;
   table->writes++;
   if (failed == NULL)
     {
@@ -176,12 +176,12 @@
       json_array_foreach (json_object_get (body, "writes"), i, write) write_row (table, write);
     }
   if (loses_answer (table))
-    return PF_UNKNOWN;
+    return TB_UNKNOWN;
   if (failed == NULL)
     *answer = json_pack ("{s:I}", "version", (json_int_t)table->version);
   else
     *answer = json_pack ("{s:[s]}", "failed", key_of (failed));
-  return failed == NULL ? PF_OK : PF_CONFLICT;
+  return failed == NULL ? TB_OK : TB_CONFLICT;
 }
 
 static GTreeNode *
@@ -193,7 +193,7 @@
 }
 
 static void
-append_row (json_t *rows, const PfRow *row)
+append_row (json_t *rows, const TbRow *row)
 {
   json_array_append_new (rows, json_pack ("{s:s, s:s, s:I}", "key", row->key, "value", row->value,
                                           "version", (json_int_t)row->version));
@@ -207,7 +207,7 @@
 
   for (; node != NULL; node = g_tree_node_next (node))
     {
-      const PfRow *row = g_tree_node_value (node);
+      const TbRow *row = g_tree_node_value (node);
 
       if (!g_str_has_prefix (row->key, prefix))
         return FALSE;
@@ -222,7 +222,7 @@
 sd_table_read (SdTable *table, const char *key, gboolean prefix, const char *after, guint limit)
 {
   json_t *rows;
-  const PfRow *row;
+  const TbRow *row;
   gboolean more = FALSE;
 
   if (sd_table_refuses (table)
--- a/tests/standins/table_model.h
+++ b/tests/standins/table_model.h
@@ -8,7 +8,7 @@
  * when the table is slow, perhaps after its caller has given up.
  */
 
-#include "platform/platform.h"
+#include "table/table.h"
 
 #include <jansson.h>
 
@@ -37,13 +37,13 @@
 gboolean sd_table_refuses (const SdTable *table);
 
 /**
- * Carries out a transaction of docs/ADAPTERS.md: PF_OK, PF_CONFLICT, PF_UNAVAILABLE, or
- * PF_UNKNOWN when it took effect and its answer is lost. `*answer` is new, NULL unless
- * PF_OK or PF_CONFLICT.
+ * Carries out a transaction of docs/ADAPTERS.md: TB_OK, TB_CONFLICT, TB_UNAVAILABLE, or
+ * TB_UNKNOWN when it took effect and its answer is lost. `*answer` is new, NULL unless
+ * TB_OK or TB_CONFLICT.
  */
-PfStatus sd_table_transact (SdTable *table, const json_t *body, json_t **answer);
+TbStatus sd_table_transact (SdTable *table, const json_t *body, json_t **answer);
 
-/** Rows as docs/ADAPTERS.md has them; NULL: unavailable. Arguments as in PfPlatformClass.read. */
+/** Rows as docs/ADAPTERS.md has them; NULL: unavailable. Arguments as in TbTableClass.read. */
 json_t *
 sd_table_read (SdTable *table, const char *key, gboolean prefix, const char *after, guint limit);
 
--- a/tests/unit/daemons.h
+++ b/tests/unit/daemons.h
@@ -15,7 +15,7 @@
   guint n;
   KnlRuntime *runtimes[DAEMONS_LIMIT];
   KnlKernel *kernels[DAEMONS_LIMIT];
-  PfPlatform *platforms[DAEMONS_LIMIT];
+  TbTable *platforms[DAEMONS_LIMIT];
 } Daemons;
 
 static inline void
@@ -43,7 +43,7 @@
 {
   for (guint i = 0; i < daemons->n; i++)
     {
-      pf_platform_free (daemons->platforms[i]);
+      tb_platform_free (daemons->platforms[i]);
       knl_kernel_free (daemons->kernels[i]);
     }
   fk_store_free (daemons->store);
--- a/tests/unit/table_model_test.c
+++ b/tests/unit/table_model_test.c
@@ -12,9 +12,9 @@
   KnlKernel *kernel;
   KnlRuntime *runtime;
   FkStore *store;
-  PfPlatform *platform;
+  TbTable *platform;
   guint calls;
-  PfStatus status;
+  TbStatus status;
   guint64 version;
   char *keys; /* of the rows read, joined */
   gboolean more;
@@ -38,7 +38,7 @@
 fixture_clear (Fixture *f)
 {
   g_free (f->keys);
-  pf_platform_free (f->platform);
+  tb_platform_free (f->platform);
   fk_store_free (f->store);
   knl_kernel_free (f->kernel);
   knl_kernel_free (f->world);
@@ -48,7 +48,7 @@
 G_DEFINE_AUTO_CLEANUP_CLEAR_FUNC (Fixture, fixture_clear)
 
 static void
-on_transact (PfStatus status, guint64 version, gpointer data)
+on_transact (TbStatus status, guint64 version, gpointer data)
 {
   Fixture *f = data;
 
@@ -58,7 +58,7 @@
 }
 
 static void
-on_rows (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_rows (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   Fixture *f = data;
   GString *keys = g_string_new (NULL);
@@ -73,19 +73,19 @@
 }
 
 static void
-on_members (PfStatus status, Alderturn__Member *const *members, guint n_members, gpointer data)
+on_members (TbStatus status, Alderturn__Member *const *members, guint n_members, gpointer data)
 {
-  ((Fixture *)data)->members = status == PF_OK ? n_members : G_MAXUINT;
+  ((Fixture *)data)->members = status == TB_OK ? n_members : G_MAXUINT;
 }
 
-static PfCallId
+static TbCallId
 put (Fixture *f, const char *key, guint64 version, const char *value)
 {
-  PfCheck check = { .key = key, .version = version };
-  PfWrite write = { .key = key, .value = value };
-  PfTransaction transaction = { .checks = &check, .n_checks = 1, .writes = &write, .n_writes = 1 };
+  TbCheck check = { .key = key, .version = version };
+  TbWrite write = { .key = key, .value = value };
+  TbTransaction transaction = { .checks = &check, .n_checks = 1, .writes = &write, .n_writes = 1 };
 
-  return pf_transact (f->platform, &transaction, on_transact, f);
+  return tb_transact (f->platform, &transaction, on_transact, f);
 }
 
 static void
@@ -96,12 +96,12 @@
     const char *key;
     guint64 check;
     const char *value;
-    PfStatus status;
+    TbStatus status;
     guint64 version;
   } rows[] = {
-    { "a", 0, "1", PF_OK, 1 },       { "a", 0, "2", PF_CONFLICT, 0 }, { "a", 1, "3", PF_OK, 2 },
-    { "ab", 0, "4", PF_OK, 3 },      { "b", 0, "5", PF_OK, 4 },       { "a", 2, NULL, PF_OK, 5 },
-    { "a", 2, "6", PF_CONFLICT, 0 }, { "a", 0, "7", PF_OK, 6 },
+    { "a", 0, "1", TB_OK, 1 },       { "a", 0, "2", TB_CONFLICT, 0 }, { "a", 1, "3", TB_OK, 2 },
+    { "ab", 0, "4", TB_OK, 3 },      { "b", 0, "5", TB_OK, 4 },       { "a", 2, NULL, TB_OK, 5 },
+    { "a", 2, "6", TB_CONFLICT, 0 }, { "a", 0, "7", TB_OK, 6 },
   };
   g_auto (Fixture) f = fixture_new ();
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
@@ -113,11 +113,11 @@
       CU_ASSERT_EQUAL (f.status, rows[i].status);
       CU_ASSERT_EQUAL (f.version, rows[i].version);
     }
-  pf_scan (f.platform, "a", NULL, 1, on_rows, &f);
+  tb_scan (f.platform, "a", NULL, 1, on_rows, &f);
   knl_paused_clock_advance (f.clock, 2 * KNL_MSEC);
   CU_ASSERT_STRING_EQUAL (f.keys, "a=7;");
   CU_ASSERT_TRUE (f.more);
-  pf_scan (f.platform, "a", "a", 5, on_rows, &f);
+  tb_scan (f.platform, "a", "a", 5, on_rows, &f);
   knl_paused_clock_advance (f.clock, 2 * KNL_MSEC);
   CU_ASSERT_STRING_EQUAL (f.keys, "ab=4;");
   CU_ASSERT_FALSE (f.more);
@@ -132,17 +132,17 @@
     SdTableFault table;
     KnlTime delay;
     FkPlatformFault client;
-    PfStatus status;
+    TbStatus status;
     gboolean written;
   } rows[] = {
-    { SD_TABLE_OUTAGE, 0, FK_PLATFORM_NORMAL, PF_UNAVAILABLE, FALSE },
-    { SD_TABLE_HANG, 0, FK_PLATFORM_NORMAL, PF_UNKNOWN, FALSE },
-    { SD_TABLE_SLOW, KNL_SEC, FK_PLATFORM_NORMAL, PF_OK, TRUE },
-    { SD_TABLE_SLOW, 3 * KNL_SEC, FK_PLATFORM_NORMAL, PF_UNKNOWN, TRUE },
-    { SD_TABLE_LOSE_ANSWERS, 0, FK_PLATFORM_NORMAL, PF_UNKNOWN, TRUE },
-    { SD_TABLE_NORMAL, 0, FK_PLATFORM_UNREACHABLE, PF_UNAVAILABLE, FALSE },
-    { SD_TABLE_NORMAL, 0, FK_PLATFORM_SILENT, PF_UNKNOWN, FALSE },
-    { SD_TABLE_NORMAL, 0, FK_PLATFORM_DEAF, PF_UNKNOWN, TRUE },
+    { SD_TABLE_OUTAGE, 0, FK_PLATFORM_NORMAL, TB_UNAVAILABLE, FALSE },
+    { SD_TABLE_HANG, 0, FK_PLATFORM_NORMAL, TB_UNKNOWN, FALSE },
+    { SD_TABLE_SLOW, KNL_SEC, FK_PLATFORM_NORMAL, TB_OK, TRUE },
+    { SD_TABLE_SLOW, 3 * KNL_SEC, FK_PLATFORM_NORMAL, TB_UNKNOWN, TRUE },
+    { SD_TABLE_LOSE_ANSWERS, 0, FK_PLATFORM_NORMAL, TB_UNKNOWN, TRUE },
+    { SD_TABLE_NORMAL, 0, FK_PLATFORM_UNREACHABLE, TB_UNAVAILABLE, FALSE },
+    { SD_TABLE_NORMAL, 0, FK_PLATFORM_SILENT, TB_UNKNOWN, FALSE },
+    { SD_TABLE_NORMAL, 0, FK_PLATFORM_DEAF, TB_UNKNOWN, TRUE },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
@@ -157,7 +157,7 @@
       knl_paused_clock_advance (f.clock, 2 * KNL_SEC);
       sd_table_set_fault (fk_store_table (f.store), SD_TABLE_NORMAL, 0, 0);
       fk_memory_platform_set_fault (f.platform, FK_PLATFORM_NORMAL);
-      pf_read (f.platform, "k", on_rows, &f);
+      tb_read (f.platform, "k", on_rows, &f);
       knl_paused_clock_advance (f.clock, 2 * KNL_MSEC);
       CU_ASSERT_STRING_EQUAL (f.keys, rows[i].written ? "k=v;" : "");
     }
@@ -179,7 +179,7 @@
   CU_ASSERT_EQUAL (sd_table_writes (fk_store_table (f.store)), 1);
   knl_paused_runtime_set_frozen (f.runtime, FALSE);
   knl_paused_clock_advance (f.clock, 0);
-  CU_ASSERT_EQUAL (f.status, PF_OK);
+  CU_ASSERT_EQUAL (f.status, TB_OK);
   CU_ASSERT_EQUAL (f.calls, 1);
 }
 
@@ -187,9 +187,9 @@
 test_cancelled_and_abandoned_calls_leave_nothing_behind (void)
 {
   g_auto (Fixture) f = fixture_new ();
-  PfCallId call;
+  TbCallId call;
   call = put (&f, "k", 0, "v");
-  pf_call_cancel (f.platform, &call);
+  tb_call_cancel (f.platform, &call);
   knl_paused_clock_advance (f.clock, KNL_SEC);
   CU_ASSERT_EQUAL (f.calls, 0);
   CU_ASSERT_EQUAL (sd_table_writes (fk_store_table (f.store)), 1);
@@ -207,14 +207,14 @@
   table = sd_table_new (f.world, 10, 0);
   for (guint i = 0; i < 15; i++)
     {
-      refused += sd_table_transact (table, nothing, &answer) == PF_UNAVAILABLE ? 1 : 0;
+      refused += sd_table_transact (table, nothing, &answer) == TB_UNAVAILABLE ? 1 : 0;
       json_decref (answer);
     }
   CU_ASSERT_EQUAL (refused, 5);
   knl_paused_clock_advance (f.clock, KNL_SEC / 10);
-  CU_ASSERT_EQUAL (sd_table_transact (table, nothing, &answer), PF_OK);
+  CU_ASSERT_EQUAL (sd_table_transact (table, nothing, &answer), TB_OK);
   json_decref (answer);
-  CU_ASSERT_EQUAL (sd_table_transact (table, nothing, &answer), PF_UNAVAILABLE);
+  CU_ASSERT_EQUAL (sd_table_transact (table, nothing, &answer), TB_UNAVAILABLE);
   sd_table_free (table);
 }
 
@@ -238,7 +238,7 @@
     {
       sd_instance_list_set_frozen (fk_store_instances (f.store), rows[i].frozen);
       knl_paused_clock_advance (f.clock, rows[i].wait);
-      pf_instances (f.platform, on_members, &f);
+      tb_instances (f.platform, on_members, &f);
       knl_paused_clock_advance (f.clock, 2 * KNL_MSEC);
       CU_ASSERT_EQUAL (f.members, rows[i].seen);
     }
--- a/tests/unit/pf_http_test.c
+++ b/tests/unit/tb_http_test.c
@@ -1,7 +1,7 @@
 /** The platform over real sockets on loopback: what each kind of answer counts as. */
 
 #include "kernel/event_runtime.h"
-#include "platform/http.h"
+#include "table/http.h"
 #include "suite.h"
 
 #include <arpa/inet.h>
@@ -25,8 +25,8 @@
   Behaviour behaviour;
   const char *head; /* status line's rest */
   const char *body;
-  PfStatus transact;
-  PfStatus read;
+  TbStatus transact;
+  TbStatus read;
 } Row;
 
 typedef struct
@@ -37,10 +37,10 @@
   struct evconnlistener *listener;
   char address[32];
   const Row *row;
-  PfPlatform *platform;
+  TbTable *platform;
   gboolean ended;
   gboolean inside; /* the call has not returned */
-  PfStatus status;
+  TbStatus status;
   guint64 version;
   guint n_rows;
 } Fixture;
@@ -107,14 +107,14 @@
   if (row->behaviour == SERVER_IS_NOT_THERE)
     g_clear_pointer (&fixture->listener, evconnlistener_free);
   fixture->platform =
-      pf_http_platform_new (fixture->kernel, fixture->base, fixture->address, 300 * KNL_MSEC);
+      tb_http_platform_new (fixture->kernel, fixture->base, fixture->address, 300 * KNL_MSEC);
   return fixture;
 }
 
 static void
 fixture_free (Fixture *fixture)
 {
-  pf_platform_free (fixture->platform);
+  tb_platform_free (fixture->platform);
   knl_kernel_free (fixture->kernel);
   knl_event_runtime_free (fixture->runtime);
   if (fixture->listener != NULL)
@@ -128,7 +128,7 @@
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (Fixture, fixture_free)
 
 static void
-end_call (Fixture *fixture, PfStatus status)
+end_call (Fixture *fixture, TbStatus status)
 {
   CU_ASSERT_FALSE (fixture->inside);
   fixture->ended = TRUE;
@@ -137,21 +137,21 @@
 }
 
 static void
-on_transacted (PfStatus status, guint64 version, gpointer data)
+on_transacted (TbStatus status, guint64 version, gpointer data)
 {
   ((Fixture *)data)->version = version;
   end_call (data, status);
 }
 
 static void
-on_rows (PfStatus status, const PfRow *rows, guint n_rows, gboolean more, gpointer data)
+on_rows (TbStatus status, const TbRow *rows, guint n_rows, gboolean more, gpointer data)
 {
   ((Fixture *)data)->n_rows = n_rows;
   end_call (data, status);
 }
 
 static void
-on_instances (PfStatus status, Alderturn__Member *const *members, guint n_members, gpointer data)
+on_instances (TbStatus status, Alderturn__Member *const *members, guint n_members, gpointer data)
 {
   ((Fixture *)data)->n_rows = n_members;
   end_call (data, status);
@@ -160,17 +160,17 @@
 static void
 call (Fixture *fixture, guint operation)
 {
-  const PfWrite write = { "key \"1\"", "{\"a\":1}" };
-  const PfTransaction transaction = { .writes = &write, .n_writes = 1 };
+  const TbWrite write = { "key \"1\"", "{\"a\":1}" };
+  const TbTransaction transaction = { .writes = &write, .n_writes = 1 };
 
   fixture->ended = FALSE;
   fixture->inside = TRUE;
   if (operation == 0)
-    pf_transact (fixture->platform, &transaction, on_transacted, fixture);
+    tb_transact (fixture->platform, &transaction, on_transacted, fixture);
   else if (operation == 1)
-    pf_scan (fixture->platform, "a/", "a/b c", 10, on_rows, fixture);
+    tb_scan (fixture->platform, "a/", "a/b c", 10, on_rows, fixture);
   else
-    pf_instances (fixture->platform, on_instances, fixture);
+    tb_instances (fixture->platform, on_instances, fixture);
   fixture->inside = FALSE;
   while (!fixture->ended)
     event_base_dispatch (fixture->base);
@@ -185,18 +185,18 @@
 test_statuses_by_table (void)
 {
   static const Row rows[] = {
-    { SERVER_ANSWERS, "200 OK", "{\"version\":7}", PF_OK, PF_UNAVAILABLE },
+    { SERVER_ANSWERS, "200 OK", "{\"version\":7}", TB_OK, TB_UNAVAILABLE },
     { SERVER_ANSWERS, "200 OK",
       "{\"rows\":[{\"key\":\"k\",\"value\":\"v\",\"version\":1}],\"instances\":[{\"name\":\"n\","
       "\"kind\":\"entry\"}]}",
-      PF_UNKNOWN, PF_OK },
-    { SERVER_ANSWERS, "200 OK", "not JSON", PF_UNKNOWN, PF_UNAVAILABLE },
-    { SERVER_ANSWERS, "409 Conflict", "{}", PF_CONFLICT, PF_UNAVAILABLE },
-    { SERVER_ANSWERS, "503 Unavailable", "{}", PF_UNAVAILABLE, PF_UNAVAILABLE },
-    { SERVER_ANSWERS, "500 Error", "{}", PF_UNKNOWN, PF_UNAVAILABLE },
-    { SERVER_CLOSES, "", "", PF_UNKNOWN, PF_UNAVAILABLE },
-    { SERVER_IS_SILENT, "", "", PF_UNKNOWN, PF_UNAVAILABLE },
-    { SERVER_IS_NOT_THERE, "", "", PF_UNAVAILABLE, PF_UNAVAILABLE },
+      TB_UNKNOWN, TB_OK },
+    { SERVER_ANSWERS, "200 OK", "not JSON", TB_UNKNOWN, TB_UNAVAILABLE },
+    { SERVER_ANSWERS, "409 Conflict", "{}", TB_CONFLICT, TB_UNAVAILABLE },
+    { SERVER_ANSWERS, "503 Unavailable", "{}", TB_UNAVAILABLE, TB_UNAVAILABLE },
+    { SERVER_ANSWERS, "500 Error", "{}", TB_UNKNOWN, TB_UNAVAILABLE },
+    { SERVER_CLOSES, "", "", TB_UNKNOWN, TB_UNAVAILABLE },
+    { SERVER_IS_SILENT, "", "", TB_UNKNOWN, TB_UNAVAILABLE },
+    { SERVER_IS_NOT_THERE, "", "", TB_UNAVAILABLE, TB_UNAVAILABLE },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
@@ -205,12 +205,12 @@
 
       call (fixture, 0);
       CU_ASSERT_EQUAL (fixture->status, rows[i].transact);
-      CU_ASSERT_EQUAL (fixture->version, rows[i].transact == PF_OK ? 7 : 0);
+      CU_ASSERT_EQUAL (fixture->version, rows[i].transact == TB_OK ? 7 : 0);
       for (guint operation = 1; operation <= 2; operation++)
         {
           call (fixture, operation);
           CU_ASSERT_EQUAL (fixture->status, rows[i].read);
-          CU_ASSERT_EQUAL (fixture->n_rows, rows[i].read == PF_OK ? 1 : 0);
+          CU_ASSERT_EQUAL (fixture->n_rows, rows[i].read == TB_OK ? 1 : 0);
         }
     }
 }
@@ -218,16 +218,16 @@
 static void
 test_a_cancelled_call_says_nothing (void)
 {
-  static const Row row = { SERVER_IS_SILENT, "", "", PF_UNKNOWN, PF_UNAVAILABLE };
+  static const Row row = { SERVER_IS_SILENT, "", "", TB_UNKNOWN, TB_UNAVAILABLE };
   g_autoptr (Fixture) fixture = fixture_new (&row);
-  PfCallId first;
+  TbCallId first;
 
-  first = pf_read (fixture->platform, "a", on_rows, fixture);
+  first = tb_read (fixture->platform, "a", on_rows, fixture);
   event_base_loop (fixture->base, EVLOOP_NONBLOCK);
-  pf_call_cancel (fixture->platform, &first);
+  tb_call_cancel (fixture->platform, &first);
   CU_ASSERT_EQUAL (first, 0);
   call (fixture, 0);
-  CU_ASSERT_EQUAL (fixture->status, PF_UNKNOWN);
+  CU_ASSERT_EQUAL (fixture->status, TB_UNKNOWN);
 }
 
 static const SuiteCase cases[] = {
@@ -235,4 +235,4 @@
   { "a cancelled call says nothing", test_a_cancelled_call_says_nothing },
 };
 
-SUITE_MAIN ("pf_http", cases)
+SUITE_MAIN ("tb_http", cases)
