serve: long prompts are run, read and kept apart from short ones

Ruled out: the model's figures (expected 1,926 ms, seen 1,996 ms).

Now: endpoints have a role by their place in one order: short streams packed, long prompts run, parts read; rejected reads are taken out again, at peers too; an endpoint that answers others is not dark.

--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -21,8 +21,8 @@
 /** How other instances hear of what this one does. */
 typedef struct
 {
-  /** A prompt's parts were placed. */
-  void (*read_placed) (SvPeerLink *link, const SvPlacement *placement);
+  /** A prompt's parts were placed, or with `sign` -1 will not be read after all. */
+  void (*read_placed) (SvPeerLink *link, const SvPlacement *placement, gint sign);
   /** What this instance has in flight has changed somewhere. */
   void (*load_changed) (SvPeerLink *link);
   /** A request with this fingerprint ended the connection of the endpoint that ran it. */
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -52,6 +52,7 @@
   KnlTime read_until;   /**< when the prompts sent there by anyone will have been read */
   gboolean own_changed; /**< since peers were told */
 
+  KnlTime heard_at;        /**< last bytes of any answer; 0: none yet */
   guint losses;            /**< in a row: not reached, broken off, or silent */
   guint errors;            /**< in a row: answers that report a failure */
   KnlTime suspended_until; /**< no request before, but where nothing else is left */
@@ -108,7 +109,7 @@
 /** Adds to (or with `sign` -1 takes from) what this instance has in flight there. */
 void sv_endpoint_charge (SvEndpoint *endpoint, const SvLoad *load, gint sign);
 
-/** `length` of reading was placed there. */
+/** `length` of reading was placed there; below 0: it was taken away. */
 void sv_endpoint_add_read (SvEndpoint *endpoint, KnlTime now, KnlTime length);
 
 /** Time until all that was placed there has been read. */
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -35,5 +35,5 @@
 gboolean
 sv_router_place (const SvFleet *fleet, const SvDemand *demand, KnlTime now, SvPlacement *placement);
 
-/** Enters the placement's reading in the endpoints. */
-void sv_placement_note_reads (const SvPlacement *placement, KnlTime now);
+/** Enters the placement's reading in the endpoints, or with `sign` -1 takes it out again. */
+void sv_placement_note_reads (const SvPlacement *placement, KnlTime now, gint sign);
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -60,7 +60,10 @@
 {
   ProtobufCMessage base;
   uint64_t endpoint;
-  uint32_t length_us;
+  /*
+   * below 0: it is not read there after all
+   */
+  int32_t length_us;
 };
 #define ALDERTURN__PLACED_READ__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__placed_read__descriptor) \
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -22,6 +22,8 @@
 #define SILENCE_OBJECTIVES 2.5
 #define SILENCE_EXPECTED   2.0
 #define SILENCE_GAPS       4.0
+#define SILENCE_QUEUED     4
+#define SILENCE_HEARD      (600 * KNL_MSEC)
 #define SILENCE_LEAST      (250 * KNL_MSEC)
 #define SILENCE_GAP_LEAST  (1 * KNL_SEC)
 
@@ -46,6 +48,26 @@
   link->klass->load_changed (link);
 }
 
+static void
+note_reads (SvRequest *self, gint sign)
+{
+  SvPeerLink *link = self->core->parts.link;
+
+  if (self->placement.part == 0)
+    return;
+  sv_placement_note_reads (&self->placement, now_of (self), sign);
+  link->klass->read_placed (link, &self->placement, sign);
+}
+
+/* A prompt that was turned away, or given up before its first event, is not read: entries for it
+ * would make its endpoints look busy for seconds. */
+static void
+take_reads_back (SvRequest *self)
+{
+  if (!self->is_read)
+    note_reads (self, -1);
+}
+
 void
 sv_request_stop_send (SvRequest *self)
 {
@@ -53,6 +75,7 @@
   if (self->exchange == NULL)
     return;
   ht_exchange_cancel (self->exchange);
+  take_reads_back (self);
   self->exchange = NULL;
   self->answer = NULL;
   charge (self, -1);
@@ -135,6 +158,7 @@
     return HT_HEAD_REFUSE;
   self->answer = answer;
   self->last_at = now_of (self);
+  self->placement.first->heard_at = self->last_at;
   if (sv_request_is_streaming (self) && self->fields == NULL)
     self->fields = dialect->klass->write_reply (dialect, answer);
   return HT_HEAD_TAKE;
@@ -164,6 +188,7 @@
         at_fault = self->placement.helpers[i];
     }
   close_send (self, "rejected");
+  take_reads_back (self);
   if (self->reply.status == 421 || at_fault != endpoint)
     sv_endpoint_note_loss (at_fault, now_of (self));
   else
@@ -285,6 +310,11 @@
   KnlTime since = MAX (self->sent_at, self->last_at);
   KnlTime left = since + silence_limit (self) - now_of (self);
 
+  /* Reading that is known to be under way there explains a pause, and so does a queue: an endpoint
+   * that answers other requests is not dark. */
+  left += sv_endpoint_read_left (self->placement.first, now_of (self));
+  if (left <= 0 && now_of (self) - since < SILENCE_QUEUED * silence_limit (self))
+    left = self->placement.first->heard_at + SILENCE_HEARD - now_of (self);
   self->watch_timer = 0;
   if (left > 0)
     {
@@ -328,11 +358,7 @@
   if (!placed)
     return FALSE;
   sv_endpoint_ref (self->placement.first);
-  if (self->placement.part > 0)
-    {
-      sv_placement_note_reads (&self->placement, now);
-      core->parts.link->klass->read_placed (core->parts.link, &self->placement);
-    }
+  note_reads (self, 1);
   return TRUE;
 }
 
@@ -400,6 +426,7 @@
   self->offers++;
   self->sent_at = now_of (self);
   self->last_at = 0;
+  self->is_read = FALSE;
   sv_events_reset (&self->events);
   if (self->last_event >= 0)
     {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -46,7 +46,7 @@
   KnlTimerId watch_timer;
   HtMessage *answer; /* its head has come; owned by the exchange */
   SvReply reply;
-  gboolean is_resumed; /* it goes on after last_event */
+  gboolean is_read;  /* an event has come: its prompt has been read */
 
   /* the answer to the caller */
   GString *fields; /* of the first endpoint's answer */
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -254,7 +254,7 @@
 void
 sv_endpoint_add_read (SvEndpoint *self, KnlTime now, KnlTime length)
 {
-  self->read_until = MAX (self->read_until, now) + length;
+  self->read_until = MAX (MAX (self->read_until, now) + length, now);
 }
 
 KnlTime
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -230,7 +230,7 @@
 
       alderturn__placed_read__init (&rows->reads[i]);
       rows->reads[i].endpoint = read->endpoint;
-      rows->reads[i].length_us = (guint32)read->length;
+      rows->reads[i].length_us = (gint32)read->length;
       rows->read_rows[i] = &rows->reads[i];
     }
   datagram->n_reads = n;
@@ -488,13 +488,13 @@
 }
 
 static void
-link_read_placed (SvPeerLink *link, const SvPlacement *placement)
+link_read_placed (SvPeerLink *link, const SvPlacement *placement, gint sign)
 {
   SvPeers *self = (SvPeers *)link;
 
-  add_read (self, placement->first, placement->part);
+  add_read (self, placement->first, sign * placement->part);
   for (guint i = 0; i < placement->n_helpers; i++)
-    add_read (self, placement->helpers[i], placement->part);
+    add_read (self, placement->helpers[i], sign * placement->part);
   if (placement->n_helpers > 0)
     knl_timer_stop (self->kernel, &self->change_timer);
   tell_within (self, placement->n_helpers > 0 ? READ_DELAY : LOAD_DELAY);
--- a/serve/router.c
+++ b/serve/router.c
@@ -1,6 +1,6 @@
 #include "serve/router.h"
 
-#include <string.h>
+#include <math.h>
 
 #include "serve/engine_model.h"
 
@@ -8,9 +8,21 @@
  * pass by less than its own length. */
 #define SPLIT_MS 60.0
 
-/* Part of the first event's objective that a short prompt's expected time may take where streams
- * are packed; the rest is for what is not known: other instances' newest requests, the network. */
-#define PACK_PART 0.5
+/* Streams with short pauses on one endpoint that packing aims at, and endpoints that it keeps free
+ * beyond that for what comes before the next count. */
+#define PACKED_STREAMS 8.0
+#define PACKED_SPARE   1
+
+/* Of the memory of the endpoints that run long prompts, what their contexts are to take. */
+#define WRITE_PART 0.5
+
+/* What a memory full of contexts costs when an endpoint is chosen to run a long prompt, and what it
+ * costs to have no room, in ms. */
+#define RUN_MEMORY_COST 300.0
+#define NO_ROOM_COST    20000.0
+
+/* Part of a first event's objective that sending a short prompt across the border costs. */
+#define BORDER_PART 0.5
 
 /* Slots of an endpoint that packing leaves free for what other instances send meanwhile. */
 #define PACK_SPARE_SLOTS 3
@@ -25,7 +37,7 @@
 #define LATE_FROM 0.5
 
 /* What an objective's length of waiting costs against a stream made late: breaks ties. */
-#define WAIT_COST 0.3
+#define WAIT_COST 3.0
 
 /* Order in which endpoints are asked to read parts: reading left, and for each stream there: */
 static const double stream_order_ms[SV_N_PAUSES] = { 15, 3, 1 };
@@ -34,15 +46,34 @@
 #define OTHER_ZONE_COST   0.15
 #define FAILURE_RATE_COST 2.0
 
+/* What an endpoint is for at the moment, by its place in the order. */
+typedef enum
+{
+  ROLE_READ,   /* it reads parts of long prompts */
+  ROLE_WRITE,  /* it runs them, and reads its own part */
+  ROLE_PACKED, /* streams with short pauses are kept here */
+} Role;
+
 typedef struct
 {
   SvEndpoint *endpoint;
   SvLoad load;
   double read_left; /* ms */
   double pass;      /* ms, without reading */
-  double order;
+  double order;     /* ms, see stream_order_ms */
+  Role role;
 } Candidate;
 
+/* One choice, and what it goes by. */
+typedef struct
+{
+  const SvDemand *demand;
+  const SvEngineSpec *spec;
+  GArray *candidates; /* Candidate */
+  double read_ms;     /* of the whole prompt */
+  double packed_mean; /* streams with short pauses on each packed endpoint */
+} Choice;
+
 static gboolean
 is_excluded (const SvDemand *demand, const SvEndpoint *endpoint)
 {
@@ -65,8 +96,7 @@
 {
   const SvEngineSpec *spec = &demand->service->engine;
 
-  candidate->endpoint = endpoint;
-  candidate->load = sv_endpoint_load (endpoint);
+  *candidate = (Candidate){ .endpoint = endpoint, .load = sv_endpoint_load (endpoint) };
   candidate->read_left = (double)sv_endpoint_read_left (endpoint, now) / KNL_MSEC;
   candidate->pass =
       sv_model_pass_ms (spec, n_writers (&candidate->load), (double)candidate->load.tokens);
@@ -99,58 +129,97 @@
   return candidates;
 }
 
-static gboolean
-has_memory (const SvDemand *demand, const Candidate *candidate)
+static Candidate *
+candidate_at (const Choice *choice, guint index)
 {
-  double need = (double)(demand->prompt_tokens + demand->answer_tokens);
-
-  return (double)candidate->load.tokens + need
-         <= MEMORY_PART * (double)demand->service->engine.memory_tokens;
+  return &g_array_index (choice->candidates, Candidate, index);
 }
 
 /*
- * Short prompts are packed: they go to the first endpoint, in an order that is
- * the same at all instances, that still has room and time. Many streams on one
- * endpoint cost next to nothing, and the endpoints at the other end of the order
- * stay free of them, so that long prompts can be read there without making a
- * stream pause. Where the border lies follows from the load.
+ * Streams that bear only short pauses are kept on the first endpoints of an
+ * order that is the same at all instances, on as many as they need; long prompts
+ * are read by the others. Many streams on one endpoint cost next to nothing,
+ * while a long prompt makes all streams beside it pause. The border follows the
+ * load.
  */
-static const Candidate *
-choose_packed (const SvDemand *demand, const GArray *candidates, double read_ms)
+static void
+assign_roles (Choice *choice)
+{
+  double tight = 0;
+  double tokens = 0;
+  guint packed;
+  guint writing;
+
+  for (guint i = 0; i < choice->candidates->len; i++)
+    {
+      const Candidate *candidate = candidate_at (choice, i);
+
+      tight += candidate->load.writers[SV_PAUSE_TIGHT];
+      if (candidate->load.writers[SV_PAUSE_TIGHT] == 0)
+        tokens += (double)candidate->load.tokens;
+    }
+  packed = (guint)ceil ((tight + 1) / PACKED_STREAMS) + PACKED_SPARE;
+  packed = MIN (packed, choice->candidates->len);
+  writing = (guint)ceil ((tokens + 1) / (WRITE_PART * (double)choice->spec->memory_tokens)) + 1;
+  for (guint i = 0; i < choice->candidates->len && i < packed + writing; i++)
+    candidate_at (choice, i)->role = i < packed ? ROLE_PACKED : ROLE_WRITE;
+  choice->packed_mean = tight / packed;
+}
+
+static gboolean
+has_memory (const Choice *choice, const Candidate *candidate)
+{
+  guint64 need = choice->demand->prompt_tokens + choice->demand->answer_tokens;
+
+  return (double)(candidate->load.tokens + need)
+         <= MEMORY_PART * (double)choice->spec->memory_tokens;
+}
+
+/* Time to the first event, and what speaks against the endpoint besides, in ms. */
+static double
+cost_of_packing (const Choice *choice, const Candidate *candidate)
+{
+  double cost = candidate->read_left + choice->read_ms + candidate->pass;
+  double objective = (double)choice->demand->objective_left / KNL_MSEC;
+
+  if (candidate->load.calls + PACK_SPARE_SLOTS > choice->spec->slots
+      || !has_memory (choice, candidate))
+    cost += candidate->pass * (1 + candidate->load.calls);
+  if (candidate->role != ROLE_PACKED)
+    cost += BORDER_PART * objective;
+  return cost;
+}
+
+static void
+place_packed (const Choice *choice, SvPlacement *placement)
 {
-  const SvEngineSpec *spec = &demand->service->engine;
-  double limit = PACK_PART * (double)demand->objective_left / KNL_MSEC;
-  const Candidate *best = NULL;
   double least = G_MAXDOUBLE;
 
-  for (guint i = 0; i < candidates->len; i++)
+  for (guint i = 0; i < choice->candidates->len; i++)
     {
-      const Candidate *candidate = &g_array_index (candidates, Candidate, i);
-      double first = candidate->read_left + read_ms + candidate->pass;
-      gboolean has_room =
-          candidate->load.calls + PACK_SPARE_SLOTS <= spec->slots && has_memory (demand, candidate);
-
-      if (has_room && first <= limit)
-        return candidate;
-      first += has_room ? 0 : candidate->pass * (1 + candidate->load.calls);
-      if (first < least)
-        {
-          least = first;
-          best = candidate;
-        }
+      const Candidate *candidate = candidate_at (choice, i);
+      double cost = cost_of_packing (choice, candidate);
+
+      if (cost >= least)
+        continue;
+      least = cost;
+      placement->first = candidate->endpoint;
+      placement->expected =
+          (KnlTime)((candidate->read_left + choice->read_ms + candidate->pass) * KNL_MSEC);
     }
-  return best;
+  placement->part = (KnlTime)(choice->read_ms * KNL_MSEC);
 }
 
 static int
-compare_order (gconstpointer a, gconstpointer b)
+compare_for_reading (gconstpointer a, gconstpointer b)
 {
   const Candidate *x = a;
   const Candidate *y = b;
 
+  if (x->role != y->role)
+    return x->role < y->role ? -1 : 1;
   if (x->order != y->order)
     return x->order < y->order ? -1 : 1;
-  /* Packed streams fill the order from its begin; reading starts from its end. */
   return x->endpoint->key > y->endpoint->key ? -1 : 1;
 }
 
@@ -160,130 +229,133 @@
   return CLAMP ((value - from) / (to - from), 0, 1);
 }
 
-/* Streams, counted as a whole at the full pause, that reading for `stretch` ms makes late. */
+/* Streams, counted as a whole at the full pause, that reading for `stretch` ms makes late. On a
+ * packed endpoint those count too that will have come by then. */
 static double
-harm_of (const SvDemand *demand, const Candidate *candidate, double stretch)
+harm_of (const Choice *choice, const Candidate *candidate, double stretch)
 {
   double harm = 0;
 
   for (guint i = 0; i < SV_N_PAUSES; i++)
     {
-      double gap = (double)demand->config->shortest_gaps[i] / KNL_MSEC;
+      double gap = (double)choice->demand->config->shortest_gaps[i] / KNL_MSEC;
+      double writers = candidate->load.writers[i];
 
-      harm += candidate->load.writers[i] * ramp (stretch, HARM_FROM * gap, gap);
+      if (i == SV_PAUSE_TIGHT && candidate->role == ROLE_PACKED)
+        writers = MAX (writers, choice->packed_mean);
+      harm += writers * ramp (stretch, HARM_FROM * gap, gap);
     }
   return harm;
 }
 
 /* What a request counts against one of usual size. */
 static double
-worth_of (const SvDemand *demand)
+worth_of (const Choice *choice)
 {
-  const SvEngineSpec *spec = &demand->service->engine;
-  double usual = spec->usual_prompt + 10 * spec->usual_answer;
+  const SvDemand *demand = choice->demand;
+  double usual = choice->spec->usual_prompt + 10 * choice->spec->usual_answer;
+  double size = (double)demand->prompt_tokens + 10 * (double)demand->answer_tokens;
 
-  return usual <= 0 ? 1
-                    : ((double)demand->prompt_tokens + 10 * (double)demand->answer_tokens) / usual;
+  return usual <= 0 ? 1 : size / usual;
 }
 
 /* Cost, in streams made late, of reading in `n` parts at the first n candidates. */
 static double
-cost_of_width (const SvDemand *demand,
-               const GArray *candidates,
-               guint n,
-               double read_ms,
-               double *expected)
+cost_of_width (const Choice *choice, guint n, double *expected)
 {
-  double part = read_ms / n;
-  double objective = (double)MAX (demand->objective_left, KNL_MSEC) / KNL_MSEC;
+  double part = choice->read_ms / n;
+  double objective = (double)MAX (choice->demand->objective_left, KNL_MSEC) / KNL_MSEC;
   double finish = 0;
   double harm = 0;
 
   for (guint i = 0; i < n; i++)
     {
-      const Candidate *candidate = &g_array_index (candidates, Candidate, i);
+      const Candidate *candidate = candidate_at (choice, i);
       double stretch = candidate->read_left + part + candidate->pass;
 
       finish = MAX (finish, stretch);
-      harm += harm_of (demand, candidate, stretch);
+      harm += harm_of (choice, candidate, stretch);
     }
   *expected = finish;
-  return harm + worth_of (demand) * ramp (finish, LATE_FROM * objective, objective)
+  return harm + worth_of (choice) * ramp (finish, LATE_FROM * objective, objective)
          + WAIT_COST * finish / objective;
 }
 
-/* Of the first n candidates, the one to run at: with memory, and where its context, which
- * lengthens each step, meets the fewest tight streams. */
-static guint
-choose_first (const SvDemand *demand, const GArray *candidates, guint n)
+/* What speaks against running a long prompt at an endpoint, in ms. */
+static double
+cost_of_running (const Choice *choice, const Candidate *candidate)
+{
+  static const double role_cost[] = {
+    [ROLE_READ] = 1000,
+    [ROLE_WRITE] = 0,
+    [ROLE_PACKED] = 3000,
+  };
+  double cost = candidate->read_left + candidate->pass + role_cost[candidate->role];
+
+  cost += RUN_MEMORY_COST * (double)candidate->load.tokens / (double)choice->spec->memory_tokens;
+  if (candidate->load.calls >= choice->spec->slots)
+    cost += NO_ROOM_COST;
+  return has_memory (choice, candidate) ? cost : cost + NO_ROOM_COST;
+}
+
+/* Puts the candidate that is to run the prompt first, and those that are to read parts of it after
+ * it, the best ones first. */
+static void
+order_for_reading (const Choice *choice)
 {
   guint best = 0;
-  double least = G_MAXDOUBLE;
+  Candidate first;
 
-  for (guint i = 0; i < n; i++)
+  g_array_sort (choice->candidates, compare_for_reading);
+  for (guint i = 1; i < choice->candidates->len; i++)
     {
-      const Candidate *candidate = &g_array_index (candidates, Candidate, i);
-      double cost =
-          (double)candidate->load.tokens / (double)MAX (demand->service->engine.memory_tokens, 1)
-          + candidate->load.writers[SV_PAUSE_TIGHT];
-
-      if (!has_memory (demand, candidate))
-        cost += 1000;
-      if (cost < least)
-        {
-          least = cost;
-          best = i;
-        }
+      if (cost_of_running (choice, candidate_at (choice, i))
+          < cost_of_running (choice, candidate_at (choice, best)))
+        best = i;
     }
-  return best;
+  first = *candidate_at (choice, best);
+  g_array_remove_index (choice->candidates, best);
+  g_array_prepend_val (choice->candidates, first);
 }
 
-static void
-place_split (const SvDemand *demand, GArray *candidates, double read_ms, SvPlacement *placement)
+static guint
+choose_width (const Choice *choice, double *expected)
 {
-  guint widest = MIN (candidates->len, SV_HELPERS + 1);
+  guint widest = MIN (choice->candidates->len, SV_HELPERS + 1);
   guint width = 1;
   double least = G_MAXDOUBLE;
-  double expected = 0;
-  guint first;
 
-  g_array_sort (candidates, compare_order);
   for (guint n = 1; n <= widest; n++)
     {
       double finish;
-      double cost = cost_of_width (demand, candidates, n, read_ms, &finish);
+      double cost = cost_of_width (choice, n, &finish);
 
-      if (cost < least)
-        {
-          least = cost;
-          width = n;
-          expected = finish;
-        }
-    }
-  first = choose_first (demand, candidates, width);
-  placement->first = g_array_index (candidates, Candidate, first).endpoint;
-  for (guint i = 0; i < width; i++)
-    {
-      if (i != first)
-        placement->helpers[placement->n_helpers++] =
-            g_array_index (candidates, Candidate, i).endpoint;
+      if (cost >= least)
+        continue;
+      least = cost;
+      width = n;
+      *expected = finish;
     }
-  placement->part = (KnlTime)(read_ms / width * KNL_MSEC);
-  placement->expected = (KnlTime)(expected * KNL_MSEC);
+  return width;
 }
 
 static void
-place_packed (const SvDemand *demand, GArray *candidates, double read_ms, SvPlacement *placement)
+place_split (const Choice *choice, SvPlacement *placement)
 {
-  const Candidate *chosen = choose_packed (demand, candidates, read_ms);
-
-  placement->first = chosen->endpoint;
-  placement->part = (KnlTime)(read_ms * KNL_MSEC);
-  placement->expected = (KnlTime)((chosen->read_left + read_ms + chosen->pass) * KNL_MSEC);
+  double expected = 0;
+  guint width;
+
+  order_for_reading (choice);
+  width = choose_width (choice, &expected);
+  placement->first = candidate_at (choice, 0)->endpoint;
+  for (guint i = 1; i < width; i++)
+    placement->helpers[placement->n_helpers++] = candidate_at (choice, i)->endpoint;
+  placement->part = (KnlTime)(choice->read_ms / width * KNL_MSEC);
+  placement->expected = (KnlTime)(expected * KNL_MSEC);
 }
 
 static double
-plain_cost (const SvDemand *demand, const Candidate *candidate)
+cost_of_plain (const SvDemand *demand, const Candidate *candidate)
 {
   const SvEndpoint *endpoint = candidate->endpoint;
   double cost = (double)candidate->load.calls / MAX (endpoint->slots, 1);
@@ -294,14 +366,14 @@
 }
 
 static void
-place_plain (const SvDemand *demand, const GArray *candidates, SvPlacement *placement)
+place_plain (const Choice *choice, SvPlacement *placement)
 {
   double least = G_MAXDOUBLE;
 
-  for (guint i = 0; i < candidates->len; i++)
+  for (guint i = 0; i < choice->candidates->len; i++)
     {
-      const Candidate *candidate = &g_array_index (candidates, Candidate, i);
-      double cost = plain_cost (demand, candidate);
+      const Candidate *candidate = candidate_at (choice, i);
+      double cost = cost_of_plain (choice->demand, candidate);
 
       if (cost < least)
         {
@@ -315,30 +387,35 @@
 sv_router_place (const SvFleet *fleet, const SvDemand *demand, KnlTime now, SvPlacement *placement)
 {
   g_autoptr (GArray) candidates = collect (fleet, demand, now);
-  double read_ms = 0;
+  Choice choice = {
+    .demand = demand,
+    .spec = &demand->service->engine,
+    .candidates = candidates,
+  };
 
   *placement = (SvPlacement){ .load = { .calls = 1 } };
   if (candidates->len == 0)
     return FALSE;
   if (!sv_service_is_engine (demand->service) || demand->prompt_tokens == 0)
     {
-      place_plain (demand, candidates, placement);
+      place_plain (&choice, placement);
       return TRUE;
     }
-  read_ms = sv_model_read_ms (&demand->service->engine, (double)demand->prompt_tokens);
+  choice.read_ms = sv_model_read_ms (choice.spec, (double)demand->prompt_tokens);
   placement->load.writers[sv_pause_of (demand->gap_objective)] = 1;
   placement->load.tokens = demand->prompt_tokens + demand->answer_tokens;
-  if (read_ms > SPLIT_MS)
-    place_split (demand, candidates, read_ms, placement);
+  assign_roles (&choice);
+  if (choice.read_ms > SPLIT_MS)
+    place_split (&choice, placement);
   else
-    place_packed (demand, candidates, read_ms, placement);
+    place_packed (&choice, placement);
   return TRUE;
 }
 
 void
-sv_placement_note_reads (const SvPlacement *placement, KnlTime now)
+sv_placement_note_reads (const SvPlacement *placement, KnlTime now, gint sign)
 {
-  sv_endpoint_add_read (placement->first, now, placement->part);
+  sv_endpoint_add_read (placement->first, now, sign * placement->part);
   for (guint i = 0; i < placement->n_helpers; i++)
-    sv_endpoint_add_read (placement->helpers[i], now, placement->part);
+    sv_endpoint_add_read (placement->helpers[i], now, sign * placement->part);
 }
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -26,6 +26,7 @@
 {
   SvRequest *self = data;
 
+  self->is_read = TRUE;
   /* A second run may begin before where the first was cut. */
   if (event->id >= 0 && event->id <= self->last_event)
     return;
@@ -39,6 +40,7 @@
 sv_request_take_bytes (SvRequest *self, const char *bytes, gsize length)
 {
   self->last_at = knl_kernel_now (self->core->parts.kernel);
+  self->placement.first->heard_at = self->last_at;
   sv_events_feed (&self->events, bytes, length, on_event, self);
 }
 
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -308,7 +308,7 @@
     "length_us",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_SINT32,
     0,   /* quantifier_offset */
     offsetof(Alderturn__PlacedRead, length_us),
     NULL,
