--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -73,7 +73,10 @@
   /** Fields of a refusal of our own: which attempt, and when to come back (0: not said). */
   GString *(*write_refusal) (SvDialect *dialect, const SvAsk *ask, KnlTime retry_after);
   /** Body and start line of an order about memory. */
-  GString *(*write_reserve) (SvDialect *dialect, const SvReserve *reserve, char **head);
+  GString *(*write_reserve) (SvDialect *dialect,
+                             const SvEndpoint *endpoint,
+                             const SvReserve *reserve,
+                             char **head);
 } SvDialectClass;
 
 struct SvDialect
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -25,9 +25,13 @@
 {
   SvEndpoint *first;
   SvEndpoint *helpers[SV_HELPERS];
+  guint64 holds[SV_HELPERS]; /**< tokens of context that each helper is to set aside; 0: none */
+  gboolean is_split;         /**< a long prompt, that may be read in parts */
+  gboolean lacks_memory;     /**< not even all of them have room for it now */
   guint n_helpers;
   KnlTime part;     /**< reading at each of them */
   KnlTime expected; /**< time to the first event */
+  KnlTime backlog;  /**< reading that waits there already, where it is most */
   SvLoad load;      /**< of the first endpoint */
 } SvPlacement;
 
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -68,10 +68,19 @@
     note_reads (self, -1);
 }
 
+static void
+drop_reservation (SvRequest *self)
+{
+  sv_reservation_release (self->reservation);
+  self->reservation = NULL;
+}
+
 void
 sv_request_stop_send (SvRequest *self)
 {
   knl_timer_stop (self->core->parts.kernel, &self->watch_timer);
+  knl_timer_stop (self->core->parts.kernel, &self->defer_timer);
+  drop_reservation (self);
   if (self->exchange == NULL)
     return;
   ht_exchange_cancel (self->exchange);
@@ -87,6 +96,7 @@
 {
   self->exchange = NULL;
   self->answer = NULL;
+  drop_reservation (self);
   knl_timer_stop (self->core->parts.kernel, &self->watch_timer);
   charge (self, -1);
   sv_meters_note_send (self->core->meters, self->service->name, result);
@@ -358,7 +368,6 @@
   if (!placed)
     return FALSE;
   sv_endpoint_ref (self->placement.first);
-  note_reads (self, 1);
   return TRUE;
 }
 
@@ -381,7 +390,11 @@
   GString *head;
 
   for (guint i = 0; i < forward.n_helpers; i++)
-    helpers[i] = (SvHelper){ .endpoint = self->placement.helpers[i] };
+    {
+      helpers[i] = (SvHelper){ .endpoint = self->placement.helpers[i] };
+      if (self->reservation != NULL)
+        helpers[i].reservation = sv_reservation_id (self->reservation, self->placement.helpers[i]);
+    }
   head = dialect->klass->write_forward (dialect, &forward);
   if (request->body->len > 0 || ht_message_get (request, "content-length") != NULL
       || ht_message_get (request, "transfer-encoding") != NULL)
@@ -406,13 +419,83 @@
   self->exchange = ht_client_send (self->core->parts.client, &exchange, &exchange_events, self);
 }
 
-void
-sv_request_send (SvRequest *self)
+/* Puts the request on its way; it is placed, and has the memory that it needs. */
+static void
+launch (SvRequest *self)
 {
   char resumed[32];
   const char *last_event = self->ask.last_event;
   GString *head;
 
+  note_reads (self, 1);
+  self->sent_at = now_of (self);
+  if (self->last_event >= 0)
+    {
+      g_snprintf (resumed, sizeof resumed, "%" G_GINT64_FORMAT, self->last_event);
+      last_event = resumed;
+    }
+  charge (self, 1);
+  head = write_head (self, last_event);
+  start_exchange (self, head);
+  g_string_free (head, TRUE);
+  if (sv_route_is_idempotent (self->route))
+    self->watch_timer =
+        knl_timer_start (self->core->parts.kernel, silence_limit (self), on_watch, self);
+}
+
+static void
+on_reserved (gboolean ready, gpointer data)
+{
+  SvRequest *self = data;
+
+  if (ready)
+    {
+      launch (self);
+      return;
+    }
+  self->reservation = NULL;
+  sv_request_take_loss (self, "no-memory", FALSE);
+}
+
+static void
+reserve (SvRequest *self)
+{
+  const SvCore *core = self->core;
+  SvReservationParts parts = {
+    .kernel = core->parts.kernel,
+    .client = core->parts.client,
+    .dialect = core->parts.dialect,
+    .hold = core->bounds.reserve_hold,
+  };
+  SvEndpoint *endpoints[SV_HELPERS];
+  guint64 tokens[SV_HELPERS];
+  guint n = 0;
+
+  for (guint i = 0; i < self->placement.n_helpers; i++)
+    {
+      if (self->placement.holds[i] == 0)
+        continue;
+      endpoints[n] = self->placement.helpers[i];
+      tokens[n++] = self->placement.holds[i];
+    }
+  self->reservation =
+      sv_reservation_new (&parts, self->ask.id, endpoints, tokens, n, on_reserved, self);
+}
+
+static gboolean
+needs_reservation (const SvRequest *self)
+{
+  for (guint i = 0; i < self->placement.n_helpers; i++)
+    {
+      if (self->placement.holds[i] > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+sv_request_send (SvRequest *self)
+{
   if (self->deadline != KNL_NEVER && self->deadline - now_of (self) < LEAST_LEFT)
     {
       give_up (self, "no-time-left");
@@ -423,21 +506,20 @@
       give_up (self, "no-endpoint");
       return;
     }
+  if (sv_request_defer (self))
+    return;
+  if (self->placement.lacks_memory)
+    {
+      give_up (self, "no-memory");
+      return;
+    }
   self->offers++;
   self->sent_at = now_of (self);
   self->last_at = 0;
   self->is_read = FALSE;
   sv_events_reset (&self->events);
-  if (self->last_event >= 0)
-    {
-      g_snprintf (resumed, sizeof resumed, "%" G_GINT64_FORMAT, self->last_event);
-      last_event = resumed;
-    }
-  charge (self, 1);
-  head = write_head (self, last_event);
-  start_exchange (self, head);
-  g_string_free (head, TRUE);
-  if (sv_route_is_idempotent (self->route))
-    self->watch_timer =
-        knl_timer_start (self->core->parts.kernel, silence_limit (self), on_watch, self);
+  if (needs_reservation (self))
+    reserve (self);
+  else
+    launch (self);
 }
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -5,6 +5,7 @@
 #include "serve/core.h"
 #include "serve/events.h"
 #include "serve/meters.h"
+#include "serve/reservation.h"
 #include "serve/suspects.h"
 
 struct SvCore
@@ -42,8 +43,10 @@
   /* the send that is under way */
   HtExchange *exchange;
   SvPlacement placement;
+  SvReservation *reservation; /* NULL: none */
   KnlTime sent_at;
   KnlTimerId watch_timer;
+  KnlTimerId defer_timer;
   HtMessage *answer; /* its head has come; owned by the exchange */
   SvReply reply;
   gboolean is_read;  /* an event has come: its prompt has been read */
@@ -54,6 +57,8 @@
   gint64 last_event; /* id of the last event passed on; -1: none */
   KnlTime first_at;  /* when the first event or the answer went out; 0: not yet */
   KnlTime last_at;   /* when an endpoint's last bytes came */
+  KnlTime event_at;  /* when the last event went out; 0: none has */
+  KnlTime longest_gap;
 } SvRequest;
 
 /** How a request ended, for the log and the metrics. */
@@ -79,6 +84,11 @@
 /** What becomes of a send that gave no answer; `ran`: it may have run. Sends again or ends. */
 void sv_request_take_loss (SvRequest *self, const char *fault, gboolean ran);
 
+/* defer.c */
+
+/** Has a long prompt wait, to be placed again after that; FALSE: it goes now. */
+gboolean sv_request_defer (SvRequest *self);
+
 /* stream.c */
 
 /** Whether the answer that is coming is passed on event by event. */
--- a/serve/router.c
+++ b/serve/router.c
@@ -13,6 +13,9 @@
 #define PACKED_STREAMS 8.0
 #define PACKED_SPARE   1
 
+/* Of the endpoints, the part that is never packed. */
+#define UNPACKED_PART 0.12
+
 /* Of the memory of the endpoints that run long prompts, what their contexts are to take. */
 #define WRITE_PART 0.5
 
@@ -30,8 +33,21 @@
 /* Of an endpoint's memory, what is counted on; contexts are known only roughly. */
 #define MEMORY_PART 0.9
 
+/* A prompt larger than that is held by several: by the first one with this part of its room, by
+ * each of the others with that one, and not for less than so many tokens. */
+#define HOLD_FIRST 0.9
+#define HOLD_PART  0.6
+#define HOLD_LEAST 4000.0
+
+/* Parts are not longer than this where there are endpoints enough, in ms. */
+#define PART_MS 300.0
+
+/* Streams whose endpoint reads this long for others count as one made late: they take so much
+ * longer and keep their memory meanwhile. */
+#define SLOWDOWN_MS 600.0
+
 /* A pause begins to harm at this part of what a stream bears, and harms fully at 1. */
-#define HARM_FROM 0.5
+#define HARM_FROM 0.75
 
 /* A first event is in danger from this part of its objective on. */
 #define LATE_FROM 0.5
@@ -142,6 +158,14 @@
  * while a long prompt makes all streams beside it pause. The border follows the
  * load.
  */
+/* Endpoints that stay free of streams with short pauses however many there are, so that a long
+ * prompt always has a place where it makes none of them pause. */
+static guint
+unpacked_least (const Choice *choice)
+{
+  return (guint)(UNPACKED_PART * choice->candidates->len);
+}
+
 static void
 assign_roles (Choice *choice)
 {
@@ -159,7 +183,7 @@
         tokens += (double)candidate->load.tokens;
     }
   packed = (guint)ceil ((tight + 1) / PACKED_STREAMS) + PACKED_SPARE;
-  packed = MIN (packed, choice->candidates->len);
+  packed = MIN (packed, choice->candidates->len - unpacked_least (choice));
   writing = (guint)ceil ((tokens + 1) / (WRITE_PART * (double)choice->spec->memory_tokens)) + 1;
   for (guint i = 0; i < choice->candidates->len && i < packed + writing; i++)
     candidate_at (choice, i)->role = i < packed ? ROLE_PACKED : ROLE_WRITE;
@@ -190,24 +214,37 @@
   return cost;
 }
 
+static int
+compare_for_packing (gconstpointer a, gconstpointer b)
+{
+  const Candidate *x = a;
+  const Candidate *y = b;
+
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+/* Short prompts; the longer ones among them are read in parts by endpoints of their own kind. */
 static void
 place_packed (const Choice *choice, SvPlacement *placement)
 {
-  double least = G_MAXDOUBLE;
+  guint parts = MIN ((guint)ceil (choice->read_ms / SPLIT_MS), choice->candidates->len);
+  double expected = 0;
 
   for (guint i = 0; i < choice->candidates->len; i++)
+    candidate_at (choice, i)->order = cost_of_packing (choice, candidate_at (choice, i));
+  g_array_sort (choice->candidates, compare_for_packing);
+  parts = CLAMP (parts, 1, SV_HELPERS + 1);
+  placement->first = candidate_at (choice, 0)->endpoint;
+  for (guint i = 0; i < parts; i++)
     {
       const Candidate *candidate = candidate_at (choice, i);
-      double cost = cost_of_packing (choice, candidate);
 
-      if (cost >= least)
-        continue;
-      least = cost;
-      placement->first = candidate->endpoint;
-      placement->expected =
-          (KnlTime)((candidate->read_left + choice->read_ms + candidate->pass) * KNL_MSEC);
+      expected = MAX (expected, candidate->read_left + choice->read_ms / parts + candidate->pass);
+      if (i > 0)
+        placement->helpers[placement->n_helpers++] = candidate->endpoint;
     }
-  placement->part = (KnlTime)(choice->read_ms * KNL_MSEC);
+  placement->part = (KnlTime)(choice->read_ms / parts * KNL_MSEC);
+  placement->expected = (KnlTime)(expected * KNL_MSEC);
 }
 
 static int
@@ -275,6 +312,8 @@
 
       finish = MAX (finish, stretch);
       harm += harm_of (choice, candidate, stretch);
+      if (i > 0)
+        harm += n_writers (&candidate->load) * (part / SLOWDOWN_MS);
     }
   *expected = finish;
   return harm + worth_of (choice) * ramp (finish, LATE_FROM * objective, objective)
@@ -318,14 +357,61 @@
   g_array_prepend_val (choice->candidates, first);
 }
 
+/* Room that the candidate can set aside for a prompt that another one runs, in tokens. */
+static double
+room_of (const Choice *choice, const Candidate *candidate)
+{
+  double room = MEMORY_PART * (double)choice->spec->memory_tokens - (double)candidate->load.tokens;
+
+  return room * HOLD_PART < HOLD_LEAST ? 0 : room * HOLD_PART;
+}
+
+/* What the first candidate can't hold of the prompt, in tokens. */
+static double
+overflow_of (const Choice *choice)
+{
+  const Candidate *first = candidate_at (choice, 0);
+  double room = MEMORY_PART * (double)choice->spec->memory_tokens - (double)first->load.tokens;
+  double need = (double)(choice->demand->prompt_tokens + choice->demand->answer_tokens);
+
+  return has_memory (choice, first) ? 0 : need - HOLD_FIRST * MAX (room, 0);
+}
+
+/* Parts that are needed for the prompt's memory, and for parts that don't block an endpoint for
+ * long, as far as there are endpoints beside those of streams with short pauses. */
+static guint
+least_width (const Choice *choice)
+{
+  double rest = overflow_of (choice);
+  guint n = 1;
+
+  while (n < choice->candidates->len && n <= SV_HELPERS && choice->read_ms / n > PART_MS
+         && candidate_at (choice, n)->role == ROLE_READ)
+    rest -= room_of (choice, candidate_at (choice, n++));
+
+  while (rest > 0 && n < choice->candidates->len && n <= SV_HELPERS)
+    rest -= room_of (choice, candidate_at (choice, n++));
+  return n;
+}
+
+static guint
+count_unpacked (const Choice *choice)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < choice->candidates->len; i++)
+    n += candidate_at (choice, i)->role != ROLE_PACKED;
+  return n;
+}
+
 static guint
 choose_width (const Choice *choice, double *expected)
 {
-  guint widest = MIN (choice->candidates->len, SV_HELPERS + 1);
-  guint width = 1;
+  guint widest = MIN (MAX (count_unpacked (choice), 1), SV_HELPERS + 1);
+  guint width = widest;
   double least = G_MAXDOUBLE;
 
-  for (guint n = 1; n <= widest; n++)
+  for (guint n = least_width (choice); n <= widest; n++)
     {
       double finish;
       double cost = cost_of_width (choice, n, &finish);
@@ -339,6 +425,24 @@
   return width;
 }
 
+/* Spreads what the first endpoint can't hold over the helpers. */
+static void
+spread_memory (const Choice *choice, SvPlacement *placement)
+{
+  double overflow = overflow_of (choice);
+  double rest = overflow;
+
+  for (guint i = 0; i < placement->n_helpers && rest > 0; i++)
+    {
+      double hold = MIN (room_of (choice, candidate_at (choice, i + 1)), MAX (rest, HOLD_LEAST));
+
+      placement->holds[i] = (guint64)ceil (hold);
+      rest -= hold;
+    }
+  placement->load.tokens -= (guint64)overflow;
+  placement->lacks_memory = rest > 0;
+}
+
 static void
 place_split (const Choice *choice, SvPlacement *placement)
 {
@@ -350,6 +454,11 @@
   placement->first = candidate_at (choice, 0)->endpoint;
   for (guint i = 1; i < width; i++)
     placement->helpers[placement->n_helpers++] = candidate_at (choice, i)->endpoint;
+  spread_memory (choice, placement);
+  for (guint i = 0; i < width; i++)
+    placement->backlog =
+        MAX (placement->backlog, (KnlTime)(candidate_at (choice, i)->read_left * KNL_MSEC));
+  placement->is_split = TRUE;
   placement->part = (KnlTime)(choice->read_ms / width * KNL_MSEC);
   placement->expected = (KnlTime)(expected * KNL_MSEC);
 }
@@ -405,7 +514,7 @@
   placement->load.writers[sv_pause_of (demand->gap_objective)] = 1;
   placement->load.tokens = demand->prompt_tokens + demand->answer_tokens;
   assign_roles (&choice);
-  if (choice.read_ms > SPLIT_MS)
+  if (choice.read_ms > SPLIT_MS && sv_pause_of (demand->gap_objective) != SV_PAUSE_TIGHT)
     place_split (&choice, placement);
   else
     place_packed (&choice, placement);
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -21,6 +21,16 @@
   ht_call_begin (self->call, 200, self->fields != NULL ? self->fields->str : NULL);
 }
 
+static void
+note_gap (SvRequest *self)
+{
+  KnlTime now = knl_kernel_now (self->core->parts.kernel);
+
+  if (self->event_at > 0)
+    self->longest_gap = MAX (self->longest_gap, now - self->event_at);
+  self->event_at = now;
+}
+
 static void
 on_event (const SvEvent *event, gpointer data)
 {
@@ -31,6 +41,7 @@
   if (event->id >= 0 && event->id <= self->last_event)
     return;
   begin_answer (self);
+  note_gap (self);
   ht_call_send (self->call, event->bytes, event->length);
   if (event->id >= 0)
     self->last_event = event->id;
