serve: short streams packed closer, reads in as many parts as pay

Streams packed 13 to an endpoint in place of 8 with no spare one (more endpoints for reading), a pause harms from 0.85 of its limit on in place of 0.75, contexts of long prompts fill 0.8 of the memory of the endpoints that run them in place of 0.5.

--- a/serve/router.c
+++ b/serve/router.c
@@ -10,14 +10,14 @@
 
 /* Streams with short pauses on one endpoint that packing aims at, and endpoints that it keeps free
  * beyond that for what comes before the next count. */
-#define PACKED_STREAMS 8.0
-#define PACKED_SPARE   1
+#define PACKED_STREAMS 13.0
+#define PACKED_SPARE   0
 
 /* Of the endpoints, the part that is never packed. */
 #define UNPACKED_PART 0.12
 
 /* Of the memory of the endpoints that run long prompts, what their contexts are to take. */
-#define WRITE_PART 0.5
+#define WRITE_PART 0.8
 
 /* What a memory full of contexts costs when an endpoint is chosen to run a long prompt, and what it
  * costs to have no room, in ms. */
@@ -39,24 +39,21 @@
 #define HOLD_PART  0.6
 #define HOLD_LEAST 4000.0
 
-/* Parts are not longer than this where there are endpoints enough, in ms. */
-#define PART_MS 300.0
-
 /* Streams whose endpoint reads this long for others count as one made late: they take so much
  * longer and keep their memory meanwhile. */
 #define SLOWDOWN_MS 600.0
 
 /* A pause begins to harm at this part of what a stream bears, and harms fully at 1. */
-#define HARM_FROM 0.75
+#define HARM_FROM 0.85
 
 /* A first event is in danger from this part of its objective on. */
 #define LATE_FROM 0.5
 
 /* What an objective's length of waiting costs against a stream made late: breaks ties. */
-#define WAIT_COST 3.0
+#define WAIT_COST 10.0
 
 /* Order in which endpoints are asked to read parts: reading left, and for each stream there: */
-static const double stream_order_ms[SV_N_PAUSES] = { 15, 3, 1 };
+static const double stream_order_ms[SV_N_PAUSES] = { 40, 10, 3 };
 
 /* Plain requests: costs in requests in flight a slot. */
 #define OTHER_ZONE_COST   0.15
@@ -378,18 +375,13 @@
   return has_memory (choice, first) ? 0 : need - HOLD_FIRST * MAX (room, 0);
 }
 
-/* Parts that are needed for the prompt's memory, and for parts that don't block an endpoint for
- * long, as far as there are endpoints beside those of streams with short pauses. */
+/* Parts that are needed for the prompt's memory alone. */
 static guint
 least_width (const Choice *choice)
 {
   double rest = overflow_of (choice);
   guint n = 1;
 
-  while (n < choice->candidates->len && n <= SV_HELPERS && choice->read_ms / n > PART_MS
-         && candidate_at (choice, n)->role == ROLE_READ)
-    rest -= room_of (choice, candidate_at (choice, n++));
-
   while (rest > 0 && n < choice->candidates->len && n <= SV_HELPERS)
     rest -= room_of (choice, candidate_at (choice, n++));
   return n;
