--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -34,6 +34,7 @@
   PlCall *member_call;
   GHashTable *member_versions; /* name -> MemberSeen, see members.c */
   KnlTimerId member_timer;
+  KnlTime look_delay;
   KnlTimerId tick_timer;
   KnlTime drain_since;    /* 0: no drain */
   gint64 boot_changed_at; /* the settings file's modification time, s */
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -4,10 +4,12 @@
 #include "common/log.h"
 #include "gateway.h"
 
-/* The list is read this soon after the start, when the others have just started too, and this often
- * afterwards: a new instance greets all that it finds, so that reading often gains little. */
-#define FIRST_LOOK (700 * KNL_MSEC)
-#define LOOK_AGAIN (5 * KNL_SEC)
+/* The list is read at once after the start, then after twice as long each time up to the limit. The
+ * others may have just started too, and an instance that does not know them sends its first
+ * requests where theirs go; later a new one greets all that it finds, so that reading often gains
+ * little. */
+#define FIRST_LOOK (40 * KNL_MSEC)
+#define LOOK_LIMIT (5 * KNL_SEC)
 
 /* A row that could not be written is tried again after this. */
 #define ENTER_AGAIN (500 * KNL_MSEC)
@@ -42,6 +44,7 @@
       next (self, ENTER_AGAIN, enter);
       return;
     }
+  self->look_delay = FIRST_LOOK;
   next (self, FIRST_LOOK, look);
 }
 
@@ -96,7 +99,8 @@
     take_row (self, &row);
     json_decref (row.value);
   }
-  next (self, LOOK_AGAIN, look);
+  self->look_delay = MIN (2 * self->look_delay, LOOK_LIMIT);
+  next (self, self->look_delay, look);
 }
 
 static void
--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -52,6 +52,7 @@
   gboolean is_signed;   /**< it bears the endpoint's signature */
   gboolean not_run;     /**< it promises that the request has not run and never will */
   gboolean is_encoded;  /**< the body is not the endpoint's own bytes */
+  gint in_service;      /**< requests that the endpoint runs or has waiting; -1: not said */
   const char *at_fault; /**< address of the endpoint that made it fail; NULL: not said */
 } SvReply;
 
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -52,6 +52,8 @@
   KnlTime read_until;   /**< when the prompts sent there by anyone will have been read */
   gboolean own_changed; /**< since peers were told */
 
+  guint unseen;            /**< calls that it reported beyond those known to us */
+  KnlTime reported_at;     /**< when */
   KnlTime heard_at;        /**< last bytes of any answer; 0: none yet */
   guint losses;            /**< in a row: not reached, broken off, or silent */
   guint errors;            /**< in a row: answers that report a failure */
@@ -121,8 +123,11 @@
 /** Drops what peers said before `oldest`. */
 void sv_endpoint_expire_peers (SvEndpoint *endpoint, KnlTime oldest);
 
+/** The endpoint has just said that it has so many calls. */
+void sv_endpoint_note_report (SvEndpoint *endpoint, guint calls, KnlTime now);
+
 /** All that is in flight there, as far as is known. */
-SvLoad sv_endpoint_load (const SvEndpoint *endpoint);
+SvLoad sv_endpoint_load (const SvEndpoint *endpoint, KnlTime now);
 
 void sv_endpoint_note_success (SvEndpoint *endpoint);
 
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -176,6 +176,8 @@
     return HT_HEAD_REFUSE;
   self->answer = answer;
   self->last_at = now_of (self);
+  if (self->reply.in_service >= 0)
+    sv_endpoint_note_report (self->placement.first, (guint)self->reply.in_service, self->last_at);
   self->placement.first->heard_at = self->last_at;
   if (sv_request_is_streaming (self) && self->fields == NULL)
     self->fields = dialect->klass->write_reply (dialect, answer);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -10,6 +10,9 @@
 /* Errors in a row after which an endpoint rests; one alone is a matter of the request. */
 #define ERRORS_IN_A_ROW 4
 
+/* How long an endpoint's own report of its load is used. */
+#define REPORT_LIFE (400 * KNL_MSEC)
+
 /* Weight of the newest answer in the moving average of failures: about the last dozen. */
 #define FAILURE_WEIGHT 0.08
 
@@ -305,12 +308,29 @@
     }
 }
 
+/*
+ * Instances that are cut off from each other, or have just started, don't see
+ * each other's requests and would fill the same endpoint over and over. What an
+ * endpoint itself reports shows those requests; it is used only while it is new,
+ * since all instances follow an old report to the same endpoint.
+ */
+void
+sv_endpoint_note_report (SvEndpoint *self, guint calls, KnlTime now)
+{
+  guint known = self->own.calls + self->others.calls;
+
+  self->unseen = calls > known ? calls - known : 0;
+  self->reported_at = now;
+}
+
 SvLoad
-sv_endpoint_load (const SvEndpoint *self)
+sv_endpoint_load (const SvEndpoint *self, KnlTime now)
 {
   SvLoad load = self->own;
 
   add_load (&load, &self->others, 1);
+  if (now - self->reported_at < REPORT_LIFE)
+    load.calls += self->unseen;
   return load;
 }
 
--- a/serve/router.c
+++ b/serve/router.c
@@ -109,7 +109,7 @@
 {
   const SvEngineSpec *spec = &demand->service->engine;
 
-  *candidate = (Candidate){ .endpoint = endpoint, .load = sv_endpoint_load (endpoint) };
+  *candidate = (Candidate){ .endpoint = endpoint, .load = sv_endpoint_load (endpoint, now) };
   candidate->read_left = (double)sv_endpoint_read_left (endpoint, now) / KNL_MSEC;
   candidate->pass =
       sv_model_pass_ms (spec, n_writers (&candidate->load), (double)candidate->load.tokens);
