--- a/http/message.c
+++ b/http/message.c
@@ -13,6 +13,21 @@
   return self;
 }
 
+HtMessage *
+ht_message_copy (const HtMessage *self)
+{
+  HtMessage *copy = ht_message_new ();
+
+  memcpy (copy->method, self->method, sizeof copy->method);
+  copy->target = g_strdup (self->target);
+  copy->status = self->status;
+  copy->keep_alive = self->keep_alive;
+  g_string_append_len (copy->text, self->text->str, (gssize)self->text->len);
+  g_array_append_vals (copy->fields, self->fields->data, self->fields->len);
+  g_string_append_len (copy->body, self->body->str, (gssize)self->body->len);
+  return copy;
+}
+
 void
 ht_message_free (HtMessage *self)
 {
--- a/include/http/message.h
+++ b/include/http/message.h
@@ -27,6 +27,7 @@
 } HtMessage;
 
 HtMessage *ht_message_new (void);
+HtMessage *ht_message_copy (const HtMessage *message);
 void ht_message_free (HtMessage *message);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (HtMessage, ht_message_free)
 
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -124,7 +124,9 @@
 static void
 give_up (SvRequest *self, const char *reason)
 {
-  if (self->runs > 0)
+  if (self->failure != NULL && !ht_call_has_begun (self->call))
+    sv_request_pass (self, self->failure);
+  else if (self->runs > 0)
     sv_request_fail (self, 502, reason);
   else
     sv_request_refuse (self, 503, reason);
@@ -238,6 +240,8 @@
       log_loss (self, "endpoint-error", TRUE);
       self->last_fault = "endpoint-error";
       self->runs++;
+      ht_message_free (self->failure);
+      self->failure = ht_message_copy (answer);
       exclude (self, self->placement.first);
       sv_request_send (self);
       return;
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -38,6 +38,7 @@
   guint offers;           /* sends, those that certainly did not run among them */
   guint runs;             /* sends that ran or may have run */
   GPtrArray *excluded;    /* SvEndpoint that failed it, each with a reference */
+  HtMessage *failure;     /* an endpoint's answer that reports a failure; passed on if no better comes */
   const char *last_fault; /* why the last send failed; NULL: none has */
 
   /* the send that is under way */
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -80,6 +80,7 @@
   if (self->fields != NULL)
     g_string_free (self->fields, TRUE);
   sv_endpoint_unref (self->placement.first);
+  ht_message_free (self->failure);
   sv_config_unref (self->config);
   g_free (self);
 }
