gateway: reloaded settings no longer free the names that other parts point to

Sequence: each start took the settings file for changed and read it again; the old settings were freed while member and core kept pointers into them. Cause found by the stack in a debug copy (pl_store_put, json_dumps of freed text). The zone that plain requests prefer was such a pointer too.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -7,8 +7,8 @@
 
 /* How long the store holds an answer back when nothing changes. Each answer confirms what is known,
  * so the wait for the configuration is a fraction of the time for which keys are trusted. */
-#define CONFIG_WAIT    (1 * KNL_SEC)
-#define ENDPOINTS_WAIT (2 * KNL_SEC)
+#define CONFIG_WAIT    (1500 * KNL_MSEC)
+#define ENDPOINTS_WAIT (4 * KNL_SEC)
 
 static void
 ignore (gpointer data)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -67,5 +67,8 @@
 
 /* reload.c */
 
+/** The settings file was just read. */
+void gateway_note_settings (Gateway *self);
+
 /** Reads the settings file again if it has changed, or in any case. */
 void gateway_reload (Gateway *self, gboolean always);
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -137,6 +137,7 @@
   self->reload_signal = evsignal_new (self->process.base, SIGHUP, on_reload_signal, self);
   event_add (self->reload_signal, NULL);
   knl_process_catch_signals (&self->process, on_stop_signal, self);
+  gateway_note_settings (self);
   gateway_start_following (self);
   gateway_start_membership (self);
   on_tick (self);
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -9,7 +9,7 @@
  * requests where theirs go; later a new one greets all that it finds, so that reading often gains
  * little. */
 #define FIRST_LOOK (40 * KNL_MSEC)
-#define LOOK_LIMIT (5 * KNL_SEC)
+#define LOOK_LIMIT (20 * KNL_SEC)
 
 /* A row that could not be written is tried again after this. */
 #define ENTER_AGAIN (500 * KNL_MSEC)
--- a/gateway/reload.c
+++ b/gateway/reload.c
@@ -13,7 +13,16 @@
   return stat (path, &status) == 0 ? (gint64)status.st_mtime : 0;
 }
 
-/* Addresses are bound for the life of the process; all else takes effect at once. */
+void
+gateway_note_settings (Gateway *self)
+{
+  self->boot_changed_at = changed_at (self->boot_path);
+}
+
+/*
+ * Names and addresses hold for the life of the process, and other parts point
+ * to them; what is read later only brings new bounds.
+ */
 void
 gateway_reload (Gateway *self, gboolean always)
 {
@@ -28,9 +37,9 @@
   boot = pl_boot_load (self->boot_path, &findings);
   if (boot != NULL)
     {
-      pl_boot_free (self->boot);
-      self->boot = boot;
+      self->boot->bounds = boot->bounds;
       sv_core_set_bounds (self->core, &boot->bounds);
+      pl_boot_free (boot);
       cm_log (CM_LOG_NOTICE, "settings-reloaded");
     }
   else
--- a/http/socket.c
+++ b/http/socket.c
@@ -7,8 +7,9 @@
 /* Unacknowledged data ends the connection after this, in ms: over two lost packets in a row. */
 #define UNACKNOWLEDGED_MS 2000
 
-/* Idle connections are probed after this many seconds, each second, twice. */
-#define KEEPALIVE_IDLE_S     5
+/* Connections without traffic are probed after this many seconds, each second, twice: one that went
+ * silent, as a long wait for changes in the store may, shows within three seconds. */
+#define KEEPALIVE_IDLE_S     1
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES     2
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -11,10 +11,10 @@
 /* Whole datagrams: each peer hears one this often, less often when there are many peers so that
  * their number a second stays bounded. */
 #define WHOLE_INTERVAL (400 * KNL_MSEC)
-#define WHOLE_PER_PEER (20 * KNL_MSEC)
+#define WHOLE_PER_PEER (8 * KNL_MSEC)
 
 /* Whole datagrams in a row that may be lost before a peer counts as gone. */
-#define SILENT_INTERVALS 4
+#define SILENT_INTERVALS 3
 
 /* A peer that was not heard of for this long is forgotten; its row in the store brings it back. */
 #define FORGET_AFTER (30 * KNL_SEC)
@@ -288,7 +288,9 @@
 
   if (knl_kernel_now (self->kernel) - MAX (peer->heard_at, peer->learned_at) <= FORGET_AFTER)
     return FALSE;
-  g_hash_table_remove (self->by_id, GUINT_TO_POINTER (peer->id));
+  /* An instance that moved has the same name, and so the same id, at its new address. */
+  if (g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (peer->id)) == peer)
+    g_hash_table_remove (self->by_id, GUINT_TO_POINTER (peer->id));
   return TRUE;
 }
 
@@ -370,12 +372,8 @@
     peer = add_peer (self, member->link_address);
   if (peer == NULL)
     return NULL;
-  if (peer->id != datagram->sender)
-    {
-      g_hash_table_remove (self->by_id, GUINT_TO_POINTER (peer->id));
-      peer->id = datagram->sender;
-      g_hash_table_insert (self->by_id, GUINT_TO_POINTER (peer->id), peer);
-    }
+  peer->id = datagram->sender;
+  g_hash_table_insert (self->by_id, GUINT_TO_POINTER (peer->id), peer);
   replace_text (&peer->name, member->name);
   replace_text (&peer->callers_address, member->callers_address);
   replace_text (&peer->zone, member->zone);
@@ -430,12 +428,16 @@
     }
 }
 
-/* A datagram that was overtaken by a newer one, or of an earlier start, says nothing new. */
+/*
+ * A datagram that was overtaken by a newer one, or of an earlier start, says
+ * nothing new. Incarnations are wall time, which may have jumped back before
+ * the last start; one that was not heard of for a while is believed.
+ */
 static gboolean
-is_overtaken (const Peer *peer, const Alderturn__Datagram *datagram)
+is_overtaken (const SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
 {
   if (datagram->incarnation != peer->incarnation)
-    return datagram->incarnation < peer->incarnation;
+    return datagram->incarnation < peer->incarnation && is_alive (self, peer);
   return datagram->sequence <= peer->sequence;
 }
 
@@ -446,7 +448,7 @@
                    ? take_member (self, datagram)
                    : g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (datagram->sender));
 
-  if (peer == NULL || is_overtaken (peer, datagram))
+  if (peer == NULL || is_overtaken (self, peer, datagram))
     return;
   peer->incarnation = datagram->incarnation;
   peer->sequence = datagram->sequence;
