--- a/serve/core.c
+++ b/serve/core.c
@@ -93,9 +93,7 @@
 void
 sv_core_gone (SvCore *self, HtCall *call)
 {
-  static const SvOutcome gone = { .reason = "caller-left" };
-
-  sv_request_end (ht_call_data (call), &gone);
+  sv_request_gone (ht_call_data (call));
 }
 
 void
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -97,8 +97,8 @@
 
 void sv_request_take_bytes (SvRequest *self, const char *bytes, gsize length);
 
-/** The endpoint's stream is complete; TRUE: so is the answer, and the request is gone. */
-gboolean sv_request_end_stream (SvRequest *self);
+/** The endpoint's stream is complete, and so is the answer. */
+void sv_request_end_stream (SvRequest *self);
 
 /* finish.c: the only ways for a request to end */
 
@@ -111,8 +111,11 @@
 /** Passes a whole answer of an endpoint on. */
 void sv_request_pass (SvRequest *self, const HtMessage *answer);
 
-/** The caller has left, or has the whole answer. */
-void sv_request_end (SvRequest *self, const SvOutcome *outcome);
+/** Ends a stream whose last event has been passed on. */
+void sv_request_complete_stream (SvRequest *self);
+
+/** The caller has left. */
+void sv_request_gone (SvRequest *self);
 
 /* core.c */
 
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -57,11 +57,12 @@
           core->confirmed_at > 0 ? now - core->confirmed_at : (gint64)-1);
 }
 
-void
-sv_request_end (SvRequest *self, const SvOutcome *outcome)
+/* Logged and counted before the caller has its answer: with that, its request and the names in it
+ * are gone. */
+static void
+note_end (const SvRequest *self, const SvOutcome *outcome)
 {
-  SvCore *core = self->core;
-  KnlTime now = knl_kernel_now (core->parts.kernel);
+  KnlTime now = knl_kernel_now (self->core->parts.kernel);
   SvMeasured measured = {
     .workspace = self->workspace != NULL ? self->workspace->name : "",
     .route_class = class_of (self),
@@ -70,8 +71,15 @@
     .total = now - self->begun_at,
   };
 
-  sv_meters_note_request (core->meters, &measured);
+  sv_meters_note_request (self->core->meters, &measured);
   log_end (self, outcome, now);
+}
+
+static void
+request_free (SvRequest *self)
+{
+  SvCore *core = self->core;
+
   sv_request_stop_send (self);
   knl_timer_stop (core->parts.kernel, &self->deadline_timer);
   g_hash_table_remove (core->requests, self);
@@ -85,6 +93,15 @@
   g_free (self);
 }
 
+void
+sv_request_gone (SvRequest *self)
+{
+  static const SvOutcome gone = { .reason = "caller-left" };
+
+  note_end (self, &gone);
+  request_free (self);
+}
+
 static void
 answer_own (SvRequest *self, guint status, KnlTime retry_after)
 {
@@ -116,8 +133,9 @@
 {
   SvOutcome outcome = { .status = status, .reason = reason };
 
+  note_end (self, &outcome);
   answer_own (self, status, retry_after_of (self));
-  sv_request_end (self, &outcome);
+  request_free (self);
 }
 
 void
@@ -125,11 +143,12 @@
 {
   SvOutcome outcome = { .status = status, .reason = reason };
 
+  note_end (self, &outcome);
   if (ht_call_has_begun (self->call))
     ht_call_abort (self->call);
   else
     answer_own (self, status, 0);
-  sv_request_end (self, &outcome);
+  request_free (self);
 }
 
 void
@@ -143,7 +162,18 @@
   };
 
   self->first_at = knl_kernel_now (self->core->parts.kernel);
+  note_end (self, &outcome);
   ht_call_answer (self->call, answer->status, fields->str, answer->body->str, answer->body->len);
   g_string_free (fields, TRUE);
-  sv_request_end (self, &outcome);
+  request_free (self);
+}
+
+void
+sv_request_complete_stream (SvRequest *self)
+{
+  static const SvOutcome answered = { .status = 200, .reason = "answered" };
+
+  note_end (self, &answered);
+  ht_call_end (self->call);
+  request_free (self);
 }
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -55,15 +55,9 @@
   sv_events_feed (&self->events, bytes, length, on_event, self);
 }
 
-gboolean
+void
 sv_request_end_stream (SvRequest *self)
 {
-  static const SvOutcome answered = { .status = 200, .reason = "answered" };
-
-  if (sv_events_is_torn (&self->events))
-    return FALSE;
   begin_answer (self);
-  ht_call_end (self->call);
-  sv_request_end (self, &answered);
-  return TRUE;
+  sv_request_complete_stream (self);
 }
--- /dev/null
+++ b/tests/fakes/scripted_endpoint.c
@@ -0,0 +1,173 @@
+#include "tests/fakes/scripted_endpoint.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <string.h>
+
+#include "http/reader.h"
+
+#define LIMIT_BYTES 1000000
+
+typedef struct
+{
+  ScriptedEndpoint *endpoint;
+  struct bufferevent *stream;
+  HtReader *reader;
+  gboolean closes;
+} Link;
+
+struct ScriptedEndpoint
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  char *address;
+  const ScriptedAnswer *script;
+  guint n_script;
+  guint n_requests;
+  guint n_ended;
+  HtMessage *newest;
+  GHashTable *links;
+};
+
+static const HtLimits limits = { LIMIT_BYTES, LIMIT_BYTES };
+static const HtReaderEvents no_events = { 0 };
+
+static void
+link_free (gpointer data)
+{
+  Link *self = data;
+
+  bufferevent_free (self->stream);
+  ht_reader_free (self->reader);
+  g_free (self);
+}
+
+static void
+answer (Link *self)
+{
+  ScriptedEndpoint *endpoint = self->endpoint;
+  const ScriptedAnswer *row = &endpoint->script[MIN (endpoint->n_requests, endpoint->n_script) - 1];
+  const char *id = ht_message_get (endpoint->newest, "x-attempt-id");
+  GString *bytes = g_string_new (row->bytes != NULL ? row->bytes : "");
+
+  g_string_replace (bytes, "%ID", id != NULL ? id : "", 0);
+  bufferevent_write (self->stream, bytes->str, bytes->len);
+  g_string_free (bytes, TRUE);
+  self->closes = row->closes;
+  if (row->closes && evbuffer_get_length (bufferevent_get_output (self->stream)) == 0)
+    g_hash_table_remove (endpoint->links, self);
+}
+
+static void
+on_readable (struct bufferevent *stream, void *data)
+{
+  Link *self = data;
+  struct evbuffer *input = bufferevent_get_input (stream);
+  gsize length = evbuffer_get_length (input);
+  gsize taken = 0;
+
+  if (ht_reader_feed (self->reader, (const char *)evbuffer_pullup (input, -1), length, &taken)
+      == HT_READ_COMPLETE)
+    {
+      ht_message_free (self->endpoint->newest);
+      self->endpoint->newest = ht_reader_steal (self->reader);
+      self->endpoint->n_requests++;
+      ht_reader_begin (self->reader, FALSE);
+      evbuffer_drain (input, taken);
+      answer (self);
+      return;
+    }
+  evbuffer_drain (input, taken);
+}
+
+static void
+on_written (struct bufferevent *stream, void *data)
+{
+  Link *self = data;
+
+  if (self->closes)
+    g_hash_table_remove (self->endpoint->links, self);
+}
+
+static void
+on_event (struct bufferevent *stream, short what, void *data)
+{
+  Link *self = data;
+
+  self->endpoint->n_ended++;
+  g_hash_table_remove (self->endpoint->links, self);
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *peer,
+           int length,
+           void *data)
+{
+  ScriptedEndpoint *self = data;
+  Link *link = g_new0 (Link, 1);
+
+  link->endpoint = self;
+  link->stream = bufferevent_socket_new (self->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  link->reader = ht_reader_new (FALSE, &limits, &no_events, NULL);
+  bufferevent_setcb (link->stream, on_readable, on_written, on_event, link);
+  bufferevent_enable (link->stream, EV_READ | EV_WRITE);
+  g_hash_table_add (self->links, link);
+}
+
+ScriptedEndpoint *
+scripted_endpoint_new (struct event_base *base, const ScriptedAnswer *script, guint n)
+{
+  ScriptedEndpoint *self = g_new0 (ScriptedEndpoint, 1);
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof address;
+
+  self->base = base;
+  self->script = script;
+  self->n_script = n;
+  self->links = g_hash_table_new_full (NULL, NULL, link_free, NULL);
+  self->listener = evconnlistener_new_bind (base, on_accept, self, LEV_OPT_CLOSE_ON_FREE, -1,
+                                            (struct sockaddr *)&address, sizeof address);
+  g_assert_nonnull (self->listener);
+  getsockname (evconnlistener_get_fd (self->listener), (struct sockaddr *)&address, &length);
+  self->address = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
+  return self;
+}
+
+void
+scripted_endpoint_free (ScriptedEndpoint *self)
+{
+  g_hash_table_unref (self->links);
+  evconnlistener_free (self->listener);
+  ht_message_free (self->newest);
+  g_free (self->address);
+  g_free (self);
+}
+
+const char *
+scripted_endpoint_address (const ScriptedEndpoint *self)
+{
+  return self->address;
+}
+
+guint
+scripted_endpoint_n_requests (const ScriptedEndpoint *self)
+{
+  return self->n_requests;
+}
+
+const char *
+scripted_endpoint_field (const ScriptedEndpoint *self, const char *name)
+{
+  return self->newest != NULL ? ht_message_get (self->newest, name) : NULL;
+}
+
+guint
+scripted_endpoint_n_ended (const ScriptedEndpoint *self)
+{
+  return self->n_ended;
+}
--- /dev/null
+++ b/tests/unit/pl_decode_test.c
@@ -0,0 +1,244 @@
+/** The platform's formats, decoded into the project's own types. */
+
+#include <glib/gstdio.h>
+#include <string.h>
+
+#include "platform/boot.h"
+#include "platform/decode.h"
+#include "platform/dialect.h"
+#include "suite.h"
+
+static const char config_text[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"r\",\"hostname\":\"h.example\",\"prefix\":\"/a/\",\"routeKind\":\"streaming\","
+    "\"timeoutMs\":10000,\"targetLatencyMs\":300,\"priority\":1,\"trafficSplit\":"
+    "[{\"service\":\"x\",\"weight\":90},{\"service\":\"y\",\"weight\":10}],\"maxAttempts\":2,"
+    "\"public\":false,\"resumable\":true,\"gapAimMs\":250},"
+    "{\"name\":\"p\",\"hostname\":\"h.example\",\"prefix\":\"/b/\",\"routeKind\":\"new-kind\","
+    "\"timeoutMs\":1000,\"service\":\"y\"},"
+    "{\"name\":\"broken\"}],"
+    "\"services\":[{\"name\":\"x\",\"healthPath\":\"/health\",\"maxConns\":424,\"engine\":"
+    "{\"slots\":16,\"kvCapacity\":315000,\"stride\":51,\"step_ms\":0.85,\"read_per_s\":177000.0}},"
+    "{\"name\":\"y\"}],"
+    "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
+    "\"idleTimeoutMs\":15000},"
+    "\"tenants\":[{\"name\":\"w\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1}]}";
+
+static void
+test_config (void)
+{
+  json_t *value = json_loads (config_text, 0, NULL);
+  g_autoptr (SvConfig) config = pl_decode_config (value);
+  const SvRoute *stream = sv_config_route (config, "h.example", "/a/1");
+  const SvRoute *plain = sv_config_route (config, "h.example", "/b/1");
+
+  CU_ASSERT_EQUAL (config->version, 7);
+  CU_ASSERT_TRUE (sv_route_is_idempotent (stream));
+  CU_ASSERT_EQUAL (stream->gap_objective, 250 * KNL_MSEC);
+  CU_ASSERT_EQUAL (stream->splits->len, 2);
+  /* What may be repeated is not guessed. */
+  CU_ASSERT_EQUAL (plain->kind, SV_AT_MOST_ONCE);
+  CU_ASSERT_EQUAL (plain->max_attempts, 1);
+  CU_ASSERT_TRUE (sv_service_is_engine (sv_config_service (config, "x")));
+  CU_ASSERT_FALSE (sv_service_is_engine (sv_config_service (config, "y")));
+  CU_ASSERT_STRING_EQUAL (sv_config_workspace (config, "k2")->name, "w");
+  CU_ASSERT_PTR_NULL (sv_config_workspace (config, "k3"));
+  CU_ASSERT_EQUAL (config->limits.idle_timeout, 15 * KNL_SEC);
+  json_decref (value);
+}
+
+static void
+test_no_config (void)
+{
+  static const char *const texts[] = { "{}", "[]", "{\"version\":\"7\"}", "null" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      json_t *value = json_loads (texts[i], JSON_DECODE_ANY, NULL);
+
+      CU_ASSERT_PTR_NULL (pl_decode_config (value));
+      json_decref (value);
+    }
+  CU_ASSERT_PTR_NULL (pl_decode_config (NULL));
+}
+
+static void
+test_endpoints (void)
+{
+  static const struct
+  {
+    const char *text;
+    gboolean is_entry;
+    gboolean draining;
+  } rows[] = {
+    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"ready\",\"slots\":6}", TRUE,
+      FALSE },
+    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"draining\"}", TRUE, TRUE },
+    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\"}", TRUE, TRUE },
+    { "{\"service\":\"s\"}", FALSE, FALSE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      json_t *value = json_loads (rows[i].text, 0, NULL);
+      SvEndpointEntry entry;
+
+      CU_ASSERT_EQUAL (pl_decode_endpoint ("i-1", value, &entry), rows[i].is_entry);
+      if (rows[i].is_entry)
+        CU_ASSERT_EQUAL (entry.draining, rows[i].draining);
+      json_decref (value);
+    }
+}
+
+/* All that is wrong with a settings file is found in one pass. */
+static void
+test_settings_findings (void)
+{
+  g_autofree char *path = NULL;
+  gint file = g_file_open_tmp ("alderturn-XXXXXX", &path, NULL);
+  static const char text[] =
+      "{\"nodeName\":7,\"zone\":\"z\",\"region\":\"r\",\"ip\":\"10.0.0.1\","
+      "\"portRange\":[],\"listen\":{\"front\":\"10.0.0.1:1\",\"ready\":\"nowhere\"},"
+      "\"platform\":{\"address\":\"10.0.0.2:3\",\"readsPerS\":-1},\"bounds\":{}}";
+  CmFindings findings;
+  g_autofree char *all = NULL;
+
+  cm_findings_init (&findings);
+  CU_ASSERT_EQUAL (write (file, text, strlen (text)), (ssize_t)strlen (text));
+  close (file);
+  CU_ASSERT_PTR_NULL (pl_boot_load (path, &findings));
+  all = cm_findings_to_string (&findings);
+  CU_ASSERT_PTR_NOT_NULL (strstr (all, "nodeName"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (all, "portRange"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (all, "nowhere"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (all, "listen.directory"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (all, "readsPerS"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (all, "bounds.revokeMs"));
+  CU_ASSERT (cm_findings_count (&findings) > 8);
+  cm_findings_clear (&findings);
+  g_unlink (path);
+}
+
+static GString *
+forward_of (HtMessage *request, const SvEndpoint *endpoint)
+{
+  SvDialect *dialect = pl_dialect_new ();
+  SvAsk ask;
+  GString *head;
+  SvHelper helpers[] = { { .endpoint = endpoint, .reservation = "t1" }, { .endpoint = endpoint } };
+  SvForward forward = {
+    .request = request,
+    .ask = &ask,
+    .endpoint = endpoint,
+    .workspace = "w",
+    .left = 1500 * KNL_MSEC,
+    .last_event = "12",
+    .helpers = helpers,
+    .n_helpers = 2,
+    .urgency = 4,
+  };
+
+  dialect->klass->read_ask (dialect, request, &ask);
+  CU_ASSERT_STRING_EQUAL (ask.key, "secret");
+  CU_ASSERT_EQUAL (ask.prompt_tokens, 1460);
+  CU_ASSERT_EQUAL (ask.answer_tokens, 80);
+  CU_ASSERT_EQUAL (ask.limit, 2 * KNL_SEC);
+  head = dialect->klass->write_forward (dialect, &forward);
+  pl_dialect_free (dialect);
+  return head;
+}
+
+/*
+ * Symptom: an endpoint sees a caller's key, another workspace's name, or a caller's own orders.
+ * Cause: fields that the system sets were passed on as the caller sent them.
+ */
+static void
+test_forwarded_fields (void)
+{
+  g_autoptr (HtMessage) request = ht_message_new ();
+  SvEndpoint endpoint = { .id = "i-1", .address = "10.0.0.3:80" };
+  static const char *const sent[][2] = {
+    { "Host", "h.example" },
+    { "Authorization", "Bearer secret" },
+    { "X-Attempt-Id", "a1" },
+    { "X-Tenant", "other" },
+    { "X-Helpers", "6.6.6.6:6" },
+    { "X-Deadline-Ms", "2000" },
+    { "X-Token-Counts", "1460,80" },
+    { "Connection", "x-hop" },
+    { "X-Hop", "1" },
+    { "X-Expect-Instance", "i-9" },
+    { "X-Own", "kept" },
+    { "Last-Event-Id", "3" },
+  };
+  static const char *const wanted[] = {
+    "POST /a?q=1 HTTP/1.1\r\n",
+    "X-Attempt-Id: a1\r\n",
+    "X-Tenant: w\r\n",
+    "X-Deadline-Ms: 1500\r\n",
+    "X-Expect-Instance: i-1\r\n",
+    "X-Own: kept\r\n",
+    "Last-Event-Id: 12\r\n",
+    "X-Helpers: 10.0.0.3:80/t1,10.0.0.3:80\r\n",
+  };
+  static const char *const unwanted[] = { "secret", "other", "6.6.6.6", "2000",
+                                          "X-Hop",  "i-9",   "Id: 3" };
+  GString *head;
+
+  g_strlcpy (request->method, "POST", sizeof request->method);
+  request->target = g_strdup ("/a?q=1");
+  for (guint i = 0; i < G_N_ELEMENTS (sent); i++)
+    ht_message_add (request, sent[i][0], sent[i][1]);
+  head = forward_of (request, &endpoint);
+  for (guint i = 0; i < G_N_ELEMENTS (wanted); i++)
+    CU_ASSERT_PTR_NOT_NULL (strstr (head->str, wanted[i]));
+  for (guint i = 0; i < G_N_ELEMENTS (unwanted); i++)
+    CU_ASSERT_PTR_NULL (strstr (head->str, unwanted[i]));
+  g_string_free (head, TRUE);
+}
+
+static void
+test_replies (void)
+{
+  static const struct
+  {
+    guint status;
+    const char *name;
+    const char *value;
+    gboolean not_run;
+    gboolean is_signed;
+    gboolean is_encoded;
+  } rows[] = {
+    { 200, "X-Server-Stamp", "s", FALSE, TRUE, FALSE },
+    { 503, "X-Not-Run", "1", TRUE, FALSE, FALSE },
+    { 421, "X-Other", "1", TRUE, FALSE, FALSE },
+    { 503, "X-Other", "1", FALSE, FALSE, FALSE },
+    { 200, "Content-Encoding", "gzip", FALSE, FALSE, TRUE },
+  };
+  SvDialect *dialect = pl_dialect_new ();
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autoptr (HtMessage) answer = ht_message_new ();
+      SvReply reply;
+
+      answer->status = rows[i].status;
+      ht_message_add (answer, rows[i].name, rows[i].value);
+      dialect->klass->read_reply (dialect, answer, &reply);
+      CU_ASSERT_EQUAL (reply.not_run, rows[i].not_run);
+      CU_ASSERT_EQUAL (reply.is_signed, rows[i].is_signed);
+      CU_ASSERT_EQUAL (reply.is_encoded, rows[i].is_encoded);
+    }
+  pl_dialect_free (dialect);
+}
+
+static const SuiteCase cases[] = {
+  { "a configuration", test_config },
+  { "no configuration", test_no_config },
+  { "entries of endpoints", test_endpoints },
+  { "settings are found wrong all at once", test_settings_findings },
+  { "forwarded fields", test_forwarded_fields },
+  { "what an answer says", test_replies },
+};
+
+SUITE_MAIN ("pl_decode", cases)
--- /dev/null
+++ b/tests/unit/sv_parts_test.c
@@ -0,0 +1,269 @@
+/** The core's small parts: configuration, events, retry budget, suspects, fleet. */
+
+#include <string.h>
+
+#include "kernel/paused.h"
+#include "serve/budget.h"
+#include "serve/config.h"
+#include "serve/events.h"
+#include "serve/fleet.h"
+#include "serve/suspects.h"
+#include "suite.h"
+
+static void
+add_route (SvConfig *config, const char *name, const char *prefix, const char *service)
+{
+  SvRoute *route = sv_route_new ();
+
+  route->name = g_strdup (name);
+  route->host = g_strdup ("h.example");
+  route->prefix = g_strdup (prefix);
+  sv_route_add_split (route, service, 1);
+  sv_config_add_route (config, route);
+}
+
+static void
+test_longest_prefix (void)
+{
+  static const struct
+  {
+    const char *host;
+    const char *path;
+    const char *route; /* NULL: none */
+  } rows[] = {
+    { "h.example", "/a/b/c", "inner" }, { "H.Example:80", "/a/x", "outer" },
+    { "h.example", "/a", NULL },        { "h.example", "/ab/", NULL },
+    { "other", "/a/b/", NULL },         { "h.example", "/a/b/", "inner" },
+  };
+  g_autoptr (SvConfig) config = sv_config_new (1);
+
+  add_route (config, "outer", "/a/", "s");
+  add_route (config, "inner", "/a/b/", "s");
+  sv_config_seal (config);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const SvRoute *route = sv_config_route (config, rows[i].host, rows[i].path);
+
+      CU_ASSERT_EQUAL (g_strcmp0 (route != NULL ? route->name : NULL, rows[i].route), 0);
+    }
+}
+
+static void
+test_split_by_weight (void)
+{
+  SvRoute *route = sv_route_new ();
+  guint first = 0;
+
+  sv_route_add_split (route, "a", 90);
+  sv_route_add_split (route, "b", 10);
+  sv_route_add_split (route, "off", 0);
+  for (guint i = 0; i < 1000; i++)
+    {
+      const char *service = sv_route_service (route, i / 1000.0);
+
+      CU_ASSERT_STRING_NOT_EQUAL (service, "off");
+      first += strcmp (service, "a") == 0;
+    }
+  CU_ASSERT_EQUAL (first, 900);
+  sv_route_free (route);
+}
+
+typedef struct
+{
+  GString *text;
+  gint64 ids[8];
+  guint n;
+} Seen;
+
+static void
+on_event (const SvEvent *event, gpointer data)
+{
+  Seen *seen = data;
+
+  g_string_append_len (seen->text, event->bytes, (gssize)event->length);
+  seen->ids[seen->n++] = event->id;
+}
+
+/*
+ * Symptom: a resumed stream lacks an event or has one twice.
+ * Sequence: an endpoint stops in the middle of an event; another goes on after the last id.
+ * Cause: bytes of an incomplete event were passed on, or its id was taken for passed on.
+ */
+static void
+test_events_in_any_pieces (void)
+{
+  static const char whole[] =
+      "id: 4\ndata: a\n\nx-version: 2\r\nid:5\r\ndata: b\r\n\r\ndata: c\n\n";
+  static const char torn[] = "id: 7\ndata: d\n";
+
+  for (gsize step = 1; step <= sizeof whole; step++)
+    {
+      Seen seen = { .text = g_string_new (NULL) };
+      SvEvents events;
+
+      sv_events_init (&events);
+      for (gsize at = 0; at < strlen (whole); at += step)
+        sv_events_feed (&events, whole + at, MIN (step, strlen (whole) - at), on_event, &seen);
+      CU_ASSERT_FALSE (sv_events_is_torn (&events));
+      sv_events_feed (&events, torn, strlen (torn), on_event, &seen);
+      CU_ASSERT_TRUE (sv_events_is_torn (&events));
+      CU_ASSERT_STRING_EQUAL (seen.text->str, whole);
+      CU_ASSERT_EQUAL (seen.n, 3);
+      CU_ASSERT_TRUE (seen.ids[0] == 4 && seen.ids[1] == 5 && seen.ids[2] == -1);
+      sv_events_clear (&events);
+      g_string_free (seen.text, TRUE);
+    }
+}
+
+/*
+ * Symptom: a service gets more second sends in ten seconds than its budget.
+ * Sequence: several instances each use the whole budget, or one uses it at both ends of a window.
+ * Cause: the budget is one for all instances, and any span of its length counts.
+ */
+static void
+test_budget_is_shared (void)
+{
+  static const SvBudgetRule rule = { .ratio = 0.2, .slack = 100, .window = 10 * KNL_SEC };
+
+  for (guint instances = 1; instances <= 20; instances++)
+    {
+      SvBudget budget = { 0 };
+      guint in_window = 0;
+
+      for (KnlTime now = KNL_SEC; now < 9 * KNL_SEC; now += 10 * KNL_MSEC)
+        {
+          sv_budget_note_request (&budget, &rule, now);
+          in_window += sv_budget_spend (&budget, &rule, instances, now);
+        }
+      CU_ASSERT (in_window * instances <= 0.2 * 800 * instances + 100);
+      CU_ASSERT (in_window >= 0.1 * 800);
+      /* The same span again begins before the first one has left the window. */
+      CU_ASSERT_FALSE (sv_budget_spend (&budget, &rule, instances, 9 * KNL_SEC));
+      CU_ASSERT_TRUE (sv_budget_spend (&budget, &rule, 1, 25 * KNL_SEC));
+    }
+}
+
+static void
+test_suspects_are_refused_after_three (void)
+{
+  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
+  g_autoptr (KnlKernel) kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 7);
+  SvSuspects *suspects = sv_suspects_new (kernel);
+
+  for (guint i = 0; i < 3; i++)
+    {
+      CU_ASSERT_FALSE (sv_suspects_is_refused (suspects, 5));
+      sv_suspects_note (suspects, 5);
+    }
+  CU_ASSERT_TRUE (sv_suspects_is_refused (suspects, 5));
+  CU_ASSERT_FALSE (sv_suspects_is_refused (suspects, 6));
+  knl_paused_clock_advance (clock, 61 * KNL_SEC);
+  CU_ASSERT_FALSE (sv_suspects_is_refused (suspects, 5));
+  sv_suspects_free (suspects);
+}
+
+static void
+list (SvFleet *fleet, const char *id, gboolean draining)
+{
+  SvEndpointEntry entry = { .id = id,
+                            .service = "s",
+                            .address = "127.0.0.1:1",
+                            .zone = "a",
+                            .slots = 4,
+                            .draining = draining };
+
+  sv_fleet_update (fleet, &entry);
+}
+
+/*
+ * Symptom: all requests are refused for two seconds after the store was down.
+ * Sequence: the entries of live endpoints lapse meanwhile; the first list after it is empty.
+ * Cause: an endpoint whose entry is gone was dropped at once.
+ */
+static void
+test_lapsed_entries_are_a_last_resort (void)
+{
+  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
+  g_autoptr (KnlKernel) kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 7);
+  SvFleet *fleet = sv_fleet_new (kernel, 1700 * KNL_MSEC);
+  SvEndpoint *endpoint;
+
+  list (fleet, "i-1", FALSE);
+  endpoint = g_ptr_array_index (sv_fleet_service (fleet, "s"), 0);
+  CU_ASSERT_TRUE (sv_endpoint_usable (endpoint, knl_kernel_now (kernel)));
+  sv_fleet_begin_list (fleet);
+  sv_fleet_end_list (fleet);
+  CU_ASSERT_FALSE (sv_endpoint_usable (endpoint, knl_kernel_now (kernel)));
+  CU_ASSERT_TRUE (sv_endpoint_last_resort (fleet, endpoint));
+  knl_paused_clock_advance (clock, 1800 * KNL_MSEC);
+  CU_ASSERT_FALSE (sv_endpoint_last_resort (fleet, endpoint));
+  list (fleet, "i-1", FALSE);
+  CU_ASSERT_TRUE (sv_endpoint_usable (endpoint, knl_kernel_now (kernel)));
+  list (fleet, "i-1", TRUE);
+  CU_ASSERT_FALSE (sv_endpoint_usable (endpoint, knl_kernel_now (kernel)));
+  sv_fleet_free (fleet);
+}
+
+static void
+test_lost_endpoint_is_tried_by_one (void)
+{
+  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
+  g_autoptr (KnlKernel) kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 7);
+  SvFleet *fleet = sv_fleet_new (kernel, KNL_SEC);
+  static const SvLoad one = { .calls = 1 };
+  SvEndpoint *endpoint;
+  KnlTime now;
+
+  list (fleet, "i-1", FALSE);
+  endpoint = g_ptr_array_index (sv_fleet_service (fleet, "s"), 0);
+  sv_endpoint_note_loss (endpoint, knl_kernel_now (kernel));
+  CU_ASSERT_FALSE (sv_endpoint_usable (endpoint, knl_kernel_now (kernel)));
+  knl_paused_clock_advance (clock, KNL_SEC);
+  now = knl_kernel_now (kernel);
+  CU_ASSERT_TRUE (sv_endpoint_usable (endpoint, now));
+  sv_endpoint_charge (endpoint, &one, 1);
+  CU_ASSERT_FALSE (sv_endpoint_usable (endpoint, now));
+  sv_endpoint_note_success (endpoint);
+  CU_ASSERT_TRUE (sv_endpoint_usable (endpoint, now));
+  sv_endpoint_charge (endpoint, &one, -1);
+  sv_fleet_free (fleet);
+}
+
+/*
+ * Symptom: instances that can't hear each other fill one endpoint beyond its places.
+ * Sequence: each counts only its own requests there.
+ * Cause: the endpoint's own report of its load was not used, or used long after it was made.
+ */
+static void
+test_unseen_calls_count_for_a_moment (void)
+{
+  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
+  g_autoptr (KnlKernel) kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 7);
+  SvFleet *fleet = sv_fleet_new (kernel, KNL_SEC);
+  static const SvLoad peer = { .calls = 2 };
+  SvEndpoint *endpoint;
+
+  list (fleet, "i-1", FALSE);
+  endpoint = g_ptr_array_index (sv_fleet_service (fleet, "s"), 0);
+  sv_endpoint_set_peer (endpoint, 9, &peer, knl_kernel_now (kernel));
+  sv_endpoint_note_report (endpoint, 7, knl_kernel_now (kernel));
+  CU_ASSERT_EQUAL (sv_endpoint_load (endpoint, knl_kernel_now (kernel)).calls, 7);
+  knl_paused_clock_advance (clock, 500 * KNL_MSEC);
+  CU_ASSERT_EQUAL (sv_endpoint_load (endpoint, knl_kernel_now (kernel)).calls, 2);
+  sv_endpoint_expire_peers (endpoint, knl_kernel_now (kernel));
+  CU_ASSERT_EQUAL (sv_endpoint_load (endpoint, knl_kernel_now (kernel)).calls, 0);
+  sv_fleet_free (fleet);
+}
+
+static const SuiteCase cases[] = {
+  { "the longest prefix decides", test_longest_prefix },
+  { "a split follows its weights", test_split_by_weight },
+  { "events are cut whole, in any pieces", test_events_in_any_pieces },
+  { "the retry budget is one for all", test_budget_is_shared },
+  { "a request that crashes three is refused", test_suspects_are_refused_after_three },
+  { "lapsed entries are a last resort", test_lapsed_entries_are_a_last_resort },
+  { "a lost endpoint is tried by one request", test_lost_endpoint_is_tried_by_one },
+  { "unseen calls count for a moment", test_unseen_calls_count_for_a_moment },
+};
+
+SUITE_MAIN ("sv_parts", cases)
--- /dev/null
+++ b/tests/unit/sv_router_test.c
@@ -0,0 +1,260 @@
+/** Where prompts are placed: short streams together, long prompts in parts beside them. */
+
+#include "kernel/paused.h"
+#include "serve/engine_model.h"
+#include "serve/router.h"
+#include "suite.h"
+
+#define ENGINES 12
+
+static const SvEngineSpec spec = {
+  .slots = 16,
+  .memory_tokens = 300000,
+  .stride = 50,
+  .step_ms = 1,
+  .writer_ms = 0.004,
+  .context_ms_per_k = 0.003,
+  .read_tokens_per_ms = 180,
+  .pair_ms_per_m = 0.18,
+  .chunk = 2048,
+  .usual_prompt = 10000,
+  .usual_answer = 1500,
+};
+
+typedef struct
+{
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  SvFleet *fleet;
+  SvConfig *config;
+  const SvService *service;
+} Fixture;
+
+static void
+add_gap_route (SvConfig *config, const char *prefix, KnlTime gap)
+{
+  SvRoute *route = sv_route_new ();
+
+  route->host = g_strdup ("h");
+  route->prefix = g_strdup (prefix);
+  route->kind = SV_STREAM;
+  route->gap_objective = gap;
+  sv_route_add_split (route, "llm", 1);
+  sv_config_add_route (config, route);
+}
+
+static void
+fixture_open (Fixture *self, guint engines)
+{
+  SvService *service;
+
+  self->clock = knl_paused_clock_new ();
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 3);
+  self->fleet = sv_fleet_new (self->kernel, KNL_SEC);
+  self->config = sv_config_new (1);
+  service = sv_config_add_service (self->config, "llm");
+  service->engine = spec;
+  self->service = service;
+  add_gap_route (self->config, "/short/", 250 * KNL_MSEC);
+  add_gap_route (self->config, "/long/", 1000 * KNL_MSEC);
+  sv_config_seal (self->config);
+  for (guint i = 0; i < engines; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+      g_autofree char *address = g_strdup_printf ("127.0.0.1:%u", 100 + i);
+      SvEndpointEntry entry = {
+        .id = id, .service = "llm", .address = address, .zone = "a", .slots = 16
+      };
+
+      sv_fleet_update (self->fleet, &entry);
+    }
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  sv_fleet_free (self->fleet);
+  sv_config_unref (self->config);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+}
+
+static SvPlacement
+place (Fixture *self, guint64 tokens, KnlTime gap, KnlTime objective)
+{
+  SvPlacement placement;
+  SvDemand demand = {
+    .config = self->config,
+    .service = self->service,
+    .zone = "a",
+    .prompt_tokens = tokens,
+    .answer_tokens = 1500,
+    .objective_left = objective,
+    .gap_objective = gap,
+  };
+
+  CU_ASSERT_TRUE (
+      sv_router_place (self->fleet, &demand, knl_kernel_now (self->kernel), &placement));
+  return placement;
+}
+
+static SvPlacement
+place_short (Fixture *self)
+{
+  return place (self, 4000, 250 * KNL_MSEC, 300 * KNL_MSEC);
+}
+
+static SvPlacement
+place_long (Fixture *self, guint64 tokens)
+{
+  return place (self, tokens, 1000 * KNL_MSEC, 3 * KNL_SEC);
+}
+
+/* Starts it: its load and its reading count from now on. */
+static void
+start (Fixture *self, const SvPlacement *placement)
+{
+  sv_placement_note_reads (placement, knl_kernel_now (self->kernel), 1);
+  sv_endpoint_charge (placement->first, &placement->load, 1);
+}
+
+static guint
+engines_with_tight (const Fixture *self)
+{
+  const GPtrArray *all = sv_fleet_all (self->fleet);
+  guint n = 0;
+
+  for (guint i = 0; i < all->len; i++)
+    n += ((SvEndpoint *)g_ptr_array_index (all, i))->own.writers[SV_PAUSE_TIGHT] > 0;
+  return n;
+}
+
+/*
+ * Symptom: short streams pause for as long as a long prompt is read.
+ * Sequence: short streams are spread over all engines; a long prompt is read beside some of them.
+ * Cause: an engine's pass brings all its streams their next event, and reading lengthens the pass.
+ */
+static void
+test_short_streams_leave_engines_free (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture, ENGINES);
+  for (guint i = 0; i < 36; i++)
+    {
+      SvPlacement placement = place_short (&fixture);
+
+      CU_ASSERT_EQUAL (placement.n_helpers, 0);
+      start (&fixture, &placement);
+      knl_paused_clock_advance (fixture.clock, 60 * KNL_MSEC);
+    }
+  CU_ASSERT (engines_with_tight (&fixture) <= 4);
+  fixture_close (&fixture);
+}
+
+static void
+test_long_prompts_avoid_short_streams (void)
+{
+  Fixture fixture;
+  SvPlacement placement;
+
+  fixture_open (&fixture, ENGINES);
+  for (guint i = 0; i < 12; i++)
+    {
+      placement = place_short (&fixture);
+      start (&fixture, &placement);
+      knl_paused_clock_advance (fixture.clock, 60 * KNL_MSEC);
+    }
+  placement = place_long (&fixture, 150000);
+  CU_ASSERT (placement.n_helpers >= 3);
+  CU_ASSERT_EQUAL (placement.first->own.writers[SV_PAUSE_TIGHT], 0);
+  for (guint i = 0; i < placement.n_helpers; i++)
+    CU_ASSERT_EQUAL (placement.helpers[i]->own.writers[SV_PAUSE_TIGHT], 0);
+  /* The parts together are the whole. */
+  CU_ASSERT_DOUBLE_EQUAL ((double)placement.part / KNL_MSEC * (placement.n_helpers + 1),
+                          sv_model_read_ms (&spec, 150000), 1);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: after a prompt was turned away, others wait for seconds though engines are idle.
+ * Sequence: its reading was entered for the engines, and stays there.
+ * Cause: a rejected prompt is not read; what was entered must be taken out.
+ */
+static void
+test_rejected_reading_is_taken_out (void)
+{
+  Fixture fixture;
+  SvPlacement placement;
+  KnlTime now;
+
+  fixture_open (&fixture, ENGINES);
+  placement = place_long (&fixture, 250000);
+  now = knl_kernel_now (fixture.kernel);
+  sv_placement_note_reads (&placement, now, 1);
+  CU_ASSERT (sv_endpoint_read_left (placement.first, now) > 0);
+  sv_placement_note_reads (&placement, now, -1);
+  CU_ASSERT_EQUAL (sv_endpoint_read_left (placement.first, now), 0);
+  CU_ASSERT_EQUAL (sv_endpoint_read_left (placement.helpers[0], now), 0);
+  fixture_close (&fixture);
+}
+
+static void
+test_memory_is_spread (void)
+{
+  static const struct
+  {
+    guint64 tokens;
+    gboolean needs_holds;
+    gboolean lacks;
+  } rows[] = {
+    { 200000, FALSE, FALSE },
+    { 350000, TRUE, FALSE },
+    { 700000, TRUE, FALSE },
+    { 9000000, TRUE, TRUE },
+  };
+  Fixture fixture;
+
+  fixture_open (&fixture, ENGINES);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      SvPlacement placement = place_long (&fixture, rows[i].tokens);
+      guint64 held = placement.load.tokens;
+      gboolean holds = FALSE;
+
+      for (guint j = 0; j < placement.n_helpers; j++)
+        {
+          held += placement.holds[j];
+          holds |= placement.holds[j] > 0;
+          CU_ASSERT (placement.holds[j] < spec.memory_tokens);
+        }
+      CU_ASSERT_EQUAL (holds, rows[i].needs_holds);
+      CU_ASSERT_EQUAL (placement.lacks_memory, rows[i].lacks);
+      if (!rows[i].lacks)
+        CU_ASSERT (held >= rows[i].tokens);
+    }
+  fixture_close (&fixture);
+}
+
+static void
+test_full_places_are_told (void)
+{
+  static const SvLoad sixteen = { .calls = 16 };
+  Fixture fixture;
+
+  fixture_open (&fixture, 1);
+  CU_ASSERT_FALSE (place_short (&fixture).is_full);
+  sv_endpoint_charge (g_ptr_array_index (sv_fleet_all (fixture.fleet), 0), &sixteen, 1);
+  CU_ASSERT_TRUE (place_short (&fixture).is_full);
+  fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "short streams leave engines free", test_short_streams_leave_engines_free },
+  { "long prompts avoid short streams", test_long_prompts_avoid_short_streams },
+  { "rejected reading is taken out", test_rejected_reading_is_taken_out },
+  { "memory is spread over engines", test_memory_is_spread },
+  { "full places are told", test_full_places_are_told },
+};
+
+SUITE_MAIN ("sv_router", cases)
