--- /dev/null
+++ b/tests/fakes/row_store.c
@@ -0,0 +1,261 @@
+#include "tests/fakes/row_store.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "http/server.h"
+
+typedef struct
+{
+  char *key;
+  char *json; /* NULL: removed */
+  guint64 version;
+} Row;
+
+typedef struct
+{
+  RowStore *store;
+  HtCall *call;
+  guint64 after;
+  KnlTimerId timer;
+} Waiting;
+
+struct RowStore
+{
+  KnlKernel *kernel;
+  HtServer *server;
+  char *address;
+  GPtrArray *rows; /* Row, by version */
+  GPtrArray *waiting;
+  guint64 version;
+  guint64 history_from;
+  RowStoreMode mode;
+  guint n_lists;
+  guint n_feeds;
+};
+
+static void
+row_free (gpointer data)
+{
+  Row *self = data;
+
+  g_free (self->key);
+  g_free (self->json);
+  g_free (self);
+}
+
+static json_t *
+rows_after (const RowStore *self, guint64 after, gboolean with_removed)
+{
+  json_t *rows = json_array ();
+
+  for (guint i = 0; i < self->rows->len; i++)
+    {
+      const Row *row = g_ptr_array_index (self->rows, i);
+      json_t *item;
+
+      if (row->version <= after || (row->json == NULL && !with_removed))
+        continue;
+      item = json_pack ("{s:s, s:I}", "key", row->key, "ver", (json_int_t)row->version);
+      if (row->json != NULL)
+        {
+          g_autofree char *value = g_base64_encode ((const guchar *)row->json, strlen (row->json));
+
+          json_object_set_new (item, "value", json_string (value));
+        }
+      else
+        json_object_set_new (item, "tombstone", json_true ());
+      json_array_append_new (rows, item);
+    }
+  return rows;
+}
+
+static void
+answer (RowStore *self, HtCall *call, json_t *rows)
+{
+  json_t *body =
+      json_pack ("{s:o, s:b, s:I}", "rows", rows, "morePages", 0, "ver", (json_int_t)self->version);
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  ht_call_answer (call, 200, "Content-Type: application/json\r\n", text, strlen (text));
+  free (text);
+  json_decref (body);
+}
+
+static void
+waiting_free (gpointer data)
+{
+  Waiting *self = data;
+
+  knl_timer_stop (self->store->kernel, &self->timer);
+  g_free (self);
+}
+
+static void
+answer_waiting (Waiting *self)
+{
+  RowStore *store = self->store;
+
+  answer (store, self->call, rows_after (store, self->after, TRUE));
+  g_ptr_array_remove (store->waiting, self);
+}
+
+static void
+on_waited (gpointer data)
+{
+  Waiting *self = data;
+
+  self->timer = 0;
+  answer_waiting (self);
+}
+
+static void
+take_feed (RowStore *self, HtCall *call)
+{
+  g_autofree char *after = ht_message_query (ht_call_request (call), "after");
+  g_autofree char *wait = ht_message_query (ht_call_request (call), "waitMs");
+  Waiting *waiting;
+
+  self->n_feeds++;
+  if (g_ascii_strtoull (after, NULL, 10) < self->history_from)
+    {
+      ht_call_answer (call, 410, NULL, "{}", 2);
+      return;
+    }
+  waiting = g_new0 (Waiting, 1);
+  waiting->store = self;
+  waiting->call = call;
+  waiting->after = g_ascii_strtoull (after, NULL, 10);
+  g_ptr_array_add (self->waiting, waiting);
+  if (waiting->after < self->version)
+    answer_waiting (waiting);
+  else
+    waiting->timer = knl_timer_start (
+        self->kernel, (KnlTime)g_ascii_strtoull (wait, NULL, 10) * KNL_MSEC, on_waited, waiting);
+}
+
+static void
+on_request (HtCall *call, gpointer data)
+{
+  RowStore *self = data;
+
+  switch (self->mode)
+    {
+    case ROW_STORE_REFUSES:
+      ht_call_answer (call, 503, NULL, NULL, 0);
+      return;
+    case ROW_STORE_DROPS:
+      ht_call_abort (call);
+      return;
+    case ROW_STORE_SILENT:
+      return;
+    case ROW_STORE_SERVES:
+      break;
+    }
+  if (g_str_has_prefix (ht_call_request (call)->target, "/rows-feed"))
+    {
+      take_feed (self, call);
+      return;
+    }
+  self->n_lists++;
+  answer (self, call, rows_after (self, 0, FALSE));
+}
+
+static void
+on_gone (HtCall *call, gpointer data)
+{
+  RowStore *self = data;
+
+  for (guint i = self->waiting->len; i > 0; i--)
+    {
+      if (((Waiting *)g_ptr_array_index (self->waiting, i - 1))->call == call)
+        g_ptr_array_remove_index (self->waiting, i - 1);
+    }
+}
+
+static const HtServerEvents events = { .request = on_request, .gone = on_gone };
+
+RowStore *
+row_store_new (KnlKernel *kernel, struct event_base *base)
+{
+  static const HtServerLimits limits = {
+    .message = { 4096, 4096 },
+    .head_timeout = 10 * KNL_SEC,
+    .idle_timeout = 100 * KNL_SEC,
+    .max_connections = 20,
+  };
+  RowStore *self = g_new0 (RowStore, 1);
+
+  self->kernel = kernel;
+  self->rows = g_ptr_array_new_with_free_func (row_free);
+  self->waiting = g_ptr_array_new_with_free_func (waiting_free);
+  self->version = 1;
+  for (guint port = 21000; self->server == NULL; port++)
+    {
+      g_free (self->address);
+      self->address = g_strdup_printf ("127.0.0.1:%u", port);
+      self->server = ht_server_new (kernel, base, self->address, &limits, &events, self);
+    }
+  return self;
+}
+
+void
+row_store_free (RowStore *self)
+{
+  g_ptr_array_unref (self->waiting);
+  ht_server_free (self->server);
+  g_ptr_array_unref (self->rows);
+  g_free (self->address);
+  g_free (self);
+}
+
+const char *
+row_store_address (const RowStore *self)
+{
+  return self->address;
+}
+
+void
+row_store_put (RowStore *self, const char *key, const char *json)
+{
+  Row *row = g_new0 (Row, 1);
+
+  for (guint i = 0; i < self->rows->len; i++)
+    {
+      if (strcmp (((Row *)g_ptr_array_index (self->rows, i))->key, key) == 0)
+        {
+          g_ptr_array_remove_index (self->rows, i);
+          break;
+        }
+    }
+  row->key = g_strdup (key);
+  row->json = g_strdup (json);
+  row->version = ++self->version;
+  g_ptr_array_add (self->rows, row);
+  while (self->waiting->len > 0)
+    answer_waiting (g_ptr_array_index (self->waiting, 0));
+}
+
+void
+row_store_set_mode (RowStore *self, RowStoreMode mode)
+{
+  self->mode = mode;
+}
+
+void
+row_store_forget_history (RowStore *self)
+{
+  self->history_from = ++self->version;
+}
+
+guint
+row_store_n_lists (const RowStore *self)
+{
+  return self->n_lists;
+}
+
+guint
+row_store_n_feeds (const RowStore *self)
+{
+  return self->n_feeds;
+}
--- /dev/null
+++ b/tests/fakes/row_store.h
@@ -0,0 +1,37 @@
+#pragma once
+
+/**
+ * The platform's store on loopback, as far as feeds use it: rows of one table,
+ * reads of the whole table, and feeds of its changes that wait. A test can have
+ * it lose its history, refuse, lose answers, or say nothing.
+ */
+
+#include <event2/event.h>
+
+#include "kernel/kernel.h"
+
+typedef struct RowStore RowStore;
+
+typedef enum
+{
+  ROW_STORE_SERVES,
+  ROW_STORE_REFUSES, /**< 503 */
+  ROW_STORE_DROPS,   /**< closes the connection in place of an answer */
+  ROW_STORE_SILENT,
+} RowStoreMode;
+
+RowStore *row_store_new (KnlKernel *kernel, struct event_base *base);
+void row_store_free (RowStore *store);
+
+const char *row_store_address (const RowStore *store);
+
+/** Writes a row, or removes it with `json` NULL. */
+void row_store_put (RowStore *store, const char *key, const char *json);
+
+void row_store_set_mode (RowStore *store, RowStoreMode mode);
+
+/** Feeds that ask for what came before now are told that it is gone. */
+void row_store_forget_history (RowStore *store);
+
+guint row_store_n_lists (const RowStore *store);
+guint row_store_n_feeds (const RowStore *store);
--- /dev/null
+++ b/tests/unit/pl_store_test.c
@@ -0,0 +1,238 @@
+/** Feeds of the store, while it refuses, loses answers, forgets its history or says nothing. */
+
+#include <string.h>
+
+#include "kernel/paused.h"
+#include "platform/store.h"
+#include "suite.h"
+#include "tests/fakes/row_store.h"
+
+#define WAIT    (1 * KNL_SEC)
+#define STUCK_S 20
+
+typedef struct
+{
+  struct event_base *base;
+  struct event *stuck;
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  HtClient *client;
+  RowStore *rows;
+  PlStore *store;
+  PlFeed *feed;
+
+  GHashTable *seen; /* key -> value as text */
+  guint n_confirmed;
+  KnlTime confirmed_at;
+} Fixture;
+
+static void
+on_stuck (evutil_socket_t fd, short what, void *data)
+{
+  g_error ("nothing happens any more");
+}
+
+static void
+on_begin_list (gpointer data)
+{
+  Fixture *self = data;
+
+  g_hash_table_remove_all (self->seen);
+}
+
+static void
+on_end_list (gpointer data)
+{
+}
+
+static void
+on_row (const PlRow *row, gpointer data)
+{
+  Fixture *self = data;
+
+  if (row->gone)
+    g_hash_table_remove (self->seen, row->key);
+  else
+    g_hash_table_insert (self->seen, g_strdup (row->key),
+                         g_strdup (json_string_value (json_object_get (row->value, "v"))));
+}
+
+static void
+on_confirmed (KnlTime asked_at, gpointer data)
+{
+  Fixture *self = data;
+
+  self->n_confirmed++;
+  self->confirmed_at = asked_at;
+}
+
+static const PlFeedEvents feed_events = {
+  .begin_list = on_begin_list,
+  .end_list = on_end_list,
+  .row = on_row,
+  .confirmed = on_confirmed,
+};
+
+static void
+fixture_open (Fixture *self)
+{
+  static const HtLimits limits = { 16384, 1 << 20 };
+  struct timeval limit = { .tv_sec = STUCK_S };
+
+  *self = (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
+  self->stuck = evtimer_new (self->base, on_stuck, NULL);
+  evtimer_add (self->stuck, &limit);
+  knl_paused_clock_advance (self->clock, 10 * KNL_SEC);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
+  self->client = ht_client_new (self->kernel, self->base, &limits, 60 * KNL_SEC);
+  self->rows = row_store_new (self->kernel, self->base);
+  self->store = pl_store_new (self->kernel, self->client, row_store_address (self->rows));
+  self->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  row_store_put (self->rows, "a", "{\"v\":\"1\"}");
+  self->feed = pl_feed_new (self->store, "t", WAIT, &feed_events, self);
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  pl_feed_free (self->feed);
+  pl_store_free (self->store);
+  ht_client_free (self->client);
+  row_store_free (self->rows);
+  g_hash_table_unref (self->seen);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+  event_free (self->stuck);
+  event_base_free (self->base);
+}
+
+static void
+turn (Fixture *self)
+{
+  event_base_loop (self->base, EVLOOP_ONCE);
+  knl_kernel_run_due (self->kernel);
+}
+
+static void
+wait_value (Fixture *self, const char *key, const char *value)
+{
+  while (g_strcmp0 (g_hash_table_lookup (self->seen, key), value) != 0)
+    turn (self);
+}
+
+static void
+wait_feeds (Fixture *self, guint n)
+{
+  while (row_store_n_feeds (self->rows) < n)
+    turn (self);
+}
+
+static void
+test_changes_arrive (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  wait_value (&fixture, "a", "1");
+  wait_feeds (&fixture, 1);
+  row_store_put (fixture.rows, "b", "{\"v\":\"2\"}");
+  wait_value (&fixture, "b", "2");
+  row_store_put (fixture.rows, "a", NULL);
+  wait_value (&fixture, "a", NULL);
+  CU_ASSERT_EQUAL (row_store_n_lists (fixture.rows), 1);
+  fixture_close (&fixture);
+}
+
+/* A confirmation holds as of the question: what changed while the answer waited may be missing. */
+static void
+test_confirmed_as_of_the_question (void)
+{
+  Fixture fixture;
+  KnlTime asked;
+  guint before;
+
+  fixture_open (&fixture);
+  wait_feeds (&fixture, 1);
+  asked = knl_kernel_now (fixture.kernel);
+  before = fixture.n_confirmed;
+  knl_paused_clock_advance (fixture.clock, WAIT);
+  while (fixture.n_confirmed == before)
+    turn (&fixture);
+  CU_ASSERT_EQUAL (fixture.confirmed_at, asked);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: an instance works for minutes with an old list.
+ * Sequence: the store drops its history while changes are made.
+ * Cause: the feed went on from the newest version without reading the table anew.
+ */
+static void
+test_history_gone (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  wait_feeds (&fixture, 1);
+  row_store_set_mode (fixture.rows, ROW_STORE_DROPS);
+  row_store_put (fixture.rows, "b", "{\"v\":\"2\"}");
+  row_store_put (fixture.rows, "a", NULL);
+  row_store_forget_history (fixture.rows);
+  row_store_set_mode (fixture.rows, ROW_STORE_SERVES);
+  while (row_store_n_lists (fixture.rows) < 2)
+    {
+      knl_paused_clock_advance (fixture.clock, 50 * KNL_MSEC);
+      turn (&fixture);
+    }
+  wait_value (&fixture, "a", NULL);
+  CU_ASSERT_STRING_EQUAL (g_hash_table_lookup (fixture.seen, "b"), "2");
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: changes are never seen again after the store was away.
+ * Sequence: calls are refused, answers are lost, or the connection goes silent, for a while.
+ * Cause: the feed waits for an answer that does not come, or gives up.
+ */
+static void
+test_store_away (void)
+{
+  static const RowStoreMode modes[] = { ROW_STORE_REFUSES, ROW_STORE_DROPS, ROW_STORE_SILENT };
+
+  for (guint i = 0; i < G_N_ELEMENTS (modes); i++)
+    {
+      Fixture fixture;
+      guint confirmed;
+
+      fixture_open (&fixture);
+      wait_feeds (&fixture, 1);
+      row_store_set_mode (fixture.rows, modes[i]);
+      row_store_put (fixture.rows, "b", "{\"v\":\"2\"}");
+      wait_value (&fixture, "b", "2");
+      confirmed = fixture.n_confirmed;
+      for (guint round = 0; round < 20; round++)
+        {
+          knl_paused_clock_advance (fixture.clock, 300 * KNL_MSEC);
+          event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+        }
+      CU_ASSERT_EQUAL (fixture.n_confirmed, confirmed);
+      row_store_set_mode (fixture.rows, ROW_STORE_SERVES);
+      row_store_put (fixture.rows, "c", "{\"v\":\"3\"}");
+      while (g_hash_table_lookup (fixture.seen, "c") == NULL)
+        {
+          knl_paused_clock_advance (fixture.clock, 100 * KNL_MSEC);
+          event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+        }
+      CU_ASSERT (fixture.n_confirmed > confirmed);
+      fixture_close (&fixture);
+    }
+}
+
+static const SuiteCase cases[] = {
+  { "changes arrive", test_changes_arrive },
+  { "confirmed as of the question", test_confirmed_as_of_the_question },
+  { "history gone", test_history_gone },
+  { "the store is away", test_store_away },
+};
+
+SUITE_MAIN ("pl_store", cases)
--- /dev/null
+++ b/tests/unit/sv_peers_test.c
@@ -0,0 +1,200 @@
+/** Instances that tell each other what they do, over datagrams that may be lost. */
+
+#include <string.h>
+
+#include "kernel/paused.h"
+#include "serve/peers.h"
+#include "suite.h"
+
+#define INSTANCES 3
+#define STUCK_S   20
+
+typedef struct
+{
+  struct event_base *base;
+  struct event *stuck;
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  SvFleet *fleets[INSTANCES];
+  SvPeers *peers[INSTANCES];
+  char *links[INSTANCES];
+  guint64 suspect;
+} Fixture;
+
+static void
+on_stuck (evutil_socket_t fd, short what, void *data)
+{
+  g_error ("nothing happens any more");
+}
+
+static void
+on_suspect (guint64 fingerprint, gpointer data)
+{
+  ((Fixture *)data)->suspect = fingerprint;
+}
+
+static void
+open_instance (Fixture *self, guint i)
+{
+  static guint port = 22000;
+  static const char *const zones[INSTANCES] = { "a", "b", "a" };
+  g_autofree char *name = g_strdup_printf ("n%u", i);
+  g_autofree char *callers = g_strdup_printf ("10.0.0.%u:80", i);
+  SvEndpointEntry entry = {
+    .id = "i-1", .service = "s", .address = "127.0.0.1:9", .zone = "a", .slots = 8
+  };
+
+  self->fleets[i] = sv_fleet_new (self->kernel, KNL_SEC);
+  sv_fleet_update (self->fleets[i], &entry);
+  while (self->peers[i] == NULL)
+    {
+      SvMember member = {
+        .name = name, .incarnation = 1, .callers_address = callers, .zone = zones[i], .region = "r"
+      };
+
+      g_free (self->links[i]);
+      self->links[i] = g_strdup_printf ("127.0.0.1:%u", port++);
+      member.link_address = self->links[i];
+      self->peers[i] = sv_peers_new (self->kernel, self->base, self->fleets[i], &member);
+    }
+  sv_peers_on_suspect (self->peers[i], on_suspect, self);
+}
+
+static void
+fixture_open (Fixture *self)
+{
+  struct timeval limit = { .tv_sec = STUCK_S };
+
+  *self = (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
+  self->stuck = evtimer_new (self->base, on_stuck, NULL);
+  evtimer_add (self->stuck, &limit);
+  knl_paused_clock_advance (self->clock, 10 * KNL_SEC);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
+  for (guint i = 0; i < INSTANCES; i++)
+    open_instance (self, i);
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      sv_peers_free (self->peers[i]);
+      sv_fleet_free (self->fleets[i]);
+      g_free (self->links[i]);
+    }
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+  event_free (self->stuck);
+  event_base_free (self->base);
+}
+
+/* Instances 1 and 2 learn of 0 from the store's rows, as they would after their start. */
+static void
+meet (Fixture *self)
+{
+  for (guint i = 1; i < INSTANCES; i++)
+    for (guint j = 0; j < i; j++)
+      sv_peers_learn (self->peers[i], self->links[j]);
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      while (sv_peers_n_alive (self->peers[i]) < INSTANCES - 1)
+        event_base_loop (self->base, EVLOOP_ONCE);
+    }
+}
+
+static SvEndpoint *
+endpoint_of (Fixture *self, guint i)
+{
+  return g_ptr_array_index (sv_fleet_all (self->fleets[i]), 0);
+}
+
+static SvLoad
+load_at (Fixture *self, guint i)
+{
+  return sv_endpoint_load (endpoint_of (self, i), knl_kernel_now (self->kernel));
+}
+
+static void
+test_a_greeting_is_enough (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  meet (&fixture);
+  for (guint i = 0; i < INSTANCES; i++)
+    CU_ASSERT_EQUAL (
+        sv_peers_link (fixture.peers[i])->klass->n_instances (sv_peers_link (fixture.peers[i])),
+        INSTANCES);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: several instances fill one endpoint, or read long prompts there at once.
+ * Sequence: one places a prompt; another places its own on the same endpoint right after.
+ * Cause: what one placed reached the others too late, or not at all.
+ */
+static void
+test_load_and_reads_are_told (void)
+{
+  static const SvLoad load = { .calls = 1, .writers = { 0, 1, 0 }, .tokens = 5000 };
+  Fixture fixture;
+  SvPlacement placement;
+  SvPeerLink *link;
+
+  fixture_open (&fixture);
+  meet (&fixture);
+  link = sv_peers_link (fixture.peers[0]);
+  placement = (SvPlacement){ .first = endpoint_of (&fixture, 0), .part = 300 * KNL_MSEC };
+  sv_endpoint_charge (placement.first, &load, 1);
+  link->klass->read_placed (link, &placement, 1);
+  link->klass->suspect (link, 77);
+  knl_paused_clock_advance (fixture.clock, 3 * KNL_MSEC);
+  while (load_at (&fixture, 2).calls == 0 || fixture.suspect == 0)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  CU_ASSERT_EQUAL (load_at (&fixture, 2).writers[SV_PAUSE_MEDIUM], 1);
+  CU_ASSERT_EQUAL (load_at (&fixture, 2).tokens, 5000);
+  CU_ASSERT (sv_endpoint_read_left (endpoint_of (&fixture, 2), knl_kernel_now (fixture.kernel))
+             > 290 * KNL_MSEC);
+  CU_ASSERT_EQUAL (fixture.suspect, 77);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: callers are sent to an instance that is gone, or keep counting its requests.
+ * Sequence: an instance loses power; nothing more is heard of it.
+ * Cause: its last word was believed for ever.
+ */
+static void
+test_silent_peer_is_left_out (void)
+{
+  static const SvLoad load = { .calls = 3 };
+  Fixture fixture;
+  g_autoptr (GPtrArray) before = NULL;
+  g_autoptr (GPtrArray) after = NULL;
+
+  fixture_open (&fixture);
+  meet (&fixture);
+  sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
+  for (guint i = 0; i < INSTANCES; i++)
+    sv_peers_set_ready (fixture.peers[i], TRUE);
+  while (load_at (&fixture, 0).calls != 3)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  before = sv_peers_ready_addresses (fixture.peers[0], "a", 10);
+  CU_ASSERT_EQUAL (before->len, 3);
+  CU_ASSERT_STRING_EQUAL (g_ptr_array_index (before, 2), "10.0.0.1:80");
+  /* Nothing is read from the sockets any more: all peers are silent. */
+  knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
+  after = sv_peers_ready_addresses (fixture.peers[0], "a", 10);
+  CU_ASSERT_EQUAL (after->len, 1);
+  CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 0);
+  fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "a greeting is enough", test_a_greeting_is_enough },
+  { "load and reads are told", test_load_and_reads_are_told },
+  { "a silent peer is left out", test_silent_peer_is_left_out },
+};
+
+SUITE_MAIN ("sv_peers", cases)
