--- a/tests/unit/sv_core_test.c
+++ b/tests/unit/sv_core_test.c
@@ -113,6 +113,7 @@
 
   sv_config_add_service (config, "s");
   add_route (config, "/once/", SV_AT_MOST_ONCE, 1);
+  add_route (config, "/once-of-two/", SV_AT_MOST_ONCE, 2);
   add_route (config, "/again/", SV_IDEMPOTENT, 2);
   add_route (config, "/stream/", SV_STREAM, 2);
   config->has_workspaces = TRUE;
@@ -316,6 +317,14 @@
     NULL,
     1 },
   { "closed, once", "/once/1", 2, { NULL, TRUE }, { "never" }, "HTTP/1.1 502", NULL, 1 },
+  { "closed, once though two attempts are allowed",
+    "/once-of-two/1",
+    2,
+    { NULL, TRUE },
+    { "never" },
+    "HTTP/1.1 502",
+    NULL,
+    1 },
   { "closed, again",
     "/again/1",
     2,
@@ -465,7 +474,8 @@
     TRUE
   };
   static const ScriptedAnswer rest = {
-    "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 30\r\n\r\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n",
+    "HTTP/1.1 200 OK\r\n" SIGNED
+    "Content-Length: 45\r\n\r\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n",
     FALSE
   };
   Fixture fixture;
