--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -70,16 +70,36 @@
   const char *reason;
 } SvOutcome;
 
+static inline KnlTime
+sv_request_now (const SvRequest *self)
+{
+  return knl_kernel_now (self->core->parts.kernel);
+}
+
 /* admission.c */
 
 /** Runs all checks; FALSE: the request was refused and is gone. */
 gboolean sv_request_admit (SvRequest *self);
 
-/* attempt.c */
+/* send.c */
 
 /** Sends the request to an endpoint, or ends it. */
 void sv_request_send (SvRequest *self);
 
+/* attempt.c */
+
+/** What becomes of the exchange with an endpoint; its data is the request. */
+extern const HtExchangeEvents sv_request_events;
+
+/** Enters the placed request in its endpoint's load, or with `sign` -1 takes it out. */
+void sv_request_charge (SvRequest *self, gint sign);
+
+/** The same for the reading of its prompt, here and at the peers. */
+void sv_request_note_reads (SvRequest *self, gint sign);
+
+/** Ends a request that is sent nowhere any more. */
+void sv_request_give_up (SvRequest *self, const char *reason);
+
 /** Closes the send that is under way. */
 void sv_request_stop_send (SvRequest *self);
 
--- /dev/null
+++ b/serve/peers_internal.h
@@ -0,0 +1,65 @@
+#pragma once
+
+/** What the parts of the peers share; nothing outside of them includes this. */
+
+#include <sys/socket.h>
+
+#include "serve/peers.h"
+#include "wire/datagram.pb-c.h"
+
+/* Longest datagram; ROWS_MOST rows of each kind stay below it. */
+#define DATAGRAM_BYTES 2048
+
+/** Another instance. */
+typedef struct
+{
+  char *name; /* NULL: nothing was heard from it yet */
+  char *link_address;
+  char *callers_address;
+  char *zone;
+  struct sockaddr_storage socket_address;
+  int socket_length;
+  guint32 id;
+  guint64 incarnation;
+  guint64 sequence;
+  gboolean ready;
+  KnlTime heard_at; /* -KNL_NEVER: never */
+  KnlTime known_since;
+  KnlTime learned_at; /* last time that somebody named it */
+} Peer;
+
+struct SvPeers
+{
+  SvPeerLink link;
+  KnlKernel *kernel;
+  SvFleet *fleet;
+  SvMember self;
+  guint32 id;
+  guint64 sequence;
+  gboolean ready;
+  evutil_socket_t socket;
+  struct event *readable;
+  GHashTable *peers; /* link address -> Peer */
+  GHashTable *by_id; /* id -> Peer */
+  GArray *reads;     /* PlacedReadRow not told yet */
+  GArray *suspects;  /* guint64 not told yet */
+  KnlTimerId whole_timer;
+  KnlTimerId change_timer;
+  SvPeerSuspectFunc on_suspect;
+  gpointer on_suspect_data;
+};
+
+/** Reading placed at an endpoint, to be told. */
+typedef struct
+{
+  guint64 endpoint; /* its key */
+  KnlTime length;   /* below 0: it was taken back */
+} PlacedReadRow;
+
+/* peers_tell.c */
+
+/** What the core reports to. */
+extern const SvPeerLinkClass sv_peers_link_class;
+
+/** Sends who we are and all that we have in flight to `peer`; NULL: to all. */
+void sv_peers_send_whole (SvPeers *self, const Peer *peer);
--- /dev/null
+++ b/serve/send.c
@@ -0,0 +1,303 @@
+/** Puts a request on its way to an endpoint: placed, with the memory that it needs, and watched. */
+
+#include "serve/core_internal.h"
+
+/* Zones are a few ms apart; no connection after this means that nobody is there. */
+#define CONNECT_TIMEOUT (300 * KNL_MSEC)
+
+/* A kept connection that was idle for longer may have been dropped by the other side unnoticed.
+ * What may run twice risks that, what may not takes a connection that was just in use. */
+#define REUSE_IDLE      (8 * KNL_SEC)
+#define REUSE_IDLE_ONCE (1 * KNL_SEC)
+
+/* A request whose caller waits for at least this part of the route's timeout was not refused
+ * before. */
+#define FIRST_TRY_PART 0.95
+
+/* Urgency at endpoints: what will be late anyway lets the others go first. */
+#define URGENCY_USUAL 4
+#define URGENCY_LATE  7
+
+/* With less time left than this, nothing is sent. */
+#define LEAST_LEFT (5 * KNL_MSEC)
+
+/* An endpoint is taken to be lost when a request that may run again has no answer after this many
+ * of its objective, and a stream that has begun when it pauses for so many of its gap objective. */
+#define SILENCE_OBJECTIVES 2.5
+#define SILENCE_EXPECTED   2.0
+#define SILENCE_GAPS       4.0
+#define SILENCE_LEAST      (250 * KNL_MSEC)
+#define SILENCE_GAP_LEAST  (1 * KNL_SEC)
+
+/* One that answers others within the last while is not dark, and its queue may hold a request for
+ * so many times as long. */
+#define SILENCE_HEARD  (600 * KNL_MSEC)
+#define SILENCE_QUEUED 4
+
+/* How long the endpoint may say nothing from now on. */
+static KnlTime
+silence_limit (const SvRequest *self)
+{
+  double objective = (double)self->route->objective;
+
+  if (self->first_at > 0)
+    return MAX ((KnlTime)(SILENCE_GAPS * (double)self->route->gap_objective), SILENCE_GAP_LEAST);
+  if (self->ask.prompt_tokens > 0)
+    return MAX ((KnlTime)(SILENCE_EXPECTED * (objective + (double)self->placement.expected)),
+                SILENCE_LEAST);
+  return MAX ((KnlTime)(SILENCE_OBJECTIVES * objective), SILENCE_LEAST);
+}
+
+/*
+ * An endpoint that is dark or cut off sends nothing, and its connection stays
+ * open; without this the request would wait until its deadline. Only requests
+ * that may run again are taken away from a silent endpoint.
+ */
+static void
+on_watch (gpointer data)
+{
+  SvRequest *self = data;
+  KnlTime since = MAX (self->sent_at, self->last_at);
+  KnlTime left = since + silence_limit (self) - sv_request_now (self);
+
+  /* Reading that is known to be under way there explains a pause, and so does a queue: an endpoint
+   * that answers other requests is not dark. */
+  left += sv_endpoint_read_left (self->placement.first, sv_request_now (self));
+  if (left <= 0 && sv_request_now (self) - since < SILENCE_QUEUED * silence_limit (self))
+    left = self->placement.first->heard_at + SILENCE_HEARD - sv_request_now (self);
+  self->watch_timer = 0;
+  if (left > 0)
+    {
+      self->watch_timer = knl_timer_start (self->core->parts.kernel, left, on_watch, self);
+      return;
+    }
+  if (self->runs + 1 >= self->route->max_attempts)
+    return;
+  sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
+  sv_request_stop_send (self);
+  sv_request_take_loss (self, "silent", TRUE);
+}
+
+static guint64
+expected_answer (const SvRequest *self)
+{
+  guint64 most = self->ask.answer_tokens;
+
+  return self->ask.answer_hint > 0 ? MIN (self->ask.answer_hint, most) : most;
+}
+
+static gboolean
+place (SvRequest *self)
+{
+  SvCore *core = self->core;
+  KnlTime now = sv_request_now (self);
+  SvDemand demand = {
+    .config = self->config,
+    .service = self->service,
+    .zone = core->parts.zone,
+    .prompt_tokens = self->ask.prompt_tokens,
+    .answer_tokens = expected_answer (self),
+    .objective_left = MAX (self->begun_at + self->route->objective - now, 0),
+    .gap_objective = self->route->gap_objective,
+    .excluded = self->excluded,
+  };
+  SvEndpoint *before = self->placement.first;
+  gboolean placed = sv_router_place (core->parts.fleet, &demand, now, &self->placement);
+
+  sv_endpoint_unref (before);
+  if (!placed)
+    return FALSE;
+  sv_endpoint_ref (self->placement.first);
+  return TRUE;
+}
+
+/* A caller that was refused comes back with less time than the route allows. */
+static gboolean
+is_first_try (const SvRequest *self)
+{
+  return self->runs == 0 && self->ask.last_event == NULL
+         && self->ask.limit >= (KnlTime)(FIRST_TRY_PART * (double)self->route->timeout);
+}
+
+/* Its first event can't count in full any more, and has not gone out. */
+static gboolean
+is_late (const SvRequest *self)
+{
+  KnlTime waited = sv_request_now (self) - self->begun_at;
+
+  return self->first_at == 0
+         && (!is_first_try (self) || waited + self->placement.expected > self->route->objective);
+}
+
+static GString *
+write_head (SvRequest *self, const char *last_event)
+{
+  SvDialect *dialect = self->core->parts.dialect;
+  SvHelper helpers[SV_HELPERS];
+  const HtMessage *request = ht_call_request (self->call);
+  SvForward forward = {
+    .request = request,
+    .ask = &self->ask,
+    .endpoint = self->placement.first,
+    .workspace = self->workspace != NULL ? self->workspace->name : NULL,
+    .left = self->deadline != KNL_NEVER ? self->deadline - sv_request_now (self) : 0,
+    .last_event = last_event,
+    .urgency = is_late (self) ? URGENCY_LATE : URGENCY_USUAL,
+    .helpers = helpers,
+    .n_helpers = self->placement.n_helpers,
+  };
+  GString *head;
+
+  for (guint i = 0; i < forward.n_helpers; i++)
+    {
+      helpers[i] = (SvHelper){ .endpoint = self->placement.helpers[i] };
+      if (self->reservation != NULL)
+        helpers[i].reservation = sv_reservation_id (self->reservation, self->placement.helpers[i]);
+    }
+  head = dialect->klass->write_forward (dialect, &forward);
+  if (request->body->len > 0 || ht_message_get (request, "content-length") != NULL
+      || ht_message_get (request, "transfer-encoding") != NULL)
+    g_string_append_printf (head, "Content-Length: %" G_GSIZE_FORMAT "\r\n", request->body->len);
+  return head;
+}
+
+static void
+start_exchange (SvRequest *self, const GString *head)
+{
+  const HtMessage *request = ht_call_request (self->call);
+  HtExchangeRequest exchange = {
+    .address = self->placement.first->address,
+    .head = head->str,
+    .body = request->body->str,
+    .body_length = request->body->len,
+    .is_head = g_strcmp0 (request->method, "HEAD") == 0,
+    .connect_timeout = CONNECT_TIMEOUT,
+    .max_idle = sv_route_is_idempotent (self->route) ? REUSE_IDLE : REUSE_IDLE_ONCE,
+  };
+
+  self->exchange = ht_client_send (self->core->parts.client, &exchange, &sv_request_events, self);
+}
+
+/* Puts the request on its way; it is placed, and has the memory that it needs. */
+static void
+launch (SvRequest *self)
+{
+  char resumed[32];
+  const char *last_event = self->ask.last_event;
+  GString *head;
+
+  sv_request_note_reads (self, 1);
+  self->sent_at = sv_request_now (self);
+  if (self->last_event >= 0)
+    {
+      g_snprintf (resumed, sizeof resumed, "%" G_GINT64_FORMAT, self->last_event);
+      last_event = resumed;
+    }
+  sv_request_charge (self, 1);
+  head = write_head (self, last_event);
+  start_exchange (self, head);
+  g_string_free (head, TRUE);
+  if (sv_route_is_idempotent (self->route))
+    self->watch_timer =
+        knl_timer_start (self->core->parts.kernel, silence_limit (self), on_watch, self);
+}
+
+static void
+on_reserved (gboolean ready, gpointer data)
+{
+  SvRequest *self = data;
+
+  if (ready)
+    {
+      launch (self);
+      return;
+    }
+  self->reservation = NULL;
+  sv_request_take_loss (self, "no-memory", FALSE);
+}
+
+static void
+reserve (SvRequest *self)
+{
+  const SvCore *core = self->core;
+  SvReservationParts parts = {
+    .kernel = core->parts.kernel,
+    .client = core->parts.client,
+    .dialect = core->parts.dialect,
+    .hold = core->bounds.reserve_hold,
+  };
+  SvEndpoint *endpoints[SV_HELPERS];
+  guint64 tokens[SV_HELPERS];
+  guint n = 0;
+
+  for (guint i = 0; i < self->placement.n_helpers; i++)
+    {
+      if (self->placement.holds[i] == 0)
+        continue;
+      endpoints[n] = self->placement.helpers[i];
+      tokens[n++] = self->placement.holds[i];
+    }
+  self->reservation =
+      sv_reservation_new (&parts, self->ask.id, endpoints, tokens, n, on_reserved, self);
+}
+
+static gboolean
+needs_reservation (const SvRequest *self)
+{
+  for (guint i = 0; i < self->placement.n_helpers; i++)
+    {
+      if (self->placement.holds[i] > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* A long prompt whose caller leaves before it can be read would be read in vain, for seconds and
+ * at the cost of others. */
+static gboolean
+is_hopeless (const SvRequest *self)
+{
+  return self->placement.is_split && self->deadline != KNL_NEVER
+         && self->deadline - sv_request_now (self) < self->placement.expected;
+}
+
+void
+sv_request_send (SvRequest *self)
+{
+  if (self->deadline != KNL_NEVER && self->deadline - sv_request_now (self) < LEAST_LEFT)
+    {
+      sv_request_give_up (self, "no-time-left");
+      return;
+    }
+  if (!place (self))
+    {
+      sv_request_give_up (self, "no-endpoint");
+      return;
+    }
+  if (is_hopeless (self))
+    {
+      sv_request_give_up (self, "too-little-time");
+      return;
+    }
+  if (sv_request_defer (self))
+    return;
+  if (self->placement.is_full && is_first_try (self))
+    {
+      sv_request_refuse (self, 503, "endpoints-full");
+      return;
+    }
+  if (self->placement.lacks_memory)
+    {
+      sv_request_give_up (self, "no-memory");
+      return;
+    }
+  self->offers++;
+  self->sent_at = sv_request_now (self);
+  self->last_at = 0;
+  self->is_read = FALSE;
+  sv_events_reset (&self->events);
+  if (needs_reservation (self))
+    reserve (self);
+  else
+    launch (self);
+}
