platform, gateway: the list of endpoints is waited for longer, and asked for at once when the store is back

A feed's question that the store swallowed was seen only by its own time limit, so the wait could not grow; now the configuration's feed, which asks more often, has the other one ask again as soon as the store answers it. Waits: configuration 1.5 s and 10 ms more a peer up to 2.5 s, endpoints 8 s (4 s before).

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -6,9 +6,12 @@
 #include "gateway.h"
 
 /* How long the store holds an answer back when nothing changes. Each answer confirms what is known,
- * so the wait for the configuration is a fraction of the time for which keys are trusted. */
-#define CONFIG_WAIT    (1500 * KNL_MSEC)
-#define ENDPOINTS_WAIT (4 * KNL_SEC)
+ * so the wait for the configuration is a fraction of the time for which keys are trusted. With many
+ * instances it is longer: at 3,400 of them both feeds come to 1,800 calls a second. */
+#define CONFIG_WAIT          (1500 * KNL_MSEC)
+#define CONFIG_WAIT_PER_PEER (10 * KNL_MSEC)
+#define CONFIG_WAIT_MOST     (2500 * KNL_MSEC)
+#define ENDPOINTS_WAIT       (8 * KNL_SEC)
 
 static void
 ignore (gpointer data)
@@ -39,15 +42,27 @@
 {
   Gateway *self = data;
 
+  KnlTime wait = CONFIG_WAIT + sv_peers_n_alive (self->peers) * CONFIG_WAIT_PER_PEER;
+
+  pl_feed_set_wait (self->config_feed, MIN (wait, CONFIG_WAIT_MOST));
   sv_core_confirm (self->core, asked_at);
   sv_peers_set_ready (self->peers, sv_core_is_ready (self->core));
 }
 
+/* A store that was away may have swallowed the other feed's question too, whose own time limit is
+ * longer: leaving endpoints would be seen seconds late. */
+static void
+on_config_regained (gpointer data)
+{
+  pl_feed_ask_again (((Gateway *)data)->endpoints_feed);
+}
+
 static const PlFeedEvents config_events = {
   .begin_list = ignore,
   .end_list = ignore,
   .row = on_config_row,
   .confirmed = on_config_confirmed,
+  .regained = on_config_regained,
 };
 
 static void
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -74,6 +74,8 @@
   void (*row) (const PlRow *row, gpointer data);
   /** All changes up to `asked_at` have been handed on. */
   void (*confirmed) (KnlTime asked_at, gpointer data);
+  /** The store answers again after it did not; may be NULL. */
+  void (*regained) (gpointer data);
 } PlFeedEvents;
 
 /**
@@ -86,3 +88,9 @@
                      const PlFeedEvents *events,
                      gpointer data);
 void pl_feed_free (PlFeed *feed);
+
+/** For calls from now on. */
+void pl_feed_set_wait (PlFeed *feed, KnlTime wait);
+
+/** Asks at once, in place of a call that waits. */
+void pl_feed_ask_again (PlFeed *feed);
--- a/tests/unit/pl_store_test.c
+++ b/tests/unit/pl_store_test.c
@@ -228,11 +228,37 @@
     }
 }
 
+/*
+ * Symptom: changes are seen seconds after the store is back.
+ * Sequence: the store swallows a question; it serves again while the question still waits.
+ * Cause: nothing but the question's own time limit, which is as long as the wait, ended it.
+ */
+static void
+test_asked_again_at_once (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  wait_feeds (&fixture, 1);
+  row_store_set_mode (fixture.rows, ROW_STORE_SILENT);
+  row_store_put (fixture.rows, "b", "{\"v\":\"2\"}");
+  wait_value (&fixture, "b", "2");
+  for (guint round = 0; round < 20; round++)
+    event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  row_store_set_mode (fixture.rows, ROW_STORE_SERVES);
+  row_store_put (fixture.rows, "c", "{\"v\":\"3\"}");
+  pl_feed_ask_again (fixture.feed);
+  wait_value (&fixture, "c", "3");
+  CU_ASSERT_EQUAL (row_store_n_lists (fixture.rows), 1);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "changes arrive", test_changes_arrive },
   { "confirmed as of the question", test_confirmed_as_of_the_question },
   { "history gone", test_history_gone },
   { "the store is away", test_store_away },
+  { "asked again at once", test_asked_again_at_once },
 };
 
 SUITE_MAIN ("pl_store", cases)
