gateway, tests: the process as a whole: settings read again, stopping; it frees what it made

New gateway-faults starts the real process between stand-ins of store and endpoint: not ready without a configuration, 503 then, served once it is there, a wrong settings file refused and a right one taken by SIGHUP, not ready and not named after SIGTERM while callers are still answered. With the names freed again on a reload it fails (heap-use-after-free in strcmp). The sanitizer's list of leaks at the end is why the process now frees its parts in order.

--- a/gateway/main.c
+++ b/gateway/main.c
@@ -148,24 +148,48 @@
   cm_log (CM_LOG_NOTICE, "stopped", "i", "requests", (gint64)sv_core_n_requests (self->core));
 }
 
+/* From what uses others to what is used. */
+static void
+gateway_close (Gateway *self)
+{
+  knl_timer_stop (self->process.kernel, &self->tick_timer);
+  gateway_stop_following (self);
+  gateway_stop_membership (self);
+  sv_core_free (self->core);
+  gateway_close_servers (self);
+  sv_peers_free (self->peers);
+  sv_fleet_free (self->fleet);
+  pl_store_free (self->store);
+  ht_client_free (self->endpoints_client);
+  ht_client_free (self->store_client);
+  pl_dialect_free (self->dialect);
+  cm_metrics_free (self->metrics);
+  g_clear_pointer (&self->reload_signal, event_free);
+  knl_process_close (&self->process);
+}
+
 static int
 run_gateway (Gateway *self, CmLogSeverity severity)
 {
   /* The one use of wall time: a process started later has a higher incarnation. */
   guint64 incarnation = (guint64)g_get_real_time ();
+  int status = EXIT_FAILURE;
 
   cm_log_init (PROGRAM, self->boot->name, severity);
   cm_log_to_stdout ();
   knl_process_open (&self->process, (guint32)incarnation);
   open_clients (self);
-  if (!open_peers (self, incarnation))
-    return EXIT_FAILURE;
-  open_core (self);
-  if (!gateway_open_servers (self))
-    return EXIT_FAILURE;
-  run (self);
-  /* All that is left belongs to this process and ends with it. */
-  return EXIT_SUCCESS;
+  if (open_peers (self, incarnation))
+    {
+      open_core (self);
+      if (gateway_open_servers (self))
+        {
+          run (self);
+          status = EXIT_SUCCESS;
+        }
+    }
+  gateway_close (self);
+  return status;
 }
 
 static void
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -61,6 +61,8 @@
 
 /** The parts outlive the core. */
 SvCore *sv_core_new (const SvCoreParts *parts, const SvBounds *bounds);
+
+/** Drops the requests that have not ended, without a word to their callers. */
 void sv_core_free (SvCore *core);
 
 void sv_core_set_bounds (SvCore *core, const SvBounds *bounds);
--- a/serve/core.c
+++ b/serve/core.c
@@ -16,11 +16,27 @@
   return self;
 }
 
+static void
+drop_requests (SvCore *self)
+{
+  GHashTableIter iter;
+  gpointer request;
+
+  for (;;)
+    {
+      g_hash_table_iter_init (&iter, self->requests);
+      if (!g_hash_table_iter_next (&iter, &request, NULL))
+        return;
+      sv_request_gone (request);
+    }
+}
+
 void
 sv_core_free (SvCore *self)
 {
   if (self == NULL)
     return;
+  drop_requests (self);
   sv_meters_free (self->meters);
   sv_suspects_free (self->suspects);
   g_hash_table_unref (self->budgets);
--- /dev/null
+++ b/tests/faults/gateway_test.c
@@ -0,0 +1,229 @@
+/** alderturn-gateway as a process, between a stand-in of the store and one of an endpoint. */
+
+#include <string.h>
+
+#include "tests/faults/harness.h"
+#include "http/client.h"
+#include "tests/unit/suite.h"
+#include "tests/fakes/row_store.h"
+#include "tests/fakes/scripted_endpoint.h"
+
+#define SETTINGS_FORMAT                                                                            \
+  "{\"nodeName\":\"n1\",\"zone\":\"a\",\"region\":\"r\",\"ip\":\"127.0.0.1\",\"portRange\":[%s,%"  \
+  "s],"                                                                                            \
+  "\"listen\":{\"front\":\"%s\",\"ready\":\"%s\",\"directory\":\"%s\"},"                           \
+  "\"limits\":{\"maxFds\":1000},\"platform\":{\"address\":\"%s\",\"readsPerS\":100},"              \
+  "\"bounds\":{\"strictRevoke\":true,\"revokeMs\":%d,\"configApplyMs\":2000,\"stall_ms\":1500,"    \
+  "\"graceS\":8,\"freeMs\":4000,\"retryBudgetRatio\":0.2,\"retrySlack\":100,\"budgetWindowS\":10," \
+  "\"drainMs\":2000,\"ttl_max_s\":5}}"
+
+#define CONFIG                                                                                     \
+  "{\"version\":3,\"routes\":[{\"name\":\"r\",\"hostname\":\"h\",\"prefix\":\"/a/"                 \
+  "\",\"routeKind\":\"unsafe\","                                                                   \
+  "\"timeoutMs\":20000,\"targetLatencyMs\":100,\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}" \
+  "],"                                                                                             \
+  "\"tenants\":[{\"name\":\"w\",\"apiKeys\":[\"key\"]}]}"
+
+#define REQUEST_HEAD                                                                               \
+  "GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 20000\r\n"                   \
+  "Authorization: Bearer key\r\n"
+
+static const ScriptedAnswer good = {
+  "HTTP/1.1 200 OK\r\nX-Attempt-Id: %ID\r\nX-Server-Stamp: s\r\nContent-Length: 4\r\n\r\ngood",
+  FALSE
+};
+
+typedef struct
+{
+  HnHarness *harness;
+  HtClient *client;
+  RowStore *store;
+  ScriptedEndpoint *endpoint;
+  const char *callers;
+  const char *ready;
+  const char *directory;
+  const char *link;
+  char *path; /* of the settings file */
+  HnProcess *process;
+  guint status; /* of the last answer; 0: none, or it broke off */
+  gboolean over;
+} Fixture;
+
+static void
+write_settings (Fixture *self, const char *text)
+{
+  CU_ASSERT_TRUE (g_file_set_contents (self->path, text, -1, NULL));
+}
+
+static char *
+settings_with_bound (Fixture *self, int revoke_ms)
+{
+  const char *port = strchr (self->link, ':') + 1;
+
+  return g_strdup_printf (SETTINGS_FORMAT, port, port, self->callers, self->ready, self->directory,
+                          row_store_address (self->store), revoke_ms);
+}
+
+static void
+fill_store (Fixture *self)
+{
+  g_autofree char *entry = g_strdup_printf (
+      "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"a\",\"state\":\"ready\",\"slots\":4}",
+      scripted_endpoint_address (self->endpoint));
+
+  row_store_put (self->store, "config", CONFIG);
+  row_store_put (self->store, "i-1", entry);
+}
+
+static void
+fixture_open (Fixture *self)
+{
+  static const HtLimits limits = { 16384, 1 << 20 };
+  g_autofree char *text = NULL;
+  gint file;
+
+  *self = (Fixture){ .harness = hn_harness_new () };
+  self->client = ht_client_new (self->harness->kernel, self->harness->base, &limits, 10 * KNL_SEC);
+  self->store = row_store_new (self->harness->kernel, self->harness->base);
+  self->endpoint = scripted_endpoint_new (self->harness->base, &good, 1);
+  self->callers = hn_address_new (self->harness);
+  self->ready = hn_address_new (self->harness);
+  self->directory = hn_address_new (self->harness);
+  self->link = hn_address_new (self->harness);
+  file = g_file_open_tmp ("alderturn-XXXXXX", &self->path, NULL);
+  CU_ASSERT (file >= 0);
+  close (file);
+  text = settings_with_bound (self, 60000);
+  write_settings (self, text);
+  self->process = hn_start (self->harness, "gateway", "gateway/alderturn-gateway",
+                            (const char *const[]){ "--boot", self->path, NULL });
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  unlink (self->path);
+  g_free (self->path);
+  ht_client_free (self->client);
+  row_store_free (self->store);
+  scripted_endpoint_free (self->endpoint);
+  CU_ASSERT_TRUE (hn_harness_free (self->harness));
+}
+
+static gboolean
+has_event (gpointer data)
+{
+  const gpointer *pair = data;
+
+  return strstr (hn_output (pair[0]), pair[1]) != NULL;
+}
+
+static void
+await_event (Fixture *self, const char *event)
+{
+  g_autofree char *text = g_strdup_printf ("\"event\":\"%s\"", event);
+  gpointer pair[] = { self->process, text };
+
+  CU_ASSERT_TRUE (hn_await (self->harness, HN_LIMIT, has_event, pair));
+}
+
+static HtHeadVerdict
+on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
+{
+  return HT_HEAD_TAKE;
+}
+
+static void
+on_done (HtExchange *exchange, HtMessage *answer, gpointer data)
+{
+  Fixture *self = data;
+
+  self->status = answer->status;
+  self->over = TRUE;
+}
+
+static void
+on_failed (HtExchange *exchange, HtFailure failure, gpointer data)
+{
+  ((Fixture *)data)->over = TRUE;
+}
+
+static const HtExchangeEvents events = { .head = on_head, .done = on_done, .failed = on_failed };
+
+static gboolean
+is_over (gpointer data)
+{
+  return ((Fixture *)data)->over;
+}
+
+static guint
+ask (Fixture *self)
+{
+  HtExchangeRequest request = { .address = self->callers,
+                                .head = REQUEST_HEAD,
+                                .connect_timeout = 5 * KNL_SEC };
+
+  self->over = FALSE;
+  self->status = 0;
+  ht_client_send (self->client, &request, &events, self);
+  CU_ASSERT_TRUE (hn_await (self->harness, HN_LIMIT, is_over, self));
+  return self->status;
+}
+
+/*
+ * Symptom: processes end with signal 11 a second after their start, or route by freed names.
+ * Sequence: the settings file is read again while the process runs.
+ * Cause: names and addresses that other parts point to were freed with the old settings.
+ */
+static void
+test_settings_are_read_again (void)
+{
+  Fixture fixture;
+  g_autofree char *changed = NULL;
+
+  fixture_open (&fixture);
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.ready, "/ready", 503));
+  CU_ASSERT_EQUAL (ask (&fixture), 503);
+  fill_store (&fixture);
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.ready, "/ready", 200));
+  await_event (&fixture, "endpoint-listed");
+  CU_ASSERT_EQUAL (ask (&fixture), 200);
+  write_settings (&fixture, "{\"nodeName\":7}");
+  hn_signal (fixture.process, SIGHUP);
+  await_event (&fixture, "settings-refused");
+  CU_ASSERT_EQUAL (ask (&fixture), 200);
+  changed = settings_with_bound (&fixture, 50000);
+  write_settings (&fixture, changed);
+  hn_signal (fixture.process, SIGHUP);
+  await_event (&fixture, "settings-reloaded");
+  CU_ASSERT_EQUAL (ask (&fixture), 200);
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.directory, "/resolve?zone=a", 200));
+  hn_signal (fixture.process, SIGTERM);
+  CU_ASSERT_EQUAL (hn_await_exit (fixture.process, HN_LIMIT), 0);
+  fixture_close (&fixture);
+}
+
+/* Stopping: not ready and not named at once, but what callers still send is answered. */
+static void
+test_stopping (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  fill_store (&fixture);
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.ready, "/ready", 200));
+  await_event (&fixture, "endpoint-listed");
+  hn_signal (fixture.process, SIGTERM);
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.ready, "/ready", 503));
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.directory, "/resolve?zone=a", 503));
+  CU_ASSERT_EQUAL (ask (&fixture), 200);
+  CU_ASSERT_EQUAL (hn_await_exit (fixture.process, HN_LIMIT), 0);
+  fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "settings are read again", test_settings_are_read_again },
+  { "stopping", test_stopping },
+};
+
+SUITE_MAIN ("gateway-faults", cases)
