--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -8,7 +8,7 @@
 /* How long the store holds an answer back when nothing changes. Each answer confirms what is known,
  * so the wait for the configuration is a fraction of the time for which keys are trusted. With many
  * instances it is longer: at 3,400 of them both feeds come to 1,800 calls a second. */
-#define CONFIG_WAIT          (1500 * KNL_MSEC)
+#define CONFIG_WAIT          (1200 * KNL_MSEC)
 #define CONFIG_WAIT_PER_PEER (10 * KNL_MSEC)
 #define CONFIG_WAIT_MOST     (2500 * KNL_MSEC)
 #define ENDPOINTS_WAIT       (8 * KNL_SEC)
