serve: a begun stream never turns into another answer

Symptom: a caller could find a head in the middle of its stream. Sequence: a stream breaks off, the endpoint that is to go on answers 500 or 400, and no retry is left. Cause: that answer was passed on as if none had begun. A failed answer now takes the same way as every loss, with the answer kept; the second copy of the retry rule is gone.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -185,34 +185,25 @@
   sv_request_take_loss (self, "rejected", FALSE);
 }
 
-static gboolean
-may_send_again (const SvRequest *self)
-{
-  return sv_route_is_idempotent (self->route) && self->runs + 1 < self->route->max_attempts;
-}
-
+/* The endpoint reports a failure: kept, to be passed on when no better answer comes. */
 static void
 take_failure (SvRequest *self, const HtMessage *answer)
 {
-  SvCore *core = self->core;
-
   close_send (self, "failed");
   sv_endpoint_note_error (self->placement.first, sv_request_now (self));
-  if (may_send_again (self)
-      && sv_budget_spend (sv_core_budget (core, self->service->name), &core->bounds.retries,
-                          core->parts.link->klass->n_instances (core->parts.link),
-                          sv_request_now (self)))
-    {
-      log_loss (self, "endpoint-error", TRUE);
-      self->last_fault = "endpoint-error";
-      self->runs++;
-      ht_message_free (self->failure);
-      self->failure = ht_message_copy (answer);
-      exclude (self, self->placement.first);
-      sv_request_send (self);
-      return;
-    }
-  sv_request_pass (self, answer);
+  ht_message_free (self->failure);
+  self->failure = ht_message_copy (answer);
+  sv_request_take_loss (self, "endpoint-error", TRUE);
+}
+
+/* A stream that goes on at a second endpoint can't turn into another answer midway. */
+static void
+take_whole (SvRequest *self, const HtMessage *answer)
+{
+  if (ht_call_has_begun (self->call))
+    sv_request_fail (self, 502, "stream-not-resumed");
+  else
+    sv_request_pass (self, answer);
 }
 
 static void
@@ -235,7 +226,7 @@
   if (!streaming)
     {
       sv_endpoint_note_success (self->placement.first);
-      sv_request_pass (self, answer);
+      take_whole (self, answer);
       return;
     }
   if (sv_events_is_torn (&self->events))
--- a/tests/unit/sv_core_test.c
+++ b/tests/unit/sv_core_test.c
@@ -497,6 +497,42 @@
   fixture_close (&fixture);
 }
 
+/*
+ * Symptom: a caller finds the head of another answer in the middle of its stream.
+ * Sequence: a stream breaks off; the endpoint that is to go on answers something else.
+ * Cause: that answer was passed on as if none had begun.
+ */
+static void
+test_broken_stream_is_not_mixed (void)
+{
+  static const ScriptedAnswer broken = { "HTTP/1.1 200 OK\r\n" SIGNED
+                                         "Transfer-Encoding: chunked\r\n\r\n"
+                                         "f\r\nid: 1\ndata: a\n\n\r\n",
+                                         TRUE };
+  static const ScriptedAnswer others[] = {
+    { "HTTP/1.1 500 E\r\n" SIGNED "Content-Length: 3\r\n\r\nbad", FALSE },
+    { "HTTP/1.1 400 B\r\n" SIGNED "Content-Length: 3\r\n\r\nbad", FALSE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (others); i++)
+    {
+      Fixture fixture;
+
+      fixture_open (&fixture);
+      use_config (&fixture, 1, "key");
+      add_endpoint (&fixture, &broken, 1);
+      add_endpoint (&fixture, &others[i], 1);
+      ask (&fixture, "/stream/1");
+      while (!fixture.ended)
+        event_base_loop (fixture.base, EVLOOP_ONCE);
+      CU_ASSERT_EQUAL (all_requests (&fixture), 2);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "id: 1"));
+      CU_ASSERT_PTR_NULL (strstr (fixture.got->str, "bad"));
+      CU_ASSERT_PTR_NULL (strstr (fixture.got->str, "0\r\n\r\n"));
+      fixture_close (&fixture);
+    }
+}
+
 /*
  * Symptom: a request runs whose key was taken away more than the bound before.
  * Sequence: the store is cut off from this instance; the operator takes the key away.
@@ -689,6 +725,7 @@
 static const SuiteCase cases[] = {
   { "endpoints that fail", test_endpoints_that_fail },
   { "a broken stream goes on", test_broken_stream_goes_on },
+  { "a broken stream is not mixed", test_broken_stream_is_not_mixed },
   { "keys need confirmation", test_keys_need_confirmation },
   { "denied only when certain", test_denied_only_when_certain },
   { "a leaving caller is noticed", test_leaving_caller_is_noticed },
