--- /dev/null
+++ b/tests/unit/sv_fixture.c
@@ -0,0 +1,252 @@
+#include "sv_fixture.h"
+
+#include <event2/buffer.h>
+#include <string.h>
+
+#include "platform/dialect.h"
+
+/* No event for this long means that the test has failed, not that the machine is slow. */
+#define STUCK_S 20
+
+static void
+link_read_placed (SvPeerLink *link, const SvPlacement *placement, gint sign)
+{
+}
+
+static void
+link_load_changed (SvPeerLink *link)
+{
+}
+
+static void
+link_suspect (SvPeerLink *link, guint64 fingerprint)
+{
+}
+
+static guint
+link_n_instances (const SvPeerLink *link)
+{
+  return 1;
+}
+
+static const SvPeerLinkClass link_class = {
+  .read_placed = link_read_placed,
+  .load_changed = link_load_changed,
+  .suspect = link_suspect,
+  .n_instances = link_n_instances,
+};
+
+static SvPeerLink alone = { &link_class };
+
+static void
+on_stuck (evutil_socket_t fd, short what, void *data)
+{
+  g_error ("nothing happens any more");
+}
+
+static void
+on_request (HtCall *call, gpointer data)
+{
+  sv_core_take (((SvFixture *)data)->core, call);
+}
+
+static void
+on_gone (HtCall *call, gpointer data)
+{
+  sv_core_gone (((SvFixture *)data)->core, call);
+}
+
+static const HtServerEvents front_events = { .request = on_request, .gone = on_gone };
+
+static void
+add_route (SvConfig *config, const char *prefix, SvRouteKind kind, guint attempts)
+{
+  SvRoute *route = sv_route_new ();
+
+  route->name = g_strdup (prefix);
+  route->host = g_strdup ("h");
+  route->prefix = g_strdup (prefix);
+  route->kind = kind;
+  route->resumable = kind == SV_STREAM;
+  route->max_attempts = attempts;
+  route->timeout = 5 * KNL_SEC;
+  route->objective = 100 * KNL_MSEC;
+  route->gap_objective = 250 * KNL_MSEC;
+  sv_route_add_split (route, "s", 1);
+  sv_config_add_route (config, route);
+}
+
+void
+sv_fixture_use_config (SvFixture *self, guint64 version, const char *key)
+{
+  g_autoptr (SvConfig) config = sv_config_new (version);
+
+  sv_config_add_service (config, "s");
+  add_route (config, "/once/", SV_AT_MOST_ONCE, 1);
+  add_route (config, "/once-of-two/", SV_AT_MOST_ONCE, 2);
+  add_route (config, "/again/", SV_IDEMPOTENT, 2);
+  add_route (config, "/stream/", SV_STREAM, 2);
+  config->has_workspaces = TRUE;
+  sv_config_add_key (config, sv_config_add_workspace (config, "w"), key);
+  sv_config_seal (config);
+  sv_core_set_config (self->core, config);
+  sv_core_confirm (self->core, knl_kernel_now (self->kernel));
+}
+
+static void
+open_core (SvFixture *self)
+{
+  static const HtLimits limits = { 16384, 1 << 20 };
+  static const SvBounds bounds = {
+    .key_confirmation = 3 * KNL_SEC,
+    .route_confirmation = 1 * KNL_SEC,
+    .grace = 8 * KNL_SEC,
+    .retries = { .ratio = 0.2, .slack = 100, .window = 10 * KNL_SEC },
+  };
+  static const HtServerLimits server_limits = {
+    .message = { 16384, 1 << 20 },
+    .head_timeout = 3 * KNL_SEC,
+    .idle_timeout = 15 * KNL_SEC,
+    .max_connections = 10,
+  };
+  SvCoreParts parts;
+
+  self->client = ht_client_new (self->kernel, self->base, &limits, 10 * KNL_SEC);
+  self->dialect = pl_dialect_new ();
+  self->fleet = sv_fleet_new (self->kernel, KNL_SEC);
+  self->metrics = cm_metrics_new ();
+  parts = (SvCoreParts){ self->kernel,  self->client, self->dialect, self->fleet, &alone,
+                         self->metrics, "a" };
+  self->core = sv_core_new (&parts, &bounds);
+  for (guint port = 20000; self->front == NULL; port++)
+    {
+      g_free (self->address);
+      self->address = g_strdup_printf ("127.0.0.1:%u", port);
+      self->front = ht_server_new (self->kernel, self->base, self->address, &server_limits,
+                                   &front_events, self);
+    }
+}
+
+void
+sv_fixture_open (SvFixture *self)
+{
+  struct timeval limit = { .tv_sec = STUCK_S };
+
+  *self = (SvFixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
+  self->stuck = evtimer_new (self->base, on_stuck, NULL);
+  evtimer_add (self->stuck, &limit);
+  /* The clock's zero is a time at which nothing has happened yet. */
+  knl_paused_clock_advance (self->clock, 100 * KNL_SEC);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
+  self->got = g_string_new (NULL);
+  open_core (self);
+}
+
+/* An endpoint in the fleet; the ones added first are chosen first where nothing else decides. */
+void
+sv_fixture_add_endpoint (SvFixture *self, const ScriptedAnswer *script, guint n)
+{
+  guint i = self->n_endpoints++;
+  g_autofree char *id = g_strdup_printf ("i-%u", i);
+  SvEndpointEntry entry = { .id = id, .service = "s", .zone = i == 0 ? "a" : "b", .slots = 4 };
+
+  self->endpoints[i] = scripted_endpoint_new (self->base, script, n);
+  entry.address = scripted_endpoint_address (self->endpoints[i]);
+  sv_fleet_update (self->fleet, &entry);
+}
+
+void
+sv_fixture_close (SvFixture *self)
+{
+  if (self->caller != NULL)
+    bufferevent_free (self->caller);
+  ht_server_free (self->front);
+  ht_client_free (self->client);
+  sv_core_free (self->core);
+  for (guint i = 0; i < self->n_endpoints; i++)
+    scripted_endpoint_free (self->endpoints[i]);
+  sv_fleet_free (self->fleet);
+  pl_dialect_free (self->dialect);
+  cm_metrics_free (self->metrics);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+  event_free (self->stuck);
+  event_base_free (self->base);
+  g_string_free (self->got, TRUE);
+  g_free (self->address);
+}
+
+static void
+on_caller_read (struct bufferevent *stream, void *data)
+{
+  SvFixture *self = data;
+  struct evbuffer *input = bufferevent_get_input (stream);
+  gsize length = evbuffer_get_length (input);
+
+  g_string_append_len (self->got, (const char *)evbuffer_pullup (input, -1), (gssize)length);
+  evbuffer_drain (input, length);
+}
+
+static void
+on_caller_event (struct bufferevent *stream, short what, void *data)
+{
+  if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    ((SvFixture *)data)->ended = TRUE;
+}
+
+void
+sv_fixture_send (SvFixture *self, const char *bytes)
+{
+  struct sockaddr_storage peer;
+  int length = sizeof peer;
+
+  if (self->caller == NULL)
+    {
+      self->caller = bufferevent_socket_new (self->base, -1, BEV_OPT_CLOSE_ON_FREE);
+      bufferevent_setcb (self->caller, on_caller_read, NULL, on_caller_event, self);
+      evutil_parse_sockaddr_port (self->address, (struct sockaddr *)&peer, &length);
+      bufferevent_socket_connect (self->caller, (struct sockaddr *)&peer, length);
+      bufferevent_enable (self->caller, EV_READ | EV_WRITE);
+    }
+  bufferevent_write (self->caller, bytes, strlen (bytes));
+}
+
+void
+sv_fixture_ask (SvFixture *self, const char *path)
+{
+  g_autofree char *request =
+      g_strdup_printf ("POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 4000\r\n"
+                       "Authorization: Bearer key\r\nContent-Length: 2\r\n\r\nhi",
+                       path);
+
+  g_string_truncate (self->got, 0);
+  sv_fixture_send (self, request);
+}
+
+/* Runs the loop until the caller has got `text`. */
+void
+sv_fixture_wait_for (SvFixture *self, const char *text)
+{
+  while (strstr (self->got->str, text) == NULL && !self->ended)
+    {
+      event_base_loop (self->base, EVLOOP_ONCE);
+      knl_kernel_run_due (self->kernel);
+    }
+}
+
+void
+sv_fixture_wait_requests (SvFixture *self, guint endpoint, guint n)
+{
+  while (scripted_endpoint_n_requests (self->endpoints[endpoint]) < n)
+    event_base_loop (self->base, EVLOOP_ONCE);
+}
+
+guint
+sv_fixture_all_requests (const SvFixture *self)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < self->n_endpoints; i++)
+    n += scripted_endpoint_n_requests (self->endpoints[i]);
+  return n;
+}
