serve: a placement keeps all its endpoints; endpoints that are gone are swept

Ruled out: the reservation whose line was the last one written.

The new case fails without the references (heap-use-after-free in sv_endpoint_add_read).

--- a/gateway/main.c
+++ b/gateway/main.c
@@ -9,7 +9,8 @@
 
 #define PROGRAM "alderturn-gateway"
 
-/* How often readiness, the settings file and the end of a drain are looked at. */
+/* How often readiness, endpoints that are gone, the settings file and the end of a drain are looked
+ * at. */
 #define TICK (250 * KNL_MSEC)
 
 /* After the order to stop, callers may come for as long as they keep old answers of the directory:
@@ -48,6 +49,7 @@
   Gateway *self = data;
 
   sv_peers_set_ready (self->peers, sv_core_is_ready (self->core));
+  sv_fleet_sweep (self->fleet);
   if (self->drain_since == 0)
     gateway_reload (self, FALSE);
   else if (is_drained (self))
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -44,7 +44,7 @@
   guint64 key; /**< hash of the id, the same at every instance */
   SvEndpointState state;
   KnlTime leaving_since;
-  gboolean listed; /**< in the fleet */
+  gboolean is_unlisted; /**< its entry is gone; it stays for the time that a leaving one serves */
 
   SvLoad own;
   SvLoad others;        /**< sum of `peers` */
@@ -83,6 +83,9 @@
 /** The entry is gone. */
 void sv_fleet_remove (SvFleet *fleet, const char *id);
 
+/** Drops endpoints whose entry has been gone for long. */
+void sv_fleet_sweep (SvFleet *fleet);
+
 /** A whole list follows by sv_fleet_update(), ended by sv_fleet_end_list(), which removes all
  * others. */
 void sv_fleet_begin_list (SvFleet *fleet);
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -40,5 +40,11 @@
 gboolean
 sv_router_place (const SvFleet *fleet, const SvDemand *demand, KnlTime now, SvPlacement *placement);
 
+/** Keeps its endpoints for as long as the placement is in use; undone by sv_placement_clear(). */
+void sv_placement_ref (const SvPlacement *placement);
+
+/** Lets go of its endpoints. */
+void sv_placement_clear (SvPlacement *placement);
+
 /** Enters the placement's reading in the endpoints, or with `sign` -1 takes it out again. */
 void sv_placement_note_reads (const SvPlacement *placement, KnlTime now, gint sign);
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -87,7 +87,7 @@
   sv_events_clear (&self->events);
   if (self->fields != NULL)
     g_string_free (self->fields, TRUE);
-  sv_endpoint_unref (self->placement.first);
+  sv_placement_clear (&self->placement);
   ht_message_free (self->failure);
   sv_config_unref (self->config);
   g_free (self);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -47,13 +47,6 @@
   g_free (self);
 }
 
-static void
-endpoint_release (gpointer data)
-{
-  ((SvEndpoint *)data)->listed = FALSE;
-  sv_endpoint_unref (data);
-}
-
 SvFleet *
 sv_fleet_new (KnlKernel *kernel, KnlTime leave_grace)
 {
@@ -61,7 +54,8 @@
 
   self->kernel = kernel;
   self->leave_grace = leave_grace;
-  self->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, endpoint_release);
+  self->by_id =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)sv_endpoint_unref);
   self->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
   self->services =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
@@ -117,7 +111,6 @@
   endpoint->key = XXH64 (entry->id, strlen (entry->id), 0);
   endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
   endpoint->pace = 1;
-  endpoint->listed = TRUE;
   if (service == NULL)
     {
       service = g_ptr_array_new ();
@@ -150,6 +143,7 @@
   g_free (endpoint->zone);
   endpoint->zone = g_strdup (entry->zone);
   endpoint->slots = entry->slots;
+  endpoint->is_unlisted = FALSE;
   if (!entry->draining)
     endpoint->state = SV_ENDPOINT_READY;
   else if (endpoint->state != SV_ENDPOINT_LEAVING)
@@ -178,8 +172,20 @@
       endpoint->state = SV_ENDPOINT_LEAVING;
       endpoint->leaving_since = now;
     }
-  if (sv_endpoint_is_gone (self, endpoint))
-    drop (self, endpoint);
+  endpoint->is_unlisted = TRUE;
+  sv_fleet_sweep (self);
+}
+
+void
+sv_fleet_sweep (SvFleet *self)
+{
+  for (guint i = self->all->len; i > 0; i--)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (self->all, i - 1);
+
+      if (endpoint->is_unlisted && sv_endpoint_is_gone (self, endpoint))
+        drop (self, endpoint);
+    }
 }
 
 void
--- a/serve/router.c
+++ b/serve/router.c
@@ -514,6 +514,28 @@
   return TRUE;
 }
 
+/*
+ * An endpoint may leave the fleet while a prompt that it reads a part of is
+ * still on its way or being read; its reading is taken out later, or its address
+ * is named to another endpoint. Without a reference that writes to freed memory.
+ */
+void
+sv_placement_ref (const SvPlacement *self)
+{
+  sv_endpoint_ref (self->first);
+  for (guint i = 0; i < self->n_helpers; i++)
+    sv_endpoint_ref (self->helpers[i]);
+}
+
+void
+sv_placement_clear (SvPlacement *self)
+{
+  sv_endpoint_unref (self->first);
+  for (guint i = 0; i < self->n_helpers; i++)
+    sv_endpoint_unref (self->helpers[i]);
+  *self = (SvPlacement){ 0 };
+}
+
 void
 sv_placement_note_reads (const SvPlacement *placement, KnlTime now, gint sign)
 {
--- a/serve/send.c
+++ b/serve/send.c
@@ -101,14 +101,13 @@
     .gap_objective = self->route->gap_objective,
     .excluded = self->excluded,
   };
-  SvEndpoint *before = self->placement.first;
+  SvPlacement before = self->placement;
   gboolean placed = sv_router_place (core->parts.fleet, &demand, now, &self->placement);
 
-  sv_endpoint_unref (before);
-  if (!placed)
-    return FALSE;
-  sv_endpoint_ref (self->placement.first);
-  return TRUE;
+  if (placed)
+    sv_placement_ref (&self->placement);
+  sv_placement_clear (&before);
+  return placed;
 }
 
 /* A caller that was refused comes back with less time than the route allows. */
--- a/tests/unit/sv_parts_test.c
+++ b/tests/unit/sv_parts_test.c
@@ -197,7 +197,10 @@
   CU_ASSERT_TRUE (sv_endpoint_last_resort (fleet, endpoint));
   knl_paused_clock_advance (clock, 1800 * KNL_MSEC);
   CU_ASSERT_FALSE (sv_endpoint_last_resort (fleet, endpoint));
+  sv_fleet_sweep (fleet);
+  CU_ASSERT_EQUAL (sv_fleet_all (fleet)->len, 0);
   list (fleet, "i-1", FALSE);
+  endpoint = g_ptr_array_index (sv_fleet_service (fleet, "s"), 0);
   CU_ASSERT_TRUE (sv_endpoint_usable (endpoint, knl_kernel_now (kernel)));
   list (fleet, "i-1", TRUE);
   CU_ASSERT_FALSE (sv_endpoint_usable (endpoint, knl_kernel_now (kernel)));
--- a/tests/unit/sv_router_test.c
+++ b/tests/unit/sv_router_test.c
@@ -199,6 +199,35 @@
   fixture_close (&fixture);
 }
 
+/*
+ * Symptom: processes end with signal 6, some seconds after an endpoint has gone.
+ * Sequence: a prompt is read in parts; one of the endpoints that read them leaves the list for
+ * good; the prompt is given up, and its reading is taken out. Cause: a placement kept only its
+ * first endpoint.
+ */
+static void
+test_endpoints_outlive_the_fleet (void)
+{
+  Fixture fixture;
+  SvPlacement placement;
+
+  fixture_open (&fixture, ENGINES);
+  placement = place_long (&fixture, 250000);
+  CU_ASSERT (placement.n_helpers > 0);
+  sv_placement_ref (&placement);
+  for (guint round = 0; round < 2; round++)
+    {
+      sv_fleet_begin_list (fixture.fleet);
+      sv_fleet_end_list (fixture.fleet);
+      knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
+    }
+  CU_ASSERT_EQUAL (sv_fleet_all (fixture.fleet)->len, 0);
+  sv_placement_note_reads (&placement, knl_kernel_now (fixture.kernel), -1);
+  sv_placement_clear (&placement);
+  CU_ASSERT_PTR_NULL (placement.first);
+  fixture_close (&fixture);
+}
+
 static void
 test_memory_is_spread (void)
 {
@@ -253,6 +282,7 @@
   { "short streams leave engines free", test_short_streams_leave_engines_free },
   { "long prompts avoid short streams", test_long_prompts_avoid_short_streams },
   { "rejected reading is taken out", test_rejected_reading_is_taken_out },
+  { "endpoints outlive the fleet", test_endpoints_outlive_the_fleet },
   { "memory is spread over engines", test_memory_is_spread },
   { "full places are told", test_full_places_are_told },
 };
