serve, gateway: requests that are left near the end of the grace are answered

Cause: what still waited or ran when the grace was nearly over ended with the process, without a word. Ruled out: a process that ended by itself alone (the other one that stopped then had no request left).

The new case hangs without the call.

--- a/gateway/main.c
+++ b/gateway/main.c
@@ -17,7 +17,9 @@
  * three times their time to live. */
 #define DRAIN_LEAST (6500 * KNL_MSEC)
 
-/* Left of the grace when the process ends at the latest. */
+/* Left of the grace when what has not ended is answered, and when the process ends at the latest.
+ */
+#define DRAIN_ANSWER (900 * KNL_MSEC)
 #define DRAIN_MARGIN (300 * KNL_MSEC)
 
 /* Longest answer taken whole from an endpoint or the store. */
@@ -43,6 +45,15 @@
   return since > DRAIN_LEAST && ht_server_n_busy (self->callers) == 0;
 }
 
+static void
+end_late_requests (Gateway *self)
+{
+  KnlTime since = knl_kernel_now (self->process.kernel) - self->drain_since;
+
+  if (since > self->boot->bounds.grace - DRAIN_ANSWER)
+    sv_core_end_all (self->core);
+}
+
 static void
 on_tick (gpointer data)
 {
@@ -52,8 +63,12 @@
   sv_fleet_sweep (self->fleet);
   if (self->drain_since == 0)
     gateway_reload (self, FALSE);
-  else if (is_drained (self))
-    stop (self);
+  else
+    {
+      end_late_requests (self);
+      if (is_drained (self))
+        stop (self);
+    }
   self->tick_timer = knl_timer_start (self->process.kernel, TICK, on_tick, self);
 }
 
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -88,6 +88,9 @@
 /** From now on long work is refused, so that what runs can end within the grace. */
 void sv_core_drain (SvCore *core);
 
+/** The process is about to end: every request that has not ended gets an answer now. */
+void sv_core_end_all (SvCore *core);
+
 /** Whether callers can be served: there is a configuration, recent enough, and no drain. */
 gboolean sv_core_is_ready (const SvCore *core);
 
--- a/serve/core.c
+++ b/serve/core.c
@@ -16,8 +16,9 @@
   return self;
 }
 
+/* Ends each request by `end`, which takes it out of the table. */
 static void
-drop_requests (SvCore *self)
+end_each (SvCore *self, void (*end) (SvRequest *request))
 {
   GHashTableIter iter;
   gpointer request;
@@ -27,7 +28,7 @@
       g_hash_table_iter_init (&iter, self->requests);
       if (!g_hash_table_iter_next (&iter, &request, NULL))
         return;
-      sv_request_gone (request);
+      end (request);
     }
 }
 
@@ -36,7 +37,7 @@
 {
   if (self == NULL)
     return;
-  drop_requests (self);
+  end_each (self, sv_request_gone);
   sv_meters_free (self->meters);
   sv_suspects_free (self->suspects);
   g_hash_table_unref (self->budgets);
@@ -119,6 +120,17 @@
     self->drain_since = knl_kernel_now (self->parts.kernel);
 }
 
+/*
+ * A prompt that waits for its turn, or runs longer than the grace, would find its
+ * connection closed without a word when the process ends, and its caller could
+ * not tell whether it ran.
+ */
+void
+sv_core_end_all (SvCore *self)
+{
+  end_each (self, sv_request_stop);
+}
+
 gboolean
 sv_core_is_ready (const SvCore *self)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -138,6 +138,9 @@
 /** The caller has left. */
 void sv_request_gone (SvRequest *self);
 
+/** The process ends before the request. */
+void sv_request_stop (SvRequest *self);
+
 /* core.c */
 
 SvBudget *sv_core_budget (SvCore *core, const char *service);
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -151,6 +151,15 @@
   request_free (self);
 }
 
+void
+sv_request_stop (SvRequest *self)
+{
+  if (self->runs == 0 && self->exchange == NULL)
+    sv_request_refuse (self, 503, "stopped");
+  else
+    sv_request_fail (self, 504, "stopped");
+}
+
 void
 sv_request_pass (SvRequest *self, const HtMessage *answer)
 {
--- a/tests/unit/sv_core_test.c
+++ b/tests/unit/sv_core_test.c
@@ -426,6 +426,29 @@
   sv_fixture_close (&fixture);
 }
 
+/*
+ * Symptom: connections end without an answer when an instance is stopped.
+ * Sequence: a request still runs, or waits for its turn, when the grace is nearly over.
+ * Cause: the process ended without a word to it.
+ */
+static void
+test_stopped_requests_are_answered (void)
+{
+  static const ScriptedAnswer silent = { NULL, FALSE };
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  sv_fixture_add_endpoint (&fixture, &silent, 1);
+  sv_fixture_ask (&fixture, "/once/1");
+  sv_fixture_wait_requests (&fixture, 0, 1);
+  sv_core_end_all (fixture.core);
+  CU_ASSERT_EQUAL (sv_core_n_requests (fixture.core), 0);
+  sv_fixture_wait_for (&fixture, "\r\n\r\n");
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "HTTP/1.1 504"));
+  sv_fixture_close (&fixture);
+}
+
 static void
 test_rejections_do_not_stick (void)
 {
@@ -459,6 +482,7 @@
   { "a silent endpoint is left", test_silent_endpoint_is_left },
   { "left-over bytes", test_left_over_bytes },
   { "stopping", test_stopping },
+  { "stopped requests are answered", test_stopped_requests_are_answered },
   { "rejections do not stick", test_rejections_do_not_stick },
 };
 
