--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -59,7 +59,6 @@
   guint errors;            /**< in a row: answers that report a failure */
   KnlTime suspended_until; /**< no request before, but where nothing else is left */
   double failure_rate;     /**< of answers, moving average */
-  double pace;             /**< time taken against time expected, moving average; 1: as expected */
 } SvEndpoint;
 
 /** What the platform's list says of an endpoint. */
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -110,7 +110,6 @@
   endpoint->address = g_strdup (entry->address);
   endpoint->key = XXH64 (entry->id, strlen (entry->id), 0);
   endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
-  endpoint->pace = 1;
   if (service == NULL)
     {
       service = g_ptr_array_new ();
