--- a/common/retry.c
+++ b/common/retry.c
@@ -22,37 +22,3 @@
 {
   backoff->retries = 0;
 }
-
-void
-cm_retry_budget_init (CmRetryBudget *budget, KnlKernel *kernel)
-{
-  budget->kernel = kernel;
-  budget->tokens = budget->capacity;
-  budget->filled_at = knl_kernel_now (kernel);
-}
-
-static void
-retry_budget_fill (CmRetryBudget *budget)
-{
-  KnlTime now = knl_kernel_now (budget->kernel);
-  double seconds = (double)(now - budget->filled_at) / (double)KNL_SEC;
-
-  budget->tokens = MIN (budget->capacity, budget->tokens + seconds * budget->per_second);
-  budget->filled_at = now;
-}
-
-void
-cm_retry_budget_earn (CmRetryBudget *budget)
-{
-  budget->tokens = MIN (budget->capacity, budget->tokens + budget->per_attempt);
-}
-
-gboolean
-cm_retry_budget_spend (CmRetryBudget *budget)
-{
-  retry_budget_fill (budget);
-  if (budget->tokens < 1)
-    return FALSE;
-  budget->tokens -= 1;
-  return TRUE;
-}
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -127,7 +127,7 @@
 
   told.accepted = self->accepted;
   stop_work (self);
-  if (loss->kind == EN_LOSS_NOT_RUN || loss->kind == EN_LOSS_FAILED)
+  if (loss->kind == POL_LOSS_NOT_RUN || loss->kind == POL_LOSS_FAILED)
     return_charge (self);
   else
     cancel_at_engine (self);
@@ -137,7 +137,7 @@
 static void
 lose_unknown (EnAttempt *self, gboolean crashed, const char *detail)
 {
-  EnLoss loss = { .kind = EN_LOSS_UNKNOWN, .crashed = crashed, .detail = detail };
+  EnLoss loss = { .kind = POL_LOSS_UNKNOWN, .crashed = crashed, .detail = detail };
 
   lose (self, &loss);
 }
@@ -183,7 +183,7 @@
   cm_invariant (offset == self->replay.tokens, "a stream's offsets are consecutive");
   if (!en_replay_take (&self->replay, self->progress, count, text, &fresh, &fresh_count))
     {
-      EnLoss loss = { .kind = EN_LOSS_MISMATCH, .detail = "another engine's answer differs" };
+      EnLoss loss = { .kind = POL_LOSS_MISMATCH, .detail = "another engine's answer differs" };
 
       lose (self, &loss);
     }
@@ -203,7 +203,7 @@
     self->events->on_end (self, count, finish, self->data);
   else if (count != self->progress->tokens)
     {
-      EnLoss loss = { .kind = EN_LOSS_MISMATCH, .detail = "the answer ended too soon" };
+      EnLoss loss = { .kind = POL_LOSS_MISMATCH, .detail = "the answer ended too soon" };
 
       lose (self, &loss);
     }
@@ -330,12 +330,12 @@
     self->sent = TRUE;
   if (failure->kind == EP_FAILED)
     {
-      loss.kind = EN_LOSS_FAILED;
+      loss.kind = POL_LOSS_FAILED;
       lose (self, &loss);
     }
   else if (first && (failure->kind == EP_NOT_SENT || failure->kind == EP_REFUSED))
     {
-      loss.kind = EN_LOSS_NOT_RUN;
+      loss.kind = POL_LOSS_NOT_RUN;
       loss.refused = failure->kind == EP_REFUSED;
       lose (self, &loss);
     }
--- a/entry/control.c
+++ b/entry/control.c
@@ -417,6 +417,18 @@
   en_core_wake_queue (core);
 }
 
+static void
+take_suspects (EnCore *core, const Alderturn__SuspectUpdate *update)
+{
+  for (size_t i = 0; i < update->n_entries; i++)
+    {
+      const Alderturn__SuspectEntry *entry = update->entries[i];
+
+      pol_suspects_note_total (core->suspects, entry->fingerprint, entry->crashes,
+                               entry->quarantined, (KnlTime)entry->ttl_ms * KNL_MSEC);
+    }
+}
+
 static void
 on_frame (const Alderturn__Frame *frame, gpointer data)
 {
@@ -441,7 +453,7 @@
       en_records_take_finished (core->records, frame->idem_finish_reply);
       break;
     case ALDERTURN__FRAME__BODY_SUSPECT_UPDATE:
-      en_suspects_apply (core->suspects, frame->suspect_update);
+      take_suspects (core, frame->suspect_update);
       en_core_wake_queue (core);
       break;
     case ALDERTURN__FRAME__BODY_SHARE_UPDATE:
--- a/entry/core.c
+++ b/entry/core.c
@@ -24,6 +24,10 @@
   core->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
+/* Controllers count the same way and tell their totals; after an hour without a word the count
+ * made here is old. */
+static const PolSuspectRule suspect_rule = { .refuse_at = 2, .life = 3600 * KNL_SEC };
+
 static void
 make_parts (EnCore *core)
 {
@@ -38,7 +42,7 @@
   core->queue = en_queue_new (core->shares);
   core->estimates = en_estimates_new (core->kernel, core->queue);
   core->records = en_records_new (core->kernel, core->uplink);
-  core->suspects = en_suspects_new (core->kernel);
+  core->suspects = pol_suspects_new (core->kernel, &suspect_rule);
   core->history = en_history_new (HISTORY_LIMIT);
   core->meters = en_meters_new ();
   core->host = (EnAttemptHost){
@@ -108,7 +112,7 @@
   knl_timer_stop (core->kernel, &core->drain_timer);
   drop_requests (core);
   en_records_free (core->records);
-  en_suspects_free (core->suspects);
+  pol_suspects_free (core->suspects);
   en_router_free (core->router);
   en_estimates_free (core->estimates);
   en_queue_free (core->queue);
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -16,7 +16,8 @@
 #include "entry/retry.h"
 #include "entry/router.h"
 #include "entry/shares.h"
-#include "entry/suspects.h"
+#include "policy/budget.h"
+#include "policy/suspects.h"
 
 typedef enum
 {
@@ -44,7 +45,7 @@
   EnQueue *queue;
   EnEstimates *estimates;
   EnRecords *records;
-  EnSuspects *suspects;
+  PolSuspects *suspects;
   EnHistory *history;
   EnMeters *meters;
   EnAttemptHost host;
@@ -52,7 +53,7 @@
   GHashTable *requests;    /* number -> EnRequest */
   GHashTable *tokens;      /* workspace token -> workspace name */
   GHashTable *in_flight;   /* workspace name -> count */
-  GHashTable *budgets;     /* service name -> CmRetryBudget */
+  GHashTable *budgets;     /* service name -> PolBudget */
   GHashTable *polls;       /* endpoint name -> Poll */
   GHashTable *cache_polls; /* endpoint name -> CachePoll */
   guint next_cache_poll;
@@ -102,6 +103,12 @@
                             const char *imports);
 
 /** The attempt, or what prepared it, was lost: it is tried again or ends. */
+/** Whether the decision allows another attempt; a budgeted one is taken from the budget. */
+gboolean en_core_may_retry (EnCore *core, const EnRequest *request, PolRetry decision);
+
+/** Of each service, all retries of this entry together. */
+extern const PolBudgetRule en_retry_budget;
+
 void en_core_take_loss (EnCore *core, EnRequest *request, const EnLoss *loss);
 
 /** Tells the estimates whether something waits in the request's lane. */
--- a/entry/crash.c
+++ b/entry/crash.c
@@ -60,7 +60,7 @@
       EnRequest *request =
           g_hash_table_lookup (core->requests, &g_array_index (numbers, guint64, i));
 
-      en_suspects_crashed (core->suspects, request->fingerprint);
+      pol_suspects_note_crash (core->suspects, request->fingerprint);
       g_array_append_val (fingerprints, request->fingerprint);
     }
   cm_log (CM_LOG_WARNING, "engine-crashed", "s", "endpoint", endpoint->name, "i", "in_flight",
@@ -96,15 +96,15 @@
 gboolean
 en_core_refuse_quarantined (EnCore *core, EnRequest *request)
 {
-  EnSuspicion suspicion = en_suspects_check (core->suspects, request->fingerprint);
+  PolSuspicion suspicion = pol_suspects_check (core->suspects, request->fingerprint);
   EnError error = {
     .code = EN_ERROR_QUARANTINED,
     .outcome = en_core_outcome_if_ended (request),
     .message = "endpoints that ran this request died",
   };
 
-  request->need.alone = suspicion == EN_SUSPICION_ALONE;
-  if (suspicion != EN_SUSPICION_QUARANTINED)
+  request->need.alone = suspicion == POL_SUSPICION_ALONE;
+  if (suspicion != POL_SUSPICION_REFUSED)
     return FALSE;
   en_core_end_error (core, request, &error);
   return TRUE;
--- a/entry/engine.c
+++ b/entry/engine.c
@@ -164,7 +164,7 @@
   request->may_have_run = TRUE;
   en_core_release_engine (core, request);
   if (request->need.alone)
-    en_suspects_survived (core->suspects, request->fingerprint);
+    pol_suspects_note_survived (core->suspects, request->fingerprint);
   if (request->caller != NULL && request->last_token_at == 0)
     request->caller->klass->begin (request->caller, request->id);
   cm_series_add (cm_metric_series (core->meters->tokens, request->workspace, "answer", NULL),
@@ -173,10 +173,10 @@
 }
 
 static const char *const loss_names[] = {
-  [EN_LOSS_NOT_RUN] = "not-run",
-  [EN_LOSS_FAILED] = "failed",
-  [EN_LOSS_UNKNOWN] = "unknown",
-  [EN_LOSS_MISMATCH] = "mismatch",
+  [POL_LOSS_NOT_RUN] = "not-run",
+  [POL_LOSS_FAILED] = "failed",
+  [POL_LOSS_UNKNOWN] = "unknown",
+  [POL_LOSS_MISMATCH] = "mismatch",
 };
 
 static void
@@ -194,7 +194,7 @@
   if (loss->leaving)
     en_endpoint_leaves (endpoint, now);
   en_endpoint_failed (endpoint, now);
-  if (loss->kind == EN_LOSS_UNKNOWN || (loss->kind == EN_LOSS_NOT_RUN && !loss->refused))
+  if (loss->kind == POL_LOSS_UNKNOWN || (loss->kind == POL_LOSS_NOT_RUN && !loss->refused))
     en_endpoint_lost (endpoint);
 }
 
@@ -207,26 +207,28 @@
   en_core_enqueue (request->core, request);
 }
 
-static gboolean
-budget_allows (EnCore *core, const EnRequest *request)
+gboolean
+en_core_may_retry (EnCore *core, const EnRequest *request, PolRetry decision)
 {
-  CmRetryBudget *budget = g_hash_table_lookup (core->budgets, request->service);
+  PolBudget *budget = g_hash_table_lookup (core->budgets, request->service);
 
-  return budget != NULL && cm_retry_budget_spend (budget);
+  if (decision != POL_RETRY_BUDGET)
+    return decision == POL_RETRY_FREE;
+  return budget != NULL
+         && pol_budget_spend (budget, &en_retry_budget, 1, knl_kernel_now (core->kernel));
 }
 
 static void
-retry_or_end (EnCore *core, EnRequest *request, const EnRetryCase *retry, const char *detail)
+retry_or_end (EnCore *core, EnRequest *request, const PolRetryCase *retry, const char *detail)
 {
-  EnRetry decision = en_retry_decide (retry);
+  PolRetry decision = pol_retry_decide (&en_retry_rule, retry);
   CmBackoff backoff = { .first = RETRY_FIRST, .limit = RETRY_LIMIT, .retries = request->attempts };
   gboolean again;
   EnError error;
 
   if (en_core_refuse_quarantined (core, request))
     return;
-  again =
-      decision == EN_RETRY_FREE || (decision == EN_RETRY_BUDGET && budget_allows (core, request));
+  again = en_core_may_retry (core, request, decision);
   cm_series_add (
       cm_metric_series (core->meters->retries, request->service, again ? "made" : "refused", NULL),
       1);
@@ -244,14 +246,14 @@
 take_loss (EnCore *core, EnRequest *request, const EnLoss *loss, gboolean attempt_ended)
 {
   EnEndpoint *endpoint = en_fleet_find (core->fleet, request->endpoint);
-  EnRetryCase retry = {
+  PolRetryCase retry = {
     .kind = loss->kind,
     .accepted = loss->accepted,
     .non_idempotent = request->non_idempotent,
     .attempts = request->attempts,
   };
 
-  if (loss->kind != EN_LOSS_NOT_RUN && loss->accepted)
+  if (loss->kind != POL_LOSS_NOT_RUN && loss->accepted)
     request->costly++;
   retry.costly = request->costly;
   if (loss->crashed && endpoint != NULL)
@@ -260,7 +262,7 @@
   if (attempt_ended)
     request->attempt = NULL;
   en_core_release_engine (core, request);
-  if (loss->kind != EN_LOSS_NOT_RUN)
+  if (loss->kind != POL_LOSS_NOT_RUN)
     request->may_have_run = TRUE;
   retry.may_have_run = request->may_have_run;
   retry_or_end (core, request, &retry, loss->detail);
--- a/entry/fleet.c
+++ b/entry/fleet.c
@@ -6,8 +6,9 @@
 #include "common/log.h"
 #include "controller/placement.h"
 
-#define AVOID_FIRST (200 * KNL_MSEC)
-#define AVOID_LIMIT (5 * KNL_SEC)
+/* A failure may be the request's own; a few seconds are short against an operator's time to look.
+ */
+static const PolHealthRule health_rule = { .first = 200 * KNL_MSEC, .limit = 5 * KNL_SEC };
 
 /*
  * An engine that left may be back under the same name. Its word is asked for
@@ -405,7 +406,7 @@
 en_endpoint_usable (const EnEndpoint *endpoint, KnlTime now)
 {
   if (endpoint->gone || endpoint->drained || endpoint->unproven || endpoint->other_subset
-      || now < endpoint->leaving_until || now < endpoint->avoid_until)
+      || now < endpoint->leaving_until || pol_health_is_suspended (&endpoint->health, now))
     return FALSE;
   return endpoint->state == ALDERTURN__MEMBER_STATE__MEMBER_STATE_LIVE
          || endpoint->state == ALDERTURN__MEMBER_STATE__MEMBER_STATE_SUSPECT;
@@ -426,18 +427,14 @@
 void
 en_endpoint_failed (EnEndpoint *endpoint, KnlTime now)
 {
-  guint doublings = MIN (endpoint->failures, 10);
-
-  endpoint->failures++;
-  endpoint->avoid_until = now + MIN (AVOID_FIRST << doublings, AVOID_LIMIT);
+  pol_health_note_loss (&endpoint->health, &health_rule, now);
 }
 
 void
 en_endpoint_worked (EnEndpoint *endpoint)
 {
-  endpoint->failures = 0;
+  pol_health_note_success (&endpoint->health);
   endpoint->unproven = FALSE;
-  endpoint->avoid_until = 0;
 }
 
 EnCharge *
--- a/entry/plain.c
+++ b/entry/plain.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "entry/core_internal.h"
+#include "policy/plain.h"
 
 #define CONNECT_LIMIT (1 * KNL_SEC)
 #define ANSWER_BOUND  ((gsize)16 * 1024 * 1024)
@@ -15,17 +16,17 @@
 
 static void start_call (EnCore *core, EnRequest *request);
 
-static gboolean
-is_better (const EnCore *core, const EnEndpoint *a, const EnEndpoint *b)
+static double
+cost_of (const EnCore *core, const EnEndpoint *endpoint)
 {
-  gboolean a_near = g_strcmp0 (a->zone, core->zone) == 0;
-  gboolean b_near = g_strcmp0 (b->zone, core->zone) == 0;
-
-  if (a->failures != b->failures)
-    return a->failures < b->failures;
-  if (a->used_slots != b->used_slots)
-    return a->used_slots < b->used_slots;
-  return a_near && !b_near;
+  PolPlainCandidate candidate = {
+    .calls = endpoint->used_slots,
+    .slots = endpoint->capacity_slots,
+    .is_far = g_strcmp0 (endpoint->zone, core->zone) != 0,
+    .health = &endpoint->health,
+  };
+
+  return pol_plain_cost (&candidate);
 }
 
 static EnEndpoint *
@@ -34,16 +35,21 @@
   const GPtrArray *endpoints = en_fleet_endpoints (core->fleet);
   KnlTime now = knl_kernel_now (core->kernel);
   EnEndpoint *best = NULL;
+  double least = G_MAXDOUBLE;
 
   for (guint i = 0; i < endpoints->len; i++)
     {
       EnEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      double cost;
 
       if (endpoint->kind != ALDERTURN__MEMBER_KIND__MEMBER_KIND_SERVICE
           || strcmp (endpoint->label, request->label) != 0 || !en_endpoint_usable (endpoint, now))
         continue;
-      if (best == NULL || is_better (core, endpoint, best))
-        best = endpoint;
+      cost = cost_of (core, endpoint);
+      if (cost >= least)
+        continue;
+      least = cost;
+      best = endpoint;
     }
   return best;
 }
@@ -63,39 +69,38 @@
   request->retry_timer = knl_timer_start (core->kernel, delay, on_retry_due, request);
 }
 
-static EnLossKind
+static PolLoss
 loss_of (const EpFailure *failure)
 {
-  return failure->kind == EP_NOT_SENT || failure->kind == EP_REFUSED ? EN_LOSS_NOT_RUN
-                                                                     : EN_LOSS_UNKNOWN;
+  return failure->kind == EP_NOT_SENT || failure->kind == EP_REFUSED ? POL_LOSS_NOT_RUN
+                                                                     : POL_LOSS_UNKNOWN;
 }
 
 static void
 take_failure (EnCore *core, EnRequest *request, const EpFailure *failure)
 {
   EnEndpoint *endpoint = en_fleet_find (core->fleet, request->endpoint);
-  CmRetryBudget *budget = g_hash_table_lookup (core->budgets, request->service);
   CmBackoff backoff = { .first = RETRY_FIRST, .limit = RETRY_LIMIT, .retries = request->attempts };
-  EnRetryCase retry = {
+  PolRetryCase retry = {
     .kind = loss_of (failure),
     .accepted = TRUE,
     .non_idempotent = request->non_idempotent,
     .attempts = request->attempts,
   };
-  EnRetry decision;
+  PolRetry decision;
   EnError error;
 
   en_request_note (request, knl_kernel_now (core->kernel), "lost", "%s: %s", request->endpoint,
                    failure->detail);
   if (endpoint != NULL)
     en_endpoint_failed (endpoint, knl_kernel_now (core->kernel));
-  if (retry.kind != EN_LOSS_NOT_RUN)
+  if (retry.kind != POL_LOSS_NOT_RUN)
     request->costly++;
   retry.costly = request->costly;
-  request->may_have_run = request->may_have_run || retry.kind != EN_LOSS_NOT_RUN;
+  request->may_have_run = request->may_have_run || retry.kind != POL_LOSS_NOT_RUN;
   retry.may_have_run = request->may_have_run;
-  decision = en_retry_decide (&retry);
-  if (decision == EN_RETRY_FREE || (decision == EN_RETRY_BUDGET && cm_retry_budget_spend (budget)))
+  decision = pol_retry_decide (&en_retry_rule, &retry);
+  if (en_core_may_retry (core, request, decision))
     {
       retry_later (core, request, cm_backoff_next (&backoff, core->kernel));
       return;
--- a/entry/reserve.c
+++ b/entry/reserve.c
@@ -54,7 +54,7 @@
   EnRequest *request = data;
   EnCore *core = request->core;
   EnEndpoint *endpoint = en_fleet_find (core->fleet, last_endpoint);
-  EnLoss gone = { .kind = EN_LOSS_UNKNOWN, .detail = "the last engine is gone" };
+  EnLoss gone = { .kind = POL_LOSS_UNKNOWN, .detail = "the last engine is gone" };
 
   if (imports != NULL)
     en_request_note (request, knl_kernel_now (core->kernel), "parts-held", "%s", imports);
--- a/entry/router.c
+++ b/entry/router.c
@@ -115,7 +115,7 @@
 en_route_estimate (const EnRoute *route, const EnEndpoint *endpoint)
 {
   guint64 own = route->need.prefill - en_route_cached_tokens (route, endpoint);
-  KnlTime cost = (KnlTime)endpoint->failures * FAILURE_COST;
+  KnlTime cost = (KnlTime)endpoint->health.losses * FAILURE_COST;
 
   if (g_strcmp0 (endpoint->zone, route->zone) != 0)
     cost += OTHER_ZONE_COST;
--- a/entry/submit.c
+++ b/entry/submit.c
@@ -18,10 +18,11 @@
 #define SERVICE_TIME_PART 0.5
 #define WAIT_MARGIN       1.25
 
-/* Retries of a service: a tenth of its load, and some for a quiet one. */
-#define BUDGET_PER_ATTEMPT 0.1
-#define BUDGET_PER_SECOND  2.0
-#define BUDGET_CAPACITY    50.0
+/* Retries of a service at one entry: a tenth of its load, and some for a quiet one. */
+const PolBudgetRule en_retry_budget = { .ratio = 0.1,
+                                        .slack = 20,
+                                        .window = 10 * KNL_SEC,
+                                        .used_part = 1 };
 
 /* Prefix blocks looked up in engines' caches: the first million tokens. */
 #define BLOCKS_MOST 256
@@ -308,20 +309,16 @@
 }
 
 static void
-earn_retry (EnCore *core, const char *service)
+note_in_budget (EnCore *core, const char *service)
 {
-  CmRetryBudget *budget = g_hash_table_lookup (core->budgets, service);
+  PolBudget *budget = g_hash_table_lookup (core->budgets, service);
 
   if (budget == NULL)
     {
-      budget = g_new0 (CmRetryBudget, 1);
-      budget->per_attempt = BUDGET_PER_ATTEMPT;
-      budget->per_second = BUDGET_PER_SECOND;
-      budget->capacity = BUDGET_CAPACITY;
-      cm_retry_budget_init (budget, core->kernel);
+      budget = g_new0 (PolBudget, 1);
       g_hash_table_insert (core->budgets, g_strdup (service), budget);
     }
-  cm_retry_budget_earn (budget);
+  pol_budget_note_request (budget, &en_retry_budget, knl_kernel_now (core->kernel));
 }
 
 static void
@@ -337,7 +334,7 @@
   en_request_note (request, request->received_at, "admitted", "%" G_GUINT64_FORMAT " tokens, %s",
                    request->need.prefill, request->need.is_long ? "long" : "short");
   cm_series_set (core->meters->in_flight, g_hash_table_size (core->requests));
-  earn_retry (core, request->service);
+  note_in_budget (core, request->service);
   en_core_set_limit (core, request, request->deadline);
 }
 
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -11,7 +11,12 @@
 #define CONFIG_WAIT          (1200 * KNL_MSEC)
 #define CONFIG_WAIT_PER_PEER (10 * KNL_MSEC)
 #define CONFIG_WAIT_MOST     (2500 * KNL_MSEC)
-#define ENDPOINTS_WAIT       (8 * KNL_SEC)
+
+/* Of the read calls that all instances together may make, what the configuration's feeds use. More
+ * would be refused, to all of them, just when lists must be read anew. */
+#define CONFIG_READS_PART 0.5
+
+#define ENDPOINTS_WAIT (8 * KNL_SEC)
 
 static void
 ignore (gpointer data)
@@ -37,14 +42,22 @@
   sv_config_unref (config);
 }
 
+static KnlTime
+config_wait (const Gateway *self)
+{
+  guint instances = sv_peers_n_alive (self->peers) + 1;
+  double rate = CONFIG_READS_PART * MAX (self->boot->store_reads, 1);
+  KnlTime least = (KnlTime)((double)instances / rate * (double)KNL_SEC);
+
+  return MIN (MAX (CONFIG_WAIT + instances * CONFIG_WAIT_PER_PEER, least), CONFIG_WAIT_MOST);
+}
+
 static void
 on_config_confirmed (KnlTime at, gpointer data)
 {
   Gateway *self = data;
 
-  KnlTime wait = CONFIG_WAIT + sv_peers_n_alive (self->peers) * CONFIG_WAIT_PER_PEER;
-
-  pl_feed_set_wait (self->config_feed, MIN (wait, CONFIG_WAIT_MOST));
+  pl_feed_set_wait (self->config_feed, config_wait (self));
   sv_core_confirm (self->core, at);
   sv_peers_set_ready (self->peers, sv_core_is_ready (self->core));
 }
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -113,7 +113,7 @@
 static gboolean
 open_peers (Gateway *self, guint64 incarnation)
 {
-  self->fleet = sv_fleet_new (self->process.kernel, self->boot->leave_grace);
+  self->fleet = sv_fleet_new (self->process.kernel, sv_bounds_leave_grace (&self->boot->bounds));
   self->member = (SvMember){
     .name = self->boot->name,
     .incarnation = incarnation,
--- a/include/common/retry.h
+++ b/include/common/retry.h
@@ -1,8 +1,7 @@
 #pragma once
 
 /**
- * Retries: exponential backoff with jitter, and a budget that keeps retries a
- * bounded part of the load.
+ * Exponential backoff with jitter.
  */
 
 #include "kernel/kernel.h"
@@ -20,31 +19,3 @@
 
 /** After a success: the next delay is the first one again. */
 void cm_backoff_reset (CmBackoff *backoff);
-
-/**
- * A token bucket for retries. Each first attempt earns `per_attempt` tokens and
- * each second `per_second`; a retry spends one.
- *
- * Without it, retries of a fault that hits every request multiply the load by
- * the number of attempts and keep an overloaded fleet overloaded; one would see
- * more calls at the endpoints than requests at the entries.
- */
-typedef struct
-{
-  double per_attempt; /**< such as 0.1: a tenth of the load may be retries */
-  double per_second;  /**< so that a quiet program may retry too */
-  double capacity;    /**< tokens at most; it starts full */
-
-  KnlKernel *kernel;
-  double tokens;
-  KnlTime filled_at;
-} CmRetryBudget;
-
-/** Fills the bucket; the first three fields have been set. */
-void cm_retry_budget_init (CmRetryBudget *budget, KnlKernel *kernel);
-
-/** Tells of a first attempt. */
-void cm_retry_budget_earn (CmRetryBudget *budget);
-
-/** Takes a token for a retry; FALSE when there is none and the retry must not be made. */
-gboolean cm_retry_budget_spend (CmRetryBudget *budget);
--- a/include/entry/attempt.h
+++ b/include/entry/attempt.h
@@ -10,20 +10,13 @@
 
 #include "entry/cancels.h"
 #include "entry/progress.h"
+#include "policy/retry.h"
 
 typedef struct EnAttempt EnAttempt;
 
-typedef enum
-{
-  EN_LOSS_NOT_RUN,  /**< proven: no part of it ran */
-  EN_LOSS_FAILED,   /**< the engine ran it and said that it failed */
-  EN_LOSS_UNKNOWN,  /**< it may have run, in part or whole */
-  EN_LOSS_MISMATCH, /**< this engine says something else than the caller already has */
-} EnLossKind;
-
 typedef struct
 {
-  EnLossKind kind;
+  PolLoss kind;
   gboolean refused;  /**< by the engine's own word */
   gboolean leaving;  /**< the engine takes no new work */
   gboolean accepted; /**< the engine had taken it */
--- a/include/entry/fleet.h
+++ b/include/entry/fleet.h
@@ -10,6 +10,7 @@
 
 #include "coord/config.h"
 #include "entry/error.h"
+#include "policy/health.h"
 #include "wire/alderturn.pb-c.h"
 
 /** What lengths of prompts an engine is for, as placement has it. */
@@ -71,12 +72,11 @@
   guint64 recent_tokens;   /**< dispatched by us after `load.at` */
   double prefill_rate;     /**< tokens a second; 0: not known */
   guint crash_reported;    /**< epochs up to it, exclusively, have had their crash reported */
-  guint failures;          /**< in a row */
-  KnlTime avoid_until;
-  gboolean unproven;    /**< an engine that was lost and has not answered since */
-  guint64 held_for;     /**< number of the request that it is kept free for; 0: none */
-  gboolean exclusive;   /**< runs a suspect alone */
-  GHashTable *prefixes; /**< set of prefix block hashes that its cache should hold */
+  PolHealth health;        /**< by our own requests there */
+  gboolean unproven;       /**< an engine that was lost and has not answered since */
+  guint64 held_for;        /**< number of the request that it is kept free for; 0: none */
+  gboolean exclusive;      /**< runs a suspect alone */
+  GHashTable *prefixes;    /**< set of prefix block hashes that its cache should hold */
   guint64 cache_sequence;
 } EnEndpoint;
 
--- a/include/entry/retry.h
+++ b/include/entry/retry.h
@@ -1,29 +1,11 @@
 #pragma once
 
-/** Whether a request whose attempt was lost is tried again, or how it ends. */
+/** What entries bound of the attempts of a request, and how it ends when it is not tried again. */
 
-#include "entry/attempt.h"
 #include "entry/error.h"
+#include "policy/retry.h"
 
-/** What is known when an attempt has been lost. */
-typedef struct
-{
-  EnLossKind kind;
-  gboolean accepted; /**< the endpoint had taken it, and may have spent time on it */
-  gboolean non_idempotent;
-  gboolean may_have_run; /**< by this attempt or an earlier one */
-  guint attempts;        /**< made so far */
-  guint costly; /**< of them those that may have cost an endpoint's time, this one included */
-} EnRetryCase;
-
-typedef enum
-{
-  EN_RETRY_FREE,   /**< again: the attempt cost the endpoint nothing */
-  EN_RETRY_BUDGET, /**< again, if the service's retry budget allows */
-  EN_RETRY_NEVER,
-} EnRetry;
-
-EnRetry en_retry_decide (const EnRetryCase *retry);
+extern const PolRetryRule en_retry_rule;
 
 /** The error that the request ends with when it is not tried again. */
-EnError en_retry_error (const EnRetryCase *retry, const char *detail);
+EnError en_retry_error (const PolRetryCase *retry, const char *detail);
--- a/include/platform/boot.h
+++ b/include/platform/boot.h
@@ -18,10 +18,9 @@
   char *link_address;      /**< datagrams of the other instances */
   char *metrics_address;
   char *store_address;
-  guint max_files;     /**< descriptors that the process may open */
   guint store_reads;   /**< read calls a second that all instances together may make */
+  guint max_files;     /**< descriptors that the process may open */
   guint answer_keep_s; /**< longest time for which callers keep an answer of the directory */
-  KnlTime leave_grace; /**< how long a leaving endpoint may still be sent requests */
   SvBounds bounds;
 } PlBoot;
 
--- a/include/serve/budget.h
+++ b/include/policy/budget.h
@@ -12,24 +12,30 @@
 #include "kernel/kernel.h"
 
 /** The window in slices; a slice's counts leave it together. */
-#define SV_BUDGET_SLICES 20
+#define POL_BUDGET_SLICES 20
 
 typedef struct
 {
   double ratio;   /**< retries for each request of callers in the window */
   double slack;   /**< retries beyond that in the window, all instances together */
   KnlTime window; /**< any span of this length counts */
-} SvBudgetRule;
+  /**
+   * Of this instance's share, what is used. Windows of the bound slide and those here move by
+   * slices; requests that left just before may arrive within the next window.
+   */
+  double used_part;
+} PolBudgetRule;
 
 typedef struct
 {
-  guint32 requests[SV_BUDGET_SLICES];
-  guint32 retries[SV_BUDGET_SLICES];
+  guint32 requests[POL_BUDGET_SLICES];
+  guint32 retries[POL_BUDGET_SLICES];
   gint64 slice; /**< number of the newest */
-} SvBudget;
+} PolBudget;
 
 /** A caller's request for the service has come. */
-void sv_budget_note_request (SvBudget *budget, const SvBudgetRule *rule, KnlTime now);
+void pol_budget_note_request (PolBudget *budget, const PolBudgetRule *rule, KnlTime now);
 
 /** Takes a retry; FALSE: there is none left for this instance, one of `instances`. */
-gboolean sv_budget_spend (SvBudget *budget, const SvBudgetRule *rule, guint instances, KnlTime now);
+gboolean
+pol_budget_spend (PolBudget *budget, const PolBudgetRule *rule, guint instances, KnlTime now);
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -9,7 +9,7 @@
 #include "common/metrics.h"
 #include "http/client.h"
 #include "http/server.h"
-#include "serve/budget.h"
+#include "serve/bounds.h"
 #include "serve/config.h"
 #include "serve/dialect.h"
 #include "serve/fleet.h"
@@ -36,18 +36,6 @@
   const SvPeerLinkClass *klass;
 };
 
-/** Bounds that the deployment states. */
-typedef struct
-{
-  KnlTime key_confirmation;   /**< callers' keys are trusted for so long after a confirmation; 0:
-                                 always */
-  KnlTime route_confirmation; /**< the same for what the configuration lacks */
-  KnlTime stall;              /**< an endpoint's work that depends on a dead one ends after this */
-  KnlTime grace;              /**< from the order to stop to the end of the process */
-  KnlTime reserve_hold;       /**< memory set aside comes back by itself after this */
-  SvBudgetRule retries;
-} SvBounds;
-
 typedef struct
 {
   KnlKernel *kernel;
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "kernel/kernel.h"
+#include "policy/health.h"
 #include "serve/config.h"
 
 typedef struct SvFleet SvFleet;
@@ -52,13 +53,10 @@
   KnlTime read_until;   /**< when the prompts sent there by anyone will have been read */
   gboolean own_changed; /**< since peers were told */
 
-  guint reported_calls;    /**< what it last said that it runs or has waiting */
-  KnlTime reported_at;     /**< when */
-  KnlTime heard_at;        /**< last bytes of any answer; 0: none yet */
-  guint losses;            /**< in a row: not reached, broken off, or silent */
-  guint errors;            /**< in a row: answers that report a failure */
-  KnlTime suspended_until; /**< no request before, but where nothing else is left */
-  double failure_rate;     /**< of answers, moving average */
+  guint reported_calls; /**< what it last said that it runs or has waiting */
+  KnlTime reported_at;  /**< when */
+  KnlTime heard_at;     /**< last bytes of any answer; 0: none yet */
+  PolHealth health;     /**< by our own requests there */
 } SvEndpoint;
 
 /** What the platform's list says of an endpoint. */
--- /dev/null
+++ b/policy/health.c
@@ -0,0 +1,47 @@
+#include "policy/health.h"
+
+/* Weight of the newest answer in the moving average of failures: about the last dozen. */
+#define FAILURE_WEIGHT 0.08
+
+/* Doublings of a rest that are worked out; more would only overflow. */
+#define DOUBLINGS_LIMIT 20
+
+void
+pol_health_note_success (PolHealth *self)
+{
+  self->losses = 0;
+  self->errors = 0;
+  self->suspended_until = 0;
+  self->failure_rate -= FAILURE_WEIGHT * self->failure_rate;
+}
+
+static void
+suspend (PolHealth *self, const PolHealthRule *rule, KnlTime now, guint times)
+{
+  guint doublings = MIN (times - 1, DOUBLINGS_LIMIT);
+
+  self->suspended_until = now + MIN (rule->first << doublings, rule->limit);
+}
+
+void
+pol_health_note_error (PolHealth *self, const PolHealthRule *rule, KnlTime now)
+{
+  self->failure_rate += FAILURE_WEIGHT * (1 - self->failure_rate);
+  self->losses = 0;
+  if (++self->errors >= rule->errors)
+    suspend (self, rule, now, self->errors - rule->errors + 1);
+}
+
+void
+pol_health_note_loss (PolHealth *self, const PolHealthRule *rule, KnlTime now)
+{
+  self->failure_rate += FAILURE_WEIGHT * (1 - self->failure_rate);
+  self->losses++;
+  suspend (self, rule, now, self->losses);
+}
+
+gboolean
+pol_health_is_suspended (const PolHealth *self, KnlTime now)
+{
+  return now < self->suspended_until;
+}
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -15,9 +15,8 @@
 refuse_unknown (SvRequest *self, guint status, const char *reason)
 {
   const SvCore *core = self->core;
-  KnlTime age = knl_kernel_now (core->parts.kernel) - core->confirmed_at;
 
-  if (age > core->bounds.route_confirmation)
+  if (sv_core_config_age (core) > sv_bounds_denial_trust (&core->bounds))
     sv_request_refuse (self, 503, "configuration-not-confirmed");
   else
     sv_request_fail (self, status, reason);
@@ -70,11 +69,10 @@
 check_key (SvRequest *self)
 {
   const SvCore *core = self->core;
-  KnlTime age = knl_kernel_now (core->parts.kernel) - core->confirmed_at;
 
   if (!self->config->has_workspaces || self->route->is_public)
     return TRUE;
-  if (core->bounds.key_confirmation > 0 && age >= core->bounds.key_confirmation)
+  if (sv_core_config_age (core) >= sv_bounds_key_trust (&core->bounds))
     {
       sv_request_refuse (self, 503, "keys-not-confirmed");
       return FALSE;
@@ -108,7 +106,7 @@
   if (self->ask.key != NULL)
     seed = XXH64 (self->ask.key, strlen (self->ask.key), seed);
   self->fingerprint = XXH64 (request->body->str, request->body->len, seed);
-  if (!sv_suspects_is_refused (self->core->suspects, self->fingerprint))
+  if (pol_suspects_check (self->core->suspects, self->fingerprint) != POL_SUSPICION_REFUSED)
     return TRUE;
   sv_request_refuse (self, 503, "crashes-endpoints");
   return FALSE;
@@ -135,7 +133,7 @@
   const char *service = sv_route_service (self->route, point);
 
   self->service = sv_config_service (self->config, service);
-  sv_budget_note_request (sv_core_budget (core, service), &core->bounds.retries, now);
+  pol_budget_note_request (sv_core_budget (core, service), &core->bounds.retries, now);
   if (self->deadline != KNL_NEVER)
     self->deadline_timer =
         knl_timer_start (core->parts.kernel, self->deadline - now, on_deadline, self);
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -1,6 +1,7 @@
 /** What becomes of a send: its answer, its failure, and whether the request is sent again. */
 
 #include "common/log.h"
+#include "policy/retry.h"
 #include "serve/core_internal.h"
 
 /* Sends that certainly did not run and may come on top of a route's attempts. */
@@ -82,7 +83,7 @@
 
   cm_log (CM_LOG_INFO, "send-failed", "s", "request", self->ask.id, "s", "endpoint", endpoint->id,
           "s", "address", endpoint->address, "s", "fault", fault, "b", "may-have-run", ran, "i",
-          "endpoint-losses", (gint64)endpoint->losses, "i", "since-sent-us",
+          "endpoint-losses", (gint64)endpoint->health.losses, "i", "since-sent-us",
           sv_request_now (self) - self->sent_at, "i", "sends", (gint64)self->offers);
 }
 
@@ -97,23 +98,44 @@
     sv_request_refuse (self, 503, reason);
 }
 
+static gboolean
+may_retry (SvRequest *self, PolRetry decision)
+{
+  SvCore *core = self->core;
+  SvPeerLink *link = core->parts.link;
+
+  return decision == POL_RETRY_BUDGET
+         && pol_budget_spend (sv_core_budget (core, self->service->name), &core->bounds.retries,
+                              link->klass->n_instances (link), sv_request_now (self));
+}
+
 void
 sv_request_take_loss (SvRequest *self, const char *fault, gboolean ran)
 {
-  SvCore *core = self->core;
+  /* The budget counts arrivals, whether they ran or not. */
+  PolRetryRule rule = {
+    .not_run_attempts = self->route->max_attempts + EXTRA_OFFERS,
+    .run_attempts = self->route->max_attempts,
+    .budgets_not_run = TRUE,
+  };
+  PolRetryCase retry = {
+    .kind = ran ? POL_LOSS_UNKNOWN : POL_LOSS_NOT_RUN,
+    .accepted = ran,
+    .non_idempotent = !sv_route_is_idempotent (self->route),
+    .attempts = self->offers,
+  };
+  PolRetry decision;
 
   log_loss (self, fault, ran);
   self->last_fault = fault;
   self->runs += ran;
   exclude (self, self->placement.first);
-  if (self->runs > 0 && !sv_route_is_idempotent (self->route))
-    sv_request_give_up (self, fault);
-  else if (self->runs >= self->route->max_attempts
-           || self->offers >= self->route->max_attempts + EXTRA_OFFERS)
+  retry.costly = self->runs;
+  retry.may_have_run = self->runs > 0;
+  decision = pol_retry_decide (&rule, &retry);
+  if (decision == POL_RETRY_NEVER)
     sv_request_give_up (self, fault);
-  else if (!sv_budget_spend (sv_core_budget (core, self->service->name), &core->bounds.retries,
-                             core->parts.link->klass->n_instances (core->parts.link),
-                             sv_request_now (self)))
+  else if (!may_retry (self, decision))
     sv_request_give_up (self, "no-retry-left");
   else
     sv_request_send (self);
@@ -124,7 +146,7 @@
 {
   SvPeerLink *link = self->core->parts.link;
 
-  sv_suspects_note (self->core->suspects, self->fingerprint);
+  pol_suspects_note_crash (self->core->suspects, self->fingerprint);
   link->klass->suspect (link, self->fingerprint);
 }
 
--- a/serve/core.c
+++ b/serve/core.c
@@ -1,17 +1,30 @@
 #include "common/log.h"
 #include "serve/core_internal.h"
 
+/* Of this instance's share of a service's retries: see PolBudgetRule. */
+#define RETRIES_USED 0.75
+
+/* Two losses can be the bad luck of a sound request. */
+static const PolSuspectRule suspect_rule = { .refuse_at = 3, .life = 60 * KNL_SEC };
+
+void
+sv_core_set_bounds (SvCore *self, const SvBounds *bounds)
+{
+  self->bounds = *bounds;
+  self->bounds.retries.used_part = RETRIES_USED;
+}
+
 SvCore *
 sv_core_new (const SvCoreParts *parts, const SvBounds *bounds)
 {
   SvCore *self = g_new0 (SvCore, 1);
 
   self->parts = *parts;
-  self->bounds = *bounds;
+  sv_core_set_bounds (self, bounds);
   self->confirmed_at = -KNL_NEVER;
   self->requests = g_hash_table_new (NULL, NULL);
   self->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  self->suspects = sv_suspects_new (parts->kernel);
+  self->suspects = pol_suspects_new (parts->kernel, &suspect_rule);
   self->meters = sv_meters_new (parts->metrics);
   return self;
 }
@@ -39,19 +52,13 @@
     return;
   end_each (self, sv_request_gone);
   sv_meters_free (self->meters);
-  sv_suspects_free (self->suspects);
+  pol_suspects_free (self->suspects);
   g_hash_table_unref (self->budgets);
   g_hash_table_unref (self->requests);
   sv_config_unref (self->config);
   g_free (self);
 }
 
-void
-sv_core_set_bounds (SvCore *self, const SvBounds *bounds)
-{
-  self->bounds = *bounds;
-}
-
 gboolean
 sv_core_set_config (SvCore *self, SvConfig *config)
 {
@@ -113,6 +120,14 @@
   sv_request_gone (ht_call_data (call));
 }
 
+KnlTime
+sv_core_config_age (const SvCore *self)
+{
+  if (self->confirmed_at == -KNL_NEVER)
+    return KNL_NEVER;
+  return knl_kernel_now (self->parts.kernel) - self->confirmed_at;
+}
+
 void
 sv_core_drain (SvCore *self)
 {
@@ -134,14 +149,11 @@
 gboolean
 sv_core_is_ready (const SvCore *self)
 {
-  KnlTime age;
-
   if (self->config == NULL || self->drain_since != 0)
     return FALSE;
-  if (self->bounds.key_confirmation == 0 || !self->config->has_workspaces)
+  if (!self->config->has_workspaces)
     return TRUE;
-  age = knl_kernel_now (self->parts.kernel) - self->confirmed_at;
-  return age < self->bounds.key_confirmation;
+  return sv_core_config_age (self) < sv_bounds_key_trust (&self->bounds);
 }
 
 guint
@@ -153,17 +165,17 @@
 void
 sv_core_note_suspect (SvCore *self, guint64 fingerprint)
 {
-  sv_suspects_note (self->suspects, fingerprint);
+  pol_suspects_note_crash (self->suspects, fingerprint);
 }
 
-SvBudget *
+PolBudget *
 sv_core_budget (SvCore *self, const char *service)
 {
-  SvBudget *budget = g_hash_table_lookup (self->budgets, service);
+  PolBudget *budget = g_hash_table_lookup (self->budgets, service);
 
   if (budget == NULL)
     {
-      budget = g_new0 (SvBudget, 1);
+      budget = g_new0 (PolBudget, 1);
       g_hash_table_insert (self->budgets, g_strdup (service), budget);
     }
   return budget;
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -6,7 +6,7 @@
 #include "serve/events.h"
 #include "serve/meters.h"
 #include "serve/reservation.h"
-#include "serve/suspects.h"
+#include "policy/suspects.h"
 
 struct SvCore
 {
@@ -16,8 +16,8 @@
   KnlTime confirmed_at; /* -KNL_NEVER: never */
   KnlTime drain_since;  /* 0: no drain */
   GHashTable *requests; /* SvRequest */
-  GHashTable *budgets;  /* service -> SvBudget */
-  SvSuspects *suspects;
+  GHashTable *budgets;  /* service -> PolBudget */
+  PolSuspects *suspects;
   SvMeters *meters;
 };
 
@@ -143,4 +143,7 @@
 
 /* core.c */
 
-SvBudget *sv_core_budget (SvCore *core, const char *service);
+/** How long ago the configuration was last known to be the newest; KNL_NEVER: it never was. */
+KnlTime sv_core_config_age (const SvCore *core);
+
+PolBudget *sv_core_budget (SvCore *core, const char *service);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -3,19 +3,15 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* An endpoint that was lost is tried again after this, doubled with each loss in a row. */
-#define SUSPEND_FIRST (400 * KNL_MSEC)
-#define SUSPEND_LIMIT (4 * KNL_SEC)
-
-/* Errors in a row after which an endpoint rests; one alone is a matter of the request. */
-#define ERRORS_IN_A_ROW 4
+/* An endpoint that was lost is tried again soon, since one that restarts is back in seconds. One
+ * error, or some, are a matter of the requests. */
+static const PolHealthRule health_rule = { .first = 400 * KNL_MSEC,
+                                           .limit = 4 * KNL_SEC,
+                                           .errors = 4 };
 
 /* How long an endpoint's own report of its load is used. */
 #define REPORT_LIFE (200 * KNL_MSEC)
 
-/* Weight of the newest answer in the moving average of failures: about the last dozen. */
-#define FAILURE_WEIGHT 0.08
-
 struct SvFleet
 {
   KnlKernel *kernel;
@@ -230,10 +226,10 @@
 gboolean
 sv_endpoint_usable (const SvEndpoint *self, KnlTime now)
 {
-  if (self->state != SV_ENDPOINT_READY || now < self->suspended_until)
+  if (self->state != SV_ENDPOINT_READY || pol_health_is_suspended (&self->health, now))
     return FALSE;
   /* After a loss one request goes first, and the others when it has an answer. */
-  return self->losses == 0 || self->own.calls == 0;
+  return self->health.losses == 0 || self->own.calls == 0;
 }
 
 gboolean
@@ -341,35 +337,17 @@
 void
 sv_endpoint_note_success (SvEndpoint *self)
 {
-  self->losses = 0;
-  self->errors = 0;
-  self->suspended_until = 0;
-  self->failure_rate -= FAILURE_WEIGHT * self->failure_rate;
-}
-
-static void
-suspend (SvEndpoint *self, KnlTime now, guint times)
-{
-  KnlTime delay = SUSPEND_FIRST;
-
-  for (guint i = 1; i < times && delay < SUSPEND_LIMIT; i++)
-    delay *= 2;
-  self->suspended_until = now + MIN (delay, SUSPEND_LIMIT);
+  pol_health_note_success (&self->health);
 }
 
 void
 sv_endpoint_note_error (SvEndpoint *self, KnlTime now)
 {
-  self->failure_rate += FAILURE_WEIGHT * (1 - self->failure_rate);
-  self->losses = 0;
-  if (++self->errors >= ERRORS_IN_A_ROW)
-    suspend (self, now, self->errors - ERRORS_IN_A_ROW + 1);
+  pol_health_note_error (&self->health, &health_rule, now);
 }
 
 void
 sv_endpoint_note_loss (SvEndpoint *self, KnlTime now)
 {
-  self->failure_rate += FAILURE_WEIGHT * (1 - self->failure_rate);
-  self->losses++;
-  suspend (self, now, self->losses);
+  pol_health_note_loss (&self->health, &health_rule, now);
 }
--- a/serve/router.c
+++ b/serve/router.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 
+#include "policy/plain.h"
 #include "serve/engine_model.h"
 
 /* Prompts that take longer to read are read in parts by several endpoints; shorter ones stretch a
@@ -55,10 +56,6 @@
 /* Order in which endpoints are asked to read parts: reading left, and for each stream there: */
 static const double stream_order_ms[SV_N_PAUSES] = { 40, 10, 3 };
 
-/* Plain requests: costs in requests in flight a slot. */
-#define OTHER_ZONE_COST   0.15
-#define FAILURE_RATE_COST 2.0
-
 /* What an endpoint is for at the moment, by its place in the order. */
 typedef enum
 {
@@ -460,11 +457,14 @@
 cost_of_plain (const SvDemand *demand, const Candidate *candidate)
 {
   const SvEndpoint *endpoint = candidate->endpoint;
-  double cost = (double)candidate->load.calls / MAX (endpoint->slots, 1);
+  PolPlainCandidate plain = {
+    .calls = candidate->load.calls,
+    .slots = endpoint->slots,
+    .is_far = g_strcmp0 (endpoint->zone, demand->zone) != 0,
+    .health = &endpoint->health,
+  };
 
-  if (g_strcmp0 (endpoint->zone, demand->zone) != 0)
-    cost += OTHER_ZONE_COST;
-  return cost + FAILURE_RATE_COST * endpoint->failure_rate;
+  return pol_plain_cost (&plain);
 }
 
 static void
--- a/serve/send.c
+++ b/serve/send.c
@@ -223,7 +223,7 @@
     .kernel = core->parts.kernel,
     .client = core->parts.client,
     .dialect = core->parts.dialect,
-    .hold = core->bounds.reserve_hold,
+    .hold = sv_bounds_memory_lease (&core->bounds),
   };
   SvEndpoint *endpoints[SV_HELPERS];
   guint64 tokens[SV_HELPERS];
--- a/tests/unit/en_retry_test.c
+++ b/tests/unit/en_retry_test.c
@@ -8,37 +8,37 @@
 
 typedef struct
 {
-  EnRetryCase c;
-  EnRetry decision;
+  PolRetryCase c;
+  PolRetry decision;
   EnOutcome outcome;
 } RetryRow;
 
 static const RetryRow retry_rows[] = {
-  { { .kind = EN_LOSS_NOT_RUN, .attempts = 1 }, EN_RETRY_FREE, EN_OUTCOME_NOT_RUN },
-  { { .kind = EN_LOSS_NOT_RUN, .attempts = 8 }, EN_RETRY_NEVER, EN_OUTCOME_NOT_RUN },
-  { { .kind = EN_LOSS_NOT_RUN, .attempts = 1, .non_idempotent = TRUE },
-    EN_RETRY_FREE,
+  { { .kind = POL_LOSS_NOT_RUN, .attempts = 1 }, POL_RETRY_FREE, EN_OUTCOME_NOT_RUN },
+  { { .kind = POL_LOSS_NOT_RUN, .attempts = 8 }, POL_RETRY_NEVER, EN_OUTCOME_NOT_RUN },
+  { { .kind = POL_LOSS_NOT_RUN, .attempts = 1, .non_idempotent = TRUE },
+    POL_RETRY_FREE,
     EN_OUTCOME_NOT_RUN },
-  { { .kind = EN_LOSS_NOT_RUN, .attempts = 2, .non_idempotent = TRUE, .may_have_run = TRUE },
-    EN_RETRY_NEVER,
+  { { .kind = POL_LOSS_NOT_RUN, .attempts = 2, .non_idempotent = TRUE, .may_have_run = TRUE },
+    POL_RETRY_NEVER,
     EN_OUTCOME_UNKNOWN },
-  { { .kind = EN_LOSS_NOT_RUN, .attempts = 9, .may_have_run = TRUE },
-    EN_RETRY_NEVER,
+  { { .kind = POL_LOSS_NOT_RUN, .attempts = 9, .may_have_run = TRUE },
+    POL_RETRY_NEVER,
     EN_OUTCOME_UNKNOWN },
-  { { .kind = EN_LOSS_FAILED, .attempts = 1, .accepted = TRUE, .costly = 1 },
-    EN_RETRY_BUDGET,
+  { { .kind = POL_LOSS_FAILED, .attempts = 1, .accepted = TRUE, .costly = 1 },
+    POL_RETRY_BUDGET,
     EN_OUTCOME_FAILED },
-  { { .kind = EN_LOSS_UNKNOWN, .attempts = 1, .accepted = TRUE, .costly = 1 },
-    EN_RETRY_BUDGET,
+  { { .kind = POL_LOSS_UNKNOWN, .attempts = 1, .accepted = TRUE, .costly = 1 },
+    POL_RETRY_BUDGET,
     EN_OUTCOME_UNKNOWN },
-  { { .kind = EN_LOSS_UNKNOWN, .attempts = 5, .accepted = TRUE, .costly = 3 },
-    EN_RETRY_NEVER,
+  { { .kind = POL_LOSS_UNKNOWN, .attempts = 5, .accepted = TRUE, .costly = 3 },
+    POL_RETRY_NEVER,
     EN_OUTCOME_UNKNOWN },
-  { { .kind = EN_LOSS_UNKNOWN, .attempts = 1 }, EN_RETRY_FREE, EN_OUTCOME_UNKNOWN },
-  { { .kind = EN_LOSS_UNKNOWN, .attempts = 1, .non_idempotent = TRUE },
-    EN_RETRY_NEVER,
+  { { .kind = POL_LOSS_UNKNOWN, .attempts = 1 }, POL_RETRY_FREE, EN_OUTCOME_UNKNOWN },
+  { { .kind = POL_LOSS_UNKNOWN, .attempts = 1, .non_idempotent = TRUE },
+    POL_RETRY_NEVER,
     EN_OUTCOME_UNKNOWN },
-  { { .kind = EN_LOSS_MISMATCH, .attempts = 1 }, EN_RETRY_NEVER, EN_OUTCOME_UNKNOWN },
+  { { .kind = POL_LOSS_MISMATCH, .attempts = 1 }, POL_RETRY_NEVER, EN_OUTCOME_UNKNOWN },
 };
 
 static void
@@ -46,7 +46,7 @@
 {
   for (guint i = 0; i < G_N_ELEMENTS (retry_rows); i++)
     {
-      CU_ASSERT_EQUAL (en_retry_decide (&retry_rows[i].c), retry_rows[i].decision);
+      CU_ASSERT_EQUAL (pol_retry_decide (&en_retry_rule, &retry_rows[i].c), retry_rows[i].decision);
       CU_ASSERT_EQUAL (en_retry_error (&retry_rows[i].c, "").outcome, retry_rows[i].outcome);
     }
 }
--- /dev/null
+++ b/tests/unit/pol_test.c
@@ -0,0 +1,224 @@
+/** The decisions that all interfaces share: retries, their budget, suspects, health, plain choice.
+ */
+
+#include "kernel/paused.h"
+#include "policy/budget.h"
+#include "policy/health.h"
+#include "policy/plain.h"
+#include "policy/retry.h"
+#include "policy/suspects.h"
+#include "suite.h"
+
+/*
+ * Symptom: a service gets more second sends in ten seconds than its budget.
+ * Sequence: several instances each use the whole budget, or one uses it at both ends of a window.
+ * Cause: the budget is one for all instances, and any span of its length counts.
+ */
+static void
+test_budget_is_shared (void)
+{
+  static const PolBudgetRule rule = {
+    .ratio = 0.2, .slack = 100, .window = 10 * KNL_SEC, .used_part = 0.75
+  };
+
+  for (guint instances = 1; instances <= 20; instances++)
+    {
+      PolBudget budget = { 0 };
+      guint in_window = 0;
+
+      for (KnlTime now = KNL_SEC; now < 9 * KNL_SEC; now += 10 * KNL_MSEC)
+        {
+          pol_budget_note_request (&budget, &rule, now);
+          in_window += pol_budget_spend (&budget, &rule, instances, now);
+        }
+      CU_ASSERT (in_window * instances <= 0.2 * 800 * instances + 100);
+      CU_ASSERT (in_window >= 0.1 * 800);
+      /* The same span again begins before the first one has left the window. */
+      CU_ASSERT_FALSE (pol_budget_spend (&budget, &rule, instances, 9 * KNL_SEC));
+      CU_ASSERT_TRUE (pol_budget_spend (&budget, &rule, 1, 25 * KNL_SEC));
+    }
+}
+
+/*
+ * Symptom: during a fault the endpoints get several times the calls that callers made.
+ * Sequence: every request fails, each is tried again up to its limit of attempts.
+ * Cause: nothing bounds retries over all requests together.
+ */
+static void
+test_retries_stay_a_part_of_the_load (void)
+{
+  static const PolBudgetRule rule = {
+    .ratio = 0.1, .slack = 10, .window = 10 * KNL_SEC, .used_part = 1
+  };
+  PolBudget budget = { 0 };
+  guint retries = 0;
+
+  for (guint request = 0; request < 1000; request++)
+    {
+      pol_budget_note_request (&budget, &rule, KNL_SEC);
+      for (guint attempt = 0; attempt < 3; attempt++)
+        retries += pol_budget_spend (&budget, &rule, 1, KNL_SEC);
+    }
+  CU_ASSERT (retries >= 100 && retries <= 110);
+  CU_ASSERT_FALSE (pol_budget_spend (&budget, &rule, 1, 3 * KNL_SEC));
+  retries = 0;
+  for (guint attempt = 0; attempt < 30; attempt++)
+    retries += pol_budget_spend (&budget, &rule, 1, 13 * KNL_SEC);
+  CU_ASSERT_EQUAL (retries, 10);
+}
+
+static void
+test_suspects_are_refused_after_three (void)
+{
+  static const PolSuspectRule rule = { .refuse_at = 3, .life = 60 * KNL_SEC };
+  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
+  g_autoptr (KnlKernel) kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 7);
+  PolSuspects *suspects = pol_suspects_new (kernel, &rule);
+
+  for (guint i = 0; i < 3; i++)
+    {
+      CU_ASSERT_NOT_EQUAL (pol_suspects_check (suspects, 5), POL_SUSPICION_REFUSED);
+      pol_suspects_note_crash (suspects, 5);
+    }
+  CU_ASSERT_EQUAL (pol_suspects_check (suspects, 5), POL_SUSPICION_REFUSED);
+  CU_ASSERT_NOT_EQUAL (pol_suspects_check (suspects, 6), POL_SUSPICION_REFUSED);
+  knl_paused_clock_advance (clock, 61 * KNL_SEC);
+  CU_ASSERT_NOT_EQUAL (pol_suspects_check (suspects, 5), POL_SUSPICION_REFUSED);
+  pol_suspects_free (suspects);
+}
+
+/*
+ * Symptom: a request that was innocent beside a crash is refused for an hour, or one that all
+ * instances know to crash engines runs again here.
+ * Sequence: it is noted here once, runs alone and ends well; or others tell their total.
+ * Cause: own counts and totals of all instances were kept apart.
+ */
+static void
+test_suspects_by_own_counts_and_totals (void)
+{
+  static const PolSuspectRule rule = { .refuse_at = 2, .life = 60 * KNL_SEC };
+  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
+  g_autoptr (KnlKernel) kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 7);
+  PolSuspects *suspects = pol_suspects_new (kernel, &rule);
+
+  pol_suspects_note_crash (suspects, 1);
+  CU_ASSERT_EQUAL (pol_suspects_check (suspects, 1), POL_SUSPICION_ALONE);
+  pol_suspects_note_survived (suspects, 1);
+  CU_ASSERT_EQUAL (pol_suspects_check (suspects, 1), POL_SUSPICION_NONE);
+  pol_suspects_note_total (suspects, 2, 1, FALSE, 5 * KNL_SEC);
+  pol_suspects_note_survived (suspects, 2);
+  CU_ASSERT_EQUAL (pol_suspects_check (suspects, 2), POL_SUSPICION_ALONE);
+  pol_suspects_note_crash (suspects, 2);
+  CU_ASSERT_EQUAL (pol_suspects_check (suspects, 2), POL_SUSPICION_REFUSED);
+  pol_suspects_note_total (suspects, 3, 0, TRUE, 5 * KNL_SEC);
+  CU_ASSERT_EQUAL (pol_suspects_check (suspects, 3), POL_SUSPICION_REFUSED);
+  knl_paused_clock_advance (clock, 6 * KNL_SEC);
+  CU_ASSERT_EQUAL (pol_suspects_check (suspects, 3), POL_SUSPICION_NONE);
+  pol_suspects_free (suspects);
+}
+
+/*
+ * Symptom: a request that must run once runs twice, or endpoints get more sends than the bound
+ * because those that ran nothing are not counted.
+ * Sequence: an attempt is lost after it may have run; or endpoints turn a request away in a row.
+ * Cause: one interface's rule forgot what the other's had.
+ */
+static void
+test_retries_by_rule (void)
+{
+  static const PolRetryRule budgeted = { .not_run_attempts = 5, .run_attempts = 2, TRUE };
+  static const PolRetryRule freed = { .not_run_attempts = 5, .run_attempts = 2, FALSE };
+  static const struct
+  {
+    PolRetryCase c;
+    PolRetry budgeted;
+    PolRetry freed;
+  } rows[] = {
+    { { .kind = POL_LOSS_NOT_RUN, .attempts = 1 }, POL_RETRY_BUDGET, POL_RETRY_FREE },
+    { { .kind = POL_LOSS_NOT_RUN, .attempts = 5 }, POL_RETRY_NEVER, POL_RETRY_NEVER },
+    { { .kind = POL_LOSS_NOT_RUN, .attempts = 3, .costly = 2, .may_have_run = TRUE },
+      POL_RETRY_NEVER,
+      POL_RETRY_NEVER },
+    { { .kind = POL_LOSS_NOT_RUN, .attempts = 2, .non_idempotent = TRUE, .may_have_run = TRUE },
+      POL_RETRY_NEVER,
+      POL_RETRY_NEVER },
+    { { .kind = POL_LOSS_UNKNOWN, .attempts = 1, .accepted = TRUE, .costly = 1 },
+      POL_RETRY_BUDGET,
+      POL_RETRY_BUDGET },
+    { { .kind = POL_LOSS_UNKNOWN, .attempts = 2, .accepted = TRUE, .costly = 2 },
+      POL_RETRY_NEVER,
+      POL_RETRY_NEVER },
+    { { .kind = POL_LOSS_UNKNOWN, .attempts = 1, .costly = 1, .non_idempotent = TRUE },
+      POL_RETRY_NEVER,
+      POL_RETRY_NEVER },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      CU_ASSERT_EQUAL (pol_retry_decide (&budgeted, &rows[i].c), rows[i].budgeted);
+      CU_ASSERT_EQUAL (pol_retry_decide (&freed, &rows[i].c), rows[i].freed);
+    }
+}
+
+/*
+ * Symptom: requests go on being lost at an endpoint that is down, or one that is back gets none.
+ * Sequence: losses in a row, then an answer; or several answers that report failures.
+ * Cause: it rested for one length only, or its rest outlived its first answer.
+ */
+static void
+test_rests_grow_and_end (void)
+{
+  static const PolHealthRule rule = { .first = 100, .limit = 350, .errors = 3 };
+  static const KnlTime rests[] = { 100, 200, 350, 350 };
+  PolHealth health = { 0 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rests); i++)
+    {
+      pol_health_note_loss (&health, &rule, 1000);
+      CU_ASSERT_TRUE (pol_health_is_suspended (&health, 1000 + rests[i] - 1));
+      CU_ASSERT_FALSE (pol_health_is_suspended (&health, 1000 + rests[i]));
+    }
+  for (guint i = 0; i < 200; i++)
+    pol_health_note_loss (&health, &rule, 1000);
+  CU_ASSERT_EQUAL (health.suspended_until, 1350);
+  pol_health_note_success (&health);
+  CU_ASSERT_FALSE (pol_health_is_suspended (&health, 1000));
+  pol_health_note_error (&health, &rule, 1000);
+  pol_health_note_error (&health, &rule, 1000);
+  CU_ASSERT_FALSE (pol_health_is_suspended (&health, 1000));
+  pol_health_note_error (&health, &rule, 1000);
+  CU_ASSERT_TRUE (pol_health_is_suspended (&health, 1099));
+}
+
+static void
+test_plain_choice (void)
+{
+  static const PolHealth sound = { 0 };
+  static const PolHealth failing = { .failure_rate = 0.5 };
+  static const struct
+  {
+    PolPlainCandidate better;
+    PolPlainCandidate worse;
+  } rows[] = {
+    { { 0, 6, FALSE, &sound }, { 1, 6, FALSE, &sound } },
+    { { 0, 6, FALSE, &sound }, { 0, 6, TRUE, &sound } },
+    { { 0, 6, TRUE, &sound }, { 2, 6, FALSE, &sound } },
+    { { 5, 6, TRUE, &sound }, { 0, 6, FALSE, &failing } },
+    { { 1, 0, FALSE, &sound }, { 2, 0, FALSE, &sound } },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    CU_ASSERT (pol_plain_cost (&rows[i].better) < pol_plain_cost (&rows[i].worse));
+}
+
+static const SuiteCase cases[] = {
+  { "the retry budget is one for all", test_budget_is_shared },
+  { "retries stay a part of the load", test_retries_stay_a_part_of_the_load },
+  { "a request that crashes three is refused", test_suspects_are_refused_after_three },
+  { "suspects by own counts and by totals", test_suspects_by_own_counts_and_totals },
+  { "retries by rule, by table", test_retries_by_rule },
+  { "rests grow and end", test_rests_grow_and_end },
+  { "the choice among plain endpoints", test_plain_choice },
+};
+
+SUITE_MAIN ("pol", cases)
--- a/tests/unit/retry_test.c
+++ b/tests/unit/retry_test.c
@@ -1,4 +1,4 @@
-/** Backoff, the retry budget, and the hashes of prefix blocks. */
+/** Backoff and the hashes of prefix blocks. */
 
 #include "common/prefix.h"
 #include "common/retry.h"
@@ -25,33 +25,6 @@
   CU_ASSERT (cm_backoff_next (&backoff, kernel) <= backoff.first);
 }
 
-/*
- * Symptom: during a fault the endpoints get several times the calls that callers made.
- * Sequence: every request fails, each is tried again up to its limit of attempts.
- * Cause: nothing bounds retries over all requests together.
- */
-static void
-test_retries_stay_a_part_of_the_load (void)
-{
-  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
-  g_autoptr (KnlKernel) kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 7);
-  CmRetryBudget budget = { .per_attempt = 0.1, .per_second = 1, .capacity = 10 };
-  guint retries = 0;
-
-  cm_retry_budget_init (&budget, kernel);
-  for (guint request = 0; request < 1000; request++)
-    {
-      cm_retry_budget_earn (&budget);
-      for (guint attempt = 0; attempt < 3; attempt++)
-        retries += cm_retry_budget_spend (&budget) ? 1 : 0;
-    }
-  CU_ASSERT (retries >= 100 && retries <= 110);
-  knl_paused_clock_advance (clock, 2 * KNL_SEC);
-  CU_ASSERT_TRUE (cm_retry_budget_spend (&budget));
-  CU_ASSERT_TRUE (cm_retry_budget_spend (&budget));
-  CU_ASSERT_FALSE (cm_retry_budget_spend (&budget));
-}
-
 static void
 test_prefix_hashes (void)
 {
@@ -91,7 +64,6 @@
 
 static const SuiteCase cases[] = {
   { "backoff doubles within bounds", test_backoff_doubles_within_bounds },
-  { "retries stay a part of the load", test_retries_stay_a_part_of_the_load },
   { "prefix hashes, by table", test_prefix_hashes },
 };
 
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -98,8 +98,8 @@
 {
   static const HtLimits limits = { 16384, 1 << 20 };
   static const SvBounds bounds = {
-    .key_confirmation = 3 * KNL_SEC,
-    .route_confirmation = 1 * KNL_SEC,
+    .key_withdrawal = 3400 * KNL_MSEC,
+    .new_config = 1250 * KNL_MSEC,
     .grace = 8 * KNL_SEC,
     .retries = { .ratio = 0.2, .slack = 100, .window = 10 * KNL_SEC },
   };
--- a/tests/unit/sv_parts_test.c
+++ b/tests/unit/sv_parts_test.c
@@ -1,13 +1,11 @@
-/** The core's small parts: configuration, events, retry budget, suspects, fleet. */
+/** The core's small parts: configuration, events, fleet. */
 
 #include <string.h>
 
 #include "kernel/paused.h"
-#include "serve/budget.h"
 #include "serve/config.h"
 #include "serve/events.h"
 #include "serve/fleet.h"
-#include "serve/suspects.h"
 #include "suite.h"
 
 static void
@@ -115,53 +113,6 @@
     }
 }
 
-/*
- * Symptom: a service gets more second sends in ten seconds than its budget.
- * Sequence: several instances each use the whole budget, or one uses it at both ends of a window.
- * Cause: the budget is one for all instances, and any span of its length counts.
- */
-static void
-test_budget_is_shared (void)
-{
-  static const SvBudgetRule rule = { .ratio = 0.2, .slack = 100, .window = 10 * KNL_SEC };
-
-  for (guint instances = 1; instances <= 20; instances++)
-    {
-      SvBudget budget = { 0 };
-      guint in_window = 0;
-
-      for (KnlTime now = KNL_SEC; now < 9 * KNL_SEC; now += 10 * KNL_MSEC)
-        {
-          sv_budget_note_request (&budget, &rule, now);
-          in_window += sv_budget_spend (&budget, &rule, instances, now);
-        }
-      CU_ASSERT (in_window * instances <= 0.2 * 800 * instances + 100);
-      CU_ASSERT (in_window >= 0.1 * 800);
-      /* The same span again begins before the first one has left the window. */
-      CU_ASSERT_FALSE (sv_budget_spend (&budget, &rule, instances, 9 * KNL_SEC));
-      CU_ASSERT_TRUE (sv_budget_spend (&budget, &rule, 1, 25 * KNL_SEC));
-    }
-}
-
-static void
-test_suspects_are_refused_after_three (void)
-{
-  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
-  g_autoptr (KnlKernel) kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 7);
-  SvSuspects *suspects = sv_suspects_new (kernel);
-
-  for (guint i = 0; i < 3; i++)
-    {
-      CU_ASSERT_FALSE (sv_suspects_is_refused (suspects, 5));
-      sv_suspects_note (suspects, 5);
-    }
-  CU_ASSERT_TRUE (sv_suspects_is_refused (suspects, 5));
-  CU_ASSERT_FALSE (sv_suspects_is_refused (suspects, 6));
-  knl_paused_clock_advance (clock, 61 * KNL_SEC);
-  CU_ASSERT_FALSE (sv_suspects_is_refused (suspects, 5));
-  sv_suspects_free (suspects);
-}
-
 static void
 list (SvFleet *fleet, const char *id, gboolean draining)
 {
@@ -262,8 +213,6 @@
   { "the longest prefix decides", test_longest_prefix },
   { "a split follows its weights", test_split_by_weight },
   { "events are cut whole, in any pieces", test_events_in_any_pieces },
-  { "the retry budget is one for all", test_budget_is_shared },
-  { "a request that crashes three is refused", test_suspects_are_refused_after_three },
   { "lapsed entries are a last resort", test_lapsed_entries_are_a_last_resort },
   { "a lost endpoint is tried by one request", test_lost_endpoint_is_tried_by_one },
   { "unseen calls count for a moment", test_unseen_calls_count_for_a_moment },
