serve: reading counts until its end is told, with the passes beside streams

Two reasons: reading was taken to go at full speed although each pass also makes 51 steps for the streams there, so that what was placed came to more than the engines read; and a part was forgotten by the clock, whether read or not. Engines take the newest part first: of 5 pairs placed within 0.3 s of each other at the same engines the later one had its first event first each time, so the older ones starve while more is placed on top.

Now serve/reads.c keeps what is outstanding, the newest part first; a prompt read in parts counts until its owner tells the first event or its end. Length of a part: its reading and one pass where streams are written. A datagram names the endpoints of a prompt once (150 in place of 255 bytes for 17 endpoints). request-sent is a log line now, with the inputs of the placement.

Tests seen to fail: without the passes, and with the oldest part first.

--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -21,8 +21,10 @@
 /** How other instances hear of what this one does. */
 typedef struct
 {
-  /** A prompt's parts were placed, or with `sign` -1 will not be read after all. */
-  void (*read_placed) (SvPeerLink *link, const SvPlacement *placement, gint sign);
+  /** A prompt was placed for reading at the endpoints with these keys. */
+  void (*read_placed) (SvPeerLink *link, const SvRead *read, const guint64 *keys, guint n);
+  /** It has been read, or will not be. */
+  void (*read_ended) (SvPeerLink *link, guint64 prompt);
   /** What this instance has in flight has changed somewhere. */
   void (*load_changed) (SvPeerLink *link);
   /** A request with this fingerprint ended the connection of the endpoint that ran it. */
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -10,6 +10,7 @@
 #include "kernel/kernel.h"
 #include "policy/health.h"
 #include "serve/config.h"
+#include "serve/reads.h"
 
 typedef struct SvFleet SvFleet;
 
@@ -50,7 +51,7 @@
   SvLoad own;
   SvLoad others;        /**< sum of `peers` */
   GArray *peers;        /**< SvPeerLoad */
-  KnlTime read_until;   /**< when the prompts sent there by anyone will have been read */
+  SvReads reads;        /**< prompts that anyone has sent there and that have not been read */
   gboolean own_changed; /**< since peers were told */
 
   guint reported_calls; /**< what it last said that it runs or has waiting */
@@ -96,6 +97,12 @@
 /** All endpoints. */
 const GPtrArray *sv_fleet_all (const SvFleet *fleet);
 
+/** A prompt is read in equal parts by the endpoints with these keys; unknown ones are left out. */
+void sv_fleet_add_read (SvFleet *fleet, const SvRead *read, const guint64 *keys, guint n);
+
+/** The prompt has been read, or will not be. */
+void sv_fleet_end_read (SvFleet *fleet, guint64 prompt);
+
 SvEndpoint *sv_endpoint_ref (SvEndpoint *endpoint);
 void sv_endpoint_unref (SvEndpoint *endpoint);
 
@@ -111,11 +118,8 @@
 /** Adds to (or with `sign` -1 takes from) what this instance has in flight there. */
 void sv_endpoint_charge (SvEndpoint *endpoint, const SvLoad *load, gint sign);
 
-/** `length` of reading was placed there; below 0: it was taken away. */
-void sv_endpoint_add_read (SvEndpoint *endpoint, KnlTime now, KnlTime length);
-
 /** Time until all that was placed there has been read. */
-KnlTime sv_endpoint_read_left (const SvEndpoint *endpoint, KnlTime now);
+KnlTime sv_endpoint_read_left (SvEndpoint *endpoint, KnlTime now);
 
 /** A peer has `load` in flight there. */
 void sv_endpoint_set_peer (SvEndpoint *endpoint, guint32 peer, const SvLoad *load, KnlTime now);
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -31,6 +31,7 @@
   gboolean lacks_memory;     /**< not even all of them have room for it now */
   guint n_helpers;
   KnlTime part;     /**< reading at each of them */
+  KnlTime read;     /**< time that each is busy with it, its passes counted */
   KnlTime expected; /**< time to the first event */
   KnlTime backlog;  /**< reading that waits there already, where it is most */
   SvLoad load;      /**< of the first endpoint */
@@ -46,5 +47,5 @@
 /** Lets go of its endpoints. */
 void sv_placement_clear (SvPlacement *placement);
 
-/** Enters the placement's reading in the endpoints, or with `sign` -1 takes it out again. */
-void sv_placement_note_reads (const SvPlacement *placement, KnlTime now, gint sign);
+/** Keys of the endpoints that read it, the first one's first; their number. */
+guint sv_placement_readers (const SvPlacement *placement, guint64 keys[SV_HELPERS + 1]);
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -54,20 +54,32 @@
 
 
 /*
- * The sender has just had a prompt, or a part of one, read there.
+ * The sender has had a prompt placed for reading, or tells its end.
  */
 struct  Alderturn__PlacedRead
 {
   ProtobufCMessage base;
-  uint64_t endpoint;
   /*
-   * below 0: it is not read there after all
+   * hash of the send
+   */
+  uint64_t prompt;
+  /*
+   * that read equal parts of it; none: it has been read, or will not be
+   */
+  size_t n_endpoints;
+  uint64_t *endpoints;
+  /*
+   * of each part
+   */
+  uint32_t length_us;
+  /*
+   * it counts until its end is told
    */
-  int32_t length_us;
+  protobuf_c_boolean until_told;
 };
 #define ALDERTURN__PLACED_READ__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__placed_read__descriptor) \
-    , 0, 0 }
+    , 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -1,5 +1,8 @@
 /** What becomes of a send: its answer, its failure, and whether the request is sent again. */
 
+#include <string.h>
+#include <xxhash.h>
+
 #include "common/log.h"
 #include "policy/retry.h"
 #include "serve/core_internal.h"
@@ -23,23 +26,40 @@
 }
 
 void
-sv_request_note_reads (SvRequest *self, gint sign)
+sv_request_place_read (SvRequest *self)
 {
-  SvPeerLink *link = self->core->parts.link;
+  SvCore *core = self->core;
+  guint64 keys[SV_HELPERS + 1];
+  guint n = sv_placement_readers (&self->placement, keys);
+  SvRead read = {
+    .prompt = XXH64 (self->ask.id, strlen (self->ask.id), self->offers),
+    .length = self->placement.read,
+    .until_told = self->placement.is_split,
+  };
 
   if (self->placement.part == 0)
     return;
-  sv_placement_note_reads (&self->placement, sv_request_now (self), sign);
-  link->klass->read_placed (link, &self->placement, sign);
+  self->read = read;
+  self->is_reading = TRUE;
+  sv_fleet_add_read (core->parts.fleet, &read, keys, n);
+  core->parts.link->klass->read_placed (core->parts.link, &read, keys, n);
 }
 
-/* A prompt that was turned away, or given up before its first event, is not read: entries for it
- * would make its endpoints look busy for seconds. */
-static void
-take_reads_back (SvRequest *self)
+/*
+ * A prompt whose first event has come has been read; one that was turned away or
+ * given up before is not read. Entries for it would make its endpoints look busy.
+ */
+void
+sv_request_end_read (SvRequest *self)
 {
-  if (!self->is_read)
-    sv_request_note_reads (self, -1);
+  SvCore *core = self->core;
+
+  if (!self->is_reading)
+    return;
+  self->is_reading = FALSE;
+  sv_fleet_end_read (core->parts.fleet, self->read.prompt);
+  if (self->read.until_told || self->answer == NULL)
+    core->parts.link->klass->read_ended (core->parts.link, self->read.prompt);
 }
 
 static void
@@ -58,9 +78,9 @@
   if (self->exchange == NULL)
     return;
   ht_exchange_cancel (self->exchange);
-  take_reads_back (self);
   self->exchange = NULL;
   self->answer = NULL;
+  sv_request_end_read (self);
   sv_request_charge (self, -1);
 }
 
@@ -72,6 +92,7 @@
   self->answer = NULL;
   drop_reservation (self);
   knl_timer_stop (self->core->parts.kernel, &self->watch_timer);
+  sv_request_end_read (self);
   sv_request_charge (self, -1);
   sv_meters_note_send (self->core->meters, self->service->name, result);
 }
@@ -197,7 +218,6 @@
         at_fault = self->placement.helpers[i];
     }
   close_send (self, "rejected");
-  take_reads_back (self);
   if (self->reply.status == 421 || at_fault != endpoint)
     sv_endpoint_note_loss (at_fault, sv_request_now (self));
   else
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -51,7 +51,8 @@
   KnlTimerId defer_timer;
   HtMessage *answer; /* its head has come; owned by the exchange */
   SvReply reply;
-  gboolean is_read; /* an event has come: its prompt has been read */
+  SvRead read;         /* of its prompt, as entered in its endpoints */
+  gboolean is_reading; /* it is still entered */
 
   /* the answer to the caller */
   GString *fields; /* of the first endpoint's answer */
@@ -94,8 +95,11 @@
 /** Enters the placed request in its endpoint's load, or with `sign` -1 takes it out. */
 void sv_request_charge (SvRequest *self, gint sign);
 
-/** The same for the reading of its prompt, here and at the peers. */
-void sv_request_note_reads (SvRequest *self, gint sign);
+/** Enters the reading of its prompt in its endpoints, here and at the peers. */
+void sv_request_place_read (SvRequest *self);
+
+/** Takes it out, if it is still entered. */
+void sv_request_end_read (SvRequest *self);
 
 /** Ends a request that is sent nowhere any more. */
 void sv_request_give_up (SvRequest *self, const char *reason);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -12,6 +12,21 @@
 /* How long an endpoint's own report of its load is used. */
 #define REPORT_LIFE (200 * KNL_MSEC)
 
+/* Prompts kept for their end; beyond it those whose end was never told are swept. */
+#define READS_SWEPT 1024
+
+/* Endpoints that read one prompt, at most. */
+#define READERS_MOST 17
+
+/* Where a prompt is read. */
+typedef struct
+{
+  guint64 prompt;
+  KnlTime placed_at;
+  guint n;
+  guint64 keys[READERS_MOST];
+} PlacedRead;
+
 struct SvFleet
 {
   KnlKernel *kernel;
@@ -20,6 +35,7 @@
   GHashTable *by_key;   /* &key -> SvEndpoint */
   GHashTable *services; /* name -> GPtrArray of SvEndpoint by key */
   GPtrArray *all;
+  GHashTable *reads;    /* prompt -> PlacedRead; those that count until their end is told */
   GHashTable *unlisted; /* ids that the list being read has not named yet */
 };
 
@@ -40,6 +56,7 @@
   g_free (self->address);
   g_free (self->zone);
   g_array_unref (self->peers);
+  sv_reads_clear (&self->reads);
   g_free (self);
 }
 
@@ -55,6 +72,7 @@
   self->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
   self->services =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  self->reads = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   self->all = g_ptr_array_new ();
   return self;
 }
@@ -66,6 +84,7 @@
     return;
   if (self->unlisted != NULL)
     g_hash_table_unref (self->unlisted);
+  g_hash_table_unref (self->reads);
   g_ptr_array_unref (self->all);
   g_hash_table_unref (self->services);
   g_hash_table_unref (self->by_key);
@@ -105,6 +124,7 @@
   endpoint->service = g_strdup (entry->service);
   endpoint->address = g_strdup (entry->address);
   endpoint->key = XXH64 (entry->id, strlen (entry->id), 0);
+  sv_reads_init (&endpoint->reads);
   endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
   if (service == NULL)
     {
@@ -217,6 +237,60 @@
   return g_hash_table_lookup (self->by_key, &key);
 }
 
+static gboolean
+is_forgotten (gpointer prompt, gpointer value, gpointer now)
+{
+  return *(KnlTime *)now - ((PlacedRead *)value)->placed_at > SV_READ_LIFE;
+}
+
+static void
+keep_readers (SvFleet *self, guint64 prompt, const guint64 *keys, guint n)
+{
+  PlacedRead *placed = g_new0 (PlacedRead, 1);
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  if (g_hash_table_size (self->reads) >= READS_SWEPT)
+    g_hash_table_foreach_remove (self->reads, is_forgotten, &now);
+  placed->prompt = prompt;
+  placed->placed_at = now;
+  placed->n = MIN (n, READERS_MOST);
+  memcpy (placed->keys, keys, placed->n * sizeof *keys);
+  g_hash_table_replace (self->reads, &placed->prompt, placed);
+}
+
+void
+sv_fleet_add_read (SvFleet *self, const SvRead *read, const guint64 *keys, guint n)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  for (guint i = 0; i < n; i++)
+    {
+      SvEndpoint *endpoint = sv_fleet_by_key (self, keys[i]);
+
+      if (endpoint != NULL)
+        sv_reads_add (&endpoint->reads, read, now);
+    }
+  keep_readers (self, read->prompt, keys, n);
+}
+
+void
+sv_fleet_end_read (SvFleet *self, guint64 prompt)
+{
+  const PlacedRead *placed = g_hash_table_lookup (self->reads, &prompt);
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  if (placed == NULL)
+    return;
+  for (guint i = 0; i < placed->n; i++)
+    {
+      SvEndpoint *endpoint = sv_fleet_by_key (self, placed->keys[i]);
+
+      if (endpoint != NULL)
+        sv_reads_end (&endpoint->reads, prompt, now);
+    }
+  g_hash_table_remove (self->reads, &prompt);
+}
+
 const GPtrArray *
 sv_fleet_all (const SvFleet *self)
 {
@@ -255,16 +329,10 @@
   self->own_changed = TRUE;
 }
 
-void
-sv_endpoint_add_read (SvEndpoint *self, KnlTime now, KnlTime length)
-{
-  self->read_until = MAX (MAX (self->read_until, now) + length, now);
-}
-
 KnlTime
-sv_endpoint_read_left (const SvEndpoint *self, KnlTime now)
+sv_endpoint_read_left (SvEndpoint *self, KnlTime now)
 {
-  return MAX (self->read_until - now, 0);
+  return sv_reads_left (&self->reads, now);
 }
 
 static void
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -195,14 +195,17 @@
 static void
 take_reads (SvPeers *self, const Alderturn__Datagram *datagram)
 {
-  KnlTime now = knl_kernel_now (self->kernel);
-
   for (guint i = 0; i < datagram->n_reads; i++)
     {
-      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, datagram->reads[i]->endpoint);
-
-      if (endpoint != NULL)
-        sv_endpoint_add_read (endpoint, now, datagram->reads[i]->length_us);
+      const Alderturn__PlacedRead *row = datagram->reads[i];
+      SvRead read = { .prompt = row->prompt,
+                      .length = row->length_us,
+                      .until_told = row->until_told };
+
+      if (row->n_endpoints > 0)
+        sv_fleet_add_read (self->fleet, &read, row->endpoints, (guint)row->n_endpoints);
+      else
+        sv_fleet_end_read (self->fleet, row->prompt);
     }
 }
 
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -49,11 +49,14 @@
   gpointer on_suspect_data;
 };
 
-/** Reading placed at an endpoint, to be told. */
+/** A prompt placed for reading, or its end, to be told. */
 typedef struct
 {
-  guint64 endpoint; /* its key */
-  KnlTime length;   /* below 0: it was taken back */
+  guint64 prompt;
+  KnlTime length;
+  gboolean until_told;
+  guint n; /* endpoints that read it; 0: its end */
+  guint64 keys[SV_HELPERS + 1];
 } PlacedReadRow;
 
 /* peers_tell.c */
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -1,5 +1,7 @@
 /** What this instance tells the others. */
 
+#include <string.h>
+
 #include "common/log.h"
 #include "peers_internal.h"
 
@@ -11,6 +13,9 @@
 /* Rows in a datagram, so that it stays below the usual packet size. */
 #define ROWS_MOST 36
 
+/* The same for prompts, each with the endpoints that read it. */
+#define READS_MOST 5
+
 static void
 send_to (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
 {
@@ -47,8 +52,8 @@
 {
   Alderturn__EndpointLoad loads[ROWS_MOST];
   Alderturn__EndpointLoad *load_rows[ROWS_MOST];
-  Alderturn__PlacedRead reads[ROWS_MOST];
-  Alderturn__PlacedRead *read_rows[ROWS_MOST];
+  Alderturn__PlacedRead reads[READS_MOST];
+  Alderturn__PlacedRead *read_rows[READS_MOST];
 } Rows;
 
 static void
@@ -129,19 +134,22 @@
 static void
 fill_reads (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
 {
-  guint n = MIN (self->reads->len, ROWS_MOST);
+  guint n = MIN (self->reads->len, READS_MOST);
 
   for (guint i = 0; i < n; i++)
     {
-      const PlacedReadRow *read = &g_array_index (self->reads, PlacedReadRow, i);
-
-      alderturn__placed_read__init (&rows->reads[i]);
-      rows->reads[i].endpoint = read->endpoint;
-      rows->reads[i].length_us = (gint32)read->length;
-      rows->read_rows[i] = &rows->reads[i];
+      PlacedReadRow *read = &g_array_index (self->reads, PlacedReadRow, i);
+      Alderturn__PlacedRead *row = &rows->reads[i];
+
+      alderturn__placed_read__init (row);
+      row->prompt = read->prompt;
+      row->endpoints = read->keys;
+      row->n_endpoints = read->n;
+      row->length_us = (guint32)read->length;
+      row->until_told = read->until_told;
+      rows->read_rows[i] = row;
     }
   datagram->n_reads = n;
-  g_array_remove_range (self->reads, 0, n);
 }
 
 /* FALSE: there was nothing to tell. */
@@ -166,6 +174,7 @@
   if (datagram.n_loads + datagram.n_reads + datagram.n_suspects == 0)
     return FALSE;
   send_to_all (self, &datagram);
+  g_array_remove_range (self->reads, 0, (guint)datagram.n_reads);
   g_array_set_size (self->suspects, 0);
   return TRUE;
 }
@@ -188,23 +197,30 @@
 }
 
 static void
-add_read (SvPeers *self, const SvEndpoint *endpoint, KnlTime length)
+tell_read (SvPeers *self, const PlacedReadRow *row)
+{
+  g_array_append_val (self->reads, *row);
+  knl_timer_stop (self->kernel, &self->change_timer);
+  tell_within (self, READ_DELAY);
+}
+
+static void
+link_read_placed (SvPeerLink *link, const SvRead *read, const guint64 *keys, guint n)
 {
-  PlacedReadRow row = { .endpoint = endpoint->key, .length = length };
+  PlacedReadRow row = {
+    .prompt = read->prompt, .length = read->length, .until_told = read->until_told, .n = n
+  };
 
-  g_array_append_val (self->reads, row);
+  memcpy (row.keys, keys, n * sizeof *keys);
+  tell_read ((SvPeers *)link, &row);
 }
 
 static void
-link_read_placed (SvPeerLink *link, const SvPlacement *placement, gint sign)
+link_read_ended (SvPeerLink *link, guint64 prompt)
 {
-  SvPeers *self = (SvPeers *)link;
+  PlacedReadRow row = { .prompt = prompt };
 
-  add_read (self, placement->first, sign * placement->part);
-  for (guint i = 0; i < placement->n_helpers; i++)
-    add_read (self, placement->helpers[i], sign * placement->part);
-  knl_timer_stop (self->kernel, &self->change_timer);
-  tell_within (self, READ_DELAY);
+  tell_read ((SvPeers *)link, &row);
 }
 
 static void
@@ -230,6 +246,7 @@
 
 const SvPeerLinkClass sv_peers_link_class = {
   .read_placed = link_read_placed,
+  .read_ended = link_read_ended,
   .load_changed = link_load_changed,
   .suspect = link_suspect,
   .n_instances = link_n_instances,
--- a/serve/router.c
+++ b/serve/router.c
@@ -239,6 +239,7 @@
         placement->helpers[placement->n_helpers++] = candidate->endpoint;
     }
   placement->part = (KnlTime)(choice->read_ms / parts * KNL_MSEC);
+  placement->read = placement->part;
   placement->expected = (KnlTime)(expected * KNL_MSEC);
 }
 
@@ -433,6 +434,20 @@
   placement->lacks_memory = rest > 0;
 }
 
+/* Reading goes on inside passes, whose other work takes time too. */
+static double
+mean_pass (const Choice *choice, guint width)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < width; i++)
+    {
+      if (n_writers (&candidate_at (choice, i)->load) > 0)
+        sum += candidate_at (choice, i)->pass;
+    }
+  return sum / width;
+}
+
 static void
 place_split (const Choice *choice, SvPlacement *placement)
 {
@@ -450,6 +465,7 @@
         MAX (placement->backlog, (KnlTime)(candidate_at (choice, i)->read_left * KNL_MSEC));
   placement->is_split = TRUE;
   placement->part = (KnlTime)(choice->read_ms / width * KNL_MSEC);
+  placement->read = placement->part + (KnlTime)(mean_pass (choice, width) * KNL_MSEC);
   placement->expected = (KnlTime)(expected * KNL_MSEC);
 }
 
@@ -536,10 +552,13 @@
   *self = (SvPlacement){ 0 };
 }
 
-void
-sv_placement_note_reads (const SvPlacement *placement, KnlTime now, gint sign)
+guint
+sv_placement_readers (const SvPlacement *self, guint64 keys[SV_HELPERS + 1])
 {
-  sv_endpoint_add_read (placement->first, now, sign * placement->part);
-  for (guint i = 0; i < placement->n_helpers; i++)
-    sv_endpoint_add_read (placement->helpers[i], now, sign * placement->part);
+  guint n = 0;
+
+  keys[n++] = self->first->key;
+  for (guint i = 0; i < self->n_helpers; i++)
+    keys[n++] = self->helpers[i]->key;
+  return n;
 }
--- a/serve/send.c
+++ b/serve/send.c
@@ -1,5 +1,6 @@
 /** Puts a request on its way to an endpoint: placed, with the memory that it needs, and watched. */
 
+#include "common/log.h"
 #include "serve/core_internal.h"
 
 /* Zones are a few ms apart; no connection after this means that nobody is there. */
@@ -177,6 +178,25 @@
   self->exchange = ht_client_send (self->core->parts.client, &exchange, &sv_request_events, self);
 }
 
+/* Why it went where it went, and how much was known of others' work there. */
+static void
+log_send (const SvRequest *self)
+{
+  const SvPlacement *placement = &self->placement;
+  const SvEndpoint *endpoint = placement->first;
+  SvLoad load = sv_endpoint_load (endpoint, self->sent_at);
+  g_autoptr (GString) helpers = g_string_new (NULL);
+
+  for (guint i = 0; i < placement->n_helpers; i++)
+    g_string_append_printf (helpers, "%s%s", i > 0 ? "," : "", placement->helpers[i]->id);
+  cm_log (CM_LOG_INFO, "request-sent", "s", "request", self->ask.id, "s", "endpoint", endpoint->id,
+          "s", "helpers", helpers->str, "i", "send", (gint64)self->offers, "i", "prompt-tokens",
+          (gint64)self->ask.prompt_tokens, "i", "waited-us", self->sent_at - self->begun_at, "i",
+          "part-us", placement->part, "i", "expected-us", placement->expected, "i", "backlog-us",
+          placement->backlog, "i", "endpoint-calls", (gint64)load.calls, "i", "endpoint-tokens",
+          (gint64)load.tokens, "b", "reserved", self->reservation != NULL);
+}
+
 /* Puts the request on its way; it is placed, and has the memory that it needs. */
 static void
 launch (SvRequest *self)
@@ -185,13 +205,14 @@
   const char *last_event = self->ask.last_event;
   GString *head;
 
-  sv_request_note_reads (self, 1);
+  sv_request_place_read (self);
   self->sent_at = sv_request_now (self);
   if (self->last_event >= 0)
     {
       g_snprintf (resumed, sizeof resumed, "%" G_GINT64_FORMAT, self->last_event);
       last_event = resumed;
     }
+  log_send (self);
   sv_request_charge (self, 1);
   head = write_head (self, last_event);
   start_exchange (self, head);
@@ -293,7 +314,6 @@
   self->offers++;
   self->sent_at = sv_request_now (self);
   self->last_at = 0;
-  self->is_read = FALSE;
   sv_events_reset (&self->events);
   if (needs_reservation (self))
     reserve (self);
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -36,7 +36,7 @@
 {
   SvRequest *self = data;
 
-  self->is_read = TRUE;
+  sv_request_end_read (self);
   /* A second run may begin before where the first was cut. */
   if (event->id >= 0 && event->id <= self->last_event)
     return;
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -9,7 +9,12 @@
 #define STUCK_S 20
 
 static void
-link_read_placed (SvPeerLink *link, const SvPlacement *placement, gint sign)
+link_read_placed (SvPeerLink *link, const SvRead *read, const guint64 *keys, guint n)
+{
+}
+
+static void
+link_read_ended (SvPeerLink *link, guint64 prompt)
 {
 }
 
@@ -31,6 +36,7 @@
 
 static const SvPeerLinkClass link_class = {
   .read_placed = link_read_placed,
+  .read_ended = link_read_ended,
   .load_changed = link_load_changed,
   .suspect = link_suspect,
   .n_instances = link_n_instances,
--- a/tests/unit/sv_peers_test.c
+++ b/tests/unit/sv_peers_test.c
@@ -139,15 +139,16 @@
 {
   static const SvLoad load = { .calls = 1, .writers = { 0, 1, 0 }, .tokens = 5000 };
   Fixture fixture;
-  SvPlacement placement;
+  SvRead read = { .prompt = 5, .length = 300 * KNL_MSEC, .until_told = TRUE };
+  SvEndpoint *endpoint;
   SvPeerLink *link;
 
   fixture_open (&fixture);
   meet (&fixture);
   link = sv_peers_link (fixture.peers[0]);
-  placement = (SvPlacement){ .first = endpoint_of (&fixture, 0), .part = 300 * KNL_MSEC };
-  sv_endpoint_charge (placement.first, &load, 1);
-  link->klass->read_placed (link, &placement, 1);
+  endpoint = endpoint_of (&fixture, 0);
+  sv_endpoint_charge (endpoint, &load, 1);
+  link->klass->read_placed (link, &read, &endpoint->key, 1);
   link->klass->suspect (link, 77);
   knl_paused_clock_advance (fixture.clock, 3 * KNL_MSEC);
   while (load_at (&fixture, 2).calls == 0 || fixture.suspect == 0)
@@ -157,6 +158,10 @@
   CU_ASSERT (sv_endpoint_read_left (endpoint_of (&fixture, 2), knl_kernel_now (fixture.kernel))
              > 290 * KNL_MSEC);
   CU_ASSERT_EQUAL (fixture.suspect, 77);
+  link->klass->read_ended (link, read.prompt);
+  knl_paused_clock_advance (fixture.clock, 3 * KNL_MSEC);
+  while (sv_endpoint_read_left (endpoint_of (&fixture, 2), knl_kernel_now (fixture.kernel)) > 0)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
   fixture_close (&fixture);
 }
 
--- a/tests/unit/sv_router_test.c
+++ b/tests/unit/sv_router_test.c
@@ -110,11 +110,23 @@
   return place (self, tokens, 1000 * KNL_MSEC, 3 * KNL_SEC);
 }
 
+static void
+add_read (Fixture *self, const SvPlacement *placement, guint64 prompt)
+{
+  guint64 keys[SV_HELPERS + 1];
+  guint n = sv_placement_readers (placement, keys);
+  SvRead read = { .prompt = prompt, .length = placement->read, .until_told = placement->is_split };
+
+  sv_fleet_add_read (self->fleet, &read, keys, n);
+}
+
 /* Starts it: its load and its reading count from now on. */
 static void
 start (Fixture *self, const SvPlacement *placement)
 {
-  sv_placement_note_reads (placement, knl_kernel_now (self->kernel), 1);
+  static guint64 prompt = 1000;
+
+  add_read (self, placement, prompt++);
   sv_endpoint_charge (placement->first, &placement->load, 1);
 }
 
@@ -191,14 +203,66 @@
   fixture_open (&fixture, ENGINES);
   placement = place_long (&fixture, 250000);
   now = knl_kernel_now (fixture.kernel);
-  sv_placement_note_reads (&placement, now, 1);
+  add_read (&fixture, &placement, 7);
   CU_ASSERT (sv_endpoint_read_left (placement.first, now) > 0);
-  sv_placement_note_reads (&placement, now, -1);
+  sv_fleet_end_read (fixture.fleet, 7);
   CU_ASSERT_EQUAL (sv_endpoint_read_left (placement.first, now), 0);
   CU_ASSERT_EQUAL (sv_endpoint_read_left (placement.helpers[0], now), 0);
   fixture_close (&fixture);
 }
 
+/*
+ * Symptom: prompts wait seven seconds for their first event at engines that look idle, while
+ * prompts that came later have theirs at once.
+ * Sequence: prompts are placed one after the other, each when the reading before it should be over;
+ * the engines, which write streams too, are slower than that and take the newest part first.
+ * Cause: reading was taken to go at full speed and to be over by the clock alone; what engines
+ * still had to do was forgotten, and more was placed on top.
+ */
+static void
+test_reading_counts_until_it_is_over (void)
+{
+  static const SvRead first = { .prompt = 1, .length = 300, .until_told = TRUE };
+  static const SvRead second = { .prompt = 2, .length = 200, .until_told = TRUE };
+  static const SvRead untold = { .prompt = 3, .length = 100 };
+  SvReads reads;
+
+  sv_reads_init (&reads);
+  sv_reads_add (&reads, &first, 1000);
+  sv_reads_add (&reads, &second, 1100);
+  CU_ASSERT_EQUAL (sv_reads_left (&reads, 1100), 400);
+  /* The newer one goes first: when it is over, all of the older one's rest is left. */
+  sv_reads_end (&reads, 2, 1250);
+  CU_ASSERT_EQUAL (sv_reads_left (&reads, 1250), 200);
+  sv_reads_add (&reads, &untold, 1250);
+  CU_ASSERT_EQUAL (sv_reads_left (&reads, 1350), 200);
+  CU_ASSERT_EQUAL (sv_reads_left (&reads, 1350 + 500), 0);
+  sv_reads_end (&reads, 1, 2000);
+  sv_reads_end (&reads, 1, 2000);
+  CU_ASSERT_EQUAL (reads.rows->len, 0);
+  sv_reads_add (&reads, &first, 3000);
+  CU_ASSERT_EQUAL (sv_reads_left (&reads, 3000 + SV_READ_LIFE), 0);
+  CU_ASSERT_EQUAL (reads.rows->len, 0);
+  sv_reads_clear (&reads);
+}
+
+/* A prompt that is read beside streams takes the engine their passes too. */
+static void
+test_reading_beside_streams_takes_longer (void)
+{
+  Fixture fixture;
+  SvPlacement placement;
+
+  fixture_open (&fixture, 1);
+  placement = place_long (&fixture, 60000);
+  CU_ASSERT_EQUAL (placement.read, placement.part);
+  placement = place_short (&fixture);
+  sv_endpoint_charge (placement.first, &placement.load, 1);
+  placement = place_long (&fixture, 60000);
+  CU_ASSERT (placement.read > placement.part + 40 * KNL_MSEC);
+  fixture_close (&fixture);
+}
+
 /*
  * Symptom: processes end with signal 6, some seconds after an endpoint has gone.
  * Sequence: a prompt is read in parts; one of the endpoints that read them leaves the list for
@@ -214,6 +278,7 @@
   fixture_open (&fixture, ENGINES);
   placement = place_long (&fixture, 250000);
   CU_ASSERT (placement.n_helpers > 0);
+  add_read (&fixture, &placement, 7);
   sv_placement_ref (&placement);
   for (guint round = 0; round < 2; round++)
     {
@@ -222,7 +287,7 @@
       knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
     }
   CU_ASSERT_EQUAL (sv_fleet_all (fixture.fleet)->len, 0);
-  sv_placement_note_reads (&placement, knl_kernel_now (fixture.kernel), -1);
+  sv_fleet_end_read (fixture.fleet, 7);
   sv_placement_clear (&placement);
   CU_ASSERT_PTR_NULL (placement.first);
   fixture_close (&fixture);
@@ -282,6 +347,8 @@
   { "short streams leave engines free", test_short_streams_leave_engines_free },
   { "long prompts avoid short streams", test_long_prompts_avoid_short_streams },
   { "rejected reading is taken out", test_rejected_reading_is_taken_out },
+  { "reading counts until it is over", test_reading_counts_until_it_is_over },
+  { "reading beside streams takes longer", test_reading_beside_streams_takes_longer },
   { "endpoints outlive the fleet", test_endpoints_outlive_the_fleet },
   { "memory is spread over engines", test_memory_is_spread },
   { "full places are told", test_full_places_are_told },
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -290,25 +290,37 @@
   (ProtobufCMessageInit) alderturn__endpoint_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__placed_read__field_descriptors[2] =
+static const ProtobufCFieldDescriptor alderturn__placed_read__field_descriptors[4] =
 {
   {
-    "endpoint",
+    "prompt",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Alderturn__PlacedRead, endpoint),
+    offsetof(Alderturn__PlacedRead, prompt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "length_us",
+    "endpoints",
     2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Alderturn__PlacedRead, n_endpoints),
+    offsetof(Alderturn__PlacedRead, endpoints),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length_us",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_SINT32,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
     offsetof(Alderturn__PlacedRead, length_us),
     NULL,
@@ -316,15 +328,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "until_told",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__PlacedRead, until_told),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__placed_read__field_indices_by_name[] = {
-  0,   /* field[0] = endpoint */
-  1,   /* field[1] = length_us */
+  1,   /* field[1] = endpoints */
+  2,   /* field[2] = length_us */
+  0,   /* field[0] = prompt */
+  3,   /* field[3] = until_told */
 };
 static const ProtobufCIntRange alderturn__placed_read__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor alderturn__placed_read__descriptor =
 {
@@ -334,7 +360,7 @@
   "Alderturn__PlacedRead",
   "alderturn",
   sizeof(Alderturn__PlacedRead),
-  2,
+  4,
   alderturn__placed_read__field_descriptors,
   alderturn__placed_read__field_indices_by_name,
   1,  alderturn__placed_read__number_ranges,
