serve: a short prompt is read with its pass, and slowdown counts where a prompt runs

The router took a short prompt to be read as soon as its own reading time had passed, though its reading ends with the pass; and the time that reading takes from streams was counted at the engines that help but not at the one that runs the prompt, so that one part of 1.2 s looked cheaper than eight of 0.15 s.

Tests seen to fail: without the half pass, and without the slowdown of the engine that runs the prompt.

--- a/serve/router.c
+++ b/serve/router.c
@@ -17,6 +17,11 @@
 /* Of the endpoints, the part that is never packed. */
 #define UNPACKED_PART 0.12
 
+/* Passes that a short prompt keeps its endpoint busy beside its reading: it begins in the middle of
+ * one on average. Without them short prompts that come together go to one endpoint and share a pass
+ * that is too long for all. */
+#define PACKED_PASSES 0.5
+
 /* Of the memory of the endpoints that run long prompts, what their contexts are to take. */
 #define WRITE_PART 0.8
 
@@ -239,7 +244,8 @@
         placement->helpers[placement->n_helpers++] = candidate->endpoint;
     }
   placement->part = (KnlTime)(choice->read_ms / parts * KNL_MSEC);
-  placement->read = placement->part;
+  placement->read =
+      placement->part + (KnlTime)(PACKED_PASSES * candidate_at (choice, 0)->pass * KNL_MSEC);
   placement->expected = (KnlTime)(expected * KNL_MSEC);
 }
 
@@ -308,8 +314,7 @@
 
       finish = MAX (finish, stretch);
       harm += harm_of (choice, candidate, stretch);
-      if (i > 0)
-        harm += n_writers (&candidate->load) * (part / SLOWDOWN_MS);
+      harm += n_writers (&candidate->load) * (part / SLOWDOWN_MS);
     }
   *expected = finish;
   return harm + worth_of (choice) * ramp (finish, LATE_FROM * objective, objective)
--- a/tests/unit/sv_router_test.c
+++ b/tests/unit/sv_router_test.c
@@ -246,6 +246,52 @@
   sv_reads_clear (&reads);
 }
 
+/*
+ * Symptom: short prompts have their first event late though other packed endpoints are free, and
+ * the streams beside them pause.
+ * Sequence: several come within a pass; each finds the same endpoint just free of the one before.
+ * Cause: reading was taken to be over as soon as its own time had passed, but it ends with the
+ * pass.
+ */
+static void
+test_short_prompt_is_read_with_its_pass (void)
+{
+  Fixture fixture;
+  SvPlacement placement;
+
+  fixture_open (&fixture, ENGINES);
+  placement = place_short (&fixture);
+  start (&fixture, &placement);
+  knl_paused_clock_advance (fixture.clock, placement.part + 5 * KNL_MSEC);
+  CU_ASSERT (sv_endpoint_read_left (placement.first, knl_kernel_now (fixture.kernel)) > 0);
+  knl_paused_clock_advance (fixture.clock, 60 * KNL_MSEC);
+  CU_ASSERT_EQUAL (sv_endpoint_read_left (placement.first, knl_kernel_now (fixture.kernel)), 0);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: a long prompt is read by one endpoint for more than a second, and all short streams
+ * there pause that long.
+ * Sequence: streams are left on every endpoint, as at the end of a peak; a long prompt comes.
+ * Cause: how much longer streams take was counted at the endpoints that help and not at the one
+ * that runs the prompt, so that one part looked cheaper than many.
+ */
+static void
+test_long_prompt_is_not_read_whole_beside_streams (void)
+{
+  static const SvLoad streams = { .calls = 4, .writers = { 4 }, .tokens = 20000 };
+  Fixture fixture;
+  SvPlacement placement;
+
+  fixture_open (&fixture, ENGINES);
+  for (guint i = 0; i < ENGINES; i++)
+    sv_endpoint_charge (g_ptr_array_index (sv_fleet_all (fixture.fleet), i), &streams, 1);
+  placement = place (&fixture, 88000, KNL_SEC, 6 * KNL_SEC);
+  CU_ASSERT (placement.n_helpers > 0);
+  CU_ASSERT (placement.part < 200 * KNL_MSEC);
+  fixture_close (&fixture);
+}
+
 /* A prompt that is read beside streams takes the engine their passes too. */
 static void
 test_reading_beside_streams_takes_longer (void)
@@ -348,6 +394,9 @@
   { "long prompts avoid short streams", test_long_prompts_avoid_short_streams },
   { "rejected reading is taken out", test_rejected_reading_is_taken_out },
   { "reading counts until it is over", test_reading_counts_until_it_is_over },
+  { "a short prompt is read with its pass", test_short_prompt_is_read_with_its_pass },
+  { "a long prompt is not read whole beside streams",
+    test_long_prompt_is_not_read_whole_beside_streams },
   { "reading beside streams takes longer", test_reading_beside_streams_takes_longer },
   { "endpoints outlive the fleet", test_endpoints_outlive_the_fleet },
   { "memory is spread over engines", test_memory_is_spread },
