bench: placement policies side by side on engines that work in passes, and its test

Now tests/fakes/pass_engine is a model engine with steps, strides, chunks, parts for other engines, slots and memory. The wait of long prompts became sv_defer_decide(), which both use.

Tests seen to fail: no words between instances; one stream a packed engine.

--- /dev/null
+++ b/bench/policies.c
@@ -0,0 +1,553 @@
+#include "policies.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "kernel/paused.h"
+#include "serve/defer.h"
+#include "serve/engine_model.h"
+#include "serve/router.h"
+#include "tests/fakes/pass_engine.h"
+
+/* After the last arrival, for the answers to end. */
+#define RUN_OUT (30 * KNL_SEC)
+
+/* Load moves between many short and many long prompts in phases of this length. */
+#define PHASE (10 * KNL_SEC)
+
+/* A late answer's part of the worth of one in time. */
+#define LATE_WORTH 0.25
+
+typedef struct Sim Sim;
+
+/** Kinds of requests, after the users' sheets. */
+typedef struct
+{
+  const char *name;
+  const char *prefix;
+  double per_second;
+  double phases[2]; /* factors of it: many short prompts, many long ones */
+  double prompt;    /* mean tokens */
+  double spread;    /* of the prompts, standard deviation by mean */
+  double events;
+  double worth;
+  KnlTime objective;
+  KnlTime gap;
+} Kind;
+
+static const Kind kinds[BENCH_KINDS] = {
+  { "short", "/s/", 36.8, { 2.4, 0.36 }, 4960, 0.9, 33, 1.3, 300 * KNL_MSEC, 250 * KNL_MSEC },
+  { "middle", "/m/", 1.87, { 0.5, 1.3 }, 45000, 0.5, 20, 4.2, 1500 * KNL_MSEC, 600 * KNL_MSEC },
+  { "long", "/l/", 1.13, { 0.05, 2.9 }, 154000, 0.55, 16, 21, 3 * KNL_SEC, KNL_SEC },
+};
+
+const char *const bench_kind_names[BENCH_KINDS] = { "short", "middle", "long" };
+
+static const SvEngineSpec spec = {
+  .slots = 16,
+  .memory_tokens = 315000,
+  .stride = 51,
+  .step_ms = 0.85,
+  .writer_ms = 0.00425,
+  .context_ms_per_k = 0.00285,
+  .read_tokens_per_ms = 177,
+  .pair_ms_per_m = 0.184,
+  .chunk = 2048,
+  .usual_prompt = 11000,
+  .usual_answer = 1600,
+};
+
+typedef struct
+{
+  Sim *sim;
+  SvFleet *fleet;
+  guint32 id;
+} Instance;
+
+typedef struct
+{
+  Sim *sim;
+  Instance *instance;
+  const Kind *kind;
+  guint64 number;
+  guint64 prompt_tokens;
+  guint events;
+  KnlTime asked_at;
+  KnlTime first_at;
+  KnlTime last_at;
+  KnlTime longest;
+  gboolean reading;
+  SvPlacement placement;
+} Request;
+
+typedef struct BenchPolicy BenchPolicy;
+
+struct BenchPolicy
+{
+  const char *name;
+  /** Fills the request's placement; returns the time after which to ask again, 0: it goes. */
+  KnlTime (*place) (Request *request, const SvDemand *demand);
+};
+
+struct Sim
+{
+  const BenchPolicyOptions *options;
+  const BenchPolicy *policy;
+  BenchPolicyResult *result;
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  SvConfig *config;
+  const SvService *service;
+  GRand *rand;
+  Instance *instances;
+  GPtrArray *engines; /* FkPassEngine, by the number that its address ends with */
+  guint64 next;
+  double owed;
+  double earned;
+};
+
+static KnlTime
+now_of (const Sim *self)
+{
+  return knl_kernel_now (self->kernel);
+}
+
+/* What one instance tells another. */
+typedef struct
+{
+  Instance *to;
+  guint32 from;
+  guint64 endpoint;
+  SvLoad load;
+  SvRead read;
+  guint n;
+  guint64 keys[SV_HELPERS + 1];
+} Word;
+
+static void
+on_word (gpointer data)
+{
+  Word *word = data;
+  SvEndpoint *endpoint = sv_fleet_by_key (word->to->fleet, word->endpoint);
+
+  if (endpoint != NULL)
+    sv_endpoint_set_peer (endpoint, word->from, &word->load, now_of (word->to->sim));
+  if (word->read.prompt != 0 && word->n > 0)
+    sv_fleet_add_read (word->to->fleet, &word->read, word->keys, word->n);
+  else if (word->read.prompt != 0)
+    sv_fleet_end_read (word->to->fleet, word->read.prompt);
+  g_free (word);
+}
+
+static void
+tell (Request *request, const SvRead *read, const guint64 *keys, guint n)
+{
+  Sim *sim = request->sim;
+
+  for (guint i = 0; i < sim->options->instances; i++)
+    {
+      Word *word;
+
+      if (&sim->instances[i] == request->instance)
+        continue;
+      word = g_new0 (Word, 1);
+      word->to = &sim->instances[i];
+      word->from = request->instance->id;
+      word->endpoint = request->placement.first->key;
+      word->load = request->placement.first->own;
+      if (read != NULL)
+        word->read = *read;
+      word->n = n;
+      if (n > 0)
+        memcpy (word->keys, keys, n * sizeof *keys);
+      knl_timer_start (sim->kernel, sim->options->delay, on_word, word);
+    }
+}
+
+static SvRead
+read_of (const Request *request)
+{
+  return (SvRead){ .prompt = request->number,
+                   .length = request->placement.read,
+                   .until_told = request->placement.is_split };
+}
+
+static void
+end_reading (Request *request)
+{
+  SvRead read = read_of (request);
+
+  if (!request->reading)
+    return;
+  request->reading = FALSE;
+  sv_fleet_end_read (request->instance->fleet, request->number);
+  if (read.until_told)
+    tell (request, &read, NULL, 0);
+}
+
+static void
+on_event (gpointer data, guint index)
+{
+  Request *request = data;
+  KnlTime now = now_of (request->sim);
+
+  end_reading (request);
+  if (index == 0)
+    request->first_at = now;
+  else
+    request->longest = MAX (request->longest, now - request->last_at);
+  request->last_at = now;
+}
+
+static void
+on_done (gpointer data)
+{
+  Request *request = data;
+  Sim *sim = request->sim;
+  BenchKindResult *kind = &sim->result->kinds[request->kind - kinds];
+  KnlTime first = request->first_at - request->asked_at;
+  gboolean in_time = first <= request->kind->objective && request->longest <= request->kind->gap;
+  double size = (double)request->prompt_tokens / request->kind->prompt;
+  double worth = request->kind->worth * (0.3 + 0.7 * size);
+
+  sv_endpoint_charge (request->placement.first, &request->placement.load, -1);
+  tell (request, NULL, NULL, 0);
+  cm_histogram_record (&kind->first, (guint64)first);
+  cm_histogram_record (&kind->pause, (guint64)request->longest);
+  kind->in_time += in_time;
+  sim->earned += in_time ? worth : LATE_WORTH * worth;
+  sv_placement_clear (&request->placement);
+  g_free (request);
+}
+
+static const FkPassEvents request_events = { .event = on_event, .done = on_done };
+
+static FkPassEngine *
+engine_of (const Sim *sim, const SvEndpoint *endpoint)
+{
+  guint64 number = g_ascii_strtoull (endpoint->id, NULL, 10);
+
+  return g_ptr_array_index (sim->engines, number);
+}
+
+static void
+launch (Request *request)
+{
+  Sim *sim = request->sim;
+  SvPlacement *placement = &request->placement;
+  SvRead read = read_of (request);
+  guint64 keys[SV_HELPERS + 1];
+  guint n = sv_placement_readers (placement, keys);
+  FkPassDemand demand = {
+    .prompt_tokens = request->prompt_tokens,
+    .events = request->events,
+    .n_helpers = placement->n_helpers,
+  };
+
+  for (guint i = 0; i < placement->n_helpers; i++)
+    demand.helpers[i] = engine_of (sim, placement->helpers[i]);
+  sv_placement_ref (placement);
+  sv_endpoint_charge (placement->first, &placement->load, 1);
+  sv_fleet_add_read (request->instance->fleet, &read, keys, n);
+  request->reading = TRUE;
+  tell (request, &read, keys, n);
+  fk_pass_engine_submit (engine_of (sim, placement->first), &demand, &request_events, request);
+}
+
+static void
+place (gpointer data)
+{
+  Request *request = data;
+  Sim *sim = request->sim;
+  SvDemand demand = {
+    .config = sim->config,
+    .service = sim->service,
+    .zone = "a",
+    .prompt_tokens = request->prompt_tokens,
+    .answer_tokens = (guint64)request->events * spec.stride,
+    .objective_left = MAX (request->asked_at + request->kind->objective - now_of (sim), 0),
+    .gap_objective = request->kind->gap,
+  };
+  KnlTime wait = sim->policy->place (request, &demand);
+
+  if (wait > 0)
+    knl_timer_start (sim->kernel, wait, place, request);
+  else
+    launch (request);
+}
+
+/* The load that a policy other than the router's enters for its choice. */
+static void
+fill (Request *request, const SvDemand *demand, SvEndpoint *first, guint parts)
+{
+  SvPlacement *placement = &request->placement;
+  const GPtrArray *all = sv_fleet_all (request->instance->fleet);
+  GRand *rand = request->sim->rand;
+  guint at = (guint)g_rand_int_range (rand, 0, (gint32)all->len);
+  double read_ms = sv_model_read_ms (&spec, (double)demand->prompt_tokens);
+
+  *placement = (SvPlacement){ .first = first, .load = { .calls = 1 } };
+  placement->load.writers[sv_pause_of (demand->gap_objective)] = 1;
+  placement->load.tokens = demand->prompt_tokens + demand->answer_tokens;
+  for (guint i = 0; i < all->len && placement->n_helpers + 1 < parts; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (all, (at + i) % all->len);
+
+      if (endpoint != first)
+        placement->helpers[placement->n_helpers++] = endpoint;
+    }
+  placement->part = (KnlTime)(read_ms / (placement->n_helpers + 1) * KNL_MSEC);
+  placement->read = placement->part;
+}
+
+static KnlTime
+place_random (Request *request, const SvDemand *demand)
+{
+  const GPtrArray *all = sv_fleet_all (request->instance->fleet);
+  guint at = (guint)g_rand_int_range (request->sim->rand, 0, (gint32)all->len);
+
+  fill (request, demand, g_ptr_array_index (all, at), 1);
+  return 0;
+}
+
+static SvEndpoint *
+fewest_calls (const Request *request)
+{
+  const GPtrArray *all = sv_fleet_all (request->instance->fleet);
+  guint at = (guint)g_rand_int_range (request->sim->rand, 0, (gint32)all->len);
+  SvEndpoint *best = NULL;
+  guint least = G_MAXUINT;
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (all, (at + i) % all->len);
+      guint calls = sv_endpoint_load (endpoint, now_of (request->sim)).calls;
+
+      if (calls >= least)
+        continue;
+      least = calls;
+      best = endpoint;
+    }
+  return best;
+}
+
+static KnlTime
+place_fewest (Request *request, const SvDemand *demand)
+{
+  fill (request, demand, fewest_calls (request), 1);
+  return 0;
+}
+
+/* One helper for each 10,000 tokens. */
+static KnlTime
+place_wide (Request *request, const SvDemand *demand)
+{
+  guint parts = 1 + MIN ((guint)(demand->prompt_tokens / 10000), SV_HELPERS);
+
+  fill (request, demand, fewest_calls (request), parts);
+  return 0;
+}
+
+static KnlTime
+place_routed (Request *request, const SvDemand *demand)
+{
+  KnlTime now = now_of (request->sim);
+  SvDeferCase due = {
+    .placement = &request->placement,
+    .objective = request->kind->objective,
+    .waited = now - request->asked_at,
+    .left = KNL_NEVER,
+  };
+  KnlTime wait;
+
+  sv_router_place (request->instance->fleet, demand, now, &request->placement);
+  wait = sv_defer_decide (&due);
+  return wait > 0 ? wait + g_rand_int_range (request->sim->rand, 0, 5 * KNL_MSEC) : 0;
+}
+
+/* The router's choice, sent at once. */
+static KnlTime
+place_undeferred (Request *request, const SvDemand *demand)
+{
+  sv_router_place (request->instance->fleet, demand, now_of (request->sim), &request->placement);
+  return 0;
+}
+
+static const BenchPolicy policies[] = {
+  { "random", place_random },         { "fewest", place_fewest }, { "wide", place_wide },
+  { "undeferred", place_undeferred }, { "routed", place_routed },
+};
+
+const char *const *
+bench_policy_names (void)
+{
+  static const char *names[G_N_ELEMENTS (policies) + 1];
+
+  for (guint i = 0; i < G_N_ELEMENTS (policies); i++)
+    names[i] = policies[i].name;
+  return names;
+}
+
+static const BenchPolicy *
+find_policy (const char *name)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (policies); i++)
+    {
+      if (strcmp (policies[i].name, name) == 0)
+        return &policies[i];
+    }
+  return NULL;
+}
+
+/* Log-normal with that mean and spread. */
+static double
+draw (GRand *rand, double mean, double spread)
+{
+  double sigma = sqrt (log (1 + spread * spread));
+  double u = MAX (g_rand_double (rand), 1e-12);
+  double normal = sqrt (-2 * log (u)) * cos (2 * G_PI * g_rand_double (rand));
+
+  return mean * exp (sigma * normal - sigma * sigma / 2);
+}
+
+static void
+arrive (Sim *self, const Kind *kind)
+{
+  Request *request = g_new0 (Request, 1);
+  double worth;
+
+  request->sim = self;
+  request->kind = kind;
+  request->number = ++self->next;
+  request->instance =
+      &self->instances[g_rand_int_range (self->rand, 0, (gint32)self->options->instances)];
+  request->prompt_tokens =
+      (guint64)CLAMP (draw (self->rand, kind->prompt, kind->spread), 400, 300000);
+  request->events = (guint)CLAMP (draw (self->rand, kind->events, 0.6), 2, 2.5 * kind->events);
+  request->asked_at = now_of (self);
+  worth = kind->worth * (0.3 + 0.7 * (double)request->prompt_tokens / kind->prompt);
+  self->result->kinds[kind - kinds].asked++;
+  self->owed += worth;
+  place (request);
+}
+
+/* One millisecond of arrivals. */
+static void
+offer (Sim *self)
+{
+  guint phase = (guint)(now_of (self) / PHASE) % 2;
+
+  for (guint i = 0; i < BENCH_KINDS; i++)
+    {
+      double rate = kinds[i].per_second * kinds[i].phases[phase] * self->options->load;
+
+      if (g_rand_double (self->rand) < rate / 1000)
+        arrive (self, &kinds[i]);
+    }
+}
+
+static void
+add_routes (Sim *self)
+{
+  SvService *service;
+
+  self->config = sv_config_new (1);
+  service = sv_config_add_service (self->config, "llm");
+  service->engine = spec;
+  self->service = service;
+  for (guint i = 0; i < BENCH_KINDS; i++)
+    {
+      SvRoute *route = sv_route_new ();
+
+      route->host = g_strdup ("h");
+      route->prefix = g_strdup (kinds[i].prefix);
+      route->kind = SV_STREAM;
+      route->gap_objective = kinds[i].gap;
+      sv_route_add_split (route, "llm", 1);
+      sv_config_add_route (self->config, route);
+    }
+  sv_config_seal (self->config);
+}
+
+static void
+add_engines (Sim *self, SvFleet *fleet)
+{
+  for (guint i = 0; i < self->options->engines; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%u", i);
+      SvEndpointEntry entry = {
+        .id = id, .service = "llm", .address = "127.0.0.1:9", .zone = "a", .slots = spec.slots
+      };
+
+      sv_fleet_update (fleet, &entry);
+    }
+}
+
+static void
+sim_open (Sim *self)
+{
+  self->clock = knl_paused_clock_new ();
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), self->options->seed);
+  self->rand = g_rand_new_with_seed (self->options->seed);
+  add_routes (self);
+  self->engines = g_ptr_array_new_with_free_func ((GDestroyNotify)fk_pass_engine_free);
+  for (guint i = 0; i < self->options->engines; i++)
+    g_ptr_array_add (self->engines, fk_pass_engine_new (self->kernel, &spec));
+  self->instances = g_new0 (Instance, self->options->instances);
+  for (guint i = 0; i < self->options->instances; i++)
+    {
+      Instance *instance = &self->instances[i];
+
+      instance->sim = self;
+      instance->id = i + 1;
+      instance->fleet = sv_fleet_new (self->kernel, KNL_SEC);
+      add_engines (self, instance->fleet);
+    }
+}
+
+static void
+sim_close (Sim *self)
+{
+  g_ptr_array_unref (self->engines);
+  for (guint i = 0; i < self->options->instances; i++)
+    sv_fleet_free (self->instances[i].fleet);
+  g_free (self->instances);
+  g_rand_free (self->rand);
+  sv_config_unref (self->config);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+}
+
+gboolean
+bench_policy_run (const BenchPolicyOptions *options, BenchPolicyResult *result)
+{
+  Sim sim = { .options = options, .policy = find_policy (options->policy), .result = result };
+  double read = 0;
+
+  if (sim.policy == NULL)
+    return FALSE;
+  memset (result, 0, sizeof *result);
+  sim_open (&sim);
+  for (guint i = 0; i < options->seconds * 1000; i++)
+    {
+      offer (&sim);
+      knl_paused_clock_advance (sim.clock, KNL_MSEC);
+    }
+  for (guint i = 0; i < sim.engines->len; i++)
+    read += fk_pass_engine_read_ms (g_ptr_array_index (sim.engines, i));
+  result->busy = read / 1000 / options->seconds / options->engines;
+  knl_paused_clock_advance (sim.clock, RUN_OUT);
+  result->earned = sim.owed > 0 ? sim.earned / sim.owed : 0;
+  sim_close (&sim);
+  return TRUE;
+}
+
+void
+bench_policy_result_clear (BenchPolicyResult *self)
+{
+  for (guint i = 0; i < BENCH_KINDS; i++)
+    {
+      cm_histogram_clear (&self->kinds[i].first);
+      cm_histogram_clear (&self->kinds[i].pause);
+    }
+}
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -110,11 +110,6 @@
 /** What becomes of a send that gave no answer; `ran`: it may have run. Sends again or ends. */
 void sv_request_take_loss (SvRequest *self, const char *fault, gboolean ran);
 
-/* defer.c */
-
-/** Has a long prompt wait, to be placed again after that; FALSE: it goes now. */
-gboolean sv_request_defer (SvRequest *self);
-
 /* stream.c */
 
 /** Whether the answer that is coming is passed on event by event. */
--- a/serve/send.c
+++ b/serve/send.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "serve/core_internal.h"
+#include "serve/defer.h"
 
 /* Zones are a few ms apart; no connection after this means that nobody is there. */
 #define CONNECT_TIMEOUT (300 * KNL_MSEC)
@@ -35,6 +36,10 @@
 #define SILENCE_HEARD  (600 * KNL_MSEC)
 #define SILENCE_QUEUED 4
 
+/* Prompts wait for the same engines; a random part of their wait keeps them from looking at the
+ * same moment. */
+#define DEFER_SPREAD (5 * KNL_MSEC)
+
 /* How long the endpoint may say nothing from now on. */
 static KnlTime
 silence_limit (const SvRequest *self)
@@ -281,6 +286,36 @@
          && self->deadline - sv_request_now (self) < self->placement.expected;
 }
 
+static void
+on_defer_due (gpointer data)
+{
+  SvRequest *self = data;
+
+  self->defer_timer = 0;
+  sv_request_send (self);
+}
+
+/* FALSE: it goes now. */
+static gboolean
+defer (SvRequest *self)
+{
+  KnlKernel *kernel = self->core->parts.kernel;
+  KnlTime now = sv_request_now (self);
+  SvDeferCase due = {
+    .placement = &self->placement,
+    .objective = self->route->objective,
+    .waited = now - self->begun_at,
+    .left = self->deadline != KNL_NEVER ? self->deadline - now : KNL_NEVER,
+  };
+  KnlTime wait = sv_defer_decide (&due);
+
+  if (wait == 0)
+    return FALSE;
+  wait += g_rand_int_range (knl_kernel_rand (kernel), 0, DEFER_SPREAD);
+  self->defer_timer = knl_timer_start (kernel, wait, on_defer_due, self);
+  return TRUE;
+}
+
 void
 sv_request_send (SvRequest *self)
 {
@@ -299,7 +334,7 @@
       sv_request_give_up (self, "too-little-time");
       return;
     }
-  if (sv_request_defer (self))
+  if (defer (self))
     return;
   if (self->placement.is_full && is_first_try (self))
     {
--- /dev/null
+++ b/tests/fakes/pass_engine.c
@@ -0,0 +1,316 @@
+#include "pass_engine.h"
+
+#include "serve/engine_model.h"
+
+/* Tokens of an answer that one event brings are as many as a pass has steps. */
+
+/** A part of a prompt at one engine. */
+typedef struct
+{
+  FkPassRequest *request;
+  FkPassEngine *engine;
+  double tokens; /* not read yet */
+  double ms_per_token;
+} Part;
+
+struct FkPassRequest
+{
+  FkPassEngine *engine;
+  FkPassDemand demand;
+  const FkPassEvents *events;
+  gpointer data;
+  Part parts[FK_PASS_HELPERS + 1];
+  guint unread; /* parts */
+  guint made;   /* events */
+};
+
+struct FkPassEngine
+{
+  KnlKernel *kernel;
+  const SvEngineSpec *spec;
+  GQueue waiting; /* FkPassRequest */
+  GPtrArray *running;
+  GQueue parts;       /* Part, in the order in which they are read */
+  GPtrArray *read;    /* Part, read in the pass that is under way */
+  GPtrArray *writers; /* FkPassRequest, of the pass that is under way */
+  guint steps;        /* left of that pass, those under way included */
+  guint plain;        /* steps under way that read nothing; 0: one that reads */
+  KnlTime began_at;   /* the steps under way */
+  double used_tokens;
+  double read_ms;
+  KnlTimerId timer;   /* end of the steps under way; 0: idle */
+  gboolean is_ending; /* its events are being handed out; the next pass begins after that */
+};
+
+static void begin_pass (FkPassEngine *self);
+
+FkPassEngine *
+fk_pass_engine_new (KnlKernel *kernel, const SvEngineSpec *spec)
+{
+  FkPassEngine *self = g_new0 (FkPassEngine, 1);
+
+  self->kernel = kernel;
+  self->spec = spec;
+  g_queue_init (&self->waiting);
+  g_queue_init (&self->parts);
+  self->running = g_ptr_array_new ();
+  self->read = g_ptr_array_new ();
+  self->writers = g_ptr_array_new ();
+  return self;
+}
+
+void
+fk_pass_engine_free (FkPassEngine *self)
+{
+  knl_timer_stop (self->kernel, &self->timer);
+  for (guint i = 0; i < self->running->len; i++)
+    g_free (g_ptr_array_index (self->running, i));
+  g_queue_clear_full (&self->waiting, g_free);
+  g_queue_clear (&self->parts);
+  g_ptr_array_unref (self->running);
+  g_ptr_array_unref (self->read);
+  g_ptr_array_unref (self->writers);
+  g_free (self);
+}
+
+double
+fk_pass_engine_read_ms (const FkPassEngine *self)
+{
+  return self->read_ms;
+}
+
+static double
+context_of (const FkPassRequest *request)
+{
+  return (double)request->demand.prompt_tokens
+         + (double)request->made * (double)request->engine->spec->stride;
+}
+
+static double
+step_ms (const FkPassEngine *self)
+{
+  double context = 0;
+
+  for (guint i = 0; i < self->writers->len; i++)
+    context += context_of (g_ptr_array_index (self->writers, i));
+  return self->spec->step_ms + self->writers->len * self->spec->writer_ms
+         + context / 1000 * self->spec->context_ms_per_k;
+}
+
+/* Reads up to a chunk of what is first in the queue; returns the time that it takes, in ms. */
+static double
+read_chunk (FkPassEngine *self)
+{
+  double room = self->spec->chunk;
+  double ms = 0;
+
+  while (room > 0 && !g_queue_is_empty (&self->parts))
+    {
+      Part *part = g_queue_peek_head (&self->parts);
+      double tokens = MIN (room, part->tokens);
+
+      part->tokens -= tokens;
+      room -= tokens;
+      ms += tokens * part->ms_per_token;
+      if (part->tokens > 0)
+        break;
+      g_queue_pop_head (&self->parts);
+      g_ptr_array_add (self->read, part);
+    }
+  self->read_ms += ms;
+  return ms;
+}
+
+static KnlTime
+time_of (double ms)
+{
+  return MAX ((KnlTime)(ms * KNL_MSEC), 1);
+}
+
+static void on_steps_end (gpointer data);
+
+/* The next steps: one that reads, or all that are left of the pass where nothing waits. */
+static void
+begin_steps (FkPassEngine *self)
+{
+  double ms = step_ms (self);
+
+  self->began_at = knl_kernel_now (self->kernel);
+  if (g_queue_is_empty (&self->parts))
+    {
+      self->plain = self->steps;
+      ms *= self->steps;
+    }
+  else
+    {
+      self->plain = 0;
+      ms += read_chunk (self);
+    }
+  self->timer = knl_timer_start (self->kernel, time_of (ms), on_steps_end, self);
+}
+
+/* A part came while steps that read nothing are under way: the step that it fell into ends first.
+ */
+static void
+cut_plain_steps (FkPassEngine *self)
+{
+  KnlTime step = time_of (step_ms (self));
+  KnlTime passed = knl_kernel_now (self->kernel) - self->began_at;
+  guint begun = (guint)(passed / step) + 1;
+
+  if (self->timer == 0 || self->plain == 0 || begun >= self->plain)
+    return;
+  knl_timer_stop (self->kernel, &self->timer);
+  self->plain = begun;
+  self->timer = knl_timer_start (self->kernel, begun * step - passed, on_steps_end, self);
+}
+
+static void
+take_part (FkPassEngine *self)
+{
+  if (self->timer == 0)
+    begin_pass (self);
+  else
+    cut_plain_steps (self);
+}
+
+static void
+queue_parts (FkPassRequest *request)
+{
+  guint n = request->demand.n_helpers + 1;
+  double tokens = (double)request->demand.prompt_tokens / n;
+  double ms = sv_model_read_ms (request->engine->spec, (double)request->demand.prompt_tokens) / n;
+
+  request->unread = n;
+  for (guint i = 0; i < n; i++)
+    {
+      Part *part = &request->parts[i];
+
+      *part = (Part){ .request = request,
+                      .engine = i == 0 ? request->engine : request->demand.helpers[i - 1],
+                      .tokens = tokens,
+                      .ms_per_token = ms / MAX (tokens, 1) };
+      if (i == 0)
+        g_queue_push_tail (&part->engine->parts, part);
+      else
+        g_queue_push_head (&part->engine->parts, part);
+    }
+  for (guint i = 0; i < n; i++)
+    take_part (request->parts[i].engine);
+}
+
+static void
+admit (FkPassEngine *self)
+{
+  FkPassRequest *request;
+
+  while ((request = g_queue_peek_head (&self->waiting)) != NULL)
+    {
+      double need = (double)request->demand.prompt_tokens
+                    + (double)request->demand.events * (double)self->spec->stride;
+
+      if (self->running->len >= self->spec->slots
+          || (self->running->len > 0
+              && self->used_tokens + need > (double)self->spec->memory_tokens))
+        return;
+      g_queue_pop_head (&self->waiting);
+      self->used_tokens += need;
+      g_ptr_array_add (self->running, request);
+      queue_parts (request);
+    }
+}
+
+static void
+end_request (FkPassRequest *request)
+{
+  FkPassEngine *engine = request->engine;
+
+  engine->used_tokens -= (double)request->demand.prompt_tokens
+                         + (double)request->demand.events * (double)engine->spec->stride;
+  g_ptr_array_remove_fast (engine->running, request);
+  request->events->done (request->data);
+  g_free (request);
+}
+
+static void
+make_event (FkPassRequest *request)
+{
+  request->events->event (request->data, request->made);
+  request->made++;
+  if (request->made == request->demand.events)
+    end_request (request);
+}
+
+/* A prompt that others helped to read may find its own engine idle. */
+static void
+end_pass (FkPassEngine *self)
+{
+  self->is_ending = TRUE;
+  for (guint i = 0; i < self->writers->len; i++)
+    make_event (g_ptr_array_index (self->writers, i));
+  for (guint i = 0; i < self->read->len; i++)
+    {
+      FkPassRequest *request = ((Part *)g_ptr_array_index (self->read, i))->request;
+      FkPassEngine *engine = request->engine;
+
+      if (--request->unread > 0)
+        continue;
+      make_event (request);
+      begin_pass (engine);
+    }
+  self->is_ending = FALSE;
+  begin_pass (self);
+}
+
+static void
+on_steps_end (gpointer data)
+{
+  FkPassEngine *self = data;
+
+  self->timer = 0;
+  self->steps -= MAX (self->plain, 1);
+  if (self->steps > 0)
+    begin_steps (self);
+  else
+    end_pass (self);
+}
+
+static void
+begin_pass (FkPassEngine *self)
+{
+  if (self->timer != 0 || self->is_ending)
+    return;
+  self->is_ending = TRUE;
+  admit (self);
+  self->is_ending = FALSE;
+  g_ptr_array_set_size (self->read, 0);
+  g_ptr_array_set_size (self->writers, 0);
+  for (guint i = 0; i < self->running->len; i++)
+    {
+      FkPassRequest *request = g_ptr_array_index (self->running, i);
+
+      if (request->unread == 0)
+        g_ptr_array_add (self->writers, request);
+    }
+  if (self->writers->len == 0 && g_queue_is_empty (&self->parts))
+    return;
+  self->steps = self->writers->len > 0 ? self->spec->stride : 1;
+  begin_steps (self);
+}
+
+FkPassRequest *
+fk_pass_engine_submit (FkPassEngine *self,
+                       const FkPassDemand *demand,
+                       const FkPassEvents *events,
+                       gpointer data)
+{
+  FkPassRequest *request = g_new0 (FkPassRequest, 1);
+
+  request->engine = self;
+  request->demand = *demand;
+  request->events = events;
+  request->data = data;
+  g_queue_push_tail (&self->waiting, request);
+  begin_pass (self);
+  return request;
+}
--- /dev/null
+++ b/tests/unit/sv_load_test.c
@@ -0,0 +1,214 @@
+/** Short beside long on engines that work in passes: the engines themselves, and the placement. */
+
+#include "bench/policies.h"
+#include "kernel/paused.h"
+#include "serve/engine_model.h"
+#include "suite.h"
+#include "tests/fakes/pass_engine.h"
+
+static const SvEngineSpec spec = {
+  .slots = 4,
+  .memory_tokens = 100000,
+  .stride = 50,
+  .step_ms = 1,
+  .read_tokens_per_ms = 100,
+  .chunk = 1000,
+};
+
+typedef struct
+{
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  FkPassEngine *engines[3];
+} Fixture;
+
+/* When the first and the last event of a request came. */
+typedef struct
+{
+  Fixture *fixture;
+  KnlTime first;
+  KnlTime last;
+  gboolean is_done;
+} Seen;
+
+static void
+on_event (gpointer data, guint index)
+{
+  Seen *seen = data;
+
+  seen->last = knl_kernel_now (seen->fixture->kernel);
+  if (index == 0)
+    seen->first = seen->last;
+}
+
+static void
+on_done (gpointer data)
+{
+  ((Seen *)data)->is_done = TRUE;
+}
+
+static const FkPassEvents events = { .event = on_event, .done = on_done };
+
+static void
+fixture_open (Fixture *self)
+{
+  self->clock = knl_paused_clock_new ();
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 1);
+  for (guint i = 0; i < G_N_ELEMENTS (self->engines); i++)
+    self->engines[i] = fk_pass_engine_new (self->kernel, &spec);
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (self->engines); i++)
+    fk_pass_engine_free (self->engines[i]);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+}
+
+static void
+submit (Fixture *self, Seen *seen, guint engine, guint64 tokens, guint n_events, guint helpers)
+{
+  FkPassDemand demand = { .prompt_tokens = tokens, .events = n_events, .n_helpers = helpers };
+
+  *seen = (Seen){ .fixture = self };
+  for (guint i = 0; i < helpers; i++)
+    demand.helpers[i] = self->engines[(engine + 1 + i) % G_N_ELEMENTS (self->engines)];
+  fk_pass_engine_submit (self->engines[engine], &demand, &events, seen);
+}
+
+/* Paused clocks start at one second. */
+static gboolean
+is_within (KnlTime time, double from_ms, double to_ms)
+{
+  double ms = (double)(time - KNL_SEC) / KNL_MSEC;
+
+  return ms >= from_ms && ms <= to_ms;
+}
+
+static void
+test_engines_work_in_passes (void)
+{
+  Fixture fixture;
+  Seen alone;
+  Seen beside;
+  Seen wide;
+
+  fixture_open (&fixture);
+  submit (&fixture, &alone, 0, 10000, 10, 0);
+  knl_paused_clock_advance (fixture.clock, 300 * KNL_MSEC);
+  /* Ten chunks of 10 ms and their steps; then an event each pass of 50 steps. */
+  CU_ASSERT (is_within (alone.first, 109, 111));
+  CU_ASSERT (is_within (alone.last, 259, 261));
+  /* Another prompt is read inside a pass, which its reading makes longer. */
+  submit (&fixture, &beside, 0, 10000, 1, 0);
+  knl_paused_clock_advance (fixture.clock, 400 * KNL_MSEC);
+  CU_ASSERT (is_within (beside.first, 459, 461));
+  CU_ASSERT_TRUE (beside.is_done);
+  /* Three engines read a third each. */
+  submit (&fixture, &wide, 1, 30000, 1, 2);
+  knl_paused_clock_advance (fixture.clock, KNL_SEC);
+  CU_ASSERT_TRUE (wide.is_done && alone.is_done);
+  CU_ASSERT (is_within (wide.first, 800, 920));
+  fixture_close (&fixture);
+}
+
+static void
+test_engines_hold_what_fits (void)
+{
+  Fixture fixture;
+  Seen large;
+  Seen waits;
+  Seen slots[6];
+
+  fixture_open (&fixture);
+  submit (&fixture, &large, 0, 90000, 20, 0);
+  submit (&fixture, &waits, 0, 20000, 1, 0);
+  knl_paused_clock_advance (fixture.clock, 1500 * KNL_MSEC);
+  CU_ASSERT (large.first > 0 && waits.first == 0);
+  knl_paused_clock_advance (fixture.clock, 3 * KNL_SEC);
+  CU_ASSERT_TRUE (large.is_done && waits.is_done && waits.first > large.last);
+  for (guint i = 0; i < G_N_ELEMENTS (slots); i++)
+    submit (&fixture, &slots[i], 1, 100, 20, 0);
+  knl_paused_clock_advance (fixture.clock, 500 * KNL_MSEC);
+  CU_ASSERT (slots[3].first > 0 && slots[4].first == 0);
+  knl_paused_clock_advance (fixture.clock, 5 * KNL_SEC);
+  CU_ASSERT_TRUE (slots[5].is_done);
+  fixture_close (&fixture);
+}
+
+/* Over some seeds, one after the other. */
+static BenchPolicyResult
+run (const char *policy, guint instances, double load)
+{
+  BenchPolicyResult sum = { 0 };
+
+  for (guint seed = 1; seed <= 4; seed++)
+    {
+      BenchPolicyOptions options = { .policy = policy,
+                                     .engines = 18,
+                                     .instances = instances,
+                                     .delay = 4 * KNL_MSEC,
+                                     .load = load,
+                                     .seconds = 30,
+                                     .seed = seed };
+      BenchPolicyResult result;
+
+      CU_ASSERT_TRUE (bench_policy_run (&options, &result));
+      sum.earned += result.earned / 4;
+      for (guint i = 0; i < BENCH_KINDS; i++)
+        {
+          sum.kinds[i].asked += result.kinds[i].asked;
+          sum.kinds[i].in_time += result.kinds[i].in_time;
+        }
+      bench_policy_result_clear (&result);
+    }
+  return sum;
+}
+
+static double
+in_time (const BenchPolicyResult *result, guint kind)
+{
+  return (double)result->kinds[kind].in_time / result->kinds[kind].asked;
+}
+
+/*
+ * Symptom: short answers come late, or pause, while long prompts are read on the same engines.
+ * Sequence: load moves between many short and many long prompts every ten seconds.
+ * Cause: prompts go to the engine with the fewest requests, whatever is read and written there.
+ */
+static void
+test_short_ones_do_not_wait_behind_long_ones (void)
+{
+  BenchPolicyResult fewest = run ("fewest", 6, 0.6);
+  BenchPolicyResult routed = run ("routed", 6, 0.6);
+
+  CU_ASSERT (in_time (&routed, 0) > 0.9);
+  CU_ASSERT (in_time (&routed, 0) > in_time (&fewest, 0));
+  CU_ASSERT (in_time (&routed, 2) > in_time (&fewest, 2));
+  CU_ASSERT (routed.earned > fewest.earned + 0.05);
+}
+
+/*
+ * Symptom: many instances before one fleet serve worse than one would.
+ * Sequence: each places prompts by what it knows of the others' requests and reading, some
+ * milliseconds old. Cause: they are not told, or too late, and fill the same engines.
+ */
+static void
+test_many_instances_are_like_one (void)
+{
+  BenchPolicyResult one = run ("routed", 1, 0.6);
+  BenchPolicyResult nine = run ("routed", 9, 0.6);
+
+  CU_ASSERT (nine.earned > 0.9 * one.earned);
+}
+
+static const SuiteCase cases[] = {
+  { "engines work in passes", test_engines_work_in_passes },
+  { "engines hold what fits", test_engines_hold_what_fits },
+  { "short ones do not wait behind long ones", test_short_ones_do_not_wait_behind_long_ones },
+  { "many instances are like one", test_many_instances_are_like_one },
+};
+
+SUITE_MAIN ("sv_load", cases)
