policy: instances that start again don't spend the slack of the retry budget a second time

Sequence: 91 instances; 89 are killed at once at 34 s and start again; endpoints are full of what they had sent before and reject; 529 sends beyond the first ones in the two seconds after the start, up to 16 by one instance. Cause: the counts begin at zero with the process, and the slack is divided by the instances that are known, few in the first moments. Ruled out: clients' own retries (new requests), a budget that forgets (each instance kept to what it computed).

Now none of the slack counts in the first second, a third of it until the window has passed: a rule uses three quarters of the bound, so a third once more stays within it. The part in proportion to requests is as before.

--- a/include/policy/budget.h
+++ b/include/policy/budget.h
@@ -24,10 +24,16 @@
    * slices; requests that left just before may arrive within the next window.
    */
   double used_part;
+  /**
+   * All of the slack counts from this time after the budget's begin on; 0: at once. What this
+   * instance spent before a restart is not known after it, and others may not be known yet.
+   */
+  KnlTime slack_after;
 } PolBudgetRule;
 
 typedef struct
 {
+  KnlTime begun_at; /**< when this instance began to count */
   guint32 requests[POL_BUDGET_SLICES];
   guint32 retries[POL_BUDGET_SLICES];
   gint64 slice; /**< number of the newest */
--- a/policy/budget.c
+++ b/policy/budget.c
@@ -2,6 +2,14 @@
 
 #include <string.h>
 
+/* After its start an instance knows how many others there are within this: they are listed in the
+ * store, which is read within some hundred milliseconds. */
+#define BLIND (1 * KNL_SEC)
+
+/* What may be spent a second time by instances that start again: a rule uses three quarters of the
+ * bound, and a third of that is the last quarter. */
+#define EARLY_PART (1.0 / 3)
+
 static void
 advance (PolBudget *self, const PolBudgetRule *rule, KnlTime now)
 {
@@ -9,7 +17,8 @@
 
   if (slice - self->slice >= POL_BUDGET_SLICES)
     {
-      memset (self, 0, sizeof *self);
+      memset (self->requests, 0, sizeof self->requests);
+      memset (self->retries, 0, sizeof self->retries);
       self->slice = slice;
     }
   while (self->slice < slice)
@@ -37,6 +46,23 @@
   self->requests[self->slice % POL_BUDGET_SLICES]++;
 }
 
+/*
+ * Many instances that are killed at once start anew with empty counts, and each
+ * knows only some of the others: with all of the slack they would spend it a
+ * second time, and its parts would be too large. One would see twice the bound
+ * at the endpoints, just when they are full of work that nobody waits for.
+ */
+static double
+slack_of (const PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
+{
+  double share = rule->slack / (double)MAX (instances, 1);
+  KnlTime age = now - self->begun_at;
+
+  if (age >= rule->slack_after)
+    return share;
+  return age < BLIND ? 0 : EARLY_PART * share;
+}
+
 gboolean
 pol_budget_spend (PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
 {
@@ -44,7 +70,7 @@
 
   advance (self, rule, now);
   allowed = rule->used_part
-            * (rule->ratio * sum_of (self->requests) + rule->slack / (double)MAX (instances, 1));
+            * (rule->ratio * sum_of (self->requests) + slack_of (self, rule, instances, now));
   if (sum_of (self->retries) + 1 > allowed)
     return FALSE;
   self->retries[self->slice % POL_BUDGET_SLICES]++;
--- a/serve/core.c
+++ b/serve/core.c
@@ -12,6 +12,7 @@
 {
   self->bounds = *bounds;
   self->bounds.retries.used_part = RETRIES_USED;
+  self->bounds.retries.slack_after = bounds->retries.window;
 }
 
 SvCore *
@@ -21,6 +22,7 @@
 
   self->parts = *parts;
   sv_core_set_bounds (self, bounds);
+  self->begun_at = knl_kernel_now (parts->kernel);
   self->confirmed_at = -KNL_NEVER;
   self->requests = g_hash_table_new (NULL, NULL);
   self->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -176,6 +178,7 @@
   if (budget == NULL)
     {
       budget = g_new0 (PolBudget, 1);
+      budget->begun_at = self->begun_at;
       g_hash_table_insert (self->budgets, g_strdup (service), budget);
     }
   return budget;
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -13,6 +13,7 @@
   SvCoreParts parts;
   SvBounds bounds;
   SvConfig *config;
+  KnlTime begun_at;     /* when this instance began to serve */
   KnlTime confirmed_at; /* -KNL_NEVER: never */
   KnlTime drain_since;  /* 0: no drain */
   GHashTable *requests; /* SvRequest */
--- a/tests/unit/pol_test.c
+++ b/tests/unit/pol_test.c
@@ -39,6 +39,47 @@
     }
 }
 
+/*
+ * Symptom: a service gets 681 and 748 sends beyond the first ones in ten seconds, where 640 are
+ * allowed.
+ * Sequence: 91 instances have used their parts of the budget; 89 are killed at once, start again,
+ * and find endpoints that are full of what they had sent before.
+ * Cause: counts begin at zero with the process, and the slack was divided by the few instances that
+ * were known by then.
+ */
+static void
+test_budget_is_not_spent_twice_by_a_restart (void)
+{
+  static const PolBudgetRule rule = { .ratio = 0.2,
+                                      .slack = 258,
+                                      .window = 10 * KNL_SEC,
+                                      .used_part = 0.75,
+                                      .slack_after = 10 * KNL_SEC };
+  static const guint instances = 91;
+  PolBudget before = { 0 };
+  PolBudget after = { .begun_at = 25 * KNL_SEC };
+  guint requests = 0;
+  guint retries = 0;
+
+  for (KnlTime now = 20 * KNL_SEC; now < 30 * KNL_SEC; now += 500 * KNL_MSEC)
+    {
+      PolBudget *budget = now < after.begun_at ? &before : &after;
+      gboolean is_new = now >= after.begun_at && now < after.begun_at + KNL_SEC;
+      guint known = is_new ? 3 : instances;
+
+      pol_budget_note_request (budget, &rule, now);
+      requests++;
+      while (pol_budget_spend (budget, &rule, known, now))
+        retries++;
+    }
+  CU_ASSERT (retries * instances <= 0.2 * requests * instances + 258);
+  CU_ASSERT (retries >= 3);
+  retries = 0;
+  while (pol_budget_spend (&after, &rule, instances, 41 * KNL_SEC))
+    retries++;
+  CU_ASSERT (retries >= 2);
+}
+
 /*
  * Symptom: during a fault the endpoints get several times the calls that callers made.
  * Sequence: every request fails, each is tried again up to its limit of attempts.
@@ -213,6 +254,7 @@
 
 static const SuiteCase cases[] = {
   { "the retry budget is one for all", test_budget_is_shared },
+  { "the budget is not spent twice by a restart", test_budget_is_not_spent_twice_by_a_restart },
   { "retries stay a part of the load", test_retries_stay_a_part_of_the_load },
   { "a request that crashes three is refused", test_suspects_are_refused_after_three },
   { "suspects by own counts and by totals", test_suspects_by_own_counts_and_totals },
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -124,6 +124,8 @@
   parts = (SvCoreParts){ self->kernel,  self->client, self->dialect, self->fleet, &alone,
                          self->metrics, "a" };
   self->core = sv_core_new (&parts, &bounds);
+  /* A new instance has no slack for retries yet. */
+  knl_paused_clock_advance (self->clock, bounds.retries.window);
   for (guint port = 20000; self->front == NULL; port++)
     {
       g_free (self->address);
