serve: heartbeats without loads, whole datagrams every fourth

Each of 91 instances told each other every 0.73 s who it is and all that it has in flight, which the changes in between had told already.

Now three of four are heartbeats of some 20 bytes; the fourth mends what lost datagrams left. What a peer has in flight is dropped when the peer falls silent, no more by the age of each row.

--- a/bench/policies.c
+++ b/bench/policies.c
@@ -131,7 +131,7 @@
   SvEndpoint *endpoint = sv_fleet_by_key (word->to->fleet, word->endpoint);
 
   if (endpoint != NULL)
-    sv_endpoint_set_peer (endpoint, word->from, &word->load, now_of (word->to->sim));
+    sv_endpoint_set_peer (endpoint, word->from, &word->load);
   if (word->read.prompt != 0 && word->n > 0)
     sv_fleet_add_read (word->to->fleet, &word->read, word->keys, word->n);
   else if (word->read.prompt != 0)
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -25,7 +25,6 @@
 typedef struct
 {
   guint32 peer;
-  KnlTime heard_at;
   SvLoad load;
 } SvPeerLoad;
 
@@ -122,10 +121,10 @@
 KnlTime sv_endpoint_read_left (SvEndpoint *endpoint, KnlTime now);
 
 /** A peer has `load` in flight there. */
-void sv_endpoint_set_peer (SvEndpoint *endpoint, guint32 peer, const SvLoad *load, KnlTime now);
+void sv_endpoint_set_peer (SvEndpoint *endpoint, guint32 peer, const SvLoad *load);
 
-/** Drops what peers said before `oldest`. */
-void sv_endpoint_expire_peers (SvEndpoint *endpoint, KnlTime oldest);
+/** Nothing is known of the peer any more. */
+void sv_endpoint_drop_peer (SvEndpoint *endpoint, guint32 peer);
 
 /** The endpoint has just said that it has so many calls. */
 void sv_endpoint_note_report (SvEndpoint *endpoint, guint calls, KnlTime now);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -344,37 +344,46 @@
   sum->tokens += (guint64)(gint64)sign * load->tokens;
 }
 
+static SvPeerLoad *
+find_peer (const SvEndpoint *self, guint32 peer, guint *index)
+{
+  for (*index = 0; *index < self->peers->len; (*index)++)
+    {
+      SvPeerLoad *row = &g_array_index (self->peers, SvPeerLoad, *index);
+
+      if (row->peer == peer)
+        return row;
+    }
+  return NULL;
+}
+
 void
-sv_endpoint_set_peer (SvEndpoint *self, guint32 peer, const SvLoad *load, KnlTime now)
+sv_endpoint_set_peer (SvEndpoint *self, guint32 peer, const SvLoad *load)
 {
-  SvPeerLoad row = { .peer = peer, .heard_at = now, .load = *load };
+  SvPeerLoad row = { .peer = peer, .load = *load };
+  guint index;
+  SvPeerLoad *old = find_peer (self, peer, &index);
 
   add_load (&self->others, load, 1);
-  for (guint i = 0; i < self->peers->len; i++)
+  if (old == NULL)
     {
-      SvPeerLoad *old = &g_array_index (self->peers, SvPeerLoad, i);
-
-      if (old->peer != peer)
-        continue;
-      add_load (&self->others, &old->load, -1);
-      *old = row;
+      g_array_append_val (self->peers, row);
       return;
     }
-  g_array_append_val (self->peers, row);
+  add_load (&self->others, &old->load, -1);
+  *old = row;
 }
 
 void
-sv_endpoint_expire_peers (SvEndpoint *self, KnlTime oldest)
+sv_endpoint_drop_peer (SvEndpoint *self, guint32 peer)
 {
-  for (guint i = self->peers->len; i > 0; i--)
-    {
-      const SvPeerLoad *row = &g_array_index (self->peers, SvPeerLoad, i - 1);
+  guint index;
+  const SvPeerLoad *row = find_peer (self, peer, &index);
 
-      if (row->heard_at >= oldest)
-        continue;
-      add_load (&self->others, &row->load, -1);
-      g_array_remove_index_fast (self->peers, i - 1);
-    }
+  if (row == NULL)
+    return;
+  add_load (&self->others, &row->load, -1);
+  g_array_remove_index_fast (self->peers, index);
 }
 
 /*
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -7,13 +7,18 @@
 #include "common/log.h"
 #include "peers_internal.h"
 
-/* Whole datagrams: each peer hears one this often, less often when there are many peers so that
- * their number a second stays bounded. */
-#define WHOLE_INTERVAL (400 * KNL_MSEC)
-#define WHOLE_PER_PEER (8 * KNL_MSEC)
+/* Heartbeats: each peer hears one this often, less often when there are many peers so that their
+ * number a second stays bounded. */
+#define BEAT_INTERVAL (400 * KNL_MSEC)
+#define BEAT_PER_PEER (8 * KNL_MSEC)
 
-/* Whole datagrams in a row that may be lost before a peer counts as gone. */
-#define SILENT_INTERVALS 3
+/* Each of so many heartbeats says who we are and all that we have in flight, which mends what lost
+ * datagrams left; the others only that we live. With 91 instances and all of them whole,
+ * 0.164 GB went between zones in 73 s, and 0.111 GB so. */
+#define BEATS_A_WHOLE 4
+
+/* Heartbeats in a row that may be lost before a peer counts as gone. */
+#define SILENT_BEATS 3
 
 /* A peer that was not heard of for this long is forgotten; its row in the store brings it back. */
 #define FORGET_AFTER (30 * KNL_SEC)
@@ -37,17 +42,16 @@
 }
 
 static KnlTime
-whole_interval (const SvPeers *self)
+beat_interval (const SvPeers *self)
 {
-  return MAX (WHOLE_INTERVAL, (KnlTime)g_hash_table_size (self->peers) * WHOLE_PER_PEER);
+  return MAX (BEAT_INTERVAL, (KnlTime)g_hash_table_size (self->peers) * BEAT_PER_PEER);
 }
 
 static gboolean
 is_alive (const SvPeers *self, const Peer *peer)
 {
   return peer->heard_at > 0
-         && knl_kernel_now (self->kernel) - peer->heard_at
-                < SILENT_INTERVALS * whole_interval (self);
+         && knl_kernel_now (self->kernel) - peer->heard_at < SILENT_BEATS * beat_interval (self);
 }
 
 static gboolean
@@ -64,18 +68,37 @@
   return TRUE;
 }
 
+/* What a silent peer has in flight may have ended long ago. */
 static void
-on_whole_due (gpointer data)
+drop_silent (SvPeers *self, Peer *peer)
 {
-  SvPeers *self = data;
   const GPtrArray *endpoints = sv_fleet_all (self->fleet);
-  KnlTime oldest = knl_kernel_now (self->kernel) - SILENT_INTERVALS * whole_interval (self);
 
-  g_hash_table_foreach_remove (self->peers, is_forgotten, self);
+  if (!peer->is_counted || is_alive (self, peer))
+    return;
+  peer->is_counted = FALSE;
+  if (g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (peer->id)) != peer)
+    return;
   for (guint i = 0; i < endpoints->len; i++)
-    sv_endpoint_expire_peers (g_ptr_array_index (endpoints, i), oldest);
-  sv_peers_send_whole (self, NULL);
-  self->whole_timer = knl_timer_start (self->kernel, whole_interval (self), on_whole_due, self);
+    sv_endpoint_drop_peer (g_ptr_array_index (endpoints, i), peer->id);
+}
+
+static void
+on_beat_due (gpointer data)
+{
+  SvPeers *self = data;
+  GHashTableIter iter;
+  gpointer peer;
+
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &peer))
+    drop_silent (self, peer);
+  g_hash_table_foreach_remove (self->peers, is_forgotten, self);
+  if (self->beats++ % BEATS_A_WHOLE == 0)
+    sv_peers_send_whole (self, NULL);
+  else
+    sv_peers_send_beat (self);
+  self->beat_timer = knl_timer_start (self->kernel, beat_interval (self), on_beat_due, self);
 }
 
 static Peer *
@@ -165,18 +188,12 @@
 }
 
 static void
-take_loads (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
+take_loads (SvPeers *self, Peer *peer, const Alderturn__Datagram *datagram)
 {
   const GPtrArray *endpoints = sv_fleet_all (self->fleet);
-  KnlTime now = knl_kernel_now (self->kernel);
-
-  if (datagram->whole)
-    {
-      static const SvLoad none;
 
-      for (guint i = 0; i < endpoints->len; i++)
-        sv_endpoint_set_peer (g_ptr_array_index (endpoints, i), peer->id, &none, now);
-    }
+  for (guint i = 0; i < endpoints->len && datagram->whole; i++)
+    sv_endpoint_drop_peer (g_ptr_array_index (endpoints, i), peer->id);
   for (guint i = 0; i < datagram->n_loads; i++)
     {
       const Alderturn__EndpointLoad *row = datagram->loads[i];
@@ -188,7 +205,8 @@
       };
 
       if (endpoint != NULL)
-        sv_endpoint_set_peer (endpoint, peer->id, &load, now);
+        sv_endpoint_set_peer (endpoint, peer->id, &load);
+      peer->is_counted = TRUE;
     }
 }
 
@@ -306,7 +324,7 @@
       sv_peers_free (self);
       return NULL;
     }
-  self->whole_timer = knl_timer_start (kernel, whole_interval (self), on_whole_due, self);
+  self->beat_timer = knl_timer_start (kernel, beat_interval (self), on_beat_due, self);
   return self;
 }
 
@@ -315,7 +333,7 @@
 {
   if (self == NULL)
     return;
-  knl_timer_stop (self->kernel, &self->whole_timer);
+  knl_timer_stop (self->kernel, &self->beat_timer);
   knl_timer_stop (self->kernel, &self->change_timer);
   if (self->readable != NULL)
     event_free (self->readable);
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -23,7 +23,8 @@
   guint64 incarnation;
   guint64 sequence;
   gboolean ready;
-  KnlTime heard_at; /* -KNL_NEVER: never */
+  gboolean is_counted; /* endpoints have rows of what it has in flight */
+  KnlTime heard_at;    /* -KNL_NEVER: never */
   KnlTime known_since;
   KnlTime learned_at; /* last time that somebody named it */
 } Peer;
@@ -43,7 +44,8 @@
   GHashTable *by_id; /* id -> Peer */
   GArray *reads;     /* PlacedReadRow not told yet */
   GArray *suspects;  /* guint64 not told yet */
-  KnlTimerId whole_timer;
+  KnlTimerId beat_timer;
+  guint beats; /* sent so far */
   KnlTimerId change_timer;
   SvPeerSuspectFunc on_suspect;
   gpointer on_suspect_data;
@@ -66,3 +68,6 @@
 
 /** Sends who we are and all that we have in flight to `peer`; NULL: to all. */
 void sv_peers_send_whole (SvPeers *self, const Peer *peer);
+
+/** Tells all that we live, and no more. */
+void sv_peers_send_beat (SvPeers *self);
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -131,6 +131,16 @@
     send_to_all (self, &datagram);
 }
 
+void
+sv_peers_send_beat (SvPeers *self)
+{
+  Alderturn__Datagram datagram;
+  Rows rows;
+
+  begin_datagram (self, &datagram, &rows);
+  send_to_all (self, &datagram);
+}
+
 static void
 fill_reads (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
 {
--- a/tests/unit/sv_parts_test.c
+++ b/tests/unit/sv_parts_test.c
@@ -199,12 +199,12 @@
 
   list (fleet, "i-1", FALSE);
   endpoint = g_ptr_array_index (sv_fleet_service (fleet, "s"), 0);
-  sv_endpoint_set_peer (endpoint, 9, &peer, knl_kernel_now (kernel));
+  sv_endpoint_set_peer (endpoint, 9, &peer);
   sv_endpoint_note_report (endpoint, 7, knl_kernel_now (kernel));
   CU_ASSERT_EQUAL (sv_endpoint_load (endpoint, knl_kernel_now (kernel)).calls, 7);
   knl_paused_clock_advance (clock, 500 * KNL_MSEC);
   CU_ASSERT_EQUAL (sv_endpoint_load (endpoint, knl_kernel_now (kernel)).calls, 2);
-  sv_endpoint_expire_peers (endpoint, knl_kernel_now (kernel));
+  sv_endpoint_drop_peer (endpoint, 9);
   CU_ASSERT_EQUAL (sv_endpoint_load (endpoint, knl_kernel_now (kernel)).calls, 0);
   sv_fleet_free (fleet);
 }
--- a/tests/unit/sv_peers_test.c
+++ b/tests/unit/sv_peers_test.c
@@ -165,6 +165,44 @@
   fixture_close (&fixture);
 }
 
+/*
+ * Symptom: an endpoint looks free between two whole datagrams, or busy for ever.
+ * Sequence: a peer's load is told once; heartbeats without loads follow, and only then the next
+ * whole datagram. Later the word that its requests have ended is lost.
+ * Cause: a heartbeat was taken to say that nothing is in flight, or whole datagrams never came.
+ */
+static void
+test_loads_outlive_heartbeats_and_are_mended (void)
+{
+  static const SvLoad load = { .calls = 3 };
+  static const KnlTime step = 100 * KNL_MSEC;
+  Fixture fixture;
+  guint steps = 0;
+
+  fixture_open (&fixture);
+  meet (&fixture);
+  sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
+  sv_peers_link (fixture.peers[1])->klass->load_changed (sv_peers_link (fixture.peers[1]));
+  knl_paused_clock_advance (fixture.clock, 50 * KNL_MSEC);
+  while (load_at (&fixture, 0).calls != 3)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  for (guint i = 0; i < 30; i++)
+    {
+      knl_paused_clock_advance (fixture.clock, step);
+      event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+      CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 3);
+    }
+  /* Its change is not told by itself. */
+  sv_endpoint_charge (endpoint_of (&fixture, 1), &load, -1);
+  while (load_at (&fixture, 0).calls != 0 && steps++ < 100)
+    {
+      knl_paused_clock_advance (fixture.clock, step);
+      event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+    }
+  CU_ASSERT (steps <= 20);
+  fixture_close (&fixture);
+}
+
 /*
  * Symptom: callers are sent to an instance that is gone, or keep counting its requests.
  * Sequence: an instance loses power; nothing more is heard of it.
@@ -199,6 +237,7 @@
 static const SuiteCase cases[] = {
   { "a greeting is enough", test_a_greeting_is_enough },
   { "load and reads are told", test_load_and_reads_are_told },
+  { "loads outlive heartbeats and are mended", test_loads_outlive_heartbeats_and_are_mended },
   { "a silent peer is left out", test_silent_peer_is_left_out },
 };
 
