serve: an order about memory without an answer keeps its limit

Symptom, found by a test that was missing (orders carried out late): a prompt that needs memory of several engines waits until its caller leaves when one of the orders gets no answer. Cause: renewals go out every fifth of the lease (0.72 s where unused memory must be free within 4 s) to all tickets, answered or not, and each sets the limit of 0.8 s anew; so the order was never lost, the first round never ended, and what the other engines had set aside stayed taken.

Now only held tickets are renewed. sv_reservation_test: a refused part gives all back; an order without an answer is lost in time, given back until its lease has ended, and its lease is shorter than the bound, so that one carried out late ends by itself; held memory is renewed.

--- a/serve/reservation.c
+++ b/serve/reservation.c
@@ -207,8 +207,12 @@
   self->timer = 0;
   if (!self->releasing)
     {
+      /* An order that has no answer yet keeps its limit: sent again it would never be lost. */
       for (guint i = 0; i < self->n_tickets; i++)
-        send_order (&self->tickets[i], self->tickets[i].load.tokens);
+        {
+          if (self->tickets[i].state == TICKET_HELD)
+            send_order (&self->tickets[i], self->tickets[i].load.tokens);
+        }
       self->timer =
           knl_timer_start (self->parts.kernel, self->parts.hold / RENEWALS, on_timer, self);
     }
--- a/tests/fakes/scripted_endpoint.c
+++ b/tests/fakes/scripted_endpoint.c
@@ -171,3 +171,9 @@
 {
   return self->n_ended;
 }
+
+const char *
+scripted_endpoint_body (const ScriptedEndpoint *self)
+{
+  return self->newest != NULL ? self->newest->body->str : "";
+}
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -33,5 +33,8 @@
 /** The value of a field of the newest request, or NULL. */
 const char *scripted_endpoint_field (const ScriptedEndpoint *endpoint, const char *name);
 
+/** The body of the newest request; "" before the first. */
+const char *scripted_endpoint_body (const ScriptedEndpoint *endpoint);
+
 /** Connections that the other side has ended. */
 guint scripted_endpoint_n_ended (const ScriptedEndpoint *endpoint);
--- /dev/null
+++ b/tests/unit/sv_reservation_test.c
@@ -0,0 +1,256 @@
+/** Memory set aside at several endpoints whose answers are refusals, get lost, or come late. */
+
+#include <string.h>
+
+#include "kernel/paused.h"
+#include "platform/dialect.h"
+#include "serve/reservation.h"
+#include "suite.h"
+#include "tests/fakes/scripted_endpoint.h"
+
+#define STUCK_S 20
+
+/* Unused memory must be free within 4 s in these tests; the lease is shorter. */
+#define FREE_WITHIN (4 * KNL_SEC)
+#define HOLD        (3600 * KNL_MSEC)
+
+#define TAKEN   "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"free\":10}"
+#define REFUSED "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}"
+
+typedef struct
+{
+  struct event_base *base;
+  struct event *stuck;
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  HtClient *client;
+  SvDialect *dialect;
+  SvFleet *fleet;
+  ScriptedEndpoint *engines[2];
+  SvEndpoint *endpoints[2];
+  guint n_verdicts;
+  gboolean verdict;
+} Fixture;
+
+static void
+on_stuck (evutil_socket_t fd, short what, void *data)
+{
+  g_error ("nothing happens any more");
+}
+
+static void
+on_verdict (gboolean ready, gpointer data)
+{
+  Fixture *self = data;
+
+  self->n_verdicts++;
+  self->verdict = ready;
+}
+
+static void
+fixture_open (Fixture *self, const ScriptedAnswer *const scripts[2], guint length)
+{
+  static const HtLimits limits = { 16384, 1 << 20 };
+  static const struct timeval limit = { STUCK_S, 0 };
+
+  *self = (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
+  self->stuck = evtimer_new (self->base, on_stuck, NULL);
+  evtimer_add (self->stuck, &limit);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 3);
+  self->client = ht_client_new (self->kernel, self->base, &limits, 10 * KNL_SEC);
+  self->dialect = pl_dialect_new ();
+  self->fleet = sv_fleet_new (self->kernel, KNL_SEC);
+  for (guint i = 0; i < G_N_ELEMENTS (self->engines); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+      SvEndpointEntry entry = { .id = id, .service = "s", .zone = "a", .slots = 4 };
+
+      self->engines[i] = scripted_endpoint_new (self->base, scripts[i], length);
+      entry.address = scripted_endpoint_address (self->engines[i]);
+      sv_fleet_update (self->fleet, &entry);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (self->engines); i++)
+    {
+      const GPtrArray *all = sv_fleet_all (self->fleet);
+
+      for (guint j = 0; j < all->len; j++)
+        {
+          SvEndpoint *endpoint = g_ptr_array_index (all, j);
+
+          if (strcmp (endpoint->address, scripted_endpoint_address (self->engines[i])) == 0)
+            self->endpoints[i] = endpoint;
+        }
+    }
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  ht_client_free (self->client);
+  for (guint i = 0; i < G_N_ELEMENTS (self->engines); i++)
+    scripted_endpoint_free (self->engines[i]);
+  sv_fleet_free (self->fleet);
+  pl_dialect_free (self->dialect);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+  event_free (self->stuck);
+  event_base_free (self->base);
+}
+
+static SvReservation *
+reserve (Fixture *self)
+{
+  static const guint64 tokens[2] = { 1000, 2000 };
+  SvReservationParts parts = {
+    .kernel = self->kernel, .client = self->client, .dialect = self->dialect, .hold = HOLD
+  };
+
+  return sv_reservation_new (&parts, "r1", self->endpoints, tokens, 2, on_verdict, self);
+}
+
+/* Runs until the engine has had that many orders; time passes only where `step` says so. */
+static void
+run_until (Fixture *self, guint engine, guint n_orders, KnlTime step)
+{
+  while (scripted_endpoint_n_requests (self->engines[engine]) < n_orders)
+    {
+      if (step > 0)
+        knl_paused_clock_advance (self->clock, step);
+      event_base_loop (self->base, step > 0 ? EVLOOP_NONBLOCK : EVLOOP_ONCE);
+    }
+}
+
+static void
+run_until_verdict (Fixture *self)
+{
+  while (self->n_verdicts == 0)
+    event_base_loop (self->base, EVLOOP_ONCE);
+}
+
+static gboolean
+last_order_is (const Fixture *self, guint engine, const char *operation)
+{
+  g_autofree char *field = g_strdup_printf ("\"operation\":\"%s\"", operation);
+
+  return strstr (scripted_endpoint_body (self->engines[engine]), field) != NULL;
+}
+
+/*
+ * Symptom: an engine refuses prompts while little runs there.
+ * Sequence: a prompt needs memory of two engines; one gives it, the other refuses.
+ * Cause: what the first one had set aside was kept although the prompt can't run.
+ */
+static void
+test_refused_part_gives_all_back (void)
+{
+  static const ScriptedAnswer given[] = { { TAKEN, FALSE } };
+  static const ScriptedAnswer refused[] = { { REFUSED, FALSE }, { TAKEN, FALSE } };
+  static const ScriptedAnswer *const scripts[2] = { given, refused };
+  Fixture fixture;
+
+  fixture_open (&fixture, scripts, 1);
+  reserve (&fixture);
+  CU_ASSERT_EQUAL (sv_endpoint_load (fixture.endpoints[0], 0).tokens, 1000);
+  run_until_verdict (&fixture);
+  CU_ASSERT_FALSE (fixture.verdict);
+  run_until (&fixture, 0, 2, 0);
+  CU_ASSERT_TRUE (last_order_is (&fixture, 0, "release"));
+  run_until (&fixture, 1, 2, 0);
+  knl_paused_clock_advance (fixture.clock, 2 * HOLD);
+  CU_ASSERT_EQUAL (fixture.n_verdicts, 1);
+  CU_ASSERT_EQUAL (sv_endpoint_load (fixture.endpoints[0], 0).tokens, 0);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: a prompt that needs memory of several engines waits until its caller leaves, and memory
+ * of an engine stays taken after it was given up.
+ * Sequence: an order gets no answer; its renewal goes out before its limit, and sets the limit
+ * anew, again and again.
+ *
+ * Symptom: memory of an engine stays taken after its prompt has ended.
+ * Sequence: the order that set it aside is carried out seconds later, after the prompt was given up
+ * and the memory given back.
+ * Cause: nobody gives back what was set aside after that; only a lease that ends by itself does.
+ */
+static void
+test_order_without_answer_is_a_short_lease (void)
+{
+  static const ScriptedAnswer given[] = { { TAKEN, FALSE } };
+  static const ScriptedAnswer silent[] = { { NULL, FALSE } };
+  static const ScriptedAnswer *const scripts[2] = { given, silent };
+  Fixture fixture;
+  const char *hold;
+  guint orders;
+
+  fixture_open (&fixture, scripts, 1);
+  reserve (&fixture);
+  run_until (&fixture, 1, 1, 0);
+  hold = strstr (scripted_endpoint_body (fixture.engines[1]), "\"holdMs\":");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (hold);
+  CU_ASSERT (g_ascii_strtoll (hold + strlen ("\"holdMs\":"), NULL, 10) * KNL_MSEC < FREE_WITHIN);
+  run_until (&fixture, 0, 1, 0);
+  /* No answer within the limit of an order: given up, and given back at both. */
+  while (fixture.n_verdicts == 0)
+    {
+      knl_paused_clock_advance (fixture.clock, 50 * KNL_MSEC);
+      event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+      CU_ASSERT_FATAL (knl_kernel_now (fixture.kernel) < 3 * KNL_SEC);
+    }
+  CU_ASSERT_FALSE (fixture.verdict);
+  while (!last_order_is (&fixture, 0, "release"))
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  run_until (&fixture, 1, 2, 50 * KNL_MSEC);
+  CU_ASSERT_TRUE (last_order_is (&fixture, 1, "release"));
+  /* Giving back has no answer either and is repeated, but not beyond the lease. */
+  run_until (&fixture, 1, 3, 50 * KNL_MSEC);
+  knl_paused_clock_advance (fixture.clock, 2 * HOLD);
+  event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  orders = scripted_endpoint_n_requests (fixture.engines[1]);
+  knl_paused_clock_advance (fixture.clock, 2 * HOLD);
+  event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.engines[1]), orders);
+  CU_ASSERT_EQUAL (sv_endpoint_load (fixture.endpoints[1], 0).tokens, 0);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: a prompt is cut off in the middle of its answer.
+ * Sequence: it runs for longer than the lease of its memory.
+ * Cause: the lease was not renewed, or renewals stopped with one lost order.
+ */
+static void
+test_held_memory_is_renewed (void)
+{
+  static const ScriptedAnswer given[] = { { TAKEN, FALSE } };
+  static const ScriptedAnswer *const scripts[2] = { given, given };
+  Fixture fixture;
+  SvReservation *reservation;
+
+  fixture_open (&fixture, scripts, 1);
+  reservation = reserve (&fixture);
+  run_until_verdict (&fixture);
+  CU_ASSERT_TRUE (fixture.verdict);
+  CU_ASSERT_PTR_NOT_NULL (sv_reservation_id (reservation, fixture.endpoints[0]));
+  for (guint i = 2; i < 12; i++)
+    {
+      KnlTime before = knl_kernel_now (fixture.kernel);
+
+      run_until (&fixture, 0, i, 50 * KNL_MSEC);
+      CU_ASSERT_TRUE (last_order_is (&fixture, 0, "reserve"));
+      CU_ASSERT (knl_kernel_now (fixture.kernel) - before < HOLD / 3);
+    }
+  sv_reservation_release (reservation);
+  run_until (&fixture, 0, 12, 0);
+  CU_ASSERT_TRUE (last_order_is (&fixture, 0, "release"));
+  knl_paused_clock_advance (fixture.clock, 2 * HOLD);
+  fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "a refused part gives all back", test_refused_part_gives_all_back },
+  { "an order without answer is a short lease", test_order_without_answer_is_a_short_lease },
+  { "held memory is renewed", test_held_memory_is_renewed },
+};
+
+SUITE_MAIN ("sv_reservation", cases)
