serve: declared priorities reach the endpoints; fields that decided nothing are gone

Cause: priority of routes and workspaces was decoded and decided nothing, so a deployment whose kinds of one service differ in rank would be served in the order of arrival. Urgency was 4, or 7 for what is late. Now the rank of the workspace, or else of the route, is told: 0 to 4 for what is on time, 5 to 9 for what is late.

--- a/include/serve/config.h
+++ b/include/serve/config.h
@@ -51,8 +51,6 @@
 typedef struct
 {
   char *name;
-  char *health_path;
-  guint max_connections; /**< that one endpoint accepts from all callers */
   SvEngineSpec engine;
 } SvService;
 
--- a/serve/config.c
+++ b/serve/config.c
@@ -56,7 +56,6 @@
   SvService *self = data;
 
   g_free (self->name);
-  g_free (self->health_path);
   g_free (self);
 }
 
--- a/serve/send.c
+++ b/serve/send.c
@@ -16,9 +16,11 @@
  * before. */
 #define FIRST_TRY_PART 0.95
 
-/* Urgency at endpoints: what will be late anyway lets the others go first. */
-#define URGENCY_USUAL 4
-#define URGENCY_LATE  7
+/* Urgencies at endpoints, 0 first and 9 last: the first five for what is on time, the others for
+ * what is late. */
+#define URGENCY_USUAL_MOST 4
+#define URGENCY_LATE       5
+#define URGENCY_MOST       9
 
 /* With less time left than this, nothing is sent. */
 #define LEAST_LEFT (5 * KNL_MSEC)
@@ -134,6 +136,23 @@
          && (!is_first_try (self) || waited + self->placement.expected > self->route->objective);
 }
 
+/*
+ * Engines admit the most urgent first. What is late already goes behind all that
+ * is not, since it has little left to lose; within each of the two the declared
+ * priorities decide.
+ */
+static guint
+urgency_of (const SvRequest *self)
+{
+  guint priority = self->route->priority;
+
+  if (self->workspace != NULL && self->workspace->priority >= 0)
+    priority = (guint)self->workspace->priority;
+  if (is_late (self))
+    return MIN (URGENCY_LATE + priority, URGENCY_MOST);
+  return MIN (priority, URGENCY_USUAL_MOST);
+}
+
 static GString *
 write_head (SvRequest *self, const char *last_event)
 {
@@ -147,7 +166,7 @@
     .workspace = self->workspace != NULL ? self->workspace->name : NULL,
     .left = self->deadline != KNL_NEVER ? self->deadline - sv_request_now (self) : 0,
     .last_event = last_event,
-    .urgency = is_late (self) ? URGENCY_LATE : URGENCY_USUAL,
+    .urgency = urgency_of (self),
     .helpers = helpers,
     .n_helpers = self->placement.n_helpers,
   };
--- a/tests/unit/sv_core_test.c
+++ b/tests/unit/sv_core_test.c
@@ -340,6 +340,36 @@
   sv_fixture_close (&fixture);
 }
 
+/*
+ * Symptom: requests of a less urgent route are served while more urgent ones wait at the endpoints.
+ * Sequence: both come back after a refusal, so that both are late, and meet in one queue.
+ * Cause: only lateness was told to endpoints; declared priorities decided nothing.
+ */
+static void
+test_priorities_are_told (void)
+{
+  static const struct
+  {
+    const char *path;
+    const char *urgency;
+  } asks[] = { { "/once/1", "5" }, { "/again/1", "7" } };
+  static const ScriptedAnswer silent = { NULL, FALSE };
+
+  for (guint i = 0; i < G_N_ELEMENTS (asks); i++)
+    {
+      SvFixture fixture;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      sv_fixture_add_endpoint (&fixture, &silent, 1);
+      sv_fixture_ask (&fixture, asks[i].path);
+      sv_fixture_wait_requests (&fixture, 0, 1);
+      CU_ASSERT_STRING_EQUAL (scripted_endpoint_field (fixture.endpoints[0], "x-request-urgency"),
+                              asks[i].urgency);
+      sv_fixture_close (&fixture);
+    }
+}
+
 /* The deadline ends a request with an answer; the endpoint was told what was left of it. */
 static void
 test_deadline_is_answered (void)
@@ -478,6 +508,7 @@
   { "keys need confirmation", test_keys_need_confirmation },
   { "denied only when certain", test_denied_only_when_certain },
   { "a leaving caller is noticed", test_leaving_caller_is_noticed },
+  { "priorities are told", test_priorities_are_told },
   { "the deadline is answered", test_deadline_is_answered },
   { "a silent endpoint is left", test_silent_endpoint_is_left },
   { "left-over bytes", test_left_over_bytes },
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -75,6 +75,7 @@
   route->kind = kind;
   route->resumable = kind == SV_STREAM;
   route->max_attempts = attempts;
+  route->priority = kind == SV_IDEMPOTENT ? 2 : 0;
   route->timeout = 5 * KNL_SEC;
   route->objective = 100 * KNL_MSEC;
   route->gap_objective = 250 * KNL_MSEC;
--- a/tests/unit/sv_peers_test.c
+++ b/tests/unit/sv_peers_test.c
@@ -19,6 +19,7 @@
   SvPeers *peers[INSTANCES];
   char *links[INSTANCES];
   guint64 suspect;
+  guint64 incarnation; /* of instances that are opened */
 } Fixture;
 
 static void
@@ -48,14 +49,19 @@
   sv_fleet_update (self->fleets[i], &entry);
   while (self->peers[i] == NULL)
     {
-      SvMember member = {
-        .name = name, .incarnation = 1, .callers_address = callers, .zone = zones[i], .region = "r"
-      };
+      SvMember member = { .name = name,
+                          .incarnation = self->incarnation,
+                          .callers_address = callers,
+                          .zone = zones[i],
+                          .region = "r" };
 
-      g_free (self->links[i]);
-      self->links[i] = g_strdup_printf ("127.0.0.1:%u", port++);
+      /* One that is opened again keeps its address. */
+      if (self->links[i] == NULL)
+        self->links[i] = g_strdup_printf ("127.0.0.1:%u", port++);
       member.link_address = self->links[i];
       self->peers[i] = sv_peers_new (self->kernel, self->base, self->fleets[i], &member);
+      if (self->peers[i] == NULL)
+        g_clear_pointer (&self->links[i], g_free);
     }
   sv_peers_on_suspect (self->peers[i], on_suspect, self);
 }
@@ -65,7 +71,8 @@
 {
   struct timeval limit = { .tv_sec = STUCK_S };
 
-  *self = (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
+  *self =
+      (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new (), .incarnation = 9 };
   self->stuck = evtimer_new (self->base, on_stuck, NULL);
   evtimer_add (self->stuck, &limit);
   knl_paused_clock_advance (self->clock, 10 * KNL_SEC);
@@ -203,6 +210,35 @@
   fixture_close (&fixture);
 }
 
+/*
+ * Symptom: an instance that has started again is not named to callers, and its requests are not
+ * counted, until its clock has caught up.
+ * Sequence: its time of day jumps back; it is killed and starts again with a lower incarnation.
+ * Cause: incarnations are times of day, and a lower one was taken for an earlier start's datagram.
+ */
+static void
+test_restart_after_the_clock_jumped_back (void)
+{
+  static const SvLoad load = { .calls = 2 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  meet (&fixture);
+  sv_peers_free (fixture.peers[1]);
+  sv_fleet_free (fixture.fleets[1]);
+  fixture.peers[1] = NULL;
+  knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
+  fixture.incarnation = 1;
+  open_instance (&fixture, 1);
+  sv_peers_learn (fixture.peers[1], fixture.links[0]);
+  sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
+  sv_peers_set_ready (fixture.peers[1], TRUE);
+  while (load_at (&fixture, 0).calls != 2)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  CU_ASSERT (sv_peers_n_alive (fixture.peers[0]) >= 1);
+  fixture_close (&fixture);
+}
+
 /*
  * Symptom: callers are sent to an instance that is gone, or keep counting its requests.
  * Sequence: an instance loses power; nothing more is heard of it.
@@ -238,6 +274,7 @@
   { "a greeting is enough", test_a_greeting_is_enough },
   { "load and reads are told", test_load_and_reads_are_told },
   { "loads outlive heartbeats and are mended", test_loads_outlive_heartbeats_and_are_mended },
+  { "a restart after the clock jumped back", test_restart_after_the_clock_jumped_back },
   { "a silent peer is left out", test_silent_peer_is_left_out },
 };
 
