tests: the core's fixture frees the core before the server that owns its messages

The new test is the first that closes the fixture with a request open; the fixture freed the server first, and the core logged the request's id from the freed message.

--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -52,7 +52,8 @@
 /** The parts outlive the core. */
 SvCore *sv_core_new (const SvCoreParts *parts, const SvBounds *bounds);
 
-/** Drops the requests that have not ended, without a word to their callers. */
+/** Drops the requests that have not ended, without a word to their callers. To be called while the
+ * server of their calls lives, which owns their messages. */
 void sv_core_free (SvCore *core);
 
 void sv_core_set_bounds (SvCore *core, const SvBounds *bounds);
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -169,9 +169,9 @@
 {
   if (self->caller != NULL)
     bufferevent_free (self->caller);
+  sv_core_free (self->core);
   ht_server_free (self->front);
   ht_client_free (self->client);
-  sv_core_free (self->core);
   for (guint i = 0; i < self->n_endpoints; i++)
     scripted_endpoint_free (self->endpoints[i]);
   sv_fleet_free (self->fleet);
