serve: a silent stream stays at its endpoint where no retry is left

Now the budget is asked first (pol_budget_allows), and the stream is looked at again half a second later.

--- a/include/policy/budget.h
+++ b/include/policy/budget.h
@@ -42,6 +42,10 @@
 /** A caller's request for the service has come. */
 void pol_budget_note_request (PolBudget *budget, const PolBudgetRule *rule, KnlTime now);
 
+/** Whether there is a retry left, see pol_budget_spend(). */
+gboolean
+pol_budget_allows (PolBudget *budget, const PolBudgetRule *rule, guint instances, KnlTime now);
+
 /** Takes a retry; FALSE: there is none left for this instance, one of `instances`. */
 gboolean
 pol_budget_spend (PolBudget *budget, const PolBudgetRule *rule, guint instances, KnlTime now);
--- a/policy/budget.c
+++ b/policy/budget.c
@@ -64,14 +64,20 @@
 }
 
 gboolean
-pol_budget_spend (PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
+pol_budget_allows (PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
 {
   double allowed;
 
   advance (self, rule, now);
   allowed = rule->used_part
             * (rule->ratio * sum_of (self->requests) + slack_of (self, rule, instances, now));
-  if (sum_of (self->retries) + 1 > allowed)
+  return sum_of (self->retries) + 1 <= allowed;
+}
+
+gboolean
+pol_budget_spend (PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
+{
+  if (!pol_budget_allows (self, rule, instances, now))
     return FALSE;
   self->retries[self->slice % POL_BUDGET_SLICES]++;
   return TRUE;
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -119,6 +119,16 @@
     sv_request_refuse (self, 503, reason);
 }
 
+gboolean
+sv_request_retry_left (SvRequest *self)
+{
+  SvCore *core = self->core;
+  SvPeerLink *link = core->parts.link;
+
+  return pol_budget_allows (sv_core_budget (core, self->service->name), &core->bounds.retries,
+                            link->klass->n_instances (link), sv_request_now (self));
+}
+
 static gboolean
 may_retry (SvRequest *self, PolRetry decision)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -105,6 +105,9 @@
 /** Ends a request that is sent nowhere any more. */
 void sv_request_give_up (SvRequest *self, const char *reason);
 
+/** Whether the service's retry budget has one left for this instance. */
+gboolean sv_request_retry_left (SvRequest *self);
+
 /** Closes the send that is under way. */
 void sv_request_stop_send (SvRequest *self);
 
--- a/serve/send.c
+++ b/serve/send.c
@@ -33,6 +33,10 @@
 #define SILENCE_LEAST      (250 * KNL_MSEC)
 #define SILENCE_GAP_LEAST  (1 * KNL_SEC)
 
+/* A silent one is looked at again after this when no retry was left: a slice of the budget's window
+ * of ten seconds has passed by then, or a stream has gone on. */
+#define WATCH_AGAIN (500 * KNL_MSEC)
+
 /* One that answers others within the last while is not dark, and its queue may hold a request for
  * so many times as long. */
 #define SILENCE_HEARD  (600 * KNL_MSEC)
@@ -81,6 +85,12 @@
     }
   if (self->runs + 1 >= self->route->max_attempts)
     return;
+  /* It may be slow and not dark: what it has made is not thrown away for nothing. */
+  if (!sv_request_retry_left (self))
+    {
+      self->watch_timer = knl_timer_start (self->core->parts.kernel, WATCH_AGAIN, on_watch, self);
+      return;
+    }
   sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
   sv_request_stop_send (self);
   sv_request_take_loss (self, "silent", TRUE);
--- a/tests/unit/sv_core_test.c
+++ b/tests/unit/sv_core_test.c
@@ -393,6 +393,42 @@
   sv_fixture_close (&fixture);
 }
 
+/*
+ * Symptom: streams that would have gone on are broken off, and their callers get nothing, while
+ * engines are slow for a few seconds.
+ * Sequence: an engine says nothing for longer than usual; no retry is left for this instance.
+ * Cause: the stream was taken from its endpoint before anybody asked whether it may go to another.
+ */
+static void
+test_silent_endpoint_is_kept_without_a_retry (void)
+{
+  static const ScriptedAnswer silent = { NULL, FALSE };
+  static const SvBounds no_retries = { .key_withdrawal = 10 * KNL_SEC,
+                                       .new_config = 5 * KNL_SEC,
+                                       .grace = 8 * KNL_SEC,
+                                       .retries = { .window = 10 * KNL_SEC } };
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_core_set_bounds (fixture.core, &no_retries);
+  sv_fixture_use_config (&fixture, 1, "key");
+  sv_fixture_add_endpoint (&fixture, &silent, 1);
+  sv_fixture_add_endpoint (&fixture, &silent, 1);
+  sv_fixture_ask (&fixture, "/stream/1");
+  while (sv_fixture_all_requests (&fixture) == 0)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  for (guint i = 0; i < 30; i++)
+    {
+      knl_paused_clock_advance (fixture.clock, 100 * KNL_MSEC);
+      event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+    }
+  CU_ASSERT_EQUAL (scripted_endpoint_n_ended (fixture.endpoints[0])
+                       + scripted_endpoint_n_ended (fixture.endpoints[1]),
+                   0);
+  CU_ASSERT_EQUAL (fixture.got->len, 0);
+  sv_fixture_close (&fixture);
+}
+
 /* A dark endpoint's request is taken to another one when it may run again. */
 static void
 test_silent_endpoint_is_left (void)
@@ -510,6 +546,7 @@
   { "a leaving caller is noticed", test_leaving_caller_is_noticed },
   { "priorities are told", test_priorities_are_told },
   { "the deadline is answered", test_deadline_is_answered },
+  { "a silent endpoint is kept without a retry", test_silent_endpoint_is_kept_without_a_retry },
   { "a silent endpoint is left", test_silent_endpoint_is_left },
   { "left-over bytes", test_left_over_bytes },
   { "stopping", test_stopping },
