http: a connection whose word comes late is not one that was never made

Sequence: a new connection stands and the request's bytes leave; the process is busy (0.12 cores, a loaded link), and the limit of connecting (0.3 s) passes before libevent's deferred callback says that the connection stands. Cause: callbacks are deferred, so that bytes leave before the connection is known to stand; the limit was taken to prove that no byte had left. A route with two attempts would even have run the request twice. Ruled out: an endpoint that ran it after its connection was closed (the bytes arrived 10 ms before the answer), the deadline (1.2 s), a stop of the instance.

Now the client knows by the output's length whether bytes have left; then the limit ends nothing, and an error is a closed connection, after which the request may have run.

--- a/http/client.c
+++ b/http/client.c
@@ -38,6 +38,7 @@
   HtExchange *exchange; /* NULL: idle */
   KnlTimerId timer;     /* of connecting, or of idleness */
   KnlTime idle_since;
+  gsize queued; /* bytes of the request that the connection was opened for */
   gboolean connected;
   gboolean spoilt;    /* never used again */
   gboolean in_read;   /* callbacks of the exchange are running; it can't be freed under them */
@@ -106,12 +107,26 @@
   g_hash_table_remove (self->client->connections, self);
 }
 
+/*
+ * The bytes of a request leave as soon as the connection stands, and the word that
+ * it stands comes later, when the event loop gets to it. A busy process may reach
+ * the limit of connecting in between; taken for a connection that was never made,
+ * the request would be refused as not run, or sent to another endpoint, and run.
+ */
+static gboolean
+has_sent (const Connection *self)
+{
+  return evbuffer_get_length (bufferevent_get_output (self->stream)) < self->queued;
+}
+
 static void
 on_timer (gpointer data)
 {
   Connection *self = data;
 
   self->timer = 0;
+  if (self->exchange != NULL && has_sent (self))
+    return;
   fail (self, HT_FAIL_CONNECT);
 }
 
@@ -289,7 +304,7 @@
       self->connected = TRUE;
       knl_timer_stop (self->client->kernel, &self->timer);
     }
-  else if (!self->connected)
+  else if (!self->connected && !has_sent (self))
     fail (self, HT_FAIL_CONNECT);
   else
     take_end (self, (what & BEV_EVENT_EOF) != 0);
@@ -389,6 +404,8 @@
   bufferevent_write (connection->stream, "\r\n", 2);
   if (request->body_length > 0)
     bufferevent_write (connection->stream, request->body, request->body_length);
+  if (!exchange->reused)
+    connection->queued = evbuffer_get_length (bufferevent_get_output (connection->stream));
   return exchange;
 }
 
--- a/tests/unit/sv_core_test.c
+++ b/tests/unit/sv_core_test.c
@@ -1,6 +1,8 @@
 /** The core between a caller and endpoints that fail, over loopback, with the clock paused. */
 
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "suite.h"
 #include "sv_fixture.h"
@@ -474,6 +476,56 @@
   sv_fixture_close (&fixture);
 }
 
+static void
+on_late (evutil_socket_t fd, short what, void *data)
+{
+  SvFixture *fixture = data;
+  char byte;
+
+  CU_ASSERT_EQUAL (read (fd, &byte, 1), 1);
+  knl_paused_clock_advance (fixture->clock, 500 * KNL_MSEC);
+}
+
+/*
+ * Symptom: a request that must run once is answered 503, which promises that it has not run, or is
+ * sent to a second endpoint; the first one has run it. Seen once, with 300 instances.
+ * Sequence: a new connection stands and the request's bytes leave; the process is busy, and the
+ * limit of connecting passes before the word that the connection stands is handled.
+ * Cause: the limit was taken to say that no connection was made, and that no byte has left.
+ */
+static void
+test_late_word_of_a_connection (void)
+{
+  static const char *const paths[] = { "/once/1", "/once-of-two/1" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      SvFixture fixture;
+      struct event *late;
+      int pair[2];
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      sv_fixture_add_endpoint (&fixture, &good, 1);
+      sv_fixture_add_endpoint (&fixture, &good, 1);
+      CU_ASSERT_EQUAL_FATAL (socketpair (AF_UNIX, SOCK_STREAM, 0, pair), 0);
+      late = event_new (fixture.base, pair[0], EV_READ, on_late, &fixture);
+      event_add (late, NULL);
+      sv_fixture_ask (&fixture, paths[i]);
+      while (ht_client_n_opened (fixture.client) == 0)
+        event_base_loop (fixture.base, EVLOOP_ONCE);
+      /* Ready after the connection, so handled after its bytes have left and before its word. */
+      CU_ASSERT_EQUAL (write (pair[1], "x", 1), 1);
+      sv_fixture_wait_for (&fixture, "good");
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "HTTP/1.1 200"));
+      CU_ASSERT_EQUAL (sv_fixture_all_requests (&fixture), 1);
+      event_free (late);
+      close (pair[0]);
+      close (pair[1]);
+      sv_fixture_close (&fixture);
+    }
+}
+
 /* While stopping, what was read is answered, with a word that the connection ends. */
 static void
 test_stopping (void)
@@ -547,6 +599,7 @@
   { "priorities are told", test_priorities_are_told },
   { "the deadline is answered", test_deadline_is_answered },
   { "a silent endpoint is kept without a retry", test_silent_endpoint_is_kept_without_a_retry },
+  { "the late word of a connection", test_late_word_of_a_connection },
   { "a silent endpoint is left", test_silent_endpoint_is_left },
   { "left-over bytes", test_left_over_bytes },
   { "stopping", test_stopping },
