serve: prompts kept for their end are swept every three seconds at most

Found by reading the change again. Each prompt that is placed, here or at a peer, is kept by the fleet until its end is told; short ones placed by peers are not told, so the table is above its 1,024 entries from some 85 prompts a second on, nearly all younger than the 12 s that they are kept. Each new one then looked at the whole table: with 300 instances, some 970 prompts a second, 11,000 entries each time. Worked out, not measured.

Now it is looked at once in a quarter of that life. What is kept and when it counts is as before; entries may stay three seconds longer.

--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -12,8 +12,11 @@
 /* How long an endpoint's own report of its load is used. */
 #define REPORT_LIFE (200 * KNL_MSEC)
 
-/* Prompts kept for their end; beyond it those whose end was never told are swept. */
-#define READS_SWEPT 1024
+/* Prompts kept for their end; beyond it those whose end was never told are swept, but only so
+ * often: under load most are younger than SV_READ_LIFE, and each new one would look at all of them.
+ */
+#define READS_SWEPT    1024
+#define SWEEP_INTERVAL (SV_READ_LIFE / 4)
 
 /* Endpoints that read one prompt, at most. */
 #define READERS_MOST 17
@@ -36,6 +39,7 @@
   GHashTable *services; /* name -> GPtrArray of SvEndpoint by key */
   GPtrArray *all;
   GHashTable *reads;    /* prompt -> PlacedRead; those that count until their end is told */
+  KnlTime swept_at;     /* when `reads` were swept last */
   GHashTable *unlisted; /* ids that the list being read has not named yet */
 };
 
@@ -249,8 +253,11 @@
   PlacedRead *placed = g_new0 (PlacedRead, 1);
   KnlTime now = knl_kernel_now (self->kernel);
 
-  if (g_hash_table_size (self->reads) >= READS_SWEPT)
-    g_hash_table_foreach_remove (self->reads, is_forgotten, &now);
+  if (g_hash_table_size (self->reads) >= READS_SWEPT && now - self->swept_at >= SWEEP_INTERVAL)
+    {
+      self->swept_at = now;
+      g_hash_table_foreach_remove (self->reads, is_forgotten, &now);
+    }
   placed->prompt = prompt;
   placed->placed_at = now;
   placed->n = MIN (n, READERS_MOST);
