serve, platform: an endpoint that starts again under its id is another one; entries by other writers name none

Cause, read in serve/fleet.c: loads, reading, health and the key that peers use were kept by id alone; requests in flight there were only ended by their own silence (seconds; at most once: the deadline). Entries were taken with any types: a slots field of 1e300 or -6 was converted as it stood, a state that is not known counted as draining, and an unreadable entry left what it had named before in use.

Change: an endpoint is id and start; the key in datagrams has both. At another start what was in flight is lost at once (retried or answered), kept connections are closed, leases are not renewed there. Entries older than the known one change nothing.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -16,6 +16,9 @@
  * would be refused, to all of them, just when lists must be read anew. */
 #define CONFIG_READS_PART 0.5
 
+/* Entries of the endpoints' table that name none are logged this often at most. */
+#define UNREADABLE_LOG_INTERVAL (1 * KNL_SEC)
+
 #define ENDPOINTS_WAIT (8 * KNL_SEC)
 
 /* Changes in a row come in one answer: endpoints enter themselves one by one at a start of all, and
@@ -96,6 +99,20 @@
   sv_fleet_end_list (((Gateway *)data)->fleet);
 }
 
+/* One line a second at most: another writer may fill the table. */
+static void
+log_unreadable (Gateway *self, const PlRow *row)
+{
+  KnlTime now = knl_kernel_now (self->process.kernel);
+
+  self->unreadable_entries++;
+  if (now - self->unreadable_logged_at < UNREADABLE_LOG_INTERVAL)
+    return;
+  cm_log (CM_LOG_WARNING, "endpoint-unreadable", "s", "endpoint", row->key, "i", "row-version",
+          (gint64)row->version, "i", "so-far", (gint64)self->unreadable_entries);
+  self->unreadable_logged_at = now;
+}
+
 static void
 on_endpoint_row (const PlRow *row, gpointer data)
 {
@@ -112,11 +129,17 @@
     {
       cm_log (CM_LOG_INFO, "endpoint-listed", "s", "endpoint", row->key, "s", "service",
               entry.service, "s", "address", entry.address, "b", "draining", entry.draining, "i",
-              "row-version", (gint64)row->version);
+              "start", (gint64)entry.start, "i", "row-version", (gint64)row->version);
+      entry.revision = row->version;
       sv_fleet_update (self->fleet, &entry);
     }
   else
-    cm_log (CM_LOG_ERR, "endpoint-unreadable", "s", "endpoint", row->key);
+    {
+      /* Written by something else than an endpoint: it names none, not even the one that it named
+       * before. */
+      log_unreadable (self, row);
+      sv_fleet_remove (self->fleet, row->key);
+    }
 }
 
 static void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -31,6 +31,8 @@
   HtServer *metrics_server;
   PlFeed *config_feed;
   PlFeed *endpoints_feed;
+  guint unreadable_entries;     /* of endpoints, so far */
+  KnlTime unreadable_logged_at; /* the last of them that was logged */
   PlCall *member_call;
   KnlTimerId member_timer;
   KnlTime look_delay;
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -99,6 +99,19 @@
   sv_core_note_suspect (((Gateway *)data)->core, fingerprint);
 }
 
+/* Kept connections lead to the start before. */
+static void
+on_replaced (SvEndpoint *endpoint, gpointer data)
+{
+  Gateway *self = data;
+
+  cm_log (CM_LOG_NOTICE, "endpoint-replaced", "s", "endpoint", endpoint->id, "s", "address",
+          endpoint->address, "i", "start", (gint64)endpoint->start, "i", "losses",
+          (gint64)endpoint->health.losses);
+  ht_client_forget (self->endpoints_client, endpoint->address);
+  sv_core_note_replaced (self->core, endpoint);
+}
+
 static void
 open_clients (Gateway *self)
 {
@@ -147,6 +160,7 @@
   };
   self->core = sv_core_new (&parts, &self->boot->bounds);
   sv_peers_on_suspect (self->peers, on_suspect, self);
+  sv_fleet_on_replaced (self->fleet, on_replaced, self);
 }
 
 static void
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -21,7 +21,8 @@
 /** NULL: it is no configuration. */
 SvConfig *pl_decode_config (json_t *value);
 
-/** FALSE: it is no entry. Strings live as long as `value` and `id`. */
+/** FALSE: something else than an endpoint wrote it, and it names none. Strings live as long as
+ * `value` and `id`; `revision` is left 0. */
 gboolean pl_decode_endpoint (const char *id, json_t *value, SvEndpointEntry *entry);
 
 json_t *pl_encode_member (const SvMember *member);
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -88,5 +88,8 @@
 /** Requests that have not ended. */
 guint sv_core_n_requests (const SvCore *core);
 
+/** The endpoint has started again and knows nothing of before: what it had in flight is lost. */
+void sv_core_note_replaced (SvCore *core, const SvEndpoint *endpoint);
+
 /** Another instance reports a suspect, see SvPeerLinkClass. */
 void sv_core_note_suspect (SvCore *core, guint64 fingerprint);
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -37,15 +37,19 @@
 typedef struct
 {
   gint refs;
-  char *id; /**< of this start of the endpoint; another start has another one */
+  char *id;
+  guint64 start; /**< when its process started, on its own clock; 0: it doesn't say */
   char *service;
   char *address;
   char *zone;
   guint slots;
-  guint64 key; /**< hash of the id, the same at every instance */
+  guint64 key;      /**< hash of the id and the start, the same at every instance */
+  guint64 revision; /**< of the entry that it was last described by; 0: unknown */
   SvEndpointState state;
   KnlTime leaving_since;
   gboolean is_unlisted; /**< its entry is gone; it stays for the time that a leaving one serves */
+  gboolean is_replaced; /**< another start, service or address has its id; only owners of a
+                             reference still see it */
 
   SvLoad own;
   SvLoad others;        /**< sum of `peers` */
@@ -68,13 +72,20 @@
   const char *zone;
   guint slots;
   gboolean draining;
+  guint64 start;    /**< see SvEndpoint */
+  guint64 revision; /**< rises with each change of the entry; 0: unknown */
 } SvEndpointEntry;
 
+/** The id of `endpoint` names another start of it from now on. */
+typedef void (*SvReplacedFunc) (SvEndpoint *endpoint, gpointer data);
+
 /** `leave_grace`: how long a leaving endpoint may still be sent requests. */
 SvFleet *sv_fleet_new (KnlKernel *kernel, KnlTime leave_grace);
 void sv_fleet_free (SvFleet *fleet);
 
-/** The entry is new or has changed. */
+void sv_fleet_on_replaced (SvFleet *fleet, SvReplacedFunc func, gpointer data);
+
+/** The entry is new or has changed; one that is older than what is known is passed over. */
 void sv_fleet_update (SvFleet *fleet, const SvEndpointEntry *entry);
 
 /** The entry is gone. */
--- a/serve/core.c
+++ b/serve/core.c
@@ -158,6 +158,44 @@
   return sv_core_config_age (self) < sv_bounds_key_trust (&self->bounds);
 }
 
+static GPtrArray *
+requests_at (const SvCore *self, const SvEndpoint *endpoint)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer request;
+
+  g_hash_table_iter_init (&iter, self->requests);
+  while (g_hash_table_iter_next (&iter, &request, NULL))
+    {
+      const SvRequest *one = request;
+
+      if (one->exchange != NULL && one->placement.first == endpoint)
+        g_ptr_array_add (found, request);
+    }
+  return found;
+}
+
+/*
+ * An engine that went dark and started again leaves its connections open and
+ * silent. Without this its requests would wait until they count as silent, which
+ * takes some seconds for a long prompt, or, if they may run only once, until
+ * their deadline.
+ */
+void
+sv_core_note_replaced (SvCore *self, const SvEndpoint *endpoint)
+{
+  g_autoptr (GPtrArray) lost = requests_at (self, endpoint);
+
+  for (guint i = 0; i < lost->len; i++)
+    {
+      SvRequest *request = g_ptr_array_index (lost, i);
+
+      sv_request_stop_send (request);
+      sv_request_take_loss (request, "endpoint-restarted", TRUE);
+    }
+}
+
 guint
 sv_core_n_requests (const SvCore *self)
 {
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -41,6 +41,8 @@
   GHashTable *reads;    /* prompt -> PlacedRead; those that count until their end is told */
   KnlTime swept_at;     /* when `reads` were swept last */
   GHashTable *unlisted; /* ids that the list being read has not named yet */
+  SvReplacedFunc on_replaced;
+  gpointer on_replaced_data;
 };
 
 SvEndpoint *
@@ -127,7 +129,9 @@
   endpoint->id = g_strdup (entry->id);
   endpoint->service = g_strdup (entry->service);
   endpoint->address = g_strdup (entry->address);
-  endpoint->key = XXH64 (entry->id, strlen (entry->id), 0);
+  endpoint->start = entry->start;
+  /* With the start in it, what peers tell of an earlier start is not taken for this one's. */
+  endpoint->key = XXH64 (entry->id, strlen (entry->id), entry->start);
   sv_reads_init (&endpoint->reads);
   endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
   if (service == NULL)
@@ -143,6 +147,39 @@
   return endpoint;
 }
 
+void
+sv_fleet_on_replaced (SvFleet *self, SvReplacedFunc func, gpointer data)
+{
+  self->on_replaced = func;
+  self->on_replaced_data = data;
+}
+
+static gboolean
+is_same_start (const SvEndpoint *endpoint, const SvEndpointEntry *entry)
+{
+  if (strcmp (endpoint->service, entry->service) != 0
+      || strcmp (endpoint->address, entry->address) != 0)
+    return FALSE;
+  return entry->start == 0 || entry->start == endpoint->start;
+}
+
+/*
+ * An endpoint that starts again may keep its id; it holds nothing of before.
+ * Taken for the same one it would seem busy with reading and contexts that are
+ * gone, rest for losses that were another's, and keep requests waiting for an
+ * answer until they count as silent, seconds later.
+ */
+static void
+replace (SvFleet *self, SvEndpoint *endpoint)
+{
+  sv_endpoint_ref (endpoint);
+  drop (self, endpoint);
+  endpoint->is_replaced = TRUE;
+  if (self->on_replaced != NULL)
+    self->on_replaced (endpoint, self->on_replaced_data);
+  sv_endpoint_unref (endpoint);
+}
+
 void
 sv_fleet_update (SvFleet *self, const SvEndpointEntry *entry)
 {
@@ -150,15 +187,17 @@
 
   if (self->unlisted != NULL)
     g_hash_table_remove (self->unlisted, entry->id);
-  if (endpoint != NULL
-      && (strcmp (endpoint->service, entry->service) != 0
-          || strcmp (endpoint->address, entry->address) != 0))
+  /* A list may be read from before a change that is known already. */
+  if (endpoint != NULL && entry->revision < endpoint->revision)
+    return;
+  if (endpoint != NULL && !is_same_start (endpoint, entry))
     {
-      drop (self, endpoint);
+      replace (self, endpoint);
       endpoint = NULL;
     }
   if (endpoint == NULL)
     endpoint = add (self, entry);
+  endpoint->revision = entry->revision;
   g_free (endpoint->zone);
   endpoint->zone = g_strdup (entry->zone);
   endpoint->slots = entry->slots;
--- a/serve/reservation.c
+++ b/serve/reservation.c
@@ -210,7 +210,9 @@
       /* An order that has no answer yet keeps its limit: sent again it would never be lost. */
       for (guint i = 0; i < self->n_tickets; i++)
         {
-          if (self->tickets[i].state == TICKET_HELD)
+          /* Renewing at an endpoint that has started again would set memory aside anew, for
+           * nothing. */
+          if (self->tickets[i].state == TICKET_HELD && !self->tickets[i].endpoint->is_replaced)
             send_order (&self->tickets[i], self->tickets[i].load.tokens);
         }
       self->timer =
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -62,30 +62,70 @@
   CU_ASSERT_PTR_NULL (pl_decode_config (NULL));
 }
 
+#define ENTRY(state, slots, more)                                                                  \
+  "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":" state                   \
+  ",\"slots\":" slots more "}"
+
 static void
 test_endpoints (void)
 {
+  /* Whole entries, and entries by another writer: fields missing, of another type or absurd. Each
+   * of those names no endpoint. */
   static const struct
   {
     const char *text;
     gboolean is_entry;
     gboolean draining;
+    guint64 start;
   } rows[] = {
-    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"ready\",\"slots\":6}", TRUE,
+    { ENTRY ("\"ready\"", "6", ""), TRUE, FALSE, 0 },
+    { ENTRY ("\"draining\"", "6", ""), TRUE, TRUE, 0 },
+    { ENTRY ("\"ready\"", "6", ",\"born\":1764722741000"), TRUE, FALSE, 1764722741000 },
+    { ENTRY ("\"ready\"", "6", ",\"seqNo\":4,\"coldLeftMs\":0.5,\"version\":\"v1\""), TRUE, FALSE,
+      0 },
+    { ENTRY ("\"ready\"", "6", ",\"unknown\":{}"), TRUE, FALSE, 0 },
+    { ENTRY ("\"ready\"", "6", ",\"born\":\"1764722741000\""), FALSE },
+    { ENTRY ("\"ready\"", "6", ",\"born\":1764722741000.5"), FALSE },
+    { ENTRY ("\"ready\"", "6", ",\"born\":-1"), FALSE },
+    { ENTRY ("\"ready\"", "6", ",\"born\":null"), FALSE },
+    { ENTRY ("\"ready\"", "6", ",\"seqNo\":\"4\""), FALSE },
+    { ENTRY ("\"ready\"", "6", ",\"seqNo\":-4"), FALSE },
+    { ENTRY ("\"ready\"", "6", ",\"coldLeftMs\":{}"), FALSE },
+    { ENTRY ("\"ready\"", "6", ",\"version\":1"), FALSE },
+    { ENTRY ("\"asleep\"", "6", ""), FALSE },
+    { ENTRY ("7", "6", ""), FALSE },
+    { ENTRY ("\"ready\"", "0", ""), FALSE },
+    { ENTRY ("\"ready\"", "-6", ""), FALSE },
+    { ENTRY ("\"ready\"", "6.5", ""), FALSE },
+    { ENTRY ("\"ready\"", "1e300", ""), FALSE },
+    { ENTRY ("\"ready\"", "9223372036854775807", ""), FALSE },
+    { ENTRY ("\"ready\"", "\"6\"", ""), FALSE },
+    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":6}", FALSE },
+    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"state\":\"ready\"}", FALSE },
+    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"slots\":6,\"state\":\"ready\"}", FALSE },
+    { "{\"service\":\"s\",\"address\":\"1.2.3.4\",\"zone\":\"z\",\"slots\":6,\"state\":\"ready\"}",
+      FALSE },
+    { "{\"service\":\"s\",\"address\":\"here\",\"zone\":\"z\",\"slots\":6,\"state\":\"ready\"}",
+      FALSE },
+    { "{\"service\":[],\"address\":\"1.2.3.4:5\",\"zone\":\"z\",\"slots\":6,\"state\":\"ready\"}",
       FALSE },
-    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"state\":\"draining\"}", TRUE, TRUE },
-    { "{\"service\":\"s\",\"address\":\"1.2.3.4:5\"}", TRUE, TRUE },
-    { "{\"service\":\"s\"}", FALSE, FALSE },
+    { "{\"service\":\"s\"}", FALSE },
+    { "{}", FALSE },
+    { "[]", FALSE },
+    { "7", FALSE },
+    { "null", FALSE },
+    { "not JSON", FALSE },
+    { "\"\xff\xfe\"", FALSE },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
     {
-      json_t *value = json_loads (rows[i].text, 0, NULL);
+      json_t *value = json_loads (rows[i].text, JSON_DECODE_ANY, NULL);
       SvEndpointEntry entry;
 
       CU_ASSERT_EQUAL (pl_decode_endpoint ("i-1", value, &entry), rows[i].is_entry);
-      if (rows[i].is_entry)
-        CU_ASSERT_EQUAL (entry.draining, rows[i].draining);
+      CU_ASSERT_EQUAL (entry.draining, rows[i].draining);
+      CU_ASSERT_EQUAL (entry.start, rows[i].start);
       json_decref (value);
     }
 }
--- a/tests/unit/sv_reservation_test.c
+++ b/tests/unit/sv_reservation_test.c
@@ -247,10 +247,43 @@
   fixture_close (&fixture);
 }
 
+/*
+ * Symptom: an engine that has just started refuses prompts although nothing runs there.
+ * Sequence: it held memory for a prompt when it crashed, and starts again under its id; the lease
+ * is renewed there.
+ * Cause: renewing a reservation that isn't there sets memory aside anew, for a prompt that is lost.
+ */
+static void
+test_lease_is_not_renewed_at_another_start (void)
+{
+  static const ScriptedAnswer given[] = { { TAKEN, FALSE } };
+  static const ScriptedAnswer *const scripts[2] = { given, given };
+  Fixture fixture;
+  SvReservation *reservation;
+  SvEndpointEntry again = { .id = "i-0", .service = "s", .zone = "a", .slots = 4, .start = 7 };
+
+  fixture_open (&fixture, scripts, 1);
+  reservation = reserve (&fixture);
+  run_until_verdict (&fixture);
+  CU_ASSERT_TRUE (fixture.verdict);
+  again.address = scripted_endpoint_address (fixture.engines[0]);
+  sv_fleet_update (fixture.fleet, &again);
+  run_until (&fixture, 1, 3, HOLD / 4);
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.engines[0]), 1);
+  /* Giving back what isn't there does no harm, and an order of before may be carried out late. */
+  sv_reservation_release (reservation);
+  run_until (&fixture, 0, 2, 0);
+  CU_ASSERT_TRUE (last_order_is (&fixture, 0, "release"));
+  run_until (&fixture, 1, 4, 0);
+  knl_paused_clock_advance (fixture.clock, 2 * HOLD);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "a refused part gives all back", test_refused_part_gives_all_back },
   { "an order without answer is a short lease", test_order_without_answer_is_a_short_lease },
   { "held memory is renewed", test_held_memory_is_renewed },
+  { "a lease is not renewed at another start", test_lease_is_not_renewed_at_another_start },
 };
 
 SUITE_MAIN ("sv_reservation", cases)
--- /dev/null
+++ b/tests/unit/sv_restart_test.c
@@ -0,0 +1,181 @@
+/** An endpoint that starts again under the id that it had. */
+
+#include <string.h>
+
+#include "suite.h"
+#include "sv_fixture.h"
+
+#define OK_ANSWER "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood"
+
+static void
+on_replaced (SvEndpoint *endpoint, gpointer data)
+{
+  SvFixture *fixture = data;
+
+  ht_client_forget (fixture->client, endpoint->address);
+  sv_core_note_replaced (fixture->core, endpoint);
+}
+
+static SvEndpointEntry
+entry_of (const SvFixture *fixture, guint64 start, guint64 revision)
+{
+  return (SvEndpointEntry){
+    .id = "i-0",
+    .service = "s",
+    .zone = "a",
+    .slots = 4,
+    .address = scripted_endpoint_address (fixture->endpoints[0]),
+    .start = start,
+    .revision = revision,
+  };
+}
+
+static SvEndpoint *
+endpoint_at (const SvFixture *fixture, guint index)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fixture->fleet, "s");
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (g_strcmp0 (endpoint->address, scripted_endpoint_address (fixture->endpoints[index])) == 0)
+        return endpoint;
+    }
+  return NULL;
+}
+
+static void
+open_with (SvFixture *fixture, const ScriptedAnswer *first, const ScriptedAnswer *second)
+{
+  SvEndpointEntry entry;
+
+  sv_fixture_open (fixture);
+  sv_fixture_use_config (fixture, 1, "key");
+  sv_fixture_add_endpoint (fixture, first, 1);
+  if (second != NULL)
+    sv_fixture_add_endpoint (fixture, second, 1);
+  sv_fleet_on_replaced (fixture->fleet, on_replaced, fixture);
+  entry = entry_of (fixture, 1000, 1);
+  sv_fleet_update (fixture->fleet, &entry);
+}
+
+/*
+ * An engine seems full and rests although it has just started.
+ *
+ * It ran four requests, had a long prompt to read and had lost some when its
+ * process crashed; a second later it registers under the same id.
+ *
+ * Loads, reading and health are kept by endpoint, and the id alone named it.
+ */
+static void
+test_nothing_of_before_holds (void)
+{
+  static const ScriptedAnswer ok = { OK_ANSWER, FALSE };
+  static const SvLoad load = { .calls = 4, .tokens = 1000 };
+  static const SvRead read = { .prompt = 7, .length = 5 * KNL_SEC, .until_told = TRUE };
+  SvFixture fixture;
+  SvEndpointEntry again;
+  SvEndpoint *endpoint;
+  guint64 key_before;
+
+  open_with (&fixture, &ok, NULL);
+  endpoint = endpoint_at (&fixture, 0);
+  key_before = endpoint->key;
+  sv_endpoint_charge (endpoint, &load, 1);
+  sv_endpoint_set_peer (endpoint, 3, &load);
+  sv_fleet_add_read (fixture.fleet, &read, &key_before, 1);
+  sv_endpoint_note_loss (endpoint, knl_kernel_now (fixture.kernel));
+  again = entry_of (&fixture, 2000, 2);
+  sv_fleet_update (fixture.fleet, &again);
+  endpoint = endpoint_at (&fixture, 0);
+  CU_ASSERT_EQUAL (sv_fleet_all (fixture.fleet)->len, 1);
+  CU_ASSERT_EQUAL (sv_endpoint_load (endpoint, knl_kernel_now (fixture.kernel)).calls, 0);
+  CU_ASSERT_EQUAL (sv_endpoint_read_left (endpoint, knl_kernel_now (fixture.kernel)), 0);
+  CU_ASSERT_TRUE (sv_endpoint_usable (endpoint, knl_kernel_now (fixture.kernel)));
+  /* What peers still tell of the start before is not taken for this one's. */
+  CU_ASSERT_NOT_EQUAL (endpoint->key, key_before);
+  CU_ASSERT_PTR_NULL (sv_fleet_by_key (fixture.fleet, key_before));
+  sv_fixture_close (&fixture);
+}
+
+/* A list that was read from before the restart, or an entry that doesn't say its start, changes
+ * nothing. */
+static void
+test_entries_that_are_not_newer (void)
+{
+  static const ScriptedAnswer ok = { OK_ANSWER, FALSE };
+  static const struct
+  {
+    guint64 start;
+    guint64 revision;
+    gboolean is_replaced;
+  } rows[] = {
+    { 1000, 2, FALSE }, { 0, 3, FALSE }, { 900, 1, FALSE }, { 900, 4, TRUE }, { 2000, 5, TRUE },
+  };
+  SvFixture fixture;
+
+  open_with (&fixture, &ok, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      SvEndpointEntry entry = entry_of (&fixture, rows[i].start, rows[i].revision);
+      SvEndpoint *before = sv_endpoint_ref (endpoint_at (&fixture, 0));
+
+      sv_fleet_update (fixture.fleet, &entry);
+      CU_ASSERT_EQUAL (before->is_replaced, rows[i].is_replaced);
+      CU_ASSERT_EQUAL (before != endpoint_at (&fixture, 0), rows[i].is_replaced);
+      sv_endpoint_unref (before);
+    }
+  sv_fixture_close (&fixture);
+}
+
+/*
+ * Requests wait for seconds for an engine that is up and idle.
+ *
+ * It went dark with their connections open, and its entry tells a new start.
+ *
+ * Only their own silence ended them. What may run again goes elsewhere at once;
+ * what may run once is answered at once, without a promise.
+ */
+static void
+test_requests_in_flight_are_lost (void)
+{
+  static const ScriptedAnswer silent = { NULL, FALSE };
+  static const ScriptedAnswer ok = { OK_ANSWER, FALSE };
+  static const struct
+  {
+    const char *path;
+    const char *answer;
+    guint sends;
+  } rows[] = {
+    { "/again/1", "HTTP/1.1 200", 2 },
+    { "/once/1", "HTTP/1.1 502", 1 },
+    { "/once-of-two/1", "HTTP/1.1 502", 1 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      SvFixture fixture;
+      SvEndpointEntry again;
+
+      open_with (&fixture, &silent, &ok);
+      sv_fixture_ask (&fixture, rows[i].path);
+      sv_fixture_wait_requests (&fixture, 0, 1);
+      again = entry_of (&fixture, 2000, 2);
+      sv_fleet_update (fixture.fleet, &again);
+      sv_fixture_wait_for (&fixture, "\r\n\r\n");
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, rows[i].answer));
+      CU_ASSERT_EQUAL (sv_fixture_all_requests (&fixture), rows[i].sends);
+      /* The new start is charged with nothing of it. */
+      CU_ASSERT_EQUAL (endpoint_at (&fixture, 0)->own.calls, 0);
+      sv_fixture_close (&fixture);
+    }
+}
+
+static const SuiteCase cases[] = {
+  { "nothing of before holds", test_nothing_of_before_holds },
+  { "entries that are not newer", test_entries_that_are_not_newer },
+  { "requests in flight are lost", test_requests_in_flight_are_lost },
+};
+
+SUITE_MAIN ("sv_restart", cases)
