--- a/serve/finish.c
+++ b/serve/finish.c
@@ -52,7 +52,9 @@
           (gint64)self->ask.prompt_tokens, "i", "parts", (gint64)self->placement.n_helpers + 1, "i",
           "expected-us", (gint64)self->placement.expected, "i", "first-us",
           self->first_at > 0 ? self->first_at - self->begun_at : (gint64)-1, "i", "total-us",
-          now - self->begun_at, "i", "longest-gap-us", self->longest_gap, "i", "config",
+          now - self->begun_at, "i", "longest-gap-us", self->longest_gap, "i", "objective-us",
+          self->route != NULL ? self->route->objective : 0, "i", "gap-objective-us",
+          self->route != NULL ? self->route->gap_objective : 0, "i", "config",
           self->config != NULL ? (gint64)self->config->version : (gint64)-1, "i", "config-age-us",
           core->confirmed_at > 0 ? now - core->confirmed_at : (gint64)-1);
 }
