serve: an engine that is busy helping is not taken for lost

Change: parts that count at an engine are counted, two below its slots it is not asked; one that is named rests from helping alone, 100 ms doubled up to 2 s.

--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -61,6 +61,7 @@
   KnlTime reported_at;  /**< when */
   KnlTime heard_at;     /**< last bytes of any answer; 0: none yet */
   PolHealth health;     /**< by our own requests there */
+  PolHealth helping;    /**< by our prompts that it was to read parts of for others */
 } SvEndpoint;
 
 /** What the platform's list says of an endpoint. */
@@ -145,6 +146,15 @@
 
 void sv_endpoint_note_success (SvEndpoint *endpoint);
 
+/** Whether it may be asked to read a part of a prompt that another endpoint runs. */
+gboolean sv_endpoint_can_help (const SvEndpoint *endpoint, KnlTime now);
+
+/** It was named as the reason why a prompt was rejected that it was to read a part of. */
+void sv_endpoint_note_no_help (SvEndpoint *endpoint, KnlTime now);
+
+/** It has read its part of a prompt. */
+void sv_endpoint_note_help (SvEndpoint *endpoint);
+
 /** An answer that reports a failure of the endpoint's own. */
 void sv_endpoint_note_error (SvEndpoint *endpoint, KnlTime now);
 
--- a/include/serve/reads.h
+++ b/include/serve/reads.h
@@ -36,5 +36,8 @@
 /** The prompt has been read, or will not be. */
 void sv_reads_end (SvReads *reads, guint64 prompt, KnlTime now);
 
+/** Prompts that count until their end is told: parts that are being read, or wait to be. */
+guint sv_reads_n_parts (const SvReads *reads);
+
 /** Time until all of it has been read. */
 KnlTime sv_reads_left (SvReads *reads, KnlTime now);
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -102,12 +102,18 @@
 static void
 log_loss (const SvRequest *self, const char *fault, gboolean ran)
 {
-  const SvEndpoint *endpoint = self->placement.first;
+  SvEndpoint *endpoint = self->placement.first;
+  KnlTime now = sv_request_now (self);
+  SvLoad load = sv_endpoint_load (endpoint, now);
 
   cm_log (CM_LOG_INFO, "send-failed", "s", "request", self->ask.id, "s", "endpoint", endpoint->id,
           "s", "address", endpoint->address, "s", "fault", fault, "b", "may-have-run", ran, "i",
           "endpoint-losses", (gint64)endpoint->health.losses, "i", "since-sent-us",
-          sv_request_now (self) - self->sent_at, "i", "sends", (gint64)self->offers);
+          now - self->sent_at, "i", "sends", (gint64)self->offers, "i", "endpoint-calls",
+          (gint64)load.calls, "i", "endpoint-tokens", (gint64)load.tokens, "i", "reading-us",
+          sv_endpoint_read_left (endpoint, now), "i", "silent-us",
+          endpoint->heard_at > 0 ? now - endpoint->heard_at : (gint64)-1, "b", "begun",
+          self->first_at > 0);
 }
 
 void
@@ -230,8 +236,12 @@
         at_fault = self->placement.helpers[i];
     }
   close_send (self, "rejected");
-  if (self->reply.status == 421 || at_fault != endpoint)
-    sv_endpoint_note_loss (at_fault, sv_request_now (self));
+  cm_log (CM_LOG_INFO, "send-rejected", "s", "request", self->ask.id, "s", "endpoint",
+          endpoint->id, "s", "at-fault", at_fault->id, "i", "status", (gint64)self->reply.status);
+  if (at_fault != endpoint)
+    sv_endpoint_note_no_help (at_fault, sv_request_now (self));
+  else if (self->reply.status == 421)
+    sv_endpoint_note_loss (endpoint, sv_request_now (self));
   else
     sv_endpoint_note_error (endpoint, sv_request_now (self));
   if (at_fault != endpoint)
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -9,6 +9,14 @@
                                            .limit = 4 * KNL_SEC,
                                            .errors = 4 };
 
+/* An endpoint that helps as many prompts as it has slots rejects the next one, and is free again
+ * within some passes. */
+static const PolHealthRule helping_rule = { .first = 100 * KNL_MSEC, .limit = 2 * KNL_SEC };
+
+/* Of its slots, those that are not filled with parts: what other instances place is known a few ms
+ * later. */
+#define HELP_SPARE 2
+
 /* How long an endpoint's own report of its load is used. */
 #define REPORT_LIFE (200 * KNL_MSEC)
 
@@ -457,6 +465,30 @@
   return load;
 }
 
+gboolean
+sv_endpoint_can_help (const SvEndpoint *self, KnlTime now)
+{
+  return !pol_health_is_suspended (&self->helping, now)
+         && sv_reads_n_parts (&self->reads) + HELP_SPARE < MAX (self->slots, HELP_SPARE + 1);
+}
+
+/*
+ * A helper that is busy is not lost. Taken for lost it rested for all requests,
+ * longer each time; what it would have served went to the others, which were
+ * named next, until a few engines of many took all prompts of an instance.
+ */
+void
+sv_endpoint_note_no_help (SvEndpoint *self, KnlTime now)
+{
+  pol_health_note_loss (&self->helping, &helping_rule, now);
+}
+
+void
+sv_endpoint_note_help (SvEndpoint *self)
+{
+  pol_health_note_success (&self->helping);
+}
+
 void
 sv_endpoint_note_success (SvEndpoint *self)
 {
--- a/serve/reads.c
+++ b/serve/reads.c
@@ -66,6 +66,16 @@
     }
 }
 
+guint
+sv_reads_n_parts (const SvReads *self)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < self->rows->len; i++)
+    n += row_at (self, i)->read.until_told;
+  return n;
+}
+
 KnlTime
 sv_reads_left (SvReads *self, KnlTime now)
 {
--- a/serve/router.c
+++ b/serve/router.c
@@ -77,6 +77,7 @@
   double pass;      /* ms, without reading */
   double order;     /* ms, see stream_order_ms */
   Role role;
+  gboolean can_help; /* it may read parts of what others run */
 } Candidate;
 
 /* One choice, and what it goes by. */
@@ -116,6 +117,7 @@
   candidate->pass =
       sv_model_pass_ms (spec, n_writers (&candidate->load), (double)candidate->load.tokens);
   candidate->order = candidate->read_left;
+  candidate->can_help = sv_endpoint_can_help (endpoint, now);
   for (guint i = 0; i < SV_N_PAUSES; i++)
     candidate->order += candidate->load.writers[i] * stream_order_ms[i];
 }
@@ -222,12 +224,19 @@
   return x->order < y->order ? -1 : x->order > y->order;
 }
 
+static double
+expected_of_part (const Candidate *candidate, double part_ms)
+{
+  return candidate->read_left + part_ms + candidate->pass;
+}
+
 /* Short prompts; the longer ones among them are read in parts by endpoints of their own kind. */
 static void
 place_packed (const Choice *choice, SvPlacement *placement)
 {
-  guint parts = MIN ((guint)ceil (choice->read_ms / SPLIT_MS), choice->candidates->len);
-  double expected = 0;
+  guint parts = (guint)ceil (choice->read_ms / SPLIT_MS);
+  const Candidate *helpers[SV_HELPERS];
+  double expected;
 
   for (guint i = 0; i < choice->candidates->len; i++)
     candidate_at (choice, i)->order = cost_of_packing (choice, candidate_at (choice, i));
@@ -235,13 +244,17 @@
   parts = CLAMP (parts, 1, SV_HELPERS + 1);
   placement->first = candidate_at (choice, 0)->endpoint;
   placement->is_full = candidate_at (choice, 0)->load.calls >= choice->spec->slots;
-  for (guint i = 0; i < parts; i++)
+  for (guint i = 1; i < choice->candidates->len && placement->n_helpers + 1 < parts; i++)
     {
-      const Candidate *candidate = candidate_at (choice, i);
-
-      expected = MAX (expected, candidate->read_left + choice->read_ms / parts + candidate->pass);
-      if (i > 0)
-        placement->helpers[placement->n_helpers++] = candidate->endpoint;
+      if (candidate_at (choice, i)->can_help)
+        helpers[placement->n_helpers++] = candidate_at (choice, i);
+    }
+  parts = placement->n_helpers + 1;
+  expected = expected_of_part (candidate_at (choice, 0), choice->read_ms / parts);
+  for (guint i = 0; i < placement->n_helpers; i++)
+    {
+      placement->helpers[i] = helpers[i]->endpoint;
+      expected = MAX (expected, expected_of_part (helpers[i], choice->read_ms / parts));
     }
   placement->part = (KnlTime)(choice->read_ms / parts * KNL_MSEC);
   placement->read =
@@ -255,6 +268,8 @@
   const Candidate *x = a;
   const Candidate *y = b;
 
+  if (x->can_help != y->can_help)
+    return x->can_help ? -1 : 1;
   if (x->role != y->role)
     return x->role < y->role ? -1 : 1;
   if (x->order != y->order)
@@ -378,32 +393,33 @@
   return has_memory (choice, first) ? 0 : need - HOLD_FIRST * MAX (room, 0);
 }
 
-/* Parts that are needed for the prompt's memory alone. */
+/* The first candidate, and those after it that may read parts. */
 static guint
-least_width (const Choice *choice)
+count_readers (const Choice *choice)
 {
-  double rest = overflow_of (choice);
   guint n = 1;
 
-  while (rest > 0 && n < choice->candidates->len && n <= SV_HELPERS)
-    rest -= room_of (choice, candidate_at (choice, n++));
+  for (guint i = 1; i < choice->candidates->len; i++)
+    n += candidate_at (choice, i)->role != ROLE_PACKED && candidate_at (choice, i)->can_help;
   return n;
 }
 
+/* Parts that are needed for the prompt's memory alone. */
 static guint
-count_unpacked (const Choice *choice)
+least_width (const Choice *choice)
 {
-  guint n = 0;
+  double rest = overflow_of (choice);
+  guint n = 1;
 
-  for (guint i = 0; i < choice->candidates->len; i++)
-    n += candidate_at (choice, i)->role != ROLE_PACKED;
+  while (rest > 0 && n < count_readers (choice) && n <= SV_HELPERS)
+    rest -= room_of (choice, candidate_at (choice, n++));
   return n;
 }
 
 static guint
 choose_width (const Choice *choice, double *expected)
 {
-  guint widest = MIN (MAX (count_unpacked (choice), 1), SV_HELPERS + 1);
+  guint widest = MIN (count_readers (choice), SV_HELPERS + 1);
   guint width = widest;
   double least = G_MAXDOUBLE;
 
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -31,12 +31,23 @@
   self->event_at = now;
 }
 
+/* The first event says that all parts have been read. */
+static void
+note_read (SvRequest *self)
+{
+  if (!self->is_reading)
+    return;
+  for (guint i = 0; i < self->placement.n_helpers; i++)
+    sv_endpoint_note_help (self->placement.helpers[i]);
+  sv_request_end_read (self);
+}
+
 static void
 on_event (const SvEvent *event, gpointer data)
 {
   SvRequest *self = data;
 
-  sv_request_end_read (self);
+  note_read (self);
   /* A second run may begin before where the first was cut. */
   if (event->id >= 0 && event->id <= self->last_event)
     return;
