serve: prompts that wait look again at random moments, and don't all take the same engine

Cause: all wait for the same moment, look within 5 ms of it, and choose the same best engine; it lacks the memory for two, and the second waits there until the first has been answered. Ruled out: full-speed reading in the model, whose sums are right once told.

--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -18,6 +18,7 @@
   guint64 answer_tokens;     /**< expected */
   KnlTime objective_left;    /**< until the first event counts in full */
   KnlTime gap_objective;     /**< longest pause for full credit */
+  guint64 seed;              /**< of the request; decides among endpoints that are about equal */
   const GPtrArray *excluded; /**< SvEndpoint that failed this request; may be NULL */
 } SvDemand;
 
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -236,8 +236,8 @@
         at_fault = self->placement.helpers[i];
     }
   close_send (self, "rejected");
-  cm_log (CM_LOG_INFO, "send-rejected", "s", "request", self->ask.id, "s", "endpoint",
-          endpoint->id, "s", "at-fault", at_fault->id, "i", "status", (gint64)self->reply.status);
+  cm_log (CM_LOG_INFO, "send-rejected", "s", "request", self->ask.id, "s", "endpoint", endpoint->id,
+          "s", "at-fault", at_fault->id, "i", "status", (gint64)self->reply.status);
   if (at_fault != endpoint)
     sv_endpoint_note_no_help (at_fault, sv_request_now (self));
   else if (self->reply.status == 421)
--- a/serve/router.c
+++ b/serve/router.c
@@ -1,6 +1,7 @@
 #include "serve/router.h"
 
 #include <math.h>
+#include <xxhash.h>
 
 #include "policy/plain.h"
 #include "serve/engine_model.h"
@@ -36,6 +37,11 @@
 /* Slots of an endpoint that packing leaves free for what other instances send meanwhile. */
 #define PACK_SPARE_SLOTS 3
 
+/* Endpoints whose costs for running a long prompt differ by less than this, in ms, are about equal:
+ * two prompts that take the same one often need more memory than it has, and the second waits there
+ * until the first has been answered. */
+#define RUN_SPREAD 300.0
+
 /* Of an endpoint's memory, what is counted on; contexts are known only roughly. */
 #define MEMORY_PART 0.9
 
@@ -336,6 +342,19 @@
          + WAIT_COST * finish / objective;
 }
 
+/*
+ * Between 0 and 1, the same for a request and an endpoint, another one for other
+ * requests. Instances that place at the same moment know of each other's choice
+ * some ms later; without it all would take the one endpoint that looks best.
+ */
+static double
+noise_of (const Choice *choice, const Candidate *candidate)
+{
+  guint64 pair[2] = { choice->demand->seed, candidate->endpoint->key };
+
+  return (double)(XXH64 (pair, sizeof pair, 0) >> 11) / 0x1p53;
+}
+
 /* What speaks against running a long prompt at an endpoint, in ms. */
 static double
 cost_of_running (const Choice *choice, const Candidate *candidate)
@@ -347,6 +366,7 @@
   };
   double cost = candidate->read_left + candidate->pass + role_cost[candidate->role];
 
+  cost += RUN_SPREAD * noise_of (choice, candidate);
   cost += RUN_MEMORY_COST * (double)candidate->load.tokens / (double)choice->spec->memory_tokens;
   if (candidate->load.calls >= choice->spec->slots)
     cost += NO_ROOM_COST;
--- a/serve/send.c
+++ b/serve/send.c
@@ -1,5 +1,8 @@
 /** Puts a request on its way to an endpoint: placed, with the memory that it needs, and watched. */
 
+#include <string.h>
+#include <xxhash.h>
+
 #include "common/log.h"
 #include "serve/core_internal.h"
 #include "serve/defer.h"
@@ -42,9 +45,10 @@
 #define SILENCE_HEARD  (600 * KNL_MSEC)
 #define SILENCE_QUEUED 4
 
-/* Prompts wait for the same engines; a random part of their wait keeps them from looking at the
- * same moment. */
-#define DEFER_SPREAD (5 * KNL_MSEC)
+/* Prompts at all instances wait for the same engines, and see the same moment at which these have
+ * read enough; a random part of their wait, as a part of the objective, keeps them from going all
+ * at once. What one places is known to the others after some 5 ms. */
+#define DEFER_SPREAD_PART 0.025
 
 /* How long the endpoint may say nothing from now on. */
 static KnlTime
@@ -117,6 +121,7 @@
     .answer_tokens = expected_answer (self),
     .objective_left = MAX (self->begun_at + self->route->objective - now, 0),
     .gap_objective = self->route->gap_objective,
+    .seed = XXH64 (self->ask.id, strlen (self->ask.id), self->offers),
     .excluded = self->excluded,
   };
   SvPlacement before = self->placement;
@@ -340,7 +345,8 @@
 
   if (wait == 0)
     return FALSE;
-  wait += g_rand_int_range (knl_kernel_rand (kernel), 0, DEFER_SPREAD);
+  wait += (KnlTime)(DEFER_SPREAD_PART * (double)self->route->objective
+                    * g_rand_double (knl_kernel_rand (kernel)));
   self->defer_timer = knl_timer_start (kernel, wait, on_defer_due, self);
   return TRUE;
 }
