--- a/serve/peers.c
+++ b/serve/peers.c
@@ -20,6 +20,9 @@
 /* Heartbeats in a row that may be lost before a peer counts as gone. */
 #define SILENT_BEATS 3
 
+/* Datagrams that can't be read are logged this often at most. */
+#define UNREADABLE_LOG_INTERVAL (1 * KNL_SEC)
+
 /* Losses that a peer may tell within the window and still be believed: so many, or this part of all
  * endpoints. */
 #define TOLD_WINDOW (2 * KNL_SEC)
@@ -319,6 +322,34 @@
     self->on_suspect (datagram->suspects[i], self->on_suspect_data);
 }
 
+/* One line a second at most: anything may be sent to the port. */
+static void
+log_unreadable (SvPeers *self, gsize length)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  self->n_unreadable++;
+  if (now - self->unreadable_logged_at < UNREADABLE_LOG_INTERVAL)
+    return;
+  self->unreadable_logged_at = now;
+  cm_log (CM_LOG_WARNING, "datagram-unreadable", "i", "bytes", (gint64)length, "i", "so-far",
+          (gint64)self->n_unreadable);
+}
+
+void
+sv_peers_take_bytes (SvPeers *self, const guint8 *bytes, gsize length)
+{
+  Alderturn__Datagram *datagram = alderturn__datagram__unpack (NULL, length, bytes);
+
+  if (datagram == NULL)
+    {
+      log_unreadable (self, length);
+      return;
+    }
+  take (self, datagram);
+  alderturn__datagram__free_unpacked (datagram, NULL);
+}
+
 static void
 on_readable (evutil_socket_t fd, short what, void *data)
 {
@@ -327,17 +358,7 @@
   ssize_t length;
 
   while ((length = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
-    {
-      Alderturn__Datagram *datagram = alderturn__datagram__unpack (NULL, (size_t)length, bytes);
-
-      if (datagram == NULL)
-        {
-          cm_log (CM_LOG_WARNING, "datagram-unreadable", "i", "bytes", (gint64)length);
-          continue;
-        }
-      take (self, datagram);
-      alderturn__datagram__free_unpacked (datagram, NULL);
-    }
+    sv_peers_take_bytes (self, bytes, (gsize)length);
 }
 
 static gboolean
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -42,12 +42,14 @@
   gboolean ready;
   evutil_socket_t socket;
   struct event *readable;
-  GHashTable *peers; /* link address -> Peer */
-  GHashTable *by_id; /* id -> Peer */
-  GArray *reads;     /* PlacedReadRow not told yet */
-  GArray *suspects;  /* guint64 not told yet */
-  GArray *lost;      /* guint64, keys of endpoints not told yet */
-  GArray *answering; /* the same */
+  GHashTable *peers;  /* link address -> Peer */
+  GHashTable *by_id;  /* id -> Peer */
+  GArray *reads;      /* PlacedReadRow not told yet */
+  GArray *suspects;   /* guint64 not told yet */
+  GArray *lost;       /* guint64, keys of endpoints not told yet */
+  GArray *answering;  /* the same */
+  guint n_unreadable; /* datagrams, so far */
+  KnlTime unreadable_logged_at;
   KnlTimerId beat_timer;
   guint beats; /* sent so far */
   KnlTimerId change_timer;
@@ -65,6 +67,11 @@
   guint64 keys[SV_HELPERS + 1];
 } PlacedReadRow;
 
+/* peers.c */
+
+/** Takes a datagram, whatever its bytes are. */
+void sv_peers_take_bytes (SvPeers *self, const guint8 *bytes, gsize length);
+
 /* peers_tell.c */
 
 /** What the core reports to. */
--- a/serve/router.c
+++ b/serve/router.c
@@ -207,6 +207,13 @@
   return (guint)(UNPACKED_PART * choice->candidates->len);
 }
 
+/* No more than the places that an engine has. */
+static double
+packed_streams (const Choice *choice)
+{
+  return choice->spec->slots > 0 ? MIN (PACKED_STREAMS, choice->spec->slots) : PACKED_STREAMS;
+}
+
 /*
  * Streams that bear only short pauses are kept on the first endpoints of an
  * order that is the same at all instances, on as many as they need; long prompts
@@ -230,7 +237,7 @@
       if (candidate->load.writers[SV_PAUSE_TIGHT] == 0)
         tokens += (double)candidate->load.tokens;
     }
-  packed = (guint)ceil ((tight + 1) / PACKED_STREAMS) + PACKED_SPARE;
+  packed = (guint)ceil ((tight + 1) / packed_streams (choice)) + PACKED_SPARE;
   packed = MIN (packed, choice->candidates->len - unpacked_least (choice));
   writing = (guint)ceil ((tokens + 1) / (WRITE_PART * (double)choice->spec->memory_tokens)) + 1;
   for (guint i = 0; i < choice->candidates->len && i < packed + writing; i++)
