serve: the router is split by what decides

Candidates and roles (candidates.c), short prompts (place_short.c), long prompts (place_long.c) and plain requests (router.c) are files of their own; the engines that may help are chosen by a function of their own. Nothing decides otherwise: sv_router (200 assertions), sv_load, sv_parts, sv_core and sv_memory pass unchanged.

--- /dev/null
+++ b/serve/candidates.c
@@ -0,0 +1,187 @@
+/** The endpoints that a request may go to, and what each of them is for at the moment. */
+
+#include <math.h>
+
+#include "serve/engine_model.h"
+#include "serve/router_internal.h"
+
+/* Streams with short pauses on one endpoint that packing aims at, and endpoints that it keeps free
+ * beyond that for what comes before the next count. */
+#define PACKED_STREAMS 13.0
+#define PACKED_SPARE   0
+
+/* Of the endpoints, the part that is never packed. */
+#define UNPACKED_PART 0.12
+
+/* Of the memory of the endpoints that run long prompts, what their contexts are to take. */
+#define WRITE_PART 0.8
+
+/* Of an endpoint's memory, what is counted on; contexts are known only roughly. */
+#define MEMORY_PART 0.9
+
+/* Order in which endpoints are asked to read parts: reading left, and for each stream there: */
+static const double stream_order_ms[SV_N_PAUSES] = { 40, 10, 3 };
+
+/* Of a service's endpoints, the part that must be left when told losses are believed. */
+#define BELIEVED_PART 0.5
+
+static gboolean
+is_excluded (const SvDemand *demand, const SvEndpoint *endpoint)
+{
+  return demand->excluded != NULL
+         && g_ptr_array_find ((GPtrArray *)demand->excluded, endpoint, NULL);
+}
+
+guint
+sv_load_writers (const SvLoad *load)
+{
+  guint sum = 0;
+
+  for (guint i = 0; i < SV_N_PAUSES; i++)
+    sum += load->writers[i];
+  return sum;
+}
+
+static void
+describe (const SvDemand *demand, SvEndpoint *endpoint, KnlTime now, SvCandidate *candidate)
+{
+  const SvEngineSpec *spec = &demand->service->engine;
+
+  *candidate = (SvCandidate){ .endpoint = endpoint, .load = sv_endpoint_load (endpoint, now) };
+  candidate->read_left = (double)sv_endpoint_read_left (endpoint, now) / KNL_MSEC;
+  candidate->pass =
+      sv_model_pass_ms (spec, sv_load_writers (&candidate->load), (double)candidate->load.tokens);
+  candidate->order = candidate->read_left;
+  candidate->can_help = sv_endpoint_can_help (endpoint, now);
+  for (guint i = 0; i < SV_N_PAUSES; i++)
+    candidate->order += candidate->load.writers[i] * stream_order_ms[i];
+}
+
+/* Which endpoints are taken, from the best on. */
+typedef enum
+{
+  TAKE_BELIEVED, /* usable, and not doubted by what instances tell each other */
+  TAKE_USABLE,
+  TAKE_LAST_RESORT,
+} Take;
+
+static gboolean
+is_taken (const SvFleet *fleet, const SvEndpoint *endpoint, Take take, KnlTime now)
+{
+  switch (take)
+    {
+    case TAKE_BELIEVED:
+      return sv_endpoint_usable (endpoint, now) && !sv_endpoint_is_doubted (endpoint, now);
+    case TAKE_USABLE:
+      return sv_endpoint_usable (endpoint, now);
+    default:
+      return sv_endpoint_last_resort (fleet, endpoint);
+    }
+}
+
+static void
+take_candidates (const SvFleet *fleet,
+                 const SvDemand *demand,
+                 Take take,
+                 KnlTime now,
+                 GArray *candidates)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
+
+  g_array_set_size (candidates, 0);
+  for (guint i = 0; endpoints != NULL && i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      SvCandidate candidate;
+
+      if (is_excluded (demand, endpoint) || !is_taken (fleet, endpoint, take, now))
+        continue;
+      describe (demand, endpoint, now, &candidate);
+      g_array_append_val (candidates, candidate);
+    }
+}
+
+/*
+ * When most endpoints are doubted the fault is more likely on the tellers' side,
+ * and leaving all of them out would leave nothing to send to.
+ */
+GArray *
+sv_candidates_collect (const SvFleet *fleet, const SvDemand *demand, KnlTime now)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (SvCandidate));
+
+  take_candidates (fleet, demand, TAKE_BELIEVED, now, candidates);
+  if (endpoints != NULL && candidates->len < BELIEVED_PART * endpoints->len)
+    take_candidates (fleet, demand, TAKE_USABLE, now, candidates);
+  if (candidates->len == 0)
+    take_candidates (fleet, demand, TAKE_LAST_RESORT, now, candidates);
+  return candidates;
+}
+
+SvCandidate *
+sv_candidate_at (const SvChoice *choice, guint index)
+{
+  return &g_array_index (choice->candidates, SvCandidate, index);
+}
+
+/* Endpoints that stay free of streams with short pauses however many there are, so that a long
+ * prompt always has a place where it makes none of them pause. */
+static guint
+unpacked_least (const SvChoice *choice)
+{
+  return (guint)(UNPACKED_PART * choice->candidates->len);
+}
+
+/* No more than the places that an engine has. */
+static double
+packed_streams (const SvChoice *choice)
+{
+  return choice->spec->slots > 0 ? MIN (PACKED_STREAMS, choice->spec->slots) : PACKED_STREAMS;
+}
+
+/*
+ * Streams that bear only short pauses are kept on the first endpoints of an
+ * order that is the same at all instances, on as many as they need; long prompts
+ * are read by the others. Many streams on one endpoint cost next to nothing,
+ * while a long prompt makes all streams beside it pause. The border follows the
+ * load.
+ */
+void
+sv_candidates_assign_roles (SvChoice *choice)
+{
+  double tight = 0;
+  double tokens = 0;
+  guint packed;
+  guint writing;
+
+  for (guint i = 0; i < choice->candidates->len; i++)
+    {
+      const SvCandidate *candidate = sv_candidate_at (choice, i);
+
+      tight += candidate->load.writers[SV_PAUSE_TIGHT];
+      if (candidate->load.writers[SV_PAUSE_TIGHT] == 0)
+        tokens += (double)candidate->load.tokens;
+    }
+  packed = (guint)ceil ((tight + 1) / packed_streams (choice)) + PACKED_SPARE;
+  packed = MIN (packed, choice->candidates->len - unpacked_least (choice));
+  writing = (guint)ceil ((tokens + 1) / (WRITE_PART * (double)choice->spec->memory_tokens)) + 1;
+  for (guint i = 0; i < choice->candidates->len && i < packed + writing; i++)
+    sv_candidate_at (choice, i)->role = i < packed ? SV_ROLE_PACKED : SV_ROLE_WRITE;
+  choice->packed_mean = tight / packed;
+}
+
+gboolean
+sv_candidate_has_memory (const SvChoice *choice, const SvCandidate *candidate)
+{
+  guint64 need = choice->demand->prompt_tokens + choice->demand->answer_tokens;
+
+  return (double)(candidate->load.tokens + need)
+         <= MEMORY_PART * (double)choice->spec->memory_tokens;
+}
+
+double
+sv_candidate_room (const SvChoice *choice, const SvCandidate *candidate)
+{
+  return MEMORY_PART * (double)choice->spec->memory_tokens - (double)candidate->load.tokens;
+}
--- /dev/null
+++ b/serve/place_long.c
@@ -0,0 +1,280 @@
+/** Where long prompts go: which engine runs one, which others read parts of it and hold its memory.
+ */
+
+#include <math.h>
+#include <xxhash.h>
+
+#include "serve/router_internal.h"
+
+/* What a memory full of contexts costs when an endpoint is chosen to run a long prompt, and what it
+ * costs to have no room, in ms. */
+#define RUN_MEMORY_COST 300.0
+#define NO_ROOM_COST    20000.0
+
+/* Endpoints whose costs for running a long prompt differ by less than this, in ms, are about equal:
+ * two prompts that take the same one often need more memory than it has, and the second waits there
+ * until the first has been answered. */
+#define RUN_SPREAD 300.0
+
+/* A prompt larger than the room of the one that runs it is held by several: by the first one with
+ * this part of its room, by each of the others with that one, and not for less than so many tokens.
+ */
+#define HOLD_FIRST 0.9
+#define HOLD_PART  0.6
+#define HOLD_LEAST 4000.0
+
+/* Streams whose endpoint reads this long for others count as one made late: they take so much
+ * longer and keep their memory meanwhile. */
+#define SLOWDOWN_MS 600.0
+
+/* A pause begins to harm at this part of what a stream bears, and harms fully at 1. */
+#define HARM_FROM 0.85
+
+/* A first event is in danger from this part of its objective on. */
+#define LATE_FROM 0.5
+
+/* What an objective's length of waiting costs against a stream made late: breaks ties. */
+#define WAIT_COST 10.0
+
+static int
+compare_for_reading (gconstpointer a, gconstpointer b)
+{
+  const SvCandidate *x = a;
+  const SvCandidate *y = b;
+
+  if (x->can_help != y->can_help)
+    return x->can_help ? -1 : 1;
+  if (x->role != y->role)
+    return x->role < y->role ? -1 : 1;
+  if (x->order != y->order)
+    return x->order < y->order ? -1 : 1;
+  return x->endpoint->key > y->endpoint->key ? -1 : 1;
+}
+
+static double
+ramp (double value, double from, double to)
+{
+  return CLAMP ((value - from) / (to - from), 0, 1);
+}
+
+/* Streams, counted as a whole at the full pause, that reading for `stretch` ms makes late. On a
+ * packed endpoint those count too that will have come by then. */
+static double
+harm_of (const SvChoice *choice, const SvCandidate *candidate, double stretch)
+{
+  double harm = 0;
+
+  for (guint i = 0; i < SV_N_PAUSES; i++)
+    {
+      double gap = (double)choice->demand->config->shortest_gaps[i] / KNL_MSEC;
+      double writers = candidate->load.writers[i];
+
+      if (i == SV_PAUSE_TIGHT && candidate->role == SV_ROLE_PACKED)
+        writers = MAX (writers, choice->packed_mean);
+      harm += writers * ramp (stretch, HARM_FROM * gap, gap);
+    }
+  return harm;
+}
+
+/* What a request counts against one of usual size. */
+static double
+worth_of (const SvChoice *choice)
+{
+  const SvDemand *demand = choice->demand;
+  double usual = choice->spec->usual_prompt + 10 * choice->spec->usual_answer;
+  double size = (double)demand->prompt_tokens + 10 * (double)demand->answer_tokens;
+
+  return usual <= 0 ? 1 : size / usual;
+}
+
+/* Cost, in streams made late, of reading in `n` parts at the first n candidates. */
+static double
+cost_of_width (const SvChoice *choice, guint n, double *expected)
+{
+  double part = choice->read_ms / n;
+  double objective = (double)MAX (choice->demand->objective_left, KNL_MSEC) / KNL_MSEC;
+  double finish = 0;
+  double harm = 0;
+
+  for (guint i = 0; i < n; i++)
+    {
+      const SvCandidate *candidate = sv_candidate_at (choice, i);
+      double stretch = candidate->read_left + part + candidate->pass;
+
+      finish = MAX (finish, stretch);
+      harm += harm_of (choice, candidate, stretch);
+      harm += sv_load_writers (&candidate->load) * (part / SLOWDOWN_MS);
+    }
+  *expected = finish;
+  return harm + worth_of (choice) * ramp (finish, LATE_FROM * objective, objective)
+         + WAIT_COST * finish / objective;
+}
+
+/*
+ * Between 0 and 1, the same for a request and an endpoint, another one for other
+ * requests. Instances that place at the same moment know of each other's choice
+ * some ms later; without it all would take the one endpoint that looks best.
+ */
+static double
+noise_of (const SvChoice *choice, const SvCandidate *candidate)
+{
+  guint64 pair[2] = { choice->demand->seed, candidate->endpoint->key };
+
+  return (double)(XXH64 (pair, sizeof pair, 0) >> 11) / 0x1p53;
+}
+
+/* What speaks against running a long prompt at an endpoint, in ms. */
+static double
+cost_of_running (const SvChoice *choice, const SvCandidate *candidate)
+{
+  static const double role_cost[] = {
+    [SV_ROLE_READ] = 1000,
+    [SV_ROLE_WRITE] = 0,
+    [SV_ROLE_PACKED] = 3000,
+  };
+  double cost = candidate->read_left + candidate->pass + role_cost[candidate->role];
+
+  cost += RUN_SPREAD * noise_of (choice, candidate);
+  cost += RUN_MEMORY_COST * (double)candidate->load.tokens / (double)choice->spec->memory_tokens;
+  if (candidate->load.calls >= choice->spec->slots)
+    cost += NO_ROOM_COST;
+  return sv_candidate_has_memory (choice, candidate) ? cost : cost + NO_ROOM_COST;
+}
+
+/* Puts the candidate that is to run the prompt first, and those that are to read parts of it after
+ * it, the best ones first. */
+static void
+order_for_reading (const SvChoice *choice)
+{
+  guint best = 0;
+  SvCandidate first;
+
+  g_array_sort (choice->candidates, compare_for_reading);
+  for (guint i = 1; i < choice->candidates->len; i++)
+    {
+      if (cost_of_running (choice, sv_candidate_at (choice, i))
+          < cost_of_running (choice, sv_candidate_at (choice, best)))
+        best = i;
+    }
+  first = *sv_candidate_at (choice, best);
+  g_array_remove_index (choice->candidates, best);
+  g_array_prepend_val (choice->candidates, first);
+}
+
+/* Room that the candidate can set aside for a prompt that another one runs, in tokens. */
+static double
+room_of (const SvChoice *choice, const SvCandidate *candidate)
+{
+  double room = sv_candidate_room (choice, candidate);
+
+  return room * HOLD_PART < HOLD_LEAST ? 0 : room * HOLD_PART;
+}
+
+/* What the first candidate can't hold of the prompt, in tokens. */
+static double
+overflow_of (const SvChoice *choice)
+{
+  const SvCandidate *first = sv_candidate_at (choice, 0);
+  double room = sv_candidate_room (choice, first);
+  double need = (double)(choice->demand->prompt_tokens + choice->demand->answer_tokens);
+
+  return sv_candidate_has_memory (choice, first) ? 0 : need - HOLD_FIRST * MAX (room, 0);
+}
+
+/* The first candidate, and those after it that may read parts. */
+static guint
+count_readers (const SvChoice *choice)
+{
+  guint n = 1;
+
+  for (guint i = 1; i < choice->candidates->len; i++)
+    n += sv_candidate_at (choice, i)->role != SV_ROLE_PACKED
+         && sv_candidate_at (choice, i)->can_help;
+  return n;
+}
+
+/* Parts that are needed for the prompt's memory alone. */
+static guint
+least_width (const SvChoice *choice)
+{
+  double rest = overflow_of (choice);
+  guint n = 1;
+
+  while (rest > 0 && n < count_readers (choice) && n <= SV_HELPERS)
+    rest -= room_of (choice, sv_candidate_at (choice, n++));
+  return n;
+}
+
+static guint
+choose_width (const SvChoice *choice, double *expected)
+{
+  guint widest = MIN (count_readers (choice), SV_HELPERS + 1);
+  guint width = widest;
+  double least = G_MAXDOUBLE;
+
+  for (guint n = least_width (choice); n <= widest; n++)
+    {
+      double finish;
+      double cost = cost_of_width (choice, n, &finish);
+
+      if (cost >= least)
+        continue;
+      least = cost;
+      width = n;
+      *expected = finish;
+    }
+  return width;
+}
+
+/* Spreads what the first endpoint can't hold over the helpers. */
+static void
+spread_memory (const SvChoice *choice, SvPlacement *placement)
+{
+  double overflow = overflow_of (choice);
+  double rest = overflow;
+
+  for (guint i = 0; i < placement->n_helpers && rest > 0; i++)
+    {
+      double hold = MIN (room_of (choice, sv_candidate_at (choice, i + 1)), MAX (rest, HOLD_LEAST));
+
+      placement->holds[i] = (guint64)ceil (hold);
+      rest -= hold;
+    }
+  placement->load.tokens -= (guint64)overflow;
+  placement->lacks_memory = rest > 0;
+}
+
+/* Reading goes on inside passes, whose other work takes time too. */
+static double
+mean_pass (const SvChoice *choice, guint width)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < width; i++)
+    {
+      if (sv_load_writers (&sv_candidate_at (choice, i)->load) > 0)
+        sum += sv_candidate_at (choice, i)->pass;
+    }
+  return sum / width;
+}
+
+void
+sv_place_long (const SvChoice *choice, SvPlacement *placement)
+{
+  double expected = 0;
+  guint width;
+
+  order_for_reading (choice);
+  width = choose_width (choice, &expected);
+  placement->first = sv_candidate_at (choice, 0)->endpoint;
+  for (guint i = 1; i < width; i++)
+    placement->helpers[placement->n_helpers++] = sv_candidate_at (choice, i)->endpoint;
+  spread_memory (choice, placement);
+  for (guint i = 0; i < width; i++)
+    placement->backlog =
+        MAX (placement->backlog, (KnlTime)(sv_candidate_at (choice, i)->read_left * KNL_MSEC));
+  placement->is_split = TRUE;
+  placement->part = (KnlTime)(choice->read_ms / width * KNL_MSEC);
+  placement->read = placement->part + (KnlTime)(mean_pass (choice, width) * KNL_MSEC);
+  placement->expected = (KnlTime)(expected * KNL_MSEC);
+}
--- /dev/null
+++ b/serve/place_short.c
@@ -0,0 +1,88 @@
+/** Where short prompts go: streams with short pauses are packed on few engines. */
+
+#include <math.h>
+
+#include "serve/router_internal.h"
+
+/* Passes that a short prompt keeps its endpoint busy beside its reading: it begins in the middle of
+ * one on average. Without them short prompts that come together go to one endpoint and share a pass
+ * that is too long for all. */
+#define PACKED_PASSES 0.5
+
+/* Part of a first event's objective that sending a short prompt across the border costs. */
+#define BORDER_PART 0.5
+
+/* Slots of an endpoint that packing leaves free for what other instances send meanwhile. */
+#define PACK_SPARE_SLOTS 3
+
+/* Time to the first event, and what speaks against the endpoint besides, in ms. */
+static double
+cost_of_packing (const SvChoice *choice, const SvCandidate *candidate)
+{
+  double cost = candidate->read_left + choice->read_ms + candidate->pass;
+  double objective = (double)choice->demand->objective_left / KNL_MSEC;
+
+  if (candidate->load.calls + PACK_SPARE_SLOTS > choice->spec->slots
+      || !sv_candidate_has_memory (choice, candidate))
+    cost += candidate->pass * (1 + candidate->load.calls);
+  if (candidate->role != SV_ROLE_PACKED)
+    cost += BORDER_PART * objective;
+  return cost;
+}
+
+static int
+compare_for_packing (gconstpointer a, gconstpointer b)
+{
+  const SvCandidate *x = a;
+  const SvCandidate *y = b;
+
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+/* What an endpoint does before and beside a part that it gets now, in ms. */
+static double
+time_before_part (const SvCandidate *candidate)
+{
+  return candidate->read_left + candidate->pass;
+}
+
+/* Takes the best candidates that may help, until the prompt is read in `parts`; the longest time
+ * that one of them needs before its part. */
+static double
+add_packed_helpers (const SvChoice *choice, guint parts, SvPlacement *placement)
+{
+  double longest = 0;
+
+  for (guint i = 1; i < choice->candidates->len && placement->n_helpers + 1 < parts; i++)
+    {
+      const SvCandidate *candidate = sv_candidate_at (choice, i);
+
+      if (!candidate->can_help)
+        continue;
+      placement->helpers[placement->n_helpers++] = candidate->endpoint;
+      longest = MAX (longest, time_before_part (candidate));
+    }
+  return longest;
+}
+
+/* Short prompts; the longer ones among them are read in parts by endpoints of their own kind. */
+void
+sv_place_short (const SvChoice *choice, SvPlacement *placement)
+{
+  guint parts = CLAMP ((guint)ceil (choice->read_ms / SV_SPLIT_MS), 1, SV_HELPERS + 1);
+  const SvCandidate *first;
+  double before;
+  double part_ms;
+
+  for (guint i = 0; i < choice->candidates->len; i++)
+    sv_candidate_at (choice, i)->order = cost_of_packing (choice, sv_candidate_at (choice, i));
+  g_array_sort (choice->candidates, compare_for_packing);
+  first = sv_candidate_at (choice, 0);
+  placement->first = first->endpoint;
+  placement->is_full = first->load.calls >= choice->spec->slots;
+  before = MAX (time_before_part (first), add_packed_helpers (choice, parts, placement));
+  part_ms = choice->read_ms / (placement->n_helpers + 1);
+  placement->part = (KnlTime)(part_ms * KNL_MSEC);
+  placement->read = placement->part + (KnlTime)(PACKED_PASSES * first->pass * KNL_MSEC);
+  placement->expected = (KnlTime)((before + part_ms) * KNL_MSEC);
+}
--- a/tests/fuzz/libfuzzer.c
+++ b/tests/fuzz/libfuzzer.c
@@ -4,8 +4,10 @@
 
 #include "targets.h"
 
+/* The fuzzer's names. NOLINTBEGIN(readability-identifier-naming) */
 int LLVMFuzzerInitialize (int *argc, char ***argv);
 int LLVMFuzzerTestOneInput (const uint8_t *bytes, size_t length);
+/* NOLINTEND(readability-identifier-naming) */
 
 int
 LLVMFuzzerInitialize (int *argc, char ***argv)
--- a/tests/fuzz/seeded_test.c
+++ b/tests/fuzz/seeded_test.c
@@ -57,6 +57,7 @@
 
   while (target->examples[n_examples] != NULL)
     n_examples++;
+  g_return_val_if_fail (n_examples > 0, 0);
   for (guint i = 0; i < runs; i++)
     {
       const char *example = target->examples[i % n_examples];
