tests: gateways of two test runs at once don't share an address

Cause: each gateway listens for metrics at port 9190 of its own address, which was 127.0.0.11 and up in every run. Ruled out: load; 6 of 6 pairs of soaks failed on an otherwise idle machine, 0 of 6 alone. Change: the address is derived from the test process (hn_own_ip), in the soak and in gateway-faults. No assertion changed.

--- a/tests/faults/gateway_test.c
+++ b/tests/faults/gateway_test.c
@@ -9,7 +9,7 @@
 #include "tests/fakes/scripted_endpoint.h"
 
 #define SETTINGS_FORMAT                                                                            \
-  "{\"nodeName\":\"n1\",\"zone\":\"a\",\"region\":\"r\",\"ip\":\"127.0.0.1\",\"portRange\":[%s,%"  \
+  "{\"nodeName\":\"n1\",\"zone\":\"a\",\"region\":\"r\",\"ip\":\"%s\",\"portRange\":[%s,%"         \
   "s],"                                                                                            \
   "\"listen\":{\"front\":\"%s\",\"ready\":\"%s\",\"directory\":\"%s\"},"                           \
   "\"limits\":{\"maxFds\":1000},\"platform\":{\"address\":\"%s\",\"readsPerS\":100},"              \
@@ -59,9 +59,10 @@
 settings_with_bound (Fixture *self, int revoke_ms)
 {
   const char *port = strchr (self->link, ':') + 1;
+  g_autofree char *ip = hn_own_ip (0);
 
-  return g_strdup_printf (SETTINGS_FORMAT, port, port, self->callers, self->ready, self->directory,
-                          row_store_address (self->store), revoke_ms);
+  return g_strdup_printf (SETTINGS_FORMAT, ip, port, port, self->callers, self->ready,
+                          self->directory, row_store_address (self->store), revoke_ms);
 }
 
 static void
--- a/tests/faults/harness.c
+++ b/tests/faults/harness.c
@@ -73,6 +73,14 @@
   return harness;
 }
 
+char *
+hn_own_ip (guint index)
+{
+  guint process = (guint)getpid ();
+
+  return g_strdup_printf ("127.%u.%u.%u", 1 + process / 256 % 254, process % 256, 1 + index);
+}
+
 /*
  * A port that is only looked up can be taken by another process, also as the
  * near end of a connection, before its server listens: a test would fail now
--- a/tests/faults/harness.h
+++ b/tests/faults/harness.h
@@ -39,6 +39,13 @@
  */
 gboolean hn_harness_free (HnHarness *harness);
 
+/**
+ * A loopback address that no other test process running at the same time has. Free with g_free.
+ * Gateways serve their metrics at one port of it: two runs of the tests at once would
+ * share it otherwise, and a gateway of one of them would not start.
+ */
+char *hn_own_ip (guint index);
+
 /** "127.0.0.1:PORT", free for the harness's life, restarts included; owned by the harness. */
 const char *hn_address_new (HnHarness *harness);
 
--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -32,11 +32,8 @@
 /* How long a caller's key may work after it was withdrawn, with the time that a request takes. */
 #define KEY_LIMIT (REVOKE + LIMIT)
 
-/* Last part of the first instance's own address: each serves its metrics at one port. */
-#define OWN_IP 11U
-
 #define SETTINGS_FORMAT                                                                            \
-  "{\"nodeName\":\"n%u\",\"zone\":\"a\",\"region\":\"r\",\"ip\":\"127.0.0.%u\","                   \
+  "{\"nodeName\":\"n%u\",\"zone\":\"a\",\"region\":\"r\",\"ip\":\"%s\","                           \
   "\"portRange\":[%s,%s],\"listen\":{\"front\":\"%s\",\"ready\":\"%s\",\"directory\":\"%s\"},"     \
   "\"limits\":{\"maxFds\":1000},\"platform\":{\"address\":\"%s\",\"readsPerS\":100},"              \
   "\"bounds\":{\"strictRevoke\":true,\"revokeMs\":3000,\"configApplyMs\":2000,\"stall_ms\":1500,"  \
@@ -253,8 +250,9 @@
 {
   Gateway *gateway = &self->gateways[i];
   const char *port = strchr (gateway->link, ':') + 1;
+  g_autofree char *ip = hn_own_ip (i);
   g_autofree char *text =
-      g_strdup_printf (SETTINGS_FORMAT, i, OWN_IP + i, port, port, gateway->callers, gateway->ready,
+      g_strdup_printf (SETTINGS_FORMAT, i, ip, port, port, gateway->callers, gateway->ready,
                        gateway->directory, row_store_address (self->store));
 
   CU_ASSERT_TRUE (g_file_set_contents (gateway->settings, text, -1, NULL));
