serve, policy, common: what the last read of the change found

- The cost of running a long prompt, with its hash, was worked out twice for each candidate; now once.
- The doubling of rests stood in health.c and belief.c: pol_health_rest() serves both.
- Lines that others can cause at will were limited by the same code in gateway/ and serve/: cm_log_limit().
- A rank's argument that was always our own id, and a time that was set twice.

--- a/common/log.c
+++ b/common/log.c
@@ -13,6 +13,9 @@
  * three. */
 #define LINES_PER_SECOND 400
 
+/* Lines of a CmLogLimit are written this often at most, us. */
+#define LIMITED_INTERVAL 1000000
+
 /* A pipe that is writable takes this much without blocking (PIPE_BUF). */
 #define LINE_BYTES 4096
 
@@ -53,6 +56,16 @@
   logger.sink_data = data;
 }
 
+gboolean
+cm_log_limit (CmLogLimit *self, gint64 now)
+{
+  self->count++;
+  if (now - self->logged_at < LIMITED_INTERVAL)
+    return FALSE;
+  self->logged_at = now;
+  return TRUE;
+}
+
 gboolean
 cm_log_severity_parse (const char *name, CmLogSeverity *severity)
 {
--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -20,9 +20,6 @@
  * would be refused, to all of them, just when lists must be read anew. */
 #define CONFIG_READS_PART 0.5
 
-/* Entries of the endpoints' table that name none are logged this often at most. */
-#define UNREADABLE_LOG_INTERVAL (1 * KNL_SEC)
-
 #define ENDPOINTS_WAIT (8 * KNL_SEC)
 
 /* Changes in a row come in one answer: endpoints enter themselves one by one at a start of all, and
@@ -166,18 +163,13 @@
   sv_fleet_end_list (((Gateway *)data)->fleet);
 }
 
-/* One line a second at most: another writer may fill the table. */
+/* Another writer may fill the table. */
 static void
 log_unreadable (Gateway *self, const PlRow *row)
 {
-  KnlTime now = knl_kernel_now (self->process.kernel);
-
-  self->unreadable_entries++;
-  if (now - self->unreadable_logged_at < UNREADABLE_LOG_INTERVAL)
-    return;
-  cm_log (CM_LOG_WARNING, "endpoint-unreadable", "s", "endpoint", row->key, "i", "row-version",
-          (gint64)row->version, "i", "so-far", (gint64)self->unreadable_entries);
-  self->unreadable_logged_at = now;
+  if (cm_log_limit (&self->unreadable, knl_kernel_now (self->process.kernel)))
+    cm_log (CM_LOG_WARNING, "endpoint-unreadable", "s", "endpoint", row->key, "i", "row-version",
+            (gint64)row->version, "i", "so-far", self->unreadable.count);
 }
 
 static void
@@ -187,7 +179,6 @@
   SvEndpointEntry entry;
 
   self->endpoints_revision = MAX (self->endpoints_revision, row->version);
-  self->endpoints_heard_at = knl_kernel_now (self->process.kernel);
   if (row->gone)
     {
       cm_log (CM_LOG_INFO, "endpoint-unlisted", "s", "endpoint", row->key, "i", "row-version",
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 /** The parts of alderturn-gateway; only its own files include this. */
 
+#include "common/log.h"
 #include "http/server.h"
 #include "kernel/process.h"
 #include "platform/boot.h"
@@ -33,10 +34,9 @@
   SvConfirm *confirm;
   PlFeed *config_feed;
   PlFeed *endpoints_feed;
-  guint64 endpoints_revision;   /* newest row of the endpoints' table that has come */
-  KnlTime endpoints_heard_at;   /* last answer of their feed */
-  guint unreadable_entries;     /* of endpoints, so far */
-  KnlTime unreadable_logged_at; /* the last of them that was logged */
+  guint64 endpoints_revision; /* newest row of the endpoints' table that has come */
+  KnlTime endpoints_heard_at; /* last answer of their feed */
+  CmLogLimit unreadable;      /* entries of endpoints that name none */
   PlCall *member_call;
   KnlTimerId member_timer;
   KnlTime look_delay;
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -37,6 +37,17 @@
 /** Sends lines to `sink` (without the line end); NULL restores standard error. */
 void cm_log_set_sink (CmLogSink sink, gpointer data);
 
+/** Lines of one kind that others can cause at will; zeroed at first. */
+typedef struct
+{
+  gint64 logged_at; /**< when the last of them was written, us */
+  gint64 count;     /**< all of them, written or not */
+} CmLogLimit;
+
+/** Counts one; whether it may be written: one a second at most. `now`: on the caller's clock, us.
+ */
+gboolean cm_log_limit (CmLogLimit *limit, gint64 now);
+
 /** Reads a severity's syslog name ("warning"); FALSE when there is none of that name. */
 gboolean cm_log_severity_parse (const char *name, CmLogSeverity *severity);
 
--- a/include/policy/health.h
+++ b/include/policy/health.h
@@ -25,6 +25,9 @@
   double failure_rate;     /**< of answers, moving average */
 } PolHealth;
 
+/** The rest number `n` in a row, from 1 on: `first`, doubled each time, `limit` at most. */
+KnlTime pol_health_rest (KnlTime first, KnlTime limit, guint n);
+
 void pol_health_note_success (PolHealth *health);
 
 /** An answer that reports a failure of the endpoint's own. */
--- a/policy/belief.c
+++ b/policy/belief.c
@@ -1,7 +1,6 @@
 #include "policy/belief.h"
 
-/* Doublings of a rest that are worked out; more would only overflow. */
-#define DOUBLINGS_LIMIT 10
+#include "policy/health.h"
 
 static void
 remember (PolBelief *self, guint32 teller, KnlTime now)
@@ -46,9 +45,8 @@
     return FALSE;
   for (guint i = 0; i < POL_BELIEF_SOURCES; i++)
     self->told[i].at = 0;
-  self->suspended_until =
-      now + MIN (rule->first << MIN (self->rests, DOUBLINGS_LIMIT), rule->limit);
   self->rests++;
+  self->suspended_until = now + pol_health_rest (rule->first, rule->limit, self->rests);
   return TRUE;
 }
 
--- a/policy/health.c
+++ b/policy/health.c
@@ -15,12 +15,16 @@
   self->failure_rate -= FAILURE_WEIGHT * self->failure_rate;
 }
 
+KnlTime
+pol_health_rest (KnlTime first, KnlTime limit, guint n)
+{
+  return MIN (first << MIN (n - 1, DOUBLINGS_LIMIT), limit);
+}
+
 static void
 suspend (PolHealth *self, const PolHealthRule *rule, KnlTime now, guint times)
 {
-  guint doublings = MIN (times - 1, DOUBLINGS_LIMIT);
-
-  self->suspended_until = now + MIN (rule->first << doublings, rule->limit);
+  self->suspended_until = now + pol_health_rest (rule->first, rule->limit, times);
 }
 
 void
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -39,9 +39,9 @@
   return MAX ((sv_peers_n_alive (peers) + 1) / ASKERS_ONE_IN, ASKERS_LEAST);
 }
 
-/* Alive peers whose id is below `id`. */
+/* Alive peers whose id is below our own. */
 static guint
-rank_of (const SvPeers *peers, guint32 id)
+own_rank (const SvPeers *peers)
 {
   GHashTableIter iter;
   gpointer value;
@@ -49,8 +49,8 @@
 
   g_hash_table_iter_init (&iter, peers->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    rank += sv_peer_is_alive (peers, value) && ((const Peer *)value)->id < id;
-  return rank + (peers->id < id);
+    rank += sv_peer_is_alive (peers, value) && ((const Peer *)value)->id < peers->id;
+  return rank;
 }
 
 gboolean
@@ -58,7 +58,7 @@
 {
   if (sv_peers_n_alive (self->peers) + 1 < SHARED_FROM)
     return TRUE;
-  return rank_of (self->peers, self->peers->id) < n_askers (self->peers);
+  return own_rank (self->peers) < n_askers (self->peers);
 }
 
 static int
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -20,9 +20,6 @@
 /* Heartbeats in a row that may be lost before a peer counts as gone. */
 #define SILENT_BEATS 3
 
-/* Datagrams that can't be read are logged this often at most. */
-#define UNREADABLE_LOG_INTERVAL (1 * KNL_SEC)
-
 /* Losses that a peer may tell within the window and still be believed: so many, or this part of all
  * endpoints. */
 #define TOLD_WINDOW (2 * KNL_SEC)
@@ -324,18 +321,13 @@
     self->on_suspect (datagram->suspects[i], self->on_suspect_data);
 }
 
-/* One line a second at most: anything may be sent to the port. */
+/* Anything may be sent to the port. */
 static void
 log_unreadable (SvPeers *self, gsize length)
 {
-  KnlTime now = knl_kernel_now (self->kernel);
-
-  self->n_unreadable++;
-  if (now - self->unreadable_logged_at < UNREADABLE_LOG_INTERVAL)
-    return;
-  self->unreadable_logged_at = now;
-  cm_log (CM_LOG_WARNING, "datagram-unreadable", "i", "bytes", (gint64)length, "i", "so-far",
-          (gint64)self->n_unreadable);
+  if (cm_log_limit (&self->unreadable, knl_kernel_now (self->kernel)))
+    cm_log (CM_LOG_WARNING, "datagram-unreadable", "i", "bytes", (gint64)length, "i", "so-far",
+            self->unreadable.count);
 }
 
 void
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -4,6 +4,7 @@
 
 #include <sys/socket.h>
 
+#include "common/log.h"
 #include "serve/peers.h"
 #include "wire/datagram.pb-c.h"
 
@@ -47,14 +48,13 @@
   gboolean ready;
   evutil_socket_t socket;
   struct event *readable;
-  GHashTable *peers;  /* link address -> Peer */
-  GHashTable *by_id;  /* id -> Peer */
-  GArray *reads;      /* PlacedReadRow not told yet */
-  GArray *suspects;   /* guint64 not told yet */
-  GArray *lost;       /* guint64, keys of endpoints not told yet */
-  GArray *answering;  /* the same */
-  guint n_unreadable; /* datagrams, so far */
-  KnlTime unreadable_logged_at;
+  GHashTable *peers;     /* link address -> Peer */
+  GHashTable *by_id;     /* id -> Peer */
+  GArray *reads;         /* PlacedReadRow not told yet */
+  GArray *suspects;      /* guint64 not told yet */
+  GArray *lost;          /* guint64, keys of endpoints not told yet */
+  GArray *answering;     /* the same */
+  CmLogLimit unreadable; /* datagrams */
   KnlTimerId beat_timer;
   guint beats; /* sent so far */
   KnlTimerId change_timer;
--- a/serve/place_long.c
+++ b/serve/place_long.c
@@ -147,14 +147,18 @@
 order_for_reading (const SvChoice *choice)
 {
   guint best = 0;
+  double least = G_MAXDOUBLE;
   SvCandidate first;
 
   g_array_sort (choice->candidates, compare_for_reading);
-  for (guint i = 1; i < choice->candidates->len; i++)
+  for (guint i = 0; i < choice->candidates->len; i++)
     {
-      if (cost_of_running (choice, sv_candidate_at (choice, i))
-          < cost_of_running (choice, sv_candidate_at (choice, best)))
-        best = i;
+      double cost = cost_of_running (choice, sv_candidate_at (choice, i));
+
+      if (cost >= least)
+        continue;
+      least = cost;
+      best = i;
     }
   first = *sv_candidate_at (choice, best);
   g_array_remove_index (choice->candidates, best);
