--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -67,16 +67,40 @@
   return MIN (MAX (CONFIG_WAIT, least), CONFIG_WAIT_MOST);
 }
 
+/* Others are told what this instance has, and see what they have missed. */
+static void
+note_versions (Gateway *self)
+{
+  const SvConfig *config = sv_core_config (self->core);
+
+  sv_peers_set_versions (self->peers, config != NULL ? config->version : 0,
+                         self->endpoints_revision);
+}
+
 static void
 on_config_confirmed (KnlTime at, gpointer data)
 {
   Gateway *self = data;
 
+  self->config_heard_at = knl_kernel_now (self->process.kernel);
+  gateway_note_source_answers (self);
+  note_versions (self);
+  pl_mirror_tell (self->mirror);
   pl_feed_set_wait (self->config_feed, config_wait (self));
-  sv_core_confirm (self->core, at);
+  /* What another instance has may be old; its age is asked for. */
+  if (self->peer_store == NULL)
+    sv_core_confirm (self->core, at);
+  else
+    sv_confirm_note_config (self->confirm);
   sv_peers_set_ready (self->peers, sv_core_is_ready (self->core));
 }
 
+static void
+on_lost (gpointer data)
+{
+  gateway_note_source_lost (data);
+}
+
 /* A store that was away may have swallowed the other feed's question too, whose own time limit is
  * longer: leaving endpoints would be seen seconds late. */
 static void
@@ -91,6 +115,7 @@
   .row = on_config_row,
   .confirmed = on_config_confirmed,
   .regained = on_config_regained,
+  .lost = on_lost,
 };
 
 static guint64
@@ -119,8 +144,13 @@
 {
   Gateway *self = data;
 
+  if (self->config_feed == NULL)
+    return;
   pl_feed_set_wait (self->config_feed, 0);
-  pl_feed_ask_again (self->config_feed);
+  if (self->peer_store != NULL)
+    gateway_ask_store (self);
+  else
+    pl_feed_ask_again (self->config_feed);
 }
 
 static guint64
@@ -129,16 +159,48 @@
   return ((Gateway *)data)->endpoints_revision;
 }
 
+static guint64
+confirm_endpoints_known (gpointer data)
+{
+  const Gateway *self = data;
+
+  return self->endpoints_feed != NULL ? pl_feed_version (self->endpoints_feed) : 0;
+}
+
 static KnlTime
 confirm_endpoints_heard_at (gpointer data)
 {
   return ((Gateway *)data)->endpoints_heard_at;
 }
 
+/* Whoever was asked says nothing, or knows less than another. */
+static void
+ask_again (Gateway *self, PlFeed *feed)
+{
+  if (feed == NULL)
+    return;
+  if (self->peer_store != NULL)
+    gateway_note_source_lost (self);
+  else
+    pl_feed_ask_again (feed);
+}
+
 static void
 confirm_ask_endpoints (gpointer data)
 {
-  pl_feed_ask_again (((Gateway *)data)->endpoints_feed);
+  ask_again (data, ((Gateway *)data)->endpoints_feed);
+}
+
+static KnlTime
+confirm_config_heard_at (gpointer data)
+{
+  return ((Gateway *)data)->config_heard_at;
+}
+
+static void
+confirm_ask_config (gpointer data)
+{
+  ask_again (data, ((Gateway *)data)->config_feed);
 }
 
 static const SvConfirmEvents confirm_events = {
@@ -147,8 +209,11 @@
   .confirm = confirm_confirm,
   .ask_store = confirm_ask_store,
   .endpoints = confirm_endpoints,
+  .endpoints_known = confirm_endpoints_known,
   .endpoints_heard_at = confirm_endpoints_heard_at,
   .ask_endpoints = confirm_ask_endpoints,
+  .config_heard_at = confirm_config_heard_at,
+  .ask_config = confirm_ask_config,
 };
 
 static void
@@ -208,6 +273,8 @@
   Gateway *self = data;
 
   self->endpoints_heard_at = knl_kernel_now (self->process.kernel);
+  note_versions (self);
+  pl_mirror_tell (self->mirror);
 }
 
 static const PlFeedEvents endpoint_events = {
@@ -219,6 +286,17 @@
 
 void
 gateway_start_following (Gateway *self)
+{
+  KnlTime trust = sv_bounds_key_trust (&self->boot->bounds);
+
+  if (trust == KNL_NEVER)
+    trust = sv_bounds_denial_trust (&self->boot->bounds);
+  self->confirm = sv_confirm_new (self->process.kernel, self->peers, trust, &confirm_events, self);
+  gateway_start_source (self);
+}
+
+static void
+make_feeds (Gateway *self, PlStore *store)
 {
   PlFeedPace config_pace = {
     .wait = CONFIG_WAIT,
@@ -227,12 +305,23 @@
   };
   static const PlFeedPace endpoints_pace = { .wait = ENDPOINTS_WAIT, .gather = ENDPOINTS_GATHER };
 
-  self->confirm = sv_confirm_new (self->process.kernel, self->peers,
-                                  sv_bounds_key_trust (&self->boot->bounds), &confirm_events, self);
-  self->config_feed =
-      pl_feed_new (self->store, PL_CONFIG_TABLE, &config_pace, &config_events, self);
+  self->config_feed = pl_feed_new (store, PL_CONFIG_TABLE, &config_pace, &config_events, self);
   self->endpoints_feed =
-      pl_feed_new (self->store, PL_ENDPOINT_TABLE, &endpoints_pace, &endpoint_events, self);
+      pl_feed_new (store, PL_ENDPOINT_TABLE, &endpoints_pace, &endpoint_events, self);
+  pl_mirror_add (self->mirror, PL_CONFIG_TABLE, self->config_feed);
+  pl_mirror_add (self->mirror, PL_ENDPOINT_TABLE, self->endpoints_feed);
+}
+
+void
+gateway_follow (Gateway *self, PlStore *store)
+{
+  if (self->config_feed == NULL)
+    {
+      make_feeds (self, store);
+      return;
+    }
+  pl_feed_set_source (self->config_feed, store);
+  pl_feed_set_source (self->endpoints_feed, store);
 }
 
 void
@@ -241,4 +330,5 @@
   sv_confirm_free (self->confirm);
   pl_feed_free (self->config_feed);
   pl_feed_free (self->endpoints_feed);
+  gateway_stop_source (self);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "platform/boot.h"
 #include "platform/decode.h"
 #include "platform/dialect.h"
+#include "platform/mirror.h"
 #include "platform/store.h"
 #include "serve/confirm.h"
 #include "serve/core.h"
@@ -32,8 +33,20 @@
   HtServer *directory;
   HtServer *metrics_server;
   SvConfirm *confirm;
-  PlFeed *config_feed;
+  PlFeed *config_feed; /* both NULL until a source is chosen */
   PlFeed *endpoints_feed;
+  KnlTime config_heard_at; /* last answer of its feed */
+  PlMirror *mirror;
+  PlStore *peer_store; /* of the instance that the feeds ask; NULL: they ask the store */
+  char *peer_address;  /* its link address */
+  char *avoided;       /* link address of an instance that didn't answer, or NULL */
+  KnlTime avoided_until;
+  KnlTime store_until;      /* the store is asked, whoever else there is */
+  KnlTime others_until;     /* others are asked, since the store doesn't answer */
+  KnlTime store_lost_at;    /* 0: it answers */
+  KnlTime members_known_at; /* 0: the list of members was not read yet */
+  KnlTime started_at;
+  KnlTimerId source_timer;
   guint64 endpoints_revision; /* newest row of the endpoints' table that has come */
   KnlTime endpoints_heard_at; /* last answer of their feed */
   CmLogLimit unreadable;      /* entries of endpoints that name none */
@@ -61,6 +74,27 @@
 void gateway_start_following (Gateway *self);
 void gateway_stop_following (Gateway *self);
 
+/** Starts to ask `store`; the first time the feeds are made. */
+void gateway_follow (Gateway *self, PlStore *store);
+
+/* source.c */
+
+/** Chooses whom the feeds ask, now and from time to time. */
+void gateway_start_source (Gateway *self);
+void gateway_stop_source (Gateway *self);
+
+/** The list of members has been read. */
+void gateway_note_members (Gateway *self);
+
+/** Whoever the feeds ask knows less than others, or nothing: the store is asked for a while. */
+void gateway_ask_store (Gateway *self);
+
+/** Whoever the feeds ask doesn't answer. */
+void gateway_note_source_lost (Gateway *self);
+
+/** It answers. */
+void gateway_note_source_answers (Gateway *self);
+
 /* members.c */
 
 /** Enters this instance in the store and looks for others there. */
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -82,6 +82,7 @@
   self->drain_since = knl_kernel_now (self->process.kernel);
   cm_log (CM_LOG_NOTICE, "stopping", "i", "requests", (gint64)sv_core_n_requests (self->core));
   sv_core_drain (self->core);
+  sv_peers_leave (self->peers);
   sv_peers_set_ready (self->peers, FALSE);
   ht_server_drain (self->callers);
   gateway_leave (self);
@@ -134,6 +135,7 @@
     .callers_address = self->boot->callers_address,
     .zone = self->boot->zone,
     .region = self->boot->region,
+    .strength = self->boot->strength,
   };
   self->peers = sv_peers_new (self->process.kernel, self->process.base, self->fleet, &self->member);
   if (self->peers != NULL)
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -4,10 +4,10 @@
 #include "common/log.h"
 #include "gateway.h"
 
-/* The list is read at once after the start, then after eight times as long each time up to the
- * limit. The others may have just started too, and an instance that does not know them sends its
- * first requests where theirs go; later a new one greets all that it finds, so that reading often
- * gains little. */
+/* The list is read after the start, when instances that started at the same time have entered
+ * themselves: of two the later one sees the other, and greets it. A reading that failed is made
+ * again after eight times as long each time up to the limit. After that the relay of each cell
+ * reads it, to learn of other cells' instances and to remove those of its own that are gone. */
 #define FIRST_LOOK  (40 * KNL_MSEC)
 #define LOOK_LIMIT  (20 * KNL_SEC)
 #define LOOK_FACTOR 8
@@ -67,11 +67,9 @@
 
 /* TRUE: the row's instance is gone, and the row is being removed unless it changes meanwhile. */
 static gboolean
-remove_if_gone (Gateway *self, const PlRow *row)
+remove_if_gone (Gateway *self, const PlRow *row, const char *link)
 {
-  const char *link = pl_decode_member (row->value);
-
-  if (link == NULL || sv_peers_silence (self->peers, link) < ROW_EXPIRES)
+  if (sv_peers_silence (self->peers, link) < ROW_EXPIRES)
     return FALSE;
   cm_log (CM_LOG_NOTICE, "member-expired", "s", "peer", row->key, "s", "address", link);
   self->member_call =
@@ -79,6 +77,20 @@
   return TRUE;
 }
 
+static void
+take_row (Gateway *self, json_t *item)
+{
+  SvMember member;
+  PlRow row;
+
+  if (!pl_row_decode (item, &row))
+    return;
+  if (pl_decode_member (row.value, &member)
+      && (self->member_call != NULL || !remove_if_gone (self, &row, member.link_address)))
+    sv_peers_learn (self->peers, &member);
+  json_decref (row.value);
+}
+
 static void
 on_list (PlStatus status, json_t *body, gpointer data)
 {
@@ -87,19 +99,11 @@
   json_t *item;
 
   self->member_call = NULL;
-  json_array_foreach (json_object_get (body, "rows"), index, item)
-  {
-    PlRow row;
-    const char *link;
-
-    if (!pl_row_decode (item, &row))
-      continue;
-    link = pl_decode_member (row.value);
-    if (self->member_call == NULL && !remove_if_gone (self, &row) && link != NULL)
-      sv_peers_learn (self->peers, link);
-    json_decref (row.value);
-  }
-  self->look_delay = MIN (LOOK_FACTOR * self->look_delay, LOOK_LIMIT);
+  json_array_foreach (json_object_get (body, "rows"), index, item) take_row (self, item);
+  if (status == PL_OK)
+    gateway_note_members (self);
+  self->look_delay =
+      status == PL_OK ? LOOK_LIMIT : MIN (LOOK_FACTOR * self->look_delay, LOOK_LIMIT);
   if (self->member_call == NULL)
     next (self, self->look_delay, look);
 }
@@ -110,6 +114,11 @@
   Gateway *self = data;
 
   self->member_timer = 0;
+  if (self->members_known_at > 0 && !sv_peers_is_relay (self->peers))
+    {
+      next (self, LOOK_LIMIT, look);
+      return;
+    }
   self->member_call = pl_store_get (self->store, PL_MEMBER_TABLE, NULL, on_list, self);
 }
 
--- a/gateway/servers.c
+++ b/gateway/servers.c
@@ -131,8 +131,12 @@
   self->ready = open_server (self, self->boot->ready_address, &ready_events);
   self->directory = open_server (self, self->boot->directory_address, &directory_events);
   self->metrics_server = open_server (self, self->boot->metrics_address, &metrics_events);
+  self->mirror = pl_mirror_new (self->process.kernel, self->process.base, self->boot->link_address);
+  if (self->mirror == NULL)
+    cm_log (CM_LOG_ERR, "listen-failed", "s", "address", self->boot->link_address, "s", "error",
+            strerror (errno));
   return self->callers != NULL && self->ready != NULL && self->directory != NULL
-         && self->metrics_server != NULL;
+         && self->metrics_server != NULL && self->mirror != NULL;
 }
 
 void
@@ -142,4 +146,5 @@
   ht_server_free (self->ready);
   ht_server_free (self->directory);
   ht_server_free (self->metrics_server);
+  pl_mirror_free (self->mirror);
 }
--- a/include/platform/boot.h
+++ b/include/platform/boot.h
@@ -18,6 +18,8 @@
   char *link_address;      /**< datagrams of the other instances */
   char *metrics_address;
   char *store_address;
+  guint strength;      /**< thousandths of a core that the process has */
+  double link_rate;    /**< bytes a second of the machine's own link */
   guint store_reads;   /**< read calls a second that all instances together may make */
   guint max_files;     /**< descriptors that the process may open */
   guint answer_keep_s; /**< longest time for which callers keep an answer of the directory */
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -27,8 +27,9 @@
 
 json_t *pl_encode_member (const SvMember *member);
 
-/** Where the member takes datagrams; NULL: not said. Lives as long as `value`. */
-const char *pl_decode_member (json_t *value);
+/** Where the member takes datagrams, its zone and strength; the rest is left out. FALSE: the first
+ * two are not said. Strings live as long as `value`. */
+gboolean pl_decode_member (json_t *value, SvMember *member);
 
 /** Body of an answer of the directory; free with free(). */
 char *pl_encode_directory (const GPtrArray *addresses, guint keep_s);
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -12,6 +12,7 @@
 typedef struct PlStore PlStore;
 typedef struct PlCall PlCall;
 typedef struct PlFeed PlFeed;
+typedef struct PlRows PlRows;
 
 typedef enum
 {
@@ -76,6 +77,9 @@
   void (*confirmed) (KnlTime at, gpointer data);
   /** The store answers again after it did not; may be NULL. */
   void (*regained) (gpointer data);
+  /** A call has failed, and is made again later; may be NULL. The feed's source is not to be
+   * changed inside. */
+  void (*lost) (gpointer data);
 } PlFeedEvents;
 
 /** How often a feed asks; each question is a call that is paid for. */
@@ -97,6 +101,15 @@
                      gpointer data);
 void pl_feed_free (PlFeed *feed);
 
+/** Asks `store` from now on, beginning at once. What is known stays. */
+void pl_feed_set_source (PlFeed *feed, PlStore *store);
+
+/** All changes up to this version have been handed on; 0: none yet. */
+guint64 pl_feed_version (const PlFeed *feed);
+
+/** All that has been handed on. */
+const PlRows *pl_feed_rows (const PlFeed *feed);
+
 /** For calls from now on. */
 void pl_feed_set_wait (PlFeed *feed, KnlTime wait);
 
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -24,11 +24,16 @@
   void (*confirm) (KnlTime at, gpointer data);
   /** A peer has a newer one, or nobody could confirm it in time: the store is to be asked now. */
   void (*ask_store) (gpointer data);
-  /** Newest revision in the list of endpoints, and when the store last answered about it. */
+  /** Revision of the newest change of the list of endpoints that has come, the revision up to which
+   * all changes have come, and when they were last answered for. */
   guint64 (*endpoints) (gpointer data);
+  guint64 (*endpoints_known) (gpointer data);
   KnlTime (*endpoints_heard_at) (gpointer data);
-  /** A peer knows of a newer one, that the store should have told us of. */
+  /** A peer knows of a newer one, that we should have been told of. */
   void (*ask_endpoints) (gpointer data);
+  /** The same for configurations. */
+  KnlTime (*config_heard_at) (gpointer data);
+  void (*ask_config) (gpointer data);
 } SvConfirmEvents;
 
 /** `trust`: how old a confirmation may be while it is relied on; KNL_NEVER: nothing is asked. */
@@ -39,5 +44,9 @@
                            gpointer data);
 void sv_confirm_free (SvConfirm *confirm);
 
+/** There may be another configuration in use, not by an answer of the store: it may have been
+ * confirmed already; else a peer is asked at once. */
+void sv_confirm_note_config (SvConfirm *confirm);
+
 /** Whether this instance is one of those that ask the store often. */
 gboolean sv_confirm_asks_store (const SvConfirm *confirm);
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -23,9 +23,11 @@
   guint64 tokens;             /**< context that they will have at their end */
 } SvLoad;
 
+/** What one peer, or all instances of another cell, have in flight at an endpoint. */
 typedef struct
 {
-  guint32 peer;
+  guint32 source; /**< id of the peer or cell */
+  gboolean is_cell;
   SvLoad load;
 } SvPeerLoad;
 
@@ -53,10 +55,13 @@
                              reference still see it */
 
   SvLoad own;
-  SvLoad others;        /**< sum of `peers` */
-  GArray *peers;        /**< SvPeerLoad */
-  SvReads reads;        /**< prompts that anyone has sent there and that have not been read */
-  gboolean own_changed; /**< since peers were told */
+  SvLoad others;         /**< sum of `peers` */
+  SvLoad cells;          /**< the part of `others` that is of other cells */
+  SvLoad told;           /**< what other cells were last told of ours */
+  GArray *peers;         /**< SvPeerLoad */
+  SvReads reads;         /**< prompts that anyone has sent there and that have not been read */
+  gboolean own_changed;  /**< since peers were told */
+  gboolean cell_changed; /**< since other cells were told of ours */
 
   guint reported_calls; /**< what it last said that it runs or has waiting */
   KnlTime reported_at;  /**< when */
@@ -117,6 +122,12 @@
 /** The prompt has been read, or will not be. */
 void sv_fleet_end_read (SvFleet *fleet, guint64 prompt);
 
+/** A prompt that is being read; `read->length` is what is left of each part. */
+typedef void (*SvFleetReadFunc) (const SvRead *read, const guint64 *keys, guint n, gpointer data);
+
+/** Names all prompts that are being read and whose end will be told. */
+void sv_fleet_each_read (SvFleet *fleet, SvFleetReadFunc func, gpointer data);
+
 SvEndpoint *sv_endpoint_ref (SvEndpoint *endpoint);
 void sv_endpoint_unref (SvEndpoint *endpoint);
 
@@ -141,6 +152,13 @@
 /** Nothing is known of the peer any more. */
 void sv_endpoint_drop_peer (SvEndpoint *endpoint, guint32 peer);
 
+/** The same for all instances of another cell together. */
+void sv_endpoint_set_cell (SvEndpoint *endpoint, guint32 cell, const SvLoad *load);
+void sv_endpoint_drop_cell (SvEndpoint *endpoint, guint32 cell);
+
+/** What this instance and the peers of its cell have in flight there. */
+SvLoad sv_endpoint_own_cell (const SvEndpoint *endpoint);
+
 /** The endpoint has just said that it has so many calls. */
 void sv_endpoint_note_report (SvEndpoint *endpoint, guint calls, KnlTime now);
 
--- a/include/serve/reads.h
+++ b/include/serve/reads.h
@@ -36,6 +36,9 @@
 /** The prompt has been read, or will not be. */
 void sv_reads_end (SvReads *reads, guint64 prompt, KnlTime now);
 
+/** A prompt that is not read yet; `read->length` is what is left of it. FALSE: there is none. */
+gboolean sv_reads_find (SvReads *reads, guint64 prompt, KnlTime now, SvRead *read);
+
 /** Prompts that count until their end is told: parts that are being read, or wait to be. */
 guint sv_reads_n_parts (const SvReads *reads);
 
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -18,6 +18,7 @@
 typedef struct Alderturn__EndpointLoad Alderturn__EndpointLoad;
 typedef struct Alderturn__PlacedRead Alderturn__PlacedRead;
 typedef struct Alderturn__Sender Alderturn__Sender;
+typedef struct Alderturn__Cell Alderturn__Cell;
 typedef struct Alderturn__Confirmation Alderturn__Confirmation;
 typedef struct Alderturn__Datagram Alderturn__Datagram;
 
@@ -28,7 +29,7 @@
 /* --- messages --- */
 
 /*
- * What the sender has in flight at an endpoint.
+ * What the sender, or a cell, has in flight at an endpoint.
  */
 struct  Alderturn__EndpointLoad
 {
@@ -52,10 +53,14 @@
    * since the sender heard anything from it, and 1; 0: it never did
    */
   uint32_t silent_ms;
+  /*
+   * whose sum it is; 0: the sender's own
+   */
+  uint32_t cell;
 };
 #define ALDERTURN__ENDPOINT_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__endpoint_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -104,10 +109,43 @@
   char *callers_address;
   char *zone;
   char *region;
+  /*
+   * for relaying, see SvMember
+   */
+  uint32_t strength;
 };
 #define ALDERTURN__SENDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__sender__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What a relay tells of its cell.
+ */
+struct  Alderturn__Cell
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its availability zone's name
+   */
+  uint32_t id;
+  /*
+   * that it knows, itself counted
+   */
+  uint32_t instances;
+  /*
+   * where some of those that are ready take callers
+   */
+  size_t n_ready;
+  char **ready;
+  /*
+   * the two fields above are filled
+   */
+  protobuf_c_boolean described;
+};
+#define ALDERTURN__CELL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__cell__descriptor) \
+    , 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -176,10 +214,40 @@
    * alone in its datagram
    */
   Alderturn__Confirmation *confirmation;
+  /*
+   * for each of `lost` who lost it; none: the sender
+   */
+  size_t n_lost_by;
+  uint32_t *lost_by;
+  /*
+   * the sender speaks for its cell to another one
+   */
+  Alderturn__Cell *cell;
+  /*
+   * datagrams that speak for other cells, passed on within this one
+   */
+  size_t n_passed;
+  ProtobufCBinaryData *passed;
+  /*
+   * `passed` came to the wrong instance: pass it on to the cell
+   */
+  protobuf_c_boolean to_relay;
+  /*
+   * the sender asked the store, and has no answer
+   */
+  protobuf_c_boolean cut_off;
+  /*
+   * newest that the sender has; 0: not told
+   */
+  uint64_t config_version;
+  /*
+   * newest revision in its list of endpoints; 0: not told
+   */
+  uint64_t endpoints;
 };
 #define ALDERTURN__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__datagram__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL }
+    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Alderturn__EndpointLoad methods */
@@ -239,6 +307,25 @@
 void   alderturn__sender__free_unpacked
                      (Alderturn__Sender *message,
                       ProtobufCAllocator *allocator);
+/* Alderturn__Cell methods */
+void   alderturn__cell__init
+                     (Alderturn__Cell         *message);
+size_t alderturn__cell__get_packed_size
+                     (const Alderturn__Cell   *message);
+size_t alderturn__cell__pack
+                     (const Alderturn__Cell   *message,
+                      uint8_t             *out);
+size_t alderturn__cell__pack_to_buffer
+                     (const Alderturn__Cell   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__Cell *
+       alderturn__cell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__cell__free_unpacked
+                     (Alderturn__Cell *message,
+                      ProtobufCAllocator *allocator);
 /* Alderturn__Confirmation methods */
 void   alderturn__confirmation__init
                      (Alderturn__Confirmation         *message);
@@ -288,6 +375,9 @@
 typedef void (*Alderturn__Sender_Closure)
                  (const Alderturn__Sender *message,
                   void *closure_data);
+typedef void (*Alderturn__Cell_Closure)
+                 (const Alderturn__Cell *message,
+                  void *closure_data);
 typedef void (*Alderturn__Confirmation_Closure)
                  (const Alderturn__Confirmation *message,
                   void *closure_data);
@@ -303,6 +393,7 @@
 extern const ProtobufCMessageDescriptor alderturn__endpoint_load__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__placed_read__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__sender__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__cell__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__confirmation__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__datagram__descriptor;
 
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -2,25 +2,33 @@
 
 #include "peers_internal.h"
 
-/* With fewer instances each asks the store itself: there is little to save. */
-#define SHARED_FROM 12
-
-/* Of all instances one in so many asks the store, and three at least: each answers some thirty
- * questions a second then, and one that is gone is one of several. */
-#define ASKERS_ONE_IN 25
-#define ASKERS_LEAST  3
-
 /* As parts of the time for which a confirmation is trusted: how often a peer is asked, from which
- * age on, and from which age on the store is asked after all. An asker's confirmation is 1.2 to 2.4
- * s old, so that one that is passed on is 3.3 s old at most where 4.5 s are trusted. */
+ * age on, and from which age on the store is asked after all. A follower's confirmation is 1.2
+ * to 2.4 s old, so that one that is passed on is 3.3 s old at most where 4.5 s are trusted. */
 #define ASK_EVERY_PART 0.2
 #define ASK_FROM_PART  0.25
 #define GIVE_UP_PART   0.8
 
+/* From this age on it is asked more often: whoever follows the store may be answered again any
+ * moment. */
+#define HURRY_FROM_PART  0.45
+#define HURRY_EVERY_PART 0.05
+
 /* A feed rests for less than this after changes; one that said nothing for longer waits for some.
  */
 #define FEED_LAG (600 * KNL_MSEC)
 
+/* A peer's heartbeat may overtake what brings the news; behind for longer than this we have missed
+ * it. */
+#define NEWS_LAG (300 * KNL_MSEC)
+
+/* What others have told of that has not come. */
+typedef struct
+{
+  guint64 told;
+  KnlTime since;
+} Behind;
+
 struct SvConfirm
 {
   KnlKernel *kernel;
@@ -31,66 +39,30 @@
   KnlTimerId timer;
   guint64 stamp;    /* of the question that is out; 0: none */
   KnlTime asked_at; /* when it was sent */
+  Behind config;
+  Behind endpoints;
+  gboolean rechecks; /* a peer is asked the next time in any case */
+  guint64 proven;    /* version that was the newest at `proven_at`; 0: none */
+  KnlTime proven_at;
 };
 
-static guint
-n_askers (const SvPeers *peers)
-{
-  return MAX ((sv_peers_n_alive (peers) + 1) / ASKERS_ONE_IN, ASKERS_LEAST);
-}
-
-/* Alive peers whose id is below our own. */
-static guint
-own_rank (const SvPeers *peers)
-{
-  GHashTableIter iter;
-  gpointer value;
-  guint rank = 0;
-
-  g_hash_table_iter_init (&iter, peers->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    rank += sv_peer_is_alive (peers, value) && ((const Peer *)value)->id < peers->id;
-  return rank;
-}
-
 gboolean
 sv_confirm_asks_store (const SvConfirm *self)
 {
-  if (sv_peers_n_alive (self->peers) + 1 < SHARED_FROM)
-    return TRUE;
-  return own_rank (self->peers) < n_askers (self->peers);
+  return sv_peers_follows (self->peers);
 }
 
-static int
-compare_ids (gconstpointer a, gconstpointer b)
+/* One of the instances that follow the store, at random: one that is gone must not be asked again
+ * and again. */
+static const Peer *
+choose_follower (const SvConfirm *self)
 {
-  const Peer *x = *(const Peer *const *)a;
-  const Peer *y = *(const Peer *const *)b;
-
-  return x->id < y->id ? -1 : x->id > y->id;
-}
+  g_autoptr (GPtrArray) followers = sv_cells_followers (self->peers);
 
-/* One of the instances that ask the store, at random: one that is gone must not be asked again and
- * again. */
-static const Peer *
-choose_asker (const SvConfirm *self)
-{
-  g_autoptr (GPtrArray) alive = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-  guint n;
-
-  g_hash_table_iter_init (&iter, self->peers->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      if (sv_peer_is_alive (self->peers, value))
-        g_ptr_array_add (alive, value);
-    }
-  if (alive->len == 0)
+  if (followers->len == 0)
     return NULL;
-  g_ptr_array_sort (alive, compare_ids);
-  n = MIN (alive->len, n_askers (self->peers));
-  return g_ptr_array_index (alive, g_rand_int_range (knl_kernel_rand (self->kernel), 0, (gint32)n));
+  return g_ptr_array_index (
+      followers, g_rand_int_range (knl_kernel_rand (self->kernel), 0, (gint32)followers->len));
 }
 
 static KnlTime
@@ -102,7 +74,7 @@
 static void
 ask_peer (SvConfirm *self)
 {
-  const Peer *peer = choose_asker (self);
+  const Peer *peer = choose_follower (self);
   GRand *rand = knl_kernel_rand (self->kernel);
   Alderturn__Confirmation question = ALDERTURN__CONFIRMATION__INIT;
 
@@ -120,16 +92,52 @@
 {
   SvConfirm *self = data;
   KnlTime confirmed_at = self->events->confirmed_at (self->data);
-  KnlTime age = knl_kernel_now (self->kernel) - confirmed_at;
+  gboolean is_new = confirmed_at == -KNL_NEVER;
+  KnlTime age = is_new ? 0 : knl_kernel_now (self->kernel) - confirmed_at;
+  gboolean hurries = age >= part_of_trust (self, HURRY_FROM_PART);
 
-  self->timer =
-      knl_timer_start (self->kernel, part_of_trust (self, ASK_EVERY_PART), on_timer, self);
-  if (confirmed_at == -KNL_NEVER || sv_confirm_asks_store (self))
+  self->timer = knl_timer_start (self->kernel,
+                                 part_of_trust (self, hurries ? HURRY_EVERY_PART : ASK_EVERY_PART),
+                                 on_timer, self);
+  if (self->events->version (self->data) == 0
+      || (sv_confirm_asks_store (self) && !self->peers->cut_off))
     return;
   if (age >= part_of_trust (self, GIVE_UP_PART))
     self->events->ask_store (self->data);
-  else if (age >= part_of_trust (self, ASK_FROM_PART))
+  if (is_new || self->rechecks || age >= part_of_trust (self, ASK_FROM_PART))
     ask_peer (self);
+  self->rechecks = FALSE;
+}
+
+/* It was told of news: whether they have come is looked at when they should have. */
+static void
+recheck (SvConfirm *self)
+{
+  if (self->timer == 0)
+    return;
+  self->rechecks = TRUE;
+  knl_timer_stop (self->kernel, &self->timer);
+  self->timer = knl_timer_start (self->kernel, NEWS_LAG + KNL_MSEC, on_timer, self);
+}
+
+/* What was the newest at a time, or anything newer, has all that was acknowledged by then. */
+static void
+use_proof (SvConfirm *self)
+{
+  if (self->proven == 0 || self->events->version (self->data) < self->proven)
+    return;
+  self->proven = 0;
+  self->events->confirm (self->proven_at, self->data);
+}
+
+void
+sv_confirm_note_config (SvConfirm *self)
+{
+  use_proof (self);
+  if (self->timer == 0 || self->events->confirmed_at (self->data) != -KNL_NEVER)
+    return;
+  knl_timer_stop (self->kernel, &self->timer);
+  on_timer (self);
 }
 
 static void
@@ -150,17 +158,44 @@
 }
 
 /*
- * The store may have swallowed our question about endpoints, and its answer is
+ * A question may be swallowed, by the store or on the way, and its answer is
  * waited for some seconds: one would go on sending requests to an endpoint that
  * leaves. A feed that lives would have told us at the same time as the peer.
  */
+static gboolean
+is_deaf (const SvConfirm *self, KnlTime heard_at)
+{
+  return knl_kernel_now (self->kernel) - heard_at > FEED_LAG;
+}
+
+/* TRUE: it was told of long enough ago to have come. */
+static gboolean
+is_behind (const SvConfirm *self, Behind *behind, guint64 told, guint64 known)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  if (told <= known)
+    return FALSE;
+  if (behind->told <= known)
+    *behind = (Behind){ .told = told, .since = now };
+  return now - behind->since > NEWS_LAG;
+}
+
+/* What a peer says with its heartbeats. Of other cells only those listen who ask the store: the
+ * rest of the cell hears it from them, and does not ask the store all at once. */
 static void
-compare_endpoints (SvConfirm *self, const Alderturn__Confirmation *told)
+on_versions (const Peer *peer, guint64 config, guint64 endpoints, gpointer data)
 {
-  KnlTime silence = knl_kernel_now (self->kernel) - self->events->endpoints_heard_at (self->data);
+  SvConfirm *self = data;
 
-  if (told->endpoints > self->events->endpoints (self->data) && silence > FEED_LAG)
+  if (!sv_peer_is_in_cell (self->peers, peer) && !sv_confirm_asks_store (self))
+    return;
+  if (is_behind (self, &self->endpoints, endpoints, self->events->endpoints_known (self->data))
+      && is_deaf (self, self->events->endpoints_heard_at (self->data)))
     self->events->ask_endpoints (self->data);
+  if (is_behind (self, &self->config, config, self->events->version (self->data))
+      && is_deaf (self, self->events->config_heard_at (self->data)))
+    self->events->ask_config (self->data);
 }
 
 static void
@@ -171,11 +206,19 @@
   if (self->stamp == 0 || told->stamp != self->stamp)
     return;
   self->stamp = 0;
-  compare_endpoints (self, told);
-  if (told->version == own)
-    self->events->confirm (self->asked_at - (KnlTime)told->age_ms * KNL_MSEC, self->data);
-  else if (told->version > own)
+  if (told->endpoints > self->events->endpoints_known (self->data)
+      && is_deaf (self, self->events->endpoints_heard_at (self->data)))
+    self->events->ask_endpoints (self->data);
+  if (told->version < own)
+    return;
+  self->proven = told->version;
+  self->proven_at = self->asked_at - (KnlTime)told->age_ms * KNL_MSEC;
+  use_proof (self);
+  /* When versions come in a row, the newest is on its way here. */
+  if (is_behind (self, &self->config, told->version, own))
     self->events->ask_store (self->data);
+  if (told->version > own)
+    recheck (self);
 }
 
 static void
@@ -201,7 +244,7 @@
   self->trust = trust;
   self->events = events;
   self->data = data;
-  sv_peers_on_confirmation (peers, on_confirmation, self);
+  sv_peers_on_confirmation (peers, on_confirmation, on_versions, self);
   if (trust != KNL_NEVER)
     self->timer = knl_timer_start (kernel, part_of_trust (self, ASK_EVERY_PART), on_timer, self);
   return self;
@@ -213,6 +256,6 @@
   if (self == NULL)
     return;
   knl_timer_stop (self->kernel, &self->timer);
-  sv_peers_on_confirmation (self->peers, NULL, NULL);
+  sv_peers_on_confirmation (self->peers, NULL, NULL, NULL);
   g_free (self);
 }
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -329,6 +329,9 @@
 {
   KnlTime now = knl_kernel_now (self->kernel);
 
+  /* Two instances may relay it for a moment, and an instance that starts is told of all. */
+  if (g_hash_table_contains (self->reads, &read->prompt))
+    return;
   for (guint i = 0; i < n; i++)
     {
       SvEndpoint *endpoint = sv_fleet_by_key (self, keys[i]);
@@ -357,6 +360,26 @@
   g_hash_table_remove (self->reads, &prompt);
 }
 
+void
+sv_fleet_each_read (SvFleet *self, SvFleetReadFunc func, gpointer data)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->reads);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const PlacedRead *placed = value;
+      SvEndpoint *first = placed->n > 0 ? sv_fleet_by_key (self, placed->keys[0]) : NULL;
+      SvRead read;
+
+      if (first != NULL && sv_reads_find (&first->reads, placed->prompt, now, &read)
+          && read.until_told)
+        func (&read, placed->keys, placed->n, data);
+    }
+}
+
 const GPtrArray *
 sv_fleet_all (const SvFleet *self)
 {
@@ -393,6 +416,7 @@
     self->own.writers[i] += (guint)sign * load->writers[i];
   self->own.tokens += (guint64)(gint64)sign * load->tokens;
   self->own_changed = TRUE;
+  self->cell_changed = TRUE;
 }
 
 KnlTime
@@ -411,47 +435,90 @@
 }
 
 static SvPeerLoad *
-find_peer (const SvEndpoint *self, guint32 peer, guint *index)
+find_source (const SvEndpoint *self, guint32 source, gboolean is_cell, guint *index)
 {
   for (*index = 0; *index < self->peers->len; (*index)++)
     {
       SvPeerLoad *row = &g_array_index (self->peers, SvPeerLoad, *index);
 
-      if (row->peer == peer)
+      if (row->source == source && row->is_cell == is_cell)
         return row;
     }
   return NULL;
 }
 
-void
-sv_endpoint_set_peer (SvEndpoint *self, guint32 peer, const SvLoad *load)
+static void
+count_source (SvEndpoint *self, const SvPeerLoad *row, gint sign)
+{
+  add_load (&self->others, &row->load, sign);
+  if (row->is_cell)
+    add_load (&self->cells, &row->load, sign);
+  else
+    self->cell_changed = TRUE;
+}
+
+static void
+set_source (SvEndpoint *self, const SvPeerLoad *row)
 {
-  SvPeerLoad row = { .peer = peer, .load = *load };
   guint index;
-  SvPeerLoad *old = find_peer (self, peer, &index);
+  SvPeerLoad *old = find_source (self, row->source, row->is_cell, &index);
 
-  add_load (&self->others, load, 1);
+  count_source (self, row, 1);
   if (old == NULL)
     {
-      g_array_append_val (self->peers, row);
+      g_array_append_val (self->peers, *row);
       return;
     }
-  add_load (&self->others, &old->load, -1);
-  *old = row;
+  count_source (self, old, -1);
+  *old = *row;
 }
 
-void
-sv_endpoint_drop_peer (SvEndpoint *self, guint32 peer)
+static void
+drop_source (SvEndpoint *self, guint32 source, gboolean is_cell)
 {
   guint index;
-  const SvPeerLoad *row = find_peer (self, peer, &index);
+  const SvPeerLoad *row = find_source (self, source, is_cell, &index);
 
   if (row == NULL)
     return;
-  add_load (&self->others, &row->load, -1);
+  count_source (self, row, -1);
   g_array_remove_index_fast (self->peers, index);
 }
 
+void
+sv_endpoint_set_peer (SvEndpoint *self, guint32 peer, const SvLoad *load)
+{
+  set_source (self, &(SvPeerLoad){ .source = peer, .load = *load });
+}
+
+void
+sv_endpoint_drop_peer (SvEndpoint *self, guint32 peer)
+{
+  drop_source (self, peer, FALSE);
+}
+
+void
+sv_endpoint_set_cell (SvEndpoint *self, guint32 cell, const SvLoad *load)
+{
+  set_source (self, &(SvPeerLoad){ .source = cell, .is_cell = TRUE, .load = *load });
+}
+
+void
+sv_endpoint_drop_cell (SvEndpoint *self, guint32 cell)
+{
+  drop_source (self, cell, TRUE);
+}
+
+SvLoad
+sv_endpoint_own_cell (const SvEndpoint *self)
+{
+  SvLoad load = self->own;
+
+  add_load (&load, &self->others, 1);
+  add_load (&load, &self->cells, -1);
+  return load;
+}
+
 /*
  * Instances that are cut off from each other, or have just started, don't see
  * each other's requests and would fill the same endpoint over and over. What an
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -7,8 +7,8 @@
 #include "common/log.h"
 #include "peers_internal.h"
 
-/* Heartbeats: each peer hears one this often, less often when there are many peers so that their
- * number a second stays bounded. */
+/* Heartbeats: each peer of the cell hears one this often, less often when there are many of them so
+ * that their number a second stays bounded. */
 #define BEAT_INTERVAL (400 * KNL_MSEC)
 #define BEAT_PER_PEER (8 * KNL_MSEC)
 
@@ -20,12 +20,6 @@
 /* Heartbeats in a row that may be lost before a peer counts as gone. */
 #define SILENT_BEATS 3
 
-/* Losses that a peer may tell within the window and still be believed: so many, or this part of all
- * endpoints. */
-#define TOLD_WINDOW (2 * KNL_SEC)
-#define TOLD_LEAST  4U
-#define TOLD_PART   0.25
-
 /* A peer that was not heard of for this long is forgotten; its row in the store brings it back. */
 #define FORGET_AFTER (30 * KNL_SEC)
 
@@ -47,10 +41,29 @@
   return (guint32)XXH64 (name, strlen (name), 0);
 }
 
+gboolean
+sv_peer_is_in_cell (const SvPeers *self, const Peer *peer)
+{
+  return g_strcmp0 (peer->zone, self->self.zone) == 0;
+}
+
+guint
+sv_peers_n_in_cell (const SvPeers *self)
+{
+  GHashTableIter iter;
+  gpointer peer;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &peer))
+    n += sv_peer_is_in_cell (self, peer);
+  return n;
+}
+
 static KnlTime
 beat_interval (const SvPeers *self)
 {
-  return MAX (BEAT_INTERVAL, (KnlTime)g_hash_table_size (self->peers) * BEAT_PER_PEER);
+  return MAX (BEAT_INTERVAL, (KnlTime)self->n_in_cell * BEAT_PER_PEER);
 }
 
 gboolean
@@ -100,15 +113,17 @@
   while (g_hash_table_iter_next (&iter, NULL, &peer))
     drop_silent (self, peer);
   g_hash_table_foreach_remove (self->peers, is_forgotten, self);
+  self->n_in_cell = sv_peers_n_in_cell (self);
   if (self->beats++ % BEATS_A_WHOLE == 0)
     sv_peers_send_whole (self, NULL);
   else
     sv_peers_send_beat (self);
+  sv_cells_beat (self);
   self->beat_timer = knl_timer_start (self->kernel, beat_interval (self), on_beat_due, self);
 }
 
-static Peer *
-add_peer (SvPeers *self, const char *link_address)
+Peer *
+sv_peers_add (SvPeers *self, const char *link_address)
 {
   Peer *peer = g_new0 (Peer, 1);
 
@@ -129,20 +144,24 @@
 }
 
 void
-sv_peers_learn (SvPeers *self, const char *link_address)
+sv_peers_learn (SvPeers *self, const SvMember *member)
 {
   Peer *peer;
 
-  if (strcmp (link_address, self->self.link_address) == 0)
+  if (strcmp (member->link_address, self->self.link_address) == 0)
     return;
-  peer = g_hash_table_lookup (self->peers, link_address);
+  peer = g_hash_table_lookup (self->peers, member->link_address);
   if (peer != NULL)
     {
       peer->learned_at = knl_kernel_now (self->kernel);
       return;
     }
-  peer = add_peer (self, link_address);
-  if (peer != NULL)
+  peer = sv_peers_add (self, member->link_address);
+  if (peer == NULL)
+    return;
+  peer->zone = g_strdup (member->zone);
+  peer->strength = member->strength;
+  if (sv_cells_of_zone (self, member->zone) == NULL)
     sv_peers_send_whole (self, peer);
 }
 
@@ -151,197 +170,9 @@
 {
   const Peer *peer = g_hash_table_lookup (self->peers, link_address);
 
-  return peer == NULL ? 0 : knl_kernel_now (self->kernel) - MAX (peer->heard_at, peer->known_since);
-}
-
-static void
-replace_text (char **field, const char *text)
-{
-  if (g_strcmp0 (*field, text) == 0)
-    return;
-  g_free (*field);
-  *field = g_strdup (text);
-}
-
-/* Who the sender is; a new one is answered, so that it need not wait for our next whole one. */
-static Peer *
-take_member (SvPeers *self, const Alderturn__Datagram *datagram)
-{
-  const Alderturn__Sender *member = datagram->from;
-  Peer *peer;
-  gboolean is_new;
-
-  if (datagram->sender == self->id || strcmp (member->link_address, self->self.link_address) == 0)
-    return NULL;
-  peer = g_hash_table_lookup (self->peers, member->link_address);
-  is_new = peer == NULL || peer->heard_at < 0;
-  if (peer == NULL)
-    peer = add_peer (self, member->link_address);
-  if (peer == NULL)
-    return NULL;
-  peer->id = datagram->sender;
-  g_hash_table_insert (self->by_id, GUINT_TO_POINTER (peer->id), peer);
-  replace_text (&peer->name, member->name);
-  replace_text (&peer->callers_address, member->callers_address);
-  replace_text (&peer->zone, member->zone);
-  if (is_new)
-    {
-      cm_log (CM_LOG_NOTICE, "peer-found", "s", "peer", peer->name, "s", "address",
-              peer->link_address);
-      sv_peers_send_whole (self, peer);
-    }
-  return peer;
-}
-
-/* Ages are told, not times: nobody's clock is trusted but our own. */
-static void
-take_silence (const SvPeers *self, SvEndpoint *endpoint, const Alderturn__EndpointLoad *row)
-{
-  KnlTime heard_at = knl_kernel_now (self->kernel) - (KnlTime)(row->silent_ms - 1) * KNL_MSEC;
-
-  if (row->silent_ms > 0)
-    endpoint->heard_at = MAX (endpoint->heard_at, heard_at);
-}
-
-/*
- * A peer that loses requests at many endpoints at once is cut off or sick
- * itself; believed, two such ones would take sound endpoints away from all.
- */
-static gboolean
-is_believed (SvPeers *self, Peer *peer, gsize n_lost)
-{
-  KnlTime now = knl_kernel_now (self->kernel);
-  guint most = MAX (TOLD_LEAST, (guint)(TOLD_PART * sv_fleet_all (self->fleet)->len));
-
-  if (now - peer->told_since > TOLD_WINDOW)
-    {
-      peer->told_since = now;
-      peer->n_told = 0;
-    }
-  peer->n_told += (guint)n_lost;
-  return peer->n_told <= most;
-}
-
-static void
-take_health (SvPeers *self, Peer *peer, const Alderturn__Datagram *datagram)
-{
-  gboolean believed = is_believed (self, peer, datagram->n_lost);
-
-  for (guint i = 0; i < datagram->n_lost && believed; i++)
-    {
-      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, datagram->lost[i]);
-
-      if (endpoint != NULL)
-        sv_endpoint_note_told_loss (endpoint, peer->id, knl_kernel_now (self->kernel));
-    }
-  for (guint i = 0; i < datagram->n_answering; i++)
-    {
-      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, datagram->answering[i]);
-
-      if (endpoint != NULL)
-        sv_endpoint_note_told_answer (endpoint);
-    }
-}
-
-static void
-take_loads (SvPeers *self, Peer *peer, const Alderturn__Datagram *datagram)
-{
-  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
-
-  for (guint i = 0; i < endpoints->len && datagram->whole; i++)
-    sv_endpoint_drop_peer (g_ptr_array_index (endpoints, i), peer->id);
-  for (guint i = 0; i < datagram->n_loads; i++)
-    {
-      const Alderturn__EndpointLoad *row = datagram->loads[i];
-      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, row->endpoint);
-      SvLoad load = {
-        .calls = row->calls,
-        .writers = { row->tight, row->medium, row->loose },
-        .tokens = row->tokens,
-      };
-
-      if (endpoint != NULL)
-        {
-          sv_endpoint_set_peer (endpoint, peer->id, &load);
-          take_silence (self, endpoint, row);
-        }
-      peer->is_counted = TRUE;
-    }
-}
-
-static void
-take_reads (SvPeers *self, const Alderturn__Datagram *datagram)
-{
-  for (guint i = 0; i < datagram->n_reads; i++)
-    {
-      const Alderturn__PlacedRead *row = datagram->reads[i];
-      SvRead read = { .prompt = row->prompt,
-                      .length = row->length_us,
-                      .until_told = row->until_told };
-
-      if (row->n_endpoints > 0)
-        sv_fleet_add_read (self->fleet, &read, row->endpoints, (guint)row->n_endpoints);
-      else
-        sv_fleet_end_read (self->fleet, row->prompt);
-    }
-}
-
-/*
- * A datagram that was overtaken by a newer one, or of an earlier start, says
- * nothing new. Incarnations are wall time, which may have jumped back before
- * the last start; one that was not heard of for a while is believed.
- */
-static gboolean
-is_overtaken (const SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
-{
-  if (datagram->incarnation != peer->incarnation)
-    return datagram->incarnation < peer->incarnation && sv_peer_is_alive (self, peer);
-  return datagram->sequence <= peer->sequence;
-}
-
-static void
-take (SvPeers *self, const Alderturn__Datagram *datagram)
-{
-  Peer *peer = datagram->from != NULL
-                   ? take_member (self, datagram)
-                   : g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (datagram->sender));
-
-  if (peer == NULL || is_overtaken (self, peer, datagram))
-    return;
-  peer->incarnation = datagram->incarnation;
-  peer->sequence = datagram->sequence;
-  peer->ready = datagram->ready;
-  peer->heard_at = knl_kernel_now (self->kernel);
-  if (datagram->confirmation != NULL && self->on_confirmation != NULL)
-    self->on_confirmation (peer, datagram->confirmation, self->on_confirmation_data);
-  take_loads (self, peer, datagram);
-  take_reads (self, datagram);
-  take_health (self, peer, datagram);
-  for (guint i = 0; i < datagram->n_suspects && self->on_suspect != NULL; i++)
-    self->on_suspect (datagram->suspects[i], self->on_suspect_data);
-}
-
-/* Anything may be sent to the port. */
-static void
-log_unreadable (SvPeers *self, gsize length)
-{
-  if (cm_log_limit (&self->unreadable, knl_kernel_now (self->kernel)))
-    cm_log (CM_LOG_WARNING, "datagram-unreadable", "i", "bytes", (gint64)length, "i", "so-far",
-            self->unreadable.count);
-}
-
-void
-sv_peers_take_bytes (SvPeers *self, const guint8 *bytes, gsize length)
-{
-  Alderturn__Datagram *datagram = alderturn__datagram__unpack (NULL, length, bytes);
-
-  if (datagram == NULL)
-    {
-      log_unreadable (self, length);
-      return;
-    }
-  take (self, datagram);
-  alderturn__datagram__free_unpacked (datagram, NULL);
+  if (peer == NULL || !sv_peer_is_in_cell (self, peer))
+    return 0;
+  return knl_kernel_now (self->kernel) - MAX (peer->heard_at, peer->known_since);
 }
 
 static void
@@ -389,13 +220,15 @@
     .callers_address = g_strdup (member->callers_address),
     .zone = g_strdup (member->zone),
     .region = g_strdup (member->region),
+    .strength = member->strength,
   };
+  self->cell = id_of (member->zone);
   self->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   self->by_id = g_hash_table_new (NULL, NULL);
-  self->reads = g_array_new (FALSE, FALSE, sizeof (PlacedReadRow));
-  self->suspects = g_array_new (FALSE, FALSE, sizeof (guint64));
-  self->lost = g_array_new (FALSE, FALSE, sizeof (guint64));
-  self->answering = g_array_new (FALSE, FALSE, sizeof (guint64));
+  self->cells = g_hash_table_new_full (NULL, NULL, NULL, sv_cell_free);
+  self->passing = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  sv_news_init (&self->news);
+  sv_news_init (&self->cell_news);
   if (!open_socket (self, base))
     {
       sv_peers_free (self);
@@ -416,12 +249,13 @@
     event_free (self->readable);
   if (self->socket >= 0)
     close (self->socket);
+  sv_cells_stop (self);
+  g_hash_table_unref (self->cells);
   g_hash_table_unref (self->by_id);
   g_hash_table_unref (self->peers);
-  g_array_unref (self->reads);
-  g_array_unref (self->suspects);
-  g_array_unref (self->lost);
-  g_array_unref (self->answering);
+  g_ptr_array_unref (self->passing);
+  sv_news_clear (&self->news);
+  sv_news_clear (&self->cell_news);
   g_free ((char *)self->self.name);
   g_free ((char *)self->self.link_address);
   g_free ((char *)self->self.callers_address);
@@ -437,13 +271,6 @@
   self->on_suspect_data = data;
 }
 
-void
-sv_peers_on_confirmation (SvPeers *self, SvPeerConfirmFunc func, gpointer data)
-{
-  self->on_confirmation = func;
-  self->on_confirmation_data = data;
-}
-
 SvPeerLink *
 sv_peers_link (SvPeers *self)
 {
@@ -456,13 +283,60 @@
   if (self->ready == ready)
     return;
   self->ready = ready;
+  cm_log (CM_LOG_NOTICE, "ready-changed", "b", "ready", ready);
   sv_peers_send_whole (self, NULL);
 }
 
-static gboolean
-is_in_zone (const Peer *peer, const char *zone)
+void
+sv_peers_set_versions (SvPeers *self, guint64 config, guint64 endpoints)
 {
-  return zone != NULL && g_strcmp0 (peer->zone, zone) == 0;
+  self->config_version = config;
+  self->endpoints_revision = endpoints;
+}
+
+void
+sv_peers_set_cut_off (SvPeers *self, gboolean cut_off)
+{
+  if (self->cut_off == cut_off)
+    return;
+  self->cut_off = cut_off;
+  cm_log (CM_LOG_NOTICE, "follower-changed", "b", "cut-off", cut_off);
+  sv_peers_send_beat (self);
+}
+
+void
+sv_peers_leave (SvPeers *self)
+{
+  self->self.strength = 0;
+  sv_peers_send_whole (self, NULL);
+}
+
+static void
+add_ready_in_cell (const SvPeers *self, GPtrArray *addresses, guint limit)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (self->ready)
+    g_ptr_array_add (addresses, g_strdup (self->self.callers_address));
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && addresses->len < limit)
+    {
+      const Peer *peer = value;
+
+      if (peer->ready && sv_peer_is_in_cell (self, peer) && sv_peer_is_alive (self, peer))
+        g_ptr_array_add (addresses, g_strdup (peer->callers_address));
+    }
+}
+
+static void
+add_ready_of_cell (const SvPeers *self, const Cell *cell, GPtrArray *addresses, guint limit)
+{
+  for (guint i = 0; i < cell->ready->len && addresses->len < limit; i++)
+    {
+      if (sv_cell_is_alive (self, cell))
+        g_ptr_array_add (addresses, g_strdup (g_ptr_array_index (cell->ready, i)));
+    }
 }
 
 GPtrArray *
@@ -476,23 +350,20 @@
       GHashTableIter iter;
       gpointer value;
 
-      if (self->ready && own_zone == (pass == 0))
-        g_ptr_array_add (addresses, g_strdup (self->self.callers_address));
-      g_hash_table_iter_init (&iter, self->peers);
-      while (g_hash_table_iter_next (&iter, NULL, &value) && addresses->len < limit)
+      if (own_zone == (pass == 0))
+        add_ready_in_cell (self, addresses, limit);
+      g_hash_table_iter_init (&iter, self->cells);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
         {
-          const Peer *peer = value;
-
-          if (peer->ready && sv_peer_is_alive (self, peer)
-              && is_in_zone (peer, zone) == (pass == 0))
-            g_ptr_array_add (addresses, g_strdup (peer->callers_address));
+          if ((g_strcmp0 (((const Cell *)value)->zone, zone) == 0) == (pass == 0))
+            add_ready_of_cell (self, value, addresses, limit);
         }
     }
   return addresses;
 }
 
 guint
-sv_peers_n_alive (const SvPeers *self)
+sv_peers_n_alive_in_cell (const SvPeers *self)
 {
   GHashTableIter iter;
   gpointer value;
@@ -500,6 +371,19 @@
 
   g_hash_table_iter_init (&iter, self->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    alive += sv_peer_is_alive (self, value);
+    alive += sv_peer_is_in_cell (self, value) && sv_peer_is_alive (self, value);
+  return alive;
+}
+
+guint
+sv_peers_n_alive (const SvPeers *self)
+{
+  GHashTableIter iter;
+  gpointer cell;
+  guint alive = sv_peers_n_alive_in_cell (self);
+
+  g_hash_table_iter_init (&iter, self->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cell))
+    alive += sv_cell_is_alive (self, cell) ? ((const Cell *)cell)->instances : 0;
   return alive;
 }
--- /dev/null
+++ b/serve/peers_take.c
@@ -0,0 +1,332 @@
+/** What other instances tell. */
+
+#include <string.h>
+
+#include "peers_internal.h"
+
+/* Losses that a peer may tell within the window and still be believed: so many, or this part of all
+ * endpoints. */
+#define TOLD_WINDOW (2 * KNL_SEC)
+#define TOLD_LEAST  4U
+#define TOLD_PART   0.25
+
+static void
+replace_text (char **field, const char *text)
+{
+  if (g_strcmp0 (*field, text) == 0)
+    return;
+  g_free (*field);
+  *field = g_strdup (text);
+}
+
+/* Who the sender is; a new one of our cell is answered, so that it need not wait for our next whole
+ * one. */
+static Peer *
+take_member (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  const Alderturn__Sender *member = datagram->from;
+  Peer *peer;
+  gboolean is_new;
+
+  if (datagram->sender == self->id || strcmp (member->link_address, self->self.link_address) == 0)
+    return NULL;
+  peer = g_hash_table_lookup (self->peers, member->link_address);
+  is_new = peer == NULL || peer->heard_at < 0 || peer->incarnation != datagram->incarnation;
+  if (peer == NULL)
+    peer = sv_peers_add (self, member->link_address);
+  if (peer == NULL)
+    return NULL;
+  peer->id = datagram->sender;
+  g_hash_table_insert (self->by_id, GUINT_TO_POINTER (peer->id), peer);
+  replace_text (&peer->name, member->name);
+  replace_text (&peer->callers_address, member->callers_address);
+  replace_text (&peer->zone, member->zone);
+  peer->strength = member->strength;
+  if (!is_new)
+    return peer;
+  cm_log (CM_LOG_NOTICE, "peer-found", "s", "peer", peer->name, "s", "address", peer->link_address,
+          "s", "zone", peer->zone);
+  if (sv_peer_is_in_cell (self, peer))
+    {
+      sv_peers_send_whole (self, peer);
+      sv_cells_send_picture (self, peer);
+    }
+  return peer;
+}
+
+/* Ages are told, not times: nobody's clock is trusted but our own. */
+static void
+take_silence (const SvPeers *self, SvEndpoint *endpoint, const Alderturn__EndpointLoad *row)
+{
+  KnlTime heard_at = knl_kernel_now (self->kernel) - (KnlTime)(row->silent_ms - 1) * KNL_MSEC;
+
+  if (row->silent_ms > 0)
+    endpoint->heard_at = MAX (endpoint->heard_at, heard_at);
+}
+
+/*
+ * A peer that loses requests at many endpoints at once is cut off or sick
+ * itself; believed, two such ones would take sound endpoints away from all.
+ */
+static gboolean
+is_believed (SvPeers *self, Peer *peer, gsize n_lost)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+  guint most = MAX (TOLD_LEAST, (guint)(TOLD_PART * sv_fleet_all (self->fleet)->len));
+
+  if (now - peer->told_since > TOLD_WINDOW)
+    {
+      peer->told_since = now;
+      peer->n_told = 0;
+    }
+  peer->n_told += (guint)n_lost;
+  return peer->n_told <= most;
+}
+
+static void
+take_loss (SvPeers *self, guint64 key, guint32 teller)
+{
+  SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, key);
+
+  if (endpoint != NULL)
+    sv_endpoint_note_told_loss (endpoint, teller, knl_kernel_now (self->kernel));
+}
+
+static void
+take_health (SvPeers *self, Peer *peer, const Alderturn__Datagram *datagram)
+{
+  gboolean believed = is_believed (self, peer, datagram->n_lost);
+  gboolean is_named = datagram->n_lost_by == datagram->n_lost;
+
+  for (guint i = 0; i < datagram->n_lost && believed; i++)
+    take_loss (self, datagram->lost[i], is_named ? datagram->lost_by[i] : peer->id);
+  for (guint i = 0; i < datagram->n_answering; i++)
+    {
+      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, datagram->answering[i]);
+
+      if (endpoint != NULL)
+        sv_endpoint_note_told_answer (endpoint);
+    }
+}
+
+static SvLoad
+load_of (const Alderturn__EndpointLoad *row)
+{
+  return (SvLoad){
+    .calls = row->calls,
+    .writers = { row->tight, row->medium, row->loose },
+    .tokens = row->tokens,
+  };
+}
+
+/* Of a peer of our cell: what it has in flight itself, and what it knows of other cells. */
+static void
+take_loads (SvPeers *self, Peer *peer, const Alderturn__Datagram *datagram)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+
+  for (guint i = 0; i < endpoints->len && datagram->whole; i++)
+    sv_endpoint_drop_peer (g_ptr_array_index (endpoints, i), peer->id);
+  for (guint i = 0; i < datagram->n_loads; i++)
+    {
+      const Alderturn__EndpointLoad *row = datagram->loads[i];
+      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, row->endpoint);
+      SvLoad load = load_of (row);
+
+      if (endpoint == NULL)
+        continue;
+      take_silence (self, endpoint, row);
+      if (row->cell != 0)
+        sv_endpoint_set_cell (endpoint, row->cell, &load);
+      else
+        sv_endpoint_set_peer (endpoint, peer->id, &load);
+      peer->is_counted |= row->cell == 0;
+    }
+}
+
+static void
+take_cell_loads (SvPeers *self, Cell *cell, const Alderturn__Datagram *datagram)
+{
+  for (guint i = 0; i < datagram->n_loads; i++)
+    {
+      const Alderturn__EndpointLoad *row = datagram->loads[i];
+      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, row->endpoint);
+      SvLoad load = load_of (row);
+
+      if (endpoint == NULL)
+        continue;
+      take_silence (self, endpoint, row);
+      sv_endpoint_set_cell (endpoint, cell->id, &load);
+      cell->is_counted = TRUE;
+    }
+}
+
+static void
+take_reads (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  for (guint i = 0; i < datagram->n_reads; i++)
+    {
+      const Alderturn__PlacedRead *row = datagram->reads[i];
+      SvRead read = { .prompt = row->prompt,
+                      .length = row->length_us,
+                      .until_told = row->until_told };
+
+      if (row->n_endpoints > 0)
+        sv_fleet_add_read (self->fleet, &read, row->endpoints, (guint)row->n_endpoints);
+      else
+        sv_fleet_end_read (self->fleet, row->prompt);
+    }
+}
+
+/*
+ * A datagram that was overtaken by a newer one, or of an earlier start, says
+ * nothing new. Incarnations are wall time, which may have jumped back before
+ * the last start; one that was not heard of for a while is believed.
+ */
+static gboolean
+is_overtaken (const SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
+{
+  if (datagram->incarnation != peer->incarnation)
+    return datagram->incarnation < peer->incarnation && sv_peer_is_alive (self, peer);
+  return datagram->sequence <= peer->sequence;
+}
+
+/* The peer that has sent it, unless it says nothing new. */
+static Peer *
+take_sender (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  Peer *peer = datagram->from != NULL
+                   ? take_member (self, datagram)
+                   : g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (datagram->sender));
+
+  if (peer == NULL || is_overtaken (self, peer, datagram))
+    return NULL;
+  peer->incarnation = datagram->incarnation;
+  peer->sequence = datagram->sequence;
+  peer->ready = datagram->ready;
+  peer->cut_off = datagram->cut_off;
+  peer->heard_at = knl_kernel_now (self->kernel);
+  if (datagram->config_version > 0 && self->on_versions != NULL)
+    self->on_versions (peer, datagram->config_version, datagram->endpoints,
+                       self->on_confirmation_data);
+  return peer;
+}
+
+static void
+take_suspects (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  for (guint i = 0; i < datagram->n_suspects && self->on_suspect != NULL; i++)
+    self->on_suspect (datagram->suspects[i], self->on_suspect_data);
+}
+
+static void
+take (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  Peer *peer = take_sender (self, datagram);
+
+  if (peer == NULL)
+    return;
+  if (datagram->confirmation != NULL && self->on_confirmation != NULL)
+    self->on_confirmation (peer, datagram->confirmation, self->on_confirmation_data);
+  if (!sv_peer_is_in_cell (self, peer))
+    return;
+  take_loads (self, peer, datagram);
+  take_reads (self, datagram);
+  take_health (self, peer, datagram);
+  take_suspects (self, datagram);
+  if (sv_peers_is_relay (self))
+    sv_news_append (&self->cell_news, datagram, peer->id);
+  sv_cells_tell (self);
+}
+
+static void
+replace_ready (Cell *cell, const Alderturn__Cell *told)
+{
+  g_ptr_array_set_size (cell->ready, 0);
+  for (guint i = 0; i < told->n_ready; i++)
+    g_ptr_array_add (cell->ready, g_strdup (told->ready[i]));
+}
+
+/* Two instances may both hold themselves for the relay, one of them cut off from the other; the one
+ * that would be it if both heard each other is listened to. */
+static gboolean
+speaks_for (SvPeers *self, const Peer *peer, Cell *cell)
+{
+  const Peer *current = g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (cell->relay));
+
+  if (current != NULL && current != peer && sv_peer_is_alive (self, current)
+      && sv_peer_is_stronger (current, peer->strength, peer->id))
+    return FALSE;
+  if (cell->relay != peer->id)
+    cm_log (CM_LOG_NOTICE, "relay-of-cell", "s", "zone", cell->zone, "s", "peer", peer->name, "s",
+            "replaces", current != NULL ? current->name : "");
+  cell->relay = peer->id;
+  return TRUE;
+}
+
+void
+sv_peers_take_cell (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  Peer *peer = take_sender (self, datagram);
+  Cell *cell = peer != NULL ? sv_cells_of_zone (self, peer->zone) : NULL;
+
+  if (cell == NULL || cell->id != datagram->cell->id || !speaks_for (self, peer, cell))
+    return;
+  cell->heard_at = knl_kernel_now (self->kernel);
+  if (datagram->cell->described)
+    {
+      cell->instances = datagram->cell->instances;
+      replace_ready (cell, datagram->cell);
+    }
+  take_cell_loads (self, cell, datagram);
+  take_reads (self, datagram);
+  take_health (self, peer, datagram);
+  take_suspects (self, datagram);
+}
+
+static void
+take_any (SvPeers *self, const Alderturn__Datagram *datagram, const guint8 *bytes, gsize length)
+{
+  if (datagram->cell != NULL)
+    {
+      if (datagram->sender != self->id && datagram->cell->id != self->cell)
+        sv_cells_receive (self, datagram, bytes, length);
+      return;
+    }
+  take (self, datagram);
+  sv_cells_take_passed (self, datagram);
+}
+
+/* Anything may be sent to the port. */
+static void
+log_unreadable (SvPeers *self, gsize length)
+{
+  if (cm_log_limit (&self->unreadable, knl_kernel_now (self->kernel)))
+    cm_log (CM_LOG_WARNING, "datagram-unreadable", "i", "bytes", (gint64)length, "i", "so-far",
+            self->unreadable.count);
+}
+
+void
+sv_peers_take_bytes (SvPeers *self, const guint8 *bytes, gsize length)
+{
+  Alderturn__Datagram *datagram = alderturn__datagram__unpack (NULL, length, bytes);
+
+  if (datagram == NULL)
+    {
+      log_unreadable (self, length);
+      return;
+    }
+  take_any (self, datagram, bytes, length);
+  alderturn__datagram__free_unpacked (datagram, NULL);
+}
+
+void
+sv_peers_on_confirmation (SvPeers *self,
+                          SvPeerConfirmFunc on_confirmation,
+                          SvPeerVersionsFunc on_versions,
+                          gpointer data)
+{
+  self->on_confirmation = on_confirmation;
+  self->on_versions = on_versions;
+  self->on_confirmation_data = data;
+}
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -7,20 +7,33 @@
 
 /* Changes of load wait this long for others to go with them. Reads go at once: another instance
  * that places a read on top of them in the meantime makes streams pause. */
-#define LOAD_DELAY (30 * KNL_MSEC)
+#define LOAD_DELAY (5 * KNL_MSEC)
 #define READ_DELAY (2 * KNL_MSEC)
 
-/* Rows in a datagram, so that it stays below the usual packet size. */
-#define ROWS_MOST 36
-
-/* The same for endpoints that were lost, and for those that answer again. */
-#define HEALTH_MOST 10
+void
+sv_news_init (News *self)
+{
+  *self = (News){
+    .reads = g_array_new (FALSE, FALSE, sizeof (PlacedReadRow)),
+    .suspects = g_array_new (FALSE, FALSE, sizeof (guint64)),
+    .lost = g_array_new (FALSE, FALSE, sizeof (guint64)),
+    .lost_by = g_array_new (FALSE, FALSE, sizeof (guint32)),
+    .answering = g_array_new (FALSE, FALSE, sizeof (guint64)),
+  };
+}
 
-/* The same for prompts, each with the endpoints that read it. */
-#define READS_MOST 5
+void
+sv_news_clear (News *self)
+{
+  g_array_unref (self->reads);
+  g_array_unref (self->suspects);
+  g_array_unref (self->lost);
+  g_array_unref (self->lost_by);
+  g_array_unref (self->answering);
+}
 
-static void
-send_to (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
+void
+sv_peers_send (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
 {
   guint8 bytes[DATAGRAM_BYTES];
   gsize length = alderturn__datagram__get_packed_size (datagram);
@@ -39,58 +52,79 @@
 }
 
 static void
-fill_load (Alderturn__EndpointLoad *row, const SvEndpoint *endpoint, KnlTime now)
+fill_load (Alderturn__EndpointLoad *row,
+           const SvEndpoint *endpoint,
+           const SvLoad *load,
+           KnlTime now)
 {
   alderturn__endpoint_load__init (row);
   row->endpoint = endpoint->key;
-  row->calls = endpoint->own.calls;
-  row->tight = endpoint->own.writers[SV_PAUSE_TIGHT];
-  row->medium = endpoint->own.writers[SV_PAUSE_MEDIUM];
-  row->loose = endpoint->own.writers[SV_PAUSE_LOOSE];
-  row->tokens = endpoint->own.tokens;
+  row->calls = load->calls;
+  row->tight = load->writers[SV_PAUSE_TIGHT];
+  row->medium = load->writers[SV_PAUSE_MEDIUM];
+  row->loose = load->writers[SV_PAUSE_LOOSE];
+  row->tokens = load->tokens;
   if (endpoint->heard_at > 0)
     row->silent_ms = (guint32)MIN ((now - endpoint->heard_at) / KNL_MSEC + 1, G_MAXUINT32);
 }
 
-/* Rows of one kind, with the pointers that protobuf-c wants. */
-typedef struct
-{
-  Alderturn__EndpointLoad loads[ROWS_MOST];
-  Alderturn__EndpointLoad *load_rows[ROWS_MOST];
-  Alderturn__PlacedRead reads[READS_MOST];
-  Alderturn__PlacedRead *read_rows[READS_MOST];
-} Rows;
-
-static void
-begin_datagram (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
+void
+sv_peers_begin_datagram (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
 {
   alderturn__datagram__init (datagram);
   datagram->sender = self->id;
   datagram->incarnation = self->self.incarnation;
   datagram->sequence = ++self->sequence;
   datagram->ready = self->ready;
+  datagram->cut_off = self->cut_off;
   datagram->loads = rows->load_rows;
   datagram->reads = rows->read_rows;
 }
 
-static void
-add_load_row (const SvPeers *self, Alderturn__Datagram *datagram, Rows *rows, SvEndpoint *endpoint)
+void
+sv_peers_fill_sender (const SvPeers *self, Alderturn__Datagram *datagram, Alderturn__Sender *sender)
 {
-  fill_load (&rows->loads[datagram->n_loads], endpoint, knl_kernel_now (self->kernel));
+  alderturn__sender__init (sender);
+  sender->name = (char *)self->self.name;
+  sender->link_address = (char *)self->self.link_address;
+  sender->callers_address = (char *)self->self.callers_address;
+  sender->zone = (char *)self->self.zone;
+  sender->region = (char *)self->self.region;
+  sender->strength = self->self.strength;
+  datagram->from = sender;
+}
+
+void
+sv_peers_add_load (const SvPeers *self,
+                   Alderturn__Datagram *datagram,
+                   Rows *rows,
+                   const SvEndpoint *endpoint,
+                   const SvLoad *load)
+{
+  fill_load (&rows->loads[datagram->n_loads], endpoint, load, knl_kernel_now (self->kernel));
   rows->load_rows[datagram->n_loads] = &rows->loads[datagram->n_loads];
   datagram->n_loads++;
-  endpoint->own_changed = FALSE;
 }
 
 static void
-send_to_all (SvPeers *self, const Alderturn__Datagram *datagram)
+add_own_load (const SvPeers *self, Alderturn__Datagram *datagram, Rows *rows, SvEndpoint *endpoint)
+{
+  sv_peers_add_load (self, datagram, rows, endpoint, &endpoint->own);
+  endpoint->own_changed = FALSE;
+}
+
+void
+sv_peers_send_to_cell (SvPeers *self, const Alderturn__Datagram *datagram)
 {
   GHashTableIter iter;
   gpointer peer;
 
   g_hash_table_iter_init (&iter, self->peers);
   while (g_hash_table_iter_next (&iter, NULL, &peer))
-    send_to (self, peer, datagram);
+    {
+      if (sv_peer_is_in_cell (self, peer))
+        sv_peers_send (self, peer, datagram);
+    }
 }
 
 static void
@@ -98,14 +132,8 @@
 {
   const GPtrArray *endpoints = sv_fleet_all (self->fleet);
 
-  begin_datagram (self, datagram, rows);
-  alderturn__sender__init (member);
-  member->name = (char *)self->self.name;
-  member->link_address = (char *)self->self.link_address;
-  member->callers_address = (char *)self->self.callers_address;
-  member->zone = (char *)self->self.zone;
-  member->region = (char *)self->self.region;
-  datagram->from = member;
+  sv_peers_begin_datagram (self, datagram, rows);
+  sv_peers_fill_sender (self, datagram, member);
   datagram->whole = TRUE;
   for (guint i = 0; i < endpoints->len; i++)
     {
@@ -118,7 +146,7 @@
           datagram->whole = FALSE;
           break;
         }
-      add_load_row (self, datagram, rows, endpoint);
+      add_own_load (self, datagram, rows, endpoint);
     }
 }
 
@@ -131,9 +159,9 @@
 
   fill_whole (self, &datagram, &member, &rows);
   if (peer != NULL)
-    send_to (self, peer, &datagram);
+    sv_peers_send (self, peer, &datagram);
   else
-    send_to_all (self, &datagram);
+    sv_peers_send_to_cell (self, &datagram);
 }
 
 void
@@ -142,8 +170,10 @@
   Alderturn__Datagram datagram;
   Rows rows;
 
-  begin_datagram (self, &datagram, &rows);
-  send_to_all (self, &datagram);
+  sv_peers_begin_datagram (self, &datagram, &rows);
+  datagram.config_version = self->config_version;
+  datagram.endpoints = self->endpoints_revision;
+  sv_peers_send_to_cell (self, &datagram);
 }
 
 void
@@ -154,19 +184,19 @@
   Alderturn__Datagram datagram;
   Rows rows;
 
-  begin_datagram (self, &datagram, &rows);
+  sv_peers_begin_datagram (self, &datagram, &rows);
   datagram.confirmation = (Alderturn__Confirmation *)confirmation;
-  send_to (self, peer, &datagram);
+  sv_peers_send (self, peer, &datagram);
 }
 
 static void
-fill_reads (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
+fill_reads (Alderturn__Datagram *datagram, Rows *rows, const News *news)
 {
-  guint n = MIN (self->reads->len, READS_MOST);
+  guint n = MIN (news->reads->len, READS_MOST);
 
   for (guint i = 0; i < n; i++)
     {
-      PlacedReadRow *read = &g_array_index (self->reads, PlacedReadRow, i);
+      PlacedReadRow *read = &g_array_index (news->reads, PlacedReadRow, i);
       Alderturn__PlacedRead *row = &rows->reads[i];
 
       alderturn__placed_read__init (row);
@@ -180,6 +210,31 @@
   datagram->n_reads = n;
 }
 
+gboolean
+sv_peers_add_news (Alderturn__Datagram *datagram, Rows *rows, News *news)
+{
+  fill_reads (datagram, rows, news);
+  datagram->suspects = (guint64 *)(gpointer)news->suspects->data;
+  datagram->n_suspects = MIN (news->suspects->len, ROWS_MOST);
+  datagram->lost = (guint64 *)(gpointer)news->lost->data;
+  datagram->n_lost = MIN (news->lost->len, HEALTH_MOST);
+  datagram->lost_by = (guint32 *)(gpointer)news->lost_by->data;
+  datagram->n_lost_by = MIN (news->lost_by->len, HEALTH_MOST);
+  datagram->answering = (guint64 *)(gpointer)news->answering->data;
+  datagram->n_answering = MIN (news->answering->len, HEALTH_MOST);
+  return datagram->n_reads + datagram->n_suspects + datagram->n_lost + datagram->n_answering > 0;
+}
+
+void
+sv_news_told (News *self, const Alderturn__Datagram *datagram)
+{
+  g_array_remove_range (self->reads, 0, (guint)datagram->n_reads);
+  g_array_remove_range (self->suspects, 0, (guint)datagram->n_suspects);
+  g_array_remove_range (self->lost, 0, (guint)datagram->n_lost);
+  g_array_remove_range (self->lost_by, 0, (guint)datagram->n_lost_by);
+  g_array_remove_range (self->answering, 0, (guint)datagram->n_answering);
+}
+
 /* FALSE: there was nothing to tell. */
 static gboolean
 send_changes (SvPeers *self)
@@ -188,30 +243,20 @@
   Alderturn__Datagram datagram;
   Rows rows;
 
-  begin_datagram (self, &datagram, &rows);
+  sv_peers_begin_datagram (self, &datagram, &rows);
   for (guint i = 0; i < endpoints->len && datagram.n_loads < ROWS_MOST / 2; i++)
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
       if (endpoint->own_changed)
-        add_load_row (self, &datagram, &rows, endpoint);
+        add_own_load (self, &datagram, &rows, endpoint);
     }
-  fill_reads (self, &datagram, &rows);
-  datagram.suspects = (guint64 *)(gpointer)self->suspects->data;
-  datagram.n_suspects = MIN (self->suspects->len, ROWS_MOST);
-  datagram.lost = (guint64 *)(gpointer)self->lost->data;
-  datagram.n_lost = MIN (self->lost->len, HEALTH_MOST);
-  datagram.answering = (guint64 *)(gpointer)self->answering->data;
-  datagram.n_answering = MIN (self->answering->len, HEALTH_MOST);
-  if (datagram.n_loads + datagram.n_reads + datagram.n_suspects + datagram.n_lost
-          + datagram.n_answering
-      == 0)
+  if (!sv_peers_add_news (&datagram, &rows, &self->news) && datagram.n_loads == 0)
     return FALSE;
-  send_to_all (self, &datagram);
-  g_array_remove_range (self->reads, 0, (guint)datagram.n_reads);
-  g_array_set_size (self->suspects, 0);
-  g_array_set_size (self->lost, 0);
-  g_array_set_size (self->answering, 0);
+  sv_peers_send_to_cell (self, &datagram);
+  if (sv_peers_is_relay (self))
+    sv_news_append (&self->cell_news, &datagram, self->id);
+  sv_news_told (&self->news, &datagram);
   return TRUE;
 }
 
@@ -223,6 +268,29 @@
   self->change_timer = 0;
   while (send_changes (self))
     ;
+  sv_cells_tell (self);
+}
+
+void
+sv_news_append (News *self, const Alderturn__Datagram *datagram, guint32 teller)
+{
+  for (guint i = 0; i < datagram->n_reads; i++)
+    {
+      const Alderturn__PlacedRead *read = datagram->reads[i];
+      PlacedReadRow row = { .prompt = read->prompt,
+                            .length = read->length_us,
+                            .until_told = read->until_told,
+                            .n = (guint)MIN (read->n_endpoints, G_N_ELEMENTS (row.keys)) };
+
+      if (row.n > 0)
+        memcpy (row.keys, read->endpoints, row.n * sizeof *row.keys);
+      g_array_append_val (self->reads, row);
+    }
+  g_array_append_vals (self->suspects, datagram->suspects, (guint)datagram->n_suspects);
+  g_array_append_vals (self->answering, datagram->answering, (guint)datagram->n_answering);
+  g_array_append_vals (self->lost, datagram->lost, (guint)datagram->n_lost);
+  for (guint i = 0; i < datagram->n_lost; i++)
+    g_array_append_val (self->lost_by, teller);
 }
 
 static void
@@ -235,7 +303,7 @@
 static void
 tell_read (SvPeers *self, const PlacedReadRow *row)
 {
-  g_array_append_val (self->reads, *row);
+  g_array_append_val (self->news.reads, *row);
   knl_timer_stop (self->kernel, &self->change_timer);
   tell_within (self, READ_DELAY);
 }
@@ -270,7 +338,7 @@
 {
   SvPeers *self = (SvPeers *)link;
 
-  g_array_append_val (self->suspects, fingerprint);
+  g_array_append_val (self->news.suspects, fingerprint);
   tell_within (self, READ_DELAY);
 }
 
@@ -279,7 +347,7 @@
 {
   SvPeers *self = (SvPeers *)link;
 
-  g_array_append_val (lost ? self->lost : self->answering, endpoint->key);
+  g_array_append_val (lost ? self->news.lost : self->news.answering, endpoint->key);
   knl_timer_stop (self->kernel, &self->change_timer);
   tell_within (self, READ_DELAY);
 }
@@ -287,7 +355,9 @@
 static guint
 link_n_instances (const SvPeerLink *link)
 {
-  return g_hash_table_size (((const SvPeers *)link)->peers) + 1;
+  const SvPeers *self = (const SvPeers *)link;
+
+  return 1 + sv_peers_n_in_cell (self) + sv_cells_n_instances (self);
 }
 
 const SvPeerLinkClass sv_peers_link_class = {
--- a/serve/reads.c
+++ b/serve/reads.c
@@ -66,6 +66,23 @@
     }
 }
 
+gboolean
+sv_reads_find (SvReads *self, guint64 prompt, KnlTime now, SvRead *read)
+{
+  advance (self, now);
+  for (guint i = 0; i < self->rows->len; i++)
+    {
+      const Row *row = row_at (self, i);
+
+      if (row->read.prompt != prompt)
+        continue;
+      *read = row->read;
+      read->length = row->left;
+      return TRUE;
+    }
+  return FALSE;
+}
+
 guint
 sv_reads_n_parts (const SvReads *self)
 {
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -127,12 +127,13 @@
 {
   json_t *value = read_json (bytes, length);
   SvEndpointEntry entry;
+  SvMember member;
 
   if (pl_decode_endpoint ("i-1", value, &entry))
     sv_fleet_update (fleet, &entry);
   else
     sv_fleet_remove (fleet, "i-1");
-  pl_decode_member (value);
+  pl_decode_member (value, &member);
   json_decref (value);
 }
 
--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -35,7 +35,8 @@
 #define SETTINGS_FORMAT                                                                            \
   "{\"nodeName\":\"n%u\",\"zone\":\"a\",\"region\":\"r\",\"ip\":\"%s\","                           \
   "\"portRange\":[%s,%s],\"listen\":{\"front\":\"%s\",\"ready\":\"%s\",\"directory\":\"%s\"},"     \
-  "\"limits\":{\"maxFds\":1000},\"platform\":{\"address\":\"%s\",\"readsPerS\":100},"              \
+  "\"limits\":{\"maxFds\":1000,\"cpuShare\":0.25,\"cores\":1,\"linkMbps\":200},\"platform\":{"     \
+  "\"address\":\"%s\",\"readsPerS\":100},"                                                         \
   "\"bounds\":{\"strictRevoke\":true,\"revokeMs\":3000,\"configApplyMs\":2000,\"stall_ms\":1500,"  \
   "\"graceS\":4,\"freeMs\":4000,\"retryBudgetRatio\":0.2,\"retrySlack\":100,\"budgetWindowS\":10," \
   "\"drainMs\":2000,\"ttl_max_s\":5}}"
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -6,7 +6,7 @@
 #include "serve/confirm.h"
 #include "suite.h"
 
-/* Enough for confirmations to be passed on; three of them ask the store. */
+/* Enough for confirmations to be passed on; two of them ask the store. */
 #define INSTANCES 14
 #define STUCK_S   20
 
@@ -93,8 +93,11 @@
   .confirm = confirm,
   .ask_store = ask_store,
   .endpoints = endpoints,
+  .endpoints_known = endpoints,
   .endpoints_heard_at = endpoints_heard_at,
   .ask_endpoints = ask_endpoints,
+  .config_heard_at = endpoints_heard_at,
+  .ask_config = ask_store,
 };
 
 static void
@@ -107,7 +110,9 @@
   instance->fleet = sv_fleet_new (self->kernel, KNL_SEC);
   while (instance->peers == NULL)
     {
-      SvMember member = { .name = name, .incarnation = 9, .callers_address = "", .zone = "a" };
+      SvMember member = {
+        .name = name, .incarnation = 9, .callers_address = "", .zone = "a", .strength = 1
+      };
 
       g_free (instance->link);
       instance->link = g_strdup_printf ("127.0.0.1:%u", port++);
@@ -142,7 +147,11 @@
     open_instance (self, i);
   for (guint i = 0; i < INSTANCES; i++)
     for (guint j = 0; j < i; j++)
-      sv_peers_learn (self->instances[i].peers, self->instances[j].link);
+      {
+        SvMember member = { .link_address = self->instances[j].link, .zone = "a", .strength = 1 };
+
+        sv_peers_learn (self->instances[i].peers, &member);
+      }
   for (guint i = 0; i < INSTANCES; i++)
     {
       while (sv_peers_n_alive (self->instances[i].peers) < INSTANCES - 1)
@@ -218,7 +227,7 @@
   fixture_open (&fixture);
   for (guint i = 0; i < INSTANCES; i++)
     n_askers += sv_confirm_asks_store (fixture.instances[i].confirm);
-  CU_ASSERT_EQUAL (n_askers, 3);
+  CU_ASSERT_EQUAL (n_askers, 2);
   pass (&fixture, 10 * KNL_SEC, TRUE);
   for (guint i = 0; i < INSTANCES; i++)
     {
--- a/tests/unit/sv_peers_test.c
+++ b/tests/unit/sv_peers_test.c
@@ -9,6 +9,11 @@
 #define INSTANCES 3
 #define STUCK_S   20
 
+/* What an instance has seen is known in all cells within this, and within a heartbeat if a datagram
+ * was lost. */
+#define ACROSS (20 * KNL_MSEC)
+#define BEAT   (400 * KNL_MSEC)
+
 typedef struct
 {
   struct event_base *base;
@@ -34,11 +39,12 @@
   ((Fixture *)data)->suspect = fingerprint;
 }
 
+static const char *const zones[INSTANCES] = { "a", "b", "a" };
+
 static void
 open_instance (Fixture *self, guint i)
 {
   static guint port = 22000;
-  static const char *const zones[INSTANCES] = { "a", "b", "a" };
   g_autofree char *name = g_strdup_printf ("n%u", i);
   g_autofree char *callers = g_strdup_printf ("10.0.0.%u:80", i);
   SvEndpointEntry entry = {
@@ -53,7 +59,8 @@
                           .incarnation = self->incarnation,
                           .callers_address = callers,
                           .zone = zones[i],
-                          .region = "r" };
+                          .region = "r",
+                          .strength = 100 };
 
       /* One that is opened again keeps its address. */
       if (self->links[i] == NULL)
@@ -96,18 +103,39 @@
   event_base_free (self->base);
 }
 
-/* Instances 1 and 2 learn of 0 from the store's rows, as they would after their start. */
+/* Time passes in steps in which all datagrams are delivered. */
+static void
+pass (Fixture *self, KnlTime time)
+{
+  static const KnlTime step = 1 * KNL_MSEC;
+
+  for (KnlTime passed = 0; passed < time; passed += step)
+    {
+      knl_paused_clock_advance (self->clock, step);
+      for (guint turn = 0; turn < 2 * INSTANCES; turn++)
+        event_base_loop (self->base, EVLOOP_NONBLOCK);
+    }
+}
+
+static void
+learn (Fixture *self, guint i, guint j)
+{
+  SvMember member = { .link_address = self->links[j], .zone = zones[j], .strength = 100 };
+
+  sv_peers_learn (self->peers[i], &member);
+}
+
+/* Instances 1 and 2 learn of 0 from the store's rows, as they would after their start; a heartbeat
+ * later the cells know of each other. */
 static void
 meet (Fixture *self)
 {
   for (guint i = 1; i < INSTANCES; i++)
     for (guint j = 0; j < i; j++)
-      sv_peers_learn (self->peers[i], self->links[j]);
+      learn (self, i, j);
+  pass (self, 2 * BEAT + ACROSS);
   for (guint i = 0; i < INSTANCES; i++)
-    {
-      while (sv_peers_n_alive (self->peers[i]) < INSTANCES - 1)
-        event_base_loop (self->base, EVLOOP_ONCE);
-    }
+    CU_ASSERT_EQUAL_FATAL (sv_peers_n_alive (self->peers[i]), INSTANCES - 1);
 }
 
 static SvEndpoint *
@@ -190,9 +218,8 @@
   meet (&fixture);
   sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
   sv_peers_link (fixture.peers[1])->klass->load_changed (sv_peers_link (fixture.peers[1]));
-  knl_paused_clock_advance (fixture.clock, 50 * KNL_MSEC);
-  while (load_at (&fixture, 0).calls != 3)
-    event_base_loop (fixture.base, EVLOOP_ONCE);
+  pass (&fixture, ACROSS);
+  CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 3);
   for (guint i = 0; i < 30; i++)
     {
       knl_paused_clock_advance (fixture.clock, step);
@@ -230,11 +257,11 @@
   knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
   fixture.incarnation = 1;
   open_instance (&fixture, 1);
-  sv_peers_learn (fixture.peers[1], fixture.links[0]);
+  learn (&fixture, 1, 0);
   sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
   sv_peers_set_ready (fixture.peers[1], TRUE);
-  while (load_at (&fixture, 0).calls != 2)
-    event_base_loop (fixture.base, EVLOOP_ONCE);
+  pass (&fixture, BEAT + ACROSS);
+  CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 2);
   CU_ASSERT (sv_peers_n_alive (fixture.peers[0]) >= 1);
   fixture_close (&fixture);
 }
@@ -257,8 +284,8 @@
   sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
   for (guint i = 0; i < INSTANCES; i++)
     sv_peers_set_ready (fixture.peers[i], TRUE);
-  while (load_at (&fixture, 0).calls != 3)
-    event_base_loop (fixture.base, EVLOOP_ONCE);
+  pass (&fixture, BEAT + ACROSS);
+  CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 3);
   before = sv_peers_ready_addresses (fixture.peers[0], "a", 10);
   CU_ASSERT_EQUAL (before->len, 3);
   CU_ASSERT_STRING_EQUAL (g_ptr_array_index (before, 2), "10.0.0.1:80");
@@ -277,9 +304,7 @@
   SvPeerLink *link = sv_peers_link (self->peers[i]);
 
   link->klass->health_changed (link, endpoint_of (self, i), TRUE);
-  knl_paused_clock_advance (self->clock, 3 * KNL_MSEC);
-  for (guint turn = 0; turn < 20; turn++)
-    event_base_loop (self->base, EVLOOP_NONBLOCK);
+  pass (self, ACROSS);
 }
 
 static gboolean
@@ -317,9 +342,7 @@
   lose (&fixture, 1);
   link = sv_peers_link (fixture.peers[2]);
   link->klass->health_changed (link, endpoint_of (&fixture, 2), FALSE);
-  knl_paused_clock_advance (fixture.clock, 3 * KNL_MSEC);
-  while (pol_belief_is_doubted (&endpoint_of (&fixture, 0)->belief))
-    event_base_loop (fixture.base, EVLOOP_ONCE);
+  pass (&fixture, ACROSS);
   CU_ASSERT_FALSE (is_doubted_at (&fixture, 0));
   fixture_close (&fixture);
 }
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -142,6 +142,51 @@
   assert(message->base.descriptor == &alderturn__sender__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   alderturn__cell__init
+                     (Alderturn__Cell         *message)
+{
+  static const Alderturn__Cell init_value = ALDERTURN__CELL__INIT;
+  *message = init_value;
+}
+size_t alderturn__cell__get_packed_size
+                     (const Alderturn__Cell *message)
+{
+  assert(message->base.descriptor == &alderturn__cell__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__cell__pack
+                     (const Alderturn__Cell *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__cell__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__cell__pack_to_buffer
+                     (const Alderturn__Cell *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__cell__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__Cell *
+       alderturn__cell__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__Cell *)
+     protobuf_c_message_unpack (&alderturn__cell__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__cell__free_unpacked
+                     (Alderturn__Cell *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__cell__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   alderturn__confirmation__init
                      (Alderturn__Confirmation         *message)
 {
@@ -232,7 +277,7 @@
   assert(message->base.descriptor == &alderturn__datagram__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor alderturn__endpoint_load__field_descriptors[7] =
+static const ProtobufCFieldDescriptor alderturn__endpoint_load__field_descriptors[8] =
 {
   {
     "endpoint",
@@ -318,9 +363,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cell",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointLoad, cell),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__endpoint_load__field_indices_by_name[] = {
   1,   /* field[1] = calls */
+  7,   /* field[7] = cell */
   0,   /* field[0] = endpoint */
   4,   /* field[4] = loose */
   3,   /* field[3] = medium */
@@ -331,7 +389,7 @@
 static const ProtobufCIntRange alderturn__endpoint_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor alderturn__endpoint_load__descriptor =
 {
@@ -341,7 +399,7 @@
   "Alderturn__EndpointLoad",
   "alderturn",
   sizeof(Alderturn__EndpointLoad),
-  7,
+  8,
   alderturn__endpoint_load__field_descriptors,
   alderturn__endpoint_load__field_indices_by_name,
   1,  alderturn__endpoint_load__number_ranges,
@@ -425,7 +483,7 @@
   (ProtobufCMessageInit) alderturn__placed_read__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__sender__field_descriptors[5] =
+static const ProtobufCFieldDescriptor alderturn__sender__field_descriptors[6] =
 {
   {
     "name",
@@ -487,18 +545,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "strength",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Sender, strength),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__sender__field_indices_by_name[] = {
   2,   /* field[2] = callers_address */
   1,   /* field[1] = link_address */
   0,   /* field[0] = name */
   4,   /* field[4] = region */
+  5,   /* field[5] = strength */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange alderturn__sender__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor alderturn__sender__descriptor =
 {
@@ -508,13 +579,90 @@
   "Alderturn__Sender",
   "alderturn",
   sizeof(Alderturn__Sender),
-  5,
+  6,
   alderturn__sender__field_descriptors,
   alderturn__sender__field_indices_by_name,
   1,  alderturn__sender__number_ranges,
   (ProtobufCMessageInit) alderturn__sender__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor alderturn__cell__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Cell, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Cell, instances),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Alderturn__Cell, n_ready),
+    offsetof(Alderturn__Cell, ready),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "described",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Cell, described),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__cell__field_indices_by_name[] = {
+  3,   /* field[3] = described */
+  0,   /* field[0] = id */
+  1,   /* field[1] = instances */
+  2,   /* field[2] = ready */
+};
+static const ProtobufCIntRange alderturn__cell__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor alderturn__cell__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.Cell",
+  "Cell",
+  "Alderturn__Cell",
+  "alderturn",
+  sizeof(Alderturn__Cell),
+  4,
+  alderturn__cell__field_descriptors,
+  alderturn__cell__field_indices_by_name,
+  1,  alderturn__cell__number_ranges,
+  (ProtobufCMessageInit) alderturn__cell__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor alderturn__confirmation__field_descriptors[4] =
 {
   {
@@ -592,7 +740,7 @@
   (ProtobufCMessageInit) alderturn__confirmation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[12] =
+static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[19] =
 {
   {
     "sender",
@@ -738,25 +886,116 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_by",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Alderturn__Datagram, n_lost_by),
+    offsetof(Alderturn__Datagram, lost_by),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cell",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, cell),
+    &alderturn__cell__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "passed",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(Alderturn__Datagram, n_passed),
+    offsetof(Alderturn__Datagram, passed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_relay",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, to_relay),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cut_off",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, cut_off),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config_version",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, config_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, endpoints),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__datagram__field_indices_by_name[] = {
   10,   /* field[10] = answering */
+  13,   /* field[13] = cell */
+  17,   /* field[17] = config_version */
   11,   /* field[11] = confirmation */
+  16,   /* field[16] = cut_off */
+  18,   /* field[18] = endpoints */
   4,   /* field[4] = from */
   1,   /* field[1] = incarnation */
   6,   /* field[6] = loads */
   9,   /* field[9] = lost */
+  12,   /* field[12] = lost_by */
+  14,   /* field[14] = passed */
   7,   /* field[7] = reads */
   3,   /* field[3] = ready */
   0,   /* field[0] = sender */
   2,   /* field[2] = sequence */
   8,   /* field[8] = suspects */
+  15,   /* field[15] = to_relay */
   5,   /* field[5] = whole */
 };
 static const ProtobufCIntRange alderturn__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor alderturn__datagram__descriptor =
 {
@@ -766,7 +1005,7 @@
   "Alderturn__Datagram",
   "alderturn",
   sizeof(Alderturn__Datagram),
-  12,
+  19,
   alderturn__datagram__field_descriptors,
   alderturn__datagram__field_indices_by_name,
   1,  alderturn__datagram__number_ranges,
