--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -92,7 +92,7 @@
     sv_core_confirm (self->core, at);
   else
     sv_confirm_note_config (self->confirm);
-  sv_peers_set_ready (self->peers, sv_core_is_ready (self->core));
+  sv_peers_set_ready (self->peers, gateway_is_ready (self));
 }
 
 static void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -53,12 +53,18 @@
   PlCall *member_call;
   KnlTimerId member_timer;
   KnlTime look_delay;
+  gboolean is_entered; /* the list of members has named this instance */
   KnlTimerId tick_timer;
   KnlTime drain_since;    /* 0: no drain */
   gint64 boot_changed_at; /* the settings file's modification time, s */
   struct event *reload_signal;
 } Gateway;
 
+/* main.c */
+
+/** Whether callers are to come here. */
+gboolean gateway_is_ready (const Gateway *self);
+
 /* servers.c */
 
 /** Opens the listening sockets; FALSE: one can't be opened, which was logged. */
@@ -100,8 +106,6 @@
 /** Enters this instance in the store and looks for others there. */
 void gateway_start_membership (Gateway *self);
 
-/** Takes this instance out of the store. */
-void gateway_leave (Gateway *self);
 void gateway_stop_membership (Gateway *self);
 
 /* reload.c */
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -54,12 +54,20 @@
     sv_core_end_all (self->core);
 }
 
+/* An instance that only others keep confirmed is one loss away from refusing all; who comes is
+ * served, and callers are named the others. */
+gboolean
+gateway_is_ready (const Gateway *self)
+{
+  return sv_core_is_ready (self->core) && !sv_peers_is_cut_off_alone (self->peers);
+}
+
 static void
 on_tick (gpointer data)
 {
   Gateway *self = data;
 
-  sv_peers_set_ready (self->peers, sv_core_is_ready (self->core));
+  sv_peers_set_ready (self->peers, gateway_is_ready (self));
   sv_fleet_sweep (self->fleet);
   if (self->drain_since == 0)
     gateway_reload (self, FALSE);
@@ -85,7 +93,6 @@
   sv_peers_leave (self->peers);
   sv_peers_set_ready (self->peers, FALSE);
   ht_server_drain (self->callers);
-  gateway_leave (self);
 }
 
 static void
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -1,13 +1,17 @@
 /** How instances find each other: each has a row in the store; what they tell each other after that
  * goes from one to the other. */
 
+#include <string.h>
+
 #include "common/log.h"
 #include "gateway.h"
 
-/* The list is read after the start, when instances that started at the same time have entered
- * themselves: of two the later one sees the other, and greets it. A reading that failed is made
- * again after eight times as long each time up to the limit. After that the relay of each cell
- * reads it, to learn of other cells' instances and to remove those of its own that are gone. */
+/* The list is read at the start. An instance that is not in it enters itself, and reads it again
+ * when others that started at the same time have entered themselves: of two the later one sees the
+ * other, and greets it. One that is in it from an earlier start has been seen by all, and is ready
+ * 0.1 s sooner. A reading that failed is made again after eight times as long each time up to the
+ * limit. After that the relay of each cell reads it, to learn of other cells' instances and to
+ * remove those of its own that are gone. */
 #define FIRST_LOOK  (40 * KNL_MSEC)
 #define LOOK_LIMIT  (20 * KNL_SEC)
 #define LOOK_FACTOR 8
@@ -40,7 +44,6 @@
       next (self, ENTER_AGAIN, enter);
       return;
     }
-  self->look_delay = FIRST_LOOK;
   next (self, FIRST_LOOK, look);
 }
 
@@ -77,35 +80,57 @@
   return TRUE;
 }
 
-static void
+/* TRUE: it is our own row, as it would be written now. */
+static gboolean
 take_row (Gateway *self, json_t *item)
 {
+  gboolean is_own = FALSE;
   SvMember member;
   PlRow row;
 
   if (!pl_row_decode (item, &row))
-    return;
-  if (pl_decode_member (row.value, &member)
-      && (self->member_call != NULL || !remove_if_gone (self, &row, member.link_address)))
-    sv_peers_learn (self->peers, &member);
+    return FALSE;
+  if (!pl_decode_member (row.value, &member))
+    cm_log (CM_LOG_WARNING, "member-unreadable", "s", "key", row.key);
+  else if (strcmp (row.key, self->member.name) == 0)
+    is_own = strcmp (member.link_address, self->member.link_address) == 0
+             && strcmp (member.zone, self->member.zone) == 0
+             && member.strength == self->member.strength;
+  else if (self->member_call != NULL || !remove_if_gone (self, &row, member.link_address))
+    {
+      member.name = row.key;
+      sv_peers_learn (self->peers, &member);
+    }
   json_decref (row.value);
+  return is_own;
 }
 
 static void
 on_list (PlStatus status, json_t *body, gpointer data)
 {
   Gateway *self = data;
+  gboolean is_entered = FALSE;
   size_t index;
   json_t *item;
 
   self->member_call = NULL;
-  json_array_foreach (json_object_get (body, "rows"), index, item) take_row (self, item);
-  if (status == PL_OK)
-    gateway_note_members (self);
-  self->look_delay =
-      status == PL_OK ? LOOK_LIMIT : MIN (LOOK_FACTOR * self->look_delay, LOOK_LIMIT);
-  if (self->member_call == NULL)
+  json_array_foreach (json_object_get (body, "rows"), index, item) is_entered |=
+      take_row (self, item);
+  if (status != PL_OK)
+    {
+      self->look_delay = CLAMP (LOOK_FACTOR * self->look_delay, FIRST_LOOK, LOOK_LIMIT);
+      next (self, self->look_delay, look);
+      return;
+    }
+  gateway_note_members (self);
+  self->is_entered = is_entered;
+  self->look_delay = LOOK_LIMIT;
+  if (self->member_call != NULL)
+    return;
+  if (is_entered)
     next (self, self->look_delay, look);
+  else
+    enter (self);
 }
 
 static void
@@ -114,7 +139,7 @@
   Gateway *self = data;
 
   self->member_timer = 0;
-  if (self->members_known_at > 0 && !sv_peers_is_relay (self->peers))
+  if (self->is_entered && !sv_peers_is_relay (self->peers))
     {
       next (self, LOOK_LIMIT, look);
       return;
@@ -122,28 +147,10 @@
   self->member_call = pl_store_get (self->store, PL_MEMBER_TABLE, NULL, on_list, self);
 }
 
-static void
-on_left (PlStatus status, json_t *body, gpointer data)
-{
-  Gateway *self = data;
-
-  self->member_call = NULL;
-  if (status != PL_OK)
-    cm_log (CM_LOG_NOTICE, "member-row-not-removed", "s", "status", pl_status_name (status));
-}
-
 void
 gateway_start_membership (Gateway *self)
 {
-  enter (self);
-}
-
-void
-gateway_leave (Gateway *self)
-{
-  gateway_stop_membership (self);
-  self->member_call =
-      pl_store_remove (self->store, PL_MEMBER_TABLE, self->member.name, 0, on_left, self);
+  look (self);
 }
 
 void
--- a/gateway/servers.c
+++ b/gateway/servers.c
@@ -43,7 +43,7 @@
 {
   Gateway *self = data;
 
-  ht_call_answer (call, sv_core_is_ready (self->core) ? 200 : 503, NULL, NULL, 0);
+  ht_call_answer (call, gateway_is_ready (self) ? 200 : 503, NULL, NULL, 0);
 }
 
 static const HtServerEvents ready_events = { .request = on_ready_request };
--- a/gateway/source.c
+++ b/gateway/source.c
@@ -11,8 +11,9 @@
 #define CHOOSE_EVERY (100 * KNL_MSEC)
 #define CHOOSE_AGAIN (50 * KNL_MSEC)
 
-/* Members are greeted when the list has been read, and answer within some ms. */
-#define GREETING (20 * KNL_MSEC)
+/* The same until the first choice: members are greeted when the list has been read, and answer
+ * within some ms. */
+#define CHOOSE_FIRST (10 * KNL_MSEC)
 
 /* An instance that can't read the list for this long, or hears nothing of those that follow the
  * store, asks the store itself. All that lose power together are back within 0.3 s of each other.
@@ -36,22 +37,25 @@
  * instance may take of its link. */
 #define SEND_PART 0.25
 
+/* `address`: of an instance, NULL: the store is asked. */
 static void
 use_source (Gateway *self, const char *address)
 {
   PlStore *old = self->peer_store;
+  char *old_address = self->peer_address;
 
   cm_log (CM_LOG_NOTICE, "source-chosen", "s", "peer", address != NULL ? address : "", "b",
           "is-store", address == NULL);
-  g_free (self->peer_address);
   self->peer_address = g_strdup (address);
-  self->peer_store =
-      address != NULL ? pl_store_new (self->process.kernel, self->store_client, address) : NULL;
+  self->peer_store = NULL;
+  if (address != NULL)
+    self->peer_store = pl_store_new (self->process.kernel, self->store_client, address);
   /* Whoever is asked has not been silent yet. */
   self->config_heard_at = self->endpoints_heard_at = knl_kernel_now (self->process.kernel);
   gateway_follow (self, address != NULL ? self->peer_store : self->store);
   pl_mirror_set_open (self->mirror, address == NULL);
   pl_store_free (old);
+  g_free (old_address);
 }
 
 /* An instance of the cell to ask; NULL: the store. */
@@ -88,7 +92,7 @@
 
   if (self->config_feed != NULL || now - self->started_at > MEMBERS_LIMIT)
     return TRUE;
-  return self->members_known_at > 0 && now - self->members_known_at >= GREETING
+  return self->members_known_at > 0
          && (!sv_peers_follows (self->peers) || !sv_peers_expects_followers (self->peers));
 }
 
@@ -96,10 +100,12 @@
 on_choose (gpointer data)
 {
   Gateway *self = data;
+  gboolean may = may_choose (self);
   const char *chosen;
 
-  self->source_timer = knl_timer_start (self->process.kernel, CHOOSE_EVERY, on_choose, self);
-  if (!may_choose (self))
+  self->source_timer =
+      knl_timer_start (self->process.kernel, may ? CHOOSE_EVERY : CHOOSE_FIRST, on_choose, self);
+  if (!may)
     return;
   limit_mirror (self);
   chosen = choose (self);
@@ -136,7 +142,7 @@
   if (self->members_known_at > 0)
     return;
   self->members_known_at = knl_kernel_now (self->process.kernel);
-  choose_in (self, GREETING);
+  choose_in (self, 0);
 }
 
 void
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -41,8 +41,8 @@
 /** The link that the core reports to; owned by the peers. */
 SvPeerLink *sv_peers_link (SvPeers *peers);
 
-/** There is, or was, an instance in this zone at this link address, with this strength; the rest is
- * not read. One of our cell is greeted. */
+/** There is, or was, an instance with this name, link address, zone and strength; the rest is not
+ * read. One of our cell is greeted. */
 void sv_peers_learn (SvPeers *peers, const SvMember *member);
 
 /** How long nothing was heard from that address; 0: it is not known, or of another cell. */
@@ -54,6 +54,9 @@
 /** This instance asks the store, and has no answer; a change is told at once. */
 void sv_peers_set_cut_off (SvPeers *peers, gboolean cut_off);
 
+/** Whether the store does not answer this instance, and answers another one of its cell. */
+gboolean sv_peers_is_cut_off_alone (const SvPeers *peers);
+
 /** This instance is about to end: others take over what it does for them. */
 void sv_peers_leave (SvPeers *peers);
 
--- a/serve/cells.c
+++ b/serve/cells.c
@@ -182,6 +182,14 @@
   return stronger < FOLLOWERS;
 }
 
+gboolean
+sv_peers_is_cut_off_alone (const SvPeers *self)
+{
+  g_autoptr (GPtrArray) followers = sv_cells_followers (self);
+
+  return self->cut_off && followers->len > 0;
+}
+
 gboolean
 sv_peers_expects_followers (const SvPeers *self)
 {
@@ -195,7 +203,7 @@
       const Peer *peer = value;
 
       stronger += sv_peer_is_in_cell (self, peer) && peer->heard_at < 0
-                  && peer->strength > self->self.strength;
+                  && sv_peer_is_stronger (peer, self->self.strength, self->id);
     }
   return stronger >= FOLLOWERS;
 }
@@ -411,6 +419,23 @@
   send_to_cells (self, &datagram);
 }
 
+static void
+on_describe_due (gpointer data)
+{
+  SvPeers *self = data;
+
+  self->describe_timer = 0;
+  self->described_at = knl_kernel_now (self->kernel);
+  describe (self);
+}
+
+void
+sv_cells_note_ready (SvPeers *self)
+{
+  if (sv_peers_is_relay (self))
+    run_paced (self, &self->describe_timer, self->described_at, on_describe_due);
+}
+
 /* What a silent cell has in flight may have ended long ago. */
 static void
 drop_silent (SvPeers *self, Cell *cell)
@@ -633,4 +658,5 @@
 {
   knl_timer_stop (self->kernel, &self->cell_timer);
   knl_timer_stop (self->kernel, &self->pass_timer);
+  knl_timer_stop (self->kernel, &self->describe_timer);
 }
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -52,17 +52,36 @@
   return sv_peers_follows (self->peers);
 }
 
+static void
+add_relays (const SvPeers *peers, GPtrArray *found)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, peers->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Cell *cell = value;
+      Peer *relay = g_hash_table_lookup (peers->by_id, GUINT_TO_POINTER (cell->relay));
+
+      if (relay != NULL && !relay->cut_off && sv_cell_is_alive (peers, cell))
+        g_ptr_array_add (found, relay);
+    }
+}
+
 /* One of the instances that follow the store, at random: one that is gone must not be asked again
- * and again. */
+ * and again. A zone that is cut off from the store hears it from other zones. */
 static const Peer *
-choose_follower (const SvConfirm *self)
+choose_follower (const SvConfirm *self, gboolean hurries)
 {
-  g_autoptr (GPtrArray) followers = sv_cells_followers (self->peers);
+  g_autoptr (GPtrArray) found = sv_cells_followers (self->peers);
 
-  if (followers->len == 0)
+  if (hurries)
+    add_relays (self->peers, found);
+  if (found->len == 0)
     return NULL;
   return g_ptr_array_index (
-      followers, g_rand_int_range (knl_kernel_rand (self->kernel), 0, (gint32)followers->len));
+      found, g_rand_int_range (knl_kernel_rand (self->kernel), 0, (gint32)found->len));
 }
 
 static KnlTime
@@ -72,9 +91,9 @@
 }
 
 static void
-ask_peer (SvConfirm *self)
+ask_peer (SvConfirm *self, gboolean hurries)
 {
-  const Peer *peer = choose_follower (self);
+  const Peer *peer = choose_follower (self, hurries);
   GRand *rand = knl_kernel_rand (self->kernel);
   Alderturn__Confirmation question = ALDERTURN__CONFIRMATION__INIT;
 
@@ -105,7 +124,7 @@
   if (age >= part_of_trust (self, GIVE_UP_PART))
     self->events->ask_store (self->data);
   if (is_new || self->rechecks || age >= part_of_trust (self, ASK_FROM_PART))
-    ask_peer (self);
+    ask_peer (self, hurries);
   self->rechecks = FALSE;
 }
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -96,6 +96,7 @@
   if (!peer->is_counted || sv_peer_is_alive (self, peer))
     return;
   peer->is_counted = FALSE;
+  sv_cells_note_ready (self);
   if (g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (peer->id)) != peer)
     return;
   for (guint i = 0; i < endpoints->len; i++)
@@ -161,6 +162,7 @@
     return;
   peer->zone = g_strdup (member->zone);
   peer->strength = member->strength;
+  peer->id = id_of (member->name);
   if (sv_cells_of_zone (self, member->zone) == NULL)
     sv_peers_send_whole (self, peer);
 }
@@ -285,6 +287,7 @@
   self->ready = ready;
   cm_log (CM_LOG_NOTICE, "ready-changed", "b", "ready", ready);
   sv_peers_send_whole (self, NULL);
+  sv_cells_note_ready (self);
 }
 
 void
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -111,8 +111,10 @@
   guint described_from;  /* index of the endpoint that the next description begins with */
   KnlTime cell_told_at;  /* last time that other cells were told changes; 0: never */
   KnlTimerId cell_timer; /* the next time; 0: nothing waits */
-  GPtrArray *passing;    /* GBytes of other cells' datagrams, to be passed on */
-  KnlTime passed_at;     /* 0: never */
+  KnlTime described_at;  /* 0: never because of a change */
+  KnlTimerId describe_timer;
+  GPtrArray *passing; /* GBytes of other cells' datagrams, to be passed on */
+  KnlTime passed_at;  /* 0: never */
   KnlTimerId pass_timer;
   CmLogLimit unreadable; /* datagrams */
   KnlTimerId beat_timer;
@@ -232,6 +234,9 @@
 /** This instance or a peer of its cell has something new: the relay tells other cells. */
 void sv_cells_tell (SvPeers *self);
 
+/** Another instance of our cell takes callers than before: the relay tells other cells. */
+void sv_cells_note_ready (SvPeers *self);
+
 /** A datagram of another cell's relay came here from there. */
 void sv_cells_receive (SvPeers *self,
                        const Alderturn__Datagram *datagram,
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -203,6 +203,8 @@
     return NULL;
   peer->incarnation = datagram->incarnation;
   peer->sequence = datagram->sequence;
+  if (peer->ready != datagram->ready && sv_peer_is_in_cell (self, peer))
+    sv_cells_note_ready (self);
   peer->ready = datagram->ready;
   peer->cut_off = datagram->cut_off;
   peer->heard_at = knl_kernel_now (self->kernel);
--- a/tests/faults/gateway_test.c
+++ b/tests/faults/gateway_test.c
@@ -12,7 +12,8 @@
   "{\"nodeName\":\"n1\",\"zone\":\"a\",\"region\":\"r\",\"ip\":\"%s\",\"portRange\":[%s,%"         \
   "s],"                                                                                            \
   "\"listen\":{\"front\":\"%s\",\"ready\":\"%s\",\"directory\":\"%s\"},"                           \
-  "\"limits\":{\"maxFds\":1000},\"platform\":{\"address\":\"%s\",\"readsPerS\":100},"              \
+  "\"limits\":{\"maxFds\":1000,\"cpuShare\":0.25,\"cores\":1,\"linkMbps\":200},\"platform\":{"     \
+  "\"address\":\"%s\",\"readsPerS\":100},"                                                         \
   "\"bounds\":{\"strictRevoke\":true,\"revokeMs\":%d,\"configApplyMs\":2000,\"stall_ms\":1500,"    \
   "\"graceS\":8,\"freeMs\":4000,\"retryBudgetRatio\":0.2,\"retrySlack\":100,\"budgetWindowS\":10," \
   "\"drainMs\":2000,\"ttl_max_s\":5}}"
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -221,7 +221,8 @@
   "{\"nodeName\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":\"10.0.0.1\",\"portRange\":[7340,"
   "7355],"
   "\"listen\":{\"front\":\"10.0.0.1:1\",\"ready\":\"10.0.0.1:2\",\"directory\":\"10.0.0.1:3\"},"
-  "\"platform\":{\"address\":\"10.0.0.2:3\",\"readsPerS\":2000},\"limits\":{\"maxFds\":4100},"
+  "\"platform\":{\"address\":\"10.0.0.2:3\",\"readsPerS\":2000},\"limits\":{\"maxFds\":4100,"
+  "\"cpuShare\":0.25,\"cores\":1,\"linkMbps\":200},"
   "\"bounds\":{\"strictRevoke\":true,\"revokeMs\":5000,\"configApplyMs\":2000,\"drainMs\":2000,"
   "\"freeMs\":4000,\"idleMaxMs\":9000,\"graceS\":8,\"retryBudgetRatio\":0.2,\"retrySlack\":100,"
   "\"budgetWindowS\":10,\"ttl_max_s\":5}}",
--- /dev/null
+++ b/tests/unit/peers_fixture.c
@@ -0,0 +1,159 @@
+#include "peers_fixture.h"
+
+#include <CUnit/CUnit.h>
+
+#define STUCK_S  20
+#define STRENGTH 100
+
+static void
+on_stuck (evutil_socket_t fd, short what, void *data)
+{
+  g_error ("nothing happens any more");
+}
+
+static void
+on_suspect (guint64 fingerprint, gpointer data)
+{
+  ((PeersFixture *)data)->suspect = fingerprint;
+}
+
+static void
+add_endpoint (SvFleet *fleet, guint i)
+{
+  g_autofree char *id = g_strdup_printf ("i-%u", i);
+  SvEndpointEntry entry = {
+    .id = id, .service = "s", .address = "127.0.0.1:9", .zone = "a", .slots = 8
+  };
+
+  sv_fleet_update (fleet, &entry);
+}
+
+void
+peers_fixture_start (PeersFixture *self, guint i)
+{
+  static guint port = 22000;
+  g_autofree char *name = g_strdup_printf ("n%u", i);
+  g_autofree char *callers = g_strdup_printf ("10.0.0.%u:80", i);
+
+  self->fleets[i] = sv_fleet_new (self->kernel, KNL_SEC);
+  for (guint j = 0; j < self->n_endpoints; j++)
+    add_endpoint (self->fleets[i], j);
+  while (self->peers[i] == NULL)
+    {
+      SvMember member = { .name = name,
+                          .incarnation = self->incarnation,
+                          .callers_address = callers,
+                          .zone = self->zones[i],
+                          .region = "r",
+                          .strength = self->strength[i] };
+
+      if (self->links[i] == NULL)
+        self->links[i] = g_strdup_printf ("127.0.0.1:%u", port++);
+      member.link_address = self->links[i];
+      self->peers[i] = sv_peers_new (self->kernel, self->base, self->fleets[i], &member);
+      if (self->peers[i] == NULL)
+        g_clear_pointer (&self->links[i], g_free);
+    }
+  sv_peers_on_suspect (self->peers[i], on_suspect, self);
+}
+
+void
+peers_fixture_stop (PeersFixture *self, guint i)
+{
+  g_clear_pointer (&self->peers[i], sv_peers_free);
+  g_clear_pointer (&self->fleets[i], sv_fleet_free);
+}
+
+void
+peers_fixture_open (PeersFixture *self, const char *const *zones, guint n, guint n_endpoints)
+{
+  struct timeval limit = { .tv_sec = STUCK_S };
+
+  *self = (PeersFixture){ .base = event_base_new (),
+                          .clock = knl_paused_clock_new (),
+                          .n = n,
+                          .n_endpoints = n_endpoints,
+                          .zones = zones,
+                          .incarnation = 9 };
+  self->stuck = evtimer_new (self->base, on_stuck, NULL);
+  evtimer_add (self->stuck, &limit);
+  knl_paused_clock_advance (self->clock, 10 * KNL_SEC);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
+  for (guint i = 0; i < n; i++)
+    {
+      self->strength[i] = STRENGTH;
+      peers_fixture_start (self, i);
+    }
+}
+
+void
+peers_fixture_close (PeersFixture *self)
+{
+  for (guint i = 0; i < self->n; i++)
+    {
+      peers_fixture_stop (self, i);
+      g_free (self->links[i]);
+    }
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+  event_free (self->stuck);
+  event_base_free (self->base);
+}
+
+void
+peers_fixture_pass (PeersFixture *self, KnlTime time)
+{
+  static const KnlTime step = 1 * KNL_MSEC;
+
+  for (KnlTime passed = 0; passed < time; passed += step)
+    {
+      knl_paused_clock_advance (self->clock, step);
+      for (guint turn = 0; turn < 2 * self->n; turn++)
+        event_base_loop (self->base, EVLOOP_NONBLOCK);
+    }
+}
+
+void
+peers_fixture_learn (PeersFixture *self, guint i, guint j)
+{
+  g_autofree char *name = g_strdup_printf ("n%u", j);
+  SvMember member = { .name = name,
+                      .link_address = self->links[j],
+                      .zone = self->zones[j],
+                      .strength = self->strength[j] };
+
+  sv_peers_learn (self->peers[i], &member);
+}
+
+void
+peers_fixture_meet (PeersFixture *self)
+{
+  for (guint i = 1; i < self->n; i++)
+    for (guint j = 0; j < i; j++)
+      peers_fixture_learn (self, i, j);
+  peers_fixture_pass (self, 2 * PEERS_BEAT + PEERS_ACROSS);
+  for (guint i = 0; i < self->n; i++)
+    CU_ASSERT_EQUAL_FATAL (sv_peers_n_alive (self->peers[i]), self->n - 1);
+}
+
+SvEndpoint *
+peers_fixture_endpoint (PeersFixture *self, guint i)
+{
+  return g_ptr_array_index (sv_fleet_all (self->fleets[i]), self->n_endpoints - 1);
+}
+
+SvLoad
+peers_fixture_load (PeersFixture *self, guint i)
+{
+  return sv_endpoint_load (peers_fixture_endpoint (self, i), knl_kernel_now (self->kernel));
+}
+
+void
+peers_fixture_call (PeersFixture *self, guint i, gint calls)
+{
+  SvLoad load = { .calls = (guint)ABS (calls) };
+  SvPeerLink *link = sv_peers_link (self->peers[i]);
+
+  sv_endpoint_charge (peers_fixture_endpoint (self, i), &load, calls < 0 ? -1 : 1);
+  link->klass->load_changed (link);
+}
--- /dev/null
+++ b/tests/unit/pl_mirror_test.c
@@ -0,0 +1,309 @@
+/** An instance that answers for the store: what those who ask it see when rows change, when it
+ * knows less than they do, and when it may not answer. */
+
+#include <string.h>
+
+#include "kernel/paused.h"
+#include "platform/mirror.h"
+#include "suite.h"
+#include "tests/fakes/row_store.h"
+
+#define WAIT    (2 * KNL_SEC)
+#define GATHER  (100 * KNL_MSEC)
+#define STEP    (10 * KNL_MSEC)
+#define STUCK_S 20
+
+/* Within this a change passes the store's feed and the mirror's. */
+#define PASSED (3 * GATHER)
+
+/** A feed and what it has handed on. */
+typedef struct
+{
+  PlFeed *feed;
+  GHashTable *seen; /* key -> value as text */
+  PlMirror *mirror; /* told of changes; NULL: none */
+  guint n_lists;
+  guint n_lost;
+} Follower;
+
+typedef struct
+{
+  struct event_base *base;
+  struct event *stuck;
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  HtClient *client;
+  RowStore *rows;
+  PlStore *store;
+  PlStore *peer; /* the mirror, as a store */
+  PlMirror *mirror;
+  Follower first;  /* asks the store */
+  Follower second; /* asks the mirror */
+} Fixture;
+
+static void
+on_stuck (evutil_socket_t fd, short what, void *data)
+{
+  g_error ("nothing happens any more");
+}
+
+static void
+on_begin_list (gpointer data)
+{
+  Follower *self = data;
+
+  self->n_lists++;
+  g_hash_table_remove_all (self->seen);
+}
+
+static void
+on_end_list (gpointer data)
+{
+}
+
+static void
+on_row (const PlRow *row, gpointer data)
+{
+  Follower *self = data;
+
+  if (row->gone)
+    g_hash_table_remove (self->seen, row->key);
+  else
+    g_hash_table_insert (self->seen, g_strdup (row->key),
+                         g_strdup (json_string_value (json_object_get (row->value, "v"))));
+}
+
+static void
+on_confirmed (KnlTime at, gpointer data)
+{
+  Follower *self = data;
+
+  if (self->mirror != NULL)
+    pl_mirror_tell (self->mirror);
+}
+
+static void
+on_lost (gpointer data)
+{
+  ((Follower *)data)->n_lost++;
+}
+
+static const PlFeedEvents events = {
+  .begin_list = on_begin_list,
+  .end_list = on_end_list,
+  .row = on_row,
+  .confirmed = on_confirmed,
+  .lost = on_lost,
+};
+
+static const PlFeedPace pace = { .wait = WAIT, .gather = GATHER };
+
+static void
+follower_open (Follower *self, PlStore *store)
+{
+  self->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->feed = pl_feed_new (store, "t", &pace, &events, self);
+}
+
+static void
+fixture_open (Fixture *self)
+{
+  static const HtLimits limits = { 16384, 1 << 20 };
+  static guint port = 27000;
+  struct timeval limit = { .tv_sec = STUCK_S };
+  g_autofree char *address = NULL;
+
+  *self = (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
+  self->stuck = evtimer_new (self->base, on_stuck, NULL);
+  evtimer_add (self->stuck, &limit);
+  knl_paused_clock_advance (self->clock, 10 * KNL_SEC);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
+  self->client = ht_client_new (self->kernel, self->base, &limits, 60 * KNL_SEC);
+  self->rows = row_store_new (self->kernel, self->base);
+  self->store = pl_store_new (self->kernel, self->client, row_store_address (self->rows));
+  row_store_put (self->rows, "a", "{\"v\":\"1\"}");
+  row_store_put (self->rows, "b", "{\"v\":\"1\"}");
+  while (self->mirror == NULL)
+    {
+      g_free (address);
+      address = g_strdup_printf ("127.0.0.1:%u", port++);
+      self->mirror = pl_mirror_new (self->kernel, self->base, address);
+    }
+  self->peer = pl_store_new (self->kernel, self->client, address);
+  self->first.mirror = self->mirror;
+  follower_open (&self->first, self->store);
+  pl_mirror_add (self->mirror, "t", self->first.feed);
+  follower_open (&self->second, self->peer);
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  pl_feed_free (self->second.feed);
+  pl_mirror_free (self->mirror);
+  pl_feed_free (self->first.feed);
+  g_hash_table_unref (self->first.seen);
+  g_hash_table_unref (self->second.seen);
+  pl_store_free (self->peer);
+  pl_store_free (self->store);
+  ht_client_free (self->client);
+  row_store_free (self->rows);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+  event_free (self->stuck);
+  event_base_free (self->base);
+}
+
+/* Time passes in steps in which all that is sent arrives. */
+static void
+pass (Fixture *self, KnlTime time)
+{
+  for (KnlTime passed = 0; passed < time; passed += STEP)
+    {
+      for (guint turn = 0; turn < 20; turn++)
+        event_base_loop (self->base, EVLOOP_NONBLOCK);
+      knl_paused_clock_advance (self->clock, STEP);
+    }
+}
+
+static void
+check_value (const Follower *self, const char *key, const char *value)
+{
+  CU_ASSERT_EQUAL (g_strcmp0 (g_hash_table_lookup (self->seen, key), value), 0);
+}
+
+/* A question that comes before it is known whether the store is followed waits. */
+static void
+test_changes_are_passed_on (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  pass (&fixture, PASSED);
+  check_value (&fixture.second, "a", "1");
+  row_store_put (fixture.rows, "a", "{\"v\":\"2\"}");
+  row_store_put (fixture.rows, "b", NULL);
+  pass (&fixture, PASSED);
+  check_value (&fixture.second, "a", "2");
+  check_value (&fixture.second, "b", NULL);
+  /* One list is all that was read from the store. */
+  pass (&fixture, 3 * WAIT);
+  CU_ASSERT_EQUAL (row_store_n_lists (fixture.rows), 1);
+  CU_ASSERT_EQUAL (fixture.second.n_lost, 0);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: all instances of a zone read whole lists whenever the store has forgotten its history.
+ * Sequence: the store forgets; who follows it reads the list anew, in which a row is missing.
+ * Cause: what had changed between the two lists was not known to those who asked.
+ */
+static void
+test_a_new_list_is_passed_on_as_changes (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  pass (&fixture, PASSED);
+  /* After a change the feed rests, and does not hear of those that follow. */
+  row_store_put (fixture.rows, "a", "{\"v\":\"2\"}");
+  pass (&fixture, STEP);
+  row_store_put (fixture.rows, "b", NULL);
+  row_store_put (fixture.rows, "c", "{\"v\":\"3\"}");
+  row_store_forget_history (fixture.rows);
+  pass (&fixture, 2 * WAIT);
+  CU_ASSERT_EQUAL (fixture.first.n_lists, 2);
+  check_value (&fixture.second, "b", NULL);
+  check_value (&fixture.second, "c", "3");
+  CU_ASSERT_EQUAL (fixture.second.n_lists, 1);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: an instance turns from one to the other of those that follow the store, hundreds of
+ * times a second. Sequence: it has an answer from one, turns to the other, and that one's last
+ * answer is older. Cause: who knew less than the asker refused, though only what comes later was
+ * asked for.
+ */
+static void
+test_an_asker_may_know_more (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  pass (&fixture, PASSED);
+  /* Time for the second one alone to hear of a change. */
+  pl_feed_set_source (fixture.second.feed, fixture.store);
+  pl_feed_set_source (fixture.first.feed, fixture.peer);
+  pl_mirror_set_open (fixture.mirror, FALSE);
+  row_store_put (fixture.rows, "a", "{\"v\":\"2\"}");
+  pass (&fixture, PASSED);
+  check_value (&fixture.second, "a", "2");
+  check_value (&fixture.first, "a", "1");
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  row_store_set_mode (fixture.rows, ROW_STORE_SILENT);
+  pl_feed_set_source (fixture.first.feed, fixture.store);
+  pl_feed_set_source (fixture.second.feed, fixture.peer);
+  pass (&fixture, WAIT / 2);
+  CU_ASSERT_EQUAL (fixture.second.n_lost, 0);
+  check_value (&fixture.second, "a", "2");
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: instances know nothing new for as long as they live.
+ * Sequence: each of two takes the other for the one that follows the store.
+ * Cause: questions to one that asks others itself were answered.
+ */
+static void
+test_who_asks_others_answers_nobody (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  pass (&fixture, PASSED);
+  CU_ASSERT_EQUAL (fixture.second.n_lost, 0);
+  pl_mirror_set_open (fixture.mirror, FALSE);
+  pass (&fixture, STEP);
+  /* The question that waited is refused at once too. */
+  CU_ASSERT (fixture.second.n_lost > 0);
+  fixture_close (&fixture);
+}
+
+/*
+ * Symptom: a configuration of many routes is in force after its bound.
+ * Sequence: it changes; one instance on a weak link sends it to forty others.
+ * Cause: nothing limited what is sent; the store has the link for it.
+ */
+static void
+test_what_is_too_large_is_refused (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  pass (&fixture, PASSED);
+  pl_mirror_set_limit (fixture.mirror, 40);
+  row_store_put (fixture.rows, "a", "{\"v\":\"a text that makes the row longer than the limit\"}");
+  pass (&fixture, PASSED);
+  CU_ASSERT (fixture.second.n_lost > 0);
+  check_value (&fixture.second, "a", "1");
+  pl_feed_set_source (fixture.second.feed, fixture.store);
+  pass (&fixture, PASSED);
+  check_value (&fixture.second, "a", "a text that makes the row longer than the limit");
+  fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "changes are passed on", test_changes_are_passed_on },
+  { "a new list is passed on as changes", test_a_new_list_is_passed_on_as_changes },
+  { "an asker may know more", test_an_asker_may_know_more },
+  { "who asks others answers nobody", test_who_asks_others_answers_nobody },
+  { "what is too large is refused", test_what_is_too_large_is_refused },
+};
+
+SUITE_MAIN ("pl_mirror", cases)
--- /dev/null
+++ b/tests/unit/sv_cells_test.c
@@ -0,0 +1,289 @@
+/** What zones know of each other, by their relays, while relays and datagrams are lost. */
+
+#include "peers_fixture.h"
+#include "suite.h"
+
+/* Three instances in each of two zones. */
+#define INSTANCES 6
+
+/* More than a description of a cell names, so that most must be told by themselves. */
+#define ENDPOINTS 40
+
+/* Three heartbeats without a word, and the next one. */
+#define REPLACED (4 * PEERS_BEAT + PEERS_ACROSS)
+
+static const char *const zones[INSTANCES] = { "a", "a", "a", "b", "b", "b" };
+
+static void
+fixture_open (PeersFixture *self)
+{
+  peers_fixture_open (self, zones, INSTANCES, ENDPOINTS);
+  peers_fixture_meet (self);
+}
+
+static guint
+relay_of (PeersFixture *self, guint first)
+{
+  for (guint i = first; i < first + 3; i++)
+    {
+      if (self->peers[i] != NULL && sv_peers_is_relay (self->peers[i]))
+        return i;
+    }
+  CU_FAIL_FATAL ("no relay");
+  return first;
+}
+
+static void
+check_loads (PeersFixture *self, guint calls)
+{
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      if (self->peers[i] != NULL)
+        CU_ASSERT_EQUAL (peers_fixture_load (self, i).calls, calls);
+    }
+}
+
+/* Each zone has one relay, and all instances know what all have in flight within some ms. */
+static void
+test_sums_are_known_everywhere (void)
+{
+  PeersFixture fixture;
+  guint calls = 0;
+
+  fixture_open (&fixture);
+  for (guint zone = 0; zone < INSTANCES; zone += 3)
+    {
+      guint relays = 0;
+
+      for (guint i = zone; i < zone + 3; i++)
+        relays += sv_peers_is_relay (fixture.peers[i]);
+      CU_ASSERT_EQUAL (relays, 1);
+    }
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      peers_fixture_call (&fixture, i, (gint)i + 1);
+      calls += i + 1;
+    }
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  check_loads (&fixture, calls);
+  peers_fixture_call (&fixture, 1, -2);
+  peers_fixture_call (&fixture, 5, -6);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  check_loads (&fixture, calls - 8);
+  peers_fixture_close (&fixture);
+}
+
+/*
+ * Symptom: a zone's engines look idle from other zones, or busy for ever.
+ * Sequence: the zone's relay loses power; its peers go on placing requests.
+ * Cause: nobody took over, or the new relay told only what changed since it did.
+ */
+static void
+test_a_lost_relay_is_replaced (void)
+{
+  PeersFixture fixture;
+  guint lost;
+  guint other;
+
+  fixture_open (&fixture);
+  lost = relay_of (&fixture, 0);
+  other = lost == 0 ? 1 : 0;
+  peers_fixture_call (&fixture, lost, 5);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  check_loads (&fixture, 5);
+  peers_fixture_stop (&fixture, lost);
+  peers_fixture_pass (&fixture, REPLACED);
+  check_loads (&fixture, 0);
+  peers_fixture_call (&fixture, other, 3);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  check_loads (&fixture, 3);
+  /* And what others tell reaches this zone. */
+  peers_fixture_call (&fixture, 4, 10);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  check_loads (&fixture, 13);
+  peers_fixture_close (&fixture);
+}
+
+/*
+ * Symptom: after a zone is gone or cut off its requests keep engines looking busy.
+ * Sequence: all instances of a zone lose power at once.
+ * Cause: the sums of a cell outlived it.
+ */
+static void
+test_a_silent_cell_is_left_out (void)
+{
+  PeersFixture fixture;
+
+  fixture_open (&fixture);
+  peers_fixture_call (&fixture, 0, 1);
+  peers_fixture_call (&fixture, 4, 9);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  check_loads (&fixture, 10);
+  for (guint i = 3; i < INSTANCES; i++)
+    peers_fixture_stop (&fixture, i);
+  peers_fixture_pass (&fixture, 2 * KNL_SEC + PEERS_BEAT + PEERS_ACROSS);
+  check_loads (&fixture, 1);
+  peers_fixture_close (&fixture);
+}
+
+/*
+ * Symptom: after many instances have started again, half of the short prompts go to engines with a
+ * full queue beside idle ones.
+ * Sequence: an instance loses power and starts; it places requests before a whole round of
+ * descriptions has come.
+ * Cause: it took for idle what it had not been told of, prompts that are being read among them.
+ */
+static void
+test_an_instance_starts_with_knowledge (void)
+{
+  PeersFixture fixture;
+  SvPeerLink *link;
+  SvRead read = { .prompt = 5, .length = 300 * KNL_MSEC, .until_told = TRUE };
+  SvEndpoint *endpoint;
+  guint started;
+
+  fixture_open (&fixture);
+  started = relay_of (&fixture, 0) == 2 ? 1 : 2;
+  peers_fixture_call (&fixture, 0, 1);
+  peers_fixture_call (&fixture, 4, 9);
+  endpoint = peers_fixture_endpoint (&fixture, 4);
+  sv_fleet_add_read (fixture.fleets[4], &read, &endpoint->key, 1);
+  link = sv_peers_link (fixture.peers[4]);
+  link->klass->read_placed (link, &read, &endpoint->key, 1);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  peers_fixture_stop (&fixture, started);
+  fixture.incarnation++;
+  peers_fixture_start (&fixture, started);
+  for (guint i = 0; i < 3; i++)
+    {
+      if (i != started)
+        peers_fixture_learn (&fixture, started, i);
+    }
+  peers_fixture_pass (&fixture, 3 * KNL_MSEC);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, started).calls, 10);
+  CU_ASSERT (sv_endpoint_read_left (peers_fixture_endpoint (&fixture, started),
+                                    knl_kernel_now (fixture.kernel))
+             > 250 * KNL_MSEC);
+  peers_fixture_close (&fixture);
+}
+
+/*
+ * Symptom: the loads of a zone jump between two values.
+ * Sequence: two of its instances don't hear each other, and both hold themselves for the relay.
+ * Cause: what either told for the cell was believed.
+ */
+static void
+test_one_speaks_for_a_cell (void)
+{
+  PeersFixture fixture;
+  guint relay;
+  guint other;
+
+  fixture_open (&fixture);
+  relay = relay_of (&fixture, 0);
+  other = relay == 0 ? 1 : 0;
+  peers_fixture_call (&fixture, relay, 4);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  /* One that starts hears nobody of its cell, and knows of the other zone only. */
+  peers_fixture_stop (&fixture, other);
+  fixture.strength[other] = 1;
+  fixture.incarnation++;
+  peers_fixture_start (&fixture, other);
+  peers_fixture_learn (&fixture, other, 3);
+  CU_ASSERT (sv_peers_is_relay (fixture.peers[other]));
+  for (guint i = 0; i < 10; i++)
+    {
+      peers_fixture_pass (&fixture, 100 * KNL_MSEC);
+      CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 4).calls, 4);
+    }
+  peers_fixture_close (&fixture);
+}
+
+/* The zones of six instances, all in one. */
+static const char *const one_zone[INSTANCES] = { "a", "a", "a", "a", "a", "a" };
+
+static guint
+n_followers (const PeersFixture *self)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < INSTANCES; i++)
+    n += sv_peers_follows (self->peers[i]);
+  return n;
+}
+
+/*
+ * Symptom: a whole zone stops serving while most of its instances reach the store.
+ * Sequence: the store turns away those that follow it for the others.
+ * Cause: nobody else took over from them. And when it answers none, all try, so that the first
+ * that has an answer is one of those that the others ask.
+ */
+static void
+test_who_is_turned_away_is_passed_over (void)
+{
+  PeersFixture fixture;
+
+  peers_fixture_open (&fixture, one_zone, INSTANCES, 1);
+  peers_fixture_meet (&fixture);
+  CU_ASSERT_EQUAL (n_followers (&fixture), 2);
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      if (sv_peers_follows (fixture.peers[i]))
+        sv_peers_set_cut_off (fixture.peers[i], TRUE);
+    }
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  /* Those that are turned away go on trying. */
+  CU_ASSERT_EQUAL (n_followers (&fixture), 4);
+  for (guint i = 0; i < INSTANCES; i++)
+    sv_peers_set_cut_off (fixture.peers[i], TRUE);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  CU_ASSERT_EQUAL (n_followers (&fixture), INSTANCES);
+  for (guint i = 0; i < INSTANCES; i++)
+    sv_peers_set_cut_off (fixture.peers[i], FALSE);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  CU_ASSERT_EQUAL (n_followers (&fixture), 2);
+  peers_fixture_close (&fixture);
+}
+
+/* The strongest follow, and are asked, half of the others each. */
+static void
+test_followers_are_the_strongest (void)
+{
+  PeersFixture fixture;
+
+  peers_fixture_open (&fixture, one_zone, INSTANCES, 1);
+  for (guint i = 4; i < INSTANCES; i++)
+    {
+      peers_fixture_stop (&fixture, i);
+      fixture.strength[i] = 500;
+      peers_fixture_start (&fixture, i);
+    }
+  peers_fixture_meet (&fixture);
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      const char *follower = sv_peers_follower (fixture.peers[i], NULL);
+      const char *second = sv_peers_follower (fixture.peers[i], follower);
+
+      CU_ASSERT_EQUAL (sv_peers_follows (fixture.peers[i]), i >= 4);
+      CU_ASSERT (sv_peers_is_follower (fixture.peers[i], follower));
+      CU_ASSERT_STRING_NOT_EQUAL (follower, second);
+    }
+  /* One that leaves hands over at once. */
+  sv_peers_leave (fixture.peers[4]);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  CU_ASSERT_FALSE (sv_peers_follows (fixture.peers[4]));
+  CU_ASSERT_FALSE (sv_peers_is_relay (fixture.peers[4]));
+  peers_fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "sums are known everywhere", test_sums_are_known_everywhere },
+  { "a lost relay is replaced", test_a_lost_relay_is_replaced },
+  { "a silent cell is left out", test_a_silent_cell_is_left_out },
+  { "an instance starts with knowledge", test_an_instance_starts_with_knowledge },
+  { "one speaks for a cell", test_one_speaks_for_a_cell },
+  { "who is turned away is passed over", test_who_is_turned_away_is_passed_over },
+  { "followers are the strongest", test_followers_are_the_strongest },
+};
+
+SUITE_MAIN ("sv_cells", cases)
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -148,7 +148,10 @@
   for (guint i = 0; i < INSTANCES; i++)
     for (guint j = 0; j < i; j++)
       {
-        SvMember member = { .link_address = self->instances[j].link, .zone = "a", .strength = 1 };
+        g_autofree char *name = g_strdup_printf ("n%u", j);
+        SvMember member = {
+          .name = name, .link_address = self->instances[j].link, .zone = "a", .strength = 1
+        };
 
         sv_peers_learn (self->instances[i].peers, &member);
       }
--- a/tests/unit/sv_peers_test.c
+++ b/tests/unit/sv_peers_test.c
@@ -2,166 +2,31 @@
 
 #include <string.h>
 
-#include "kernel/paused.h"
-#include "serve/peers.h"
+#include "peers_fixture.h"
 #include "suite.h"
 
 #define INSTANCES 3
-#define STUCK_S   20
-
-/* What an instance has seen is known in all cells within this, and within a heartbeat if a datagram
- * was lost. */
-#define ACROSS (20 * KNL_MSEC)
-#define BEAT   (400 * KNL_MSEC)
-
-typedef struct
-{
-  struct event_base *base;
-  struct event *stuck;
-  KnlPausedClock *clock;
-  KnlKernel *kernel;
-  SvFleet *fleets[INSTANCES];
-  SvPeers *peers[INSTANCES];
-  char *links[INSTANCES];
-  guint64 suspect;
-  guint64 incarnation; /* of instances that are opened */
-} Fixture;
-
-static void
-on_stuck (evutil_socket_t fd, short what, void *data)
-{
-  g_error ("nothing happens any more");
-}
-
-static void
-on_suspect (guint64 fingerprint, gpointer data)
-{
-  ((Fixture *)data)->suspect = fingerprint;
-}
 
 static const char *const zones[INSTANCES] = { "a", "b", "a" };
 
 static void
-open_instance (Fixture *self, guint i)
-{
-  static guint port = 22000;
-  g_autofree char *name = g_strdup_printf ("n%u", i);
-  g_autofree char *callers = g_strdup_printf ("10.0.0.%u:80", i);
-  SvEndpointEntry entry = {
-    .id = "i-1", .service = "s", .address = "127.0.0.1:9", .zone = "a", .slots = 8
-  };
-
-  self->fleets[i] = sv_fleet_new (self->kernel, KNL_SEC);
-  sv_fleet_update (self->fleets[i], &entry);
-  while (self->peers[i] == NULL)
-    {
-      SvMember member = { .name = name,
-                          .incarnation = self->incarnation,
-                          .callers_address = callers,
-                          .zone = zones[i],
-                          .region = "r",
-                          .strength = 100 };
-
-      /* One that is opened again keeps its address. */
-      if (self->links[i] == NULL)
-        self->links[i] = g_strdup_printf ("127.0.0.1:%u", port++);
-      member.link_address = self->links[i];
-      self->peers[i] = sv_peers_new (self->kernel, self->base, self->fleets[i], &member);
-      if (self->peers[i] == NULL)
-        g_clear_pointer (&self->links[i], g_free);
-    }
-  sv_peers_on_suspect (self->peers[i], on_suspect, self);
-}
-
-static void
-fixture_open (Fixture *self)
-{
-  struct timeval limit = { .tv_sec = STUCK_S };
-
-  *self =
-      (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new (), .incarnation = 9 };
-  self->stuck = evtimer_new (self->base, on_stuck, NULL);
-  evtimer_add (self->stuck, &limit);
-  knl_paused_clock_advance (self->clock, 10 * KNL_SEC);
-  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
-  for (guint i = 0; i < INSTANCES; i++)
-    open_instance (self, i);
-}
-
-static void
-fixture_close (Fixture *self)
-{
-  for (guint i = 0; i < INSTANCES; i++)
-    {
-      sv_peers_free (self->peers[i]);
-      sv_fleet_free (self->fleets[i]);
-      g_free (self->links[i]);
-    }
-  knl_kernel_free (self->kernel);
-  knl_paused_clock_free (self->clock);
-  event_free (self->stuck);
-  event_base_free (self->base);
-}
-
-/* Time passes in steps in which all datagrams are delivered. */
-static void
-pass (Fixture *self, KnlTime time)
-{
-  static const KnlTime step = 1 * KNL_MSEC;
-
-  for (KnlTime passed = 0; passed < time; passed += step)
-    {
-      knl_paused_clock_advance (self->clock, step);
-      for (guint turn = 0; turn < 2 * INSTANCES; turn++)
-        event_base_loop (self->base, EVLOOP_NONBLOCK);
-    }
-}
-
-static void
-learn (Fixture *self, guint i, guint j)
-{
-  SvMember member = { .link_address = self->links[j], .zone = zones[j], .strength = 100 };
-
-  sv_peers_learn (self->peers[i], &member);
-}
-
-/* Instances 1 and 2 learn of 0 from the store's rows, as they would after their start; a heartbeat
- * later the cells know of each other. */
-static void
-meet (Fixture *self)
-{
-  for (guint i = 1; i < INSTANCES; i++)
-    for (guint j = 0; j < i; j++)
-      learn (self, i, j);
-  pass (self, 2 * BEAT + ACROSS);
-  for (guint i = 0; i < INSTANCES; i++)
-    CU_ASSERT_EQUAL_FATAL (sv_peers_n_alive (self->peers[i]), INSTANCES - 1);
-}
-
-static SvEndpoint *
-endpoint_of (Fixture *self, guint i)
-{
-  return g_ptr_array_index (sv_fleet_all (self->fleets[i]), 0);
-}
-
-static SvLoad
-load_at (Fixture *self, guint i)
+fixture_open (PeersFixture *self)
 {
-  return sv_endpoint_load (endpoint_of (self, i), knl_kernel_now (self->kernel));
+  peers_fixture_open (self, zones, INSTANCES, 1);
+  peers_fixture_meet (self);
 }
 
 static void
 test_a_greeting_is_enough (void)
 {
-  Fixture fixture;
+  PeersFixture fixture;
 
   fixture_open (&fixture);
-  meet (&fixture);
   for (guint i = 0; i < INSTANCES; i++)
     CU_ASSERT_EQUAL (
         sv_peers_link (fixture.peers[i])->klass->n_instances (sv_peers_link (fixture.peers[i])),
         INSTANCES);
-  fixture_close (&fixture);
+  peers_fixture_close (&fixture);
 }
 
 /*
@@ -173,31 +38,33 @@
 test_load_and_reads_are_told (void)
 {
   static const SvLoad load = { .calls = 1, .writers = { 0, 1, 0 }, .tokens = 5000 };
-  Fixture fixture;
+  PeersFixture fixture;
   SvRead read = { .prompt = 5, .length = 300 * KNL_MSEC, .until_told = TRUE };
   SvEndpoint *endpoint;
   SvPeerLink *link;
 
   fixture_open (&fixture);
-  meet (&fixture);
   link = sv_peers_link (fixture.peers[0]);
-  endpoint = endpoint_of (&fixture, 0);
+  endpoint = peers_fixture_endpoint (&fixture, 0);
   sv_endpoint_charge (endpoint, &load, 1);
   link->klass->read_placed (link, &read, &endpoint->key, 1);
   link->klass->suspect (link, 77);
   knl_paused_clock_advance (fixture.clock, 3 * KNL_MSEC);
-  while (load_at (&fixture, 2).calls == 0 || fixture.suspect == 0)
+  while (peers_fixture_load (&fixture, 2).calls == 0 || fixture.suspect == 0)
     event_base_loop (fixture.base, EVLOOP_ONCE);
-  CU_ASSERT_EQUAL (load_at (&fixture, 2).writers[SV_PAUSE_MEDIUM], 1);
-  CU_ASSERT_EQUAL (load_at (&fixture, 2).tokens, 5000);
-  CU_ASSERT (sv_endpoint_read_left (endpoint_of (&fixture, 2), knl_kernel_now (fixture.kernel))
-             > 290 * KNL_MSEC);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 2).writers[SV_PAUSE_MEDIUM], 1);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 2).tokens, 5000);
+  CU_ASSERT (
+      sv_endpoint_read_left (peers_fixture_endpoint (&fixture, 2), knl_kernel_now (fixture.kernel))
+      > 290 * KNL_MSEC);
   CU_ASSERT_EQUAL (fixture.suspect, 77);
   link->klass->read_ended (link, read.prompt);
   knl_paused_clock_advance (fixture.clock, 3 * KNL_MSEC);
-  while (sv_endpoint_read_left (endpoint_of (&fixture, 2), knl_kernel_now (fixture.kernel)) > 0)
+  while (
+      sv_endpoint_read_left (peers_fixture_endpoint (&fixture, 2), knl_kernel_now (fixture.kernel))
+      > 0)
     event_base_loop (fixture.base, EVLOOP_ONCE);
-  fixture_close (&fixture);
+  peers_fixture_close (&fixture);
 }
 
 /*
@@ -211,30 +78,29 @@
 {
   static const SvLoad load = { .calls = 3 };
   static const KnlTime step = 100 * KNL_MSEC;
-  Fixture fixture;
+  PeersFixture fixture;
   guint steps = 0;
 
   fixture_open (&fixture);
-  meet (&fixture);
-  sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
+  sv_endpoint_charge (peers_fixture_endpoint (&fixture, 1), &load, 1);
   sv_peers_link (fixture.peers[1])->klass->load_changed (sv_peers_link (fixture.peers[1]));
-  pass (&fixture, ACROSS);
-  CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 3);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 0).calls, 3);
   for (guint i = 0; i < 30; i++)
     {
       knl_paused_clock_advance (fixture.clock, step);
       event_base_loop (fixture.base, EVLOOP_NONBLOCK);
-      CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 3);
+      CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 0).calls, 3);
     }
   /* Its change is not told by itself. */
-  sv_endpoint_charge (endpoint_of (&fixture, 1), &load, -1);
-  while (load_at (&fixture, 0).calls != 0 && steps++ < 100)
+  sv_endpoint_charge (peers_fixture_endpoint (&fixture, 1), &load, -1);
+  while (peers_fixture_load (&fixture, 0).calls != 0 && steps++ < 100)
     {
       knl_paused_clock_advance (fixture.clock, step);
       event_base_loop (fixture.base, EVLOOP_NONBLOCK);
     }
   CU_ASSERT (steps <= 20);
-  fixture_close (&fixture);
+  peers_fixture_close (&fixture);
 }
 
 /*
@@ -247,23 +113,20 @@
 test_restart_after_the_clock_jumped_back (void)
 {
   static const SvLoad load = { .calls = 2 };
-  Fixture fixture;
+  PeersFixture fixture;
 
   fixture_open (&fixture);
-  meet (&fixture);
-  sv_peers_free (fixture.peers[1]);
-  sv_fleet_free (fixture.fleets[1]);
-  fixture.peers[1] = NULL;
+  peers_fixture_stop (&fixture, 1);
   knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
   fixture.incarnation = 1;
-  open_instance (&fixture, 1);
-  learn (&fixture, 1, 0);
-  sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
+  peers_fixture_start (&fixture, 1);
+  peers_fixture_learn (&fixture, 1, 0);
+  sv_endpoint_charge (peers_fixture_endpoint (&fixture, 1), &load, 1);
   sv_peers_set_ready (fixture.peers[1], TRUE);
-  pass (&fixture, BEAT + ACROSS);
-  CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 2);
+  peers_fixture_pass (&fixture, PEERS_BEAT + PEERS_ACROSS);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 0).calls, 2);
   CU_ASSERT (sv_peers_n_alive (fixture.peers[0]) >= 1);
-  fixture_close (&fixture);
+  peers_fixture_close (&fixture);
 }
 
 /*
@@ -275,17 +138,16 @@
 test_silent_peer_is_left_out (void)
 {
   static const SvLoad load = { .calls = 3 };
-  Fixture fixture;
+  PeersFixture fixture;
   g_autoptr (GPtrArray) before = NULL;
   g_autoptr (GPtrArray) after = NULL;
 
   fixture_open (&fixture);
-  meet (&fixture);
-  sv_endpoint_charge (endpoint_of (&fixture, 1), &load, 1);
+  sv_endpoint_charge (peers_fixture_endpoint (&fixture, 1), &load, 1);
   for (guint i = 0; i < INSTANCES; i++)
     sv_peers_set_ready (fixture.peers[i], TRUE);
-  pass (&fixture, BEAT + ACROSS);
-  CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 3);
+  peers_fixture_pass (&fixture, PEERS_BEAT + PEERS_ACROSS);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 0).calls, 3);
   before = sv_peers_ready_addresses (fixture.peers[0], "a", 10);
   CU_ASSERT_EQUAL (before->len, 3);
   CU_ASSERT_STRING_EQUAL (g_ptr_array_index (before, 2), "10.0.0.1:80");
@@ -293,24 +155,24 @@
   knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
   after = sv_peers_ready_addresses (fixture.peers[0], "a", 10);
   CU_ASSERT_EQUAL (after->len, 1);
-  CU_ASSERT_EQUAL (load_at (&fixture, 0).calls, 0);
-  fixture_close (&fixture);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 0).calls, 0);
+  peers_fixture_close (&fixture);
 }
 
 /* What one instance loses at its endpoint number `i`. */
 static void
-lose (Fixture *self, guint i)
+lose (PeersFixture *self, guint i)
 {
   SvPeerLink *link = sv_peers_link (self->peers[i]);
 
-  link->klass->health_changed (link, endpoint_of (self, i), TRUE);
-  pass (self, ACROSS);
+  link->klass->health_changed (link, peers_fixture_endpoint (self, i), TRUE);
+  peers_fixture_pass (self, PEERS_ACROSS);
 }
 
 static gboolean
-is_doubted_at (Fixture *self, guint i)
+is_doubted_at (PeersFixture *self, guint i)
 {
-  return sv_endpoint_is_doubted (endpoint_of (self, i), knl_kernel_now (self->kernel));
+  return sv_endpoint_is_doubted (peers_fixture_endpoint (self, i), knl_kernel_now (self->kernel));
 }
 
 /*
@@ -322,11 +184,10 @@
 static void
 test_losses_of_two_are_believed (void)
 {
-  Fixture fixture;
+  PeersFixture fixture;
   SvPeerLink *link;
 
   fixture_open (&fixture);
-  meet (&fixture);
   lose (&fixture, 0);
   /* One alone may be cut off or sick itself. */
   CU_ASSERT_FALSE (is_doubted_at (&fixture, 2));
@@ -335,33 +196,32 @@
   lose (&fixture, 1);
   CU_ASSERT_TRUE (is_doubted_at (&fixture, 2));
   /* Our own answer of just now speaks louder. */
-  CU_ASSERT_TRUE (
-      sv_endpoint_note_success (endpoint_of (&fixture, 2), knl_kernel_now (fixture.kernel)));
+  CU_ASSERT_TRUE (sv_endpoint_note_success (peers_fixture_endpoint (&fixture, 2),
+                                            knl_kernel_now (fixture.kernel)));
   CU_ASSERT_FALSE (is_doubted_at (&fixture, 2));
   /* An answer that one of them gets lets it back everywhere. */
   lose (&fixture, 1);
   link = sv_peers_link (fixture.peers[2]);
-  link->klass->health_changed (link, endpoint_of (&fixture, 2), FALSE);
-  pass (&fixture, ACROSS);
+  link->klass->health_changed (link, peers_fixture_endpoint (&fixture, 2), FALSE);
+  peers_fixture_pass (&fixture, PEERS_ACROSS);
   CU_ASSERT_FALSE (is_doubted_at (&fixture, 0));
-  fixture_close (&fixture);
+  peers_fixture_close (&fixture);
 }
 
 /* One that loses requests everywhere is the one that is cut off. */
 static void
 test_who_loses_everywhere_is_not_believed (void)
 {
-  Fixture fixture;
+  PeersFixture fixture;
 
   fixture_open (&fixture);
-  meet (&fixture);
   for (guint i = 0; i < 5; i++)
     lose (&fixture, 0);
-  pol_belief_note_success (&endpoint_of (&fixture, 2)->belief);
+  pol_belief_note_success (&peers_fixture_endpoint (&fixture, 2)->belief);
   lose (&fixture, 0);
   lose (&fixture, 1);
   CU_ASSERT_FALSE (is_doubted_at (&fixture, 2));
-  fixture_close (&fixture);
+  peers_fixture_close (&fixture);
 }
 
 static const SuiteCase cases[] = {
