serve: a question to another zone's relay says who asks

Change: such a question carries its sender's description. Test: sv_confirm, a zone that is cut off is confirmed by others for two spans of trust; without the change it fails (46 of 232 assertions).

--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -182,9 +182,13 @@
                             const Alderturn__Confirmation *confirmation)
 {
   Alderturn__Datagram datagram;
+  Alderturn__Sender sender;
   Rows rows;
 
   sv_peers_begin_datagram (self, &datagram, &rows);
+  /* Another cell's relay may never have heard of us. */
+  if (!sv_peer_is_in_cell (self, peer))
+    sv_peers_fill_sender (self, &datagram, &sender);
   datagram.confirmation = (Alderturn__Confirmation *)confirmation;
   sv_peers_send (self, peer, &datagram);
 }
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -34,6 +34,7 @@
   struct event *stuck;
   KnlPausedClock *clock;
   KnlKernel *kernel;
+  const char *last_zone; /* of the last two instances; the others are in "a" */
   Instance instances[INSTANCES];
 } Fixture;
 
@@ -100,6 +101,12 @@
   .ask_config = ask_store,
 };
 
+static const char *
+zone_of (const Fixture *self, guint i)
+{
+  return i >= INSTANCES - 2 ? self->last_zone : "a";
+}
+
 static void
 open_instance (Fixture *self, guint i)
 {
@@ -110,9 +117,11 @@
   instance->fleet = sv_fleet_new (self->kernel, KNL_SEC);
   while (instance->peers == NULL)
     {
-      SvMember member = {
-        .name = name, .incarnation = 9, .callers_address = "", .zone = "a", .strength = 1
-      };
+      SvMember member = { .name = name,
+                          .incarnation = 9,
+                          .callers_address = "",
+                          .zone = zone_of (self, i),
+                          .strength = 1 };
 
       g_free (instance->link);
       instance->link = g_strdup_printf ("127.0.0.1:%u", port++);
@@ -134,11 +143,13 @@
 }
 
 static void
-fixture_open (Fixture *self)
+fixture_open_in (Fixture *self, const char *last_zone)
 {
   struct timeval limit = { .tv_sec = STUCK_S };
 
-  *self = (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
+  *self = (Fixture){ .base = event_base_new (),
+                     .clock = knl_paused_clock_new (),
+                     .last_zone = last_zone };
   self->stuck = evtimer_new (self->base, on_stuck, NULL);
   evtimer_add (self->stuck, &limit);
   knl_paused_clock_advance (self->clock, 100 * KNL_SEC);
@@ -149,19 +160,30 @@
     for (guint j = 0; j < i; j++)
       {
         g_autofree char *name = g_strdup_printf ("n%u", j);
-        SvMember member = {
-          .name = name, .link_address = self->instances[j].link, .zone = "a", .strength = 1
-        };
+        SvMember member = { .name = name,
+                            .link_address = self->instances[j].link,
+                            .zone = zone_of (self, j),
+                            .strength = 1 };
 
         sv_peers_learn (self->instances[i].peers, &member);
       }
   for (guint i = 0; i < INSTANCES; i++)
     {
-      while (sv_peers_n_alive (self->instances[i].peers) < INSTANCES - 1)
+      guint others = 0;
+
+      for (guint j = 0; j < INSTANCES; j++)
+        others += j != i && strcmp (zone_of (self, i), zone_of (self, j)) == 0;
+      while (sv_peers_n_alive_in_cell (self->instances[i].peers) < others)
         event_base_loop (self->base, EVLOOP_ONCE);
     }
 }
 
+static void
+fixture_open (Fixture *self)
+{
+  fixture_open_in (self, "a");
+}
+
 static void
 fixture_close (Fixture *self)
 {
@@ -352,7 +374,33 @@
   fixture_close (&fixture);
 }
 
+/*
+ * Symptom: all instances of a zone refuse callers some seconds after the zone was cut off from the
+ * store, while they reach those of other zones, which the store answers.
+ * Sequence: an instance that is cut off asks another zone's relay, which has never heard of it.
+ * Cause: the question said only the hash of its sender's name, and was passed over.
+ */
+static void
+test_other_zones_confirm (void)
+{
+  Fixture fixture;
+
+  fixture_open_in (&fixture, "b");
+  for (guint i = INSTANCES - 2; i < INSTANCES; i++)
+    sv_peers_set_cut_off (fixture.instances[i].peers, TRUE);
+  for (KnlTime passed = 0; passed < 2 * TRUST; passed += STEP)
+    {
+      for (guint i = 0; i < INSTANCES - 2; i++)
+        fixture.instances[i].confirmed_at = knl_kernel_now (fixture.kernel);
+      pass (&fixture, STEP, FALSE);
+      for (guint i = INSTANCES - 2; i < INSTANCES; i++)
+        CU_ASSERT (age_of (&fixture, &fixture.instances[i]) < TRUST);
+    }
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
+  { "other zones confirm", test_other_zones_confirm },
   { "few ask and all know", test_few_ask_and_all_know },
   { "late answers are old", test_late_answers_are_old },
   { "ages add up", test_ages_add_up },
