serve: endpoints, cells and the relay are a file each; a cell that a picture tells of counts as heard

Cause: serve/cells.c had 662 lines and serve/fleet.c 617, each with two jobs; what a new instance is told of other cells was kept for ever if such a cell was silent from then on, since nothing said that it had loads to lose. Change: fleet.c keeps the table and endpoint.c what is known of one; cells.c says who works for whom and relay.c does it; rows of loads are read in one place; a cell named in a picture is counted. Tests: unit programs with sanitizers as before.

--- /dev/null
+++ b/serve/endpoint.c
@@ -0,0 +1,269 @@
+/** What is known of one endpoint. */
+
+#include "common/log.h"
+#include "serve/fleet.h"
+
+/* An endpoint that was lost is tried again soon, since one that restarts is back in seconds. One
+ * error, or some, are a matter of the requests. */
+static const PolHealthRule health_rule = { .first = 400 * KNL_MSEC,
+                                           .limit = 4 * KNL_SEC,
+                                           .errors = 4 };
+
+/* Told losses: two instances within this have seen what one alone may only believe. The rests are
+ * those of `health_rule`. */
+static const PolBeliefRule belief_rule = { .sources = 2,
+                                           .window = 2 * KNL_SEC,
+                                           .first = 400 * KNL_MSEC,
+                                           .limit = 4 * KNL_SEC };
+
+/* An answer of our own speaks louder than what others tell for this long. */
+#define OWN_WORD (1 * KNL_SEC)
+
+/* An endpoint that helps as many prompts as it has slots rejects the next one, and is free again
+ * within some passes. */
+static const PolHealthRule helping_rule = { .first = 100 * KNL_MSEC, .limit = 2 * KNL_SEC };
+
+/* Of its slots, those that are not filled with parts: what other instances place is known a few ms
+ * later. */
+#define HELP_SPARE 2
+
+/* How long an endpoint's own report of its load is used. */
+#define REPORT_LIFE (200 * KNL_MSEC)
+
+SvEndpoint *
+sv_endpoint_ref (SvEndpoint *self)
+{
+  self->refs++;
+  return self;
+}
+
+void
+sv_endpoint_unref (SvEndpoint *self)
+{
+  if (self == NULL || --self->refs > 0)
+    return;
+  g_free (self->id);
+  g_free (self->service);
+  g_free (self->address);
+  g_free (self->zone);
+  g_array_unref (self->peers);
+  sv_reads_clear (&self->reads);
+  g_free (self);
+}
+
+gboolean
+sv_endpoint_usable (const SvEndpoint *self, KnlTime now)
+{
+  if (self->state != SV_ENDPOINT_READY || pol_health_is_suspended (&self->health, now))
+    return FALSE;
+  /* After a loss one request goes first, and the others when it has an answer. */
+  return self->health.losses == 0 || self->own.calls == 0;
+}
+
+void
+sv_endpoint_charge (SvEndpoint *self, const SvLoad *load, gint sign)
+{
+  self->own.calls += (guint)sign * load->calls;
+  for (guint i = 0; i < SV_N_PAUSES; i++)
+    self->own.writers[i] += (guint)sign * load->writers[i];
+  self->own.tokens += (guint64)(gint64)sign * load->tokens;
+  self->own_changed = TRUE;
+  self->cell_changed = TRUE;
+}
+
+KnlTime
+sv_endpoint_read_left (SvEndpoint *self, KnlTime now)
+{
+  return sv_reads_left (&self->reads, now);
+}
+
+static void
+add_load (SvLoad *sum, const SvLoad *load, gint sign)
+{
+  sum->calls += (guint)sign * load->calls;
+  for (guint i = 0; i < SV_N_PAUSES; i++)
+    sum->writers[i] += (guint)sign * load->writers[i];
+  sum->tokens += (guint64)(gint64)sign * load->tokens;
+}
+
+static SvPeerLoad *
+find_source (const SvEndpoint *self, guint32 source, gboolean is_cell, guint *index)
+{
+  for (*index = 0; *index < self->peers->len; (*index)++)
+    {
+      SvPeerLoad *row = &g_array_index (self->peers, SvPeerLoad, *index);
+
+      if (row->source == source && row->is_cell == is_cell)
+        return row;
+    }
+  return NULL;
+}
+
+static void
+count_source (SvEndpoint *self, const SvPeerLoad *row, gint sign)
+{
+  add_load (&self->others, &row->load, sign);
+  if (row->is_cell)
+    add_load (&self->cells, &row->load, sign);
+  else
+    self->cell_changed = TRUE;
+}
+
+static void
+set_source (SvEndpoint *self, const SvPeerLoad *row)
+{
+  guint index;
+  SvPeerLoad *old = find_source (self, row->source, row->is_cell, &index);
+
+  count_source (self, row, 1);
+  if (old == NULL)
+    {
+      g_array_append_val (self->peers, *row);
+      return;
+    }
+  count_source (self, old, -1);
+  *old = *row;
+}
+
+static void
+drop_source (SvEndpoint *self, guint32 source, gboolean is_cell)
+{
+  guint index;
+  const SvPeerLoad *row = find_source (self, source, is_cell, &index);
+
+  if (row == NULL)
+    return;
+  count_source (self, row, -1);
+  g_array_remove_index_fast (self->peers, index);
+}
+
+void
+sv_endpoint_set_peer (SvEndpoint *self, guint32 peer, const SvLoad *load)
+{
+  set_source (self, &(SvPeerLoad){ .source = peer, .load = *load });
+}
+
+void
+sv_endpoint_drop_peer (SvEndpoint *self, guint32 peer)
+{
+  drop_source (self, peer, FALSE);
+}
+
+void
+sv_endpoint_set_cell (SvEndpoint *self, guint32 cell, const SvLoad *load)
+{
+  set_source (self, &(SvPeerLoad){ .source = cell, .is_cell = TRUE, .load = *load });
+}
+
+void
+sv_endpoint_drop_cell (SvEndpoint *self, guint32 cell)
+{
+  drop_source (self, cell, TRUE);
+}
+
+SvLoad
+sv_endpoint_own_cell (const SvEndpoint *self)
+{
+  SvLoad load = self->own;
+
+  add_load (&load, &self->others, 1);
+  add_load (&load, &self->cells, -1);
+  return load;
+}
+
+/*
+ * Instances that are cut off from each other, or have just started, don't see
+ * each other's requests and would fill the same endpoint over and over. What an
+ * endpoint itself reports shows those requests; it is used only while it is new,
+ * since all instances follow an old report to the same endpoint.
+ */
+void
+sv_endpoint_note_report (SvEndpoint *self, guint calls, KnlTime now)
+{
+  self->reported_calls = calls;
+  self->reported_at = now;
+}
+
+SvLoad
+sv_endpoint_load (const SvEndpoint *self, KnlTime now)
+{
+  SvLoad load = self->own;
+
+  add_load (&load, &self->others, 1);
+  /* Not added: what peers tell meanwhile is in the report already. */
+  if (now - self->reported_at < REPORT_LIFE)
+    load.calls = MAX (load.calls, self->reported_calls);
+  return load;
+}
+
+gboolean
+sv_endpoint_can_help (const SvEndpoint *self, KnlTime now)
+{
+  return !pol_health_is_suspended (&self->helping, now)
+         && sv_reads_n_parts (&self->reads) + HELP_SPARE < MAX (self->slots, HELP_SPARE + 1);
+}
+
+/*
+ * A helper that is busy is not lost. Taken for lost it rested for all requests,
+ * longer each time; what it would have served went to the others, which were
+ * named next, until a few engines of many took all prompts of an instance.
+ */
+void
+sv_endpoint_note_no_help (SvEndpoint *self, KnlTime now)
+{
+  pol_health_note_loss (&self->helping, &helping_rule, now);
+}
+
+void
+sv_endpoint_note_help (SvEndpoint *self)
+{
+  pol_health_note_success (&self->helping);
+}
+
+gboolean
+sv_endpoint_note_success (SvEndpoint *self, KnlTime now)
+{
+  gboolean was_doubted = pol_belief_is_doubted (&self->belief);
+
+  self->answered_at = now;
+  pol_health_note_success (&self->health);
+  pol_belief_note_success (&self->belief);
+  return was_doubted;
+}
+
+void
+sv_endpoint_note_told_loss (SvEndpoint *self, guint32 teller, KnlTime now)
+{
+  if (pol_belief_note_loss (&self->belief, &belief_rule, teller, now))
+    cm_log (CM_LOG_NOTICE, "endpoint-doubted", "s", "endpoint", self->id, "i", "rests",
+            (gint64)self->belief.rests, "i", "until-us", self->belief.suspended_until - now);
+}
+
+void
+sv_endpoint_note_told_answer (SvEndpoint *self)
+{
+  pol_belief_note_success (&self->belief);
+}
+
+gboolean
+sv_endpoint_is_doubted (const SvEndpoint *self, KnlTime now)
+{
+  if (self->answered_at > 0 && now - self->answered_at < OWN_WORD)
+    return FALSE;
+  if (pol_belief_is_suspended (&self->belief, now))
+    return TRUE;
+  /* After a rest one request goes first, whoever sends it. */
+  return self->belief.rests > 0 && self->own.calls + self->others.calls > 0;
+}
+
+void
+sv_endpoint_note_error (SvEndpoint *self, KnlTime now)
+{
+  pol_health_note_error (&self->health, &health_rule, now);
+}
+
+void
+sv_endpoint_note_loss (SvEndpoint *self, KnlTime now)
+{
+  pol_health_note_loss (&self->health, &health_rule, now);
+}
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -96,7 +96,7 @@
   if (!peer->is_counted || sv_peer_is_alive (self, peer))
     return;
   peer->is_counted = FALSE;
-  sv_cells_note_ready (self);
+  sv_relay_note_ready (self);
   if (g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (peer->id)) != peer)
     return;
   for (guint i = 0; i < endpoints->len; i++)
@@ -119,7 +119,7 @@
     sv_peers_send_whole (self, NULL);
   else
     sv_peers_send_beat (self);
-  sv_cells_beat (self);
+  sv_relay_beat (self);
   self->beat_timer = knl_timer_start (self->kernel, beat_interval (self), on_beat_due, self);
 }
 
@@ -251,7 +251,7 @@
     event_free (self->readable);
   if (self->socket >= 0)
     close (self->socket);
-  sv_cells_stop (self);
+  sv_relay_stop (self);
   g_hash_table_unref (self->cells);
   g_hash_table_unref (self->by_id);
   g_hash_table_unref (self->peers);
@@ -287,7 +287,7 @@
   self->ready = ready;
   cm_log (CM_LOG_NOTICE, "ready-changed", "b", "ready", ready);
   sv_peers_send_whole (self, NULL);
-  sv_cells_note_ready (self);
+  sv_relay_note_ready (self);
 }
 
 void
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -224,29 +224,34 @@
 /** The relay of our cell; NULL: this instance is it. */
 const Peer *sv_cells_relay (const SvPeers *self);
 
+/** Whether the peer is of our cell, and alive. */
+gboolean sv_cells_has_alive (const SvPeers *self, const Peer *peer);
+
 /** Alive peers of our cell that follow the store, the strongest first; free it. */
 GPtrArray *sv_cells_followers (const SvPeers *self);
 
+/* relay.c */
+
 /** A heartbeat is due: the relay describes its cell to others; cells that are silent lose their
  * loads. */
-void sv_cells_beat (SvPeers *self);
+void sv_relay_beat (SvPeers *self);
 
 /** This instance or a peer of its cell has something new: the relay tells other cells. */
-void sv_cells_tell (SvPeers *self);
+void sv_relay_tell (SvPeers *self);
 
 /** Another instance of our cell takes callers than before: the relay tells other cells. */
-void sv_cells_note_ready (SvPeers *self);
+void sv_relay_note_ready (SvPeers *self);
 
 /** A datagram of another cell's relay came here from there. */
-void sv_cells_receive (SvPeers *self,
+void sv_relay_receive (SvPeers *self,
                        const Alderturn__Datagram *datagram,
                        const guint8 *bytes,
                        gsize length);
 
 /** Datagrams of other cells came from a peer of ours. */
-void sv_cells_take_passed (SvPeers *self, const Alderturn__Datagram *datagram);
+void sv_relay_take_passed (SvPeers *self, const Alderturn__Datagram *datagram);
 
 /** A peer of our cell has started: the relay tells it what is known of other cells and of reads. */
-void sv_cells_send_picture (SvPeers *self, const Peer *peer);
+void sv_relay_send_picture (SvPeers *self, const Peer *peer);
 
-void sv_cells_stop (SvPeers *self);
+void sv_relay_stop (SvPeers *self);
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -49,7 +49,7 @@
   if (sv_peer_is_in_cell (self, peer))
     {
       sv_peers_send_whole (self, peer);
-      sv_cells_send_picture (self, peer);
+      sv_relay_send_picture (self, peer);
     }
   return peer;
 }
@@ -109,14 +109,35 @@
     }
 }
 
-static SvLoad
-load_of (const Alderturn__EndpointLoad *row)
+/* The endpoint that the row is of, and what it says; NULL: it is not known here. */
+static SvEndpoint *
+take_row (SvPeers *self, const Alderturn__EndpointLoad *row, SvLoad *load)
 {
-  return (SvLoad){
+  SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, row->endpoint);
+
+  if (endpoint == NULL)
+    return NULL;
+  take_silence (self, endpoint, row);
+  *load = (SvLoad){
     .calls = row->calls,
     .writers = { row->tight, row->medium, row->loose },
     .tokens = row->tokens,
   };
+  return endpoint;
+}
+
+/* Our relay tells what it knows of a cell, and so that it lives. */
+static void
+take_picture_row (SvPeers *self, SvEndpoint *endpoint, guint32 id, const SvLoad *load)
+{
+  Cell *cell = g_hash_table_lookup (self->cells, GUINT_TO_POINTER (id));
+
+  if (cell == NULL)
+    return;
+  if (cell->heard_at < 0)
+    cell->heard_at = knl_kernel_now (self->kernel);
+  cell->is_counted = TRUE;
+  sv_endpoint_set_cell (endpoint, id, load);
 }
 
 /* Of a peer of our cell: what it has in flight itself, and what it knows of other cells. */
@@ -130,17 +151,18 @@
   for (guint i = 0; i < datagram->n_loads; i++)
     {
       const Alderturn__EndpointLoad *row = datagram->loads[i];
-      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, row->endpoint);
-      SvLoad load = load_of (row);
+      SvLoad load;
+      SvEndpoint *endpoint = take_row (self, row, &load);
 
       if (endpoint == NULL)
         continue;
-      take_silence (self, endpoint, row);
       if (row->cell != 0)
-        sv_endpoint_set_cell (endpoint, row->cell, &load);
-      else
-        sv_endpoint_set_peer (endpoint, peer->id, &load);
-      peer->is_counted |= row->cell == 0;
+        {
+          take_picture_row (self, endpoint, row->cell, &load);
+          continue;
+        }
+      sv_endpoint_set_peer (endpoint, peer->id, &load);
+      peer->is_counted = TRUE;
     }
 }
 
@@ -149,15 +171,12 @@
 {
   for (guint i = 0; i < datagram->n_loads; i++)
     {
-      const Alderturn__EndpointLoad *row = datagram->loads[i];
-      SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, row->endpoint);
-      SvLoad load = load_of (row);
+      SvLoad load;
+      SvEndpoint *endpoint = take_row (self, datagram->loads[i], &load);
 
-      if (endpoint == NULL)
-        continue;
-      take_silence (self, endpoint, row);
-      sv_endpoint_set_cell (endpoint, cell->id, &load);
-      cell->is_counted = TRUE;
+      if (endpoint != NULL)
+        sv_endpoint_set_cell (endpoint, cell->id, &load);
+      cell->is_counted |= endpoint != NULL;
     }
 }
 
@@ -204,7 +223,7 @@
   peer->incarnation = datagram->incarnation;
   peer->sequence = datagram->sequence;
   if (peer->ready != datagram->ready && sv_peer_is_in_cell (self, peer))
-    sv_cells_note_ready (self);
+    sv_relay_note_ready (self);
   peer->ready = datagram->ready;
   peer->cut_off = datagram->cut_off;
   peer->heard_at = knl_kernel_now (self->kernel);
@@ -238,7 +257,7 @@
   take_suspects (self, datagram);
   if (sv_peers_is_relay (self))
     sv_news_append (&self->cell_news, datagram, peer->id);
-  sv_cells_tell (self);
+  sv_relay_tell (self);
 }
 
 static void
@@ -292,11 +311,11 @@
   if (datagram->cell != NULL)
     {
       if (datagram->sender != self->id && datagram->cell->id != self->cell)
-        sv_cells_receive (self, datagram, bytes, length);
+        sv_relay_receive (self, datagram, bytes, length);
       return;
     }
   take (self, datagram);
-  sv_cells_take_passed (self, datagram);
+  sv_relay_take_passed (self, datagram);
 }
 
 /* Anything may be sent to the port. */
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -272,7 +272,7 @@
   self->change_timer = 0;
   while (send_changes (self))
     ;
-  sv_cells_tell (self);
+  sv_relay_tell (self);
 }
 
 void
--- /dev/null
+++ b/serve/relay.c
@@ -0,0 +1,446 @@
+/** What a relay does: it tells other cells of its own, and its own of others. */
+
+#include <string.h>
+
+#include "peers_internal.h"
+
+/* Changes reach other cells, and those of other cells the peers of ours, at most this often: what
+ * comes in between goes together. A change is known everywhere two of these, two delays between
+ * zones and the sender's own wait after it was made. */
+#define CELL_PACE (5 * KNL_MSEC)
+
+/* Endpoints in each description of a cell, in turn; it mends what lost datagrams left. With 155 of
+ * them each is told every 5 s, and those in use change more often than that. */
+#define DESCRIBED_MOST 12
+
+/* Callers' addresses in a description, for callers whose own zone has too few. */
+#define READY_MOST 8
+
+/* Instances of a zone that no relay is known of that are told a description: they pass it on. */
+#define GREETED_MOST 2
+
+/* Bytes of other cells' datagrams in one of ours. */
+#define PASSED_BYTES 1400
+
+static const Peer *
+relay_of (const SvPeers *self, const Cell *cell)
+{
+  return g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (cell->relay));
+}
+
+/* Some instances of a cell that no relay was heard of; they pass on what they get. */
+static void
+greet_cell (SvPeers *self, const Cell *cell, const Alderturn__Datagram *datagram)
+{
+  g_autoptr (GPtrArray) peers = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (g_strcmp0 (((const Peer *)value)->zone, cell->zone) == 0)
+        g_ptr_array_add (peers, value);
+    }
+  for (guint i = 0; i < GREETED_MOST && peers->len > 0; i++)
+    {
+      gint32 chosen = g_rand_int_range (knl_kernel_rand (self->kernel), 0, (gint32)peers->len);
+
+      sv_peers_send (self, g_ptr_array_index (peers, chosen), datagram);
+    }
+}
+
+static void
+send_to_cells (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  GHashTableIter iter;
+  gpointer cell;
+
+  g_hash_table_iter_init (&iter, self->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cell))
+    {
+      const Peer *relay = relay_of (self, cell);
+
+      if (relay != NULL && sv_cell_is_alive (self, cell))
+        sv_peers_send (self, relay, datagram);
+      else if (datagram->cell->described)
+        greet_cell (self, cell, datagram);
+    }
+}
+
+static gboolean
+is_same_load (const SvLoad *a, const SvLoad *b)
+{
+  return a->calls == b->calls && a->tokens == b->tokens
+         && memcmp (a->writers, b->writers, sizeof a->writers) == 0;
+}
+
+static void
+add_sum (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows, SvEndpoint *endpoint)
+{
+  SvLoad sum = sv_endpoint_own_cell (endpoint);
+
+  sv_peers_add_load (self, datagram, rows, endpoint, &sum);
+  endpoint->told = sum;
+  endpoint->cell_changed = FALSE;
+}
+
+static void
+add_changed_sums (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+
+  for (guint i = 0; i < endpoints->len && datagram->n_loads < ROWS_MOST / 2; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      SvLoad sum;
+
+      if (!endpoint->cell_changed)
+        continue;
+      sum = sv_endpoint_own_cell (endpoint);
+      if (is_same_load (&sum, &endpoint->told))
+        endpoint->cell_changed = FALSE;
+      else
+        add_sum (self, datagram, rows, endpoint);
+    }
+}
+
+/* FALSE: there was nothing to tell. */
+static gboolean
+send_sums (SvPeers *self)
+{
+  Alderturn__Cell cell = ALDERTURN__CELL__INIT;
+  Alderturn__Datagram datagram;
+  Rows rows;
+
+  sv_peers_begin_datagram (self, &datagram, &rows);
+  cell.id = self->cell;
+  datagram.cell = &cell;
+  add_changed_sums (self, &datagram, &rows);
+  if (!sv_peers_add_news (&datagram, &rows, &self->cell_news) && datagram.n_loads == 0)
+    return FALSE;
+  send_to_cells (self, &datagram);
+  sv_news_told (&self->cell_news, &datagram);
+  return TRUE;
+}
+
+static void
+on_tell_due (gpointer data)
+{
+  SvPeers *self = data;
+
+  self->cell_timer = 0;
+  self->cell_told_at = knl_kernel_now (self->kernel);
+  while (send_sums (self))
+    ;
+}
+
+/* At once, or a pace after the last time. */
+static void
+run_paced (SvPeers *self, KnlTimerId *timer, KnlTime last, KnlTimerFunc func)
+{
+  KnlTime wait = last > 0 ? last + CELL_PACE - knl_kernel_now (self->kernel) : 0;
+
+  if (*timer != 0)
+    return;
+  if (wait > 0)
+    *timer = knl_timer_start (self->kernel, wait, func, self);
+  else
+    func (self);
+}
+
+void
+sv_relay_tell (SvPeers *self)
+{
+  if (sv_peers_is_relay (self))
+    run_paced (self, &self->cell_timer, self->cell_told_at, on_tell_due);
+}
+
+static guint
+fill_ready (const SvPeers *self, char **ready)
+{
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  if (self->ready)
+    ready[n++] = (char *)self->self.callers_address;
+  g_hash_table_iter_init (&iter, self->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && n < READY_MOST)
+    {
+      const Peer *peer = value;
+
+      if (peer->ready && sv_cells_has_alive (self, peer))
+        ready[n++] = peer->callers_address;
+    }
+  return n;
+}
+
+/* Who speaks for the cell, some who take callers, and some endpoints' sums in turn. */
+static void
+describe (SvPeers *self)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+  Alderturn__Cell cell = ALDERTURN__CELL__INIT;
+  Alderturn__Datagram datagram;
+  Alderturn__Sender sender;
+  char *ready[READY_MOST];
+  Rows rows;
+
+  sv_peers_begin_datagram (self, &datagram, &rows);
+  sv_peers_fill_sender (self, &datagram, &sender);
+  datagram.config_version = self->config_version;
+  datagram.endpoints = self->endpoints_revision;
+  cell.id = self->cell;
+  cell.described = TRUE;
+  cell.instances = 1 + sv_peers_n_in_cell (self);
+  cell.ready = ready;
+  cell.n_ready = fill_ready (self, ready);
+  datagram.cell = &cell;
+  for (guint i = 0; i < MIN (endpoints->len, DESCRIBED_MOST); i++)
+    add_sum (self, &datagram, &rows,
+             g_ptr_array_index (endpoints, self->described_from++ % endpoints->len));
+  send_to_cells (self, &datagram);
+}
+
+static void
+on_describe_due (gpointer data)
+{
+  SvPeers *self = data;
+
+  self->describe_timer = 0;
+  self->described_at = knl_kernel_now (self->kernel);
+  describe (self);
+}
+
+void
+sv_relay_note_ready (SvPeers *self)
+{
+  if (sv_peers_is_relay (self))
+    run_paced (self, &self->describe_timer, self->described_at, on_describe_due);
+}
+
+/* What a silent cell has in flight may have ended long ago. */
+static void
+drop_silent (SvPeers *self, Cell *cell)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+
+  if (!cell->is_counted || sv_cell_is_alive (self, cell))
+    return;
+  cell->is_counted = FALSE;
+  cm_log (CM_LOG_NOTICE, "cell-silent", "s", "zone", cell->zone);
+  for (guint i = 0; i < endpoints->len; i++)
+    sv_endpoint_drop_cell (g_ptr_array_index (endpoints, i), cell->id);
+}
+
+/* Other cells believe what the last relay told them, which may be anything. */
+static void
+take_over (SvPeers *self)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+
+  cm_log (CM_LOG_NOTICE, "relay", "i", "instances", (gint64)self->n_in_cell + 1);
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      endpoint->told.calls = G_MAXUINT;
+      endpoint->cell_changed = TRUE;
+    }
+}
+
+void
+sv_relay_beat (SvPeers *self)
+{
+  gboolean is_relay = sv_peers_is_relay (self);
+  GHashTableIter iter;
+  gpointer cell;
+
+  g_hash_table_iter_init (&iter, self->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cell))
+    drop_silent (self, cell);
+  if (is_relay && !self->was_relay)
+    take_over (self);
+  self->was_relay = is_relay;
+  if (!is_relay)
+    return;
+  describe (self);
+  sv_relay_tell (self);
+}
+
+/* As many as fit into one datagram; the rest is left. */
+static void
+send_passed (SvPeers *self)
+{
+  ProtobufCBinaryData passed[ROWS_MOST];
+  Alderturn__Datagram datagram;
+  Rows rows;
+  gsize bytes = 0;
+  guint n = 0;
+
+  sv_peers_begin_datagram (self, &datagram, &rows);
+  for (; n < MIN (self->passing->len, ROWS_MOST); n++)
+    {
+      gsize length;
+      gconstpointer content = g_bytes_get_data (g_ptr_array_index (self->passing, n), &length);
+
+      if (n > 0 && bytes + length > PASSED_BYTES)
+        break;
+      passed[n] = (ProtobufCBinaryData){ .len = length, .data = (guint8 *)content };
+      bytes += length;
+    }
+  datagram.passed = passed;
+  datagram.n_passed = n;
+  sv_peers_send_to_cell (self, &datagram);
+  g_ptr_array_remove_range (self->passing, 0, n);
+}
+
+static void
+on_pass_due (gpointer data)
+{
+  SvPeers *self = data;
+
+  self->pass_timer = 0;
+  self->passed_at = knl_kernel_now (self->kernel);
+  while (self->passing->len > 0)
+    send_passed (self);
+}
+
+static void
+pass_on (SvPeers *self, const guint8 *bytes, gsize length)
+{
+  g_ptr_array_add (self->passing, g_bytes_new (bytes, length));
+  run_paced (self, &self->pass_timer, self->passed_at, on_pass_due);
+}
+
+/* It came to an instance that is not the relay, since its sender doesn't know who is. */
+static void
+hand_to_relay (SvPeers *self, const Peer *relay, const guint8 *bytes, gsize length)
+{
+  ProtobufCBinaryData passed = { .len = length, .data = (guint8 *)bytes };
+  Alderturn__Datagram datagram;
+  Rows rows;
+
+  sv_peers_begin_datagram (self, &datagram, &rows);
+  datagram.passed = &passed;
+  datagram.n_passed = 1;
+  datagram.to_relay = TRUE;
+  sv_peers_send (self, relay, &datagram);
+}
+
+void
+sv_relay_receive (SvPeers *self,
+                  const Alderturn__Datagram *datagram,
+                  const guint8 *bytes,
+                  gsize length)
+{
+  const Peer *relay = sv_cells_relay (self);
+
+  if (relay != NULL)
+    {
+      hand_to_relay (self, relay, bytes, length);
+      return;
+    }
+  sv_peers_take_cell (self, datagram);
+  pass_on (self, bytes, length);
+}
+
+void
+sv_relay_take_passed (SvPeers *self, const Alderturn__Datagram *datagram)
+{
+  for (guint i = 0; i < datagram->n_passed; i++)
+    {
+      const ProtobufCBinaryData *bytes = &datagram->passed[i];
+      Alderturn__Datagram *passed = alderturn__datagram__unpack (NULL, bytes->len, bytes->data);
+
+      if (passed == NULL)
+        continue;
+      if (passed->cell != NULL && passed->cell->id != self->cell)
+        sv_peers_take_cell (self, passed);
+      /* Never handed to a relay again: two that hold each other for it would do so for ever. */
+      if (datagram->to_relay)
+        pass_on (self, bytes->data, bytes->len);
+      alderturn__datagram__free_unpacked (passed, NULL);
+    }
+}
+
+/* A datagram that is being filled, and whom it is for. */
+typedef struct
+{
+  SvPeers *peers;
+  const Peer *peer;
+  Alderturn__Datagram datagram;
+  Rows rows;
+  News news;
+} Picture;
+
+static void
+send_picture (Picture *self)
+{
+  sv_peers_add_news (&self->datagram, &self->rows, &self->news);
+  if (self->datagram.n_loads + self->datagram.n_reads > 0)
+    sv_peers_send (self->peers, self->peer, &self->datagram);
+  sv_news_told (&self->news, &self->datagram);
+  sv_peers_begin_datagram (self->peers, &self->datagram, &self->rows);
+}
+
+static void
+picture_read (const SvRead *read, const guint64 *keys, guint n, gpointer data)
+{
+  Picture *self = data;
+  PlacedReadRow row = {
+    .prompt = read->prompt, .length = read->length, .until_told = TRUE, .n = n
+  };
+
+  memcpy (row.keys, keys, n * sizeof *keys);
+  g_array_append_val (self->news.reads, row);
+  if (self->news.reads->len == READS_MOST)
+    send_picture (self);
+}
+
+static void
+picture_endpoint (Picture *self, const SvEndpoint *endpoint)
+{
+  for (guint i = 0; i < endpoint->peers->len; i++)
+    {
+      const SvPeerLoad *row = &g_array_index (endpoint->peers, SvPeerLoad, i);
+
+      if (!row->is_cell || row->load.calls == 0)
+        continue;
+      sv_peers_add_load (self->peers, &self->datagram, &self->rows, endpoint, &row->load);
+      self->rows.loads[self->datagram.n_loads - 1].cell = row->source;
+      if (self->datagram.n_loads == ROWS_MOST)
+        send_picture (self);
+    }
+}
+
+/*
+ * An instance that has just started takes every endpoint for idle. Many that
+ * start together send their first requests to the same few ones, which one sees
+ * as engines with a full queue beside idle ones for seconds.
+ */
+void
+sv_relay_send_picture (SvPeers *self, const Peer *peer)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+  Picture picture = { .peers = self, .peer = peer };
+
+  if (!sv_peers_is_relay (self))
+    return;
+  sv_news_init (&picture.news);
+  sv_peers_begin_datagram (self, &picture.datagram, &picture.rows);
+  for (guint i = 0; i < endpoints->len; i++)
+    picture_endpoint (&picture, g_ptr_array_index (endpoints, i));
+  sv_fleet_each_read (self->fleet, picture_read, &picture);
+  send_picture (&picture);
+  sv_news_clear (&picture.news);
+}
+
+void
+sv_relay_stop (SvPeers *self)
+{
+  knl_timer_stop (self->kernel, &self->cell_timer);
+  knl_timer_stop (self->kernel, &self->pass_timer);
+  knl_timer_stop (self->kernel, &self->describe_timer);
+}
--- a/tests/unit/sv_cells_test.c
+++ b/tests/unit/sv_cells_test.c
@@ -154,7 +154,7 @@
   peers_fixture_stop (&fixture, started);
   fixture.incarnation++;
   peers_fixture_start (&fixture, started);
-  for (guint i = 0; i < 3; i++)
+  for (guint i = 0; i < INSTANCES; i++)
     {
       if (i != started)
         peers_fixture_learn (&fixture, started, i);
