serve: peers of a zone are counted in one place

Change: sv_peers_n_in_zone() serves both; sv_cells_has_alive() is called. No behaviour changes. Tests: 54 of 54 unit programs with sanitizers, scripts/check clean.

--- a/serve/cells.c
+++ b/serve/cells.c
@@ -47,20 +47,6 @@
   return cell->heard_at > 0 && knl_kernel_now (self->kernel) - cell->heard_at < CELL_SILENT;
 }
 
-/* Instances that the store's rows have named lately. */
-static guint
-n_listed (const SvPeers *self, const Cell *cell)
-{
-  GHashTableIter iter;
-  gpointer value;
-  guint n = 0;
-
-  g_hash_table_iter_init (&iter, self->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    n += g_strcmp0 (((const Peer *)value)->zone, cell->zone) == 0;
-  return n;
-}
-
 guint
 sv_cells_n_instances (const SvPeers *self)
 {
@@ -70,7 +56,12 @@
 
   g_hash_table_iter_init (&iter, self->cells);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    n += MAX (((const Cell *)value)->instances, n_listed (self, value));
+    {
+      const Cell *cell = value;
+
+      /* What its relay last told, or what the store's rows have named lately. */
+      n += MAX (cell->instances, sv_peers_n_in_zone (self, cell->zone));
+    }
   return n;
 }
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -48,7 +48,7 @@
 }
 
 guint
-sv_peers_n_in_cell (const SvPeers *self)
+sv_peers_n_in_zone (const SvPeers *self, const char *zone)
 {
   GHashTableIter iter;
   gpointer peer;
@@ -56,7 +56,7 @@
 
   g_hash_table_iter_init (&iter, self->peers);
   while (g_hash_table_iter_next (&iter, NULL, &peer))
-    n += sv_peer_is_in_cell (self, peer);
+    n += g_strcmp0 (((const Peer *)peer)->zone, zone) == 0;
   return n;
 }
 
@@ -114,7 +114,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &peer))
     drop_silent (self, peer);
   g_hash_table_foreach_remove (self->peers, is_forgotten, self);
-  self->n_in_cell = sv_peers_n_in_cell (self);
+  self->n_in_cell = sv_peers_n_in_zone (self, self->self.zone);
   if (self->beats++ % BEATS_A_WHOLE == 0)
     sv_peers_send_whole (self, NULL);
   else
@@ -327,7 +327,7 @@
     {
       const Peer *peer = value;
 
-      if (peer->ready && sv_peer_is_in_cell (self, peer) && sv_peer_is_alive (self, peer))
+      if (peer->ready && sv_cells_has_alive (self, peer))
         g_ptr_array_add (addresses, g_strdup (peer->callers_address));
     }
 }
@@ -374,7 +374,7 @@
 
   g_hash_table_iter_init (&iter, self->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    alive += sv_peer_is_in_cell (self, value) && sv_peer_is_alive (self, value);
+    alive += sv_cells_has_alive (self, value);
   return alive;
 }
 
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -147,8 +147,8 @@
 /** Adds the instance at that address; NULL: it is no address. */
 Peer *sv_peers_add (SvPeers *self, const char *link_address);
 
-/** Peers of our cell, alive or not. */
-guint sv_peers_n_in_cell (const SvPeers *self);
+/** Peers of that zone, alive or not. */
+guint sv_peers_n_in_zone (const SvPeers *self, const char *zone);
 
 /* peers_take.c */
 
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -361,7 +361,7 @@
 {
   const SvPeers *self = (const SvPeers *)link;
 
-  return 1 + sv_peers_n_in_cell (self) + sv_cells_n_instances (self);
+  return 1 + sv_peers_n_in_zone (self, self->self.zone) + sv_cells_n_instances (self);
 }
 
 const SvPeerLinkClass sv_peers_link_class = {
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -193,7 +193,7 @@
   datagram.endpoints = self->endpoints_revision;
   cell.id = self->cell;
   cell.described = TRUE;
-  cell.instances = 1 + sv_peers_n_in_cell (self);
+  cell.instances = 1 + sv_peers_n_in_zone (self, self->self.zone);
   cell.ready = ready;
   cell.n_ready = fill_ready (self, ready);
   datagram.cell = &cell;
