serve: engines kept for short streams are counted by the places that packing fills

A quarter of the short streams ran on engines that were taken for engines that run or read long prompts.

Change: both sides use one figure, the declared places less the three that stay free; the constant 13 goes. With 16 places nothing changes.

Test: engines with few places (sv_router), fails on the code before.

--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -5,11 +5,6 @@
 #include "serve/engine_model.h"
 #include "serve/router_internal.h"
 
-/* Streams with short pauses on one endpoint that packing aims at, and endpoints that it keeps free
- * beyond that for what comes before the next count. */
-#define PACKED_STREAMS 13.0
-#define PACKED_SPARE   0
-
 /* Of the endpoints, the part that is never packed. */
 #define UNPACKED_PART 0.12
 
@@ -137,7 +132,7 @@
 static double
 packed_streams (const SvChoice *choice)
 {
-  return choice->spec->slots > 0 ? MIN (PACKED_STREAMS, choice->spec->slots) : PACKED_STREAMS;
+  return MAX ((double)choice->spec->slots - SV_PACK_SPARE_SLOTS, 1);
 }
 
 /*
@@ -163,7 +158,7 @@
       if (candidate->load.writers[SV_PAUSE_TIGHT] == 0)
         tokens += (double)candidate->load.tokens;
     }
-  packed = (guint)ceil ((tight + 1) / packed_streams (choice)) + PACKED_SPARE;
+  packed = (guint)ceil ((tight + 1) / packed_streams (choice));
   packed = MIN (packed, choice->candidates->len - unpacked_least (choice));
   writing = (guint)ceil ((tokens + 1) / (WRITE_PART * (double)choice->spec->memory_tokens)) + 1;
   for (guint i = 0; i < choice->candidates->len && i < packed + writing; i++)
--- a/serve/place_short.c
+++ b/serve/place_short.c
@@ -12,9 +12,6 @@
 /* Part of a first event's objective that sending a short prompt across the border costs. */
 #define BORDER_PART 0.5
 
-/* Slots of an endpoint that packing leaves free for what other instances send meanwhile. */
-#define PACK_SPARE_SLOTS 3
-
 /* Time to the first event, and what speaks against the endpoint besides, in ms. */
 static double
 cost_of_packing (const SvChoice *choice, const SvCandidate *candidate)
@@ -22,7 +19,7 @@
   double cost = candidate->read_left + choice->read_ms + candidate->pass;
   double objective = (double)choice->demand->objective_left / KNL_MSEC;
 
-  if (candidate->load.calls + PACK_SPARE_SLOTS > choice->spec->slots
+  if (candidate->load.calls + SV_PACK_SPARE_SLOTS > choice->spec->slots
       || !sv_candidate_has_memory (choice, candidate))
     cost += candidate->pass * (1 + candidate->load.calls);
   if (candidate->role != SV_ROLE_PACKED)
--- a/serve/router_internal.h
+++ b/serve/router_internal.h
@@ -8,6 +8,9 @@
  * stretch a pass by less than its own length. */
 #define SV_SPLIT_MS 60.0
 
+/* Slots of an endpoint that packing leaves free for what other instances send meanwhile. */
+#define SV_PACK_SPARE_SLOTS 3
+
 /* What an endpoint is for at the moment, by its place in the order. */
 typedef enum
 {
--- a/tests/unit/sv_router_test.c
+++ b/tests/unit/sv_router_test.c
@@ -188,6 +188,41 @@
   fixture_close (&fixture);
 }
 
+/*
+ * Symptom: short streams pause beside long prompts on a fleet of small engines,
+ * while others run nothing.
+ * Sequence: engines have 12 places; nine short streams are put on each; a long
+ * prompt comes.
+ * Cause: the engines that are kept for short streams were counted with more
+ * streams on each than are put there, so that the last of them was taken for one
+ * that runs long prompts.
+ */
+static void
+test_engines_with_few_places (void)
+{
+  Fixture fixture;
+  SvService *service;
+  SvPlacement placement;
+
+  fixture_open (&fixture, ENGINES);
+  service = sv_config_add_service (fixture.config, "llm");
+  service->engine = spec;
+  service->engine.slots = 12;
+  fixture.service = service;
+  for (guint i = 0; i < 42; i++)
+    {
+      placement = place_short (&fixture);
+      start (&fixture, &placement);
+      knl_paused_clock_advance (fixture.clock, 60 * KNL_MSEC);
+    }
+  CU_ASSERT (engines_with_tight (&fixture) >= 5);
+  placement = place_long (&fixture, 150000);
+  CU_ASSERT_EQUAL (placement.first->own.writers[SV_PAUSE_TIGHT], 0);
+  for (guint i = 0; i < placement.n_helpers; i++)
+    CU_ASSERT_EQUAL (placement.helpers[i]->own.writers[SV_PAUSE_TIGHT], 0);
+  fixture_close (&fixture);
+}
+
 /*
  * Symptom: after a prompt was turned away, others wait for seconds though engines are idle.
  * Sequence: its reading was entered for the engines, and stays there.
@@ -434,6 +469,7 @@
 static const SuiteCase cases[] = {
   { "short streams leave engines free", test_short_streams_leave_engines_free },
   { "long prompts avoid short streams", test_long_prompts_avoid_short_streams },
+  { "engines with few places", test_engines_with_few_places },
   { "rejected reading is taken out", test_rejected_reading_is_taken_out },
   { "reading counts until it is over", test_reading_counts_until_it_is_over },
   { "a short prompt is read with its pass", test_short_prompt_is_read_with_its_pass },
