serve: short streams make way for long prompts that are to be read at their engine

Use of engines over time shows why the border alone can't mend it: when the phase of short prompts ends, 64 to 88 streams are left on 27 of 45 engines for seconds, with 20 to 30 engines needed for reading.

Change: an instance that hears of a read (its own or a peer's, 5 ms old) looks at its streams there. One that bears only short pauses, would pause for longer and may be resumed goes on at another engine within 30 ms, if a retry is left and its first event there comes inside the pause it bears; prompts are short, so reading again costs some 26 ms. serve/move.c decides, sv_request_take_loss() sends, so that attempts and the shared budget hold as for any retry.

Test: sv_move, six rows; fails without the bound on the pause, and without the check of what is read.

--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -125,9 +125,15 @@
 /** A prompt that is being read; `read->length` is what is left of each part. */
 typedef void (*SvFleetReadFunc) (const SvRead *read, const guint64 *keys, guint n, gpointer data);
 
+/** Has `func` told of each prompt that is to be read, by whoever placed it; NULL: nobody. */
+void sv_fleet_on_read (SvFleet *fleet, SvFleetReadFunc func, gpointer data);
+
 /** Names all prompts that are being read and whose end will be told. */
 void sv_fleet_each_read (SvFleet *fleet, SvFleetReadFunc func, gpointer data);
 
+/** Streams of all kinds. */
+guint sv_load_writers (const SvLoad *load);
+
 SvEndpoint *sv_endpoint_ref (SvEndpoint *endpoint);
 void sv_endpoint_unref (SvEndpoint *endpoint);
 
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -77,6 +77,7 @@
 {
   knl_timer_stop (self->core->parts.kernel, &self->watch_timer);
   knl_timer_stop (self->core->parts.kernel, &self->defer_timer);
+  knl_timer_stop (self->core->parts.kernel, &self->move_timer);
   drop_reservation (self);
   if (self->exchange == NULL)
     return;
@@ -115,6 +116,7 @@
   self->answer = NULL;
   drop_reservation (self);
   knl_timer_stop (self->core->parts.kernel, &self->watch_timer);
+  knl_timer_stop (self->core->parts.kernel, &self->move_timer);
   sv_request_end_read (self);
   sv_request_charge (self, -1);
   sv_meters_note_send (self->core->meters, self->service->name, result);
--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -27,16 +27,6 @@
          && g_ptr_array_find ((GPtrArray *)demand->excluded, endpoint, NULL);
 }
 
-guint
-sv_load_writers (const SvLoad *load)
-{
-  guint sum = 0;
-
-  for (guint i = 0; i < SV_N_PAUSES; i++)
-    sum += load->writers[i];
-  return sum;
-}
-
 static void
 describe (const SvDemand *demand, SvEndpoint *endpoint, KnlTime now, SvCandidate *candidate)
 {
--- a/serve/core.c
+++ b/serve/core.c
@@ -28,6 +28,7 @@
   self->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->suspects = pol_suspects_new (parts->kernel, &suspect_rule);
   self->meters = sv_meters_new (parts->metrics);
+  sv_fleet_on_read (parts->fleet, sv_core_note_read, self);
   return self;
 }
 
@@ -52,6 +53,7 @@
 {
   if (self == NULL)
     return;
+  sv_fleet_on_read (self->parts.fleet, NULL, NULL);
   end_each (self, sv_request_gone);
   sv_meters_free (self->meters);
   pol_suspects_free (self->suspects);
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -50,6 +50,7 @@
   KnlTime sent_at;
   KnlTimerId watch_timer;
   KnlTimerId defer_timer;
+  KnlTimerId move_timer; /* when it is to make way */
   KnlTimerId hold_timer; /* of memory that is set aside and not used */
   HtMessage *answer;     /* its head has come; owned by the exchange */
   SvReply reply;
@@ -89,6 +90,15 @@
 /** Sends the request to an endpoint, or ends it. */
 void sv_request_send (SvRequest *self);
 
+/** Where the request would go if it left `endpoint`; nothing changes. FALSE: nowhere. */
+gboolean
+sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement);
+
+/* move.c */
+
+/** A prompt is to be read at endpoints with these keys; `data` is the core. */
+void sv_core_note_read (const SvRead *read, const guint64 *keys, guint n, gpointer data);
+
 /* attempt.c */
 
 /** What becomes of the exchange with an endpoint; its data is the request. */
--- a/serve/endpoint.c
+++ b/serve/endpoint.c
@@ -30,6 +30,16 @@
 /* How long an endpoint's own report of its load is used. */
 #define REPORT_LIFE (200 * KNL_MSEC)
 
+guint
+sv_load_writers (const SvLoad *load)
+{
+  guint sum = 0;
+
+  for (guint i = 0; i < SV_N_PAUSES; i++)
+    sum += load->writers[i];
+  return sum;
+}
+
 SvEndpoint *
 sv_endpoint_ref (SvEndpoint *self)
 {
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -36,6 +36,8 @@
   GHashTable *unlisted; /* ids that the list being read has not named yet */
   SvReplacedFunc on_replaced;
   gpointer on_replaced_data;
+  SvFleetReadFunc on_read;
+  gpointer on_read_data;
 };
 
 SvFleet *
@@ -292,6 +294,15 @@
         sv_reads_add (&endpoint->reads, read, now);
     }
   keep_readers (self, read->prompt, keys, n);
+  if (self->on_read != NULL)
+    self->on_read (read, keys, n, self->on_read_data);
+}
+
+void
+sv_fleet_on_read (SvFleet *self, SvFleetReadFunc func, gpointer data)
+{
+  self->on_read = func;
+  self->on_read_data = data;
 }
 
 void
--- /dev/null
+++ b/serve/move.c
@@ -0,0 +1,102 @@
+/**
+ * Streams with short pauses make way for long prompts that are to be read at
+ * their engine: they go on at another one, for what reading a short prompt again
+ * costs there. A border between short and long can't do that alone: when short
+ * prompts become fewer, streams are left over on engines that long ones need.
+ */
+
+#include "common/log.h"
+#include "serve/core_internal.h"
+#include "serve/engine_model.h"
+
+/* All streams of an engine hear of a read at the same moment, and would choose the same engine to
+ * go to; what one chooses is known to the others after some 5 ms. */
+#define MOVE_SPREAD (30 * KNL_MSEC)
+
+/* A pause is taken for late from this part of what the stream bears. */
+#define LATE_PART 0.9
+
+/* The pass that reads the new part, with all that is read in it. */
+static KnlTime
+pause_here (const SvRequest *self)
+{
+  SvEndpoint *endpoint = self->placement.first;
+  KnlTime now = sv_request_now (self);
+  SvLoad load = sv_endpoint_load (endpoint, now);
+  double pass =
+      sv_model_pass_ms (&self->service->engine, sv_load_writers (&load), (double)load.tokens);
+
+  return sv_endpoint_read_left (endpoint, now) + (KnlTime)(pass * KNL_MSEC);
+}
+
+static KnlTime
+bearable (const SvRequest *self)
+{
+  return (KnlTime)(LATE_PART * (double)self->route->gap_objective);
+}
+
+/* One that has paused for too long already has nothing to gain. */
+static gboolean
+may_move (const SvRequest *self)
+{
+  return self->exchange != NULL && self->event_at > 0 && self->route->resumable
+         && sv_pause_of (self->route->gap_objective) == SV_PAUSE_TIGHT
+         && self->longest_gap <= self->route->gap_objective
+         && self->runs + 1 < self->route->max_attempts && sv_service_is_engine (self->service)
+         && pause_here (self) > bearable (self);
+}
+
+static void
+on_move_due (gpointer data)
+{
+  SvRequest *self = data;
+  SvPlacement placement;
+  KnlTime paused;
+
+  self->move_timer = 0;
+  if (!may_move (self) || !sv_request_retry_left (self))
+    return;
+  paused = sv_request_now (self) - self->event_at;
+  if (!sv_request_try_place (self, self->placement.first, &placement)
+      || paused + placement.expected > bearable (self))
+    return;
+  cm_log (CM_LOG_INFO, "stream-moved", "s", "request", self->ask.id, "s", "endpoint",
+          self->placement.first->id, "s", "to", placement.first->id, "i", "paused-us", paused, "i",
+          "pause-here-us", pause_here (self), "i", "expected-us", placement.expected);
+  sv_request_stop_send (self);
+  sv_request_take_loss (self, "made-way", TRUE);
+}
+
+static gboolean
+is_read_at (const SvRequest *self, const guint64 *keys, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      if (self->placement.first != NULL && self->placement.first->key == keys[i])
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+sv_core_note_read (const SvRead *read, const guint64 *keys, guint n, gpointer data)
+{
+  SvCore *self = data;
+  KnlKernel *kernel = self->parts.kernel;
+  GHashTableIter iter;
+  gpointer key;
+
+  if (!read->until_told)
+    return;
+  g_hash_table_iter_init (&iter, self->requests);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      SvRequest *request = key;
+
+      if (request->move_timer != 0 || !is_read_at (request, keys, n) || !may_move (request))
+        continue;
+      request->move_timer =
+          knl_timer_start (kernel, g_rand_int_range (knl_kernel_rand (kernel), 0, MOVE_SPREAD),
+                           on_move_due, request);
+    }
+}
--- a/serve/router_internal.h
+++ b/serve/router_internal.h
@@ -51,9 +51,6 @@
 
 SvCandidate *sv_candidate_at (const SvChoice *choice, guint index);
 
-/** Streams of all kinds. */
-guint sv_load_writers (const SvLoad *load);
-
 /** Whether it has room for all of the prompt and its answer. */
 gboolean sv_candidate_has_memory (const SvChoice *choice, const SvCandidate *candidate);
 
--- a/serve/send.c
+++ b/serve/send.c
@@ -109,7 +109,7 @@
 }
 
 static gboolean
-place (SvRequest *self)
+find_place (SvRequest *self, const GPtrArray *excluded, SvPlacement *placement)
 {
   SvCore *core = self->core;
   KnlTime now = sv_request_now (self);
@@ -122,10 +122,17 @@
     .objective_left = MAX (self->begun_at + self->route->objective - now, 0),
     .gap_objective = self->route->gap_objective,
     .seed = XXH64 (self->ask.id, strlen (self->ask.id), self->offers),
-    .excluded = self->excluded,
+    .excluded = excluded,
   };
+
+  return sv_router_place (core->parts.fleet, &demand, now, placement);
+}
+
+static gboolean
+place (SvRequest *self)
+{
   SvPlacement before = self->placement;
-  gboolean placed = sv_router_place (core->parts.fleet, &demand, now, &self->placement);
+  gboolean placed = find_place (self, self->excluded, &self->placement);
 
   if (placed)
     sv_placement_ref (&self->placement);
@@ -133,6 +140,16 @@
   return placed;
 }
 
+gboolean
+sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement)
+{
+  g_autoptr (GPtrArray) excluded = g_ptr_array_copy (self->excluded, NULL, NULL);
+
+  g_ptr_array_set_free_func (excluded, NULL);
+  g_ptr_array_add (excluded, endpoint);
+  return find_place (self, excluded, placement) && !placement->is_full;
+}
+
 /* A caller that was refused comes back with less time than the route allows. */
 static gboolean
 is_first_try (const SvRequest *self)
--- /dev/null
+++ b/tests/unit/sv_move_test.c
@@ -0,0 +1,145 @@
+/** Streams that leave an engine at which a long prompt is to be read. */
+
+#include <string.h>
+
+#include "suite.h"
+#include "sv_fixture.h"
+
+#define PROMPT_TOKENS 5000
+#define SETTLE_TURNS  20
+
+static const SvEngineSpec spec = {
+  .slots = 16,
+  .memory_tokens = 300000,
+  .stride = 50,
+  .step_ms = 1,
+  .read_tokens_per_ms = 180,
+  .pair_ms_per_m = 0.18,
+  .chunk = 2048,
+  .usual_prompt = 10000,
+  .usual_answer = 1000,
+};
+
+/* Two events, and the stream goes on. */
+static const ScriptedAnswer begun[] = { { "HTTP/1.1 200 OK\r\n" SIGNED
+                                          "Transfer-Encoding: chunked\r\n\r\n"
+                                          "1e\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n\r\n",
+                                          FALSE } };
+
+typedef struct
+{
+  const char *name;
+  KnlTime part;        /* of the prompt that is to be read */
+  gboolean elsewhere;  /* at another engine */
+  gboolean until_told; /* it is read in parts by several */
+  guint n_endpoints;
+  gboolean no_retries;
+  gboolean moves;
+} Row;
+
+/*
+ * Symptom: short streams pause for a second beside long prompts, while other
+ * engines have room.
+ * Sequence: a stream has begun; another instance has a long prompt read at its
+ * engine.
+ * Cause: the stream stayed where each pass takes as long as the part.
+ */
+static const Row rows[] = {
+  { "a long part", 900 * KNL_MSEC, FALSE, TRUE, 2, FALSE, TRUE },
+  { "a part that it bears", 100 * KNL_MSEC, FALSE, TRUE, 2, FALSE, FALSE },
+  { "a long part elsewhere", 900 * KNL_MSEC, TRUE, TRUE, 2, FALSE, FALSE },
+  { "a short prompt", 900 * KNL_MSEC, FALSE, FALSE, 2, FALSE, FALSE },
+  { "nowhere to go", 900 * KNL_MSEC, FALSE, TRUE, 1, FALSE, FALSE },
+  { "no retry is left", 900 * KNL_MSEC, FALSE, TRUE, 2, TRUE, FALSE },
+};
+
+static void
+settle (SvFixture *fixture)
+{
+  for (guint i = 0; i < SETTLE_TURNS; i++)
+    event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+}
+
+static SvEndpoint *
+endpoint_of (const SvFixture *fixture, guint index)
+{
+  const GPtrArray *all = sv_fleet_all (fixture->fleet);
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (all, i);
+
+      if (strcmp (endpoint->address, scripted_endpoint_address (fixture->endpoints[index])) == 0)
+        return endpoint;
+    }
+  return NULL;
+}
+
+/* The endpoint that the caller's stream comes from. */
+static guint
+runner_of (const SvFixture *fixture)
+{
+  return scripted_endpoint_n_requests (fixture->endpoints[0]) > 0 ? 0 : 1;
+}
+
+static guint
+count_of (const GString *text, const char *part)
+{
+  guint n = 0;
+
+  for (const char *at = strstr (text->str, part); at != NULL; at = strstr (at + 1, part))
+    n++;
+  return n;
+}
+
+static void
+check_row (const Row *row)
+{
+  static const SvBounds no_retries = { .key_withdrawal = 10 * KNL_SEC,
+                                       .new_config = 5 * KNL_SEC,
+                                       .grace = 8 * KNL_SEC,
+                                       .retries = { .window = 10 * KNL_SEC } };
+  SvRead read = { .prompt = 7, .length = row->part, .until_told = row->until_told };
+  SvFixture fixture;
+  guint runner;
+  guint reader;
+
+  sv_fixture_open (&fixture);
+  if (row->no_retries)
+    sv_core_set_bounds (fixture.core, &no_retries);
+  sv_fixture_use_engines (&fixture, 1, &spec);
+  for (guint i = 0; i < row->n_endpoints; i++)
+    sv_fixture_add_endpoint (&fixture, begun, 1);
+  sv_fixture_ask_prompt (&fixture, "/stream/1", PROMPT_TOKENS);
+  sv_fixture_wait_for (&fixture, "id: 2");
+  runner = runner_of (&fixture);
+  reader = row->elsewhere ? 1 - runner : runner;
+  sv_fleet_add_read (fixture.fleet, &read, &endpoint_of (&fixture, reader)->key, 1);
+  knl_paused_clock_advance (fixture.clock, 40 * KNL_MSEC);
+  settle (&fixture);
+  if ((sv_fixture_all_requests (&fixture) == 2) != row->moves)
+    printf ("\n  %s: %u requests", row->name, sv_fixture_all_requests (&fixture));
+  CU_ASSERT_EQUAL (sv_fixture_all_requests (&fixture), row->moves ? 2 : 1);
+  CU_ASSERT_EQUAL (scripted_endpoint_n_ended (fixture.endpoints[runner]), row->moves ? 1 : 0);
+  if (row->moves)
+    CU_ASSERT_STRING_EQUAL (
+        scripted_endpoint_field (fixture.endpoints[1 - runner], "last-event-id"), "2");
+  /* One answer, each event once. */
+  CU_ASSERT_EQUAL (count_of (fixture.got, "HTTP/1.1 200"), 1);
+  CU_ASSERT_EQUAL (count_of (fixture.got, "id: 1\n"), 1);
+  CU_ASSERT_EQUAL (count_of (fixture.got, "id: 2\n"), 1);
+  sv_fixture_close (&fixture);
+}
+
+static void
+test_streams_make_way (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    check_row (&rows[i]);
+}
+
+static const SuiteCase cases[] = {
+  { "streams make way", test_streams_make_way },
+};
+
+SUITE_MAIN ("sv_move", cases)
