--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -91,8 +91,7 @@
 void sv_request_send (SvRequest *self);
 
 /** Where the request would go if it left `endpoint`; nothing changes. FALSE: nowhere. */
-gboolean
-sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement);
+gboolean sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement);
 
 /* move.c */
 
