platform, http: pages of a list that is being read are no changes yet; a refused connection is not busy

In http/server.c a connection whose request was refused unread counted as busy until its caller closed, two seconds at most, which held a drain up.

--- a/http/server.c
+++ b/http/server.c
@@ -169,6 +169,7 @@
       "HTTP/1.1 %u %s\r\n%sContent-Length: %" G_GSIZE_FORMAT "\r\nConnection: close\r\n\r\n",
       status, http_status_str ((enum http_status)status), fields->str, body->len);
 
+  self->reading = FALSE;
   write_text (self, head, strlen (head));
   write_text (self, body->str, body->len);
   g_string_free (body, TRUE);
--- a/tests/unit/pl_mirror_test.c
+++ b/tests/unit/pl_mirror_test.c
@@ -5,6 +5,7 @@
 
 #include "kernel/paused.h"
 #include "platform/mirror.h"
+#include "platform/rows.h"
 #include "suite.h"
 #include "tests/fakes/row_store.h"
 
@@ -298,7 +299,44 @@
   fixture_close (&fixture);
 }
 
+static void
+put_row (PlRows *rows, const char *key, guint64 version)
+{
+  g_autofree char *text = g_strdup_printf ("{\"key\":\"%s\"}", key);
+  PlAnswerRow row = { .key = (char *)key,
+                      .version = version,
+                      .text = g_bytes_new (text, strlen (text)) };
+
+  pl_rows_put (rows, &row);
+  g_bytes_unref (row.text);
+}
+
+/*
+ * Symptom: all of a cell ask the same instance hundreds of times a second.
+ * Sequence: it reads a list of several pages anew; the first ones have rows that
+ * the askers don't know.
+ * Cause: rows that have come, and are not passed on before the last page, were
+ * taken for changes to answer with.
+ */
+static void
+test_pages_of_a_list (void)
+{
+  PlRows *rows = pl_rows_new ();
+
+  put_row (rows, "a", 3);
+  pl_rows_set_version (rows, 3);
+  CU_ASSERT_TRUE (pl_rows_changed (rows, 2));
+  pl_rows_begin_list (rows);
+  put_row (rows, "b", 9);
+  CU_ASSERT_FALSE (pl_rows_changed (rows, 3));
+  pl_rows_end_list (rows, 9);
+  CU_ASSERT_TRUE (pl_rows_changed (rows, 3));
+  CU_ASSERT_FALSE (pl_rows_changed (rows, 9));
+  pl_rows_free (rows);
+}
+
 static const SuiteCase cases[] = {
+  { "pages of a list", test_pages_of_a_list },
   { "changes are passed on", test_changes_are_passed_on },
   { "a new list is passed on as changes", test_a_new_list_is_passed_on_as_changes },
   { "an asker may know more", test_an_asker_may_know_more },
