--- a/bench/gateway_cost.c
+++ b/bench/gateway_cost.c
@@ -7,6 +7,7 @@
 
 #include "platform/config_decoder.h"
 #include "platform/store.h"
+#include "tests/fakes/config_answer.h"
 #include "wire/datagram.pb-c.h"
 
 #define ROUNDS 50
@@ -23,30 +24,6 @@
   return (double)now.tv_sec * 1e6 + (double)now.tv_nsec / 1e3;
 }
 
-/* One route is another than with a different `changed`. */
-static char *
-config_answer (guint n_routes, guint changed)
-{
-  g_autoptr (GString) text = g_string_new ("");
-  g_autofree char *value = NULL;
-
-  g_string_printf (text, "{\"version\":%u,\"routes\":[", changed);
-  for (guint i = 0; i < n_routes; i++)
-    g_string_append_printf (
-        text,
-        "%s{\"name\":\"r-%u\",\"hostname\":\"h%u.example\",\"prefix\":\"/p%u/\","
-        "\"routeKind\":\"streaming\",\"timeoutMs\":%u,\"targetLatencyMs\":300,\"priority\":1,"
-        "\"service\":\"s\",\"maxAttempts\":2,\"public\":false,\"sticky\":true,\"resumable\":true,"
-        "\"gapAimMs\":250}",
-        i > 0 ? "," : "", i, i % 7, i, i == n_routes / 2 ? 10000 + changed : 10000);
-  g_string_append (text, "],\"services\":[{\"name\":\"s\"}],\"limits\":{},\"tenants\":[]}");
-  value = g_base64_encode ((const guchar *)text->str, text->len);
-  return g_strdup_printf (
-      "{\"rows\":[{\"table\":\"op\",\"part\":\"\",\"key\":\"config\",\"value\":\"%s\",\"ver\":9}],"
-      "\"ver\":9}",
-      value);
-}
-
 /* Processor time of taking answers in, in microseconds. */
 typedef struct
 {
@@ -105,8 +82,8 @@
 static void
 measure_config (guint n_routes)
 {
-  g_autofree char *answer = config_answer (n_routes, 7);
-  g_autofree char *changed = config_answer (n_routes, 8);
+  g_autofree char *answer = fk_config_answer (n_routes, 7);
+  g_autofree char *changed = fk_config_answer (n_routes, 8);
   gsize length = strlen (answer);
   PlConfigDecoder *decoder = pl_config_decoder_new ();
   Cost first = { 0 };
