platform, serve, policy: limits that endpoints name are decoded and logged

Logs and metrics could not tell whether an endpoint's limit is not read at all, or kept by each instance for itself alone: no line named one. The adapter decodes the field into SvReply.limit (a decimal number that is not negative; anything else names no limit), the endpoint keeps it with the time of its newest word, endpoint-limit is logged at each change, request-sent has the limit known, and alderturn_limited_sends_total counts. Only an answer with the endpoint's signature ends a limit. Nothing decides by it yet.

--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -54,6 +54,8 @@
   gboolean is_encoded;  /**< the body is not the endpoint's own bytes */
   gint in_service;      /**< requests that the endpoint runs or has waiting; -1: not said */
   const char *at_fault; /**< address of the endpoint that made it fail; NULL: not said */
+  double limit;         /**< requests a second that the endpoint takes from all callers together;
+                             POL_NO_LIMIT: any number */
 } SvReply;
 
 /** Sets memory of an endpoint aside, or gives it back. */
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -10,6 +10,7 @@
 #include "kernel/kernel.h"
 #include "policy/belief.h"
 #include "policy/health.h"
+#include "policy/limit.h"
 #include "serve/config.h"
 #include "serve/reads.h"
 
@@ -70,6 +71,7 @@
   PolHealth health;     /**< by our own requests there */
   PolBelief belief;     /**< by what all instances tell of it */
   PolHealth helping;    /**< by our prompts that it was to read parts of for others */
+  PolLimit limit;       /**< by its own word */
 } SvEndpoint;
 
 /** What the platform's list says of an endpoint. */
--- a/include/serve/meters.h
+++ b/include/serve/meters.h
@@ -25,5 +25,8 @@
 /** A send to an endpoint, by how it ended. */
 void sv_meters_note_send (SvMeters *meters, const char *service, const char *result);
 
+/** A send to an endpoint that names a limit. */
+void sv_meters_note_limited_send (SvMeters *meters, const char *service);
+
 /** What the model expected of a first event, and what was seen. */
 void sv_meters_note_prediction (SvMeters *meters, KnlTime expected, KnlTime seen);
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -212,6 +212,21 @@
   link->klass->suspect (link, self->fingerprint);
 }
 
+/* Only an answer with its signature is the endpoint's word that it needs a limit no more. */
+static void
+note_limit (SvRequest *self)
+{
+  SvEndpoint *endpoint = self->placement.first;
+  double before = endpoint->limit.rate;
+
+  if (self->reply.limit < 0 && !self->reply.is_signed)
+    return;
+  if (!pol_limit_set (&endpoint->limit, self->reply.limit, self->last_at))
+    return;
+  cm_log (CM_LOG_NOTICE, "endpoint-limit", "s", "endpoint", endpoint->id, "s", "request",
+          self->ask.id, "f", "requests-a-second", endpoint->limit.rate, "f", "before", before);
+}
+
 static HtHeadVerdict
 on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
@@ -230,6 +245,7 @@
   if (self->reply.in_service >= 0)
     sv_endpoint_note_report (self->placement.first, (guint)self->reply.in_service, self->last_at);
   self->placement.first->heard_at = self->last_at;
+  note_limit (self);
   if (sv_request_is_streaming (self) && self->fields == NULL)
     self->fields = dialect->klass->write_reply (dialect, answer);
   return HT_HEAD_TAKE;
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -107,6 +107,7 @@
   /* With the start in it, what peers tell of an earlier start is not taken for this one's. */
   endpoint->key = XXH64 (entry->id, strlen (entry->id), entry->start);
   sv_reads_init (&endpoint->reads);
+  pol_limit_init (&endpoint->limit);
   endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
   if (service == NULL)
     {
--- a/serve/meters.c
+++ b/serve/meters.c
@@ -30,6 +30,13 @@
   .labels = { "service", "result" },
 };
 
+static const CmMetricDef limited_def = {
+  .name = "alderturn_limited_sends_total",
+  .help = "Requests sent to endpoints that name a limit",
+  .type = CM_METRIC_COUNTER,
+  .labels = { "service" },
+};
+
 static const CmMetricDef late_def = {
   .name = "alderturn_first_event_error_seconds",
   .help = "Distance between the expected and the seen time to the first event",
@@ -44,6 +51,7 @@
   CmMetric *first;
   CmMetric *total;
   CmMetric *sends;
+  CmMetric *limited;
   CmMetric *late;
 };
 
@@ -56,6 +64,7 @@
   self->first = cm_metrics_add (metrics, &first_def);
   self->total = cm_metrics_add (metrics, &total_def);
   self->sends = cm_metrics_add (metrics, &sends_def);
+  self->limited = cm_metrics_add (metrics, &limited_def);
   self->late = cm_metrics_add (metrics, &late_def);
   return self;
 }
@@ -86,6 +95,12 @@
   cm_series_add (cm_metric_series (self->sends, service, result, NULL), 1);
 }
 
+void
+sv_meters_note_limited_send (SvMeters *self, const char *service)
+{
+  cm_series_add (cm_metric_series (self->limited, service, NULL, NULL), 1);
+}
+
 void
 sv_meters_note_prediction (SvMeters *self, KnlTime expected, KnlTime seen)
 {
--- a/serve/send.c
+++ b/serve/send.c
@@ -242,15 +242,19 @@
   const SvEndpoint *endpoint = placement->first;
   SvLoad load = sv_endpoint_load (endpoint, self->sent_at);
   g_autoptr (GString) helpers = g_string_new (NULL);
+  g_autofree char *limit = NULL;
 
   for (guint i = 0; i < placement->n_helpers; i++)
     g_string_append_printf (helpers, "%s%s", i > 0 ? "," : "", placement->helpers[i]->id);
+  if (pol_limit_is_named (&endpoint->limit))
+    limit = g_strdup_printf ("%.2f", endpoint->limit.rate);
   cm_log (CM_LOG_INFO, "request-sent", "s", "request", self->ask.id, "s", "endpoint", endpoint->id,
           "s", "helpers", helpers->str, "i", "send", (gint64)self->offers, "i", "prompt-tokens",
           (gint64)self->ask.prompt_tokens, "i", "waited-us", self->sent_at - self->begun_at, "i",
           "part-us", placement->part, "i", "expected-us", placement->expected, "i", "backlog-us",
           placement->backlog, "i", "endpoint-calls", (gint64)load.calls, "i", "endpoint-tokens",
-          (gint64)load.tokens, "b", "reserved", self->reservation != NULL);
+          (gint64)load.tokens, "s", "endpoint-limit", limit, "b", "reserved",
+          self->reservation != NULL);
 }
 
 /* Puts the request on its way; it is placed, and has the memory that it needs. */
@@ -269,6 +273,8 @@
       last_event = resumed;
     }
   log_send (self);
+  if (pol_limit_is_named (&self->placement.first->limit))
+    sv_meters_note_limited_send (self->core->meters, self->service->name);
   sv_request_charge (self, 1);
   head = write_head (self, last_event);
   start_exchange (self, head);
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -395,6 +395,40 @@
   pl_dialect_free (dialect);
 }
 
+static void
+test_limits (void)
+{
+  static const struct
+  {
+    const char *value; /* NULL: the answer has no such field */
+    double limit;
+  } rows[] = {
+    { "2.5", 2.5 },
+    { "0", 0 },
+    { "40", 40 },
+    { NULL, POL_NO_LIMIT },
+    { "", POL_NO_LIMIT },
+    { "-1", POL_NO_LIMIT },
+    { "2x", POL_NO_LIMIT },
+    { "inf", POL_NO_LIMIT },
+    { "nan", POL_NO_LIMIT },
+  };
+  SvDialect *dialect = pl_dialect_new ();
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autoptr (HtMessage) answer = ht_message_new ();
+      SvReply reply;
+
+      answer->status = 200;
+      if (rows[i].value != NULL)
+        ht_message_add (answer, "Server-Limit", rows[i].value);
+      dialect->klass->read_reply (dialect, answer, &reply);
+      CU_ASSERT_EQUAL (reply.limit, rows[i].limit);
+    }
+  pl_dialect_free (dialect);
+}
+
 static const SuiteCase cases[] = {
   { "a configuration in pieces", test_config_in_pieces },
   { "unchanged routes are taken over", test_unchanged_routes_are_taken_over },
@@ -406,6 +440,7 @@
   { "settings are found wrong all at once", test_settings_findings },
   { "forwarded fields", test_forwarded_fields },
   { "what an answer says", test_replies },
+  { "limits that answers name", test_limits },
 };
 
 SUITE_MAIN ("pl_decode", cases)
