--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -194,6 +194,10 @@
 /** It has read its part of a prompt. */
 void sv_endpoint_note_help (SvEndpoint *endpoint);
 
+/** It has named how many requests a second it takes from all instances; POL_NO_LIMIT: any number.
+ * TRUE: that has changed. */
+gboolean sv_endpoint_note_limit (SvEndpoint *endpoint, double rate, KnlTime now);
+
 /** An answer that reports a failure of the endpoint's own. */
 void sv_endpoint_note_error (SvEndpoint *endpoint, KnlTime now);
 
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -221,7 +221,7 @@
 
   if (self->reply.limit < 0 && !self->reply.is_signed)
     return;
-  if (!pol_limit_set (&endpoint->limit, self->reply.limit, self->last_at))
+  if (!sv_endpoint_note_limit (endpoint, self->reply.limit, self->last_at))
     return;
   cm_log (CM_LOG_NOTICE, "endpoint-limit", "s", "endpoint", endpoint->id, "s", "request",
           self->ask.id, "f", "requests-a-second", endpoint->limit.rate, "f", "before", before);
--- a/serve/endpoint.c
+++ b/serve/endpoint.c
@@ -266,6 +266,12 @@
   return self->belief.rests > 0 && self->own.calls + self->others.calls > 0;
 }
 
+gboolean
+sv_endpoint_note_limit (SvEndpoint *self, double rate, KnlTime now)
+{
+  return pol_limit_set (&self->limit, rate, now);
+}
+
 void
 sv_endpoint_note_error (SvEndpoint *self, KnlTime now)
 {
--- /dev/null
+++ b/tests/unit/sv_limit_kept_test.c
@@ -0,0 +1,176 @@
+/** What endpoints that name a limit get, from one instance and from many. */
+
+#include "peers_fixture.h"
+#include "serve/router.h"
+#include "suite.h"
+#include "sv_fixture.h"
+
+/* What the endpoint names, in requests a second, and what it may get in a span: half as much again
+ * and some. */
+#define RATE      2.0
+#define SPAN      (4 * KNL_SEC)
+#define SPAN_MOST ((guint)(1.5 * RATE * SPAN / KNL_SEC) + 5)
+
+/* Less than this in a span, and the endpoint's own capacity lies idle beside callers that want it.
+ */
+#define SPAN_LEAST ((guint)(0.5 * RATE * SPAN / KNL_SEC))
+
+#define ANSWER(fields) "HTTP/1.1 200 OK\r\n" SIGNED fields "Content-Length: 4\r\n\r\ngood"
+
+static const ScriptedAnswer good = { ANSWER (""), FALSE };
+static const ScriptedAnswer limited = { ANSWER ("Server-Limit: 2.0\r\n"), FALSE };
+
+/* Guards against an instance that passes a limit on to its caller and goes on as before. */
+static void
+test_one_instance_keeps_a_limit (void)
+{
+  guint n = 0;
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  sv_fixture_add_endpoint (&fixture, &limited, 1);
+  sv_fixture_add_endpoint (&fixture, &good, 1);
+  for (KnlTime at = 0; at < SPAN; at += 100 * KNL_MSEC)
+    {
+      sv_fixture_ask (&fixture, n++ % 2 == 0 ? "/again/1" : "/once/1");
+      sv_fixture_wait_for (&fixture, "good");
+      knl_paused_clock_advance (fixture.clock, 100 * KNL_MSEC);
+      sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+    }
+  CU_ASSERT_EQUAL (sv_fixture_all_requests (&fixture), n);
+  CU_ASSERT (scripted_endpoint_n_requests (fixture.endpoints[0]) <= SPAN_MOST);
+  CU_ASSERT (scripted_endpoint_n_requests (fixture.endpoints[0]) >= SPAN_LEAST);
+  sv_fixture_close (&fixture);
+}
+
+#define INSTANCES 6
+
+/* Requests come this often to one of the instances, and each takes so long at its endpoint. */
+#define CALL_INTERVAL (20 * KNL_MSEC)
+#define CALL_STEPS    2
+
+static const char *const zones[INSTANCES] = { "a", "a", "a", "b", "b", "b" };
+
+typedef struct
+{
+  PeersFixture peers;
+  SvConfig *config;
+  GArray *arrivals;                /* KnlTime, at the endpoint that names a limit */
+  SvEndpoint *running[CALL_STEPS]; /* where the newest requests are; NULL: nowhere */
+  guint sender[CALL_STEPS];        /* the instance of each */
+  guint n_calls;
+} Many;
+
+static void
+many_open (Many *self, guint n_endpoints)
+{
+  *self = (Many){ .config = sv_config_new (1),
+                  .arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)) };
+  sv_config_add_service (self->config, "s");
+  sv_config_seal (self->config);
+  peers_fixture_open (&self->peers, zones, INSTANCES, n_endpoints);
+  peers_fixture_meet (&self->peers);
+}
+
+static void
+many_close (Many *self)
+{
+  peers_fixture_close (&self->peers);
+  sv_config_unref (self->config);
+  g_array_unref (self->arrivals);
+}
+
+/* The endpoint answers instance `i`, and names `rate`. */
+static void
+many_name (Many *self, guint i, double rate)
+{
+  SvEndpoint *endpoint = peers_fixture_endpoint (&self->peers, i);
+
+  sv_endpoint_note_limit (endpoint, rate, knl_kernel_now (self->peers.kernel));
+  sv_peers_link (self->peers.peers[i])->klass->load_changed (sv_peers_link (self->peers.peers[i]));
+}
+
+static void
+many_charge (Many *self, guint i, SvEndpoint *endpoint, gint sign)
+{
+  static const SvLoad load = { .calls = 1 };
+  SvPeerLink *link = sv_peers_link (self->peers.peers[i]);
+
+  sv_endpoint_charge (endpoint, &load, sign);
+  link->klass->load_changed (link);
+}
+
+/* A request comes to an instance; one that came before has been answered. */
+static void
+many_call (Many *self)
+{
+  guint i = self->n_calls % INSTANCES;
+  guint slot = self->n_calls++ % CALL_STEPS;
+  KnlTime now = knl_kernel_now (self->peers.kernel);
+  SvDemand demand = { .config = self->config,
+                      .service = sv_config_service (self->config, "s"),
+                      .zone = zones[i] };
+  SvPlacement placement;
+
+  if (self->running[slot] != NULL)
+    many_charge (self, self->sender[slot], self->running[slot], -1);
+  self->running[slot] = NULL;
+  if (!sv_router_place (self->peers.fleets[i], &demand, now, &placement))
+    return;
+  many_charge (self, i, placement.first, 1);
+  self->running[slot] = placement.first;
+  self->sender[slot] = i;
+  if (placement.first == peers_fixture_endpoint (&self->peers, i))
+    g_array_append_val (self->arrivals, now);
+}
+
+static void
+many_run (Many *self, KnlTime time)
+{
+  for (KnlTime passed = 0; passed < time; passed += CALL_INTERVAL)
+    {
+      many_call (self);
+      peers_fixture_pass (&self->peers, CALL_INTERVAL);
+    }
+}
+
+/* Arrivals in the span that has most of them. */
+static guint
+many_most_in_a_span (const Many *self)
+{
+  guint most = 0;
+  guint from = 0;
+
+  for (guint i = 0; i < self->arrivals->len; i++)
+    {
+      while (g_array_index (self->arrivals, KnlTime, i)
+                 - g_array_index (self->arrivals, KnlTime, from)
+             >= SPAN)
+        from++;
+      most = MAX (most, i - from + 1);
+    }
+  return most;
+}
+
+/* Guards against instances that each keep to the limit alone, and exceed it together. */
+static void
+test_instances_keep_a_limit_together (void)
+{
+  Many many;
+
+  many_open (&many, 3);
+  many_name (&many, 0, RATE);
+  peers_fixture_pass (&many.peers, PEERS_ACROSS);
+  many_run (&many, 3 * SPAN);
+  CU_ASSERT (many_most_in_a_span (&many) <= SPAN_MOST);
+  CU_ASSERT (many.arrivals->len >= 3 * SPAN_LEAST);
+  many_close (&many);
+}
+
+static const SuiteCase cases[] = {
+  { "one instance keeps a limit", test_one_instance_keeps_a_limit },
+  { "instances keep a limit together", test_instances_keep_a_limit_together },
+};
+
+SUITE_MAIN ("sv_limit_kept", cases)
