serve, policy, wire: the limit that an endpoint names is kept by all instances together

Callers: engines in need got two to three times what they had said they can take, from all nine instances, and were slower for it.

Nothing else in the system bounds how much an endpoint gets in a time: places in flight do, and an engine in need has places free. Ruled out: sends beside requests (what was sent agrees with what arrived), repeated sends (8 of 182). A limit that each instance keeps alone would have failed the same way: each sent less than the limit by itself.

Counts and the newest word travel with the rows of load that are told anyway (EndpointLimit in EndpointLoad): cumulative since the limit was named, so that a lost datagram is mended by the next; the relay counts for its cell. Instances that are not heard are given their part of the rate. Where limits leave no endpoint the request is refused at once as not run, with the time until one lets a request through. An endpoint that takes nothing is asked once in 10 s, since only its answers tell.

Weighed: a fixed part of the limit for each instance (with 81 instances and 2 a second one request in 40 s each, and what they save up comes at once); an owner of each engine that grants sends (a round trip between zones before each, and nothing while it is lost); the same bucket at each instance without telling (the fault itself).

With told counts left out three cases fail, with the part of those who are not heard left out one.

--- a/include/policy/limit.h
+++ b/include/policy/limit.h
@@ -1,6 +1,10 @@
 #pragma once
 
-/** How many requests an endpoint takes, by its own word. */
+/**
+ * How many requests an endpoint takes, by its own word, and how much of that is
+ * left: a token bucket that all instances' requests are taken from, as far as
+ * this one has heard of them.
+ */
 
 #include "kernel/kernel.h"
 
@@ -11,6 +15,9 @@
 {
   double rate;      /**< requests a second from all instances together; POL_NO_LIMIT: any number */
   KnlTime named_at; /**< when the endpoint's newest word was heard; 0: never */
+  KnlTime changed_at; /**< when the word that named this rate first was heard; 0: never */
+  double room;        /**< requests that it may be sent now; below 0: too many were sent */
+  KnlTime filled_at;  /**< when `room` was brought up to date */
 } PolLimit;
 
 void pol_limit_init (PolLimit *limit);
@@ -20,3 +27,12 @@
 gboolean pol_limit_set (PolLimit *limit, double rate, KnlTime named_at);
 
 gboolean pol_limit_is_named (const PolLimit *limit);
+
+/** Some instance has sent it so many requests. */
+void pol_limit_take (PolLimit *limit, guint n);
+
+/**
+ * How long until a request may be sent; 0: now. `part`, above 0 and up to 1, is
+ * what this instance and those that it hears may use of the rate.
+ */
+KnlTime pol_limit_wait (PolLimit *limit, double part, KnlTime now);
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -32,6 +32,15 @@
   SvLoad load;
 } SvPeerLoad;
 
+/** What somebody has told of requests that were sent to an endpoint with a limit. */
+typedef struct
+{
+  guint32 source; /**< as in SvPeerLoad */
+  gboolean is_cell;
+  guint32 teller; /**< id of the peer that speaks for it */
+  guint32 sent;   /**< since the limit was named, as told last */
+} SvToldSends;
+
 typedef enum
 {
   SV_ENDPOINT_READY,
@@ -72,6 +81,11 @@
   PolBelief belief;     /**< by what all instances tell of it */
   PolHealth helping;    /**< by our prompts that it was to read parts of for others */
   PolLimit limit;       /**< by its own word */
+  guint32 sent;         /**< requests of this instance since it named a limit */
+  guint32 sent_in_cell; /**< the same of all instances of our cell, as far as they have told */
+  guint32 told_sent;    /**< what other cells were last told of `sent_in_cell` */
+  double told_rate;     /**< what they were last told of the limit */
+  GArray *told_sends;   /**< SvToldSends */
 } SvEndpoint;
 
 /** What the platform's list says of an endpoint. */
@@ -115,6 +129,10 @@
 
 SvEndpoint *sv_fleet_by_key (const SvFleet *fleet, guint64 key);
 
+/** What this instance and those that it hears may use of limits that endpoints name for all; above
+ * 0 and up to 1. */
+void sv_fleet_set_limit_part (SvFleet *fleet, double part);
+
 /** All endpoints. */
 const GPtrArray *sv_fleet_all (const SvFleet *fleet);
 
@@ -194,9 +212,18 @@
 /** It has read its part of a prompt. */
 void sv_endpoint_note_help (SvEndpoint *endpoint);
 
-/** It has named how many requests a second it takes from all instances; POL_NO_LIMIT: any number.
- * TRUE: that has changed. */
-gboolean sv_endpoint_note_limit (SvEndpoint *endpoint, double rate, KnlTime now);
+/** It has named at `named_at` how many requests a second it takes from all instances; POL_NO_LIMIT:
+ * any number. TRUE: that has changed. */
+gboolean sv_endpoint_note_limit (SvEndpoint *endpoint, double rate, KnlTime named_at);
+
+/** Somebody tells how many requests were sent there since it named a limit. */
+void sv_endpoint_note_told_sends (SvEndpoint *endpoint, const SvToldSends *told);
+
+/** Whether peers are to be told of its limit, or that it has none any more. */
+gboolean sv_endpoint_tells_limit (const SvEndpoint *endpoint, KnlTime now);
+
+/** How long until its limit lets a request through; 0: now. */
+KnlTime sv_endpoint_limit_wait (const SvFleet *fleet, SvEndpoint *endpoint, KnlTime now);
 
 /** An answer that reports a failure of the endpoint's own. */
 void sv_endpoint_note_error (SvEndpoint *endpoint, KnlTime now);
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -36,6 +36,8 @@
   KnlTime expected; /**< time to the first event */
   KnlTime backlog;  /**< reading that waits there already, where it is most */
   SvLoad load;      /**< of the first endpoint */
+  KnlTime limited;  /**< there is none, but for limits: time until one lets a request through; 0:
+                         they are not the reason */
 } SvPlacement;
 
 /** FALSE: there is no endpoint to send it to. */
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct Alderturn__EndpointLimit Alderturn__EndpointLimit;
 typedef struct Alderturn__EndpointLoad Alderturn__EndpointLoad;
 typedef struct Alderturn__PlacedRead Alderturn__PlacedRead;
 typedef struct Alderturn__Sender Alderturn__Sender;
@@ -28,6 +29,30 @@
 
 /* --- messages --- */
 
+/*
+ * An endpoint has named how many requests it takes from all instances together, or that it takes any number again.
+ */
+struct  Alderturn__EndpointLimit
+{
+  ProtobufCMessage base;
+  /*
+   * requests a second; negative: any number
+   */
+  double rate;
+  /*
+   * since it was heard from the endpoint, rounded up
+   */
+  uint32_t age_ms;
+  /*
+   * requests that the sender, or the cell, has sent it since it named a limit
+   */
+  uint32_t sent;
+};
+#define ALDERTURN__ENDPOINT_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__endpoint_limit__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * What the sender, or a cell, has in flight at an endpoint.
  */
@@ -57,10 +82,11 @@
    * whose sum it is; 0: the sender's own
    */
   uint32_t cell;
+  Alderturn__EndpointLimit *limit;
 };
 #define ALDERTURN__ENDPOINT_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__endpoint_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, NULL }
 
 
 /*
@@ -250,6 +276,25 @@
     , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0 }
 
 
+/* Alderturn__EndpointLimit methods */
+void   alderturn__endpoint_limit__init
+                     (Alderturn__EndpointLimit         *message);
+size_t alderturn__endpoint_limit__get_packed_size
+                     (const Alderturn__EndpointLimit   *message);
+size_t alderturn__endpoint_limit__pack
+                     (const Alderturn__EndpointLimit   *message,
+                      uint8_t             *out);
+size_t alderturn__endpoint_limit__pack_to_buffer
+                     (const Alderturn__EndpointLimit   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__EndpointLimit *
+       alderturn__endpoint_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__endpoint_limit__free_unpacked
+                     (Alderturn__EndpointLimit *message,
+                      ProtobufCAllocator *allocator);
 /* Alderturn__EndpointLoad methods */
 void   alderturn__endpoint_load__init
                      (Alderturn__EndpointLoad         *message);
@@ -366,6 +411,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*Alderturn__EndpointLimit_Closure)
+                 (const Alderturn__EndpointLimit *message,
+                  void *closure_data);
 typedef void (*Alderturn__EndpointLoad_Closure)
                  (const Alderturn__EndpointLoad *message,
                   void *closure_data);
@@ -390,6 +438,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor alderturn__endpoint_limit__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__endpoint_load__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__placed_read__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__sender__descriptor;
--- a/policy/limit.c
+++ b/policy/limit.c
@@ -1,5 +1,16 @@
 #include "policy/limit.h"
 
+/* What is left over while nobody asks, in time at the rate; one request at least. */
+#define SAVED_MOST (250 * KNL_MSEC)
+
+/* Requests beyond the rate that are made up for, in time at the rate. An instance that has just
+ * started may hear of many at once. */
+#define DEBT_MOST (4 * KNL_SEC)
+
+/* An endpoint that takes next to nothing gets a request this often: only an answer can tell that it
+ * takes more again. */
+#define PROBE_INTERVAL (10 * KNL_SEC)
+
 void
 pol_limit_init (PolLimit *self)
 {
@@ -26,6 +37,46 @@
   self->named_at = named_at;
   if (is_same_rate (self->rate, rate))
     return FALSE;
+  if (!pol_limit_is_named (self))
+    {
+      self->room = 0;
+      self->filled_at = named_at;
+    }
   self->rate = rate;
+  self->changed_at = named_at;
   return TRUE;
 }
+
+void
+pol_limit_take (PolLimit *self, guint n)
+{
+  self->room -= n;
+}
+
+static double
+in_seconds (KnlTime time)
+{
+  return (double)time / KNL_SEC;
+}
+
+static void
+fill (PolLimit *self, double rate, KnlTime now)
+{
+  double most = MAX (rate * in_seconds (SAVED_MOST), 1);
+  double least = -MAX (rate * in_seconds (DEBT_MOST), 1);
+
+  self->room = CLAMP (self->room, least, most);
+  self->room = MIN (self->room + rate * in_seconds (MAX (now - self->filled_at, 0)), most);
+  self->filled_at = MAX (now, self->filled_at);
+}
+
+KnlTime
+pol_limit_wait (PolLimit *self, double part, KnlTime now)
+{
+  double rate = MAX (self->rate * part, 1 / in_seconds (PROBE_INTERVAL));
+
+  if (!pol_limit_is_named (self))
+    return 0;
+  fill (self, rate, now);
+  return self->room >= 1 ? 0 : (KnlTime)((1 - self->room) / rate * KNL_SEC) + 1;
+}
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -216,6 +216,7 @@
 static void
 note_limit (SvRequest *self)
 {
+  SvPeerLink *link = self->core->parts.link;
   SvEndpoint *endpoint = self->placement.first;
   double before = endpoint->limit.rate;
 
@@ -225,6 +226,7 @@
     return;
   cm_log (CM_LOG_NOTICE, "endpoint-limit", "s", "endpoint", endpoint->id, "s", "request",
           self->ask.id, "f", "requests-a-second", endpoint->limit.rate, "f", "before", before);
+  link->klass->load_changed (link);
 }
 
 static HtHeadVerdict
--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -20,8 +20,8 @@
 /* Of a service's endpoints, the part that must be left when told losses are believed. */
 #define BELIEVED_PART 0.5
 
-static gboolean
-is_excluded (const SvDemand *demand, const SvEndpoint *endpoint)
+gboolean
+sv_demand_excludes (const SvDemand *demand, const SvEndpoint *endpoint)
 {
   return demand->excluded != NULL
          && g_ptr_array_find ((GPtrArray *)demand->excluded, endpoint, NULL);
@@ -37,7 +37,9 @@
   candidate->pass =
       sv_model_pass_ms (spec, sv_load_writers (&candidate->load), (double)candidate->load.tokens);
   candidate->order = candidate->read_left;
-  candidate->can_help = sv_endpoint_can_help (endpoint, now);
+  /* Parts would come on top of what it takes. */
+  candidate->can_help =
+      sv_endpoint_can_help (endpoint, now) && !pol_limit_is_named (&endpoint->limit);
   for (guint i = 0; i < SV_N_PAUSES; i++)
     candidate->order += candidate->load.writers[i] * stream_order_ms[i];
 }
@@ -79,7 +81,8 @@
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
       SvCandidate candidate;
 
-      if (is_excluded (demand, endpoint) || !is_taken (fleet, endpoint, take, now))
+      if (sv_demand_excludes (demand, endpoint) || !is_taken (fleet, endpoint, take, now)
+          || sv_endpoint_limit_wait (fleet, endpoint, now) > 0)
         continue;
       describe (demand, endpoint, now, &candidate);
       g_array_append_val (candidates, candidate);
--- a/serve/endpoint.c
+++ b/serve/endpoint.c
@@ -27,6 +27,9 @@
  * later. */
 #define HELP_SPARE 2
 
+/* That an endpoint names no limit any more is told for this long: some whole datagrams. */
+#define LIFTED_TOLD (5 * KNL_SEC)
+
 /* How long an endpoint's own report of its load is used. */
 #define REPORT_LIFE (200 * KNL_MSEC)
 
@@ -57,6 +60,7 @@
   g_free (self->address);
   g_free (self->zone);
   g_array_unref (self->peers);
+  g_array_unref (self->told_sends);
   sv_reads_clear (&self->reads);
   g_free (self);
 }
@@ -70,6 +74,16 @@
   return self->health.losses == 0 || self->own.calls == 0;
 }
 
+static void
+count_own_sends (SvEndpoint *self, guint n)
+{
+  if (!pol_limit_is_named (&self->limit))
+    return;
+  pol_limit_take (&self->limit, n);
+  self->sent += n;
+  self->sent_in_cell += n;
+}
+
 void
 sv_endpoint_charge (SvEndpoint *self, const SvLoad *load, gint sign)
 {
@@ -77,6 +91,8 @@
   for (guint i = 0; i < SV_N_PAUSES; i++)
     self->own.writers[i] += (guint)sign * load->writers[i];
   self->own.tokens += (guint64)(gint64)sign * load->tokens;
+  if (sign > 0)
+    count_own_sends (self, load->calls);
   self->own_changed = TRUE;
   self->cell_changed = TRUE;
 }
@@ -267,9 +283,71 @@
 }
 
 gboolean
-sv_endpoint_note_limit (SvEndpoint *self, double rate, KnlTime now)
+sv_endpoint_note_limit (SvEndpoint *self, double rate, KnlTime named_at)
+{
+  gboolean was_named = pol_limit_is_named (&self->limit);
+
+  if (!pol_limit_set (&self->limit, rate, named_at))
+    return FALSE;
+  self->own_changed = TRUE;
+  self->cell_changed = TRUE;
+  if (!was_named)
+    {
+      self->sent = self->sent_in_cell = 0;
+      g_array_set_size (self->told_sends, 0);
+    }
+  return TRUE;
+}
+
+static SvToldSends *
+find_told_sends (const SvEndpoint *self, const SvToldSends *told)
+{
+  for (guint i = 0; i < self->told_sends->len; i++)
+    {
+      SvToldSends *row = &g_array_index (self->told_sends, SvToldSends, i);
+
+      if (row->source == told->source && row->is_cell == told->is_cell)
+        return row;
+    }
+  return NULL;
+}
+
+/* Another relay has counted the same requests from another moment on, and one that tells fewer than
+ * before has begun anew. */
+static guint32
+new_sends (const SvToldSends *before, const SvToldSends *told)
+{
+  if (before == NULL)
+    return told->sent;
+  if (before->teller != told->teller)
+    return 0;
+  return told->sent >= before->sent ? told->sent - before->sent : told->sent;
+}
+
+void
+sv_endpoint_note_told_sends (SvEndpoint *self, const SvToldSends *told)
+{
+  SvToldSends *before = find_told_sends (self, told);
+  guint32 sent = new_sends (before, told);
+
+  if (before != NULL)
+    *before = *told;
+  else
+    g_array_append_val (self->told_sends, *told);
+  pol_limit_take (&self->limit, sent);
+  if (told->is_cell || sent == 0)
+    return;
+  self->sent_in_cell += sent;
+  self->cell_changed = TRUE;
+}
+
+gboolean
+sv_endpoint_tells_limit (const SvEndpoint *self, KnlTime now)
 {
-  return pol_limit_set (&self->limit, rate, now);
+  const PolLimit *limit = &self->limit;
+
+  return pol_limit_is_named (limit)
+         || (limit->changed_at > 0 && now - limit->changed_at < LIFTED_TOLD);
 }
 
 void
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -122,6 +122,8 @@
       (KnlTime)((double)RETRY_AFTER * g_rand_double_range (knl_kernel_rand (kernel), 1, 2));
   KnlTime left = self->deadline - knl_kernel_now (kernel);
 
+  if (self->placement.limited > 0)
+    return self->placement.limited + delay;
   if ((self->placement.is_full || self->placement.lacks_memory) && self->deadline != KNL_NEVER)
     return (KnlTime)(RETRY_AFTER_FULL_PART * (double)MAX (left, 0)
                      * g_rand_double_range (knl_kernel_rand (kernel), 1, 2));
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -34,6 +34,7 @@
   GHashTable *reads;    /* prompt -> PlacedRead; those that count until their end is told */
   KnlTime swept_at;     /* when `reads` were swept last */
   GHashTable *unlisted; /* ids that the list being read has not named yet */
+  double limit_part;    /* see sv_fleet_set_limit_part() */
   SvReplacedFunc on_replaced;
   gpointer on_replaced_data;
   SvFleetReadFunc on_read;
@@ -54,6 +55,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   self->reads = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   self->all = g_ptr_array_new ();
+  self->limit_part = 1;
   return self;
 }
 
@@ -108,6 +110,8 @@
   endpoint->key = XXH64 (entry->id, strlen (entry->id), entry->start);
   sv_reads_init (&endpoint->reads);
   pol_limit_init (&endpoint->limit);
+  endpoint->told_rate = POL_NO_LIMIT;
+  endpoint->told_sends = g_array_new (FALSE, FALSE, sizeof (SvToldSends));
   endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
   if (service == NULL)
     {
@@ -344,6 +348,18 @@
     }
 }
 
+void
+sv_fleet_set_limit_part (SvFleet *self, double part)
+{
+  self->limit_part = part;
+}
+
+KnlTime
+sv_endpoint_limit_wait (const SvFleet *fleet, SvEndpoint *self, KnlTime now)
+{
+  return pol_limit_wait (&self->limit, fleet->limit_part, now);
+}
+
 const GPtrArray *
 sv_fleet_all (const SvFleet *self)
 {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -106,6 +106,19 @@
     sv_endpoint_drop_peer (g_ptr_array_index (endpoints, i), peer->id);
 }
 
+/*
+ * Instances that don't hear each other don't know what the others send. One
+ * would see an endpoint with a limit get as many times of it as there are groups
+ * that are cut off from each other.
+ */
+static void
+share_limits (SvPeers *self)
+{
+  double known = self->link.klass->n_instances (&self->link);
+
+  sv_fleet_set_limit_part (self->fleet, MIN ((1 + sv_peers_n_alive (self)) / known, 1));
+}
+
 static void
 on_beat_due (gpointer data)
 {
@@ -118,6 +131,7 @@
     drop_silent (self, peer);
   g_hash_table_foreach_remove (self->peers, is_forgotten, self);
   self->n_in_cell = sv_peers_n_in_zone (self, self->self.zone);
+  share_limits (self);
   if (self->beats++ % BEATS_A_WHOLE == 0)
     sv_peers_send_whole (self, NULL);
   else
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -132,6 +132,7 @@
 {
   Alderturn__EndpointLoad loads[ROWS_MOST];
   Alderturn__EndpointLoad *load_rows[ROWS_MOST];
+  Alderturn__EndpointLimit limits[ROWS_MOST]; /* of `loads` */
   Alderturn__PlacedRead reads[READS_MOST];
   Alderturn__PlacedRead *read_rows[READS_MOST];
 } Rows;
@@ -189,6 +190,14 @@
                         const SvEndpoint *endpoint,
                         const SvLoad *load);
 
+/** Adds the endpoint's limit, if it is to be told, to the row that was added last; `sent`: requests
+ * of those that the row speaks for. */
+void sv_peers_add_limit (const SvPeers *self,
+                         Alderturn__Datagram *datagram,
+                         Rows *rows,
+                         const SvEndpoint *endpoint,
+                         guint32 sent);
+
 /** Adds as much of `news` as there is room for. FALSE: there was none. */
 gboolean sv_peers_add_news (Alderturn__Datagram *datagram, Rows *rows, News *news);
 
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -1,5 +1,6 @@
 /** What other instances tell. */
 
+#include <math.h>
 #include <string.h>
 
 #include "peers_internal.h"
@@ -126,6 +127,28 @@
   return endpoint;
 }
 
+/* What an endpoint has named somebody, and how many requests it was sent since. `told` says by
+ * whom; `sent` is filled here. */
+static void
+take_limit (SvPeers *self,
+            SvEndpoint *endpoint,
+            const Alderturn__EndpointLimit *limit,
+            SvToldSends told)
+{
+  KnlTime named_at = knl_kernel_now (self->kernel) - (KnlTime)limit->age_ms * KNL_MSEC;
+  double before = endpoint->limit.rate;
+
+  if (!isfinite (limit->rate))
+    return;
+  if (sv_endpoint_note_limit (endpoint, limit->rate < 0 ? POL_NO_LIMIT : limit->rate, named_at))
+    cm_log (CM_LOG_NOTICE, "endpoint-limit", "s", "endpoint", endpoint->id, "i", "told-by",
+            (gint64)told.teller, "f", "requests-a-second", endpoint->limit.rate, "f", "before",
+            before, "i", "age-us", (gint64)limit->age_ms * KNL_MSEC);
+  told.sent = limit->sent;
+  if (pol_limit_is_named (&endpoint->limit))
+    sv_endpoint_note_told_sends (endpoint, &told);
+}
+
 /* Our relay tells what it knows of a cell, and so that it lives. */
 static void
 take_picture_row (SvPeers *self, SvEndpoint *endpoint, guint32 id, const SvLoad *load)
@@ -162,6 +185,9 @@
           continue;
         }
       sv_endpoint_set_peer (endpoint, peer->id, &load);
+      if (row->limit != NULL)
+        take_limit (self, endpoint, row->limit,
+                    (SvToldSends){ .source = peer->id, .teller = peer->id });
       peer->is_counted = TRUE;
     }
 }
@@ -169,14 +195,20 @@
 static void
 take_cell_loads (SvPeers *self, Cell *cell, const Alderturn__Datagram *datagram)
 {
+  SvToldSends told = { .source = cell->id, .is_cell = TRUE, .teller = datagram->sender };
+
   for (guint i = 0; i < datagram->n_loads; i++)
     {
+      const Alderturn__EndpointLoad *row = datagram->loads[i];
       SvLoad load;
-      SvEndpoint *endpoint = take_row (self, datagram->loads[i], &load);
+      SvEndpoint *endpoint = take_row (self, row, &load);
 
-      if (endpoint != NULL)
-        sv_endpoint_set_cell (endpoint, cell->id, &load);
-      cell->is_counted |= endpoint != NULL;
+      if (endpoint == NULL)
+        continue;
+      sv_endpoint_set_cell (endpoint, cell->id, &load);
+      cell->is_counted = TRUE;
+      if (row->limit != NULL)
+        take_limit (self, endpoint, row->limit, told);
     }
 }
 
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -106,10 +106,32 @@
   datagram->n_loads++;
 }
 
+void
+sv_peers_add_limit (const SvPeers *self,
+                    Alderturn__Datagram *datagram,
+                    Rows *rows,
+                    const SvEndpoint *endpoint,
+                    guint32 sent)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+  gsize last = datagram->n_loads - 1;
+  Alderturn__EndpointLimit *limit = &rows->limits[last];
+
+  if (!sv_endpoint_tells_limit (endpoint, now))
+    return;
+  alderturn__endpoint_limit__init (limit);
+  limit->rate = endpoint->limit.rate;
+  limit->age_ms =
+      (guint32)MIN ((now - endpoint->limit.named_at) / KNL_MSEC + 1, (KnlTime)G_MAXUINT32);
+  limit->sent = sent;
+  rows->loads[last].limit = limit;
+}
+
 static void
 add_own_load (const SvPeers *self, Alderturn__Datagram *datagram, Rows *rows, SvEndpoint *endpoint)
 {
   sv_peers_add_load (self, datagram, rows, endpoint, &endpoint->own);
+  sv_peers_add_limit (self, datagram, rows, endpoint, endpoint->sent);
   endpoint->own_changed = FALSE;
 }
 
@@ -139,7 +161,8 @@
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
-      if (endpoint->own.calls == 0)
+      if (endpoint->own.calls == 0
+          && !sv_endpoint_tells_limit (endpoint, knl_kernel_now (self->kernel)))
         continue;
       if (datagram->n_loads == ROWS_MOST)
         {
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -75,13 +75,23 @@
          && memcmp (a->writers, b->writers, sizeof a->writers) == 0;
 }
 
+static gboolean
+is_told (const SvEndpoint *endpoint, const SvLoad *sum)
+{
+  return is_same_load (sum, &endpoint->told) && endpoint->told_sent == endpoint->sent_in_cell
+         && endpoint->told_rate == endpoint->limit.rate;
+}
+
 static void
 add_sum (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows, SvEndpoint *endpoint)
 {
   SvLoad sum = sv_endpoint_own_cell (endpoint);
 
   sv_peers_add_load (self, datagram, rows, endpoint, &sum);
+  sv_peers_add_limit (self, datagram, rows, endpoint, endpoint->sent_in_cell);
   endpoint->told = sum;
+  endpoint->told_sent = endpoint->sent_in_cell;
+  endpoint->told_rate = endpoint->limit.rate;
   endpoint->cell_changed = FALSE;
 }
 
@@ -98,7 +108,7 @@
       if (!endpoint->cell_changed)
         continue;
       sum = sv_endpoint_own_cell (endpoint);
-      if (is_same_load (&sum, &endpoint->told))
+      if (is_told (endpoint, &sum))
         endpoint->cell_changed = FALSE;
       else
         add_sum (self, datagram, rows, endpoint);
--- a/serve/router.c
+++ b/serve/router.c
@@ -36,6 +36,25 @@
     }
 }
 
+/* Endpoints that failed the request, or are down, are not waited for. */
+static KnlTime
+limit_wait (const SvFleet *fleet, const SvDemand *demand, KnlTime now)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
+  KnlTime least = 0;
+
+  for (guint i = 0; endpoints != NULL && i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      KnlTime wait = sv_endpoint_limit_wait (fleet, endpoint, now);
+
+      if (wait == 0 || sv_demand_excludes (demand, endpoint) || !sv_endpoint_usable (endpoint, now))
+        continue;
+      least = least == 0 ? wait : MIN (least, wait);
+    }
+  return least;
+}
+
 gboolean
 sv_router_place (const SvFleet *fleet, const SvDemand *demand, KnlTime now, SvPlacement *placement)
 {
@@ -48,7 +67,10 @@
 
   *placement = (SvPlacement){ .load = { .calls = 1 } };
   if (candidates->len == 0)
-    return FALSE;
+    {
+      placement->limited = limit_wait (fleet, demand, now);
+      return FALSE;
+    }
   if (!sv_service_is_engine (demand->service) || demand->prompt_tokens == 0)
     {
       place_plain (&choice, placement);
--- a/serve/router_internal.h
+++ b/serve/router_internal.h
@@ -46,6 +46,9 @@
  * g_array_unref. */
 GArray *sv_candidates_collect (const SvFleet *fleet, const SvDemand *demand, KnlTime now);
 
+/** Whether the endpoint has failed the request already. */
+gboolean sv_demand_excludes (const SvDemand *demand, const SvEndpoint *endpoint);
+
 /** Gives each candidate its role, from the load and the order of their keys. */
 void sv_candidates_assign_roles (SvChoice *choice);
 
--- a/serve/send.c
+++ b/serve/send.c
@@ -406,7 +406,7 @@
     }
   if (!place (self))
     {
-      sv_request_give_up (self, "no-endpoint");
+      sv_request_give_up (self, self->placement.limited > 0 ? "endpoints-limited" : "no-endpoint");
       return;
     }
   if (is_hopeless (self))
--- a/tests/unit/pol_test.c
+++ b/tests/unit/pol_test.c
@@ -4,6 +4,7 @@
 #include "kernel/paused.h"
 #include "policy/budget.h"
 #include "policy/health.h"
+#include "policy/limit.h"
 #include "policy/plain.h"
 #include "policy/retry.h"
 #include "policy/suspects.h"
@@ -252,6 +253,77 @@
     CU_ASSERT (pol_plain_cost (&rows[i].better) < pol_plain_cost (&rows[i].worse));
 }
 
+/* Guards against a limit that counts wrongly after a pause, a debt, or a change. */
+static void
+test_limits (void)
+{
+  static const struct
+  {
+    double rate;
+    double part;
+    KnlTime idle; /* since it was named */
+    guint sent;   /* at once, then */
+    KnlTime wait; /* for the next one after them */
+  } rows[] = {
+    { 2, 1, 0, 0, 500 },
+    { 2, 1, 500, 0, 0 },
+    { 2, 1, 500, 1, 500 },
+    { 2, 0.5, 500, 0, 500 },
+    { 2, 1, 60000, 1, 500 },
+    { 2, 1, 500, 3, 1500 },
+    { 2, 1, 500, 100, 4500 },
+    { 20, 1, 60000, 4, 0 },
+    { 20, 1, 60000, 5, 50 },
+    { 0, 1, 9000, 0, 1000 },
+    { 0, 1, 60000, 0, 0 },
+    { 0, 1, 60000, 1, 10000 },
+    { POL_NO_LIMIT, 1, 0, 100, 0 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      KnlTime now = 5 * KNL_SEC;
+      PolLimit limit;
+      KnlTime wait;
+
+      pol_limit_init (&limit);
+      pol_limit_set (&limit, rows[i].rate, now);
+      now += rows[i].idle * KNL_MSEC;
+      pol_limit_wait (&limit, rows[i].part, now);
+      pol_limit_take (&limit, rows[i].sent);
+      wait = pol_limit_wait (&limit, rows[i].part, now);
+      CU_ASSERT (ABS (wait - rows[i].wait * KNL_MSEC) <= 2);
+    }
+}
+
+static void
+test_newest_word_of_a_limit (void)
+{
+  static const struct
+  {
+    double rate;
+    KnlTime named_at;
+    gboolean changes;
+    double known; /* then */
+  } rows[] = {
+    { 2, 10, TRUE, 2 },
+    { 2, 11, FALSE, 2 },
+    { 3, 10, FALSE, 2 },
+    { 3, 11, TRUE, 3 },
+    { POL_NO_LIMIT, 10, FALSE, 3 },
+    { POL_NO_LIMIT, 12, TRUE, POL_NO_LIMIT },
+    { 3, 11, FALSE, POL_NO_LIMIT },
+  };
+  PolLimit limit;
+
+  pol_limit_init (&limit);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      CU_ASSERT_EQUAL (pol_limit_set (&limit, rows[i].rate, rows[i].named_at), rows[i].changes);
+      CU_ASSERT_EQUAL (limit.rate, rows[i].known);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "the retry budget is one for all", test_budget_is_shared },
   { "the budget is not spent twice by a restart", test_budget_is_not_spent_twice_by_a_restart },
@@ -261,6 +333,8 @@
   { "retries by rule, by table", test_retries_by_rule },
   { "rests grow and end", test_rests_grow_and_end },
   { "the choice among plain endpoints", test_plain_choice },
+  { "limits of endpoints", test_limits },
+  { "the newest word of a limit", test_newest_word_of_a_limit },
 };
 
 SUITE_MAIN ("pol", cases)
--- a/tests/unit/sv_limit_kept_test.c
+++ b/tests/unit/sv_limit_kept_test.c
@@ -1,5 +1,7 @@
 /** What endpoints that name a limit get, from one instance and from many. */
 
+#include <string.h>
+
 #include "peers_fixture.h"
 #include "serve/router.h"
 #include "suite.h"
@@ -168,9 +170,106 @@
   many_close (&many);
 }
 
+/* Guards against zones that don't hear each other, and use the whole limit each. */
+static void
+test_cut_off_zones_share_a_limit (void)
+{
+  Many many;
+
+  many_open (&many, 3);
+  many_name (&many, 0, RATE);
+  peers_fixture_pass (&many.peers, PEERS_ACROSS);
+  /* What the other zone's instances send is not delivered any more. */
+  for (guint i = 0; i < INSTANCES / 2; i++)
+    peers_fixture_stop (&many.peers, i);
+  peers_fixture_pass (&many.peers, 6 * PEERS_BEAT);
+  many.arrivals = g_array_set_size (many.arrivals, 0);
+  for (KnlTime passed = 0; passed < 2 * SPAN; passed += CALL_INTERVAL)
+    {
+      many.n_calls = INSTANCES / 2 + many.n_calls % (INSTANCES / 2);
+      many_call (&many);
+      peers_fixture_pass (&many.peers, CALL_INTERVAL);
+    }
+  CU_ASSERT (many_most_in_a_span (&many) <= SPAN_MOST / 2);
+  CU_ASSERT (many.arrivals->len > 0);
+  many_close (&many);
+}
+
+/* Guards against a limit that outlives its need at instances that did not hear of the end. */
+static void
+test_the_end_of_a_limit_is_told (void)
+{
+  Many many;
+
+  many_open (&many, 3);
+  many_name (&many, 0, RATE);
+  many_run (&many, SPAN);
+  for (guint i = 0; i < INSTANCES; i++)
+    CU_ASSERT_EQUAL (peers_fixture_endpoint (&many.peers, i)->limit.rate, RATE);
+  many_name (&many, 4, POL_NO_LIMIT);
+  peers_fixture_pass (&many.peers, 2 * PEERS_ACROSS);
+  for (guint i = 0; i < INSTANCES; i++)
+    CU_ASSERT_FALSE (pol_limit_is_named (&peers_fixture_endpoint (&many.peers, i)->limit));
+  many_close (&many);
+}
+
+/* Guards against counts that stay wrong after an instance with a limit's counts starts again. */
+static void
+test_a_limit_outlives_restarts (void)
+{
+  Many many;
+
+  many_open (&many, 3);
+  many_name (&many, 0, RATE);
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      many_run (&many, SPAN / 4);
+      memset (many.running, 0, sizeof many.running);
+      peers_fixture_stop (&many.peers, i);
+      peers_fixture_start (&many.peers, i);
+      for (guint j = 0; j < INSTANCES; j++)
+        {
+          if (j != i)
+            peers_fixture_learn (&many.peers, i, j);
+        }
+      peers_fixture_pass (&many.peers, 2 * PEERS_BEAT);
+    }
+  CU_ASSERT (many_most_in_a_span (&many) <= SPAN_MOST);
+  many.arrivals = g_array_set_size (many.arrivals, 0);
+  many_run (&many, 2 * SPAN);
+  CU_ASSERT (many_most_in_a_span (&many) <= SPAN_MOST);
+  CU_ASSERT (many.arrivals->len >= 2 * SPAN_LEAST);
+  many_close (&many);
+}
+
+/* Guards against datagrams that grow for endpoints that never named a limit. */
+static void
+test_no_limit_is_not_told (void)
+{
+  Many many;
+  SvEndpoint *endpoint;
+  KnlTime now;
+
+  many_open (&many, 3);
+  many_name (&many, 0, POL_NO_LIMIT);
+  endpoint = peers_fixture_endpoint (&many.peers, 0);
+  now = knl_kernel_now (many.peers.kernel);
+  CU_ASSERT_FALSE (sv_endpoint_tells_limit (endpoint, now));
+  many_name (&many, 0, RATE);
+  CU_ASSERT_TRUE (sv_endpoint_tells_limit (endpoint, now));
+  many_name (&many, 0, POL_NO_LIMIT);
+  CU_ASSERT_TRUE (sv_endpoint_tells_limit (endpoint, now));
+  CU_ASSERT_FALSE (sv_endpoint_tells_limit (endpoint, now + 10 * KNL_SEC));
+  many_close (&many);
+}
+
 static const SuiteCase cases[] = {
   { "one instance keeps a limit", test_one_instance_keeps_a_limit },
   { "instances keep a limit together", test_instances_keep_a_limit_together },
+  { "cut-off zones share a limit", test_cut_off_zones_share_a_limit },
+  { "the end of a limit is told", test_the_end_of_a_limit_is_told },
+  { "a limit outlives restarts", test_a_limit_outlives_restarts },
+  { "no limit is not told", test_no_limit_is_not_told },
 };
 
 SUITE_MAIN ("sv_limit_kept", cases)
--- a/tests/unit/sv_limit_test.c
+++ b/tests/unit/sv_limit_test.c
@@ -50,8 +50,86 @@
   sv_fixture_close (&fixture);
 }
 
+/* Guards against requests that wait, or run, where every endpoint has had what it takes. */
+static void
+test_what_no_limit_allows_is_refused (void)
+{
+  static const ScriptedAnswer slow = { ANSWER ("Server-Limit: 0.5\r\n"), FALSE };
+  SvFixture fixture;
+
+  fixture_open (&fixture, &slow, 1);
+  sv_fixture_ask (&fixture, "/once/1");
+  sv_fixture_wait_for (&fixture, "good");
+  sv_fixture_ask (&fixture, "/once/2");
+  sv_fixture_wait_for (&fixture, "\r\n\r\n");
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "503"));
+  /* Two seconds for the next request, and up to 0.3 s that spread callers. */
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "Retry-After: 2."));
+  CU_ASSERT_EQUAL (sv_fixture_all_requests (&fixture), 1);
+  knl_paused_clock_advance (fixture.clock, 2001 * KNL_MSEC);
+  sv_fixture_ask (&fixture, "/once/3");
+  sv_fixture_wait_for (&fixture, "good");
+  sv_fixture_close (&fixture);
+}
+
+/* Guards against an endpoint that took nothing once, and is never asked again. */
+static void
+test_an_endpoint_that_takes_nothing_is_asked_again (void)
+{
+  static const ScriptedAnswer script[] = { { ANSWER ("Server-Limit: 0\r\n"), FALSE },
+                                           { ANSWER (""), FALSE } };
+  SvFixture fixture;
+
+  fixture_open (&fixture, script, 2);
+  sv_fixture_ask (&fixture, "/once/1");
+  sv_fixture_wait_for (&fixture, "good");
+  knl_paused_clock_advance (fixture.clock, 5 * KNL_SEC);
+  sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+  sv_fixture_ask (&fixture, "/once/2");
+  sv_fixture_wait_for (&fixture, "503");
+  knl_paused_clock_advance (fixture.clock, 6 * KNL_SEC);
+  sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+  for (guint i = 3; i < 8; i++)
+    {
+      sv_fixture_ask (&fixture, "/once/3");
+      sv_fixture_wait_for (&fixture, "good");
+    }
+  sv_fixture_close (&fixture);
+}
+
+/* Guards against second sends of a request that a limit does not count. */
+static void
+test_second_sends_count (void)
+{
+  static const ScriptedAnswer full = { "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
+                                       "Server-Limit: 2\r\nContent-Length: 0\r\n\r\n",
+                                       FALSE };
+  ScriptedAnswer script[40];
+  SvFixture fixture;
+
+  for (guint i = 0; i < G_N_ELEMENTS (script); i++)
+    script[i] = i % 2 == 0 ? full : limited;
+  fixture_open (&fixture, script, G_N_ELEMENTS (script));
+  sv_fixture_add_endpoint (&fixture, script, G_N_ELEMENTS (script));
+  for (KnlTime at = 0; at < 4 * KNL_SEC; at += 50 * KNL_MSEC)
+    {
+      sv_fixture_ask (&fixture, "/again/1");
+      sv_fixture_wait_for (&fixture, "\r\n\r\n");
+      knl_paused_clock_advance (fixture.clock, 50 * KNL_MSEC);
+      sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+    }
+  for (guint i = 0; i < 2; i++)
+    CU_ASSERT (scripted_endpoint_n_requests (fixture.endpoints[i]) <= 9);
+  CU_ASSERT (sv_fixture_all_requests (&fixture) >= 8);
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "limits are logged", test_limits_are_logged },
+  { "what no limit allows is refused", test_what_no_limit_allows_is_refused },
+  { "an endpoint that takes nothing is asked again",
+    test_an_endpoint_that_takes_nothing_is_asked_again },
+  { "second sends count", test_second_sends_count },
 };
 
 SUITE_MAIN ("sv_limit", cases)
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "wire/datagram.pb-c.h"
+void   alderturn__endpoint_limit__init
+                     (Alderturn__EndpointLimit         *message)
+{
+  static const Alderturn__EndpointLimit init_value = ALDERTURN__ENDPOINT_LIMIT__INIT;
+  *message = init_value;
+}
+size_t alderturn__endpoint_limit__get_packed_size
+                     (const Alderturn__EndpointLimit *message)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__endpoint_limit__pack
+                     (const Alderturn__EndpointLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__endpoint_limit__pack_to_buffer
+                     (const Alderturn__EndpointLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__EndpointLimit *
+       alderturn__endpoint_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__EndpointLimit *)
+     protobuf_c_message_unpack (&alderturn__endpoint_limit__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__endpoint_limit__free_unpacked
+                     (Alderturn__EndpointLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__endpoint_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   alderturn__endpoint_load__init
                      (Alderturn__EndpointLoad         *message)
 {
@@ -277,7 +322,71 @@
   assert(message->base.descriptor == &alderturn__datagram__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor alderturn__endpoint_load__field_descriptors[8] =
+static const ProtobufCFieldDescriptor alderturn__endpoint_limit__field_descriptors[3] =
+{
+  {
+    "rate",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointLimit, rate),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointLimit, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointLimit, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__endpoint_limit__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = rate */
+  2,   /* field[2] = sent */
+};
+static const ProtobufCIntRange alderturn__endpoint_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor alderturn__endpoint_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.EndpointLimit",
+  "EndpointLimit",
+  "Alderturn__EndpointLimit",
+  "alderturn",
+  sizeof(Alderturn__EndpointLimit),
+  3,
+  alderturn__endpoint_limit__field_descriptors,
+  alderturn__endpoint_limit__field_indices_by_name,
+  1,  alderturn__endpoint_limit__number_ranges,
+  (ProtobufCMessageInit) alderturn__endpoint_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__endpoint_load__field_descriptors[9] =
 {
   {
     "endpoint",
@@ -375,11 +484,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointLoad, limit),
+    &alderturn__endpoint_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__endpoint_load__field_indices_by_name[] = {
   1,   /* field[1] = calls */
   7,   /* field[7] = cell */
   0,   /* field[0] = endpoint */
+  8,   /* field[8] = limit */
   4,   /* field[4] = loose */
   3,   /* field[3] = medium */
   6,   /* field[6] = silent_ms */
@@ -389,7 +511,7 @@
 static const ProtobufCIntRange alderturn__endpoint_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor alderturn__endpoint_load__descriptor =
 {
@@ -399,7 +521,7 @@
   "Alderturn__EndpointLoad",
   "alderturn",
   sizeof(Alderturn__EndpointLoad),
-  8,
+  9,
   alderturn__endpoint_load__field_descriptors,
   alderturn__endpoint_load__field_indices_by_name,
   1,  alderturn__endpoint_load__number_ranges,
