tests: instances of the gateway soak find each other; an endpoint of it names a limit

The fake store kept one table, so that no run of real processes has covered members, peers or what they tell. It keeps tables now, and takes transactions. From a third of a run on the last endpoint names a limit of 2 to 6 requests a second; what it gets in any 4 s from gateways that were told half a second before and whose processes were left alone for 3 s is bounded as the users bound it. One seed in three leaves processes and the store alone, so that much counts.

--- a/tests/fakes/row_store.c
+++ b/tests/fakes/row_store.c
@@ -7,6 +7,7 @@
 
 typedef struct
 {
+  char *table; /* "": every table has it */
   char *key;
   char *json; /* NULL: removed */
   guint64 version;
@@ -16,6 +17,7 @@
 {
   RowStore *store;
   HtCall *call;
+  char *table;
   guint64 after;
   KnlTimerId timer;
 } Waiting;
@@ -39,13 +41,20 @@
 {
   Row *self = data;
 
+  g_free (self->table);
   g_free (self->key);
   g_free (self->json);
   g_free (self);
 }
 
+static gboolean
+is_in_table (const Row *row, const char *table)
+{
+  return row->table[0] == '\0' || g_strcmp0 (row->table, table) == 0;
+}
+
 static json_t *
-rows_after (const RowStore *self, guint64 after, gboolean with_removed)
+rows_after (const RowStore *self, const char *table, guint64 after, gboolean with_removed)
 {
   json_t *rows = json_array ();
 
@@ -54,7 +63,8 @@
       const Row *row = g_ptr_array_index (self->rows, i);
       json_t *item;
 
-      if (row->version <= after || (row->json == NULL && !with_removed))
+      if (!is_in_table (row, table) || row->version <= after
+          || (row->json == NULL && !with_removed))
         continue;
       item = json_pack ("{s:s, s:I}", "key", row->key, "ver", (json_int_t)row->version);
       if (row->json != NULL)
@@ -88,6 +98,7 @@
   Waiting *self = data;
 
   knl_timer_stop (self->store->kernel, &self->timer);
+  g_free (self->table);
   g_free (self);
 }
 
@@ -96,7 +107,7 @@
 {
   RowStore *store = self->store;
 
-  answer (store, self->call, rows_after (store, self->after, TRUE));
+  answer (store, self->call, rows_after (store, self->table, self->after, TRUE));
   g_ptr_array_remove (store->waiting, self);
 }
 
@@ -109,6 +120,19 @@
   answer_waiting (self);
 }
 
+static gboolean
+has_changed (const RowStore *self, const Waiting *waiting)
+{
+  for (guint i = 0; i < self->rows->len; i++)
+    {
+      const Row *row = g_ptr_array_index (self->rows, i);
+
+      if (is_in_table (row, waiting->table) && row->version > waiting->after)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 static void
 take_feed (RowStore *self, HtCall *call)
 {
@@ -125,15 +149,98 @@
   waiting = g_new0 (Waiting, 1);
   waiting->store = self;
   waiting->call = call;
+  waiting->table = ht_message_query (ht_call_request (call), "table");
   waiting->after = g_ascii_strtoull (after, NULL, 10);
   g_ptr_array_add (self->waiting, waiting);
-  if (waiting->after < self->version)
+  if (has_changed (self, waiting))
     answer_waiting (waiting);
   else
     waiting->timer = knl_timer_start (
         self->kernel, (KnlTime)g_ascii_strtoull (wait, NULL, 10) * KNL_MSEC, on_waited, waiting);
 }
 
+static guint64
+version_of (const RowStore *self, const char *table, const char *key)
+{
+  for (guint i = 0; i < self->rows->len; i++)
+    {
+      const Row *row = g_ptr_array_index (self->rows, i);
+
+      if (strcmp (row->table, table) == 0 && strcmp (row->key, key) == 0)
+        return row->json != NULL ? row->version : 0;
+    }
+  return 0;
+}
+
+static const char *
+text_of (json_t *entry, const char *name)
+{
+  return json_string_value (json_object_get (entry, name));
+}
+
+static gboolean
+is_expected (const RowStore *self, json_t *transaction)
+{
+  json_t *entry;
+  gsize i;
+
+  json_array_foreach (json_object_get (transaction, "expectedRev"), i, entry)
+  {
+    guint64 version = (guint64)json_integer_value (json_object_get (entry, "ver"));
+
+    if (version_of (self, text_of (entry, "table"), text_of (entry, "key")) != version)
+      return FALSE;
+  }
+  return TRUE;
+}
+
+static void
+write_entries (RowStore *self, json_t *entries)
+{
+  json_t *entry;
+  gsize i;
+
+  json_array_foreach (entries, i, entry)
+  {
+    const char *value = text_of (entry, "value");
+    g_autofree char *json = NULL;
+    gsize length;
+
+    if (value != NULL)
+      {
+        g_autofree guchar *bytes = g_base64_decode (value, &length);
+
+        json = g_strndup ((const char *)bytes, length);
+      }
+    row_store_put_in (self, text_of (entry, "table"), text_of (entry, "key"), json);
+  }
+}
+
+static void
+take_transaction (RowStore *self, HtCall *call)
+{
+  const GString *body = ht_call_request (call)->body;
+  json_t *transaction = json_loadb (body->str, body->len, 0, NULL);
+  gboolean expected = is_expected (self, transaction);
+
+  if (expected)
+    {
+      write_entries (self, json_object_get (transaction, "writes"));
+      write_entries (self, json_object_get (transaction, "remove"));
+    }
+  json_decref (transaction);
+  ht_call_answer (call, expected ? 200 : 412, "Content-Type: application/json\r\n", "{}", 2);
+}
+
+static void
+take_list (RowStore *self, HtCall *call)
+{
+  g_autofree char *table = ht_message_query (ht_call_request (call), "table");
+
+  self->n_lists++;
+  answer (self, call, rows_after (self, table, 0, FALSE));
+}
+
 static void
 on_request (HtCall *call, gpointer data)
 {
@@ -153,12 +260,11 @@
       break;
     }
   if (g_str_has_prefix (ht_call_request (call)->target, "/rows-feed"))
-    {
-      take_feed (self, call);
-      return;
-    }
-  self->n_lists++;
-  answer (self, call, rows_after (self, 0, FALSE));
+    take_feed (self, call);
+  else if (g_str_has_prefix (ht_call_request (call)->target, "/rows-tx"))
+    take_transaction (self, call);
+  else
+    take_list (self, call);
 }
 
 static void
@@ -179,7 +285,7 @@
 row_store_new (KnlKernel *kernel, struct event_base *base)
 {
   static const HtServerLimits limits = {
-    .message = { 4096, 4096 },
+    .message = { 4096, 65536 },
     .head_timeout = 10 * KNL_SEC,
     .request_timeout = 10 * KNL_SEC,
     .idle_timeout = 100 * KNL_SEC,
@@ -219,23 +325,37 @@
 
 void
 row_store_put (RowStore *self, const char *key, const char *json)
+{
+  row_store_put_in (self, "", key, json);
+}
+
+void
+row_store_put_in (RowStore *self, const char *table, const char *key, const char *json)
 {
   Row *row = g_new0 (Row, 1);
 
   for (guint i = 0; i < self->rows->len; i++)
     {
-      if (strcmp (((Row *)g_ptr_array_index (self->rows, i))->key, key) == 0)
+      const Row *old = g_ptr_array_index (self->rows, i);
+
+      if (strcmp (old->table, table) == 0 && strcmp (old->key, key) == 0)
         {
           g_ptr_array_remove_index (self->rows, i);
           break;
         }
     }
+  row->table = g_strdup (table);
   row->key = g_strdup (key);
   row->json = g_strdup (json);
   row->version = ++self->version;
   g_ptr_array_add (self->rows, row);
-  while (self->waiting->len > 0)
-    answer_waiting (g_ptr_array_index (self->waiting, 0));
+  for (guint i = self->waiting->len; i > 0; i--)
+    {
+      Waiting *waiting = g_ptr_array_index (self->waiting, i - 1);
+
+      if (is_in_table (row, waiting->table))
+        answer_waiting (waiting);
+    }
 }
 
 void
--- a/tests/fakes/row_store.h
+++ b/tests/fakes/row_store.h
@@ -1,9 +1,9 @@
 #pragma once
 
 /**
- * The platform's store on loopback, as far as feeds use it: rows of one table,
- * reads of the whole table, and feeds of its changes that wait. A test can have
- * it lose its history, refuse, lose answers, or say nothing.
+ * The platform's store on loopback, as far as it is used: rows of some tables,
+ * reads of a whole table, feeds of its changes that wait, and transactions. A
+ * test can have it lose its history, refuse, lose answers, or say nothing.
  */
 
 #include <event2/event.h>
@@ -26,6 +26,9 @@
 const char *row_store_address (const RowStore *store);
 
 /** Writes a row, or removes it with `json` NULL. */
+void row_store_put_in (RowStore *store, const char *table, const char *key, const char *json);
+
+/** The same, in every table that is asked for. */
 void row_store_put (RowStore *store, const char *key, const char *json);
 
 void row_store_set_mode (RowStore *store, RowStoreMode mode);
--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -29,6 +29,18 @@
 #define REVOKE       (3 * KNL_SEC)
 #define ANSWER_SLACK (2 * KNL_SEC)
 
+/* One seed in so many leaves the gateways' processes and the store alone. */
+#define CALM_SEEDS 3
+
+/* What the last endpoint names from a third of the run on, and what it may get of that in a span:
+ * half as much again and some, from gateways that were told and whose processes were left alone for
+ * a while. */
+#define RATE_LEAST  2
+#define RATE_MOST   7
+#define LIMIT_SPAN  (4 * KNL_SEC)
+#define LIMIT_KNOWN (500 * KNL_MSEC)
+#define LIMIT_GRACE (3 * KNL_SEC)
+
 /* How long a caller's key may work after it was withdrawn, with the time that a request takes. */
 #define KEY_LIMIT (REVOKE + LIMIT)
 
@@ -60,8 +72,19 @@
   char *settings;
   HnProcess *process;
   KnlTime faulted_at; /* last signal to it */
+  KnlTime told_at;    /* when this process was first told of the endpoint's limit; 0: not yet */
 } Gateway;
 
+/** An endpoint. */
+typedef struct
+{
+  Soak *soak;
+  HtServer *server;
+  guint rate;         /* requests a second that it names; 0: none */
+  KnlTime limited_at; /* since when */
+  GArray *arrivals;   /* KnlTime, of requests that count against it */
+} Desk;
+
 /** What became of one request, as its caller and the endpoints saw it. */
 typedef struct
 {
@@ -84,11 +107,12 @@
   GRand *rand;
   HtClient *client;
   RowStore *store;
-  HtServer *desks[DESKS];
+  Desk desks[DESKS];
   const char *proxy; /* its control; before desk 0 */
   Gateway gateways[GATEWAYS];
   GHashTable *requests; /* id -> Request */
   GArray *withdrawn_at; /* KnlTime, by version: when its key was taken away */
+  gboolean is_calm;     /* no signals */
   guint version;
   guint next;
   guint answered;
@@ -114,7 +138,8 @@
 typedef struct
 {
   HtCall *call;
-  Soak *soak;
+  Desk *desk;
+  Gateway *gateway;
   char *id;
   KnlTimerId timer;
 } Work;
@@ -122,18 +147,42 @@
 static void
 work_free (Work *self)
 {
-  knl_timer_stop (self->soak->harness->kernel, &self->timer);
+  knl_timer_stop (self->desk->soak->harness->kernel, &self->timer);
   g_free (self->id);
   g_free (self);
 }
 
+/* The field of an answer to that gateway. */
+static char *
+name_limit (Desk *self, Gateway *gateway)
+{
+  if (self->rate == 0)
+    return g_strdup ("");
+  if (gateway->told_at == 0)
+    gateway->told_at = now_of (self->soak);
+  return g_strdup_printf ("Server-Limit: %u\r\n", self->rate);
+}
+
+static void
+count_arrival (Desk *self, const Gateway *gateway)
+{
+  KnlTime now = now_of (self->soak);
+
+  if (self->rate > 0 && gateway->told_at > 0 && now - gateway->told_at > LIMIT_KNOWN
+      && now - gateway->faulted_at > LIMIT_GRACE && now - self->limited_at > LIMIT_GRACE)
+    g_array_append_val (self->arrivals, now);
+}
+
 static void
 on_worked (gpointer data)
 {
   Work *self = data;
   HtCall *call = self->call;
-  g_autofree char *fields = g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n", self->id);
-  double way = g_rand_double (self->soak->rand);
+  Soak *soak = self->desk->soak;
+  g_autofree char *limit = name_limit (self->desk, self->gateway);
+  g_autofree char *fields =
+      g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n%s", self->id, limit);
+  double way = g_rand_double (soak->rand);
 
   self->timer = 0;
   ht_call_set_data (call, NULL);
@@ -149,9 +198,11 @@
 static void
 on_desk_request (HtCall *call, gpointer data)
 {
-  Soak *self = data;
+  Desk *desk = data;
+  Soak *self = desk->soak;
   const char *id = ht_message_get (ht_call_request (call), "x-attempt-id");
   Request *request = id != NULL ? g_hash_table_lookup (self->requests, id) : NULL;
+  g_autofree char *limit = NULL;
   g_autofree char *fields = NULL;
   Work *work;
 
@@ -162,9 +213,11 @@
       ht_call_abort (call);
       return;
     }
+  count_arrival (desk, request->gateway);
   if (g_rand_double (self->rand) < 0.05)
     {
-      fields = g_strdup_printf ("X-Attempt-Id: %s\r\nX-Not-Run: 1\r\n", id);
+      limit = name_limit (desk, request->gateway);
+      fields = g_strdup_printf ("X-Attempt-Id: %s\r\nX-Not-Run: 1\r\n%s", id, limit);
       ht_call_answer (call, 503, fields, NULL, 0);
       return;
     }
@@ -172,7 +225,8 @@
   request->ran_at = now_of (self);
   work = g_new0 (Work, 1);
   work->call = call;
-  work->soak = self;
+  work->desk = desk;
+  work->gateway = request->gateway;
   work->id = g_strdup (id);
   ht_call_set_data (call, work);
   work->timer = knl_timer_start (self->harness->kernel,
@@ -266,6 +320,7 @@
   g_autofree char *name = g_strdup_printf ("gateway-%u", i);
 
   gateway->faulted_at = now_of (self);
+  gateway->told_at = 0;
   gateway->process = hn_start (self->harness, name, "gateway/alderturn-gateway",
                                (const char *const[]){ "--boot", gateway->settings, NULL });
 }
@@ -280,7 +335,7 @@
   self->version++;
   g_array_append_val (self->withdrawn_at, now);
   text = g_strdup_printf (CONFIG_FORMAT, self->version, self->version);
-  row_store_put (self->store, "config", text);
+  row_store_put_in (self->store, "op", "config", text);
 }
 
 static void
@@ -299,8 +354,9 @@
   g_autofree char *id = g_strdup_printf ("i-%u", i);
   g_autofree char *entry = NULL;
 
-  self->desks[i] =
-      ht_server_new (self->harness->kernel, self->harness->base, own, &limits, &desk_events, self);
+  self->desks[i] = (Desk){ .soak = self, .arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)) };
+  self->desks[i].server = ht_server_new (self->harness->kernel, self->harness->base, own, &limits,
+                                         &desk_events, &self->desks[i]);
   if (i == 0)
     {
       const char *arguments[] = { "--listen-address",
@@ -320,7 +376,7 @@
   entry = g_strdup_printf ("{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"a\","
                            "\"state\":\"ready\",\"slots\":20}",
                            listed);
-  row_store_put (self->store, id, entry);
+  row_store_put_in (self->store, "servers", id, entry);
 }
 
 /* Faults */
@@ -395,20 +451,27 @@
   hn_ask (self->harness, &request, NULL);
 }
 
+/* The first of the faults leave processes and the store alone, the next one processes. */
+#define CALM_FAULTS  4
+#define STORE_FAULTS 1
+
 static void
 inject (Soak *self)
 {
   static void (*const faults[]) (Soak *, Gateway *) = {
-    fault_pause, fault_kill,    fault_terminate, fault_reload,
-    fault_store, fault_history, fault_config,    fault_proxy,
+    fault_reload, fault_history, fault_config, fault_proxy,
+    fault_store,  fault_pause,   fault_kill,   fault_terminate,
   };
+  guint n = self->is_calm ? CALM_FAULTS : G_N_ELEMENTS (faults);
+  guint chosen = (guint)g_rand_int_range (self->rand, 0, (gint32)n);
   Gateway *gateway = &self->gateways[g_rand_int_range (self->rand, 0, GATEWAYS)];
 
   /* What was stopped goes on first, so that at most one stands still. */
   for (guint i = 0; i < GATEWAYS; i++)
     hn_signal (self->gateways[i].process, SIGCONT);
-  gateway->faulted_at = now_of (self);
-  faults[g_rand_int_range (self->rand, 0, G_N_ELEMENTS (faults))](self, gateway);
+  if (chosen >= CALM_FAULTS + STORE_FAULTS)
+    gateway->faulted_at = now_of (self);
+  faults[chosen](self, gateway);
 }
 
 /* Promises */
@@ -437,6 +500,29 @@
     }
 }
 
+/* The span that begins with each arrival. */
+static void
+check_limit (Soak *self, const Desk *desk)
+{
+  guint most = (guint)(1.5 * desk->rate * LIMIT_SPAN / KNL_SEC) + 5;
+  guint end = 0;
+
+  for (guint i = 0; i < desk->arrivals->len; i++)
+    {
+      KnlTime from = g_array_index (desk->arrivals, KnlTime, i);
+
+      while (end < desk->arrivals->len
+             && g_array_index (desk->arrivals, KnlTime, end) - from < LIMIT_SPAN)
+        end++;
+      if (end - i <= most)
+        continue;
+      self->broken++;
+      fprintf (stderr, "broken: an endpoint that takes %u a second got %u requests, allowed %u\n",
+               desk->rate, end - i, most);
+      return;
+    }
+}
+
 static void
 check_all (Soak *self)
 {
@@ -446,6 +532,8 @@
   g_hash_table_iter_init (&iter, self->requests);
   while (g_hash_table_iter_next (&iter, NULL, &request))
     check_request (self, request);
+  for (guint i = 0; i < DESKS; i++)
+    check_limit (self, &self->desks[i]);
 }
 
 static void
@@ -462,7 +550,9 @@
 {
   static const HtLimits limits = { 16384, 1 << 20 };
 
-  *self = (Soak){ .harness = hn_harness_new (), .rand = g_rand_new_with_seed (seed) };
+  *self = (Soak){ .harness = hn_harness_new (),
+                  .rand = g_rand_new_with_seed (seed),
+                  .is_calm = seed % CALM_SEEDS == 0 };
   self->requests = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, request_free);
   self->withdrawn_at = g_array_new (FALSE, FALSE, sizeof (KnlTime));
   self->client = ht_client_new (self->harness->kernel, self->harness->base, &limits, 10 * KNL_SEC);
@@ -498,7 +588,10 @@
     }
   ht_client_free (self->client);
   for (guint i = 0; i < DESKS; i++)
-    ht_server_free (self->desks[i]);
+    {
+      ht_server_free (self->desks[i].server);
+      g_array_unref (self->desks[i].arrivals);
+    }
   row_store_free (self->store);
   CU_ASSERT_TRUE (hn_harness_free (self->harness));
   g_hash_table_unref (self->requests);
@@ -506,21 +599,34 @@
   g_rand_free (self->rand);
 }
 
+static void
+name_rate (Soak *self)
+{
+  Desk *desk = &self->desks[DESKS - 1];
+
+  desk->rate = (guint)g_rand_int_range (self->rand, RATE_LEAST, RATE_MOST);
+  desk->limited_at = now_of (self);
+}
+
 static void
 run_seed (guint32 seed, KnlTime length)
 {
   Soak soak;
   KnlTime end;
+  KnlTime limited;
   KnlTime next_fault;
 
   soak_open (&soak, seed);
   end = now_of (&soak) + length;
+  limited = now_of (&soak) + length / 3;
   next_fault = now_of (&soak) + FAULT_EVERY;
   while (now_of (&soak) < end)
     {
       for (guint i = 0; i < AT_ONCE; i++)
         send_request (&soak);
       hn_pass (soak.harness, STEP);
+      if (now_of (&soak) > limited && soak.desks[DESKS - 1].rate == 0)
+        name_rate (&soak);
       if (now_of (&soak) < next_fault)
         continue;
       inject (&soak);
@@ -530,7 +636,8 @@
     hn_signal (soak.gateways[i].process, SIGCONT);
   hn_pass (soak.harness, LIMIT + ANSWER_SLACK);
   check_all (&soak);
-  printf ("seed %u: %u requests, %u answered, %u broken\n", seed, soak.next, soak.answered,
+  printf ("seed %u: %u requests, %u answered, %u counted against a limit of %u, %u broken\n", seed,
+          soak.next, soak.answered, soak.desks[DESKS - 1].arrivals->len, soak.desks[DESKS - 1].rate,
           soak.broken);
   CU_ASSERT_EQUAL (soak.broken, 0);
   CU_ASSERT (soak.answered > 0);
