serve: the age of no confirmation is not worked out

Cause: an instance that has no confirmation yet was asked by a peer, and subtracted 'never' from now before it looked whether there is one. What was answered was right in the builds that run (the check after it is on 'never' itself); nothing of it is defined.

Ruled out: the same subtraction elsewhere (sv_confirm's timer and sv_core_config_age look first).

Change: looked at first. Test: sv_confirm 'who was never confirmed confirms nothing', stopped by the sanitizer before, passes now.

--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -163,10 +163,13 @@
 answer (SvConfirm *self, const Peer *peer, const Alderturn__Confirmation *question)
 {
   KnlTime confirmed_at = self->events->confirmed_at (self->data);
-  KnlTime age = knl_kernel_now (self->kernel) - confirmed_at;
   Alderturn__Confirmation told = ALDERTURN__CONFIRMATION__INIT;
+  KnlTime age;
 
-  if (confirmed_at == -KNL_NEVER || age < 0 || age >= self->trust)
+  if (confirmed_at == -KNL_NEVER)
+    return;
+  age = knl_kernel_now (self->kernel) - confirmed_at;
+  if (age < 0 || age >= self->trust)
     return;
   told.stamp = question->stamp;
   told.version = self->events->version (self->data);
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -399,6 +399,27 @@
   fixture_close (&fixture);
 }
 
+/* Guards against an answer, of any age, from an instance that has no confirmation yet. */
+static void
+test_who_was_never_confirmed_confirms_nothing (void)
+{
+  Fixture fixture;
+  Instance *other;
+  KnlTime before;
+
+  fixture_open (&fixture);
+  other = choose_other (&fixture);
+  before = other->confirmed_at;
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      if (&fixture.instances[i] != other)
+        fixture.instances[i].confirmed_at = -KNL_NEVER;
+    }
+  pass (&fixture, 3 * TICK, FALSE);
+  CU_ASSERT_EQUAL (other->confirmed_at, before);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "other zones confirm", test_other_zones_confirm },
   { "few ask and all know", test_few_ask_and_all_know },
@@ -406,6 +427,7 @@
   { "ages add up", test_ages_add_up },
   { "other versions confirm nothing", test_other_versions_confirm_nothing },
   { "newer endpoints are asked for", test_newer_endpoints_are_asked_for },
+  { "who was never confirmed confirms nothing", test_who_was_never_confirmed_confirms_nothing },
 };
 
 SUITE_MAIN ("sv_confirm", cases)
