serve: a limit named in an answer to an order counts too

The same cause as the fault of requests, looked for elsewhere: an engine names its limit in its answers, and answers to orders about memory were read for their status alone. An instance that only held memory there would go on sending.

What an answer says of a limit is taken in one place (sv_reply_note_limit) by requests and orders. Test: sv_reservation 'limits in answers to orders', failing with the line left out; the others of sv_reservation, sv_limit, sv_limit_kept, sv_ends pass.

--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -58,6 +58,9 @@
                              POL_NO_LIMIT: any number */
 } SvReply;
 
+/** Takes what an answer says of the endpoint's limit, and logs a change. TRUE: it has changed. */
+gboolean sv_reply_note_limit (const SvReply *reply, SvEndpoint *endpoint, KnlTime at);
+
 /** Sets memory of an endpoint aside, or gives it back. */
 typedef struct
 {
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -212,28 +212,12 @@
   link->klass->suspect (link, self->fingerprint);
 }
 
-/* Only an answer with its signature is the endpoint's word that it needs a limit no more. */
-static void
-note_limit (SvRequest *self)
-{
-  SvPeerLink *link = self->core->parts.link;
-  SvEndpoint *endpoint = self->placement.first;
-  double before = endpoint->limit.rate;
-
-  if (self->reply.limit < 0 && !self->reply.is_signed)
-    return;
-  if (!sv_endpoint_note_limit (endpoint, self->reply.limit, self->last_at))
-    return;
-  cm_log (CM_LOG_NOTICE, "endpoint-limit", "s", "endpoint", endpoint->id, "s", "request",
-          self->ask.id, "f", "requests-a-second", endpoint->limit.rate, "f", "before", before);
-  link->klass->load_changed (link);
-}
-
 static HtHeadVerdict
 on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
   SvRequest *self = data;
   SvDialect *dialect = self->core->parts.dialect;
+  SvPeerLink *link = self->core->parts.link;
   gboolean succeeded;
 
   dialect->klass->read_reply (dialect, answer, &self->reply);
@@ -247,7 +231,8 @@
   if (self->reply.in_service >= 0)
     sv_endpoint_note_report (self->placement.first, (guint)self->reply.in_service, self->last_at);
   self->placement.first->heard_at = self->last_at;
-  note_limit (self);
+  if (sv_reply_note_limit (&self->reply, self->placement.first, self->last_at))
+    link->klass->load_changed (link);
   if (sv_request_is_streaming (self) && self->fields == NULL)
     self->fields = dialect->klass->write_reply (dialect, answer);
   return HT_HEAD_TAKE;
--- a/serve/endpoint.c
+++ b/serve/endpoint.c
@@ -1,7 +1,7 @@
 /** What is known of one endpoint. */
 
 #include "common/log.h"
-#include "serve/fleet.h"
+#include "serve/dialect.h"
 
 /* An endpoint that was lost is tried again soon, since one that restarts is back in seconds. One
  * error, or some, are a matter of the requests. */
@@ -299,6 +299,22 @@
   return TRUE;
 }
 
+/* Only an answer with its signature is the endpoint's word that it needs a limit no more. */
+gboolean
+sv_reply_note_limit (const SvReply *self, SvEndpoint *endpoint, KnlTime at)
+{
+  double before = endpoint->limit.rate;
+
+  if (self->limit < 0 && !self->is_signed)
+    return FALSE;
+  if (!sv_endpoint_note_limit (endpoint, self->limit, at))
+    return FALSE;
+  cm_log (CM_LOG_NOTICE, "endpoint-limit", "s", "endpoint", endpoint->id, "s", "request", self->id,
+          "i", "status", (gint64)self->status, "f", "requests-a-second", endpoint->limit.rate, "f",
+          "before", before);
+  return TRUE;
+}
+
 static SvToldSends *
 find_told_sends (const SvEndpoint *self, const SvToldSends *told)
 {
--- a/serve/reservation.c
+++ b/serve/reservation.c
@@ -131,6 +131,12 @@
 static HtHeadVerdict
 on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
+  const Ticket *self = data;
+  const SvReservationParts *parts = &self->reservation->parts;
+  SvReply reply;
+
+  parts->dialect->klass->read_reply (parts->dialect, answer, &reply);
+  sv_reply_note_limit (&reply, self->endpoint, knl_kernel_now (parts->kernel));
   return HT_HEAD_TAKE;
 }
 
--- a/tests/unit/sv_reservation_test.c
+++ b/tests/unit/sv_reservation_test.c
@@ -279,11 +279,37 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a limit that an engine names in answers to orders alone. */
+static void
+test_limits_in_answers_to_orders (void)
+{
+  static const ScriptedAnswer limited[] = {
+    { "HTTP/1.1 200 OK\r\nServer-Limit: 1.5\r\nContent-Length: 11\r\n\r\n{\"free\":10}", FALSE },
+    { TAKEN, FALSE },
+  };
+  static const ScriptedAnswer *const scripts[2] = { limited, limited };
+  Fixture fixture;
+  SvReservation *reservation;
+
+  fixture_open (&fixture, scripts, 2);
+  reservation = reserve (&fixture);
+  run_until_verdict (&fixture);
+  CU_ASSERT_EQUAL (fixture.endpoints[0]->limit.rate, 1.5);
+  sv_reservation_release (reservation);
+  run_until (&fixture, 0, 2, 0);
+  run_until (&fixture, 1, 2, 0);
+  knl_paused_clock_advance (fixture.clock, 2 * HOLD);
+  /* An answer without a signature does not end it. */
+  CU_ASSERT_EQUAL (fixture.endpoints[0]->limit.rate, 1.5);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "a refused part gives all back", test_refused_part_gives_all_back },
   { "an order without answer is a short lease", test_order_without_answer_is_a_short_lease },
   { "held memory is renewed", test_held_memory_is_renewed },
   { "a lease is not renewed at another start", test_lease_is_not_renewed_at_another_start },
+  { "limits in answers to orders", test_limits_in_answers_to_orders },
 };
 
 SUITE_MAIN ("sv_reservation", cases)
