policy, serve: room under a limit is left to others for a while, by chance

When a request's room has become free, all that have one at hand in between take it. With 200 instances, 200 requests a second for one endpoint and 100 ms until a send is known, more than the 17 that a limit of 2 a second allows come in 4 s, over and over: the excess is made up for, and then all take at once again.

Change: an instance waits for room of up to one request more, drawn anew after each request that it knows of, so that one after the other may send and most hear of it before it is their turn. What is saved up grows by as much, so that nothing is lost by it. One that is alone waits for nothing. How many there are and how many are heard is one setter now (sv_fleet_set_instances).

Weighed: a lower rate by the number of instances (loses as much where few ask); an order of turns by hash and clock (needs clocks that agree).

Test: sv_limit_kept 'a herd keeps a limit', failing without the spread; at least half of the limit is used.

--- a/include/policy/limit.h
+++ b/include/policy/limit.h
@@ -18,8 +18,17 @@
   KnlTime changed_at; /**< when the word that named this rate first was heard; 0: never */
   double room;        /**< requests that it may be sent now; below 0: too many were sent */
   KnlTime filled_at;  /**< when `room` was brought up to date */
+  guint n_taken;      /**< requests that `room` was taken for so far */
 } PolLimit;
 
+/** How an instance shares a limit with others. */
+typedef struct
+{
+  double part;   /**< of the rate, what it and those that it hears may use; above 0 and up to 1 */
+  double spread; /**< room beyond that for one request that it leaves to others, 0 to 1: instances
+                      that all take the same room know of each other too late */
+} PolLimitShare;
+
 void pol_limit_init (PolLimit *limit);
 
 /** The endpoint has named `rate` at `named_at`; an older word than the one known is passed over.
@@ -31,8 +40,5 @@
 /** Some instance has sent it so many requests. */
 void pol_limit_take (PolLimit *limit, guint n);
 
-/**
- * How long until a request may be sent; 0: now. `part`, above 0 and up to 1, is
- * what this instance and those that it hears may use of the rate.
- */
-KnlTime pol_limit_wait (PolLimit *limit, double part, KnlTime now);
+/** How long until a request may be sent; 0: now. */
+KnlTime pol_limit_wait (PolLimit *limit, const PolLimitShare *share, KnlTime now);
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -129,9 +129,9 @@
 
 SvEndpoint *sv_fleet_by_key (const SvFleet *fleet, guint64 key);
 
-/** What this instance and those that it hears may use of limits that endpoints name for all; above
- * 0 and up to 1. */
-void sv_fleet_set_limit_part (SvFleet *fleet, double part);
+/** How many instances there are, and how many of them this one hears, itself counted: what
+ * endpoints take from all together is divided by that. */
+void sv_fleet_set_instances (SvFleet *fleet, guint known, guint heard);
 
 /** All endpoints. */
 const GPtrArray *sv_fleet_all (const SvFleet *fleet);
--- a/policy/limit.c
+++ b/policy/limit.c
@@ -1,7 +1,9 @@
 #include "policy/limit.h"
 
-/* What is left over while nobody asks, in time at the rate; one request at least. */
-#define SAVED_MOST (250 * KNL_MSEC)
+/* What is left over while nobody asks, in time at the rate, and in requests at least: one, and what
+ * an instance leaves to others. */
+#define SAVED_MOST  (250 * KNL_MSEC)
+#define SAVED_LEAST 2.0
 
 /* Requests beyond the rate that are made up for, in time at the rate. An instance that has just
  * started may hear of many at once. */
@@ -51,6 +53,7 @@
 pol_limit_take (PolLimit *self, guint n)
 {
   self->room -= n;
+  self->n_taken += n;
 }
 
 static double
@@ -62,7 +65,7 @@
 static void
 fill (PolLimit *self, double rate, KnlTime now)
 {
-  double most = MAX (rate * in_seconds (SAVED_MOST), 1);
+  double most = MAX (rate * in_seconds (SAVED_MOST), SAVED_LEAST);
   double least = -MAX (rate * in_seconds (DEBT_MOST), 1);
 
   self->room = CLAMP (self->room, least, most);
@@ -71,12 +74,14 @@
 }
 
 KnlTime
-pol_limit_wait (PolLimit *self, double part, KnlTime now)
+pol_limit_wait (PolLimit *self, const PolLimitShare *share, KnlTime now)
 {
-  double rate = MAX (self->rate * part, 1 / in_seconds (PROBE_INTERVAL));
+  double rate = MAX (self->rate * share->part, 1 / in_seconds (PROBE_INTERVAL));
+  double lacks;
 
   if (!pol_limit_is_named (self))
     return 0;
   fill (self, rate, now);
-  return self->room >= 1 ? 0 : (KnlTime)((1 - self->room) / rate * KNL_SEC) + 1;
+  lacks = 1 + share->spread - self->room;
+  return lacks <= 0 ? 0 : (KnlTime)(lacks / rate * KNL_SEC) + 1;
 }
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -34,7 +34,9 @@
   GHashTable *reads;    /* prompt -> PlacedRead; those that count until their end is told */
   KnlTime swept_at;     /* when `reads` were swept last */
   GHashTable *unlisted; /* ids that the list being read has not named yet */
-  double limit_part;    /* see sv_fleet_set_limit_part() */
+  guint known;          /* see sv_fleet_set_instances() */
+  guint heard;
+  guint64 seed; /* another one at each instance */
   SvReplacedFunc on_replaced;
   gpointer on_replaced_data;
   SvFleetReadFunc on_read;
@@ -55,7 +57,8 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
   self->reads = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   self->all = g_ptr_array_new ();
-  self->limit_part = 1;
+  self->known = self->heard = 1;
+  self->seed = g_rand_int (knl_kernel_rand (kernel));
   return self;
 }
 
@@ -349,15 +352,28 @@
 }
 
 void
-sv_fleet_set_limit_part (SvFleet *self, double part)
+sv_fleet_set_instances (SvFleet *self, guint known, guint heard)
 {
-  self->limit_part = part;
+  self->known = MAX (known, 1);
+  self->heard = CLAMP (heard, 1, self->known);
+}
+
+/* Between 0 and 1, drawn anew after each request that is known of. */
+static double
+limit_spread (const SvFleet *fleet, const SvEndpoint *endpoint)
+{
+  guint64 drawn[3] = { fleet->seed, endpoint->key, endpoint->limit.n_taken };
+
+  return fleet->known == 1 ? 0 : (double)(XXH64 (drawn, sizeof drawn, 0) >> 11) / 0x1p53;
 }
 
 KnlTime
 sv_endpoint_limit_wait (const SvFleet *fleet, SvEndpoint *self, KnlTime now)
 {
-  return pol_limit_wait (&self->limit, fleet->limit_part, now);
+  PolLimitShare share = { .part = (double)fleet->heard / fleet->known,
+                          .spread = limit_spread (fleet, self) };
+
+  return pol_limit_wait (&self->limit, &share, now);
 }
 
 const GPtrArray *
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -114,9 +114,8 @@
 static void
 share_limits (SvPeers *self)
 {
-  double known = self->link.klass->n_instances (&self->link);
-
-  sv_fleet_set_limit_part (self->fleet, MIN ((1 + sv_peers_n_alive (self)) / known, 1));
+  sv_fleet_set_instances (self->fleet, self->link.klass->n_instances (&self->link),
+                          1 + sv_peers_n_alive (self));
 }
 
 static void
--- a/tests/unit/sv_limit_kept_test.c
+++ b/tests/unit/sv_limit_kept_test.c
@@ -263,6 +263,112 @@
   many_close (&many);
 }
 
+/* Instances before one endpoint, which hear of each other's sends late. */
+#define HERD       200
+#define HERD_DELAY (100 * KNL_MSEC)
+#define HERD_STEP  (5 * KNL_MSEC)
+#define HERD_STEPS ((guint)(3 * SPAN / HERD_STEP))
+
+typedef struct
+{
+  SvFleet *fleets[HERD];
+  guint senders[HERD_STEPS]; /* 1 + the instance that sent then; 0: none did */
+} Herd;
+
+static SvEndpoint *
+herd_endpoint (const Herd *self, guint i)
+{
+  return g_ptr_array_index (sv_fleet_all (self->fleets[i]), 0);
+}
+
+static void
+herd_open (Herd *self, KnlKernel *kernel)
+{
+  SvEndpointEntry entry = {
+    .id = "i", .service = "s", .address = "127.0.0.1:9", .zone = "a", .slots = 8
+  };
+
+  memset (self, 0, sizeof *self);
+  for (guint i = 0; i < HERD; i++)
+    {
+      self->fleets[i] = sv_fleet_new (kernel, KNL_SEC);
+      sv_fleet_set_instances (self->fleets[i], HERD, HERD);
+      sv_fleet_update (self->fleets[i], &entry);
+      sv_endpoint_note_limit (herd_endpoint (self, i), RATE, knl_kernel_now (kernel));
+    }
+}
+
+/* All others hear of what was sent `HERD_DELAY` before. */
+static void
+herd_tell (Herd *self, guint step)
+{
+  guint sender;
+  SvToldSends told;
+
+  if (step < HERD_DELAY / HERD_STEP)
+    return;
+  sender = self->senders[step - HERD_DELAY / HERD_STEP];
+  if (sender == 0)
+    return;
+  told = (SvToldSends){ .source = sender, .teller = sender };
+  for (guint i = 0; i <= step - HERD_DELAY / HERD_STEP; i++)
+    told.sent += self->senders[i] == sender;
+  for (guint i = 0; i < HERD; i++)
+    {
+      if (i + 1 != sender)
+        sv_endpoint_note_told_sends (herd_endpoint (self, i), &told);
+    }
+}
+
+static guint
+herd_most_in_a_span (const Herd *self)
+{
+  guint most = 0;
+  guint n = 0;
+
+  for (guint i = 0; i < HERD_STEPS; i++)
+    {
+      n += self->senders[i] != 0;
+      if (i >= SPAN / HERD_STEP)
+        n -= self->senders[i - SPAN / HERD_STEP] != 0;
+      most = MAX (most, n);
+    }
+  return most;
+}
+
+/* Guards against many instances that all take what has just become free. */
+static void
+test_a_herd_keeps_a_limit (void)
+{
+  static const SvLoad load = { .calls = 1 };
+  KnlPausedClock *clock = knl_paused_clock_new ();
+  KnlKernel *kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 5);
+  g_autofree Herd *herd = g_new (Herd, 1);
+  guint sent = 0;
+
+  herd_open (herd, kernel);
+  for (guint step = 0; step < HERD_STEPS; step++)
+    {
+      guint i = (guint)g_rand_int_range (knl_kernel_rand (kernel), 0, HERD);
+      SvEndpoint *endpoint = herd_endpoint (herd, i);
+
+      herd_tell (herd, step);
+      if (sv_endpoint_limit_wait (herd->fleets[i], endpoint, knl_kernel_now (kernel)) == 0)
+        {
+          sv_endpoint_charge (endpoint, &load, 1);
+          herd->senders[step] = i + 1;
+          sent++;
+        }
+      knl_paused_clock_advance (clock, HERD_STEP);
+    }
+  CU_ASSERT (herd_most_in_a_span (herd) <= SPAN_MOST);
+  CU_ASSERT (sent >= 3 * SPAN_LEAST);
+  for (guint i = 0; i < HERD; i++)
+    sv_fleet_free (herd->fleets[i]);
+  knl_kernel_free (kernel);
+  knl_paused_clock_free (clock);
+}
+
 static const SuiteCase cases[] = {
   { "one instance keeps a limit", test_one_instance_keeps_a_limit },
   { "instances keep a limit together", test_instances_keep_a_limit_together },
@@ -270,6 +376,7 @@
   { "the end of a limit is told", test_the_end_of_a_limit_is_told },
   { "a limit outlives restarts", test_a_limit_outlives_restarts },
   { "no limit is not told", test_no_limit_is_not_told },
+  { "a herd keeps a limit", test_a_herd_keeps_a_limit },
 };
 
 SUITE_MAIN ("sv_limit_kept", cases)
