serve: a limit counts as a row of a datagram

With 36 endpoints that name limits a whole datagram may pass the 2,048 bytes of its buffer and is not sent. Heartbeats go on, but what lost datagrams left is never mended, and an instance that starts never hears who it is.

Test: sv_limit_kept 'many limits fit into datagrams', which counts the log line of a datagram that is too large; fails without the count. sv_limit_kept, sv_peers, sv_cells pass.

--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -133,6 +133,7 @@
   Alderturn__EndpointLoad loads[ROWS_MOST];
   Alderturn__EndpointLoad *load_rows[ROWS_MOST];
   Alderturn__EndpointLimit limits[ROWS_MOST]; /* of `loads` */
+  guint n_limits;
   Alderturn__PlacedRead reads[READS_MOST];
   Alderturn__PlacedRead *read_rows[READS_MOST];
 } Rows;
@@ -183,6 +184,9 @@
                            Alderturn__Datagram *datagram,
                            Alderturn__Sender *sender);
 
+/** Whether so many rows of load are in it; a limit takes as much room as a row. */
+gboolean sv_rows_are_full (const Rows *rows, const Alderturn__Datagram *datagram, guint most);
+
 /** Adds what `load` says of the endpoint; there is room for ROWS_MOST. */
 void sv_peers_add_load (const SvPeers *self,
                         Alderturn__Datagram *datagram,
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -77,10 +77,17 @@
   datagram->sequence = ++self->sequence;
   datagram->ready = self->ready;
   datagram->cut_off = self->cut_off;
+  rows->n_limits = 0;
   datagram->loads = rows->load_rows;
   datagram->reads = rows->read_rows;
 }
 
+gboolean
+sv_rows_are_full (const Rows *rows, const Alderturn__Datagram *datagram, guint most)
+{
+  return datagram->n_loads + rows->n_limits >= most;
+}
+
 void
 sv_peers_fill_sender (const SvPeers *self, Alderturn__Datagram *datagram, Alderturn__Sender *sender)
 {
@@ -125,6 +132,7 @@
       (guint32)MIN ((now - endpoint->limit.named_at) / KNL_MSEC + 1, (KnlTime)G_MAXUINT32);
   limit->sent = sent;
   rows->loads[last].limit = limit;
+  rows->n_limits++;
 }
 
 static void
@@ -164,7 +172,7 @@
       if (endpoint->own.calls == 0
           && !sv_endpoint_tells_limit (endpoint, knl_kernel_now (self->kernel)))
         continue;
-      if (datagram->n_loads == ROWS_MOST)
+      if (sv_rows_are_full (rows, datagram, ROWS_MOST))
         {
           datagram->whole = FALSE;
           break;
@@ -271,7 +279,7 @@
   Rows rows;
 
   sv_peers_begin_datagram (self, &datagram, &rows);
-  for (guint i = 0; i < endpoints->len && datagram.n_loads < ROWS_MOST / 2; i++)
+  for (guint i = 0; i < endpoints->len && !sv_rows_are_full (&rows, &datagram, ROWS_MOST / 2); i++)
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -100,7 +100,7 @@
 {
   const GPtrArray *endpoints = sv_fleet_all (self->fleet);
 
-  for (guint i = 0; i < endpoints->len && datagram->n_loads < ROWS_MOST / 2; i++)
+  for (guint i = 0; i < endpoints->len && !sv_rows_are_full (rows, datagram, ROWS_MOST / 2); i++)
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
       SvLoad sum;
--- a/tests/unit/sv_limit_kept_test.c
+++ b/tests/unit/sv_limit_kept_test.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "common/log.h"
 #include "peers_fixture.h"
 #include "serve/router.h"
 #include "suite.h"
@@ -263,6 +264,46 @@
   many_close (&many);
 }
 
+static void
+on_line (const char *line, gpointer data)
+{
+  *(guint *)data += strstr (line, "datagram-too-large") != NULL;
+}
+
+/* Guards against datagrams that are not sent, since limits make them too large. */
+static void
+test_many_limits_fit_into_datagrams (void)
+{
+  static const guint most = 1 << 21;
+  const SvLoad load = { .calls = most, .writers = { most, most, most }, .tokens = 1ULL << 40 };
+  guint n_too_large = 0;
+  Many many;
+  SvPeerLink *link;
+
+  many_open (&many, 40);
+  cm_log_set_sink (on_line, &n_too_large);
+  link = sv_peers_link (many.peers.peers[0]);
+  for (guint i = 0; i < 40; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (sv_fleet_all (many.peers.fleets[0]), i);
+
+      endpoint->heard_at = 1;
+      sv_endpoint_note_limit (endpoint, RATE, 1);
+      endpoint->limit.named_at = -G_MAXINT32 * KNL_MSEC;
+      endpoint->sent = G_MAXUINT32 / 2;
+      sv_endpoint_charge (endpoint, &load, 1);
+      for (guint j = 0; j < 3; j++)
+        link->klass->suspect (link, i);
+    }
+  link->klass->load_changed (link);
+  peers_fixture_pass (&many.peers, 4 * PEERS_BEAT + PEERS_ACROSS);
+  cm_log_set_sink (NULL, NULL);
+  CU_ASSERT_EQUAL (n_too_large, 0);
+  for (guint i = 0; i < INSTANCES; i++)
+    CU_ASSERT_EQUAL (peers_fixture_load (&many.peers, i).calls, most);
+  many_close (&many);
+}
+
 /* Instances before one endpoint, which hear of each other's sends late. */
 #define HERD       200
 #define HERD_DELAY (100 * KNL_MSEC)
@@ -377,6 +418,7 @@
   { "a limit outlives restarts", test_a_limit_outlives_restarts },
   { "no limit is not told", test_no_limit_is_not_told },
   { "a herd keeps a limit", test_a_herd_keeps_a_limit },
+  { "many limits fit into datagrams", test_many_limits_fit_into_datagrams },
 };
 
 SUITE_MAIN ("sv_limit_kept", cases)
