--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -98,9 +98,12 @@
 note_versions (Gateway *self)
 {
   const SvConfig *config = sv_core_config (self->core);
+  guint64 era = pl_feed_position (self->config_feed).era;
+  SvPosition endpoints = { .era = era };
 
-  sv_peers_set_versions (self->peers, config != NULL ? config->version : 0,
-                         self->endpoints_revision);
+  if (self->endpoints_revision.era == era)
+    endpoints.version = self->endpoints_revision.version;
+  sv_peers_set_versions (self->peers, config != NULL ? config->version : 0, endpoints);
 }
 
 static void
@@ -114,9 +117,9 @@
   pl_mirror_tell (self->mirror);
   pl_feed_set_wait (self->config_feed, config_wait (self));
   /* What another instance has may be old; its age is asked for. */
-  if (self->peer_store == NULL)
+  if (self->peer_store == NULL && !sv_confirm_lacks_config (self->confirm))
     sv_core_confirm (self->core, at);
-  else
+  else if (self->peer_store != NULL)
     sv_confirm_note_config (self->confirm);
   sv_peers_set_ready (self->peers, gateway_is_ready (self));
 }
@@ -147,12 +150,16 @@
   .lost = on_lost,
 };
 
-static guint64
+static SvPosition
 confirm_version (gpointer data)
 {
-  const SvConfig *config = sv_core_config (((Gateway *)data)->core);
+  const Gateway *self = data;
+  const SvConfig *config = sv_core_config (self->core);
 
-  return config != NULL ? config->version : 0;
+  if (config == NULL)
+    return (SvPosition){ 0 };
+  return (SvPosition){ .era = pl_feed_position (self->config_feed).era,
+                       .version = config->version };
 }
 
 static KnlTime
@@ -182,18 +189,20 @@
     pl_feed_ask_again (self->config_feed);
 }
 
-static guint64
+static SvPosition
 confirm_endpoints (gpointer data)
 {
   return ((Gateway *)data)->endpoints_revision;
 }
 
-static guint64
+static SvPosition
 confirm_endpoints_known (gpointer data)
 {
   const Gateway *self = data;
 
-  return self->endpoints_feed != NULL ? pl_feed_version (self->endpoints_feed) : 0;
+  if (self->endpoints_feed == NULL)
+    return (SvPosition){ 0 };
+  return pl_feed_position (self->endpoints_feed);
 }
 
 static KnlTime
@@ -272,7 +281,10 @@
   Gateway *self = data;
   SvEndpointEntry entry;
 
-  self->endpoints_revision = MAX (self->endpoints_revision, row->version);
+  SvPosition revision = { .era = pl_feed_position (self->endpoints_feed).era,
+                          .version = row->version };
+
+  self->endpoints_revision = sv_position_newest (revision, self->endpoints_revision);
   if (row->gone)
     {
       cm_log (CM_LOG_INFO, "endpoint-unlisted", "s", "endpoint", row->key, "i", "row-version",
@@ -284,7 +296,7 @@
       cm_log (CM_LOG_INFO, "endpoint-listed", "s", "endpoint", row->key, "s", "service",
               entry.service, "s", "address", entry.address, "b", "draining", entry.draining, "i",
               "start", (gint64)entry.start, "i", "row-version", (gint64)row->version);
-      entry.revision = row->version;
+      entry.revision = revision;
       sv_fleet_update (self->fleet, &entry);
     }
   else
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -50,17 +50,20 @@
   KnlTime members_known_at; /* 0: the list of members was not read yet */
   KnlTime started_at;
   KnlTimerId source_timer;
-  guint64 endpoints_revision; /* newest row of the endpoints' table that has come */
-  KnlTime endpoints_heard_at; /* last answer of their feed */
-  CmLogLimit unreadable;      /* entries of endpoints that name none */
+  SvPosition endpoints_revision; /* newest row of the endpoints' table that has come */
+  KnlTime endpoints_heard_at;    /* last answer of their feed */
+  CmLogLimit unreadable;         /* entries of endpoints that name none */
   PlCall *member_call;
   PlAnswer *member_page; /* of the list, that is being taken in; NULL: none */
   guint next_member;     /* row of it */
   KnlJobId member_job;
   KnlTimerId member_timer;
   KnlTime look_delay;
-  gboolean is_entered; /* the list of members has named this instance */
-  gboolean is_listed;  /* the pages of it that have come have */
+  gboolean is_entered;    /* the list of members has named this instance */
+  gboolean is_listed;     /* the pages of it that have come have */
+  guint64 era;            /* of the store, newest that was seen; 0: none */
+  CmSeries *eras;         /* counts those after the first */
+  KnlTimerId enter_timer; /* this instance's row is to be written again */
   KnlTimerId tick_timer;
   KnlTime drain_since;    /* 0: no drain */
   gint64 boot_changed_at; /* the settings file's modification time, s */
@@ -118,6 +121,17 @@
 
 void gateway_stop_membership (Gateway *self);
 
+/** Writes this instance's row again, whatever the store has. */
+void gateway_enter_again (Gateway *self);
+
+/* era.c */
+
+void gateway_meter_eras (Gateway *self);
+
+/** Has a new era that `store` tells of acted upon. */
+void gateway_watch_era (Gateway *self, PlStore *store);
+void gateway_stop_watching_era (Gateway *self);
+
 /* turns.c */
 
 /** Has each callback of the loop counted by how long it took. `limit`: of processor time, beyond
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -129,6 +129,7 @@
       ht_client_new (self->process.kernel, self->process.base, &limits, KEEP_IDLE);
   self->store_client = ht_client_new (self->process.kernel, self->process.base, &limits, KEEP_IDLE);
   self->store = pl_store_new (self->process.kernel, self->store_client, self->boot->store_address);
+  gateway_watch_era (self, self->store);
 }
 
 static gboolean
@@ -157,6 +158,7 @@
   SvCoreParts parts;
 
   self->metrics = cm_metrics_new ();
+  gateway_meter_eras (self);
   self->dialect = pl_dialect_new ();
   parts = (SvCoreParts){
     .kernel = self->process.kernel,
@@ -194,6 +196,7 @@
 {
   knl_timer_stop (self->process.kernel, &self->tick_timer);
   gateway_stop_meter (self);
+  gateway_stop_watching_era (self);
   gateway_stop_following (self);
   gateway_stop_membership (self);
   sv_core_free (self->core);
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -61,6 +61,17 @@
                                     pl_encode_member (&self->member), on_entered, self);
 }
 
+void
+gateway_enter_again (Gateway *self)
+{
+  /* The list is being read or written: what comes of that may be of before. */
+  g_clear_pointer (&self->member_call, pl_call_cancel);
+  knl_job_stop (self->process.kernel, &self->member_job);
+  g_clear_pointer (&self->member_page, pl_answer_free);
+  knl_timer_stop (self->process.kernel, &self->member_timer);
+  enter (self);
+}
+
 static void
 on_removed (PlStatus status, PlAnswer **answer, gpointer data)
 {
--- a/gateway/source.c
+++ b/gateway/source.c
@@ -49,7 +49,10 @@
   self->peer_address = g_strdup (address);
   self->peer_store = NULL;
   if (address != NULL)
-    self->peer_store = pl_store_new (self->process.kernel, self->store_client, address);
+    {
+      self->peer_store = pl_store_new_peer (self->process.kernel, self->store_client, address);
+      gateway_watch_era (self, self->peer_store);
+    }
   /* Whoever is asked has not been silent yet. */
   self->config_heard_at = self->endpoints_heard_at = knl_kernel_now (self->process.kernel);
   gateway_follow (self, address != NULL ? self->peer_store : self->store);
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -9,6 +9,7 @@
 
 #include "http/client.h"
 #include "platform/answer.h"
+#include "serve/position.h"
 
 typedef struct PlStore PlStore;
 typedef struct PlCall PlCall;
@@ -30,9 +31,23 @@
  * returns, unless that has stolen it. */
 typedef void (*PlCallFunc) (PlStatus status, PlAnswer **answer, gpointer data);
 
+/** The store has come back from an older copy, and its versions are of another era. Whatever was
+ * read before is to be read anew. */
+typedef void (*PlEraFunc) (PlStore *store, gpointer data);
+
 PlStore *pl_store_new (KnlKernel *kernel, HtClient *client, const char *address);
 void pl_store_free (PlStore *store);
 
+/** Another instance that answers in the store's place; it is told the era that is known. */
+PlStore *pl_store_new_peer (KnlKernel *kernel, HtClient *client, const char *address);
+
+void pl_store_on_era (PlStore *store, PlEraFunc func, gpointer data);
+
+/** The newest era that is known; 0: none. Answers of earlier ones, and those that tell none
+ * although one is known, count as lost. A read that finds a new one ends as PL_FORGOTTEN. */
+guint64 pl_store_era (const PlStore *store);
+void pl_store_note_era (PlStore *store, guint64 era);
+
 /** Reads the rows of a table from the key `from` (may be NULL) on, in pages. */
 PlCall *
 pl_store_get (PlStore *store, const char *table, const char *from, PlCallFunc func, gpointer data);
@@ -112,8 +127,11 @@
 /** Asks `store` from now on, beginning at once. What is known stays. */
 void pl_feed_set_source (PlFeed *feed, PlStore *store);
 
-/** All changes up to this version have been handed on; 0: none yet. */
-guint64 pl_feed_version (const PlFeed *feed);
+/** All changes up to this position have been handed on; version 0: none yet. */
+SvPosition pl_feed_position (const PlFeed *feed);
+
+/** Its store may have another era: the table is read anew then. */
+void pl_feed_note_era (PlFeed *feed);
 
 /** Whether some pages of a list have come, and others have not, or are not taken in. */
 gboolean pl_feed_is_listing (const PlFeed *feed);
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -16,8 +16,8 @@
 
 typedef struct
 {
-  /** Version of the configuration in use; 0: there is none. */
-  guint64 (*version) (gpointer data);
+  /** Version of the configuration in use (0: there is none), and the store's era. */
+  SvPosition (*version) (gpointer data);
   /** When it was last known to be the newest; -KNL_NEVER: never. */
   KnlTime (*confirmed_at) (gpointer data);
   /** It was the newest at that time. */
@@ -26,8 +26,8 @@
   void (*ask_store) (gpointer data);
   /** Revision of the newest change of the list of endpoints that has come, the revision up to which
    * all changes have come, and when they were last answered for. */
-  guint64 (*endpoints) (gpointer data);
-  guint64 (*endpoints_known) (gpointer data);
+  SvPosition (*endpoints) (gpointer data);
+  SvPosition (*endpoints_known) (gpointer data);
   KnlTime (*endpoints_heard_at) (gpointer data);
   /** A peer knows of a newer one, that we should have been told of. */
   void (*ask_endpoints) (gpointer data);
@@ -48,5 +48,12 @@
  * confirmed already; else a peer is asked at once. */
 void sv_confirm_note_config (SvConfirm *confirm);
 
+/**
+ * Whether a peer has told lately of a configuration with a higher version than
+ * that in use. The store may have lost it, and with it that a key was withdrawn;
+ * the operator writes it again.
+ */
+gboolean sv_confirm_lacks_config (const SvConfirm *confirm);
+
 /** Whether this instance is one of those that ask the store often. */
 gboolean sv_confirm_asks_store (const SvConfirm *confirm);
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -12,6 +12,7 @@
 #include "policy/health.h"
 #include "policy/limit.h"
 #include "serve/config.h"
+#include "serve/position.h"
 #include "serve/reads.h"
 
 typedef struct SvFleet SvFleet;
@@ -56,8 +57,8 @@
   char *address;
   char *zone;
   guint slots;
-  guint64 key;      /**< hash of the id and the start, the same at every instance */
-  guint64 revision; /**< of the entry that it was last described by; 0: unknown */
+  guint64 key;         /**< hash of the id and the start, the same at every instance */
+  SvPosition revision; /**< of the entry that it was last described by; version 0: unknown */
   SvEndpointState state;
   KnlTime leaving_since;
   gboolean is_unlisted; /**< its entry is gone; it stays for the time that a leaving one serves */
@@ -97,8 +98,8 @@
   const char *zone;
   guint slots;
   gboolean draining;
-  guint64 start;    /**< see SvEndpoint */
-  guint64 revision; /**< rises with each change of the entry; 0: unknown */
+  guint64 start;       /**< see SvEndpoint */
+  SvPosition revision; /**< in the store; version 0: unknown */
 } SvEndpointEntry;
 
 /** The id of `endpoint` names another start of it from now on. */
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -49,7 +49,7 @@
 KnlTime sv_peers_silence (const SvPeers *peers, const char *link_address);
 
 /** Newest configuration and newest revision in the list of endpoints that this instance has. */
-void sv_peers_set_versions (SvPeers *peers, guint64 config, guint64 endpoints);
+void sv_peers_set_versions (SvPeers *peers, guint64 config, SvPosition endpoints);
 
 /** This instance asks the store, and has no answer; a change is told at once. */
 void sv_peers_set_cut_off (SvPeers *peers, gboolean cut_off);
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -196,10 +196,14 @@
    * newest revision in the answerer's list of endpoints
    */
   uint64_t endpoints;
+  /*
+   * of the store, that both versions are of; 0: not known
+   */
+  uint64_t era;
 };
 #define ALDERTURN__CONFIRMATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__confirmation__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Alderturn__Datagram
@@ -270,10 +274,14 @@
    * newest revision in its list of endpoints; 0: not told
    */
   uint64_t endpoints;
+  /*
+   * of the store, that the two versions above are of; 0: not known
+   */
+  uint64_t era;
 };
 #define ALDERTURN__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__datagram__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /* Alderturn__EndpointLimit methods */
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -22,10 +22,14 @@
  * it. */
 #define NEWS_LAG (300 * KNL_MSEC)
 
+/* A configuration that the store has lost is written again within seconds. One that was not by then
+ * is taken for gone, and keys that it withdrew for valid. */
+#define LOST_CONFIG_KEPT (30 * KNL_SEC)
+
 /* What others have told of that has not come. */
 typedef struct
 {
-  guint64 told;
+  SvPosition told;
   KnlTime since;
 } Behind;
 
@@ -42,8 +46,10 @@
   Behind config;
   Behind endpoints;
   gboolean rechecks; /* a peer is asked the next time in any case */
-  guint64 proven;    /* version that was the newest at `proven_at`; 0: none */
+  SvPosition proven; /* that was the newest at `proven_at`; version 0: none */
   KnlTime proven_at;
+  guint64 config_told; /* highest version that a peer has told of lately */
+  KnlTime config_told_at;
 };
 
 gboolean
@@ -118,7 +124,7 @@
   self->timer = knl_timer_start (self->kernel,
                                  part_of_trust (self, hurries ? HURRY_EVERY_PART : ASK_EVERY_PART),
                                  on_timer, self);
-  if (self->events->version (self->data) == 0
+  if (self->events->version (self->data).version == 0
       || (sv_confirm_asks_store (self) && !self->peers->cut_off))
     return;
   if (age >= part_of_trust (self, GIVE_UP_PART))
@@ -143,9 +149,12 @@
 static void
 use_proof (SvConfirm *self)
 {
-  if (self->proven == 0 || self->events->version (self->data) < self->proven)
+  SvPosition own = self->events->version (self->data);
+
+  if (self->proven.version == 0 || own.era != self->proven.era
+      || own.version < self->proven.version)
     return;
-  self->proven = 0;
+  self->proven.version = 0;
   self->events->confirm (self->proven_at, self->data);
 }
 
@@ -163,6 +172,8 @@
 answer (SvConfirm *self, const Peer *peer, const Alderturn__Confirmation *question)
 {
   KnlTime confirmed_at = self->events->confirmed_at (self->data);
+  SvPosition own = self->events->version (self->data);
+  SvPosition endpoints = self->events->endpoints (self->data);
   Alderturn__Confirmation told = ALDERTURN__CONFIRMATION__INIT;
   KnlTime age;
 
@@ -172,9 +183,10 @@
   if (age < 0 || age >= self->trust)
     return;
   told.stamp = question->stamp;
-  told.version = self->events->version (self->data);
+  told.version = own.version;
+  told.era = own.era;
   told.age_ms = (guint32)(age / KNL_MSEC + 1);
-  told.endpoints = self->events->endpoints (self->data);
+  told.endpoints = endpoints.era == own.era ? endpoints.version : 0;
   if (told.version > 0)
     sv_peers_send_confirmation (self->peers, peer, &told);
 }
@@ -190,26 +202,49 @@
   return knl_kernel_now (self->kernel) - heard_at > FEED_LAG;
 }
 
+static gboolean
+is_long_ago (const SvConfirm *self, KnlTime at)
+{
+  return knl_kernel_now (self->kernel) - at > LOST_CONFIG_KEPT;
+}
+
+gboolean
+sv_confirm_lacks_config (const SvConfirm *self)
+{
+  return self->config_told > self->events->version (self->data).version
+         && !is_long_ago (self, self->config_told_at);
+}
+
 /* TRUE: it was told of long enough ago to have come. */
 static gboolean
-is_behind (const SvConfirm *self, Behind *behind, guint64 told, guint64 known)
+is_behind (const SvConfirm *self, Behind *behind, SvPosition told, SvPosition known)
 {
   KnlTime now = knl_kernel_now (self->kernel);
 
-  if (told <= known)
+  if (sv_position_compare (told, known) != SV_POSITION_NEWER)
     return FALSE;
-  if (behind->told <= known)
+  if (sv_position_compare (behind->told, known) != SV_POSITION_NEWER)
     *behind = (Behind){ .told = told, .since = now };
   return now - behind->since > NEWS_LAG;
 }
 
+static void
+note_config_told (SvConfirm *self, guint64 version)
+{
+  if (version < self->config_told && !is_long_ago (self, self->config_told_at))
+    return;
+  self->config_told = version;
+  self->config_told_at = knl_kernel_now (self->kernel);
+}
+
 /* What a peer says with its heartbeats. Of other cells only those listen who ask the store: the
  * rest of the cell hears it from them, and does not ask the store all at once. */
 static void
-on_versions (const Peer *peer, guint64 config, guint64 endpoints, gpointer data)
+on_versions (const Peer *peer, SvPosition config, SvPosition endpoints, gpointer data)
 {
   SvConfirm *self = data;
 
+  note_config_told (self, config.version);
   if (!sv_peer_is_in_cell (self->peers, peer) && !sv_confirm_asks_store (self))
     return;
   if (is_behind (self, &self->endpoints, endpoints, self->events->endpoints_known (self->data))
@@ -223,23 +258,28 @@
 static void
 take_answer (SvConfirm *self, const Alderturn__Confirmation *told)
 {
-  guint64 own = self->events->version (self->data);
+  SvPosition newest = { told->era, told->version };
+  SvPosition own = self->events->version (self->data);
 
   if (self->stamp == 0 || told->stamp != self->stamp)
     return;
   self->stamp = 0;
-  if (told->endpoints > self->events->endpoints_known (self->data)
+  if (sv_position_compare ((SvPosition){ told->era, told->endpoints },
+                           self->events->endpoints_known (self->data))
+          == SV_POSITION_NEWER
       && is_deaf (self, self->events->endpoints_heard_at (self->data)))
     self->events->ask_endpoints (self->data);
-  if (told->version < own)
-    return;
-  self->proven = told->version;
-  self->proven_at = self->asked_at - (KnlTime)told->age_ms * KNL_MSEC;
-  use_proof (self);
+  /* The same version of another era may be another configuration. */
+  if (newest.era == own.era && newest.version >= own.version)
+    {
+      self->proven = newest;
+      self->proven_at = self->asked_at - (KnlTime)told->age_ms * KNL_MSEC;
+      use_proof (self);
+    }
   /* When versions come in a row, the newest is on its way here. */
-  if (is_behind (self, &self->config, told->version, own))
+  if (is_behind (self, &self->config, newest, own))
     self->events->ask_store (self->data);
-  if (told->version > own)
+  if (sv_position_compare (newest, own) == SV_POSITION_NEWER)
     recheck (self);
 }
 
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -170,7 +170,8 @@
   if (self->unlisted != NULL)
     g_hash_table_remove (self->unlisted, entry->id);
   /* A list may be read from before a change that is known already. */
-  if (endpoint != NULL && entry->revision < endpoint->revision)
+  if (endpoint != NULL
+      && sv_position_compare (entry->revision, endpoint->revision) == SV_POSITION_OLDER)
     return;
   if (endpoint != NULL && !is_same_start (endpoint, entry))
     {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -314,7 +314,7 @@
 }
 
 void
-sv_peers_set_versions (SvPeers *self, guint64 config, guint64 endpoints)
+sv_peers_set_versions (SvPeers *self, guint64 config, SvPosition endpoints)
 {
   self->config_version = config;
   self->endpoints_revision = endpoints;
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -82,8 +82,8 @@
 
 /** A peer has told the versions that it has. */
 typedef void (*SvPeerVersionsFunc) (const Peer *peer,
-                                    guint64 config,
-                                    guint64 endpoints,
+                                    SvPosition config,
+                                    SvPosition endpoints,
                                     gpointer data);
 
 struct SvPeers
@@ -98,7 +98,7 @@
   gboolean ready;
   gboolean cut_off;
   guint64 config_version;
-  guint64 endpoints_revision;
+  SvPosition endpoints_revision;
   evutil_socket_t socket;
   struct event *readable;
   GHashTable *peers;     /* link address -> Peer */
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -260,7 +260,8 @@
   peer->cut_off = datagram->cut_off;
   peer->heard_at = knl_kernel_now (self->kernel);
   if (datagram->config_version > 0 && self->on_versions != NULL)
-    self->on_versions (peer, datagram->config_version, datagram->endpoints,
+    self->on_versions (peer, (SvPosition){ datagram->era, datagram->config_version },
+                       (SvPosition){ datagram->era, datagram->endpoints },
                        self->on_confirmation_data);
   return peer;
 }
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -203,7 +203,8 @@
 
   sv_peers_begin_datagram (self, &datagram, &rows);
   datagram.config_version = self->config_version;
-  datagram.endpoints = self->endpoints_revision;
+  datagram.endpoints = self->endpoints_revision.version;
+  datagram.era = self->endpoints_revision.era;
   sv_peers_send_to_cell (self, &datagram);
 }
 
--- a/tests/fakes/row_store.c
+++ b/tests/fakes/row_store.c
@@ -28,10 +28,13 @@
   HtServer *server;
   char *address;
   GPtrArray *rows; /* Row, by version */
+  GPtrArray *log;  /* Row, all that were ever written in this era or copied into it */
+  guint64 era;     /* 0: it tells none */
   GPtrArray *waiting;
   guint64 version;
   guint64 history_from;
   RowStoreMode mode;
+  guint page; /* rows in an answer to a list; 0: all */
   guint n_lists;
   guint n_feeds;
 };
@@ -81,13 +84,23 @@
 }
 
 static void
-answer (RowStore *self, HtCall *call, json_t *rows)
+answer_text (const RowStore *self, HtCall *call, guint status, const char *text)
 {
-  json_t *body =
-      json_pack ("{s:o, s:b, s:I}", "rows", rows, "morePages", 0, "ver", (json_int_t)self->version);
+  g_autoptr (GString) fields = g_string_new ("Content-Type: application/json\r\n");
+
+  if (self->era > 0)
+    g_string_append_printf (fields, "Store-Era: %" G_GUINT64_FORMAT "\r\n", self->era);
+  ht_call_answer (call, status, fields->str, text, strlen (text));
+}
+
+static void
+answer (RowStore *self, HtCall *call, json_t *rows, gboolean more)
+{
+  json_t *body = json_pack ("{s:o, s:b, s:I}", "rows", rows, "morePages", more, "ver",
+                            (json_int_t)self->version);
   char *text = json_dumps (body, JSON_COMPACT);
 
-  ht_call_answer (call, 200, "Content-Type: application/json\r\n", text, strlen (text));
+  answer_text (self, call, 200, text);
   free (text);
   json_decref (body);
 }
@@ -107,7 +120,7 @@
 {
   RowStore *store = self->store;
 
-  answer (store, self->call, rows_after (store, self->table, self->after, TRUE));
+  answer (store, self->call, rows_after (store, self->table, self->after, TRUE), FALSE);
   g_ptr_array_remove (store->waiting, self);
 }
 
@@ -141,9 +154,10 @@
   Waiting *waiting;
 
   self->n_feeds++;
-  if (g_ascii_strtoull (after, NULL, 10) < self->history_from)
+  if (g_ascii_strtoull (after, NULL, 10) < self->history_from
+      || g_ascii_strtoull (after, NULL, 10) > self->version)
     {
-      ht_call_answer (call, 410, NULL, "{}", 2);
+      answer_text (self, call, 410, "{}");
       return;
     }
   waiting = g_new0 (Waiting, 1);
@@ -229,16 +243,67 @@
       write_entries (self, json_object_get (transaction, "remove"));
     }
   json_decref (transaction);
-  ht_call_answer (call, expected ? 200 : 412, "Content-Type: application/json\r\n", "{}", 2);
+  answer_text (self, call, expected ? 200 : 412, "{}");
+}
+
+/* Whether no row of the table comes after the last one of the page. */
+static gboolean
+ends_with_last (const RowStore *self, const char *table, json_t *page)
+{
+  const char *last = text_of (json_array_get (page, json_array_size (page) - 1), "key");
+
+  for (guint i = 0; i < self->rows->len; i++)
+    {
+      const Row *row = g_ptr_array_index (self->rows, i);
+
+      if (is_in_table (row, table) && row->json != NULL && strcmp (row->key, last) > 0)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static gint
+compare_keys (gconstpointer a, gconstpointer b)
+{
+  return strcmp (text_of (*(json_t *const *)a, "key"), text_of (*(json_t *const *)b, "key"));
+}
+
+/* The rows from the key `from` on, as many as fit. */
+static json_t *
+page_of (json_t *rows, const char *from, guint most)
+{
+  g_autoptr (GPtrArray) sorted = g_ptr_array_new ();
+  json_t *page = json_array ();
+  json_t *row;
+  gsize i;
+
+  json_array_foreach (rows, i, row) g_ptr_array_add (sorted, row);
+  g_ptr_array_sort (sorted, compare_keys);
+  for (guint j = 0; j < sorted->len && json_array_size (page) < most; j++)
+    {
+      row = g_ptr_array_index (sorted, j);
+      if (from == NULL || strcmp (text_of (row, "key"), from) >= 0)
+        json_array_append (page, row);
+    }
+  json_decref (rows);
+  return page;
 }
 
 static void
 take_list (RowStore *self, HtCall *call)
 {
   g_autofree char *table = ht_message_query (ht_call_request (call), "table");
+  g_autofree char *from = ht_message_query (ht_call_request (call), "from");
+  json_t *rows = rows_after (self, table, 0, FALSE);
+  gsize before = json_array_size (rows);
 
   self->n_lists++;
-  answer (self, call, rows_after (self, table, 0, FALSE));
+  if (self->page > 0)
+    rows = page_of (rows, from, self->page);
+  /* A page that begins at the last one's end goes on while there is more behind it. */
+  answer (self, call, rows,
+          self->page > 0 && json_array_size (rows) == self->page && before > self->page
+              && !ends_with_last (self, table, rows));
 }
 
 static void
@@ -249,7 +314,7 @@
   switch (self->mode)
     {
     case ROW_STORE_REFUSES:
-      ht_call_answer (call, 503, NULL, NULL, 0);
+      answer_text (self, call, 503, "");
       return;
     case ROW_STORE_DROPS:
       ht_call_abort (call);
@@ -296,6 +361,7 @@
 
   self->kernel = kernel;
   self->rows = g_ptr_array_new_with_free_func (row_free);
+  self->log = g_ptr_array_new_with_free_func (row_free);
   self->waiting = g_ptr_array_new_with_free_func (waiting_free);
   self->version = 1;
   for (guint port = 21000; self->server == NULL; port++)
@@ -313,6 +379,7 @@
   g_ptr_array_unref (self->waiting);
   ht_server_free (self->server);
   g_ptr_array_unref (self->rows);
+  g_ptr_array_unref (self->log);
   g_free (self->address);
   g_free (self);
 }
@@ -329,10 +396,19 @@
   row_store_put_in (self, "", key, json);
 }
 
+static Row *
+row_new (const char *table, const char *key, const char *json, guint64 version)
+{
+  Row *self = g_new0 (Row, 1);
+
+  *self = (Row){ g_strdup (table), g_strdup (key), g_strdup (json), version };
+  return self;
+}
+
 void
 row_store_put_in (RowStore *self, const char *table, const char *key, const char *json)
 {
-  Row *row = g_new0 (Row, 1);
+  Row *row = row_new (table, key, json, ++self->version);
 
   for (guint i = 0; i < self->rows->len; i++)
     {
@@ -344,11 +420,8 @@
           break;
         }
     }
-  row->table = g_strdup (table);
-  row->key = g_strdup (key);
-  row->json = g_strdup (json);
-  row->version = ++self->version;
   g_ptr_array_add (self->rows, row);
+  g_ptr_array_add (self->log, row_new (table, key, json, row->version));
   for (guint i = self->waiting->len; i > 0; i--)
     {
       Waiting *waiting = g_ptr_array_index (self->waiting, i - 1);
@@ -358,6 +431,59 @@
     }
 }
 
+gboolean
+row_store_has (const RowStore *self, const char *table, const char *key)
+{
+  return version_of (self, table, key) > 0;
+}
+
+void
+row_store_set_page (RowStore *self, guint rows)
+{
+  self->page = rows;
+}
+
+guint64
+row_store_version (const RowStore *self)
+{
+  return self->version;
+}
+
+void
+row_store_set_era (RowStore *self, guint64 era)
+{
+  self->era = era;
+}
+
+void
+row_store_return_to (RowStore *self, guint64 version)
+{
+  GPtrArray *log = g_steal_pointer (&self->log);
+
+  while (self->waiting->len > 0)
+    {
+      HtCall *call = ((Waiting *)g_ptr_array_index (self->waiting, 0))->call;
+
+      g_ptr_array_remove_index (self->waiting, 0);
+      ht_call_abort (call);
+    }
+  self->era++;
+  self->history_from = 0;
+  self->log = g_ptr_array_new_with_free_func (row_free);
+  g_ptr_array_set_size (self->rows, 0);
+  for (guint i = 0; i < log->len; i++)
+    {
+      const Row *row = g_ptr_array_index (log, i);
+
+      if (row->version > version)
+        break;
+      self->version = row->version - 1;
+      row_store_put_in (self, row->table, row->key, row->json);
+    }
+  self->version = version;
+  g_ptr_array_unref (log);
+}
+
 void
 row_store_set_mode (RowStore *self, RowStoreMode mode)
 {
--- a/tests/fakes/row_store.h
+++ b/tests/fakes/row_store.h
@@ -31,6 +31,20 @@
 /** The same, in every table that is asked for. */
 void row_store_put (RowStore *store, const char *key, const char *json);
 
+gboolean row_store_has (const RowStore *store, const char *table, const char *key);
+
+/** Rows in an answer to a list, which is then read in pages. */
+void row_store_set_page (RowStore *store, guint rows);
+
+guint64 row_store_version (const RowStore *store);
+
+/** The era that its answers tell; 0: none, as at first. */
+void row_store_set_era (RowStore *store, guint64 era);
+
+/** It comes back from a copy of when `version` was the newest, in the next era; versions after it
+ * are given out again. Feeds that wait are cut. */
+void row_store_return_to (RowStore *store, guint64 version);
+
 void row_store_set_mode (RowStore *store, RowStoreMode mode);
 
 /** Feeds that ask for what came before now are told that it is gone. */
--- a/tests/faults/gateway_test.c
+++ b/tests/faults/gateway_test.c
@@ -223,9 +223,41 @@
   fixture_close (&fixture);
 }
 
+/* Instances look at the list of members, and miss their own row, less often than this. */
+#define BEFORE_LOOK (15 * KNL_SEC)
+
+static gboolean
+is_entered (gpointer data)
+{
+  return row_store_has (((Fixture *)data)->store, "instances", "n1");
+}
+
+/* Guards against an instance that nobody finds any more, since the store has lost its row. */
+static void
+test_a_lost_row_is_written_again (void)
+{
+  Fixture fixture;
+  guint64 version;
+
+  fixture_open (&fixture);
+  row_store_set_era (fixture.store, 1);
+  version = row_store_version (fixture.store);
+  fill_store (&fixture);
+  CU_ASSERT_TRUE (hn_await (fixture.harness, HN_LIMIT, is_entered, &fixture));
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.ready, "/ready", 200));
+  row_store_return_to (fixture.store, version);
+  CU_ASSERT_FALSE (is_entered (&fixture));
+  fill_store (&fixture);
+  CU_ASSERT_TRUE (hn_await (fixture.harness, BEFORE_LOOK, is_entered, &fixture));
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.ready, "/ready", 200));
+  CU_ASSERT_EQUAL (ask (&fixture), 200);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "settings are read again", test_settings_are_read_again },
   { "stopping", test_stopping },
+  { "a lost row is written again", test_a_lost_row_is_written_again },
 };
 
 SUITE_MAIN ("gateway-faults", cases)
--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -41,6 +41,14 @@
 #define LIMIT_KNOWN (500 * KNL_MSEC)
 #define LIMIT_GRACE (3 * KNL_SEC)
 
+/* A copy of the store is of this many steps before at most, and what is lost is written again
+ * within this. */
+#define COPY_STEPS        150
+#define WRITTEN_WITHIN_MS 1000
+
+/* All instances that reach the store run the newest configuration within this. */
+#define SETTLED (4 * KNL_SEC)
+
 /* How long a caller's key may work after it was withdrawn, with the time that a request takes. */
 #define KEY_LIMIT (REVOKE + LIMIT)
 
@@ -112,6 +120,10 @@
   Gateway gateways[GATEWAYS];
   GHashTable *requests; /* id -> Request */
   GArray *withdrawn_at; /* KnlTime, by version: when its key was taken away */
+  char *config;         /* the newest, as the operator has it */
+  char *entries[DESKS]; /* of endpoints */
+  GArray *versions;     /* guint64, of the store, one a step */
+  KnlTime written_at;   /* when operator and endpoints write again what was lost; 0: nothing was */
   gboolean is_calm;     /* no signals */
   guint version;
   guint next;
@@ -273,8 +285,9 @@
                                                 .done = on_done,
                                                 .failed = on_failed };
 
-static void
-send_request (Soak *self)
+/* `version`: whose key it has; 0: the one that stays. */
+static Request *
+send_to (Soak *self, Gateway *gateway, guint version)
 {
   Request *request = g_new0 (Request, 1);
   g_autofree char *key = NULL;
@@ -282,11 +295,10 @@
   HtExchangeRequest exchange = { .connect_timeout = KNL_SEC, .max_idle = 2 * KNL_SEC };
 
   request->soak = self;
-  request->gateway = &self->gateways[g_rand_int_range (self->rand, 0, GATEWAYS)];
+  request->gateway = gateway;
   request->id = g_strdup_printf ("r%u", self->next++);
   request->once = g_rand_boolean (self->rand);
-  if (g_rand_double (self->rand) < 0.3)
-    request->key = MAX (self->version, 2) - (guint)g_rand_int_range (self->rand, 0, 2);
+  request->key = version;
   request->sent_at = now_of (self);
   g_hash_table_insert (self->requests, request->id, request);
   key = request->key > 0 ? g_strdup_printf ("key-%u", request->key) : g_strdup ("key");
@@ -296,6 +308,18 @@
   exchange.address = request->gateway->callers;
   exchange.head = head;
   ht_client_send (self->client, &exchange, &caller_events, request);
+  return request;
+}
+
+static void
+send_request (Soak *self)
+{
+  Gateway *gateway = &self->gateways[g_rand_int_range (self->rand, 0, GATEWAYS)];
+  guint version = 0;
+
+  if (g_rand_double (self->rand) < 0.3)
+    version = MAX (self->version, 2) - (guint)g_rand_int_range (self->rand, 0, 2);
+  send_to (self, gateway, version);
 }
 
 /* Gateways and the store */
@@ -335,7 +359,9 @@
   self->version++;
   g_array_append_val (self->withdrawn_at, now);
   text = g_strdup_printf (CONFIG_FORMAT, self->version, self->version);
-  row_store_put_in (self->store, "op", "config", text);
+  g_free (self->config);
+  self->config = g_steal_pointer (&text);
+  row_store_put_in (self->store, "op", "config", self->config);
 }
 
 static void
@@ -377,6 +403,7 @@
                            "\"state\":\"ready\",\"slots\":20}",
                            listed);
   row_store_put_in (self->store, "servers", id, entry);
+  self->entries[i] = g_steal_pointer (&entry);
 }
 
 /* Faults */
@@ -423,6 +450,33 @@
   row_store_forget_history (self->store);
 }
 
+/* It comes back from a copy of up to three seconds before. */
+static void
+fault_copy (Soak *self, Gateway *gateway)
+{
+  guint steps = (guint)g_rand_int_range (self->rand, 1, COPY_STEPS);
+  guint64 version = g_array_index (self->versions, guint64,
+                                   self->versions->len - MIN (steps, self->versions->len));
+
+  row_store_return_to (self->store, version);
+  self->written_at = now_of (self) + g_rand_int_range (self->rand, 0, WRITTEN_WITHIN_MS) * KNL_MSEC;
+}
+
+static void
+write_again (Soak *self)
+{
+  if (self->written_at == 0 || now_of (self) < self->written_at)
+    return;
+  self->written_at = 0;
+  for (guint i = 0; i < DESKS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+
+      row_store_put_in (self->store, "servers", id, self->entries[i]);
+    }
+  row_store_put_in (self->store, "op", "config", self->config);
+}
+
 static void
 fault_config (Soak *self, Gateway *gateway)
 {
@@ -452,14 +506,14 @@
 }
 
 /* The first of the faults leave processes and the store alone, the next one processes. */
-#define CALM_FAULTS  4
+#define CALM_FAULTS  5
 #define STORE_FAULTS 1
 
 static void
 inject (Soak *self)
 {
   static void (*const faults[]) (Soak *, Gateway *) = {
-    fault_reload, fault_history, fault_config, fault_proxy,
+    fault_reload, fault_history, fault_config, fault_proxy,     fault_copy,
     fault_store,  fault_pause,   fault_kill,   fault_terminate,
   };
   guint n = self->is_calm ? CALM_FAULTS : G_N_ELEMENTS (faults);
@@ -536,6 +590,26 @@
     check_limit (self, &self->desks[i]);
 }
 
+/* With the store back, the newest configuration's key works everywhere. */
+static void
+check_settled (Soak *self)
+{
+  Request *requests[GATEWAYS];
+
+  row_store_set_mode (self->store, ROW_STORE_SERVES);
+  self->written_at = MIN (self->written_at, now_of (self));
+  write_again (self);
+  hn_pass (self->harness, SETTLED);
+  for (guint i = 0; i < GATEWAYS; i++)
+    requests[i] = send_to (self, &self->gateways[i], self->version);
+  hn_pass (self->harness, LIMIT);
+  for (guint i = 0; i < GATEWAYS; i++)
+    {
+      if (requests[i]->status == 401 || requests[i]->status == 0)
+        report (self, requests[i], "the newest configuration is in force everywhere");
+    }
+}
+
 static void
 request_free (gpointer data)
 {
@@ -557,6 +631,8 @@
   self->withdrawn_at = g_array_new (FALSE, FALSE, sizeof (KnlTime));
   self->client = ht_client_new (self->harness->kernel, self->harness->base, &limits, 10 * KNL_SEC);
   self->store = row_store_new (self->harness->kernel, self->harness->base);
+  row_store_set_era (self->store, 1);
+  self->versions = g_array_new (FALSE, FALSE, sizeof (guint64));
   put_config (self);
   for (guint i = 0; i < DESKS; i++)
     start_desk (self, i);
@@ -593,6 +669,10 @@
       g_array_unref (self->desks[i].arrivals);
     }
   row_store_free (self->store);
+  g_array_unref (self->versions);
+  g_free (self->config);
+  for (guint i = 0; i < DESKS; i++)
+    g_free (self->entries[i]);
   CU_ASSERT_TRUE (hn_harness_free (self->harness));
   g_hash_table_unref (self->requests);
   g_array_unref (self->withdrawn_at);
@@ -612,6 +692,7 @@
 run_seed (guint32 seed, KnlTime length)
 {
   Soak soak;
+  guint64 version;
   KnlTime end;
   KnlTime limited;
   KnlTime next_fault;
@@ -625,6 +706,9 @@
       for (guint i = 0; i < AT_ONCE; i++)
         send_request (&soak);
       hn_pass (soak.harness, STEP);
+      version = row_store_version (soak.store);
+      g_array_append_val (soak.versions, version);
+      write_again (&soak);
       if (now_of (&soak) > limited && soak.desks[DESKS - 1].rate == 0)
         name_rate (&soak);
       if (now_of (&soak) < next_fault)
@@ -636,6 +720,7 @@
     hn_signal (soak.gateways[i].process, SIGCONT);
   hn_pass (soak.harness, LIMIT + ANSWER_SLACK);
   check_all (&soak);
+  check_settled (&soak);
   printf ("seed %u: %u requests, %u answered, %u counted against a limit of %u, %u broken\n", seed,
           soak.next, soak.answered, soak.desks[DESKS - 1].arrivals->len, soak.desks[DESKS - 1].rate,
           soak.broken);
--- a/tests/unit/pl_mirror_test.c
+++ b/tests/unit/pl_mirror_test.c
@@ -130,7 +130,7 @@
       address = g_strdup_printf ("127.0.0.1:%u", port++);
       self->mirror = pl_mirror_new (self->kernel, self->base, address);
     }
-  self->peer = pl_store_new (self->kernel, self->client, address);
+  self->peer = pl_store_new_peer (self->kernel, self->client, address);
   self->first.mirror = self->mirror;
   follower_open (&self->first, self->store);
   pl_mirror_add (self->mirror, "t", self->first.feed);
@@ -275,6 +275,52 @@
   fixture_close (&fixture);
 }
 
+/* Guards against rows of another era that a mirror serves as changes, or leaves out as known. */
+static void
+test_an_era_passes_through_the_mirror (void)
+{
+  Fixture fixture;
+  guint64 version;
+
+  fixture_open (&fixture);
+  row_store_set_era (fixture.rows, 1);
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  pass (&fixture, PASSED);
+  version = row_store_version (fixture.rows);
+  row_store_put (fixture.rows, "c", "{\"v\":\"lost\"}");
+  pass (&fixture, PASSED);
+  check_value (&fixture.second, "c", "lost");
+  row_store_return_to (fixture.rows, version);
+  row_store_put (fixture.rows, "a", "{\"v\":\"2\"}");
+  pass (&fixture, 2 * WAIT);
+  check_value (&fixture.second, "c", NULL);
+  check_value (&fixture.second, "a", "2");
+  CU_ASSERT_EQUAL (pl_feed_position (fixture.second.feed).era, 2);
+  fixture_close (&fixture);
+}
+
+/* Guards against an instance that takes an older era's rows for confirmed. */
+static void
+test_a_mirror_of_an_older_era_answers_nothing (void)
+{
+  Fixture fixture;
+  guint lost;
+
+  fixture_open (&fixture);
+  row_store_set_era (fixture.rows, 1);
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  pass (&fixture, PASSED);
+  pl_store_note_era (fixture.peer, 2);
+  lost = fixture.second.n_lost;
+  pl_feed_note_era (fixture.second.feed);
+  row_store_put (fixture.rows, "a", "{\"v\":\"2\"}");
+  pass (&fixture, 2 * WAIT);
+  CU_ASSERT (fixture.second.n_lost > lost);
+  check_value (&fixture.first, "a", "2");
+  check_value (&fixture.second, "a", "1");
+  fixture_close (&fixture);
+}
+
 /*
  * Symptom: a configuration of many routes is in force after its bound.
  * Sequence: it changes; one instance on a weak link sends it to forty others.
@@ -324,12 +370,12 @@
   PlRows *rows = pl_rows_new ();
 
   put_row (rows, "a", 3);
-  pl_rows_set_version (rows, 3);
+  pl_rows_set_position (rows, (SvPosition){ .version = 3 });
   CU_ASSERT_TRUE (pl_rows_changed (rows, 2));
   pl_rows_begin_list (rows);
   put_row (rows, "b", 9);
   CU_ASSERT_FALSE (pl_rows_changed (rows, 3));
-  pl_rows_end_list (rows, 9);
+  pl_rows_end_list (rows, (SvPosition){ .version = 9 });
   CU_ASSERT_TRUE (pl_rows_changed (rows, 3));
   CU_ASSERT_FALSE (pl_rows_changed (rows, 9));
   pl_rows_free (rows);
@@ -342,6 +388,8 @@
   { "an asker may know more", test_an_asker_may_know_more },
   { "who asks others answers nobody", test_who_asks_others_answers_nobody },
   { "what is too large is refused", test_what_is_too_large_is_refused },
+  { "an era passes through the mirror", test_an_era_passes_through_the_mirror },
+  { "a mirror of an older era answers nothing", test_a_mirror_of_an_older_era_answers_nothing },
 };
 
 SUITE_MAIN ("pl_mirror", cases)
--- a/tests/unit/pl_store_test.c
+++ b/tests/unit/pl_store_test.c
@@ -440,6 +440,141 @@
   fixture_close (&fixture);
 }
 
+static void
+pass_steps (Fixture *self, guint steps)
+{
+  for (guint i = 0; i < steps; i++)
+    {
+      knl_paused_clock_advance (self->clock, 50 * KNL_MSEC);
+      for (guint j = 0; j < 10; j++)
+        turn (self);
+    }
+}
+
+/* Guards against 'nothing new' from a store that gives the same versions out again. */
+static void
+test_versions_are_given_out_again (void)
+{
+  Fixture fixture;
+  guint64 version;
+
+  fixture_open (&fixture);
+  row_store_set_era (fixture.rows, 1);
+  wait_feeds (&fixture, 1);
+  version = row_store_version (fixture.rows);
+  row_store_put (fixture.rows, "b", "{\"v\":\"lost\"}");
+  wait_value (&fixture, "b", "lost");
+  row_store_return_to (fixture.rows, version);
+  row_store_put (fixture.rows, "c", "{\"v\":\"other\"}");
+  pass_steps (&fixture, 40);
+  /* What is gone is not kept, and what has its version now is there. */
+  CU_ASSERT_FALSE (g_hash_table_contains (fixture.seen, "b"));
+  CU_ASSERT_EQUAL (g_strcmp0 (g_hash_table_lookup (fixture.seen, "c"), "other"), 0);
+  CU_ASSERT_EQUAL (g_strcmp0 (g_hash_table_lookup (fixture.seen, "a"), "1"), 0);
+  fixture_close (&fixture);
+}
+
+/* Guards against a list of two eras, pages of one and of the other. */
+static void
+test_an_era_begins_within_a_list (void)
+{
+  Fixture fixture;
+  guint64 version;
+
+  fixture_open (&fixture);
+  row_store_set_era (fixture.rows, 1);
+  row_store_set_page (fixture.rows, 2);
+  version = row_store_version (fixture.rows);
+  row_store_put (fixture.rows, "b", "{\"v\":\"lost\"}");
+  row_store_put (fixture.rows, "c", "{\"v\":\"lost\"}");
+  while (row_store_n_lists (fixture.rows) < 1)
+    turn (&fixture);
+  row_store_return_to (fixture.rows, version);
+  row_store_put (fixture.rows, "d", "{\"v\":\"2\"}");
+  pass_steps (&fixture, 40);
+  CU_ASSERT_FALSE (g_hash_table_contains (fixture.seen, "b"));
+  CU_ASSERT_FALSE (g_hash_table_contains (fixture.seen, "c"));
+  CU_ASSERT_EQUAL (g_strcmp0 (g_hash_table_lookup (fixture.seen, "d"), "2"), 0);
+  CU_ASSERT_EQUAL (g_strcmp0 (g_hash_table_lookup (fixture.seen, "a"), "1"), 0);
+  fixture_close (&fixture);
+}
+
+/* Guards against answers of no era, or of one that is over, that are taken for new. */
+static void
+test_answers_of_no_known_era (void)
+{
+  static const guint64 eras[] = { 0, 1 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (eras); i++)
+    {
+      Fixture fixture;
+      guint confirmed;
+
+      fixture_open (&fixture);
+      row_store_set_era (fixture.rows, 2);
+      wait_feeds (&fixture, 1);
+      row_store_set_era (fixture.rows, eras[i]);
+      row_store_put (fixture.rows, "a", "{\"v\":\"2\"}");
+      confirmed = fixture.n_confirmed;
+      pass_steps (&fixture, 40);
+      CU_ASSERT_EQUAL (fixture.n_confirmed, confirmed);
+      CU_ASSERT_EQUAL (g_strcmp0 (g_hash_table_lookup (fixture.seen, "a"), "1"), 0);
+      row_store_set_era (fixture.rows, 2);
+      pass_steps (&fixture, 40);
+      CU_ASSERT_EQUAL (g_strcmp0 (g_hash_table_lookup (fixture.seen, "a"), "2"), 0);
+      fixture_close (&fixture);
+    }
+}
+
+/* Guards against an era that is passed over since another one follows at once. */
+static void
+test_eras_in_a_row (void)
+{
+  Fixture fixture;
+  guint64 version;
+
+  fixture_open (&fixture);
+  row_store_set_era (fixture.rows, 1);
+  wait_feeds (&fixture, 1);
+  version = row_store_version (fixture.rows);
+  for (guint i = 0; i < 4; i++)
+    {
+      row_store_put (fixture.rows, "b", "{\"v\":\"lost\"}");
+      row_store_return_to (fixture.rows, version);
+      row_store_put (fixture.rows, "c", "{\"v\":\"2\"}");
+      row_store_set_mode (fixture.rows, i % 2 == 0 ? ROW_STORE_DROPS : ROW_STORE_SERVES);
+      pass_steps (&fixture, 2);
+    }
+  row_store_set_mode (fixture.rows, ROW_STORE_SERVES);
+  row_store_put (fixture.rows, "c", "{\"v\":\"3\"}");
+  pass_steps (&fixture, 40);
+  CU_ASSERT_FALSE (g_hash_table_contains (fixture.seen, "b"));
+  CU_ASSERT_EQUAL (g_strcmp0 (g_hash_table_lookup (fixture.seen, "c"), "3"), 0);
+  CU_ASSERT_EQUAL (pl_feed_position (fixture.feed).era, 5);
+  fixture_close (&fixture);
+}
+
+static void
+test_positions (void)
+{
+  static const struct
+  {
+    SvPosition a;
+    SvPosition b;
+    SvPositionOrder order;
+  } rows[] = {
+    { { 1, 5 }, { 1, 5 }, SV_POSITION_SAME },      { { 1, 5 }, { 1, 6 }, SV_POSITION_OLDER },
+    { { 1, 6 }, { 1, 5 }, SV_POSITION_NEWER },     { { 2, 5 }, { 1, 6 }, SV_POSITION_NEWER },
+    { { 1, 6 }, { 2, 5 }, SV_POSITION_OLDER },     { { 2, 6 }, { 1, 6 }, SV_POSITION_NEWER },
+    { { 0, 6 }, { 0, 5 }, SV_POSITION_NEWER },     { { 0, 6 }, { 1, 5 }, SV_POSITION_UNRELATED },
+    { { 1, 5 }, { 0, 6 }, SV_POSITION_UNRELATED }, { { 3, 0 }, { 1, 5 }, SV_POSITION_OLDER },
+    { { 1, 5 }, { 3, 0 }, SV_POSITION_NEWER },     { { 0, 0 }, { 3, 0 }, SV_POSITION_SAME },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    CU_ASSERT_EQUAL (sv_position_compare (rows[i].a, rows[i].b), rows[i].order);
+}
+
 static const SuiteCase cases[] = {
   { "changes arrive", test_changes_arrive },
   { "confirmed as of the question", test_confirmed_as_of_the_question },
@@ -449,6 +584,11 @@
   { "large values come in slices", test_large_values_come_in_slices },
   { "interrupted values", test_interrupted_values },
   { "the rest follows the cost of changes", test_rest_follows_the_cost_of_changes },
+  { "versions are given out again", test_versions_are_given_out_again },
+  { "an era begins within a list", test_an_era_begins_within_a_list },
+  { "answers of no known era", test_answers_of_no_known_era },
+  { "eras in a row", test_eras_in_a_row },
+  { "positions", test_positions },
 };
 
 SUITE_MAIN ("pl_store", cases)
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -20,6 +20,7 @@
   SvPeers *peers;
   SvConfirm *confirm;
   char *link;
+  guint64 era;
   guint64 version;
   KnlTime confirmed_at;
   guint64 endpoints;
@@ -44,10 +45,12 @@
   g_error ("nothing happens any more");
 }
 
-static guint64
+static SvPosition
 version (gpointer data)
 {
-  return ((Instance *)data)->version;
+  const Instance *self = data;
+
+  return (SvPosition){ .era = self->era, .version = self->version };
 }
 
 static KnlTime
@@ -70,10 +73,12 @@
   ((Instance *)data)->n_asked_store++;
 }
 
-static guint64
+static SvPosition
 endpoints (gpointer data)
 {
-  return ((Instance *)data)->endpoints;
+  const Instance *self = data;
+
+  return (SvPosition){ .era = self->era, .version = self->endpoints };
 }
 
 static KnlTime
@@ -420,12 +425,75 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a confirmation of another era's configuration of the same version. */
+static void
+test_other_eras_confirm_nothing (void)
+{
+  static const struct
+  {
+    guint64 era; /* of those that ask the store; the other one is in era 2 */
+    gboolean confirms;
+    gboolean asks; /* for what it has missed */
+  } rows[] = { { 2, TRUE, FALSE }, { 3, FALSE, TRUE }, { 1, FALSE, FALSE }, { 0, FALSE, FALSE } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      Fixture fixture;
+      Instance *other;
+      KnlTime before;
+
+      fixture_open (&fixture);
+      other = choose_other (&fixture);
+      before = other->confirmed_at;
+      for (guint j = 0; j < INSTANCES; j++)
+        {
+          Instance *instance = &fixture.instances[j];
+
+          instance->era = sv_confirm_asks_store (instance->confirm) ? rows[i].era : 2;
+        }
+      pass (&fixture, 3 * TICK, TRUE);
+      CU_ASSERT_EQUAL (other->confirmed_at > before, rows[i].confirms);
+      CU_ASSERT_EQUAL (other->n_asked_store > 0, rows[i].asks);
+      fixture_close (&fixture);
+    }
+}
+
+/* Guards against a withdrawn key that works again where the store has lost its withdrawal. */
+static void
+test_a_lost_configuration_is_remembered (void)
+{
+  Fixture fixture;
+  Instance *other;
+
+  fixture_open (&fixture);
+  other = choose_other (&fixture);
+  other->version = 6;
+  for (guint j = 0; j < INSTANCES; j++)
+    {
+      Instance *instance = &fixture.instances[j];
+
+      sv_peers_set_versions (instance->peers, instance->version, (SvPosition){ 0 });
+    }
+  pass (&fixture, KNL_SEC, TRUE);
+  CU_ASSERT_TRUE (sv_confirm_lacks_config (other->confirm));
+  other->version = 7;
+  CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm));
+  other->version = 6;
+  for (guint j = 0; j < INSTANCES; j++)
+    sv_peers_set_versions (fixture.instances[j].peers, 6, (SvPosition){ 0 });
+  pass (&fixture, 31 * KNL_SEC, TRUE);
+  CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm));
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "other zones confirm", test_other_zones_confirm },
   { "few ask and all know", test_few_ask_and_all_know },
   { "late answers are old", test_late_answers_are_old },
   { "ages add up", test_ages_add_up },
   { "other versions confirm nothing", test_other_versions_confirm_nothing },
+  { "other eras confirm nothing", test_other_eras_confirm_nothing },
+  { "a lost configuration is remembered", test_a_lost_configuration_is_remembered },
   { "newer endpoints are asked for", test_newer_endpoints_are_asked_for },
   { "who was never confirmed confirms nothing", test_who_was_never_confirmed_confirms_nothing },
 };
--- a/tests/unit/sv_restart_test.c
+++ b/tests/unit/sv_restart_test.c
@@ -26,7 +26,7 @@
     .slots = 4,
     .address = scripted_endpoint_address (fixture->endpoints[0]),
     .start = start,
-    .revision = revision,
+    .revision = { .version = revision },
   };
 }
 
@@ -172,10 +172,41 @@
     }
 }
 
+/* Guards against entries that are written again, with lower versions, and taken for old. */
+static void
+test_entries_of_another_era (void)
+{
+  static const ScriptedAnswer ok = { OK_ANSWER, FALSE };
+  static const struct
+  {
+    SvPosition revision;
+    gboolean draining;
+    SvEndpointState state; /* then */
+  } rows[] = {
+    { { 1, 50 }, FALSE, SV_ENDPOINT_READY },   { { 1, 51 }, TRUE, SV_ENDPOINT_LEAVING },
+    { { 1, 50 }, FALSE, SV_ENDPOINT_LEAVING }, { { 2, 7 }, FALSE, SV_ENDPOINT_READY },
+    { { 1, 52 }, TRUE, SV_ENDPOINT_READY },    { { 2, 8 }, TRUE, SV_ENDPOINT_LEAVING },
+  };
+  SvFixture fixture;
+
+  open_with (&fixture, &ok, NULL);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      SvEndpointEntry entry = entry_of (&fixture, 1000, 0);
+
+      entry.revision = rows[i].revision;
+      entry.draining = rows[i].draining;
+      sv_fleet_update (fixture.fleet, &entry);
+      CU_ASSERT_EQUAL (endpoint_at (&fixture, 0)->state, rows[i].state);
+    }
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "nothing of before holds", test_nothing_of_before_holds },
   { "entries that are not newer", test_entries_that_are_not_newer },
   { "requests in flight are lost", test_requests_in_flight_are_lost },
+  { "entries of another era", test_entries_of_another_era },
 };
 
 SUITE_MAIN ("sv_restart", cases)
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -785,7 +785,7 @@
   (ProtobufCMessageInit) alderturn__cell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__confirmation__field_descriptors[4] =
+static const ProtobufCFieldDescriptor alderturn__confirmation__field_descriptors[5] =
 {
   {
     "stamp",
@@ -835,17 +835,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Confirmation, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__confirmation__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   3,   /* field[3] = endpoints */
+  4,   /* field[4] = era */
   0,   /* field[0] = stamp */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange alderturn__confirmation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor alderturn__confirmation__descriptor =
 {
@@ -855,14 +868,14 @@
   "Alderturn__Confirmation",
   "alderturn",
   sizeof(Alderturn__Confirmation),
-  4,
+  5,
   alderturn__confirmation__field_descriptors,
   alderturn__confirmation__field_indices_by_name,
   1,  alderturn__confirmation__number_ranges,
   (ProtobufCMessageInit) alderturn__confirmation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[19] =
+static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[20] =
 {
   {
     "sender",
@@ -1092,6 +1105,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "era",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__datagram__field_indices_by_name[] = {
   10,   /* field[10] = answering */
@@ -1100,6 +1125,7 @@
   11,   /* field[11] = confirmation */
   16,   /* field[16] = cut_off */
   18,   /* field[18] = endpoints */
+  19,   /* field[19] = era */
   4,   /* field[4] = from */
   1,   /* field[1] = incarnation */
   6,   /* field[6] = loads */
@@ -1117,7 +1143,7 @@
 static const ProtobufCIntRange alderturn__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor alderturn__datagram__descriptor =
 {
@@ -1127,7 +1153,7 @@
   "Alderturn__Datagram",
   "alderturn",
   sizeof(Alderturn__Datagram),
-  19,
+  20,
   alderturn__datagram__field_descriptors,
   alderturn__datagram__field_indices_by_name,
   1,  alderturn__datagram__number_ranges,
