--- a/tests/fakes/row_store.c
+++ b/tests/fakes/row_store.c
@@ -437,6 +437,19 @@
   return version_of (self, table, key) > 0;
 }
 
+const char *
+row_store_value (const RowStore *self, const char *key)
+{
+  for (guint i = 0; i < self->rows->len; i++)
+    {
+      const Row *row = g_ptr_array_index (self->rows, i);
+
+      if (strcmp (row->key, key) == 0)
+        return row->json;
+    }
+  return NULL;
+}
+
 void
 row_store_set_page (RowStore *self, guint rows)
 {
--- a/tests/fakes/row_store.h
+++ b/tests/fakes/row_store.h
@@ -33,6 +33,9 @@
 
 gboolean row_store_has (const RowStore *store, const char *table, const char *key);
 
+/** What a row of any table holds; NULL: there is none. */
+const char *row_store_value (const RowStore *store, const char *key);
+
 /** Rows in an answer to a list, which is then read in pages. */
 void row_store_set_page (RowStore *store, guint rows);
 
--- a/tests/unit/pl_mirror_test.c
+++ b/tests/unit/pl_mirror_test.c
@@ -381,6 +381,107 @@
   pl_rows_free (rows);
 }
 
+/* All that can happen to the store, in every order of so many steps. */
+#define WALK_EVENTS 6
+#define WALK_STEPS  4
+
+typedef struct
+{
+  Fixture fixture;
+  guint64 copy; /* version that the store returns to */
+  guint n_written;
+  gboolean is_away;
+} Walk;
+
+static void
+walk_write (Walk *self)
+{
+  g_autofree char *json = g_strdup_printf ("{\"v\":\"w%u\"}", self->n_written++);
+
+  row_store_put (self->fixture.rows, "a", json);
+}
+
+static void
+walk_remove (Walk *self)
+{
+  row_store_put (self->fixture.rows, "b", NULL);
+}
+
+static void
+walk_copy (Walk *self)
+{
+  self->copy = row_store_version (self->fixture.rows);
+}
+
+static void
+walk_return (Walk *self)
+{
+  row_store_return_to (self->fixture.rows, self->copy);
+}
+
+static void
+walk_away (Walk *self)
+{
+  self->is_away = !self->is_away;
+  row_store_set_mode (self->fixture.rows, self->is_away ? ROW_STORE_DROPS : ROW_STORE_SERVES);
+}
+
+static void
+walk_pass (Walk *self)
+{
+  pass (&self->fixture, 30 * STEP);
+}
+
+static void
+check_follower (const Walk *self, const Follower *follower, const char *key)
+{
+  const char *json = row_store_value (self->fixture.rows, key);
+  const char *seen = g_hash_table_lookup (follower->seen, key);
+  g_autofree char *expected = seen != NULL ? g_strdup_printf ("{\"v\":\"%s\"}", seen) : NULL;
+
+  CU_ASSERT_EQUAL (g_strcmp0 (json, expected), 0);
+}
+
+static void
+walk (guint order)
+{
+  static void (*const steps[WALK_EVENTS]) (Walk *) = {
+    walk_write, walk_remove, walk_copy, walk_return, walk_away, walk_pass,
+  };
+  Walk self = { 0 };
+
+  fixture_open (&self.fixture);
+  row_store_set_era (self.fixture.rows, 1);
+  pl_mirror_set_open (self.fixture.mirror, TRUE);
+  pass (&self.fixture, PASSED);
+  self.copy = row_store_version (self.fixture.rows);
+  for (guint i = 0; i < WALK_STEPS; i++)
+    {
+      steps[order % WALK_EVENTS](&self);
+      pass (&self.fixture, STEP);
+      order /= WALK_EVENTS;
+    }
+  row_store_set_mode (self.fixture.rows, ROW_STORE_SERVES);
+  pass (&self.fixture, 2 * WAIT);
+  check_follower (&self, &self.fixture.first, "a");
+  check_follower (&self, &self.fixture.first, "b");
+  check_follower (&self, &self.fixture.second, "a");
+  check_follower (&self, &self.fixture.second, "b");
+  fixture_close (&self.fixture);
+}
+
+/* Guards against an order of writes, copies, returns and outages after which instances differ. */
+static void
+test_every_order_ends_alike (void)
+{
+  guint orders = 1;
+
+  for (guint i = 0; i < WALK_STEPS; i++)
+    orders *= WALK_EVENTS;
+  for (guint order = 0; order < orders; order++)
+    walk (order);
+}
+
 static const SuiteCase cases[] = {
   { "pages of a list", test_pages_of_a_list },
   { "changes are passed on", test_changes_are_passed_on },
@@ -390,6 +491,7 @@
   { "what is too large is refused", test_what_is_too_large_is_refused },
   { "an era passes through the mirror", test_an_era_passes_through_the_mirror },
   { "a mirror of an older era answers nothing", test_a_mirror_of_an_older_era_answers_nothing },
+  { "every order ends alike", test_every_order_ends_alike },
 };
 
 SUITE_MAIN ("pl_mirror", cases)
