--- a/serve/endpoint.c
+++ b/serve/endpoint.c
@@ -1,7 +1,7 @@
 /** What is known of one endpoint. */
 
 #include "common/log.h"
-#include "serve/dialect.h"
+#include "serve/fleet.h"
 
 /* An endpoint that was lost is tried again soon, since one that restarts is back in seconds. One
  * error, or some, are a matter of the requests. */
@@ -27,9 +27,6 @@
  * later. */
 #define HELP_SPARE 2
 
-/* That an endpoint names no limit any more is told for this long: some whole datagrams. */
-#define LIFTED_TOLD (5 * KNL_SEC)
-
 /* How long an endpoint's own report of its load is used. */
 #define REPORT_LIFE (200 * KNL_MSEC)
 
@@ -282,90 +279,6 @@
   return self->belief.rests > 0 && self->own.calls + self->others.calls > 0;
 }
 
-gboolean
-sv_endpoint_note_limit (SvEndpoint *self, double rate, KnlTime named_at)
-{
-  gboolean was_named = pol_limit_is_named (&self->limit);
-
-  if (!pol_limit_set (&self->limit, rate, named_at))
-    return FALSE;
-  self->own_changed = TRUE;
-  self->cell_changed = TRUE;
-  if (!was_named)
-    {
-      self->sent = self->sent_in_cell = 0;
-      g_array_set_size (self->told_sends, 0);
-    }
-  return TRUE;
-}
-
-/* Only an answer with its signature is the endpoint's word that it needs a limit no more. */
-gboolean
-sv_reply_note_limit (const SvReply *self, SvEndpoint *endpoint, KnlTime at)
-{
-  double before = endpoint->limit.rate;
-
-  if (self->limit < 0 && !self->is_signed)
-    return FALSE;
-  if (!sv_endpoint_note_limit (endpoint, self->limit, at))
-    return FALSE;
-  cm_log (CM_LOG_NOTICE, "endpoint-limit", "s", "endpoint", endpoint->id, "s", "request", self->id,
-          "i", "status", (gint64)self->status, "f", "requests-a-second", endpoint->limit.rate, "f",
-          "before", before);
-  return TRUE;
-}
-
-static SvToldSends *
-find_told_sends (const SvEndpoint *self, const SvToldSends *told)
-{
-  for (guint i = 0; i < self->told_sends->len; i++)
-    {
-      SvToldSends *row = &g_array_index (self->told_sends, SvToldSends, i);
-
-      if (row->source == told->source && row->is_cell == told->is_cell)
-        return row;
-    }
-  return NULL;
-}
-
-/* Another relay has counted the same requests from another moment on, and one that tells fewer than
- * before has begun anew. */
-static guint32
-new_sends (const SvToldSends *before, const SvToldSends *told)
-{
-  if (before == NULL)
-    return told->sent;
-  if (before->teller != told->teller)
-    return 0;
-  return told->sent >= before->sent ? told->sent - before->sent : told->sent;
-}
-
-void
-sv_endpoint_note_told_sends (SvEndpoint *self, const SvToldSends *told)
-{
-  SvToldSends *before = find_told_sends (self, told);
-  guint32 sent = new_sends (before, told);
-
-  if (before != NULL)
-    *before = *told;
-  else
-    g_array_append_val (self->told_sends, *told);
-  pol_limit_take (&self->limit, sent);
-  if (told->is_cell || sent == 0)
-    return;
-  self->sent_in_cell += sent;
-  self->cell_changed = TRUE;
-}
-
-gboolean
-sv_endpoint_tells_limit (const SvEndpoint *self, KnlTime now)
-{
-  const PolLimit *limit = &self->limit;
-
-  return pol_limit_is_named (limit)
-         || (limit->changed_at > 0 && now - limit->changed_at < LIFTED_TOLD);
-}
-
 void
 sv_endpoint_note_error (SvEndpoint *self, KnlTime now)
 {
--- /dev/null
+++ b/tests/soak/gateway_soak_faults.c
@@ -0,0 +1,130 @@
+/** What happens to gateways, store and endpoints in the gateway soak. */
+
+#include <signal.h>
+
+#include "gateway_soak_internal.h"
+
+/* A copy of the store is of this many steps before at most, and what is lost is written again
+ * within this. */
+#define COPY_STEPS        150
+#define WRITTEN_WITHIN_MS 1000
+
+static void
+fault_pause (Soak *self, Gateway *gateway)
+{
+  hn_signal (gateway->process, SIGSTOP);
+}
+
+static void
+fault_kill (Soak *self, Gateway *gateway)
+{
+  hn_kill (gateway->process);
+  gs_start_gateway (self, (guint)(gateway - self->gateways));
+}
+
+static void
+fault_terminate (Soak *self, Gateway *gateway)
+{
+  hn_signal (gateway->process, SIGCONT);
+  hn_signal (gateway->process, SIGTERM);
+  if (hn_await_exit (gateway->process, HN_LIMIT) != 0)
+    self->broken++;
+  gs_start_gateway (self, (guint)(gateway - self->gateways));
+}
+
+static void
+fault_reload (Soak *self, Gateway *gateway)
+{
+  gs_write_settings (self, (guint)(gateway - self->gateways));
+  hn_signal (gateway->process, SIGHUP);
+}
+
+static void
+fault_store (Soak *self, Gateway *gateway)
+{
+  row_store_set_mode (self->store, (RowStoreMode)g_rand_int_range (self->rand, 0, 4));
+}
+
+static void
+fault_history (Soak *self, Gateway *gateway)
+{
+  row_store_forget_history (self->store);
+}
+
+/* It comes back from a copy of up to three seconds before. */
+static void
+fault_copy (Soak *self, Gateway *gateway)
+{
+  guint steps = (guint)g_rand_int_range (self->rand, 1, COPY_STEPS);
+  guint64 version = g_array_index (self->versions, guint64,
+                                   self->versions->len - MIN (steps, self->versions->len));
+
+  row_store_return_to (self->store, version);
+  self->written_at = gs_now (self) + g_rand_int_range (self->rand, 0, WRITTEN_WITHIN_MS) * KNL_MSEC;
+}
+
+void
+gs_write_again (Soak *self)
+{
+  if (self->written_at == 0 || gs_now (self) < self->written_at)
+    return;
+  self->written_at = 0;
+  for (guint i = 0; i < DESKS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+
+      row_store_put_in (self->store, "servers", id, self->entries[i]);
+    }
+  row_store_put_in (self->store, "op", "config", self->config);
+}
+
+static void
+fault_config (Soak *self, Gateway *gateway)
+{
+  gs_put_config (self);
+}
+
+static void
+fault_proxy (Soak *self, Gateway *gateway)
+{
+  static const char *const faults[] = {
+    "{\"mode\":\"none\"}",
+    "{\"mode\":\"cut\"}",
+    "{\"mode\":\"cut\",\"after\":40}",
+    "{\"mode\":\"freeze\",\"new\":true}",
+    "{\"mode\":\"freeze\",\"direction\":\"from-target\"}",
+    "{\"mode\":\"delay\",\"ms\":150}",
+    "{\"mode\":\"refuse\"}",
+  };
+  HnRequest request = {
+    .address = self->proxy,
+    .method = "POST",
+    .path = "/fault",
+    .body = faults[g_rand_int_range (self->rand, 0, G_N_ELEMENTS (faults))],
+  };
+
+  hn_ask (self->harness, &request, NULL);
+}
+
+/* The first of the faults leave processes and the store alone, the next one processes. */
+#define CALM_FAULTS  5
+#define STORE_FAULTS 1
+
+void
+gs_inject (Soak *self)
+{
+  static void (*const faults[]) (Soak *, Gateway *) = {
+    fault_reload, fault_history, fault_config, fault_proxy,     fault_copy,
+    fault_store,  fault_pause,   fault_kill,   fault_terminate,
+  };
+  guint n = self->is_calm ? CALM_FAULTS : G_N_ELEMENTS (faults);
+  guint chosen = (guint)g_rand_int_range (self->rand, 0, (gint32)n);
+  Gateway *gateway = &self->gateways[g_rand_int_range (self->rand, 0, GATEWAYS)];
+
+  /* What was stopped goes on first, so that at most one stands still. */
+  for (guint i = 0; i < GATEWAYS; i++)
+    hn_signal (self->gateways[i].process, SIGCONT);
+  if (chosen >= CALM_FAULTS + STORE_FAULTS)
+    gateway->faulted_at = gs_now (self);
+  faults[chosen](self, gateway);
+}
