serve: the store lacks a configuration only if it was asked after a peer had it

When configurations come in quick succession some peer is always ahead, and a weak instance that follows the store would never confirm what it has; its callers with keys would get 503. An answer of the store says that it lacks a version only where it is of a time after a peer had told of that.

Test: sv_confirm 'a lost configuration is remembered', with a time before and one after.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -117,7 +117,7 @@
   pl_mirror_tell (self->mirror);
   pl_feed_set_wait (self->config_feed, config_wait (self));
   /* What another instance has may be old; its age is asked for. */
-  if (self->peer_store == NULL && !sv_confirm_lacks_config (self->confirm))
+  if (self->peer_store == NULL && !sv_confirm_lacks_config (self->confirm, at))
     sv_core_confirm (self->core, at);
   else if (self->peer_store != NULL)
     sv_confirm_note_config (self->confirm);
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -49,11 +49,11 @@
 void sv_confirm_note_config (SvConfirm *confirm);
 
 /**
- * Whether a peer has told lately of a configuration with a higher version than
- * that in use. The store may have lost it, and with it that a key was withdrawn;
- * the operator writes it again.
+ * Whether the store, as of `at`, lacks a configuration that a peer had told of
+ * before, with a higher version than that in use. It has lost it then, and with
+ * it perhaps that a key was withdrawn; the operator writes it again.
  */
-gboolean sv_confirm_lacks_config (const SvConfirm *confirm);
+gboolean sv_confirm_lacks_config (const SvConfirm *confirm, KnlTime at);
 
 /** Whether this instance is one of those that ask the store often. */
 gboolean sv_confirm_asks_store (const SvConfirm *confirm);
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -48,8 +48,9 @@
   gboolean rechecks; /* a peer is asked the next time in any case */
   SvPosition proven; /* that was the newest at `proven_at`; version 0: none */
   KnlTime proven_at;
-  guint64 config_told; /* highest version that a peer has told of lately */
-  KnlTime config_told_at;
+  guint64 config_told;       /* highest version that a peer has told of lately */
+  KnlTime config_told_since; /* first time */
+  KnlTime config_told_at;    /* last time */
 };
 
 gboolean
@@ -209,10 +210,10 @@
 }
 
 gboolean
-sv_confirm_lacks_config (const SvConfirm *self)
+sv_confirm_lacks_config (const SvConfirm *self, KnlTime at)
 {
   return self->config_told > self->events->version (self->data).version
-         && !is_long_ago (self, self->config_told_at);
+         && at > self->config_told_since && !is_long_ago (self, self->config_told_at);
 }
 
 /* TRUE: it was told of long enough ago to have come. */
@@ -231,10 +232,14 @@
 static void
 note_config_told (SvConfirm *self, guint64 version)
 {
+  KnlTime now = knl_kernel_now (self->kernel);
+
   if (version < self->config_told && !is_long_ago (self, self->config_told_at))
     return;
+  if (version != self->config_told)
+    self->config_told_since = now;
   self->config_told = version;
-  self->config_told_at = knl_kernel_now (self->kernel);
+  self->config_told_at = now;
 }
 
 /* What a peer says with its heartbeats. Of other cells only those listen who ask the store: the
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -464,9 +464,11 @@
 {
   Fixture fixture;
   Instance *other;
+  KnlTime before;
 
   fixture_open (&fixture);
   other = choose_other (&fixture);
+  before = knl_kernel_now (fixture.kernel);
   other->version = 6;
   for (guint j = 0; j < INSTANCES; j++)
     {
@@ -475,14 +477,16 @@
       sv_peers_set_versions (instance->peers, instance->version, (SvPosition){ 0 });
     }
   pass (&fixture, KNL_SEC, TRUE);
-  CU_ASSERT_TRUE (sv_confirm_lacks_config (other->confirm));
+  CU_ASSERT_TRUE (sv_confirm_lacks_config (other->confirm, knl_kernel_now (fixture.kernel)));
+  /* What the store said before anybody had the newer one is no contradiction. */
+  CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm, before));
   other->version = 7;
-  CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm));
+  CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm, knl_kernel_now (fixture.kernel)));
   other->version = 6;
   for (guint j = 0; j < INSTANCES; j++)
     sv_peers_set_versions (fixture.instances[j].peers, 6, (SvPosition){ 0 });
   pass (&fixture, 31 * KNL_SEC, TRUE);
-  CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm));
+  CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm, knl_kernel_now (fixture.kernel)));
   fixture_close (&fixture);
 }
 
