platform: the store's first era may be 0

A store that begins at 0 was taken for one that tells none, so that its first return from a copy, to era 1, was taken for the first era that was heard of: nothing would have been read anew.

An era that is told counts from 1 on inside (PL_ERA_FIRST); 0 stays 'not told'.

--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -31,6 +31,9 @@
  * returns, unless that has stolen it. */
 typedef void (*PlCallFunc) (PlStatus status, PlAnswer **answer, gpointer data);
 
+/** What the store tells as era 0, as an era of a SvPosition. */
+#define PL_ERA_FIRST 1
+
 /** The store has come back from an older copy, and its versions are of another era. Whatever was
  * read before is to be read anew. */
 typedef void (*PlEraFunc) (PlStore *store, gpointer data);
--- a/include/serve/position.h
+++ b/include/serve/position.h
@@ -10,7 +10,7 @@
 
 typedef struct
 {
-  guint64 era;     /**< rises with each return from a copy; 0: not told */
+  guint64 era;     /**< from 1 on, rises with each return from a copy; 0: not told */
   guint64 version; /**< rises with each change within the era; 0: nothing is known yet */
 } SvPosition;
 
