platform: a refusal needs no era

Found on reading the change: a mirror that refuses a question says no more than 503. A refusal that tells no era is a refusal.

--- a/tests/unit/pl_store_test.c
+++ b/tests/unit/pl_store_test.c
@@ -527,6 +527,30 @@
     }
 }
 
+static void
+on_status (PlStatus status, PlAnswer **answer, gpointer data)
+{
+  *(PlStatus *)data = status;
+}
+
+/* Guards against a refusal that is taken for an answer of before, since it tells no era. */
+static void
+test_refusals_need_no_era (void)
+{
+  PlStatus status = PL_OK;
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  row_store_set_era (fixture.rows, 2);
+  wait_feeds (&fixture, 1);
+  row_store_set_era (fixture.rows, -1);
+  row_store_set_mode (fixture.rows, ROW_STORE_REFUSES);
+  pl_store_get (fixture.store, "t", NULL, on_status, &status);
+  pass_steps (&fixture, 2);
+  CU_ASSERT_EQUAL (status, PL_REFUSED);
+  fixture_close (&fixture);
+}
+
 /* Guards against an era that is passed over since another one follows at once. */
 static void
 test_eras_in_a_row (void)
@@ -568,6 +592,7 @@
   { "an era begins within a list", test_an_era_begins_within_a_list },
   { "answers of no known era", test_answers_of_no_known_era },
   { "eras in a row", test_eras_in_a_row },
+  { "refusals need no era", test_refusals_need_no_era },
 };
 
 SUITE_MAIN ("pl_store", cases)
