--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -371,9 +371,13 @@
 KnlTime
 sv_endpoint_limit_wait (const SvFleet *fleet, SvEndpoint *self, KnlTime now)
 {
-  PolLimitShare share = { .part = (double)fleet->heard / fleet->known,
-                          .spread = limit_spread (fleet, self) };
+  PolLimitShare share;
 
+  /* Asked of every endpoint for every request. */
+  if (!pol_limit_is_named (&self->limit))
+    return 0;
+  share = (PolLimitShare){ .part = (double)fleet->heard / fleet->known,
+                           .spread = limit_spread (fleet, self) };
   return pol_limit_wait (&self->limit, &share, now);
 }
 
