--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -35,6 +35,20 @@
 {
 }
 
+/* Times are ages: of the question, of the first and the last byte of its answer. */
+static void
+log_decoded (const Gateway *self, const SvConfig *config)
+{
+  PlFeedAnswer answer = pl_feed_last_answer (self->config_feed);
+  KnlTime now = knl_kernel_now (self->process.kernel);
+
+  cm_log (CM_LOG_INFO, "configuration-decoded", "i", "version", (gint64)config->version, "i",
+          "routes-decoded", (gint64)pl_config_decoder_n_decoded (self->config_decoder), "s",
+          "source", answer.source, "i", "bytes", (gint64)answer.transfer.bytes, "i", "asked-us",
+          now - answer.asked_at, "i", "first-byte-us", now - answer.transfer.first_at, "i",
+          "received-us", now - answer.received_at);
+}
+
 static void
 on_config_row (const PlRow *row, gpointer data)
 {
@@ -49,8 +63,7 @@
       cm_log (CM_LOG_ERR, "configuration-unreadable", "i", "row-version", (gint64)row->version);
       return;
     }
-  cm_log (CM_LOG_INFO, "configuration-decoded", "i", "version", (gint64)config->version, "i",
-          "routes-decoded", (gint64)pl_config_decoder_n_decoded (self->config_decoder));
+  log_decoded (self, config);
   if (sv_core_set_config (self->core, config))
     gateway_apply_limits (self);
   sv_config_unref (config);
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -31,6 +31,13 @@
  * returns, unless that has stolen it. */
 typedef void (*PlCallFunc) (PlStatus status, PlAnswer **answer, gpointer data);
 
+/** How far the answer to a call has come. */
+typedef struct
+{
+  KnlTime first_at; /**< its head has come; 0: it has not */
+  gsize bytes;      /**< of its body */
+} PlTransfer;
+
 /** What the store tells as era 0, as an era of a SvPosition. */
 #define PL_ERA_FIRST 1
 
@@ -74,6 +81,8 @@
 /** Drops the callback; a write may take effect all the same. */
 void pl_call_cancel (PlCall *call);
 
+PlTransfer pl_call_transfer (const PlCall *call);
+
 /** A row as feeds hand it on. */
 typedef struct
 {
@@ -139,6 +148,17 @@
 /** Whether some pages of a list have come, and others have not, or are not taken in. */
 gboolean pl_feed_is_listing (const PlFeed *feed);
 
+/** The newest answer. */
+typedef struct
+{
+  const char *source;  /**< address of who sent it */
+  KnlTime asked_at;    /**< the question was sent */
+  KnlTime received_at; /**< the last byte had come */
+  PlTransfer transfer;
+} PlFeedAnswer;
+
+PlFeedAnswer pl_feed_last_answer (const PlFeed *feed);
+
 /** All that has been handed on. */
 const PlRows *pl_feed_rows (const PlFeed *feed);
 
