--- /dev/null
+++ b/tests/unit/pl_transfer_test.c
@@ -0,0 +1,297 @@
+/** Answers of the store, or of an instance in its place, that take long to arrive. */
+
+#include <signal.h>
+#include <string.h>
+
+#include "http/server.h"
+#include "kernel/paused.h"
+#include "platform/store.h"
+#include "suite.h"
+
+#define WAIT    (500 * KNL_MSEC)
+#define GATHER  (100 * KNL_MSEC)
+#define STEP    (20 * KNL_MSEC)
+#define STUCK_S 20
+
+/* A value of many routes, as text, and what comes of it at a time. */
+#define VALUE_BYTES 900000
+#define PIECES      30
+
+/* Between two pieces. */
+#define PIECE_EVERY (120 * KNL_MSEC)
+
+/* After this without a byte another answer must have been asked for. */
+#define SILENCE (3 * KNL_SEC)
+
+/** A store whose list is short and whose changes come piece by piece, as over a narrow link. */
+typedef struct
+{
+  struct event_base *base;
+  struct event *stuck;
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  HtServer *server;
+  HtClient *client;
+  PlStore *store;
+  PlFeed *feed;
+  HtCall *call; /* a question for changes that has no answer yet */
+  char *changes;
+  gsize sent;
+  guint n_feeds;
+  guint n_rows; /* of changes, that were handed on */
+} Fixture;
+
+static void
+on_stuck (evutil_socket_t fd, short what, void *data)
+{
+  g_error ("nothing happens any more");
+}
+
+static void
+on_request (HtCall *call, gpointer data)
+{
+  Fixture *self = data;
+  static const char list[] = "{\"rows\":[{\"key\":\"a\",\"ver\":1,\"value\":\"MQ==\"}],\"ver\":1}";
+
+  if (g_str_has_prefix (ht_call_request (call)->target, "/rows-get?"))
+    {
+      ht_call_answer (call, 200, NULL, list, strlen (list));
+      return;
+    }
+  self->n_feeds++;
+  self->call = call;
+  self->sent = 0;
+}
+
+static void
+on_gone (HtCall *call, gpointer data)
+{
+  Fixture *self = data;
+
+  if (self->call == call)
+    self->call = NULL;
+}
+
+static void
+ignore (gpointer data)
+{
+}
+
+static void
+on_row (const PlRow *row, gpointer data)
+{
+  ((Fixture *)data)->n_rows += row->version > 1;
+}
+
+static void
+on_confirmed (KnlTime at, gpointer data)
+{
+}
+
+static const PlFeedEvents events = {
+  .begin_list = ignore,
+  .end_list = ignore,
+  .row = on_row,
+  .confirmed = on_confirmed,
+};
+
+static const PlFeedPace pace = { .wait = WAIT, .gather = GATHER };
+
+static void
+pass (Fixture *self, KnlTime time)
+{
+  for (KnlTime passed = 0; passed < time; passed += STEP)
+    {
+      for (guint turn = 0; turn < 30; turn++)
+        event_base_loop (self->base, EVLOOP_NONBLOCK);
+      knl_paused_clock_advance (self->clock, STEP);
+    }
+}
+
+/* Base64 of a text that no two pieces of are alike. */
+static char *
+value_of (KnlKernel *kernel, gsize length)
+{
+  GString *text = g_string_new (NULL);
+
+  while (text->len < length)
+    g_string_append_printf (text, "{\"route\":\"%08x\"},", g_rand_int (knl_kernel_rand (kernel)));
+  return g_string_free (text, FALSE);
+}
+
+static char *
+encoded_value (KnlKernel *kernel)
+{
+  g_autofree char *text = value_of (kernel, VALUE_BYTES * 3 / 4);
+
+  return g_base64_encode ((const guchar *)text, strlen (text));
+}
+
+/* The address that it listens at. */
+static char *
+open_server (Fixture *self)
+{
+  static const HtServerLimits limits = {
+    .message = { 4096, 4096 },
+    .head_timeout = KNL_SEC,
+    .request_timeout = KNL_SEC,
+    .idle_timeout = 60 * KNL_SEC,
+    .max_connections = 16,
+    .max_unsent = HT_UNSENT_BYTES,
+  };
+  static const HtServerEvents server_events = { .request = on_request, .gone = on_gone };
+  static guint port = 29000;
+  char *address = NULL;
+
+  while (self->server == NULL)
+    {
+      g_free (address);
+      address = g_strdup_printf ("127.0.0.1:%u", port++);
+      self->server =
+          ht_server_new (self->kernel, self->base, address, &limits, &server_events, self);
+    }
+  return address;
+}
+
+static void
+fixture_open (Fixture *self)
+{
+  static const HtLimits limits = { 16384, 4 << 20 };
+  struct timeval limit = { .tv_sec = STUCK_S };
+  g_autofree char *address = NULL;
+  g_autofree char *value = NULL;
+
+  signal (SIGPIPE, SIG_IGN);
+  *self = (Fixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
+  self->stuck = evtimer_new (self->base, on_stuck, NULL);
+  evtimer_add (self->stuck, &limit);
+  knl_paused_clock_advance (self->clock, 10 * KNL_SEC);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
+  address = open_server (self);
+  self->client = ht_client_new (self->kernel, self->base, &limits, 60 * KNL_SEC);
+  self->store = pl_store_new (self->kernel, self->client, address);
+  value = encoded_value (self->kernel);
+  self->changes =
+      g_strdup_printf ("{\"rows\":[{\"key\":\"a\",\"ver\":2,\"value\":\"%s\"}],\"ver\":2}", value);
+  self->feed = pl_feed_new (self->store, "t", &pace, &events, self);
+  while (self->call == NULL)
+    pass (self, STEP);
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  pl_feed_free (self->feed);
+  pl_store_free (self->store);
+  ht_client_free (self->client);
+  ht_server_free (self->server);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+  event_free (self->stuck);
+  event_base_free (self->base);
+  g_free (self->changes);
+}
+
+static void
+send_piece (Fixture *self)
+{
+  gsize length = strlen (self->changes);
+  gsize piece = MIN (length / PIECES + 1, length - self->sent);
+
+  if (self->call == NULL)
+    return;
+  if (!ht_call_has_begun (self->call))
+    ht_call_begin (self->call, 200, NULL);
+  ht_call_send (self->call, self->changes + self->sent, piece);
+  self->sent += piece;
+  if (self->sent < length)
+    return;
+  ht_call_end (self->call);
+  self->call = NULL;
+}
+
+static void
+send_pieces (Fixture *self, guint pieces)
+{
+  for (guint i = 0; i < pieces; i++)
+    {
+      send_piece (self);
+      pass (self, PIECE_EVERY);
+    }
+}
+
+/* Guards against configurations that never arrive since each answer may take as long as a short
+ * one. */
+static void
+test_an_answer_that_keeps_coming_is_not_given_up (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  send_pieces (&fixture, PIECES);
+  CU_ASSERT_EQUAL (fixture.n_rows, 1);
+  CU_ASSERT_EQUAL (fixture.n_feeds, 1);
+  fixture_close (&fixture);
+}
+
+/* Guards against instances that ask for the same configuration again and again, and take none in
+ * use. */
+static void
+test_an_answer_under_way_is_not_asked_for_again (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < PIECES; i++)
+    {
+      send_pieces (&fixture, 1);
+      pl_feed_ask_again (fixture.feed);
+    }
+  pass (&fixture, KNL_SEC);
+  CU_ASSERT_EQUAL (fixture.n_rows, 1);
+  CU_ASSERT (fixture.n_feeds <= 2);
+  fixture_close (&fixture);
+}
+
+/* Guards against a connection that goes silent in the middle of an answer. */
+static void
+test_an_answer_that_stops_is_asked_for_again (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  send_pieces (&fixture, PIECES / 2);
+  CU_ASSERT_EQUAL (fixture.n_feeds, 1);
+  pass (&fixture, SILENCE);
+  CU_ASSERT (fixture.n_feeds > 1);
+  CU_ASSERT_EQUAL (fixture.n_rows, 0);
+  fixture_close (&fixture);
+}
+
+/* Guards against a source that sends a byte now and then for ever. */
+static void
+test_an_answer_that_trickles_is_asked_for_again (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  send_pieces (&fixture, PIECES / 2);
+  for (KnlTime passed = 0; passed < SILENCE; passed += PIECE_EVERY)
+    {
+      if (fixture.call != NULL && ht_call_has_begun (fixture.call))
+        ht_call_send (fixture.call, " ", 1);
+      pass (&fixture, PIECE_EVERY);
+    }
+  CU_ASSERT (fixture.n_feeds > 1);
+  fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "an answer that keeps coming is not given up",
+    test_an_answer_that_keeps_coming_is_not_given_up },
+  { "an answer under way is not asked for again", test_an_answer_under_way_is_not_asked_for_again },
+  { "an answer that stops is asked for again", test_an_answer_that_stops_is_asked_for_again },
+  { "an answer that trickles is asked for again", test_an_answer_that_trickles_is_asked_for_again },
+};
+
+SUITE_MAIN ("pl_transfer", cases)
