platform, gateway: an answer whose bytes arrive is not given up

What callers saw: requests ran by a configuration that had been replaced more than 3 s before, and three quarters of the instances were not ready for 15 s, after the operator had added routes.

Cause: an answer under way was taken for silence. A call ended at a time that did not depend on what had come; a feed that heard of something newer (each 200 to 300 ms, from heartbeats and confirmations) dropped the answer that brought it; a choice of another source did the same. On a link of 20 Mbit/s 1.1 MB take 0.5 s, so weak instances read the first half again and again, until the operator left them alone. All that reading also made the store's acknowledgements seconds late, and with it every other instance.

Ruled out: decoding (8 to 168 ms from the last byte), rests of the feeds, time limits (no call ended by one after its first byte).

What has begun to come is neither asked for again nor dropped for another source.

Not mended by it: followers still refuse what is large, and all ask the store (1,186 lines); an instance that lacks a newer configuration still serves by the old one.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -224,11 +224,12 @@
   return ((Gateway *)data)->endpoints_heard_at;
 }
 
-/* Whoever was asked says nothing, or knows less than another. */
+/* Whoever was asked says nothing, or knows less than another. What is newer may be what it sends.
+ */
 static void
 ask_again (Gateway *self, PlFeed *feed)
 {
-  if (feed == NULL)
+  if (feed == NULL || pl_feed_is_receiving (feed))
     return;
   if (self->peer_store != NULL)
     gateway_note_source_lost (self);
--- a/gateway/source.c
+++ b/gateway/source.c
@@ -88,12 +88,15 @@
   pl_mirror_set_limit (self->mirror, (gsize)(SEND_PART * bound * self->boot->link_rate / askers));
 }
 
-/* Another source begins a list again. With 3,000 endpoints it comes in six pages, which take a weak
- * instance longer than the store is asked for at a time: it would never have the whole list. */
+/* Another source begins at the first byte again. A list of 3,000 endpoints, or a configuration of
+ * thousands of routes, takes a weak instance longer than one source is asked for at a time: it
+ * would never have the whole of it. */
 static gboolean
-is_reading_list (const Gateway *self)
+is_receiving (const Gateway *self)
 {
-  return self->endpoints_feed != NULL && pl_feed_is_listing (self->endpoints_feed);
+  return self->config_feed != NULL
+         && (pl_feed_is_receiving (self->config_feed)
+             || pl_feed_is_receiving (self->endpoints_feed));
 }
 
 static gboolean
@@ -101,7 +104,7 @@
 {
   KnlTime now = knl_kernel_now (self->process.kernel);
 
-  if (is_reading_list (self))
+  if (is_receiving (self))
     return FALSE;
   if (self->config_feed != NULL || now - self->started_at > MEMBERS_LIMIT)
     return TRUE;
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -145,8 +145,9 @@
 /** Its store may have another era: the table is read anew then. */
 void pl_feed_note_era (PlFeed *feed);
 
-/** Whether some pages of a list have come, and others have not, or are not taken in. */
-gboolean pl_feed_is_listing (const PlFeed *feed);
+/** Whether an answer has begun to come, or some pages of a list have and others have not, or are
+ * not taken in. */
+gboolean pl_feed_is_receiving (const PlFeed *feed);
 
 /** The newest answer. */
 typedef struct
@@ -165,5 +166,5 @@
 /** For calls from now on. */
 void pl_feed_set_wait (PlFeed *feed, KnlTime wait);
 
-/** Asks at once, in place of a call that waits. */
+/** Asks at once, in place of a call that waits; one whose answer has begun to come ends first. */
 void pl_feed_ask_again (PlFeed *feed);
