platform, gateway, http: a follower refuses what its link has no room for, not what is long

Cause: an answer longer than a quarter of the bound at the follower's link, divided by all who might ask, was refused to each of them. At 788 kB (721 kB allowed) 75 of 81 instances lost their source within half a second and read the same from the store: a limit past which everything changes its way at once, and the way that it changes to is the narrower one.

Change: what is bounded is the bytes that are under way at the same time, for the same quarter of the bound, and at least one answer. Who asks beyond it is refused as before and asks the other follower or the store: the excess, not all. Bodies are shared by all who ask, so unread ones take no memory and are not bounded.

--- a/gateway/source.c
+++ b/gateway/source.c
@@ -33,8 +33,8 @@
 #define STORE_SPELL  (2 * KNL_SEC)
 #define OTHERS_SPELL (2 * KNL_SEC)
 
-/* Of the time in which a configuration must be in force, what sending it to those who ask this
- * instance may take of its link. */
+/* Of the time in which a configuration must be in force, for how long the link may be busy with
+ * sending it to those who ask this instance. */
 #define SEND_PART 0.25
 
 /* `address`: of an instance, NULL: the store is asked. */
@@ -78,14 +78,12 @@
   return sv_peers_follower (self->peers, avoid);
 }
 
-/* The link is to carry a changed configuration to all who ask for it within the bound. */
 static void
 limit_mirror (Gateway *self)
 {
   double bound = (double)self->boot->bounds.new_config / (double)KNL_SEC;
-  double askers = MAX (1.0, (double)sv_peers_n_alive_in_cell (self->peers));
 
-  pl_mirror_set_limit (self->mirror, (gsize)(SEND_PART * bound * self->boot->link_rate / askers));
+  pl_mirror_set_limit (self->mirror, (gsize)(SEND_PART * bound * self->boot->link_rate));
 }
 
 /* Another source begins at the first byte again. A list of 3,000 endpoints, or a configuration of
--- a/http/server.c
+++ b/http/server.c
@@ -452,6 +452,19 @@
   return busy;
 }
 
+gsize
+ht_server_unsent (const HtServer *self)
+{
+  gsize unsent = 0;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, self->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    unsent += unsent_bytes (key);
+  return unsent;
+}
+
 HtMessage *
 ht_call_request (HtCall *call)
 {
--- a/include/http/server.h
+++ b/include/http/server.h
@@ -72,6 +72,9 @@
 /** Connections with a request that is not answered, or with answer bytes not yet sent. */
 guint ht_server_n_busy (const HtServer *server);
 
+/** Bytes of answers that callers have not taken yet, all together. */
+gsize ht_server_unsent (const HtServer *server);
+
 HtMessage *ht_call_request (HtCall *call);
 void ht_call_set_data (HtCall *call, gpointer data);
 gpointer ht_call_data (HtCall *call);
--- a/include/platform/mirror.h
+++ b/include/platform/mirror.h
@@ -24,7 +24,10 @@
  */
 void pl_mirror_set_open (PlMirror *mirror, gboolean open);
 
-/** Longest answer; one that would be longer is refused, and read from the store. */
+/**
+ * Bytes of answers that are sent at the same time; one is in any case. Those who ask beyond it are
+ * refused, and ask another instance or the store.
+ */
 void pl_mirror_set_limit (PlMirror *mirror, gsize bytes);
 
 /** Changes have come: those who wait for them are answered. */
