serve, gateway, platform: news that are on their way are no reason to ask the store

Cause: a confirmation that names a newer version than the own one, 0.3 s after the first word of it, sent its asker to the store, whether or not the newer one was arriving; 1.1 MB take a weak instance 0.8 s from one of two followers and 0.1 s to take in. The word of heartbeats was held against the silence of the feed first, this one was not. And a feed counted as silent while its answer came.

Change: both are held against it, and a feed is not silent while an answer arrives or is taken in.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -218,18 +218,28 @@
   return pl_feed_position (self->endpoints_feed);
 }
 
+/* What is arriving is heard. */
+static KnlTime
+heard_at (const Gateway *self, const PlFeed *feed, KnlTime last_at)
+{
+  if (feed != NULL && pl_feed_is_receiving (feed))
+    return knl_kernel_now (self->process.kernel);
+  return last_at;
+}
+
 static KnlTime
 confirm_endpoints_heard_at (gpointer data)
 {
-  return ((Gateway *)data)->endpoints_heard_at;
+  const Gateway *self = data;
+
+  return heard_at (self, self->endpoints_feed, self->endpoints_heard_at);
 }
 
-/* Whoever was asked says nothing, or knows less than another. What is newer may be what it sends.
- */
+/* Whoever was asked says nothing, or knows less than another. */
 static void
 ask_again (Gateway *self, PlFeed *feed)
 {
-  if (feed == NULL || pl_feed_is_receiving (feed))
+  if (feed == NULL)
     return;
   if (self->peer_store != NULL)
     gateway_note_source_lost (self);
@@ -246,7 +256,9 @@
 static KnlTime
 confirm_config_heard_at (gpointer data)
 {
-  return ((Gateway *)data)->config_heard_at;
+  const Gateway *self = data;
+
+  return heard_at (self, self->config_feed, self->config_heard_at);
 }
 
 static void
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -145,8 +145,8 @@
 /** Its store may have another era: the table is read anew then. */
 void pl_feed_note_era (PlFeed *feed);
 
-/** Whether an answer has begun to come, or some pages of a list have and others have not, or are
- * not taken in. */
+/** Whether an answer has begun to come and is not taken in, or a list has pages that have not come.
+ */
 gboolean pl_feed_is_receiving (const PlFeed *feed);
 
 /** The newest answer. */
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -25,7 +25,7 @@
   /** A peer has a newer one, or nobody could confirm it in time: the store is to be asked now. */
   void (*ask_store) (gpointer data);
   /** Revision of the newest change of the list of endpoints that has come, the revision up to which
-   * all changes have come, and when they were last answered for. */
+   * all changes have come, and when they were last answered for; now, while an answer arrives. */
   SvPosition (*endpoints) (gpointer data);
   SvPosition (*endpoints_known) (gpointer data);
   KnlTime (*endpoints_heard_at) (gpointer data);
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -281,8 +281,9 @@
       self->proven_at = self->asked_at - (KnlTime)told->age_ms * KNL_MSEC;
       use_proof (self);
     }
-  /* When versions come in a row, the newest is on its way here. */
-  if (is_behind (self, &self->config, newest, own))
+  /* When versions come in a row, or are large, the newest is on its way here. */
+  if (is_behind (self, &self->config, newest, own)
+      && is_deaf (self, self->events->config_heard_at (self->data)))
     self->events->ask_store (self->data);
   if (sv_position_compare (newest, own) == SV_POSITION_NEWER)
     recheck (self);
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -354,6 +354,29 @@
     }
 }
 
+/* Guards against a cell that turns to the store while its followers send it what is newer. */
+static void
+test_news_under_way_are_not_asked_for (void)
+{
+  Fixture fixture;
+  Instance *other;
+
+  fixture_open (&fixture);
+  other = choose_other (&fixture);
+  for (guint j = 0; j < INSTANCES; j++)
+    {
+      if (sv_confirm_asks_store (fixture.instances[j].confirm))
+        fixture.instances[j].version = 8;
+    }
+  for (KnlTime passed = 0; passed < 3 * TICK; passed += STEP)
+    {
+      other->endpoints_heard_at = knl_kernel_now (fixture.kernel);
+      pass (&fixture, STEP, TRUE);
+    }
+  CU_ASSERT_EQUAL (other->n_asked_store, 0);
+  fixture_close (&fixture);
+}
+
 /*
  * Symptom: requests reach an endpoint seconds after it said that it leaves.
  * Sequence: the store swallowed an instance's question about endpoints; peers have the newer entry.
@@ -496,6 +519,7 @@
   { "late answers are old", test_late_answers_are_old },
   { "ages add up", test_ages_add_up },
   { "other versions confirm nothing", test_other_versions_confirm_nothing },
+  { "news under way are not asked for", test_news_under_way_are_not_asked_for },
   { "other eras confirm nothing", test_other_eras_confirm_nothing },
   { "a lost configuration is remembered", test_a_lost_configuration_is_remembered },
   { "newer endpoints are asked for", test_newer_endpoints_are_asked_for },
