serve, gateway: who knows of a newer configuration and lacks it serves nobody

What callers saw: requests for a route that had been replaced 3.08 and 3.15 s before, with 3 s allowed, ran as the older version says.

Cause: an instance trusts what it has by the age of its confirmation alone: a key for 0.9 of the bound of withdrawn keys (4.5 s here), a route without a key for ever. The bound of new configurations (3 s) held for denials only. That peers told it of a newer version, several times a second, was used to ask again and for nothing else.

Ruled out: a bound on the age of the confirmation for all. When the store is away nobody can be confirmed, and everybody would refuse everything after 2 to 3 s of it, though there may be nothing newer.

Change: since when a newer version has been missing is kept by version (SvAwaited: a row of versions must not begin anew with each), from heartbeats and from answers to confirmations. Past half of the bound requests get 503 with a time to come back (configuration-outdated), and the instance is not ready, until it has it. The word of a lost configuration counts as long as before (30 s).

sv_outdated: fails without the check (served, and ready). sv_confirm, a lost configuration is remembered: its peers said version 6 with heartbeats and went on to say 7 with confirmations; they say 6 with both now, since both count.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -352,6 +352,12 @@
   .confirmed = on_endpoints_confirmed,
 };
 
+static KnlTime
+outdated_since (gpointer data)
+{
+  return sv_confirm_outdated_since (((Gateway *)data)->confirm);
+}
+
 void
 gateway_start_following (Gateway *self)
 {
@@ -360,6 +366,7 @@
   if (trust == KNL_NEVER)
     trust = sv_bounds_denial_trust (&self->boot->bounds);
   self->config_decoder = pl_config_decoder_new ();
+  sv_core_set_outdated (self->core, outdated_since, self);
   self->confirm = sv_confirm_new (self->process.kernel, self->peers, trust, &confirm_events, self);
   gateway_start_source (self);
 }
@@ -396,6 +403,7 @@
 void
 gateway_stop_following (Gateway *self)
 {
+  sv_core_set_outdated (self->core, NULL, NULL);
   sv_confirm_free (self->confirm);
   pl_feed_free (self->config_feed);
   pl_config_decoder_free (self->config_decoder);
--- a/include/serve/bounds.h
+++ b/include/serve/bounds.h
@@ -24,6 +24,10 @@
 /** How long after a confirmation what the configuration lacks is denied. */
 KnlTime sv_bounds_denial_trust (const SvBounds *bounds);
 
+/** How long callers are served by a configuration after a peer told of a newer one; KNL_NEVER: for
+ * ever. */
+KnlTime sv_bounds_outdated (const SvBounds *bounds);
+
 /** How long an endpoint that is leaving is still sent requests where nothing else is left. */
 KnlTime sv_bounds_leave_grace (const SvBounds *bounds);
 
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -55,5 +55,9 @@
  */
 gboolean sv_confirm_lacks_config (const SvConfirm *confirm, KnlTime at);
 
+/** When a peer told first of a configuration that is newer than that in use; KNL_NEVER: none has.
+ */
+KnlTime sv_confirm_outdated_since (const SvConfirm *confirm);
+
 /** Whether this instance is one of those that ask the store often. */
 gboolean sv_confirm_asks_store (const SvConfirm *confirm);
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -72,6 +72,13 @@
 /** When the configuration was last known to be the newest; -KNL_NEVER: never. */
 KnlTime sv_core_confirmed_at (const SvCore *core);
 
+/** When it was first known that there is a newer configuration than that in use; KNL_NEVER: it is
+ * not. */
+typedef KnlTime (*SvOutdatedFunc) (gpointer data);
+
+/** Callers are refused when a newer configuration has been missing for too long. */
+void sv_core_set_outdated (SvCore *core, SvOutdatedFunc since, gpointer data);
+
 /** Takes a request; it is answered by and by. */
 void sv_core_take (SvCore *core, HtCall *call);
 
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -31,6 +31,12 @@
       sv_request_refuse (self, 503, "no-configuration");
       return FALSE;
     }
+  /* A route that was moved or taken away would be served as before, and a caller could not tell. */
+  if (sv_core_is_outdated (self->core))
+    {
+      sv_request_refuse (self, 503, "configuration-outdated");
+      return FALSE;
+    }
   self->config = sv_config_ref (self->core->config);
   return TRUE;
 }
--- a/serve/bounds.c
+++ b/serve/bounds.c
@@ -7,6 +7,9 @@
 /* A denial is the caller's last word on the matter, so it needs newer knowledge than service. */
 #define DENIAL_PART 0.8
 
+/* A peer tells of a configuration when it has it in use, which takes it up to half of the bound. */
+#define OUTDATED_PART 0.5
+
 /* The bound counts from when the store heard; we hear it later. */
 #define LEAVE_PART 0.85
 
@@ -34,6 +37,12 @@
   return part_of (self->new_config, DENIAL_PART);
 }
 
+KnlTime
+sv_bounds_outdated (const SvBounds *self)
+{
+  return self->new_config > 0 ? part_of (self->new_config, OUTDATED_PART) : KNL_NEVER;
+}
+
 KnlTime
 sv_bounds_leave_grace (const SvBounds *self)
 {
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -1,6 +1,7 @@
 #include "serve/confirm.h"
 
 #include "peers_internal.h"
+#include "serve/awaited.h"
 
 /* As parts of the time for which a confirmation is trusted: how often a peer is asked, from which
  * age on, and from which age on the store is asked after all. A follower's confirmation is as
@@ -22,10 +23,6 @@
  * it. */
 #define NEWS_LAG (300 * KNL_MSEC)
 
-/* A configuration that the store has lost is written again within seconds. One that was not by then
- * is taken for gone, and keys that it withdrew for valid. */
-#define LOST_CONFIG_KEPT (30 * KNL_SEC)
-
 /* What others have told of that has not come. */
 typedef struct
 {
@@ -48,9 +45,7 @@
   gboolean rechecks; /* a peer is asked the next time in any case */
   SvPosition proven; /* that was the newest at `proven_at`; version 0: none */
   KnlTime proven_at;
-  guint64 config_told;       /* highest version that a peer has told of lately */
-  KnlTime config_told_since; /* first time */
-  KnlTime config_told_at;    /* last time */
+  SvAwaited awaited;
 };
 
 gboolean
@@ -203,17 +198,17 @@
   return knl_kernel_now (self->kernel) - heard_at > FEED_LAG;
 }
 
-static gboolean
-is_long_ago (const SvConfirm *self, KnlTime at)
+KnlTime
+sv_confirm_outdated_since (const SvConfirm *self)
 {
-  return knl_kernel_now (self->kernel) - at > LOST_CONFIG_KEPT;
+  return sv_awaited_since (&self->awaited, self->events->version (self->data).version,
+                           knl_kernel_now (self->kernel));
 }
 
 gboolean
 sv_confirm_lacks_config (const SvConfirm *self, KnlTime at)
 {
-  return self->config_told > self->events->version (self->data).version
-         && at > self->config_told_since && !is_long_ago (self, self->config_told_at);
+  return at > sv_confirm_outdated_since (self);
 }
 
 /* TRUE: it was told of long enough ago to have come. */
@@ -232,14 +227,8 @@
 static void
 note_config_told (SvConfirm *self, guint64 version)
 {
-  KnlTime now = knl_kernel_now (self->kernel);
-
-  if (version < self->config_told && !is_long_ago (self, self->config_told_at))
-    return;
-  if (version != self->config_told)
-    self->config_told_since = now;
-  self->config_told = version;
-  self->config_told_at = now;
+  sv_awaited_note (&self->awaited, self->events->version (self->data).version, version,
+                   knl_kernel_now (self->kernel));
 }
 
 /* What a peer says with its heartbeats. Of other cells only those listen who ask the store: the
@@ -269,6 +258,7 @@
   if (self->stamp == 0 || told->stamp != self->stamp)
     return;
   self->stamp = 0;
+  note_config_told (self, told->version);
   if (sv_position_compare ((SvPosition){ told->era, told->endpoints },
                            self->events->endpoints_known (self->data))
           == SV_POSITION_NEWER
--- a/serve/core.c
+++ b/serve/core.c
@@ -150,10 +150,29 @@
   end_each (self, sv_request_stop);
 }
 
+void
+sv_core_set_outdated (SvCore *self, SvOutdatedFunc since, gpointer data)
+{
+  self->outdated_since = since;
+  self->outdated_data = data;
+}
+
+gboolean
+sv_core_is_outdated (const SvCore *self)
+{
+  KnlTime since =
+      self->outdated_since != NULL ? self->outdated_since (self->outdated_data) : KNL_NEVER;
+  KnlTime bound = sv_bounds_outdated (&self->bounds);
+
+  if (since == KNL_NEVER || bound == KNL_NEVER)
+    return FALSE;
+  return knl_kernel_now (self->parts.kernel) - since >= bound;
+}
+
 gboolean
 sv_core_is_ready (const SvCore *self)
 {
-  if (self->config == NULL || self->drain_since != 0)
+  if (self->config == NULL || self->drain_since != 0 || sv_core_is_outdated (self))
     return FALSE;
   if (!self->config->has_workspaces)
     return TRUE;
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -15,6 +15,8 @@
   SvConfig *config;
   KnlTime begun_at;     /* when this instance began to serve */
   KnlTime confirmed_at; /* -KNL_NEVER: never */
+  SvOutdatedFunc outdated_since; /* NULL: nobody tells */
+  gpointer outdated_data;
   KnlTime drain_since;  /* 0: no drain */
   GHashTable *requests; /* SvRequest */
   GHashTable *budgets;  /* service -> PolBudget */
@@ -80,6 +82,11 @@
   return knl_kernel_now (self->core->parts.kernel);
 }
 
+/* core.c */
+
+/** Whether a newer configuration has been missing for longer than callers may be served without. */
+gboolean sv_core_is_outdated (const SvCore *core);
+
 /* admission.c */
 
 /** Runs all checks; FALSE: the request was refused and is gone. */
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -507,7 +507,10 @@
   CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm, knl_kernel_now (fixture.kernel)));
   other->version = 6;
   for (guint j = 0; j < INSTANCES; j++)
-    sv_peers_set_versions (fixture.instances[j].peers, 6, (SvPosition){ 0 });
+    {
+      fixture.instances[j].version = 6;
+      sv_peers_set_versions (fixture.instances[j].peers, 6, (SvPosition){ 0 });
+    }
   pass (&fixture, 31 * KNL_SEC, TRUE);
   CU_ASSERT_FALSE (sv_confirm_lacks_config (other->confirm, knl_kernel_now (fixture.kernel)));
   fixture_close (&fixture);
--- /dev/null
+++ b/tests/unit/sv_outdated_test.c
@@ -0,0 +1,119 @@
+/** Instances that know of a configuration that they do not have. */
+
+#include <string.h>
+
+#include "serve/awaited.h"
+#include "suite.h"
+#include "sv_fixture.h"
+
+/* The fixture's bound is 1,250 ms, of which half is used. */
+#define BEFORE (600 * KNL_MSEC)
+#define PAST   (640 * KNL_MSEC)
+
+static const ScriptedAnswer good = { "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
+                                     FALSE };
+
+static KnlTime
+since (gpointer data)
+{
+  return *(const KnlTime *)data;
+}
+
+/* Guards against callers that are served by a route or key that was replaced longer ago than the
+ * bound. */
+static void
+test_who_lacks_a_configuration_serves_nobody (void)
+{
+  static const struct
+  {
+    KnlTime age; /* of the first word of a newer one; KNL_NEVER: there was none */
+    const char *path;
+    const char *wanted;
+    gboolean is_ready;
+  } rows[] = {
+    { KNL_NEVER, "/once/1", "good", TRUE },          { BEFORE, "/once/1", "good", TRUE },
+    { PAST, "/once/1", "HTTP/1.1 503", FALSE },      { PAST, "/stream/1", "HTTP/1.1 503", FALSE },
+    { PAST, "/none/1", "HTTP/1.1 503", FALSE },      { BEFORE, "/none/1", "HTTP/1.1 404", TRUE },
+    { PAST, "/once/1", "\r\nRetry-After: ", FALSE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      SvFixture fixture;
+      KnlTime told_at = KNL_NEVER;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      sv_fixture_add_endpoint (&fixture, &good, 1);
+      sv_core_set_outdated (fixture.core, since, &told_at);
+      if (rows[i].age != KNL_NEVER)
+        told_at = knl_kernel_now (fixture.kernel) - rows[i].age;
+      CU_ASSERT_EQUAL (sv_core_is_ready (fixture.core), rows[i].is_ready);
+      sv_fixture_ask (&fixture, rows[i].path);
+      sv_fixture_wait_for (&fixture, rows[i].wanted);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, rows[i].wanted));
+      CU_ASSERT_EQUAL (sv_fixture_all_requests (&fixture), strcmp (rows[i].wanted, "good") == 0);
+      sv_fixture_close (&fixture);
+    }
+}
+
+typedef struct
+{
+  KnlTime at;
+  guint64 version;
+} Told;
+
+/* Guards against instances that are always one version behind and count from the newest. */
+static void
+test_it_is_missed_since_the_first_word (void)
+{
+  static const struct
+  {
+    Told told[4]; /* by peers */
+    guint64 own;
+    KnlTime now;
+    KnlTime since;
+  } rows[] = {
+    { { { 0 } }, 7, 9 * KNL_SEC, KNL_NEVER },
+    { { { 2 * KNL_SEC, 6 }, { 3 * KNL_SEC, 7 } }, 7, 9 * KNL_SEC, KNL_NEVER },
+    { { { 2 * KNL_SEC, 8 } }, 7, 9 * KNL_SEC, 2 * KNL_SEC },
+    { { { 2 * KNL_SEC, 8 }, { 3 * KNL_SEC, 8 } }, 7, 9 * KNL_SEC, 2 * KNL_SEC },
+    { { { 2 * KNL_SEC, 8 }, { 3 * KNL_SEC, 9 }, { 4 * KNL_SEC, 8 } }, 7, 9 * KNL_SEC, 2 * KNL_SEC },
+    { { { 2 * KNL_SEC, 8 }, { 3 * KNL_SEC, 9 } }, 8, 9 * KNL_SEC, 3 * KNL_SEC },
+    { { { 2 * KNL_SEC, 8 }, { 3 * KNL_SEC, 9 } }, 9, 9 * KNL_SEC, KNL_NEVER },
+    { { { 2 * KNL_SEC, 8 } }, 7, 40 * KNL_SEC, KNL_NEVER },
+    { { { 2 * KNL_SEC, 8 }, { 35 * KNL_SEC, 8 } }, 7, 40 * KNL_SEC, 35 * KNL_SEC },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      SvAwaited awaited = { 0 };
+
+      for (guint j = 0; j < G_N_ELEMENTS (rows[i].told) && rows[i].told[j].version > 0; j++)
+        sv_awaited_note (&awaited, rows[i].own, rows[i].told[j].version, rows[i].told[j].at);
+      CU_ASSERT_EQUAL (sv_awaited_since (&awaited, rows[i].own, rows[i].now), rows[i].since);
+    }
+}
+
+/* Guards against a row of configurations longer than what is kept of it. */
+static void
+test_a_long_row_is_missed_since_its_first (void)
+{
+  SvAwaited awaited = { 0 };
+  guint64 last = 3 * SV_AWAITED_MOST;
+
+  for (guint64 version = 1; version <= last; version++)
+    sv_awaited_note (&awaited, 0, version, (KnlTime)version * KNL_MSEC);
+  CU_ASSERT_EQUAL (sv_awaited_since (&awaited, 0, KNL_SEC), KNL_MSEC);
+  CU_ASSERT_EQUAL (sv_awaited_since (&awaited, 5, KNL_SEC), 6 * KNL_MSEC);
+  CU_ASSERT (sv_awaited_since (&awaited, last - 1, KNL_SEC) <= (KnlTime)last * KNL_MSEC);
+  CU_ASSERT_EQUAL (sv_awaited_since (&awaited, last, KNL_SEC), KNL_NEVER);
+}
+
+static const SuiteCase cases[] = {
+  { "who lacks a configuration serves nobody", test_who_lacks_a_configuration_serves_nobody },
+  { "it is missed since the first word", test_it_is_missed_since_the_first_word },
+  { "a long row is missed since its first", test_a_long_row_is_missed_since_its_first },
+};
+
+SUITE_MAIN ("sv_outdated", cases)
