platform: bodies between instances of a cell are packed

Change: whoever asks another instance says that it takes zstd (libzstd, declared); the mirror packs an answer from 4 kB on once for all who ask. Others get text, so that releases can differ in a cell. What a packed body may hold is bounded.

Tests: pl_packing; pl_mirror, who does not unpack gets text. The test of the link's room uses a text that packing hardly shortens.

--- a/tests/unit/pl_mirror_test.c
+++ b/tests/unit/pl_mirror_test.c
@@ -14,9 +14,8 @@
 #define STEP    (10 * KNL_MSEC)
 #define STUCK_S 20
 
-/* A long value, and more than an answer with it has. */
-#define LARGE_BYTES  ((gsize)256 << 10)
-#define LARGE_ANSWER (LARGE_BYTES * 3 / 2)
+/* A long value. Its answer is twice as long as text, and more than half of it packed. */
+#define LARGE_BYTES ((gsize)256 << 10)
 
 /* Within this a change passes the store's feed and the mirror's. */
 #define PASSED (3 * GATHER)
@@ -40,7 +39,8 @@
   HtClient *client;
   RowStore *rows;
   PlStore *store;
-  PlStore *peer; /* the mirror, as a store */
+  PlStore *peer;  /* the mirror, as a store */
+  PlStore *plain; /* the same, asked by an instance that does not unpack */
   PlMirror *mirror;
   Follower first;  /* asks the store */
   Follower second; /* asks the mirror */
@@ -135,6 +135,7 @@
       self->mirror = pl_mirror_new (self->kernel, self->base, address);
     }
   self->peer = pl_store_new_peer (self->kernel, self->client, address);
+  self->plain = pl_store_new (self->kernel, self->client, address);
   self->first.mirror = self->mirror;
   follower_open (&self->first, self->store);
   pl_mirror_add (self->mirror, "t", self->first.feed);
@@ -150,6 +151,7 @@
   g_hash_table_unref (self->first.seen);
   g_hash_table_unref (self->second.seen);
   pl_store_free (self->peer);
+  pl_store_free (self->plain);
   pl_store_free (self->store);
   ht_client_free (self->client);
   row_store_free (self->rows);
@@ -325,6 +327,19 @@
   fixture_close (&fixture);
 }
 
+/* A text that packing makes only a little shorter. */
+static char *
+dense_text (gsize length)
+{
+  GString *text = g_string_sized_new (length);
+
+  for (guint32 state = 1; text->len < length; state = state * 1664525 + 1013904223)
+    g_string_append_c (text, (char)('0' + (state >> 26)));
+  for (char *at = text->str; *at != '\0'; at++)
+    *at = *at == '\\' ? '/' : *at;
+  return g_string_free (text, FALSE);
+}
+
 /* Guards against a configuration that no instance of a cell passes on, so that all read it from the
  * store at once; and against one that takes a narrow link away from all else. */
 static void
@@ -335,10 +350,9 @@
     gsize limit;
     guint n_served; /* of the two that ask */
   } rows[] = {
-    { G_MAXSIZE, 2 }, { 2 * LARGE_ANSWER, 2 }, { 2 * LARGE_BYTES - 1, 1 }, { LARGE_ANSWER, 1 },
-    { 40, 1 },
+    { G_MAXSIZE, 2 }, { 4 * LARGE_BYTES, 2 }, { LARGE_BYTES, 1 }, { LARGE_BYTES / 2, 1 }, { 40, 1 },
   };
-  g_autofree char *text = g_strnfill (LARGE_BYTES, 'x');
+  g_autofree char *text = dense_text (LARGE_BYTES);
   g_autofree char *row = g_strdup_printf ("{\"v\":\"%s\"}", text);
 
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
@@ -366,6 +380,30 @@
     }
 }
 
+/* Guards against instances of different releases in a cell. */
+static void
+test_who_does_not_unpack_gets_text (void)
+{
+  g_autofree char *text = dense_text (LARGE_BYTES);
+  g_autofree char *row = g_strdup_printf ("{\"v\":\"%s\"}", text);
+  Follower third = { 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  follower_open (&third, fixture.plain);
+  pl_mirror_set_open (fixture.mirror, TRUE);
+  pass (&fixture, PASSED);
+  row_store_put (fixture.rows, "a", row);
+  pass (&fixture, PASSED);
+  check_value (&fixture.second, "a", text);
+  check_value (&third, "a", text);
+  CU_ASSERT (pl_feed_last_answer (fixture.second.feed).transfer.bytes
+             < pl_feed_last_answer (third.feed).transfer.bytes);
+  pl_feed_free (third.feed);
+  g_hash_table_unref (third.seen);
+  fixture_close (&fixture);
+}
+
 static void
 put_row (PlRows *rows, const char *key, guint64 version)
 {
@@ -510,6 +548,7 @@
   { "an asker may know more", test_an_asker_may_know_more },
   { "who asks others answers nobody", test_who_asks_others_answers_nobody },
   { "what the link has no room for is refused", test_what_the_link_has_no_room_for_is_refused },
+  { "who does not unpack gets text", test_who_does_not_unpack_gets_text },
   { "an era passes through the mirror", test_an_era_passes_through_the_mirror },
   { "a mirror of an older era answers nothing", test_a_mirror_of_an_older_era_answers_nothing },
   { "every order ends alike", test_every_order_ends_alike },
--- /dev/null
+++ b/tests/unit/pl_packing_test.c
@@ -0,0 +1,76 @@
+/** Bodies that instances pack for each other. */
+
+#include <string.h>
+
+#include "platform/packing.h"
+#include "suite.h"
+
+#define MOST ((gsize)1 << 20)
+
+static GBytes *
+routes (guint n)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < n; i++)
+    g_string_append_printf (text, "{\"name\":\"r-%08x\",\"timeoutMs\":1500}", i * 2654435761U);
+  return g_string_free_to_bytes (text);
+}
+
+/* FALSE: it was refused at some piece. */
+static gboolean
+unpack (GBytes *packed, gsize piece, GString *plain, gsize most)
+{
+  PlUnpacker *unpacker = pl_unpacker_new ();
+  gsize length;
+  const char *bytes = g_bytes_get_data (packed, &length);
+  gboolean taken = TRUE;
+
+  for (gsize at = 0; at < length && taken; at += piece)
+    taken = pl_unpacker_feed (unpacker, bytes + at, MIN (piece, length - at), plain, most);
+  pl_unpacker_free (unpacker);
+  return taken;
+}
+
+/* Guards against a configuration that is cut where its packed pieces end. */
+static void
+test_any_pieces_give_the_same (void)
+{
+  static const gsize pieces[] = { 1, 7, 1000, 16384, MOST };
+  g_autoptr (GBytes) plain = routes (9000);
+  g_autoptr (GBytes) packed = pl_pack (plain);
+
+  CU_ASSERT (g_bytes_get_size (packed) < g_bytes_get_size (plain) / 3);
+  for (guint i = 0; i < G_N_ELEMENTS (pieces); i++)
+    {
+      GString *got = g_string_new (NULL);
+
+      CU_ASSERT_TRUE (unpack (packed, pieces[i], got, MOST));
+      CU_ASSERT_EQUAL (got->len, g_bytes_get_size (plain));
+      CU_ASSERT_EQUAL (memcmp (got->str, g_bytes_get_data (plain, NULL), got->len), 0);
+      g_string_free (got, TRUE);
+    }
+}
+
+/* Guards against a short body that takes all memory when it is unpacked, and against other bytes.
+ */
+static void
+test_what_is_too_large_or_no_packed_body_is_refused (void)
+{
+  g_autoptr (GBytes) plain = routes (9000);
+  g_autoptr (GBytes) packed = pl_pack (plain);
+  GString *got = g_string_new (NULL);
+
+  CU_ASSERT_FALSE (unpack (packed, 1000, got, 1000));
+  CU_ASSERT (got->len <= 1000);
+  CU_ASSERT_FALSE (unpack (plain, 1000, got, MOST));
+  g_string_free (got, TRUE);
+}
+
+static const SuiteCase cases[] = {
+  { "any pieces give the same", test_any_pieces_give_the_same },
+  { "what is too large or no packed body is refused",
+    test_what_is_too_large_or_no_packed_body_is_refused },
+};
+
+SUITE_MAIN ("pl_packing", cases)
