--- a/serve/send.c
+++ b/serve/send.c
@@ -249,13 +249,12 @@
   if (pol_limit_is_named (&endpoint->limit))
     limit = g_strdup_printf ("%.2f", endpoint->limit.rate);
   cm_log (CM_LOG_INFO, "request-sent", "s", "request", self->ask.id, "s", "endpoint", endpoint->id,
-          "s", "helpers", helpers->str, "i", "configuration", (gint64)self->config->version, "i",
-          "configuration-age-us", sv_core_config_age (self->core), "i", "send",
-          (gint64)self->offers, "i", "prompt-tokens", (gint64)self->ask.prompt_tokens, "i",
-          "waited-us", self->sent_at - self->begun_at, "i", "part-us", placement->part, "i",
-          "expected-us", placement->expected, "i", "backlog-us", placement->backlog, "i",
-          "endpoint-calls", (gint64)load.calls, "i", "endpoint-tokens", (gint64)load.tokens, "s",
-          "endpoint-limit", limit, "b", "reserved", self->reservation != NULL);
+          "s", "helpers", helpers->str, "i", "send", (gint64)self->offers, "i", "prompt-tokens",
+          (gint64)self->ask.prompt_tokens, "i", "waited-us", self->sent_at - self->begun_at, "i",
+          "part-us", placement->part, "i", "expected-us", placement->expected, "i", "backlog-us",
+          placement->backlog, "i", "endpoint-calls", (gint64)load.calls, "i", "endpoint-tokens",
+          (gint64)load.tokens, "s", "endpoint-limit", limit, "b", "reserved",
+          self->reservation != NULL);
 }
 
 /* Puts the request on its way; it is placed, and has the memory that it needs. */
