serve, platform: an endpoint's word that it leaves is decoded and logged

No decision changes. Answers with 421 are another endpoint's.

pl_decode: words of leaving (five values). Unit programs of the core, reservations and limits: green.

--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -54,6 +54,7 @@
   gboolean is_encoded;  /**< the body is not the endpoint's own bytes */
   gint in_service;      /**< requests that the endpoint runs or has waiting; -1: not said */
   const char *at_fault; /**< address of the endpoint that made it fail; NULL: not said */
+  gboolean is_leaving;  /**< it is about to end, by its own word */
   double limit;         /**< requests a second that the endpoint takes from all callers together;
                              POL_NO_LIMIT: any number */
 } SvReply;
@@ -61,6 +62,10 @@
 /** Takes what an answer says of the endpoint's limit, and logs a change. TRUE: it has changed. */
 gboolean sv_reply_note_limit (const SvReply *reply, SvEndpoint *endpoint, KnlTime at);
 
+/** Takes what an answer says of the endpoint itself, but for its load, and logs what is new. TRUE:
+ * peers want to know. */
+gboolean sv_reply_note_words (const SvReply *reply, SvEndpoint *endpoint, KnlTime at);
+
 /** Sets memory of an endpoint aside, or gives it back. */
 typedef struct
 {
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -61,6 +61,7 @@
   SvPosition revision; /**< of the entry that it was last described by; version 0: unknown */
   SvEndpointState state;
   KnlTime leaving_since;
+  KnlTime said_leaving_at; /**< it said that it leaves, in an answer to us; 0: it has not */
   gboolean is_unlisted; /**< its entry is gone; it stays for the time that a leaving one serves */
   gboolean is_replaced; /**< another start, service or address has its id; only owners of a
                              reference still see it */
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -231,7 +231,7 @@
   if (self->reply.in_service >= 0)
     sv_endpoint_note_report (self->placement.first, (guint)self->reply.in_service, self->last_at);
   self->placement.first->heard_at = self->last_at;
-  if (sv_reply_note_limit (&self->reply, self->placement.first, self->last_at))
+  if (sv_reply_note_words (&self->reply, self->placement.first, self->last_at))
     link->klass->load_changed (link);
   if (sv_request_is_streaming (self) && self->fields == NULL)
     self->fields = dialect->klass->write_reply (dialect, answer);
--- /dev/null
+++ b/serve/endpoint_words.c
@@ -0,0 +1,22 @@
+/** What endpoints say of themselves in their answers. */
+
+#include "common/log.h"
+#include "serve/dialect.h"
+
+static void
+note_leaving (const SvReply *self, SvEndpoint *endpoint, KnlTime at)
+{
+  /* With 421 another endpoint has the address, and speaks of itself. */
+  if (!self->is_leaving || endpoint->said_leaving_at > 0 || self->status == 421)
+    return;
+  endpoint->said_leaving_at = at;
+  cm_log (CM_LOG_NOTICE, "endpoint-leaving", "s", "endpoint", endpoint->id, "s", "request",
+          self->id, "i", "status", (gint64)self->status);
+}
+
+gboolean
+sv_reply_note_words (const SvReply *self, SvEndpoint *endpoint, KnlTime at)
+{
+  note_leaving (self, endpoint, at);
+  return sv_reply_note_limit (self, endpoint, at);
+}
--- a/serve/reservation.c
+++ b/serve/reservation.c
@@ -136,7 +136,7 @@
   SvReply reply;
 
   parts->dialect->klass->read_reply (parts->dialect, answer, &reply);
-  sv_reply_note_limit (&reply, self->endpoint, knl_kernel_now (parts->kernel));
+  sv_reply_note_words (&reply, self->endpoint, knl_kernel_now (parts->kernel));
   return HT_HEAD_TAKE;
 }
 
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -452,6 +452,30 @@
   pl_dialect_free (dialect);
 }
 
+static void
+test_words_of_leaving (void)
+{
+  static const struct
+  {
+    const char *value; /* NULL: the answer has no such field */
+    gboolean is_leaving;
+  } rows[] = { { "1", TRUE }, { NULL, FALSE }, { "0", FALSE }, { "", FALSE }, { "10", FALSE } };
+  SvDialect *dialect = pl_dialect_new ();
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autoptr (HtMessage) answer = ht_message_new ();
+      SvReply reply;
+
+      answer->status = 200;
+      if (rows[i].value != NULL)
+        ht_message_add (answer, "Server-Leaving", rows[i].value);
+      dialect->klass->read_reply (dialect, answer, &reply);
+      CU_ASSERT_EQUAL (reply.is_leaving, rows[i].is_leaving);
+    }
+  pl_dialect_free (dialect);
+}
+
 static const SuiteCase cases[] = {
   { "a configuration in pieces", test_config_in_pieces },
   { "unchanged routes are taken over", test_unchanged_routes_are_taken_over },
@@ -464,6 +488,7 @@
   { "forwarded fields", test_forwarded_fields },
   { "what an answer says", test_replies },
   { "limits that answers name", test_limits },
+  { "words of leaving", test_words_of_leaving },
 };
 
 SUITE_MAIN ("pl_decode", cases)
