--- /dev/null
+++ b/tests/unit/sv_leaving_test.c
@@ -0,0 +1,113 @@
+/** Endpoints that say in their answers that they leave. */
+
+#include <string.h>
+
+#include "suite.h"
+#include "sv_fixture.h"
+
+#define ANSWER(fields) "HTTP/1.1 200 OK\r\n" SIGNED fields "Content-Length: 4\r\n\r\ngood"
+#define LEAVING        "Server-Leaving: 1\r\n"
+
+/* The fixture's fleet sends to what leaves for 1 s, where nothing else is left. */
+#define WITHIN (500 * KNL_MSEC)
+#define PAST   (1200 * KNL_MSEC)
+
+static const ScriptedAnswer good = { ANSWER (""), FALSE };
+static const ScriptedAnswer leaving = { ANSWER (LEAVING), FALSE };
+static const ScriptedAnswer leaving_turns_away = {
+  "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n" LEAVING "Content-Length: 0\r\n\r\n", FALSE
+};
+static const ScriptedAnswer leaving_fails = { "HTTP/1.1 500 E\r\n" SIGNED LEAVING
+                                              "Content-Length: 3\r\n\r\nbad",
+                                              FALSE };
+static const ScriptedAnswer another_leaves = { "HTTP/1.1 421 Misdirected Request\r\n" LEAVING
+                                               "Content-Length: 0\r\n\r\n",
+                                               FALSE };
+
+/* What the list says of the first endpoint after its word. */
+typedef enum
+{
+  LIST_SILENT,
+  LIST_READY,
+  LIST_ANOTHER_START,
+} List;
+
+typedef struct
+{
+  const char *name;
+  const ScriptedAnswer *word; /* the first endpoint's first answer; later ones are good */
+  gboolean has_other;         /* there is a second endpoint */
+  KnlTime after;
+  List list;
+  guint at_first; /* requests that have come to the first endpoint at the end */
+  gboolean served;
+} Row;
+
+static void
+list_first (SvFixture *self, guint64 start)
+{
+  SvEndpointEntry entry = {
+    .id = "i-0",
+    .service = "s",
+    .zone = "a",
+    .slots = 4,
+    .start = start,
+    .address = scripted_endpoint_address (self->endpoints[0]),
+  };
+
+  sv_fleet_update (self->fleet, &entry);
+}
+
+static void
+check_row (const Row *row)
+{
+  const ScriptedAnswer script[] = { *row->word, good };
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  sv_fixture_add_endpoint (&fixture, script, 2);
+  if (row->has_other)
+    sv_fixture_add_endpoint (&fixture, &good, 1);
+  sv_fixture_ask (&fixture, "/again/1");
+  sv_fixture_wait_for (&fixture, "\r\n\r\n");
+  if (row->list != LIST_SILENT)
+    list_first (&fixture, row->list == LIST_READY ? 0 : 7);
+  knl_paused_clock_advance (fixture.clock, row->after);
+  sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+  sv_fixture_ask (&fixture, "/once/2");
+  sv_fixture_wait_for (&fixture, "\r\n\r\n");
+  if (scripted_endpoint_n_requests (fixture.endpoints[0]) != row->at_first)
+    printf ("%s: %u requests at the first\n", row->name,
+            scripted_endpoint_n_requests (fixture.endpoints[0]));
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[0]), row->at_first);
+  CU_ASSERT_EQUAL (strstr (fixture.got->str, "HTTP/1.1 200") != NULL, row->served);
+  sv_fixture_close (&fixture);
+}
+
+/* Guards against requests to an endpoint that said that it leaves, which nobody answers when it has
+ * ended. */
+static void
+test_who_says_that_it_leaves_gets_no_more (void)
+{
+  static const Row rows[] = {
+    { "the other one is asked", &leaving, TRUE, 0, LIST_SILENT, 1, TRUE },
+    { "a failure says it", &leaving_fails, TRUE, 0, LIST_SILENT, 1, TRUE },
+    { "a rejection says it", &leaving_turns_away, TRUE, 0, LIST_SILENT, 1, TRUE },
+    { "the last one, at first", &leaving, FALSE, WITHIN, LIST_SILENT, 2, TRUE },
+    { "the last one, later", &leaving, FALSE, PAST, LIST_SILENT, 1, FALSE },
+    { "an older list", &leaving, TRUE, 0, LIST_READY, 1, TRUE },
+    { "an older list, later", &leaving, FALSE, PAST, LIST_READY, 1, FALSE },
+    { "another start", &leaving, FALSE, PAST, LIST_ANOTHER_START, 2, TRUE },
+    { "another endpoint's word", &another_leaves, FALSE, PAST, LIST_SILENT, 2, TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    check_row (&rows[i]);
+}
+
+static const SuiteCase cases[] = {
+  { "who says that it leaves gets no more", test_who_says_that_it_leaves_gets_no_more },
+};
+
+SUITE_MAIN ("sv_leaving", cases)
