serve: who says that it leaves is sent nothing new

What callers saw: requests that were sent to a leaving endpoint 2.4 to 8.3 s after it had said so in answers to the same instance; it ended before it had answered some of them, and they got 504.

Cause: only the list said who leaves, and the store was away: the list said ready for 12 s more. The word in the endpoint's own answers was passed on to callers and read by nobody.

The end of a leaving entry and of a leaving word are one function now.

Weighed: to tell peers. The rule binds the instance that has passed the word on; an endpoint that leaves serves on for a while, others hear of it from their own next request there or from the list, and a word that one instance alone has heard costs the others one request.

Unit programs of core, restart, limits, router, ends and peers: green.

--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -162,6 +162,9 @@
 /** Whether requests may go there now. */
 gboolean sv_endpoint_usable (const SvEndpoint *endpoint, KnlTime now);
 
+/** It is about to end; one that is leaving already has been since then. */
+void sv_endpoint_begin_leaving (SvEndpoint *endpoint, KnlTime now);
+
 /** Whether it may be sent requests when no usable one is left. */
 gboolean sv_endpoint_last_resort (const SvFleet *fleet, const SvEndpoint *endpoint);
 
--- a/serve/endpoint_words.c
+++ b/serve/endpoint_words.c
@@ -10,6 +10,7 @@
   if (!self->is_leaving || endpoint->said_leaving_at > 0 || self->status == 421)
     return;
   endpoint->said_leaving_at = at;
+  sv_endpoint_begin_leaving (endpoint, at);
   cm_log (CM_LOG_NOTICE, "endpoint-leaving", "s", "endpoint", endpoint->id, "s", "request",
           self->id, "i", "status", (gint64)self->status);
 }
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -185,13 +185,11 @@
   endpoint->zone = g_strdup (entry->zone);
   endpoint->slots = entry->slots;
   endpoint->is_unlisted = FALSE;
-  if (!entry->draining)
+  /* The list may lag behind its own word by as long as the store is away. */
+  if (entry->draining || endpoint->said_leaving_at > 0)
+    sv_endpoint_begin_leaving (endpoint, knl_kernel_now (self->kernel));
+  else
     endpoint->state = SV_ENDPOINT_READY;
-  else if (endpoint->state != SV_ENDPOINT_LEAVING)
-    {
-      endpoint->state = SV_ENDPOINT_LEAVING;
-      endpoint->leaving_since = knl_kernel_now (self->kernel);
-    }
 }
 
 /*
@@ -204,15 +202,10 @@
 sv_fleet_remove (SvFleet *self, const char *id)
 {
   SvEndpoint *endpoint = g_hash_table_lookup (self->by_id, id);
-  KnlTime now = knl_kernel_now (self->kernel);
 
   if (endpoint == NULL)
     return;
-  if (endpoint->state != SV_ENDPOINT_LEAVING)
-    {
-      endpoint->state = SV_ENDPOINT_LEAVING;
-      endpoint->leaving_since = now;
-    }
+  sv_endpoint_begin_leaving (endpoint, knl_kernel_now (self->kernel));
   endpoint->is_unlisted = TRUE;
   sv_fleet_sweep (self);
 }
@@ -387,6 +380,15 @@
   return self->all;
 }
 
+void
+sv_endpoint_begin_leaving (SvEndpoint *self, KnlTime now)
+{
+  if (self->state == SV_ENDPOINT_LEAVING)
+    return;
+  self->state = SV_ENDPOINT_LEAVING;
+  self->leaving_since = now;
+}
+
 gboolean
 sv_endpoint_is_gone (const SvFleet *fleet, const SvEndpoint *self)
 {
