serve, platform: an endpoint's word that it wants rest is decoded and logged

For the incident of endpoints that want rest and get requests: send-rejected told that a request was turned away, not that no more were wanted for some time. No decision changes.

pl_decode: rests that answers ask for (13 values).

--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -54,9 +54,10 @@
   gboolean is_encoded;  /**< the body is not the endpoint's own bytes */
   gint in_service;      /**< requests that the endpoint runs or has waiting; -1: not said */
   const char *at_fault; /**< address of the endpoint that made it fail; NULL: not said */
-  gboolean is_leaving;  /**< it is about to end, by its own word */
-  double limit;         /**< requests a second that the endpoint takes from all callers together;
-                             POL_NO_LIMIT: any number */
+  KnlTime rest; /**< the endpoint wants nothing from this instance for so long; 0: not said */
+  gboolean is_leaving; /**< it is about to end, by its own word */
+  double limit;        /**< requests a second that the endpoint takes from all callers together;
+                            POL_NO_LIMIT: any number */
 } SvReply;
 
 /** Takes what an answer says of the endpoint's limit, and logs a change. TRUE: it has changed. */
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -82,6 +82,7 @@
   PolHealth health;     /**< by our own requests there */
   PolBelief belief;     /**< by what all instances tell of it */
   PolHealth helping;    /**< by our prompts that it was to read parts of for others */
+  KnlTime rests_until;  /**< it wants nothing from this instance before, by its own word */
   PolLimit limit;       /**< by its own word */
   guint32 sent;         /**< requests of this instance since it named a limit */
   guint32 sent_in_cell; /**< the same of all instances of our cell, as far as they have told */
--- a/serve/endpoint_words.c
+++ b/serve/endpoint_words.c
@@ -15,9 +15,21 @@
           self->id, "i", "status", (gint64)self->status);
 }
 
+static void
+note_rest (const SvReply *self, SvEndpoint *endpoint, KnlTime at)
+{
+  if (self->rest == 0)
+    return;
+  endpoint->rests_until = MAX (endpoint->rests_until, at + self->rest);
+  cm_log (CM_LOG_INFO, "endpoint-rest", "s", "endpoint", endpoint->id, "s", "request", self->id,
+          "i", "status", (gint64)self->status, "i", "asked-us", self->rest, "i", "until-us",
+          endpoint->rests_until - at);
+}
+
 gboolean
 sv_reply_note_words (const SvReply *self, SvEndpoint *endpoint, KnlTime at)
 {
   note_leaving (self, endpoint, at);
+  note_rest (self, endpoint, at);
   return sv_reply_note_limit (self, endpoint, at);
 }
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -476,6 +476,45 @@
   pl_dialect_free (dialect);
 }
 
+static void
+test_rests_that_answers_ask_for (void)
+{
+  static const struct
+  {
+    guint status;
+    const char *value; /* NULL: the answer has no such field */
+    KnlTime rest;
+  } rows[] = {
+    { 503, "3", 3 * KNL_SEC },
+    { 503, "0.25", 250 * KNL_MSEC },
+    { 429, "2", 2 * KNL_SEC },
+    { 200, "3", 0 },
+    { 500, "3", 0 },
+    { 421, "3", 0 },
+    { 503, NULL, 0 },
+    { 503, "0", 0 },
+    { 503, "-1", 0 },
+    { 503, "soon", 0 },
+    { 503, "3x", 0 },
+    { 503, "inf", 0 },
+    { 503, "1e12", 3600 * KNL_SEC },
+  };
+  SvDialect *dialect = pl_dialect_new ();
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autoptr (HtMessage) answer = ht_message_new ();
+      SvReply reply;
+
+      answer->status = rows[i].status;
+      if (rows[i].value != NULL)
+        ht_message_add (answer, "Retry-After", rows[i].value);
+      dialect->klass->read_reply (dialect, answer, &reply);
+      CU_ASSERT_EQUAL (reply.rest, rows[i].rest);
+    }
+  pl_dialect_free (dialect);
+}
+
 static const SuiteCase cases[] = {
   { "a configuration in pieces", test_config_in_pieces },
   { "unchanged routes are taken over", test_unchanged_routes_are_taken_over },
@@ -489,6 +528,7 @@
   { "what an answer says", test_replies },
   { "limits that answers name", test_limits },
   { "words of leaving", test_words_of_leaving },
+  { "rests that answers ask for", test_rests_that_answers_ask_for },
 };
 
 SUITE_MAIN ("pl_decode", cases)
