--- /dev/null
+++ b/tests/unit/sv_rest_test.c
@@ -0,0 +1,182 @@
+/** Endpoints that turn requests away and want nothing for a while. */
+
+#include <string.h>
+
+#include "suite.h"
+#include "sv_fixture.h"
+
+#define ANSWER "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood"
+#define REST   (3 * KNL_SEC)
+#define STEP   (400 * KNL_MSEC)
+
+static const ScriptedAnswer good = { ANSWER, FALSE };
+static const ScriptedAnswer turns_away = {
+  "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nRetry-After: 3\r\n"
+  "Content-Length: 0\r\n\r\n",
+  FALSE
+};
+static const ScriptedAnswer fails = { "HTTP/1.1 503 Service Unavailable\r\n" SIGNED
+                                      "Retry-After: 3\r\n"
+                                      "Content-Length: 0\r\n\r\n",
+                                      FALSE };
+static const ScriptedAnswer another_turns_away = {
+  "HTTP/1.1 421 Misdirected Request\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", FALSE
+};
+
+static const ScriptedAnswer stream = { "HTTP/1.1 200 OK\r\n" SIGNED
+                                       "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n",
+                                       FALSE };
+
+static const SvEngineSpec spec = {
+  .slots = 4,
+  .memory_tokens = 100000,
+  .stride = 50,
+  .step_ms = 1,
+  .read_tokens_per_ms = 180,
+  .pair_ms_per_m = 0.18,
+  .chunk = 2048,
+  .usual_prompt = 10000,
+  .usual_answer = 100,
+};
+
+static void
+fixture_open (SvFixture *self, const ScriptedAnswer *word, gboolean has_other)
+{
+  static ScriptedAnswer script[2];
+
+  script[0] = *word;
+  script[1] = good;
+  sv_fixture_open (self);
+  sv_fixture_use_config (self, 1, "key");
+  sv_fixture_add_endpoint (self, script, 2);
+  if (has_other)
+    sv_fixture_add_endpoint (self, &good, 1);
+  sv_fixture_ask (self, "/again/1");
+  sv_fixture_wait_for (self, "\r\n\r\n");
+}
+
+static void
+ask_after (SvFixture *self, KnlTime time)
+{
+  knl_paused_clock_advance (self->clock, time);
+  sv_core_confirm (self->core, knl_kernel_now (self->kernel));
+  sv_fixture_ask (self, "/again/1");
+  sv_fixture_wait_for (self, "\r\n\r\n");
+}
+
+static guint
+n_at_first (const SvFixture *self)
+{
+  return scripted_endpoint_n_requests (self->endpoints[0]);
+}
+
+static void
+ask_stream (SvFixture *self)
+{
+  sv_core_confirm (self->core, knl_kernel_now (self->kernel));
+  sv_fixture_ask_prompt (self, "/stream/1", 2000);
+  sv_fixture_wait_for (self, "\r\n\r\n");
+  while (sv_core_n_requests (self->core) > 0)
+    event_base_loop (self->base, EVLOOP_ONCE);
+}
+
+/* `word`: of the endpoint `speaker`, in its first answer. */
+static void
+engines_open (SvFixture *self, guint speaker, const ScriptedAnswer *word)
+{
+  static ScriptedAnswer script[2];
+
+  script[0] = *word;
+  script[1] = stream;
+  sv_fixture_open (self);
+  sv_fixture_use_engines (self, 1, &spec);
+  for (guint i = 0; i < ENDPOINTS_MOST; i++)
+    sv_fixture_add_endpoint (self, i == speaker ? script : &stream, i == speaker ? 2 : 1);
+}
+
+/* The engine that a short prompt goes to first: decided by the hashes of their ids. */
+static guint
+first_choice (void)
+{
+  SvFixture fixture;
+  guint first = 0;
+
+  engines_open (&fixture, 0, &stream);
+  ask_stream (&fixture);
+  while (scripted_endpoint_n_requests (fixture.endpoints[first]) == 0)
+    first++;
+  sv_fixture_close (&fixture);
+  return first;
+}
+
+/* Guards against repeats that pile up at an engine that has asked for rest. */
+static void
+test_who_wants_rest_gets_nothing_meanwhile (void)
+{
+  static const ScriptedAnswer *const words[] = { &turns_away, &fails };
+  guint first = first_choice ();
+
+  for (guint i = 0; i < G_N_ELEMENTS (words); i++)
+    {
+      SvFixture fixture;
+
+      engines_open (&fixture, first, words[i]);
+      for (KnlTime at = 0; at < REST; at += STEP)
+        {
+          ask_stream (&fixture);
+          CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "HTTP/1.1 200"));
+          knl_paused_clock_advance (fixture.clock, STEP);
+        }
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[first]), 1);
+      ask_stream (&fixture);
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[first]), 2);
+      sv_fixture_close (&fixture);
+    }
+}
+
+/* Guards against requests that are sent, or wait, where all endpoints want rest. */
+static void
+test_callers_are_told_when_the_rest_ends (void)
+{
+  SvFixture fixture;
+
+  fixture_open (&fixture, &turns_away, FALSE);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "HTTP/1.1 503"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "Retry-After: 3."));
+  for (guint i = 0; i < 5; i++)
+    ask_after (&fixture, STEP);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "HTTP/1.1 503"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "Retry-After: 1."));
+  CU_ASSERT_EQUAL (n_at_first (&fixture), 1);
+  ask_after (&fixture, REST - 5 * STEP);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "good"));
+  sv_fixture_close (&fixture);
+}
+
+/* Guards against a rest that another endpoint's word begins, or an answer to an earlier request
+ * ends. */
+static void
+test_only_its_own_word_counts (void)
+{
+  SvFixture fixture;
+
+  fixture_open (&fixture, &another_turns_away, FALSE);
+  ask_after (&fixture, STEP + KNL_SEC);
+  CU_ASSERT_EQUAL (n_at_first (&fixture), 2);
+  sv_fixture_close (&fixture);
+
+  fixture_open (&fixture, &turns_away, TRUE);
+  sv_endpoint_note_success (g_ptr_array_index (sv_fleet_all (fixture.fleet), 0),
+                            knl_kernel_now (fixture.kernel));
+  ask_after (&fixture, STEP);
+  CU_ASSERT_EQUAL (n_at_first (&fixture), 1);
+  sv_fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "who wants rest gets nothing meanwhile", test_who_wants_rest_gets_nothing_meanwhile },
+  { "callers are told when the rest ends", test_callers_are_told_when_the_rest_ends },
+  { "only its own word counts", test_only_its_own_word_counts },
+};
+
+SUITE_MAIN ("sv_rest", cases)
