serve: an endpoint that asks for rest is sent nothing until it has rested

What callers saw: prompts that were turned away by the same engine again and again, each at the cost of a retry out of the service's budget; the engine, which could take no more, got up to seven of them in 3 s from one instance.

Cause: Retry-After of an endpoint's rejection was read by nobody. A rejection was one of four errors in a row before the endpoint rested for 0.4 s, and any answer in between began that anew.

It goes by the same question as a limit that the endpoint names (sv_endpoint_wait), so that callers are refused at once where all rest, as not run, with the time until the first one has rested. An endpoint that has only failed this request would take it when it comes back: then the short time stands. A prompt whose memory was being set aside when its engine asked for rest is placed again.

Weighed: a longer rest by the instance's own judgement (it does not know what the engine knows); telling peers (the engine speaks to each instance for itself: what it wants of one is not what it wants of all).

--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -228,8 +228,9 @@
 /** Whether peers are to be told of its limit, or that it has none any more. */
 gboolean sv_endpoint_tells_limit (const SvEndpoint *endpoint, KnlTime now);
 
-/** How long until its limit lets a request through; 0: now. */
-KnlTime sv_endpoint_limit_wait (const SvFleet *fleet, SvEndpoint *endpoint, KnlTime now);
+/** How long until it takes a request from this instance, by its own word: until it has rested, and
+ * its limit lets one through; 0: now. */
+KnlTime sv_endpoint_wait (const SvFleet *fleet, SvEndpoint *endpoint, KnlTime now);
 
 /** An answer that reports a failure of the endpoint's own. */
 void sv_endpoint_note_error (SvEndpoint *endpoint, KnlTime now);
--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -82,7 +82,7 @@
       SvCandidate candidate;
 
       if (sv_demand_excludes (demand, endpoint) || !is_taken (fleet, endpoint, take, now)
-          || sv_endpoint_limit_wait (fleet, endpoint, now) > 0)
+          || sv_endpoint_wait (fleet, endpoint, now) > 0)
         continue;
       describe (demand, endpoint, now, &candidate);
       g_array_append_val (candidates, candidate);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -361,8 +361,8 @@
   return fleet->known == 1 ? 0 : (double)(XXH64 (drawn, sizeof drawn, 0) >> 11) / 0x1p53;
 }
 
-KnlTime
-sv_endpoint_limit_wait (const SvFleet *fleet, SvEndpoint *self, KnlTime now)
+static KnlTime
+limit_wait (const SvFleet *fleet, SvEndpoint *self, KnlTime now)
 {
   PolLimitShare share;
 
@@ -374,6 +374,12 @@
   return pol_limit_wait (&self->limit, &share, now);
 }
 
+KnlTime
+sv_endpoint_wait (const SvFleet *fleet, SvEndpoint *self, KnlTime now)
+{
+  return MAX (self->rests_until - now, limit_wait (fleet, self, now));
+}
+
 const GPtrArray *
 sv_fleet_all (const SvFleet *self)
 {
--- a/serve/router.c
+++ b/serve/router.c
@@ -36,9 +36,10 @@
     }
 }
 
-/* Endpoints that failed the request, or are down, are not waited for. */
+/* Endpoints that are down are not waited for. One that has failed the request alone would take it
+ * when it comes back. */
 static KnlTime
-limit_wait (const SvFleet *fleet, const SvDemand *demand, KnlTime now)
+least_wait (const SvFleet *fleet, const SvDemand *demand, KnlTime now)
 {
   const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
   KnlTime least = 0;
@@ -46,10 +47,12 @@
   for (guint i = 0; endpoints != NULL && i < endpoints->len; i++)
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
-      KnlTime wait = sv_endpoint_limit_wait (fleet, endpoint, now);
+      KnlTime wait = sv_endpoint_wait (fleet, endpoint, now);
 
-      if (wait == 0 || sv_demand_excludes (demand, endpoint) || !sv_endpoint_usable (endpoint, now))
+      if (!sv_endpoint_usable (endpoint, now))
         continue;
+      if (wait == 0)
+        return 0;
       least = least == 0 ? wait : MIN (least, wait);
     }
   return least;
@@ -68,7 +71,7 @@
   *placement = (SvPlacement){ .load = { .calls = 1 } };
   if (candidates->len == 0)
     {
-      placement->limited = limit_wait (fleet, demand, now);
+      placement->limited = least_wait (fleet, demand, now);
       return FALSE;
     }
   if (!sv_service_is_engine (demand->service) || demand->prompt_tokens == 0)
--- a/serve/send.c
+++ b/serve/send.c
@@ -284,11 +284,25 @@
         knl_timer_start (self->core->parts.kernel, silence_limit (self), on_watch, self);
 }
 
+/* Orders about memory take a while, in which the endpoint may have asked for rest. */
+static void
+place_again (SvRequest *self)
+{
+  sv_request_stop_send (self);
+  self->offers--;
+  sv_request_send (self);
+}
+
 static void
 on_reserved (gboolean ready, gpointer data)
 {
   SvRequest *self = data;
 
+  if (ready && self->placement.first->rests_until > sv_request_now (self))
+    {
+      place_again (self);
+      return;
+    }
   if (ready)
     {
       launch (self);
--- a/tests/unit/sv_limit_kept_test.c
+++ b/tests/unit/sv_limit_kept_test.c
@@ -394,7 +394,7 @@
       SvEndpoint *endpoint = herd_endpoint (herd, i);
 
       herd_tell (herd, step);
-      if (sv_endpoint_limit_wait (herd->fleets[i], endpoint, knl_kernel_now (kernel)) == 0)
+      if (sv_endpoint_wait (herd->fleets[i], endpoint, knl_kernel_now (kernel)) == 0)
         {
           sv_endpoint_charge (endpoint, &load, 1);
           herd->senders[step] = i + 1;
--- a/tests/unit/sv_memory_test.c
+++ b/tests/unit/sv_memory_test.c
@@ -74,8 +74,44 @@
   sv_fixture_close (&fixture);
 }
 
+/* Guards against a prompt for an endpoint that asks for rest while memory is set aside for it. */
+static void
+test_an_endpoint_that_rests_meanwhile_gets_nothing (void)
+{
+  static const ScriptedAnswer taken[] = { { TAKEN, FALSE } };
+  SvFixture fixture;
+  const SvEndpoint *runner = NULL;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_engines (&fixture, 1, &spec);
+  for (guint i = 0; i < ENDPOINTS_MOST; i++)
+    sv_fixture_add_endpoint (&fixture, taken, 1);
+  sv_fixture_ask_prompt (&fixture, "/long/1", 120000);
+  sv_fixture_wait_requests (&fixture, HOLDER, 1);
+  for (guint i = 0; i < ENDPOINTS_MOST; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (sv_fleet_all (fixture.fleet), i);
+
+      if (strcmp (endpoint->address, scripted_endpoint_address (fixture.endpoints[RUNNER])) != 0)
+        continue;
+      endpoint->rests_until = knl_kernel_now (fixture.kernel) + 3 * KNL_SEC;
+      runner = endpoint;
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (runner);
+  while (!has_order (&fixture, HOLDER, "release"))
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[RUNNER]), 0);
+  sv_fixture_wait_for (&fixture, "\r\n\r\n");
+  /* What was set aside meanwhile is given back. */
+  for (guint turn = 0; turn < 50; turn++)
+    event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "memory is not held for a prompt that waits", test_memory_is_not_held_for_a_prompt_that_waits },
+  { "an endpoint that rests meanwhile gets nothing",
+    test_an_endpoint_that_rests_meanwhile_gets_nothing },
 };
 
 SUITE_MAIN ("sv_memory", cases)
