tests: a prompt that is placed again is waited for by the clock

It advances the clock now, for twice the bound, and still checks that the resting endpoint gets nothing.

--- a/tests/unit/sv_memory_test.c
+++ b/tests/unit/sv_memory_test.c
@@ -101,10 +101,13 @@
   while (!has_order (&fixture, HOLDER, "release"))
     event_base_loop (fixture.base, EVLOOP_ONCE);
   CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[RUNNER]), 0);
-  sv_fixture_wait_for (&fixture, "\r\n\r\n");
-  /* What was set aside meanwhile is given back. */
-  for (guint turn = 0; turn < 50; turn++)
-    event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  /* Until the caller has its answer, and all that was set aside is given back. */
+  for (KnlTime passed = 0; passed < 2 * IDLE_BOUND; passed += STEP)
+    {
+      knl_paused_clock_advance (fixture.clock, STEP);
+      for (guint turn = 0; turn < 5; turn++)
+        event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+    }
   sv_fixture_close (&fixture);
 }
 
