serve: what another endpoint says at an address is not the endpoint's word

Found on looking for the same cause elsewhere: an answer with 421 comes from whoever has the address now. Its limit was taken for that of the endpoint that was asked, which was then sent nothing for as long as that limit says (with 0: one request in 10 s). Of leaving and rest it was left out already, in two ways; one check covers all words now.

sv_limit, another endpoint's limit counts for nothing: fails without the change, passes with it.

--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -8,6 +8,9 @@
 #include "http/message.h"
 #include "serve/fleet.h"
 
+/** An answer with this status is another endpoint's, at the address of the one that was asked. */
+#define SV_STATUS_MISDIRECTED 421
+
 typedef struct SvDialect SvDialect;
 
 /** What a caller asks for, beside method, target and body. Strings live as long as the message. */
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -266,7 +266,7 @@
           "s", "at-fault", at_fault->id, "i", "status", (gint64)self->reply.status);
   if (at_fault != endpoint)
     sv_endpoint_note_no_help (at_fault, sv_request_now (self));
-  else if (self->reply.status == 421)
+  else if (self->reply.status == SV_STATUS_MISDIRECTED)
     sv_endpoint_note_loss (endpoint, sv_request_now (self));
   else
     sv_endpoint_note_error (endpoint, sv_request_now (self));
--- a/serve/endpoint_words.c
+++ b/serve/endpoint_words.c
@@ -6,8 +6,7 @@
 static void
 note_leaving (const SvReply *self, SvEndpoint *endpoint, KnlTime at)
 {
-  /* With 421 another endpoint has the address, and speaks of itself. */
-  if (!self->is_leaving || endpoint->said_leaving_at > 0 || self->status == 421)
+  if (!self->is_leaving || endpoint->said_leaving_at > 0)
     return;
   endpoint->said_leaving_at = at;
   sv_endpoint_begin_leaving (endpoint, at);
@@ -29,6 +28,9 @@
 gboolean
 sv_reply_note_words (const SvReply *self, SvEndpoint *endpoint, KnlTime at)
 {
+  /* Another endpoint has the address, and speaks of itself. */
+  if (self->status == SV_STATUS_MISDIRECTED)
+    return FALSE;
   note_leaving (self, endpoint, at);
   note_rest (self, endpoint, at);
   return sv_reply_note_limit (self, endpoint, at);
--- a/tests/unit/sv_limit_test.c
+++ b/tests/unit/sv_limit_test.c
@@ -124,12 +124,34 @@
   sv_fixture_close (&fixture);
 }
 
+/* Guards against a limit of the endpoint that has another one's address now. */
+static void
+test_another_endpoints_limit_counts_for_nothing (void)
+{
+  static const ScriptedAnswer script[] = {
+    { "HTTP/1.1 421 Misdirected Request\r\nServer-Limit: 0\r\nContent-Length: 0\r\n\r\n", FALSE },
+    { ANSWER (""), FALSE }
+  };
+  SvFixture fixture;
+
+  fixture_open (&fixture, script, 2);
+  sv_fixture_ask (&fixture, "/once/1");
+  sv_fixture_wait_for (&fixture, "\r\n\r\n");
+  knl_paused_clock_advance (fixture.clock, KNL_SEC);
+  sv_fixture_ask (&fixture, "/once/2");
+  sv_fixture_wait_for (&fixture, "\r\n\r\n");
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.got->str, "good"));
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "limits are logged", test_limits_are_logged },
   { "what no limit allows is refused", test_what_no_limit_allows_is_refused },
   { "an endpoint that takes nothing is asked again",
     test_an_endpoint_that_takes_nothing_is_asked_again },
   { "second sends count", test_second_sends_count },
+  { "another endpoint's limit counts for nothing",
+    test_another_endpoints_limit_counts_for_nothing },
 };
 
 SUITE_MAIN ("sv_limit", cases)
