tests: endpoints of the gateway soak say that they leave, and ask for rest

Real gateways under signals, proxies and a store that fails meet both words now: one endpoint says from half of the run on that it leaves, while the list says ready; the two without a proxy ask for 2 s of rest with one in ten of the requests that they turn away. Checked as the bounds say: no request sent later than 2 s after the word, no more than two within a rest but its first half second; a signal to the gateway since then excuses it.

--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -16,7 +16,11 @@
 #include "tests/unit/suite.h"
 
 /* Requests are sent so many at a time. */
-#define AT_ONCE      4
+#define AT_ONCE 4
+
+/* The endpoint that says from half of the run on that it leaves. */
+#define LEAVER 1
+
 #define STEP         (20 * KNL_MSEC)
 #define LIMIT        (2 * KNL_SEC)
 #define FAULT_EVERY  (300 * KNL_MSEC)
@@ -302,11 +306,13 @@
   guint64 version;
   KnlTime end;
   KnlTime limited;
+  KnlTime leaves;
   KnlTime next_fault;
 
   soak_open (&soak, seed);
   end = gs_now (&soak) + length;
   limited = gs_now (&soak) + length / 3;
+  leaves = gs_now (&soak) + length / 2;
   next_fault = gs_now (&soak) + FAULT_EVERY;
   while (gs_now (&soak) < end)
     {
@@ -318,6 +324,7 @@
       gs_write_again (&soak);
       if (gs_now (&soak) > limited && soak.desks[DESKS - 1].rate == 0)
         gs_name_limit (&soak);
+      soak.desks[LEAVER].is_leaving = gs_now (&soak) > leaves;
       if (gs_now (&soak) < next_fault)
         continue;
       gs_inject (&soak);
@@ -328,9 +335,10 @@
   hn_pass (soak.harness, LIMIT + ANSWER_SLACK);
   check_all (&soak);
   check_settled (&soak);
-  printf ("seed %u: %u requests, %u answered, %u counted against a limit of %u, %u broken\n", seed,
-          soak.next, soak.answered, soak.desks[DESKS - 1].arrivals->len, soak.desks[DESKS - 1].rate,
-          soak.broken);
+  printf (
+      "seed %u: %u requests, %u answered, %u counted against a limit of %u, %u rests, %u broken\n",
+      seed, soak.next, soak.answered, soak.desks[DESKS - 1].arrivals->len,
+      soak.desks[DESKS - 1].rate, soak.rests, soak.broken);
   CU_ASSERT_EQUAL (soak.broken, 0);
   CU_ASSERT (soak.answered > 0);
   soak_close (&soak);
--- a/tests/soak/gateway_soak_endpoints.c
+++ b/tests/soak/gateway_soak_endpoints.c
@@ -1,4 +1,5 @@
-/** The endpoints of the gateway soak: they fail now and then, and the last one names a limit. */
+/** The endpoints of the gateway soak: they fail now and then and ask for rest, one says at last
+ * that it leaves, and the last one names a limit. */
 
 #include <CUnit/CUnit.h>
 #include <string.h>
@@ -14,6 +15,17 @@
 #define LIMIT_KNOWN (500 * KNL_MSEC)
 #define LIMIT_GRACE (3 * KNL_SEC)
 
+/* Of the requests that are turned away, those with which an endpoint asks for rest, and what a
+ * gateway whose process was left alone may send it from a while on. */
+#define REST_PART    0.1
+#define REST_SECONDS 2
+#define REST         (REST_SECONDS * KNL_SEC)
+#define REST_KNOWN   (500 * KNL_MSEC)
+#define REST_MOST    2
+
+/* A request that a caller sends later than this after the word of leaving was passed on is late. */
+#define LEAVING_BOUND (2 * KNL_SEC)
+
 typedef struct
 {
   HtCall *call;
@@ -31,10 +43,24 @@
   g_free (self);
 }
 
-/* The field of an answer to that gateway. */
+static Heard *
+heard_by (Desk *self, const Gateway *gateway)
+{
+  return &self->heard[gateway - self->soak->gateways];
+}
+
+/* The fields of an answer to that gateway. */
 static char *
-name_limit (Desk *self, Gateway *gateway)
+say_words (Desk *self, Gateway *gateway)
 {
+  Heard *heard = heard_by (self, gateway);
+
+  if (self->is_leaving)
+    {
+      if (heard->leaving_at <= gateway->faulted_at)
+        heard->leaving_at = gs_now (self->soak);
+      return g_strdup ("Server-Leaving: 1\r\n");
+    }
   if (self->rate == 0)
     return g_strdup ("");
   if (gateway->told_at == 0)
@@ -42,6 +68,56 @@
   return g_strdup_printf ("Server-Limit: %u\r\n", self->rate);
 }
 
+/* A rest that a gateway heard of before the last signal to it is not held against it. */
+static void
+check_words (Desk *self, const Request *request)
+{
+  const Gateway *gateway = request->gateway;
+  Heard *heard = heard_by (self, gateway);
+  KnlTime now = gs_now (self->soak);
+
+  if (heard->leaving_at > gateway->faulted_at
+      && request->sent_at > heard->leaving_at + LEAVING_BOUND)
+    {
+      self->soak->broken++;
+      fprintf (stderr, "broken: request %s reached an endpoint that had said that it leaves\n",
+               request->id);
+    }
+  if (heard->rest_at <= gateway->faulted_at || now < heard->rest_at + REST_KNOWN
+      || now >= heard->rest_at + REST)
+    return;
+  if (++heard->n_in_rest <= REST_MOST)
+    return;
+  self->soak->broken++;
+  fprintf (stderr, "broken: request %s is number %u to an endpoint that had asked for rest\n",
+           request->id, heard->n_in_rest);
+}
+
+/* The proxy before the first endpoint may hold requests back that were sent before its word. */
+static gboolean
+asks_for_rest (const Desk *self)
+{
+  return self != &self->soak->desks[0] && g_rand_double (self->soak->rand) < REST_PART;
+}
+
+static void
+turn_away (Desk *self, Gateway *gateway, HtCall *call, const char *id)
+{
+  g_autofree char *words = say_words (self, gateway);
+  gboolean rests = asks_for_rest (self);
+  g_autofree char *fields =
+      g_strdup_printf ("X-Attempt-Id: %s\r\nX-Not-Run: 1\r\n%s%s", id, words,
+                       rests ? "Retry-After: " G_STRINGIFY (REST_SECONDS) "\r\n" : "");
+
+  if (rests)
+    {
+      *heard_by (self, gateway) = (Heard){ .rest_at = gs_now (self->soak),
+                                           .leaving_at = heard_by (self, gateway)->leaving_at };
+      self->soak->rests++;
+    }
+  ht_call_answer (call, 503, fields, NULL, 0);
+}
+
 static void
 count_arrival (Desk *self, const Gateway *gateway)
 {
@@ -58,9 +134,9 @@
   Work *self = data;
   HtCall *call = self->call;
   Soak *soak = self->desk->soak;
-  g_autofree char *limit = name_limit (self->desk, self->gateway);
+  g_autofree char *words = say_words (self->desk, self->gateway);
   g_autofree char *fields =
-      g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n%s", self->id, limit);
+      g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n%s", self->id, words);
   double way = g_rand_double (soak->rand);
 
   self->timer = 0;
@@ -81,8 +157,6 @@
   Soak *self = desk->soak;
   const char *id = ht_message_get (ht_call_request (call), "x-attempt-id");
   Request *request = id != NULL ? g_hash_table_lookup (self->requests, id) : NULL;
-  g_autofree char *limit = NULL;
-  g_autofree char *fields = NULL;
   Work *work;
 
   if (request == NULL)
@@ -93,11 +167,10 @@
       return;
     }
   count_arrival (desk, request->gateway);
+  check_words (desk, request);
   if (g_rand_double (self->rand) < 0.05)
     {
-      limit = name_limit (desk, request->gateway);
-      fields = g_strdup_printf ("X-Attempt-Id: %s\r\nX-Not-Run: 1\r\n%s", id, limit);
-      ht_call_answer (call, 503, fields, NULL, 0);
+      turn_away (desk, request->gateway, call, id);
       return;
     }
   request->runs++;
--- a/tests/soak/gateway_soak_internal.h
+++ b/tests/soak/gateway_soak_internal.h
@@ -24,6 +24,14 @@
   KnlTime told_at;    /* when this process was first told of the endpoint's limit; 0: not yet */
 } Gateway;
 
+/** What an endpoint has told a gateway. */
+typedef struct
+{
+  KnlTime leaving_at;
+  KnlTime rest_at; /* last time */
+  guint n_in_rest; /* requests in that rest */
+} Heard;
+
 /** An endpoint. */
 typedef struct
 {
@@ -32,6 +40,8 @@
   guint rate;         /* requests a second that it names; 0: none */
   KnlTime limited_at; /* since when */
   GArray *arrivals;   /* KnlTime, of requests that count against it */
+  gboolean is_leaving;
+  Heard heard[GATEWAYS];
 } Desk;
 
 /** What became of one request, as its caller and the endpoints saw it. */
@@ -69,6 +79,7 @@
   guint version;
   guint next;
   guint answered;
+  guint rests; /* that endpoints asked for */
   guint broken;
 };
 
