tests: what a new era of the store leaves alone

Point 7 of the issue on eras had the code's reading and no test: requests in flight, loads, reading, losses, limits, rests and the word of leaving hang on no version of the store. A list of a new era with lower versions, first without the newest endpoint and then with it, changes none of them. It passes on the code as it is; with entries of another era taken for another start, or with leaving taken back by the list, it fails (tried on the latter by sv_leaving's row).

--- /dev/null
+++ b/tests/unit/sv_era_test.c
@@ -0,0 +1,141 @@
+/** What the store's eras leave alone: requests in flight, and what is known of endpoints. */
+
+#include <string.h>
+
+#include "suite.h"
+#include "sv_fixture.h"
+
+#define LEAVES 1
+#define LAPSED 2
+
+static SvEndpoint *
+endpoint_of (const SvFixture *self, guint index)
+{
+  const GPtrArray *all = sv_fleet_all (self->fleet);
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (all, i);
+
+      if (strcmp (endpoint->address, scripted_endpoint_address (self->endpoints[index])) == 0)
+        return endpoint;
+    }
+  return NULL;
+}
+
+/* The list as the store tells it in an era, all entries as of `version`; `n` of the endpoints. */
+static void
+tell_list (SvFixture *self, guint64 era, guint64 version, guint n)
+{
+  sv_fleet_begin_list (self->fleet);
+  for (guint i = 0; i < n; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+      SvEndpointEntry entry = { .id = id,
+                                .service = "s",
+                                .zone = "a",
+                                .slots = 4,
+                                .address = scripted_endpoint_address (self->endpoints[i]),
+                                .revision = { .era = era, .version = version } };
+
+      sv_fleet_update (self->fleet, &entry);
+    }
+  sv_fleet_end_list (self->fleet);
+}
+
+typedef struct
+{
+  SvEndpoint *endpoint;
+  guint calls;
+  guint losses;
+  double limit;
+  KnlTime read_left;
+  KnlTime rests_until;
+  SvEndpointState state;
+} Known;
+
+static Known
+known_of (const SvFixture *self, guint index)
+{
+  SvEndpoint *endpoint = endpoint_of (self, index);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (endpoint);
+  return (Known){
+    .endpoint = endpoint,
+    .calls = endpoint->own.calls,
+    .losses = endpoint->health.losses,
+    .limit = endpoint->limit.rate,
+    .read_left = sv_endpoint_read_left (endpoint, knl_kernel_now (self->kernel)),
+    .rests_until = endpoint->rests_until,
+    .state = endpoint->state,
+  };
+}
+
+static void
+learn (SvFixture *self)
+{
+  static const SvRead read = { .prompt = 7, .length = 5 * KNL_SEC, .until_told = TRUE };
+  static const SvReply leaving = {
+    .status = 200, .is_signed = TRUE, .is_leaving = TRUE, .limit = POL_NO_LIMIT
+  };
+  static const SvReply rest = { .status = 503, .rest = 3 * KNL_SEC, .limit = POL_NO_LIMIT };
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  sv_fleet_add_read (self->fleet, &read, &endpoint_of (self, 0)->key, 1);
+  sv_endpoint_note_limit (endpoint_of (self, 0), 2.5, now);
+  sv_reply_note_words (&leaving, endpoint_of (self, LEAVES), now);
+  sv_reply_note_words (&rest, endpoint_of (self, LAPSED), now);
+  sv_endpoint_note_loss (endpoint_of (self, LAPSED), now);
+}
+
+/* Guards against requests that end, and loads, losses and words that are forgotten, when the store
+ * comes back from an older copy. */
+static void
+test_a_new_era_drops_nothing (void)
+{
+  static const ScriptedAnswer silent = { NULL, FALSE };
+  static const ScriptedAnswer good = { "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
+                                       FALSE };
+  SvFixture fixture;
+  Known before[ENDPOINTS_MOST];
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  sv_fixture_add_endpoint (&fixture, &silent, 1);
+  for (guint i = 1; i < ENDPOINTS_MOST; i++)
+    sv_fixture_add_endpoint (&fixture, &good, 1);
+  tell_list (&fixture, 1, 90, ENDPOINTS_MOST);
+  sv_fixture_ask (&fixture, "/once/1");
+  sv_fixture_wait_requests (&fixture, 0, 1);
+  learn (&fixture);
+  for (guint i = 0; i < ENDPOINTS_MOST; i++)
+    before[i] = known_of (&fixture, i);
+  /* The copy lacks the newest endpoint, which is written again. */
+  tell_list (&fixture, 2, 40, LAPSED);
+  CU_ASSERT_EQUAL (endpoint_of (&fixture, LAPSED)->state, SV_ENDPOINT_LEAVING);
+  tell_list (&fixture, 2, 41, ENDPOINTS_MOST);
+  for (guint i = 0; i < ENDPOINTS_MOST; i++)
+    {
+      Known after = known_of (&fixture, i);
+
+      CU_ASSERT_PTR_EQUAL (after.endpoint, before[i].endpoint);
+      CU_ASSERT_EQUAL (after.calls, before[i].calls);
+      CU_ASSERT_EQUAL (after.losses, before[i].losses);
+      CU_ASSERT_EQUAL (after.limit, before[i].limit);
+      CU_ASSERT_EQUAL (after.read_left, before[i].read_left);
+      CU_ASSERT_EQUAL (after.rests_until, before[i].rests_until);
+      CU_ASSERT_EQUAL (after.state, before[i].state);
+    }
+  CU_ASSERT_EQUAL (before[0].calls, 1);
+  CU_ASSERT (before[0].read_left > 0);
+  CU_ASSERT_EQUAL (before[LEAVES].state, SV_ENDPOINT_LEAVING);
+  CU_ASSERT_EQUAL (sv_core_n_requests (fixture.core), 1);
+  CU_ASSERT_FALSE (fixture.ended);
+  sv_fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "a new era drops nothing", test_a_new_era_drops_nothing },
+};
+
+SUITE_MAIN ("sv_era", cases)
