--- a/tests/fakes/row_store.h
+++ b/tests/fakes/row_store.h
@@ -53,5 +53,8 @@
 /** Feeds that ask for what came before now are told that it is gone. */
 void row_store_forget_history (RowStore *store);
 
+/** Calls of all kinds, those that were not served too. */
+guint row_store_n_calls (const RowStore *store);
+
 guint row_store_n_lists (const RowStore *store);
 guint row_store_n_feeds (const RowStore *store);
