--- a/include/platform/answer.h
+++ b/include/platform/answer.h
@@ -8,7 +8,6 @@
 #include <glib.h>
 
 typedef struct PlAnswer PlAnswer;
-typedef struct PlAnswerReader PlAnswerReader;
 
 /** A row as it came. */
 typedef struct
@@ -28,15 +27,7 @@
   gboolean more_pages; /**< the list goes on after the last row */
 };
 
-/** Takes the text of an answer piece by piece, so that a large one holds nothing else up. */
-PlAnswerReader *pl_answer_reader_new (void);
-void pl_answer_reader_free (PlAnswerReader *reader);
-void pl_answer_reader_feed (PlAnswerReader *reader, const char *text, gsize length);
-
-/** The answer, once; NULL: what was fed is no JSON object. */
-PlAnswer *pl_answer_reader_end (PlAnswerReader *reader);
-
-/** All at once. */
+/** NULL: it is no JSON object. */
 PlAnswer *pl_answer_parse (const char *text, gsize length);
 void pl_answer_free (PlAnswer *answer);
 G_DEFINE_AUTOPTR_CLEANUP_FUNC (PlAnswer, pl_answer_free)
