serve: a route is found by its host and prefix, not by a walk over all routes of the host

They are kept by prefix now, and the beginnings of the path that end with a slash are looked up, no longer than the longest prefix there is. The step that sorted is gone, and with it sv_config_seal(). A host with capitals was entered twice, and only its last route was found; that goes with it.

--- a/bench/policies.c
+++ b/bench/policies.c
@@ -466,7 +466,6 @@
       sv_route_add_split (route, "llm", 1);
       sv_config_add_route (self->config, route);
     }
-  sv_config_seal (self->config);
 }
 
 static void
--- a/include/serve/config.h
+++ b/include/serve/config.h
@@ -96,7 +96,8 @@
 {
   gint refs;
   guint64 version;
-  GHashTable *hosts;       /**< host -> GPtrArray of SvRoute, longest prefix first */
+  GHashTable *hosts;       /**< host -> GHashTable of prefix -> SvRoute */
+  gsize longest_prefix;    /**< of any route, bytes */
   GHashTable *services;    /**< name -> SvService */
   GHashTable *keys;        /**< API key -> SvWorkspace */
   GPtrArray *workspaces;   /**< SvWorkspace */
@@ -115,7 +116,7 @@
 void sv_route_unref (SvRoute *route);
 void sv_route_add_split (SvRoute *route, const char *service, double weight);
 
-/** Takes the reference over. */
+/** Takes the reference over; a route of the same host and prefix goes. */
 void sv_config_add_route (SvConfig *config, SvRoute *route);
 
 /** A new service of that name, owned by the configuration. */
@@ -124,9 +125,6 @@
 SvWorkspace *sv_config_add_workspace (SvConfig *config, const char *name);
 void sv_config_add_key (SvConfig *config, SvWorkspace *workspace, const char *key);
 
-/** To be called once all is added. */
-void sv_config_seal (SvConfig *config);
-
 /** The route of the host with the longest prefix that begins the path, or NULL. */
 const SvRoute *sv_config_route (const SvConfig *config, const char *host, const char *path);
 
--- a/serve/config.c
+++ b/serve/config.c
@@ -82,7 +82,10 @@
   self->refs = 1;
   self->version = version;
   self->hosts =
-      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_hash_table_unref);
+  self->shortest_gaps[SV_PAUSE_TIGHT] = SV_PAUSE_TIGHT_LIMIT;
+  self->shortest_gaps[SV_PAUSE_MEDIUM] = SV_PAUSE_MEDIUM_LIMIT;
+  self->shortest_gaps[SV_PAUSE_LOOSE] = LOOSE_GAP;
   self->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   self->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   self->workspaces = g_ptr_array_new_with_free_func (workspace_free);
@@ -108,17 +111,34 @@
   g_free (self);
 }
 
+static void
+note_gap (SvConfig *self, const SvRoute *route)
+{
+  KnlTime *shortest = &self->shortest_gaps[sv_pause_of (route->gap_objective)];
+
+  if (route->kind == SV_STREAM && route->gap_objective > 0)
+    *shortest = MIN (*shortest, route->gap_objective);
+}
+
+static GHashTable *
+routes_of (SvConfig *self, const char *host)
+{
+  g_autofree char *name = g_ascii_strdown (host, -1);
+  GHashTable *routes = g_hash_table_lookup (self->hosts, name);
+
+  if (routes != NULL)
+    return routes;
+  routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify)sv_route_unref);
+  g_hash_table_insert (self->hosts, g_steal_pointer (&name), routes);
+  return routes;
+}
+
 void
 sv_config_add_route (SvConfig *self, SvRoute *route)
 {
-  GPtrArray *routes = g_hash_table_lookup (self->hosts, route->host);
-
-  if (routes == NULL)
-    {
-      routes = g_ptr_array_new_with_free_func ((GDestroyNotify)sv_route_unref);
-      g_hash_table_insert (self->hosts, g_ascii_strdown (route->host, -1), routes);
-    }
-  g_ptr_array_add (routes, route);
+  g_hash_table_replace (routes_of (self, route->host), route->prefix, route);
+  self->longest_prefix = MAX (self->longest_prefix, strlen (route->prefix));
+  note_gap (self, route);
 }
 
 SvService *
@@ -148,57 +168,23 @@
   g_hash_table_replace (self->keys, g_strdup (key), workspace);
 }
 
-static int
-compare_prefixes (gconstpointer a, gconstpointer b)
-{
-  const SvRoute *x = *(SvRoute *const *)a;
-  const SvRoute *y = *(SvRoute *const *)b;
-  gsize x_length = strlen (x->prefix);
-  gsize y_length = strlen (y->prefix);
-
-  return x_length == y_length ? strcmp (x->prefix, y->prefix) : x_length < y_length ? 1 : -1;
-}
-
-static void
-note_gap (SvConfig *self, const SvRoute *route)
-{
-  KnlTime *shortest = &self->shortest_gaps[sv_pause_of (route->gap_objective)];
-
-  if (route->kind == SV_STREAM && route->gap_objective > 0)
-    *shortest = MIN (*shortest, route->gap_objective);
-}
-
-void
-sv_config_seal (SvConfig *self)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  self->shortest_gaps[SV_PAUSE_TIGHT] = SV_PAUSE_TIGHT_LIMIT;
-  self->shortest_gaps[SV_PAUSE_MEDIUM] = SV_PAUSE_MEDIUM_LIMIT;
-  self->shortest_gaps[SV_PAUSE_LOOSE] = LOOSE_GAP;
-  g_hash_table_iter_init (&iter, self->hosts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      GPtrArray *routes = value;
-
-      g_ptr_array_sort (routes, compare_prefixes);
-      for (guint i = 0; i < routes->len; i++)
-        note_gap (self, g_ptr_array_index (routes, i));
-    }
-}
-
+/* Prefixes end with a slash: only the beginnings of the path that do are looked up. */
 const SvRoute *
 sv_config_route (const SvConfig *self, const char *host, const char *path)
 {
   g_autofree char *name = g_ascii_strdown (host, (gssize)strcspn (host, ":"));
-  const GPtrArray *routes = g_hash_table_lookup (self->hosts, name);
+  g_autofree char *prefix = g_strndup (path, self->longest_prefix);
+  GHashTable *routes = g_hash_table_lookup (self->hosts, name);
 
-  for (guint i = 0; routes != NULL && i < routes->len; i++)
+  for (gsize length = strlen (prefix); routes != NULL && length > 0; length--)
     {
-      const SvRoute *route = g_ptr_array_index (routes, i);
+      const SvRoute *route;
 
-      if (g_str_has_prefix (path, route->prefix))
+      if (prefix[length - 1] != '/')
+        continue;
+      prefix[length] = '\0';
+      route = g_hash_table_lookup (routes, prefix);
+      if (route != NULL)
         return route;
     }
   return NULL;
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -123,7 +123,6 @@
   add_long_route (config);
   config->has_workspaces = TRUE;
   sv_config_add_key (config, sv_config_add_workspace (config, "w"), key);
-  sv_config_seal (config);
   sv_core_set_config (self->core, config);
   sv_core_confirm (self->core, knl_kernel_now (self->kernel));
 }
--- a/tests/unit/sv_limit_kept_test.c
+++ b/tests/unit/sv_limit_kept_test.c
@@ -71,7 +71,6 @@
   *self = (Many){ .config = sv_config_new (1),
                   .arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)) };
   sv_config_add_service (self->config, "s");
-  sv_config_seal (self->config);
   peers_fixture_open (&self->peers, zones, INSTANCES, n_endpoints);
   peers_fixture_meet (&self->peers);
 }
--- a/tests/unit/sv_parts_test.c
+++ b/tests/unit/sv_parts_test.c
@@ -37,7 +37,6 @@
 
   add_route (config, "outer", "/a/", "s");
   add_route (config, "inner", "/a/b/", "s");
-  sv_config_seal (config);
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       const SvRoute *route = sv_config_route (config, rows[i].host, rows[i].path);
--- a/tests/unit/sv_router_test.c
+++ b/tests/unit/sv_router_test.c
@@ -57,7 +57,6 @@
   self->service = service;
   add_gap_route (self->config, "/short/", 250 * KNL_MSEC);
   add_gap_route (self->config, "/long/", 1000 * KNL_MSEC);
-  sv_config_seal (self->config);
   for (guint i = 0; i < engines; i++)
     {
       g_autofree char *id = g_strdup_printf ("i-%u", i);
