platform: a head alone is no answer under way

Found on reading the change again: a feed counted as receiving from an answer's head on. A source that sends the head at once and waits with the body, as HTTP allows, would have been asked nothing else, and not been left for another one, until the limit of its call.

--- a/tests/unit/pl_transfer_test.c
+++ b/tests/unit/pl_transfer_test.c
@@ -292,12 +292,29 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a source that sends a head at once, and is asked nothing else while it waits. */
+static void
+test_a_head_alone_is_no_answer_under_way (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  ht_call_begin (fixture.call, 200, NULL);
+  pass (&fixture, PIECE_EVERY);
+  CU_ASSERT_FALSE (pl_feed_is_receiving (fixture.feed));
+  pl_feed_ask_again (fixture.feed);
+  pass (&fixture, PIECE_EVERY);
+  CU_ASSERT_EQUAL (fixture.n_feeds, 2);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "an answer that keeps coming is not given up",
     test_an_answer_that_keeps_coming_is_not_given_up },
   { "an answer under way is not asked for again", test_an_answer_under_way_is_not_asked_for_again },
   { "an answer that stops is asked for again", test_an_answer_that_stops_is_asked_for_again },
   { "an answer that trickles is asked for again", test_an_answer_that_trickles_is_asked_for_again },
+  { "a head alone is no answer under way", test_a_head_alone_is_no_answer_under_way },
 };
 
 SUITE_MAIN ("pl_transfer", cases)
