--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -13,8 +13,8 @@
   SvCoreParts parts;
   SvBounds bounds;
   SvConfig *config;
-  KnlTime begun_at;     /* when this instance began to serve */
-  KnlTime confirmed_at; /* -KNL_NEVER: never */
+  KnlTime begun_at;              /* when this instance began to serve */
+  KnlTime confirmed_at;          /* -KNL_NEVER: never */
   SvOutdatedFunc outdated_since; /* NULL: nobody tells */
   gpointer outdated_data;
   KnlTime drain_since;  /* 0: no drain */
