--- a/tests/unit/sv_era_test.c
+++ b/tests/unit/sv_era_test.c
@@ -59,7 +59,9 @@
 {
   SvEndpoint *endpoint = endpoint_of (self, index);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (endpoint);
+  CU_ASSERT_PTR_NOT_NULL (endpoint);
+  if (endpoint == NULL)
+    return (Known){ 0 };
   return (Known){
     .endpoint = endpoint,
     .calls = endpoint->own.calls,
--- a/tests/unit/sv_outdated_test.c
+++ b/tests/unit/sv_outdated_test.c
@@ -100,7 +100,7 @@
 test_a_long_row_is_missed_since_its_first (void)
 {
   SvAwaited awaited = { 0 };
-  guint64 last = 3 * SV_AWAITED_MOST;
+  guint64 last = 3 * (guint64)SV_AWAITED_MOST;
 
   for (guint64 version = 1; version <= last; version++)
     sv_awaited_note (&awaited, 0, version, (KnlTime)version * KNL_MSEC);
