--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -50,6 +50,18 @@
 
 static SvPeerLink alone = { &link_class };
 
+const SvEngineSpec sv_fixture_small_engine = {
+  .slots = 4,
+  .memory_tokens = 100000,
+  .stride = 50,
+  .step_ms = 1,
+  .read_tokens_per_ms = 180,
+  .pair_ms_per_m = 0.18,
+  .chunk = 2048,
+  .usual_prompt = 10000,
+  .usual_answer = 100,
+};
+
 static void
 on_stuck (evutil_socket_t fd, short what, void *data)
 {
--- a/tests/unit/sv_fixture.h
+++ b/tests/unit/sv_fixture.h
@@ -42,6 +42,9 @@
  * callers have. */
 void sv_fixture_use_config (SvFixture *self, guint64 version, const char *key);
 
+/** An engine with few slots and little memory. */
+extern const SvEngineSpec sv_fixture_small_engine;
+
 /** The same, with the service's endpoints as engines of these figures. */
 void sv_fixture_use_engines (SvFixture *self, guint64 version, const SvEngineSpec *spec);
 
--- a/tests/unit/sv_memory_test.c
+++ b/tests/unit/sv_memory_test.c
@@ -15,18 +15,6 @@
 
 #define STEP (50 * KNL_MSEC)
 
-static const SvEngineSpec spec = {
-  .slots = 4,
-  .memory_tokens = 100000,
-  .stride = 50,
-  .step_ms = 1,
-  .read_tokens_per_ms = 180,
-  .pair_ms_per_m = 0.18,
-  .chunk = 2048,
-  .usual_prompt = 10000,
-  .usual_answer = 100,
-};
-
 static gboolean
 has_order (const SvFixture *fixture, guint endpoint, const char *operation)
 {
@@ -55,7 +43,7 @@
   KnlTime passed = 0;
 
   sv_fixture_open (&fixture);
-  sv_fixture_use_engines (&fixture, 1, &spec);
+  sv_fixture_use_engines (&fixture, 1, &sv_fixture_small_engine);
   for (guint i = 0; i < ENDPOINTS_MOST; i++)
     sv_fixture_add_endpoint (&fixture, i == RUNNER ? silent : taken, 1);
   sv_fixture_ask_prompt (&fixture, "/long/1", 120000);
@@ -83,7 +71,7 @@
   const SvEndpoint *runner = NULL;
 
   sv_fixture_open (&fixture);
-  sv_fixture_use_engines (&fixture, 1, &spec);
+  sv_fixture_use_engines (&fixture, 1, &sv_fixture_small_engine);
   for (guint i = 0; i < ENDPOINTS_MOST; i++)
     sv_fixture_add_endpoint (&fixture, taken, 1);
   sv_fixture_ask_prompt (&fixture, "/long/1", 120000);
--- a/tests/unit/sv_rest_test.c
+++ b/tests/unit/sv_rest_test.c
@@ -27,18 +27,6 @@
                                        "Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n",
                                        FALSE };
 
-static const SvEngineSpec spec = {
-  .slots = 4,
-  .memory_tokens = 100000,
-  .stride = 50,
-  .step_ms = 1,
-  .read_tokens_per_ms = 180,
-  .pair_ms_per_m = 0.18,
-  .chunk = 2048,
-  .usual_prompt = 10000,
-  .usual_answer = 100,
-};
-
 static void
 fixture_open (SvFixture *self, const ScriptedAnswer *word, gboolean has_other)
 {
@@ -89,7 +77,7 @@
   script[0] = *word;
   script[1] = stream;
   sv_fixture_open (self);
-  sv_fixture_use_engines (self, 1, &spec);
+  sv_fixture_use_engines (self, 1, &sv_fixture_small_engine);
   for (guint i = 0; i < ENDPOINTS_MOST; i++)
     sv_fixture_add_endpoint (self, i == speaker ? script : &stream, i == speaker ? 2 : 1);
 }
