gateway: an instance is opened apart from its process

Cause: only a process could hold an instance, so what instances cost each other was measured with real processes, a few dozen at most. Change: gateway/instance.c opens, starts, drains and closes one on a given kernel and event base; main.c keeps signals and settings. No behaviour changes.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -73,7 +73,21 @@
   CmLogRateLimit slow_callback_log_limit;
 } Gateway;
 
-/* main.c */
+/* instance.c */
+
+/** Opens all parts of the instance, of which only `boot` and `process` must be set; a process that
+ * is started later has a higher `incarnation`. Returns FALSE, and logs the failure, if an address
+ * can't be listened on; gateway_close() must be called then, too. */
+gboolean gateway_open (Gateway *self, guint64 incarnation);
+
+/** Starts to find other instances and to follow the store. */
+void gateway_start (Gateway *self);
+
+/** Stops to accept new callers, and ends the event loop when the remaining requests have ended. */
+void gateway_drain (Gateway *self);
+
+/** Frees all parts except `boot` and `process`. */
+void gateway_close (Gateway *self);
 
 /** Whether this instance should receive new callers. */
 gboolean gateway_is_ready (const Gateway *self);
