--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -90,6 +90,15 @@
  * known. Free with g_ptr_array_unref. */
 GPtrArray *sv_peers_ready_addresses (const SvPeers *peers, const char *zone, guint max_addresses);
 
+/** Datagrams sent to other instances since the start, and their bytes. */
+typedef struct
+{
+  guint64 datagrams;
+  guint64 bytes;
+} SvPeerTraffic;
+
+SvPeerTraffic sv_peers_sent (const SvPeers *peers);
+
 /** Number of live peers in all cells. */
 guint sv_peers_n_alive (const SvPeers *peers);
 
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -95,6 +95,7 @@
   guint32 id;
   guint32 cell; /* id of our own */
   guint64 sequence;
+  SvPeerTraffic sent;
   gboolean ready;
   gboolean cut_off;
   guint64 config_version;
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -45,6 +45,8 @@
       return;
     }
   alderturn__datagram__pack (datagram, bytes);
+  self->sent.datagrams++;
+  self->sent.bytes += length;
   /* Not sent again: a failed send counts as a lost datagram. */
   if (sendto (self->socket, bytes, length, MSG_DONTWAIT,
               (const struct sockaddr *)&peer->socket_address, (socklen_t)peer->socket_length)
@@ -52,6 +54,12 @@
     cm_log (CM_LOG_DEBUG, "datagram-not-sent", "s", "peer", peer->link_address);
 }
 
+SvPeerTraffic
+sv_peers_sent (const SvPeers *self)
+{
+  return self->sent;
+}
+
 static void
 fill_load (Alderturn__EndpointLoad *row,
            const SvEndpoint *endpoint,
--- a/tests/fakes/row_store.c
+++ b/tests/fakes/row_store.c
@@ -22,18 +22,25 @@
   KnlTimerId timer;
 } Waiting;
 
-struct RowStore
+/* An address that the store listens on. */
+typedef struct
 {
-  KnlKernel *kernel;
+  RowStore *store;
   HtServer *server;
   char *address;
+  RowStoreMode mode;
+} Door;
+
+struct RowStore
+{
+  KnlKernel *kernel;
+  Door doors[ROW_STORE_DOORS];
   GPtrArray *rows; /* Row, by version */
   GPtrArray *log;  /* Row, all writes of this era and those restored into it */
   gint64 era;      /* negative: not stated */
   GPtrArray *waiting;
   guint64 version;
   guint64 history_from;
-  RowStoreMode mode;
   guint page; /* rows in an answer to a list; 0: all */
   guint n_lists;
   guint n_feeds;
@@ -295,25 +302,28 @@
 {
   g_autofree char *table = ht_message_query (ht_call_request (call), "table");
   g_autofree char *from = ht_message_query (ht_call_request (call), "from");
+  g_autofree char *limit = ht_message_query (ht_call_request (call), "limit");
+  guint page = limit != NULL ? (guint)g_ascii_strtoull (limit, NULL, 10) : self->page;
   json_t *rows = rows_after (self, table, 0, FALSE);
   gsize before = json_array_size (rows);
 
   self->n_lists++;
-  if (self->page > 0)
-    rows = page_of (rows, from, self->page);
+  if (page > 0)
+    rows = page_of (rows, from, page);
   /* Each page begins with the last row of the one before; `morePages` is set while rows follow. */
   answer (self, call, rows,
-          self->page > 0 && json_array_size (rows) == self->page && before > self->page
+          page > 0 && json_array_size (rows) == page && before > page
               && !ends_at_last_row (self, table, rows));
 }
 
 static void
 on_request (HtCall *call, gpointer data)
 {
-  RowStore *self = data;
+  const Door *door = data;
+  RowStore *self = door->store;
 
   self->n_calls++;
-  switch (self->mode)
+  switch (door->mode)
     {
     case ROW_STORE_REFUSES:
       answer_text (self, call, 503, "");
@@ -337,7 +347,7 @@
 static void
 on_disconnected (HtCall *call, gpointer data)
 {
-  RowStore *self = data;
+  RowStore *self = ((Door *)data)->store;
 
   for (guint i = self->waiting->len; i > 0; i--)
     {
@@ -348,17 +358,30 @@
 
 static const HtServerEvents events = { .request = on_request, .disconnected = on_disconnected };
 
-RowStore *
-row_store_new (KnlKernel *kernel, struct event_base *base)
+static void
+open_door (RowStore *self, struct event_base *base, Door *door)
 {
   static const HtServerLimits limits = {
     .message = { 4096, 65536 },
     .head_timeout = 10 * KNL_SEC,
     .request_timeout = 10 * KNL_SEC,
     .idle_timeout = 100 * KNL_SEC,
-    .max_connections = 1024,
+    .max_connections = 4096,
     .max_unsent = HT_DEFAULT_MAX_UNSENT,
   };
+
+  door->store = self;
+  for (guint port = 21000; door->server == NULL; port++)
+    {
+      g_free (door->address);
+      door->address = g_strdup_printf ("127.0.0.1:%u", port);
+      door->server = ht_server_new (self->kernel, base, door->address, &limits, &events, door);
+    }
+}
+
+RowStore *
+row_store_new (KnlKernel *kernel, struct event_base *base)
+{
   RowStore *self = g_new0 (RowStore, 1);
 
   self->kernel = kernel;
@@ -367,12 +390,8 @@
   self->waiting = g_ptr_array_new_with_free_func (waiting_free);
   self->version = 1;
   self->era = -1;
-  for (guint port = 21000; self->server == NULL; port++)
-    {
-      g_free (self->address);
-      self->address = g_strdup_printf ("127.0.0.1:%u", port);
-      self->server = ht_server_new (kernel, base, self->address, &limits, &events, self);
-    }
+  for (guint i = 0; i < ROW_STORE_DOORS; i++)
+    open_door (self, base, &self->doors[i]);
   return self;
 }
 
@@ -380,17 +399,26 @@
 row_store_free (RowStore *self)
 {
   g_ptr_array_unref (self->waiting);
-  ht_server_free (self->server);
+  for (guint i = 0; i < ROW_STORE_DOORS; i++)
+    {
+      ht_server_free (self->doors[i].server);
+      g_free (self->doors[i].address);
+    }
   g_ptr_array_unref (self->rows);
   g_ptr_array_unref (self->log);
-  g_free (self->address);
   g_free (self);
 }
 
 const char *
 row_store_address (const RowStore *self)
 {
-  return self->address;
+  return row_store_door_address (self, 0);
+}
+
+const char *
+row_store_door_address (const RowStore *self, guint door)
+{
+  return self->doors[door].address;
 }
 
 void
@@ -503,7 +531,14 @@
 void
 row_store_set_mode (RowStore *self, RowStoreMode mode)
 {
-  self->mode = mode;
+  for (guint i = 0; i < ROW_STORE_DOORS; i++)
+    row_store_set_door_mode (self, i, mode);
+}
+
+void
+row_store_set_door_mode (RowStore *self, guint door, RowStoreMode mode)
+{
+  self->doors[door].mode = mode;
 }
 
 void
--- a/tests/fakes/row_store.h
+++ b/tests/fakes/row_store.h
@@ -21,10 +21,15 @@
   ROW_STORE_SILENT,  /**< never answers */
 } RowStoreMode;
 
+/** Addresses that a store listens on; each has a mode of its own, so that the store can serve some
+ * clients and turn others away. */
+#define ROW_STORE_DOORS 2
+
 RowStore *row_store_new (KnlKernel *kernel, struct event_base *base);
 void row_store_free (RowStore *store);
 
 const char *row_store_address (const RowStore *store);
+const char *row_store_door_address (const RowStore *store, guint door);
 
 /** Writes a row; removes it if `json` is NULL. */
 void row_store_put_in (RowStore *store, const char *table, const char *key, const char *json);
@@ -50,6 +55,7 @@
 void row_store_restore (RowStore *store, guint64 version);
 
 void row_store_set_mode (RowStore *store, RowStoreMode mode);
+void row_store_set_door_mode (RowStore *store, guint door, RowStoreMode mode);
 
 /** Requests for changes from before now are answered with 410 from now on. */
 void row_store_truncate_history (RowStore *store);
