--- a/tests/unit/pl_store_test.c
+++ b/tests/unit/pl_store_test.c
@@ -325,6 +325,45 @@
   fixture_close (&fixture);
 }
 
+/* Polls at each heartbeat of one of many peers. */
+static void
+poll_for (Fixture *self, KnlTime time)
+{
+  static const KnlTime heartbeat_interval = 10 * KNL_MSEC;
+
+  for (KnlTime passed = 0; passed < time; passed += heartbeat_interval)
+    {
+      pl_feed_poll_now (self->feed);
+      knl_paused_clock_advance (self->clock, heartbeat_interval);
+      for (guint round = 0; round < 10; round++)
+        event_base_loop (self->base, EVLOOP_NONBLOCK);
+    }
+}
+
+/*
+ * Guards against a flood of calls to a store that turns this instance away: each heartbeat that
+ * announced something newer caused one, so that they grew with the number of instances.
+ */
+static void
+test_unanswered_polls_become_rare (void)
+{
+  static const KnlTime outage = 9 * KNL_SEC;
+  Fixture fixture;
+  guint calls;
+
+  fixture_open (&fixture);
+  wait_feeds (&fixture, 1);
+  row_store_set_mode (fixture.rows, ROW_STORE_SILENT);
+  calls = row_store_n_calls (fixture.rows);
+  poll_for (&fixture, outage);
+  CU_ASSERT (row_store_n_calls (fixture.rows) - calls <= 2 * outage / KNL_SEC);
+  row_store_set_mode (fixture.rows, ROW_STORE_SERVES);
+  row_store_put (fixture.rows, "b", "{\"v\":\"2\"}");
+  poll_for (&fixture, 3 * KNL_SEC);
+  CU_ASSERT_STRING_EQUAL (g_hash_table_lookup (fixture.seen, "b"), "2");
+  fixture_close (&fixture);
+}
+
 /*
  * Guards against streams that stall at all instances while configurations follow each other
  * quickly. Each has many routes and takes a slow instance 60 ms to process, and the next one was
@@ -584,6 +623,7 @@
   { "truncated history", test_truncated_history },
   { "the store is unavailable", test_store_outage },
   { "a poll replaces a waiting request", test_poll_now },
+  { "unanswered polls become rare", test_unanswered_polls_become_rare },
   { "large values come in slices", test_large_values_come_in_slices },
   { "interrupted values", test_interrupted_values },
   { "the poll delay follows the processing time", test_poll_delay_follows_the_processing_time },
