--- a/gateway/era.c
+++ b/gateway/era.c
@@ -1,11 +1,11 @@
 /** Reacts to a restoration of the store from an older copy (a new era): tables are read again, and
- * this instance writes its own row again. */
+ * relays write the rows of their cells again. */
 
 #include "gateway.h"
 
-/* Instances write their rows again after a random delay of up to this, so that a store that has
+/* Relays read the rows of cells again after a random delay of up to this, so that a store that has
  * just been restored isn't hit by all of them at once. */
-#define REGISTER_JITTER (1200 * KNL_MSEC)
+#define REREAD_JITTER (1200 * KNL_MSEC)
 
 static const CmMetricDef era_metric = {
   .name = "alderturn_store_eras_total",
@@ -22,14 +22,13 @@
   pl_feed_note_era (self->endpoints_feed);
 }
 
-/* The random delay after a new era has passed: registers this instance again. */
 static void
-on_enter_due (gpointer data)
+on_reread_due (gpointer data)
 {
   Gateway *self = data;
 
-  self->register_timer = 0;
-  gateway_register_again (self);
+  self->reread_timer = 0;
+  gateway_reread_cells (self);
 }
 
 static void
@@ -49,9 +48,9 @@
     return;
   cm_series_add (self->era_series, 1);
   reread_tables (self);
-  knl_timer_stop (kernel, &self->register_timer);
-  self->register_timer = knl_timer_start (
-      kernel, g_rand_int_range (knl_kernel_rand (kernel), 0, REGISTER_JITTER), on_enter_due, self);
+  knl_timer_stop (kernel, &self->reread_timer);
+  self->reread_timer = knl_timer_start (
+      kernel, g_rand_int_range (knl_kernel_rand (kernel), 0, REREAD_JITTER), on_reread_due, self);
 }
 
 void
@@ -71,5 +70,5 @@
 void
 gateway_stop_watching_era (Gateway *self)
 {
-  knl_timer_stop (self->process.kernel, &self->register_timer);
+  knl_timer_stop (self->process.kernel, &self->reread_timer);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -47,23 +47,24 @@
   KnlTime query_store_until; /* until then the store is queried, even if a follower is available */
   KnlTime query_peers_until; /* until then followers are queried, as the store doesn't answer */
   KnlTime store_unavailable_since; /* 0: the store answers */
-  KnlTime members_read_at;         /* 0: the list of members hasn't been read yet */
+  KnlTime members_read_at;         /* 0: the cell isn't found yet */
   KnlTime started_at;
   KnlTimerId source_timer;
   SvPosition endpoints_revision;       /* newest row received from the endpoint table */
   KnlTime endpoints_last_seen_at;      /* when the endpoint feed was last answered */
   CmLogRateLimit unreadable_log_limit; /* endpoint rows that can't be decoded */
   PlCall *member_call;
-  PlAnswer *member_page; /* page of the list being processed; NULL: none */
-  guint next_member_row; /* index of the next row in `member_page` */
-  KnlJobId member_job;
   KnlTimerId member_timer;
-  KnlTime poll_delay;
-  gboolean is_registered;    /* the last complete list contained this instance's current row */
-  gboolean is_listed;        /* the pages of the current list read so far contained that row */
+  KnlTime poll_delay;       /* delay of the next read after a failed one */
+  json_t *cell_row;         /* row of this instance's cell, as last read; NULL: none */
+  guint64 cell_row_version; /* its version; 0: there is none */
+  gboolean is_member;       /* the cell is found, or this instance is its first one */
+  KnlTime join_started_at;
+  KnlTime join_sent_at; /* last request to be introduced */
+  KnlTime cells_read_at; /* last read of the rows of all cells, as relay; 0: none as this relay */
   guint64 era;               /* newest era seen of the store; 0: none */
   CmSeries *era_series;      /* counts eras after the first */
-  KnlTimerId register_timer; /* writes this instance's row again */
+  KnlTimerId reread_timer;   /* reads the cells' rows again */
   KnlTimerId tick_timer;
   KnlTime drain_since; /* 0: not draining */
   gint64 boot_mtime;   /* modification time of the settings file, in seconds */
@@ -116,7 +117,7 @@
 void gateway_start_source (Gateway *self);
 void gateway_stop_source (Gateway *self);
 
-/** Called when the list of members has been read completely. */
+/** Called when the cell has been found. */
 void gateway_note_members_read (Gateway *self);
 
 /** Makes the feeds query the store for a while, because their source has older data than other
@@ -131,13 +132,13 @@
 
 /* members.c */
 
-/** Registers this instance in the store and discovers other instances there. */
+/** Finds the other instances of the cell; the relay keeps the cell's row in the store. */
 void gateway_start_membership (Gateway *self);
 
 void gateway_stop_membership (Gateway *self);
 
-/** Writes this instance's row again, whether or not the store has it. */
-void gateway_register_again (Gateway *self);
+/** Reads the cells' rows again, which the store may have lost, if this instance is a relay. */
+void gateway_reread_cells (Gateway *self);
 
 /* era.c */
 
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -1,35 +1,45 @@
-/** Discovery of instances: each has a row in the store. Once discovered, they communicate directly.
- */
+/** Discovery of other instances. The store has a row for each cell that names some of its instances
+ * (contacts), written by the cell's relay. An instance that starts reads the row of its cell and
+ * asks the contacts to introduce it. Its calls to the store don't depend on the number of
+ * instances. */
 
 #include <string.h>
 
 #include "common/log.h"
 #include "gateway.h"
 
-/* The list of members is read at the start. An instance that isn't in it registers itself, and
- * reads the list again after MIN_POLL_DELAY, when instances that started at the same time have
- * registered too: of two instances the later one sees the earlier one and introduces itself. An
- * instance that is still listed from an earlier start is known to all, and becomes ready 0.1 s
- * sooner. After a failed read the delay is multiplied by POLL_BACKOFF_FACTOR, up to MAX_POLL_DELAY.
- * Later only the relay of each cell reads the list, to discover instances of other cells and to
- * remove rows of instances of its own cell that no longer run. */
-#define MIN_POLL_DELAY      (40 * KNL_MSEC)
-#define MAX_POLL_DELAY      (20 * KNL_SEC)
-#define POLL_BACKOFF_FACTOR 8
+/* Contacts in a cell's row; several, since any may have failed. */
+#define MAX_CONTACTS 4
 
-/* Delay before a failed write of the own row is retried. */
-#define REGISTER_RETRY_DELAY (500 * KNL_MSEC)
+/* Delay of a read or write that is repeated after a failure. It is multiplied by
+ * RETRY_BACKOFF_FACTOR with each, up to MAX_RETRY_DELAY. */
+#define MIN_RETRY_DELAY      (40 * KNL_MSEC)
+#define MAX_RETRY_DELAY      (20 * KNL_SEC)
+#define RETRY_BACKOFF_FACTOR 8
 
-/* The row of an instance that has sent nothing for this long is removed: either it no longer runs,
- * or it is cut off from here, and registers again when it restarts. */
-#define ROW_TTL (60 * KNL_SEC)
+/* Interval between checks whether a contact has answered, and between requests to be introduced. */
+#define JOIN_CHECK_INTERVAL (10 * KNL_MSEC)
+#define JOIN_RETRY_INTERVAL (100 * KNL_MSEC)
 
-/* Rows of the list processed before the event loop serves sockets and timers again. */
-#define SLICE_ROWS 32
+/* Contacts that the first request to be introduced goes to; later ones go to all. */
+#define FIRST_CONTACTS 2
 
-static void register_instance (gpointer data);
-static void look (gpointer data);
-static void request_page (Gateway *self, const char *from);
+/* If no contact answers for this long, this instance becomes one. Instances that lose power
+ * together are back within 0.3 s of each other. */
+#define JOIN_TIMEOUT (600 * KNL_MSEC)
+
+/* In a new cell each instance waits for others that start together with it before it chooses whom
+ * it follows: otherwise all of the first ones would read everything from the store. */
+#define SETTLE_DELAY (300 * KNL_MSEC)
+
+/* Interval between checks whether this instance is the relay of its cell and the cell's row is up
+ * to date, and between reads of all cells' rows. */
+#define REVIEW_INTERVAL (1 * KNL_SEC)
+#define CELLS_INTERVAL  (20 * KNL_SEC)
+
+static void read_cell (gpointer data);
+static void read_cells (Gateway *self);
+static void review (gpointer data);
 
 static void
 schedule (Gateway *self, KnlTime delay, KnlTimerFunc func)
@@ -38,183 +48,359 @@
 }
 
 static void
-on_registered (PlStatus status, PlAnswer **answer, gpointer data)
+schedule_retry (Gateway *self, KnlTimerFunc func)
 {
-  Gateway *self = data;
+  self->poll_delay =
+      CLAMP (RETRY_BACKOFF_FACTOR * self->poll_delay, MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+  schedule (self, self->poll_delay, func);
+}
 
-  self->member_call = NULL;
-  if (status != PL_OK)
+static guint
+read_contacts (const Gateway *self, SvMember *contacts)
+{
+  return self->cell_row != NULL ? pl_decode_contacts (self->cell_row, contacts, MAX_CONTACTS) : 0;
+}
+
+static gboolean
+is_self (const Gateway *self, const SvMember *member)
+{
+  return strcmp (member->link_address, self->member.link_address) == 0;
+}
+
+static gboolean
+is_contact (const Gateway *self)
+{
+  SvMember contacts[MAX_CONTACTS];
+  guint n = read_contacts (self, contacts);
+
+  for (guint i = 0; i < n; i++)
     {
-      cm_log (CM_LOG_WARNING, "member-row-not-written", "s", "status", pl_status_name (status));
-      schedule (self, REGISTER_RETRY_DELAY, register_instance);
-      return;
+      if (is_self (self, &contacts[i]))
+        return TRUE;
     }
-  schedule (self, MIN_POLL_DELAY, look);
+  return FALSE;
+}
+
+/* Whether the cell's row has just been created, by this instance or by one that starts together
+ * with it. */
+static gboolean
+is_cell_new (const Gateway *self)
+{
+  SvMember contacts[MAX_CONTACTS];
+
+  return read_contacts (self, contacts) <= 1 && !is_contact (self);
 }
 
 static void
-register_instance (gpointer data)
+on_settled (gpointer data)
 {
   Gateway *self = data;
 
   self->member_timer = 0;
-  self->member_call = pl_store_put (self->store, PL_MEMBER_TABLE, self->member.name,
-                                    pl_encode_member (&self->member), on_registered, self);
+  self->is_member = TRUE;
+  self->poll_delay = 0;
+  gateway_note_members_read (self);
+  review (self);
 }
 
-void
-gateway_register_again (Gateway *self)
+static void
+on_joined (Gateway *self)
 {
-  /* A call in progress may return the state from before the change of era. */
-  g_clear_pointer (&self->member_call, pl_call_cancel);
-  knl_job_stop (self->process.kernel, &self->member_job);
-  g_clear_pointer (&self->member_page, pl_answer_free);
-  knl_timer_stop (self->process.kernel, &self->member_timer);
-  register_instance (self);
+  cm_log (CM_LOG_NOTICE, "cell-joined", "s", "zone", self->member.zone, "i", "alive",
+          (gint64)sv_peers_n_alive_in_cell (self->peers), "i", "after-us",
+          knl_kernel_now (self->process.kernel) - self->join_started_at);
+  if (is_cell_new (self))
+    schedule (self, SETTLE_DELAY, on_settled);
+  else
+    on_settled (self);
 }
 
+/* Instances of an earlier release don't read the cells' rows: they are discovered by theirs, and
+ * learn of this instance from its introduction. */
 static void
-on_removed (PlStatus status, PlAnswer **answer, gpointer data)
+on_earlier_release (PlStatus status, PlAnswer **answer, gpointer data)
 {
   Gateway *self = data;
 
   self->member_call = NULL;
-  if (status != PL_OK && status != PL_CONFLICT)
-    cm_log (CM_LOG_NOTICE, "member-row-not-removed", "s", "status", pl_status_name (status));
-  schedule (self, self->poll_delay, look);
+  if (status != PL_OK)
+    cm_log (CM_LOG_WARNING, "earlier-release-not-read", "s", "status", pl_status_name (status));
+  for (guint i = 0; status == PL_OK && *answer != NULL && i < (*answer)->rows->len; i++)
+    {
+      SvMember member;
+      PlRow row;
+
+      pl_row_decode (g_ptr_array_index ((*answer)->rows, i), &row);
+      if (row.value != NULL && pl_decode_member (row.value, &member))
+        {
+          member.name = row.key;
+          sv_peers_discover (self->peers, &member);
+        }
+      json_decref (row.value);
+    }
+  on_joined (self);
 }
 
-/* Removes the row of an instance that was last seen ROW_TTL ago or earlier, unless the row
- * changes meanwhile. Returns whether the removal was started. */
-static gboolean
-remove_if_expired (Gateway *self, const PlRow *row, const char *link)
+static void
+on_written (PlStatus status, PlAnswer **answer, gpointer data)
 {
-  if (sv_peers_silent_time (self->peers, link) < ROW_TTL)
-    return FALSE;
-  cm_log (CM_LOG_NOTICE, "member-expired", "s", "peer", row->key, "s", "address", link);
+  Gateway *self = data;
+  gboolean is_first = self->cell_row_version == 0;
+
+  self->member_call = NULL;
+  cm_log (CM_LOG_NOTICE, "contacts-written", "s", "status", pl_status_name (status), "i",
+          "replaced-version", (gint64)self->cell_row_version);
+  if (status != PL_OK && !self->is_member)
+    schedule_retry (self, read_cell);
+  else if (!self->is_member && is_first)
+    self->member_call =
+        pl_store_get (self->store, PL_MEMBER_TABLE, NULL, on_earlier_release, self);
+  else if (!self->is_member)
+    on_joined (self);
+  else
+    {
+      if (status != PL_OK)
+        self->cells_read_at = 0;
+      schedule (self, REVIEW_INTERVAL, review);
+    }
+}
+
+static void
+write_contacts (Gateway *self)
+{
+  SvMember contacts[MAX_CONTACTS];
+  guint n = sv_peers_contacts (self->peers, contacts, MAX_CONTACTS);
+
   self->member_call =
-      pl_store_remove (self->store, PL_MEMBER_TABLE, row->key, row->version, on_removed, self);
-  return TRUE;
+      pl_store_put (self->store, PL_CELL_TABLE, self->member.zone,
+                    pl_encode_contacts (contacts, n), self->cell_row_version, on_written, self);
 }
 
-/* Returns TRUE if the row is this instance's own and has its current values. */
-static gboolean
-apply_row (Gateway *self, const PlAnswerRow *answer)
-{
-  gboolean is_own = FALSE;
-  SvMember member;
-  PlRow row;
-
-  pl_row_decode (answer, &row);
-  if (!pl_decode_member (row.value, &member))
-    cm_log (CM_LOG_WARNING, "member-unreadable", "s", "key", row.key);
-  else if (strcmp (row.key, self->member.name) == 0)
-    is_own = strcmp (member.link_address, self->member.link_address) == 0
-             && strcmp (member.zone, self->member.zone) == 0
-             && member.strength == self->member.strength;
-  else if (self->member_call != NULL || !remove_if_expired (self, &row, member.link_address))
+/* Returns the number of contacts to which the request was sent. */
+static guint
+send_join (Gateway *self, guint max_contacts)
+{
+  SvMember contacts[MAX_CONTACTS];
+  guint n = read_contacts (self, contacts);
+  guint sent = 0;
+
+  for (guint i = 0; i < n && sent < max_contacts; i++)
     {
-      member.name = row.key;
-      sv_peers_discover (self->peers, &member);
+      if (is_self (self, &contacts[i]))
+        continue;
+      sv_peers_join (self->peers, &contacts[i]);
+      sent++;
     }
-  json_decref (row.value);
-  return is_own;
+  self->join_sent_at = knl_kernel_now (self->process.kernel);
+  return sent;
 }
 
 static void
-on_list_applied (Gateway *self)
+on_join_check (gpointer data)
 {
-  gateway_note_members_read (self);
-  self->is_registered = self->is_listed;
-  self->poll_delay = MAX_POLL_DELAY;
-  if (self->member_call != NULL)
-    return;
-  if (self->is_registered)
-    schedule (self, self->poll_delay, look);
+  Gateway *self = data;
+  KnlTime now = knl_kernel_now (self->process.kernel);
+
+  self->member_timer = 0;
+  if (sv_peers_n_alive_in_cell (self->peers) > 0)
+    on_joined (self);
+  else if (now - self->join_started_at < JOIN_TIMEOUT)
+    {
+      if (now - self->join_sent_at >= JOIN_RETRY_INTERVAL)
+        send_join (self, MAX_CONTACTS);
+      schedule (self, JOIN_CHECK_INTERVAL, on_join_check);
+    }
+  else if (is_contact (self))
+    on_joined (self);
   else
-    register_instance (self);
+    write_contacts (self);
 }
 
 static void
-on_page_applied (Gateway *self)
+join (Gateway *self)
 {
-  g_autoptr (PlAnswer) page = g_steal_pointer (&self->member_page);
-  const GPtrArray *rows = page->rows;
-
-  if (!page->more_pages || rows->len == 0 || self->member_call != NULL)
-    on_list_applied (self);
+  self->join_started_at = knl_kernel_now (self->process.kernel);
+  if (send_join (self, FIRST_CONTACTS) == 0)
+    on_joined (self);
   else
-    request_page (self, ((PlAnswerRow *)g_ptr_array_index (rows, rows->len - 1))->key);
+    schedule (self, JOIN_CHECK_INTERVAL, on_join_check);
 }
 
-/* Applies the next SLICE_ROWS rows of the current page. Returns whether rows remain. */
+/* Keeps the row if it is that of this instance's cell. */
 static gboolean
-take_slice (gpointer data)
+keep_cell_row (Gateway *self, const PlRow *row)
+{
+  if (strcmp (row->key, self->member.zone) != 0 || row->value == NULL)
+    return FALSE;
+  json_decref (self->cell_row);
+  self->cell_row = json_incref (row->value);
+  self->cell_row_version = row->version;
+  return TRUE;
+}
+
+static void
+drop_cell_row (Gateway *self)
+{
+  json_decref (self->cell_row);
+  self->cell_row = NULL;
+  self->cell_row_version = 0;
+}
+
+static void
+on_cell (PlStatus status, PlAnswer **answer, gpointer data)
 {
   Gateway *self = data;
-  const GPtrArray *rows = self->member_page->rows;
-
-  for (guint i = 0; i < SLICE_ROWS && self->next_member_row < rows->len; i++)
-    self->is_listed |= apply_row (self, g_ptr_array_index (rows, self->next_member_row++));
-  if (self->next_member_row < rows->len)
-    return TRUE;
-  self->member_job = 0;
-  on_page_applied (self);
-  return FALSE;
+  gboolean is_found = FALSE;
+
+  self->member_call = NULL;
+  if (status != PL_OK || *answer == NULL)
+    {
+      schedule_retry (self, read_cell);
+      return;
+    }
+  drop_cell_row (self);
+  for (guint i = 0; i < (*answer)->rows->len; i++)
+    {
+      PlRow row;
+
+      pl_row_decode (g_ptr_array_index ((*answer)->rows, i), &row);
+      is_found |= keep_cell_row (self, &row);
+      json_decref (row.value);
+    }
+  if (is_found)
+    join (self);
+  else
+    write_contacts (self);
 }
 
 static void
-on_page (PlStatus status, PlAnswer **answer, gpointer data)
+read_cell (gpointer data)
+{
+  Gateway *self = data;
+
+  self->member_timer = 0;
+  self->member_call =
+      pl_store_get_row (self->store, PL_CELL_TABLE, self->member.zone, on_cell, self);
+}
+
+/* Whether the row doesn't name this instance, which is the relay, or names too few live ones. */
+static gboolean
+is_outdated (const Gateway *self)
+{
+  SvMember contacts[MAX_CONTACTS];
+  guint n = read_contacts (self, contacts);
+  guint alive = 0;
+
+  for (guint i = 0; i < n; i++)
+    alive += is_self (self, &contacts[i])
+             || sv_peers_has_alive (self->peers, contacts[i].link_address);
+  return !is_contact (self)
+         || alive < MIN (MAX_CONTACTS / 2, sv_peers_n_alive_in_cell (self->peers) + 1);
+}
+
+/* Contacts that don't answer this relay may be a part of the cell that doesn't know of it. */
+static void
+join_silent_contacts (Gateway *self)
+{
+  SvMember contacts[MAX_CONTACTS];
+  guint n = read_contacts (self, contacts);
+
+  for (guint i = 0; i < n; i++)
+    {
+      if (!is_self (self, &contacts[i])
+          && !sv_peers_has_alive (self->peers, contacts[i].link_address))
+        sv_peers_join (self->peers, &contacts[i]);
+    }
+}
+
+static void
+discover_other_cell (Gateway *self, const PlRow *row)
+{
+  SvMember contacts[MAX_CONTACTS];
+  guint n = row->value != NULL ? pl_decode_contacts (row->value, contacts, MAX_CONTACTS) : 0;
+
+  if (n == 0)
+    cm_log (CM_LOG_WARNING, "contacts-unreadable", "s", "key", row->key);
+  for (guint i = 0; i < n; i++)
+    sv_peers_discover (self->peers, &contacts[i]);
+}
+
+static void
+on_cells (PlStatus status, PlAnswer **answer, gpointer data)
 {
   Gateway *self = data;
 
   self->member_call = NULL;
   if (status != PL_OK || *answer == NULL)
     {
-      self->poll_delay =
-          CLAMP (POLL_BACKOFF_FACTOR * self->poll_delay, MIN_POLL_DELAY, MAX_POLL_DELAY);
-      schedule (self, self->poll_delay, look);
+      schedule_retry (self, review);
       return;
     }
-  self->member_page = g_steal_pointer (answer);
-  self->next_member_row = 0;
-  if (take_slice (self))
-    self->member_job = knl_job_start (self->process.kernel, take_slice, self);
+  self->poll_delay = 0;
+  self->cells_read_at = knl_kernel_now (self->process.kernel);
+  drop_cell_row (self);
+  for (guint i = 0; i < (*answer)->rows->len; i++)
+    {
+      PlRow row;
+
+      pl_row_decode (g_ptr_array_index ((*answer)->rows, i), &row);
+      if (!keep_cell_row (self, &row))
+        discover_other_cell (self, &row);
+      json_decref (row.value);
+    }
+  join_silent_contacts (self);
+  if (is_outdated (self))
+    write_contacts (self);
+  else
+    schedule (self, REVIEW_INTERVAL, review);
 }
 
 static void
-request_page (Gateway *self, const char *from)
+read_cells (Gateway *self)
 {
-  self->member_call = pl_store_get (self->store, PL_MEMBER_TABLE, from, on_page, self);
+  self->member_call = pl_store_get (self->store, PL_CELL_TABLE, NULL, on_cells, self);
 }
 
-/* Reads the list of members, unless this instance is registered and isn't its cell's relay. */
+/* The relay reads the rows of all cells when it becomes relay, and then periodically. */
 static void
-look (gpointer data)
+review (gpointer data)
 {
   Gateway *self = data;
+  KnlTime now = knl_kernel_now (self->process.kernel);
 
   self->member_timer = 0;
-  if (self->is_registered && !sv_peers_is_relay (self->peers))
+  if (!sv_peers_is_relay (self->peers))
+    self->cells_read_at = 0;
+  else if (self->cells_read_at == 0 || now - self->cells_read_at >= CELLS_INTERVAL)
     {
-      schedule (self, MAX_POLL_DELAY, look);
+      read_cells (self);
       return;
     }
-  self->is_listed = FALSE;
-  request_page (self, NULL);
+  schedule (self, REVIEW_INTERVAL, review);
+}
+
+void
+gateway_reread_cells (Gateway *self)
+{
+  if (!self->is_member || !sv_peers_is_relay (self->peers))
+    return;
+  /* A call in progress may return the state from before the change of era. */
+  g_clear_pointer (&self->member_call, pl_call_cancel);
+  knl_timer_stop (self->process.kernel, &self->member_timer);
+  read_cells (self);
 }
 
 void
 gateway_start_membership (Gateway *self)
 {
-  look (self);
+  self->join_started_at = knl_kernel_now (self->process.kernel);
+  read_cell (self);
 }
 
 void
 gateway_stop_membership (Gateway *self)
 {
   g_clear_pointer (&self->member_call, pl_call_cancel);
-  knl_job_stop (self->process.kernel, &self->member_job);
-  g_clear_pointer (&self->member_page, pl_answer_free);
   knl_timer_stop (self->process.kernel, &self->member_timer);
+  drop_cell_row (self);
 }
--- a/gateway/source.c
+++ b/gateway/source.c
@@ -15,9 +15,9 @@
  * answer within a few milliseconds. */
 #define INITIAL_CHOOSE_INTERVAL (10 * KNL_MSEC)
 
-/* An instance that can't read the list of members for this long after its start, or receives
- * nothing from the followers, queries the store itself. Instances that lose power together are
- * back within 0.3 s of each other. */
+/* An instance that hasn't found its cell for this long after its start, or then receives nothing
+ * from the followers for this long, queries the store itself. Instances that lose power together
+ * are back within 0.3 s of each other. */
 #define MEMBERS_TIMEOUT (500 * KNL_MSEC)
 
 /* A store that hasn't answered for this long either refuses this instance or is unavailable; a
@@ -104,7 +104,8 @@
 
   if (is_receiving (self))
     return FALSE;
-  if (self->config_feed != NULL || now - self->started_at > MEMBERS_TIMEOUT)
+  if (self->config_feed != NULL
+      || now - MAX (self->started_at, self->members_read_at) > MEMBERS_TIMEOUT)
     return TRUE;
   return self->members_read_at > 0
          && (!sv_peers_follows_store (self->peers) || !sv_peers_expects_followers (self->peers));
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -16,17 +16,27 @@
 /** Table in which endpoints register, each under its id. */
 #define PL_ENDPOINT_TABLE "servers"
 
-/** Table in which instances register, each under its name. */
+/** Table with a row for each cell, under the name of its availability zone: some of its instances,
+ * through which those that start find the others. */
+#define PL_CELL_TABLE "cells"
+
+/** Table in which each instance of earlier releases has a row under its name. */
 #define PL_MEMBER_TABLE "instances"
 
 /** Returns FALSE if `value` isn't a valid endpoint entry. The entry's strings are borrowed from
  * `id` and `value`; `revision` is left 0. */
 gboolean pl_decode_endpoint (const char *id, json_t *value, SvEndpointEntry *entry);
 
-json_t *pl_encode_member (const SvMember *member);
+/** Value of a cell's row. */
+json_t *pl_encode_contacts (const SvMember *members, guint n);
+
+/** Reads at most `max` members of a cell's row, those without a name, address or zone left out.
+ * Returns their number; the strings are borrowed from `value`. */
+guint pl_decode_contacts (json_t *value, SvMember *members, guint max);
 
-/** Reads the member's datagram address, zone and strength only. Returns FALSE if the address or the
- * zone is missing. The strings are borrowed from `value`. */
+/** Reads the row of an instance of an earlier release: its datagram address, zone, incarnation and
+ * strength. Returns FALSE if the address or the zone is missing. The strings are borrowed from
+ * `value`. */
 gboolean pl_decode_member (json_t *value, SvMember *member);
 
 /** Body of an answer of the directory, which callers may cache for `ttl_s` seconds. Free with
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -65,22 +65,24 @@
 PlCall *
 pl_store_get (PlStore *store, const char *table, const char *from, PlCallFunc func, gpointer data);
 
-/** Writes a row unconditionally; takes ownership of `value`. */
+/** Reads one row. The answer has the row with the next higher key instead if there is no such row,
+ * or no row. */
+PlCall *pl_store_get_row (PlStore *store,
+                          const char *table,
+                          const char *key,
+                          PlCallFunc func,
+                          gpointer data);
+
+/** Writes a row if it has the version `version` (0: if there is no such row); else the call ends as
+ * PL_CONFLICT. Takes ownership of `value`. */
 PlCall *pl_store_put (PlStore *store,
                       const char *table,
                       const char *key,
                       json_t *value,
+                      guint64 version,
                       PlCallFunc func,
                       gpointer data);
 
-/** Removes a row if it still has the version `ver`; 0: whatever its version. */
-PlCall *pl_store_remove (PlStore *store,
-                         const char *table,
-                         const char *key,
-                         guint64 ver,
-                         PlCallFunc func,
-                         gpointer data);
-
 /** Ends a call without its callback; a write may still take effect. NULL is ignored. */
 void pl_call_cancel (PlCall *call);
 
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -8,6 +8,9 @@
  * load in flight; of other cells it knows only the sums. The strongest instance of a cell is its
  * relay: it announces its cell's sums to the relays of other cells and forwards theirs to its own
  * cell. A change thus crosses between two zones once, whatever the number of instances there.
+ *
+ * An instance that starts needs to reach one live instance of its cell, which introduces it to the
+ * others.
  */
 
 #include <event2/event.h>
@@ -42,12 +45,19 @@
 SvPeerLink *sv_peers_link (SvPeers *peers);
 
 /** Notes that an instance with this name, link address, zone and strength exists or existed; the
- * other fields aren't read. A new one of our own cell is sent an introduction. */
+ * other fields aren't read, except `incarnation` (0: unknown). One of our own cell that is new, or
+ * has restarted, is sent an introduction. */
 void sv_peers_discover (SvPeers *peers, const SvMember *member);
 
-/** Time since the last datagram from that address, or since it was added if that is later; 0 if it
- * is unknown or belongs to another cell. */
-KnlTime sv_peers_silent_time (const SvPeers *peers, const char *link_address);
+/** Asks an instance of our cell to introduce this one to the cell. The request may be lost. */
+void sv_peers_join (SvPeers *peers, const SvMember *contact);
+
+/** Fills in this instance and the strongest live ones of its cell, through which others can find
+ * the cell. Returns their number, 1 to `max_contacts`; the strings are owned by `peers`. */
+guint sv_peers_contacts (const SvPeers *peers, SvMember *contacts, guint max_contacts);
+
+/** Whether a datagram arrived recently from that link address. */
+gboolean sv_peers_has_alive (const SvPeers *peers, const char *link_address);
 
 /** Sets the newest configuration version and endpoint list revision of this instance, which
  * heartbeats announce. */
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Alderturn__Sender Alderturn__Sender;
 typedef struct Alderturn__Cell Alderturn__Cell;
 typedef struct Alderturn__Confirmation Alderturn__Confirmation;
+typedef struct Alderturn__CellMember Alderturn__CellMember;
 typedef struct Alderturn__Datagram Alderturn__Datagram;
 
 
@@ -206,6 +207,28 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * Another instance of the sender's cell.
+ */
+struct  Alderturn__CellMember
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * where it takes datagrams
+   */
+  char *link_address;
+  uint32_t strength;
+  /*
+   * that the sender knows; 0: none
+   */
+  uint64_t incarnation;
+};
+#define ALDERTURN__CELL_MEMBER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__cell_member__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Alderturn__Datagram
 {
   ProtobufCMessage base;
@@ -278,10 +301,23 @@
    * of the store, that the two versions above are of; 0: not known
    */
   uint64_t era;
+  /*
+   * the sender has just started: tell it of the cell, and the cell of it
+   */
+  protobuf_c_boolean introduce;
+  /*
+   * some instances of the sender's cell
+   */
+  size_t n_members;
+  Alderturn__CellMember **members;
+  /*
+   * that the sender knows of in all cells, itself counted; 0: not told
+   */
+  uint32_t instances;
 };
 #define ALDERTURN__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__datagram__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /* Alderturn__EndpointLimit methods */
@@ -398,6 +434,25 @@
 void   alderturn__confirmation__free_unpacked
                      (Alderturn__Confirmation *message,
                       ProtobufCAllocator *allocator);
+/* Alderturn__CellMember methods */
+void   alderturn__cell_member__init
+                     (Alderturn__CellMember         *message);
+size_t alderturn__cell_member__get_packed_size
+                     (const Alderturn__CellMember   *message);
+size_t alderturn__cell_member__pack
+                     (const Alderturn__CellMember   *message,
+                      uint8_t             *out);
+size_t alderturn__cell_member__pack_to_buffer
+                     (const Alderturn__CellMember   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__CellMember *
+       alderturn__cell_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__cell_member__free_unpacked
+                     (Alderturn__CellMember *message,
+                      ProtobufCAllocator *allocator);
 /* Alderturn__Datagram methods */
 void   alderturn__datagram__init
                      (Alderturn__Datagram         *message);
@@ -437,6 +492,9 @@
 typedef void (*Alderturn__Confirmation_Closure)
                  (const Alderturn__Confirmation *message,
                   void *closure_data);
+typedef void (*Alderturn__CellMember_Closure)
+                 (const Alderturn__CellMember *message,
+                  void *closure_data);
 typedef void (*Alderturn__Datagram_Closure)
                  (const Alderturn__Datagram *message,
                   void *closure_data);
@@ -452,6 +510,7 @@
 extern const ProtobufCMessageDescriptor alderturn__sender__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__cell__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__confirmation__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__cell_member__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/serve/cells.c
+++ b/serve/cells.c
@@ -122,19 +122,32 @@
 }
 
 GPtrArray *
-sv_cells_followers (const SvPeers *self)
+sv_cells_alive (const SvPeers *self)
 {
-  GPtrArray *followers = g_ptr_array_new ();
+  GPtrArray *alive = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, self->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (sv_cells_has_alive (self, value) && !((const Peer *)value)->cut_off)
-        g_ptr_array_add (followers, value);
+      if (sv_cells_has_alive (self, value))
+        g_ptr_array_add (alive, value);
+    }
+  g_ptr_array_sort (alive, compare_strength);
+  return alive;
+}
+
+GPtrArray *
+sv_cells_followers (const SvPeers *self)
+{
+  GPtrArray *followers = sv_cells_alive (self);
+
+  for (guint i = followers->len; i > 0; i--)
+    {
+      if (((const Peer *)g_ptr_array_index (followers, i - 1))->cut_off)
+        g_ptr_array_remove_index (followers, i - 1);
     }
-  g_ptr_array_sort (followers, compare_strength);
   g_ptr_array_set_size (followers, (gint)MIN (followers->len, FOLLOWERS));
   return followers;
 }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -128,6 +128,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &peer))
     drop_silent (self, peer);
   g_hash_table_foreach_remove (self->peers, is_expired, self);
+  g_hash_table_remove_all (self->answered_unknown);
   self->n_in_cell = sv_peers_n_in_zone (self, self->self.zone);
   update_instance_counts (self);
   if (self->n_heartbeats++ % HEARTBEATS_PER_FULL == 0)
@@ -145,11 +146,11 @@
   Peer *peer = g_new0 (Peer, 1);
 
   peer->link_address = g_strdup (link_address);
-  peer->socket_length = sizeof peer->socket_address;
+  peer->socket_address.length = sizeof peer->socket_address.address;
   peer->last_seen_at = -KNL_NEVER;
   peer->known_since = peer->discovered_at = knl_kernel_now (self->kernel);
-  if (evutil_parse_sockaddr_port (link_address, (struct sockaddr *)&peer->socket_address,
-                                  &peer->socket_length)
+  if (evutil_parse_sockaddr_port (link_address, (struct sockaddr *)&peer->socket_address.address,
+                                  &peer->socket_address.length)
       != 0)
     {
       cm_log (CM_LOG_WARNING, "peer-address-unreadable", "s", "address", link_address);
@@ -171,11 +172,15 @@
   if (peer != NULL)
     {
       peer->discovered_at = knl_kernel_now (self->kernel);
+      /* It has restarted and doesn't know this instance. */
+      if (member->incarnation > peer->incarnation && sv_peer_is_in_cell (self, peer))
+        sv_peers_send_full (self, peer);
       return;
     }
   peer = sv_peers_add (self, member->link_address);
   if (peer == NULL)
     return;
+  peer->name = g_strdup (member->name);
   peer->zone = g_strdup (member->zone);
   peer->strength = member->strength;
   peer->id = id_of (member->name);
@@ -183,16 +188,6 @@
     sv_peers_send_full (self, peer);
 }
 
-KnlTime
-sv_peers_silent_time (const SvPeers *self, const char *link_address)
-{
-  const Peer *peer = g_hash_table_lookup (self->peers, link_address);
-
-  if (peer == NULL || !sv_peer_is_in_cell (self, peer))
-    return 0;
-  return knl_kernel_now (self->kernel) - MAX (peer->last_seen_at, peer->known_since);
-}
-
 static void
 on_readable (evutil_socket_t fd, short what, void *data)
 {
@@ -202,12 +197,16 @@
 
   for (guint i = 0; i < MAX_DATAGRAMS_PER_CALLBACK; i++)
     {
-      ssize_t length = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
+      socklen_t source_length = sizeof self->source.address;
+      ssize_t length = recvfrom (fd, bytes, sizeof bytes, MSG_DONTWAIT,
+                                 (struct sockaddr *)&self->source.address, &source_length);
 
       if (length <= 0)
         break;
+      self->source.length = (int)source_length;
       sv_peers_receive_bytes (self, bytes, (gsize)length);
     }
+  self->source.length = 0;
   knl_span_end (self->kernel, begun, __FILE__ ":on_readable");
 }
 
@@ -254,6 +253,7 @@
   self->forward_queue = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   sv_outbox_init (&self->outbox);
   sv_outbox_init (&self->cell_outbox);
+  sv_join_init (self);
   if (!open_socket (self, base))
     {
       sv_peers_free (self);
@@ -275,6 +275,7 @@
   if (self->socket >= 0)
     close (self->socket);
   sv_relay_stop (self);
+  sv_join_clear (self);
   g_hash_table_unref (self->cells);
   g_hash_table_unref (self->by_id);
   g_hash_table_unref (self->peers);
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -20,16 +20,25 @@
 /* Maximum rows for prompts, each listing the endpoints that prefill it. */
 #define MAX_PREFILL_ROWS 5
 
+/** Rows in a datagram that lists instances of the cell. */
+#define MAX_MEMBER_ROWS 12
+
+/** Where an instance takes datagrams. */
+typedef struct
+{
+  struct sockaddr_storage address;
+  int length; /* 0: unknown */
+} SocketAddress;
+
 /** Another instance. */
 typedef struct
 {
-  char *name; /* NULL: no datagram from it yet */
+  char *name;
   char *link_address;
   char *callers_address;
   char *zone; /* NULL: unknown */
   guint strength;
-  struct sockaddr_storage socket_address;
-  int socket_length;
+  SocketAddress socket_address;
   guint32 id;
   guint64 incarnation;
   guint64 sequence;
@@ -105,6 +114,13 @@
   GHashTable *peers;    /* link address -> Peer */
   GHashTable *by_id;    /* id -> Peer */
   GHashTable *cells;    /* id -> Cell, other ones */
+  SocketAddress source; /* of the datagram that is being handled */
+  GArray *newcomers;    /* guint32, ids of peers to be announced to the cell */
+  KnlTimerId spread_timer;
+  GHashTable *answered_unknown; /* ids of unknown senders answered since the last heartbeat */
+  guint next_member;            /* index of the first instance that the relay lists next */
+  guint told_instances;         /* number of all instances that a peer told; 0: none */
+  KnlTime told_at;
   Outbox outbox;        /* updates of this instance, for our cell */
   Outbox cell_outbox;   /* updates of our whole cell, for other cells; filled by the relay only */
   guint n_in_cell;      /* peers of our cell, alive or not, at the last heartbeat */
@@ -139,6 +155,13 @@
   Alderturn__PlacedRead *prefill_rows[MAX_PREFILL_ROWS];
 } Rows;
 
+/** Storage for the members of a datagram. */
+typedef struct
+{
+  Alderturn__CellMember rows[MAX_MEMBER_ROWS];
+  Alderturn__CellMember *row_pointers[MAX_MEMBER_ROWS];
+} MemberRows;
+
 /* peers.c */
 
 gboolean sv_peer_is_alive (const SvPeers *self, const Peer *peer);
@@ -209,6 +232,9 @@
 /** Removes from `outbox` the updates that the datagram contains. */
 void sv_outbox_remove_sent (Outbox *outbox, const Alderturn__Datagram *datagram);
 
+void sv_peers_send_to (SvPeers *self,
+                       const SocketAddress *address,
+                       const Alderturn__Datagram *datagram);
 void sv_peers_send (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram);
 void sv_peers_send_to_cell (SvPeers *self, const Alderturn__Datagram *datagram);
 
@@ -246,6 +272,31 @@
  */
 GPtrArray *sv_cells_followers (const SvPeers *self);
 
+/** Alive peers of our cell, the strongest first. Free with g_ptr_array_unref. */
+GPtrArray *sv_cells_alive (const SvPeers *self);
+
+/* join.c */
+
+void sv_join_init (SvPeers *self);
+void sv_join_clear (SvPeers *self);
+
+/** Handles the request of a peer of our cell to be introduced. */
+void sv_join_introduce (SvPeers *self, Peer *peer);
+
+/** Discovers the instances that a peer of our cell listed. */
+void sv_join_handle_members (SvPeers *self, const Alderturn__Datagram *datagram);
+
+/** Introduces this instance to an unknown sender of a datagram, which may know it only from before
+ * a restart. At most once in each heartbeat interval. */
+void sv_join_answer_unknown (SvPeers *self, guint32 sender);
+
+/** Lists some instances of the cell in turn, if this is its relay: of two instances that don't know
+ * of each other neither sends the other anything. */
+void sv_join_add_members (SvPeers *self, Alderturn__Datagram *datagram, MemberRows *members);
+
+/** Number of all instances that a peer told recently; 0: none did. */
+guint sv_join_told_instances (const SvPeers *self);
+
 /* relay.c */
 
 /** To be called with each heartbeat: the relay sends its cell's description to other cells, and the
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -279,11 +279,19 @@
   Peer *peer = handle_sender (self, datagram);
 
   if (peer == NULL)
-    return;
+    {
+      if (datagram->from == NULL
+          && !g_hash_table_contains (self->by_id, GUINT_TO_POINTER (datagram->sender)))
+        sv_join_answer_unknown (self, datagram->sender);
+      return;
+    }
   if (datagram->confirmation != NULL && self->on_confirmation != NULL)
     self->on_confirmation (peer, datagram->confirmation, self->on_confirmation_data);
   if (!sv_peer_is_in_cell (self, peer))
     return;
+  sv_join_handle_members (self, datagram);
+  if (datagram->introduce)
+    sv_join_introduce (self, peer);
   handle_loads (self, peer, datagram);
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -1,5 +1,6 @@
 /** Datagrams that this instance sends to other instances. */
 
+#include <errno.h>
 #include <string.h>
 
 #include "common/log.h"
@@ -34,7 +35,7 @@
 }
 
 void
-sv_peers_send (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
+sv_peers_send_to (SvPeers *self, const SocketAddress *address, const Alderturn__Datagram *datagram)
 {
   guint8 bytes[MAX_DATAGRAM_BYTES];
   gsize length = alderturn__datagram__get_packed_size (datagram);
@@ -49,9 +50,15 @@
   self->sent.bytes += length;
   /* Not sent again: a failed send counts as a lost datagram. */
   if (sendto (self->socket, bytes, length, MSG_DONTWAIT,
-              (const struct sockaddr *)&peer->socket_address, (socklen_t)peer->socket_length)
+              (const struct sockaddr *)&address->address, (socklen_t)address->length)
       < 0)
-    cm_log (CM_LOG_DEBUG, "datagram-not-sent", "s", "peer", peer->link_address);
+    cm_log (CM_LOG_DEBUG, "datagram-not-sent", "i", "error", (gint64)errno);
+}
+
+void
+sv_peers_send (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram)
+{
+  sv_peers_send_to (self, &peer->socket_address, datagram);
 }
 
 SvPeerTraffic
@@ -211,9 +218,11 @@
 sv_peers_send_heartbeat (SvPeers *self)
 {
   Alderturn__Datagram datagram;
+  MemberRows members;
   Rows rows;
 
   sv_peers_begin_datagram (self, &datagram, &rows);
+  sv_join_add_members (self, &datagram, &members);
   datagram.config_version = self->config_version;
   datagram.endpoints = self->endpoints_revision.version;
   datagram.era = self->endpoints_revision.era;
@@ -406,7 +415,9 @@
 {
   const SvPeers *self = (const SvPeers *)link;
 
-  return 1 + sv_peers_n_in_zone (self, self->self.zone) + sv_cells_n_instances (self);
+  guint known = 1 + sv_peers_n_in_zone (self, self->self.zone) + sv_cells_n_instances (self);
+
+  return MAX (known, sv_join_told_instances (self));
 }
 
 const SvPeerLinkClass sv_peers_link_class = {
--- /dev/null
+++ b/tests/unit/gw_members_test.c
@@ -0,0 +1,191 @@
+/** How instances find their cell, and what that costs at the store, at several sizes. */
+
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "suite.h"
+#include "tests/fakes/gateway_fleet.h"
+
+#define ZONES 3
+
+/* Machines that are started together start within this. */
+#define START_SPAN (300 * KNL_MSEC)
+
+/* Instances that start together are served within this. */
+#define START_TIME (3 * KNL_SEC)
+
+/* Calls to the store for each further instance that starts. */
+#define MAX_CALLS_PER_START 1.5
+
+/* A relay that was lost is replaced, and the cell's row with it. */
+#define RELAY_REPLACEMENT_TIME (4 * KNL_SEC)
+
+static const GfSize small = {
+  .n_instances = 18, .n_zones = ZONES, .n_endpoints = 30, .strong_every = 5
+};
+static const GfSize large = {
+  .n_instances = 90, .n_zones = ZONES, .n_endpoints = 30, .strong_every = 5
+};
+
+/* Calls of a fleet that starts with an empty table of cells. */
+static guint
+calls_of_first_start (const GfSize *size)
+{
+  GfFleet fleet;
+  guint calls;
+
+  gf_fleet_open (&fleet, size);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  CU_ASSERT (gf_fleet_settle (&fleet, START_TIME) < START_TIME);
+  calls = row_store_n_calls (fleet.store);
+  gf_fleet_close (&fleet);
+  return calls;
+}
+
+static void
+test_first_start (void)
+{
+  guint further = large.n_instances - small.n_instances;
+  guint calls = calls_of_first_start (&large) - calls_of_first_start (&small);
+
+  CU_ASSERT (calls <= MAX_CALLS_PER_START * further);
+}
+
+/* Calls of half of the instances that are killed and start again together. */
+static guint
+calls_of_restart (const GfSize *size)
+{
+  GfFleet fleet;
+  guint calls;
+
+  gf_fleet_open (&fleet, size);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  for (guint i = 0; i < size->n_instances; i += 2)
+    gf_fleet_kill (&fleet, i);
+  gf_fleet_advance (&fleet, KNL_SEC);
+  calls = row_store_n_calls (fleet.store);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  CU_ASSERT (gf_fleet_settle (&fleet, START_TIME) < START_TIME);
+  calls = row_store_n_calls (fleet.store) - calls;
+  gf_fleet_close (&fleet);
+  return calls;
+}
+
+static void
+test_restart_of_half (void)
+{
+  guint further = (large.n_instances - small.n_instances) / 2;
+  guint calls = calls_of_restart (&large) - calls_of_restart (&small);
+
+  CU_ASSERT (calls <= MAX_CALLS_PER_START * further);
+}
+
+/* An instance is lost if its cell's row names only instances that are gone for good. */
+static void
+test_contacts_are_gone (void)
+{
+  GfFleet fleet;
+  guint n = small.n_instances;
+
+  gf_fleet_open (&fleet, &small);
+  for (guint i = 0; i < n / 2; i++)
+    gf_fleet_start (&fleet, i);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  for (guint i = 0; i < n / 2; i++)
+    gf_fleet_kill (&fleet, i);
+  for (guint i = n / 2; i < n; i++)
+    gf_fleet_start (&fleet, i);
+  CU_ASSERT (gf_fleet_settle (&fleet, START_TIME) < START_TIME);
+  gf_fleet_close (&fleet);
+}
+
+/* A relay that is lost leaves a row that later names only instances that are gone. */
+static void
+test_lost_contacts_are_replaced (void)
+{
+  GfFleet fleet;
+  guint n = small.n_instances;
+
+  gf_fleet_open (&fleet, &small);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  for (guint i = 0; i < n; i++)
+    {
+      if (sv_peers_is_relay (fleet.instances[i].gateway.peers))
+        gf_fleet_kill (&fleet, i);
+    }
+  gf_fleet_advance (&fleet, RELAY_REPLACEMENT_TIME);
+  for (guint i = 0; i < n; i++)
+    {
+      const GfInstance *instance = &fleet.instances[i];
+
+      if (instance->is_running && sv_peers_is_relay (instance->gateway.peers))
+        CU_ASSERT (strstr (row_store_value (fleet.store, instance->gateway.boot->zone),
+                           instance->gateway.boot->link_address)
+                   != NULL);
+    }
+  gf_fleet_close (&fleet);
+}
+
+/* An instance that hears a peer that it doesn't know, since its introduction was lost, would wait
+ * for the peer's next full datagram. */
+static void
+test_unknown_sender_is_answered (void)
+{
+  GfFleet fleet;
+
+  gf_fleet_open (&fleet, &small);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  gf_fleet_kill (&fleet, 1);
+  /* The store doesn't serve it, so nobody introduces it. */
+  row_store_set_mode (fleet.store, ROW_STORE_SILENT);
+  gf_fleet_start (&fleet, 1);
+  gf_fleet_advance (&fleet, KNL_SEC);
+  CU_ASSERT_EQUAL (gf_fleet_n_unknown (&fleet), 0);
+  gf_fleet_close (&fleet);
+}
+
+/* During an upgrade instances of the earlier release would not learn of new ones. */
+static void
+test_earlier_release_is_discovered (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t length = sizeof address;
+  int earlier = socket (AF_INET, SOCK_DGRAM, 0);
+  g_autofree char *row = NULL;
+  guint8 bytes[64];
+  GfFleet fleet;
+
+  CU_ASSERT_EQUAL_FATAL (bind (earlier, (struct sockaddr *)&address, length), 0);
+  getsockname (earlier, (struct sockaddr *)&address, &length);
+  row = g_strdup_printf ("{\"link\":\"127.0.0.1:%u\",\"callers\":\"127.0.0.1:8\",\"zone\":\"z0\","
+                         "\"incarnation\":1,\"strength\":500}",
+                         ntohs (address.sin_port));
+  gf_fleet_open (&fleet, &small);
+  row_store_put_in (fleet.store, PL_MEMBER_TABLE, "old", row);
+  gf_fleet_start (&fleet, 0);
+  gf_fleet_advance (&fleet, 200 * KNL_MSEC);
+  CU_ASSERT (recv (earlier, bytes, sizeof bytes, MSG_DONTWAIT) > 0);
+  gf_fleet_close (&fleet);
+  close (earlier);
+}
+
+static const SuiteCase cases[] = {
+  { "calls of a first start grow with the instances alone", test_first_start },
+  { "calls of a restart grow with the instances alone", test_restart_of_half },
+  { "a cell whose contacts are gone is found", test_contacts_are_gone },
+  { "lost contacts are replaced", test_lost_contacts_are_replaced },
+  { "an unknown sender is answered", test_unknown_sender_is_answered },
+  { "instances of an earlier release are discovered", test_earlier_release_is_discovered },
+};
+
+SUITE_MAIN ("gw_members", cases)
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &alderturn__confirmation__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   alderturn__cell_member__init
+                     (Alderturn__CellMember         *message)
+{
+  static const Alderturn__CellMember init_value = ALDERTURN__CELL_MEMBER__INIT;
+  *message = init_value;
+}
+size_t alderturn__cell_member__get_packed_size
+                     (const Alderturn__CellMember *message)
+{
+  assert(message->base.descriptor == &alderturn__cell_member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__cell_member__pack
+                     (const Alderturn__CellMember *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__cell_member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__cell_member__pack_to_buffer
+                     (const Alderturn__CellMember *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__cell_member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__CellMember *
+       alderturn__cell_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__CellMember *)
+     protobuf_c_message_unpack (&alderturn__cell_member__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__cell_member__free_unpacked
+                     (Alderturn__CellMember *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__cell_member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   alderturn__datagram__init
                      (Alderturn__Datagram         *message)
 {
@@ -875,7 +920,84 @@
   (ProtobufCMessageInit) alderturn__confirmation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[20] =
+static const ProtobufCFieldDescriptor alderturn__cell_member__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__CellMember, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "link_address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__CellMember, link_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strength",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__CellMember, strength),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__CellMember, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__cell_member__field_indices_by_name[] = {
+  3,   /* field[3] = incarnation */
+  1,   /* field[1] = link_address */
+  0,   /* field[0] = name */
+  2,   /* field[2] = strength */
+};
+static const ProtobufCIntRange alderturn__cell_member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor alderturn__cell_member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.CellMember",
+  "CellMember",
+  "Alderturn__CellMember",
+  "alderturn",
+  sizeof(Alderturn__CellMember),
+  4,
+  alderturn__cell_member__field_descriptors,
+  alderturn__cell_member__field_indices_by_name,
+  1,  alderturn__cell_member__number_ranges,
+  (ProtobufCMessageInit) alderturn__cell_member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[23] =
 {
   {
     "sender",
@@ -1117,6 +1239,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "introduce",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, introduce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Alderturn__Datagram, n_members),
+    offsetof(Alderturn__Datagram, members),
+    &alderturn__cell_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, instances),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__datagram__field_indices_by_name[] = {
   10,   /* field[10] = answering */
@@ -1128,9 +1286,12 @@
   19,   /* field[19] = era */
   4,   /* field[4] = from */
   1,   /* field[1] = incarnation */
+  22,   /* field[22] = instances */
+  20,   /* field[20] = introduce */
   6,   /* field[6] = loads */
   9,   /* field[9] = lost */
   12,   /* field[12] = lost_by */
+  21,   /* field[21] = members */
   14,   /* field[14] = passed */
   7,   /* field[7] = reads */
   3,   /* field[3] = ready */
@@ -1143,7 +1304,7 @@
 static const ProtobufCIntRange alderturn__datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor alderturn__datagram__descriptor =
 {
@@ -1153,7 +1314,7 @@
   "Alderturn__Datagram",
   "alderturn",
   sizeof(Alderturn__Datagram),
-  20,
+  23,
   alderturn__datagram__field_descriptors,
   alderturn__datagram__field_indices_by_name,
   1,  alderturn__datagram__number_ranges,
