serve: the alive peers of a cell are kept in order

Cause: each datagram looked for the relay among all peers and compared their zones' names, and each full datagram walked all endpoints: processor time at rest grew with the square of the cell and with the fleet. Change: the alive peers of a cell are kept sorted until one of them may be dead or one changes; a peer remembers whether it is of the cell; endpoints are walked only for peers that have load there.

--- a/serve/cells.c
+++ b/serve/cells.c
@@ -91,28 +91,18 @@
 gboolean
 sv_cells_has_alive (const SvPeers *self, const Peer *peer)
 {
-  return sv_peer_is_in_cell (self, peer) && sv_peer_is_alive (self, peer);
+  return peer->is_in_cell && sv_peer_is_alive (self, peer);
 }
 
 const Peer *
 sv_cells_relay (const SvPeers *self)
 {
-  const Peer *relay = NULL;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, self->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Peer *peer = value;
+  const GPtrArray *alive = sv_cells_alive (self);
+  const Peer *strongest = alive->len > 0 ? g_ptr_array_index (alive, 0) : NULL;
 
-      if (!sv_cells_has_alive (self, peer)
-          || !sv_peer_is_stronger (peer, self->self.strength, self->id))
-        continue;
-      if (relay == NULL || sv_peer_is_stronger (peer, relay->strength, relay->id))
-        relay = peer;
-    }
-  return relay;
+  if (strongest == NULL || !sv_peer_is_stronger (strongest, self->self.strength, self->id))
+    return NULL;
+  return strongest;
 }
 
 gboolean
@@ -121,34 +111,67 @@
   return sv_cells_relay (self) == NULL;
 }
 
-GPtrArray *
-sv_cells_alive (const SvPeers *self)
+AlivePeers *
+sv_cells_new_alive (void)
 {
-  GPtrArray *alive = g_ptr_array_new ();
+  AlivePeers *self = g_new0 (AlivePeers, 1);
+
+  self->peers = g_ptr_array_new ();
+  return self;
+}
+
+void
+sv_cells_free_alive (AlivePeers *self)
+{
+  g_ptr_array_unref (self->peers);
+  g_free (self);
+}
+
+void
+sv_cells_note_changed (SvPeers *self)
+{
+  self->alive->valid_until = 0;
+}
+
+static void
+fill_alive (const SvPeers *self)
+{
+  AlivePeers *alive = self->alive;
   GHashTableIter iter;
   gpointer value;
 
+  g_ptr_array_set_size (alive->peers, 0);
+  alive->valid_until = KNL_NEVER;
   g_hash_table_iter_init (&iter, self->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (sv_cells_has_alive (self, value))
-        g_ptr_array_add (alive, value);
+      if (!sv_cells_has_alive (self, value))
+        continue;
+      g_ptr_array_add (alive->peers, value);
+      alive->valid_until = MIN (alive->valid_until, sv_peer_alive_until (self, value));
     }
-  g_ptr_array_sort (alive, compare_strength);
-  return alive;
+  g_ptr_array_sort (alive->peers, compare_strength);
+}
+
+const GPtrArray *
+sv_cells_alive (const SvPeers *self)
+{
+  if (knl_kernel_now (self->kernel) >= self->alive->valid_until)
+    fill_alive (self);
+  return self->alive->peers;
 }
 
 GPtrArray *
 sv_cells_followers (const SvPeers *self)
 {
-  GPtrArray *followers = sv_cells_alive (self);
+  const GPtrArray *alive = sv_cells_alive (self);
+  GPtrArray *followers = g_ptr_array_new ();
 
-  for (guint i = followers->len; i > 0; i--)
+  for (guint i = 0; i < alive->len && followers->len < FOLLOWERS; i++)
     {
-      if (((const Peer *)g_ptr_array_index (followers, i - 1))->cut_off)
-        g_ptr_array_remove_index (followers, i - 1);
+      if (!((const Peer *)g_ptr_array_index (alive, i))->cut_off)
+        g_ptr_array_add (followers, g_ptr_array_index (alive, i));
     }
-  g_ptr_array_set_size (followers, (gint)MIN (followers->len, FOLLOWERS));
   return followers;
 }
 
@@ -189,7 +212,7 @@
     {
       const Peer *peer = value;
 
-      stronger += sv_peer_is_in_cell (self, peer) && peer->last_seen_at < 0
+      stronger += peer->is_in_cell && peer->last_seen_at < 0
                   && sv_peer_is_stronger (peer, self->self.strength, self->id);
     }
   return stronger >= FOLLOWERS;
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -245,7 +245,7 @@
   SvConfirm *self = data;
 
   note_config_reported (self, config.version);
-  if (!sv_peer_is_in_cell (self->peers, peer) && !sv_confirm_polls_store (self))
+  if (!peer->is_in_cell && !sv_confirm_polls_store (self))
     return;
   if (is_behind (self, &self->endpoints, endpoints, self->events->endpoints_known (self->data))
       && is_feed_silent (self, self->events->endpoints_last_seen_at (self->data)))
--- a/serve/join.c
+++ b/serve/join.c
@@ -43,7 +43,7 @@
 static void
 send_strongest (SvPeers *self, const Peer *peer)
 {
-  g_autoptr (GPtrArray) alive = sv_cells_alive (self);
+  const GPtrArray *alive = sv_cells_alive (self);
   Alderturn__Datagram datagram;
   MemberRows members;
   Rows rows;
@@ -131,11 +131,10 @@
 void
 sv_join_add_members (SvPeers *self, Alderturn__Datagram *datagram, MemberRows *members)
 {
-  g_autoptr (GPtrArray) alive = NULL;
+  const GPtrArray *alive = sv_cells_alive (self);
 
   if (!sv_peers_is_relay (self))
     return;
-  alive = sv_cells_alive (self);
   for (guint i = 0; i < MIN (alive->len, MAX_MEMBER_ROWS); i++)
     add_member (datagram, members,
                 g_ptr_array_index (alive, self->next_member++ % alive->len));
@@ -179,7 +178,7 @@
 guint
 sv_peers_contacts (const SvPeers *self, SvMember *contacts, guint max_contacts)
 {
-  g_autoptr (GPtrArray) alive = sv_cells_alive (self);
+  const GPtrArray *alive = sv_cells_alive (self);
   guint n = 0;
 
   contacts[n++] = self->self;
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -45,10 +45,15 @@
   return (guint32)XXH64 (name, strlen (name), 0);
 }
 
-gboolean
-sv_peer_is_in_cell (const SvPeers *self, const Peer *peer)
+void
+sv_peer_set_zone (SvPeers *self, Peer *peer, const char *zone)
 {
-  return g_strcmp0 (peer->zone, self->self.zone) == 0;
+  if (g_strcmp0 (peer->zone, zone) == 0)
+    return;
+  g_free (peer->zone);
+  peer->zone = g_strdup (zone);
+  peer->is_in_cell = strcmp (zone, self->self.zone) == 0;
+  sv_cells_note_changed (self);
 }
 
 guint
@@ -70,12 +75,17 @@
   return MAX (HEARTBEAT_INTERVAL, (KnlTime)self->n_in_cell * HEARTBEAT_INTERVAL_PER_PEER);
 }
 
+KnlTime
+sv_peer_alive_until (const SvPeers *self, const Peer *peer)
+{
+  return peer->last_seen_at + MAX_MISSED_HEARTBEATS * heartbeat_interval (self);
+}
+
 gboolean
 sv_peer_is_alive (const SvPeers *self, const Peer *peer)
 {
   return peer->last_seen_at > 0
-         && knl_kernel_now (self->kernel) - peer->last_seen_at
-                < MAX_MISSED_HEARTBEATS * heartbeat_interval (self);
+         && knl_kernel_now (self->kernel) < sv_peer_alive_until (self, peer);
 }
 
 static gboolean
@@ -130,6 +140,7 @@
   g_hash_table_foreach_remove (self->peers, is_expired, self);
   g_hash_table_remove_all (self->answered_unknown);
   self->n_in_cell = sv_peers_n_in_zone (self, self->self.zone);
+  sv_cells_note_changed (self);
   update_instance_counts (self);
   if (self->n_heartbeats++ % HEARTBEATS_PER_FULL == 0)
     sv_peers_send_full (self, NULL);
@@ -173,7 +184,7 @@
     {
       peer->discovered_at = knl_kernel_now (self->kernel);
       /* It has restarted and doesn't know this instance. */
-      if (member->incarnation > peer->incarnation && sv_peer_is_in_cell (self, peer))
+      if (member->incarnation > peer->incarnation && peer->is_in_cell)
         sv_peers_send_full (self, peer);
       return;
     }
@@ -181,7 +192,7 @@
   if (peer == NULL)
     return;
   peer->name = g_strdup (member->name);
-  peer->zone = g_strdup (member->zone);
+  sv_peer_set_zone (self, peer, member->zone);
   peer->strength = member->strength;
   peer->id = id_of (member->name);
   if (sv_cells_of_zone (self, member->zone) == NULL)
@@ -249,6 +260,7 @@
   self->cell = id_of (member->zone);
   self->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
   self->by_id = g_hash_table_new (NULL, NULL);
+  self->alive = sv_cells_new_alive ();
   self->cells = g_hash_table_new_full (NULL, NULL, NULL, sv_cell_free);
   self->forward_queue = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
   sv_outbox_init (&self->outbox);
@@ -279,6 +291,7 @@
   g_hash_table_unref (self->cells);
   g_hash_table_unref (self->by_id);
   g_hash_table_unref (self->peers);
+  sv_cells_free_alive (self->alive);
   g_ptr_array_unref (self->forward_queue);
   sv_outbox_clear (&self->outbox);
   sv_outbox_clear (&self->cell_outbox);
@@ -392,14 +405,7 @@
 guint
 sv_peers_n_alive_in_cell (const SvPeers *self)
 {
-  GHashTableIter iter;
-  gpointer value;
-  guint alive = 0;
-
-  g_hash_table_iter_init (&iter, self->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    alive += sv_cells_has_alive (self, value);
-  return alive;
+  return sv_cells_alive (self)->len;
 }
 
 guint
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -37,6 +37,7 @@
   char *link_address;
   char *callers_address;
   char *zone; /* NULL: unknown */
+  gboolean is_in_cell;
   guint strength;
   SocketAddress socket_address;
   guint32 id;
@@ -52,6 +53,13 @@
   guint n_reported_losses; /* losses that it reported in the window */
 } Peer;
 
+/** The alive peers of our cell. Kept, since it is needed for each datagram. */
+typedef struct
+{
+  GPtrArray *peers;    /* Peer, the strongest first */
+  KnlTime valid_until; /* when the first of them may count as dead; 0: to be filled in again */
+} AlivePeers;
+
 /** The instances of another availability zone, as reported by their relay. */
 typedef struct
 {
@@ -113,6 +121,7 @@
   struct event *readable;
   GHashTable *peers;    /* link address -> Peer */
   GHashTable *by_id;    /* id -> Peer */
+  AlivePeers *alive;
   GHashTable *cells;    /* id -> Cell, other ones */
   SocketAddress source; /* of the datagram that is being handled */
   GArray *newcomers;    /* guint32, ids of peers to be announced to the cell */
@@ -165,7 +174,12 @@
 /* peers.c */
 
 gboolean sv_peer_is_alive (const SvPeers *self, const Peer *peer);
-gboolean sv_peer_is_in_cell (const SvPeers *self, const Peer *peer);
+
+/** Time at which the peer counts as dead unless it is heard from again. */
+KnlTime sv_peer_alive_until (const SvPeers *self, const Peer *peer);
+
+/** Sets the availability zone; NULL: unknown. */
+void sv_peer_set_zone (SvPeers *self, Peer *peer, const char *zone);
 
 /** Whether the peer precedes an instance with that strength and id in the choice of the relay. */
 gboolean sv_peer_is_stronger (const Peer *peer, guint strength, guint32 id);
@@ -272,8 +286,15 @@
  */
 GPtrArray *sv_cells_followers (const SvPeers *self);
 
-/** Alive peers of our cell, the strongest first. Free with g_ptr_array_unref. */
-GPtrArray *sv_cells_alive (const SvPeers *self);
+AlivePeers *sv_cells_new_alive (void);
+void sv_cells_free_alive (AlivePeers *alive);
+
+/** Alive peers of our cell, the strongest first; valid until a peer changes. */
+const GPtrArray *sv_cells_alive (const SvPeers *self);
+
+/** To be called when a peer is added, removed or no longer dead, or when its zone, strength or id
+ * changes. */
+void sv_cells_note_changed (SvPeers *self);
 
 /* join.c */
 
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -41,13 +41,15 @@
   g_hash_table_insert (self->by_id, GUINT_TO_POINTER (peer->id), peer);
   replace_text (&peer->name, member->name);
   replace_text (&peer->callers_address, member->callers_address);
-  replace_text (&peer->zone, member->zone);
+  sv_peer_set_zone (self, peer, member->zone);
+  if (is_new || peer->strength != member->strength)
+    sv_cells_note_changed (self);
   peer->strength = member->strength;
   if (!is_new)
     return peer;
   cm_log (CM_LOG_NOTICE, "peer-found", "s", "peer", peer->name, "s", "address", peer->link_address,
           "s", "zone", peer->zone);
-  if (sv_peer_is_in_cell (self, peer))
+  if (peer->is_in_cell)
     {
       sv_peers_send_full (self, peer);
       sv_relay_send_snapshot (self, peer);
@@ -170,8 +172,10 @@
 {
   const GPtrArray *endpoints = sv_fleet_all (self->fleet);
 
-  for (guint i = 0; i < endpoints->len && datagram->whole; i++)
+  for (guint i = 0; i < endpoints->len && datagram->whole && peer->is_counted; i++)
     sv_endpoint_drop_peer (g_ptr_array_index (endpoints, i), peer->id);
+  if (datagram->whole)
+    peer->is_counted = FALSE;
   for (guint i = 0; i < datagram->n_loads; i++)
     {
       const Alderturn__EndpointLoad *row = datagram->loads[i];
@@ -254,10 +258,12 @@
     return NULL;
   peer->incarnation = datagram->incarnation;
   peer->sequence = datagram->sequence;
-  if (peer->ready != datagram->ready && sv_peer_is_in_cell (self, peer))
+  if (peer->ready != datagram->ready && peer->is_in_cell)
     sv_relay_note_ready (self);
   peer->ready = datagram->ready;
   peer->cut_off = datagram->cut_off;
+  if (!sv_peer_is_alive (self, peer))
+    sv_cells_note_changed (self);
   peer->last_seen_at = knl_kernel_now (self->kernel);
   if (datagram->config_version > 0 && self->on_versions != NULL)
     self->on_versions (peer, (SvPosition){ datagram->era, datagram->config_version },
@@ -287,7 +293,7 @@
     }
   if (datagram->confirmation != NULL && self->on_confirmation != NULL)
     self->on_confirmation (peer, datagram->confirmation, self->on_confirmation_data);
-  if (!sv_peer_is_in_cell (self, peer))
+  if (!peer->is_in_cell)
     return;
   sv_join_handle_members (self, datagram);
   if (datagram->introduce)
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -163,12 +163,14 @@
 sv_peers_send_to_cell (SvPeers *self, const Alderturn__Datagram *datagram)
 {
   GHashTableIter iter;
-  gpointer peer;
+  gpointer value;
 
   g_hash_table_iter_init (&iter, self->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &peer))
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (sv_peer_is_in_cell (self, peer))
+      const Peer *peer = value;
+
+      if (peer->is_in_cell)
         sv_peers_send (self, peer, datagram);
     }
 }
@@ -240,7 +242,7 @@
 
   sv_peers_begin_datagram (self, &datagram, &rows);
   /* Another cell's relay may not know this instance yet. */
-  if (!sv_peer_is_in_cell (self, peer))
+  if (!peer->is_in_cell)
     sv_peers_fill_sender (self, &datagram, &sender);
   datagram.confirmation = (Alderturn__Confirmation *)confirmation;
   sv_peers_send (self, peer, &datagram);
