serve, gateway: few instances of a cell turn to the store when their followers fail

Cause: each instance whose confirmation is 0.8 of the trusted time old, or whose two followers both failed, moved its two feeds to the store for 2 s, where it was mostly not answered either. Nothing bounded how many of a cell did so at once. Change: when both followers fail, a relay of another cell is followed before the store. An old confirmation is probed by one call that leaves the feeds alone; the six strongest of a cell do so first, with a wait that doubles, the others at random times, 8 a second in the whole cell at most.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -191,8 +191,36 @@
   sv_core_confirm (((Gateway *)data)->core, at);
 }
 
-/* Without a wait the store answers at once, and its answer is a confirmation for the time of the
- * query. */
+static void
+on_probe (PlStatus status, PlAnswer **answer, gpointer data)
+{
+  Gateway *self = data;
+  gboolean is_same = status == PL_OK && *answer != NULL && (*answer)->rows->len == 0;
+
+  self->probe_call = NULL;
+  cm_log (CM_LOG_NOTICE, "confirmation-old", "s", "peer",
+          self->peer_address != NULL ? self->peer_address : "", "s", "store",
+          pl_status_name (status), "b", "is-confirmed", is_same);
+  if (is_same && !sv_confirm_store_lost_config (self->confirm, self->probed_at))
+    sv_core_confirm (self->core, self->probed_at);
+  else if (status == PL_OK || status == PL_NOT_RETAINED)
+    gateway_query_store (self);
+}
+
+/* The answer to a request without a wait is a confirmation for the time of the request. It leaves
+ * the feeds with the peer that they follow. */
+static void
+probe_store (Gateway *self)
+{
+  SvPosition position = pl_feed_position (self->config_feed);
+
+  if (self->probe_call != NULL || position.version == 0)
+    return;
+  self->probed_at = knl_kernel_now (self->process.kernel);
+  self->probe_call =
+      pl_store_get_changes (self->store, PL_CONFIG_TABLE, position.version, on_probe, self);
+}
+
 static void
 confirm_query_store (gpointer data)
 {
@@ -200,11 +228,13 @@
 
   if (self->config_feed == NULL)
     return;
-  pl_feed_set_wait (self->config_feed, 0);
   if (self->peer_store != NULL)
-    gateway_query_store (self);
-  else
-    pl_feed_poll_now (self->config_feed);
+    {
+      probe_store (self);
+      return;
+    }
+  pl_feed_set_wait (self->config_feed, 0);
+  pl_feed_poll_now (self->config_feed);
 }
 
 static SvPosition
@@ -413,6 +443,7 @@
 {
   sv_core_set_stale_since (self->core, NULL, NULL);
   sv_confirm_free (self->confirm);
+  g_clear_pointer (&self->probe_call, pl_call_cancel);
   pl_feed_free (self->config_feed);
   pl_config_decoder_free (self->config_decoder);
   pl_feed_free (self->endpoints_feed);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -42,8 +42,9 @@
   PlMirror *mirror;
   PlStore *peer_store;   /* the peer that the feeds query; NULL: they query the store */
   char *peer_address;    /* link address of `peer_store` */
-  char *avoided_address; /* link address of a peer that didn't answer, or NULL */
-  KnlTime avoided_until;
+  GHashTable *avoided;   /* link address of a peer that didn't answer -> KnlTime until which */
+  PlCall *probe_call;    /* asks the store whether the configuration is the newest */
+  KnlTime probed_at;
   KnlTime query_store_until; /* until then the store is queried, even if a follower is available */
   KnlTime query_peers_until; /* until then followers are queried, as the store doesn't answer */
   KnlTime store_unavailable_since; /* 0: the store answers */
@@ -120,8 +121,7 @@
 /** Called when the cell has been found. */
 void gateway_note_members_read (Gateway *self);
 
-/** Makes the feeds query the store for a while, because their source has older data than other
- * peers or none. Does nothing if the store is the source already. */
+/** Makes the feeds query the store for a while, because it has newer data than their source. Does nothing if the store is the source already. */
 void gateway_query_store (Gateway *self);
 
 /** A call to the current source of the feeds failed. */
--- a/gateway/source.c
+++ b/gateway/source.c
@@ -28,7 +28,7 @@
  * detected as silent by then. */
 #define AVOID_PERIOD (1500 * KNL_MSEC)
 
-/* How long the store is queried in place of peers with older data, and peers in place of a store
+/* How long the store is queried in place of a peer with older data, and peers in place of a store
  * that doesn't answer. */
 #define QUERY_STORE_PERIOD (2 * KNL_SEC)
 #define QUERY_PEERS_PERIOD (2 * KNL_SEC)
@@ -61,21 +61,44 @@
   g_free (old_address);
 }
 
+static gboolean
+is_avoided (const char *address, gpointer data)
+{
+  const Gateway *self = data;
+  const KnlTime *until = g_hash_table_lookup (self->avoided, address);
+
+  return until != NULL && knl_kernel_now (self->process.kernel) < *until;
+}
+
+static gboolean
+is_avoid_over (gpointer key, gpointer value, gpointer data)
+{
+  return !is_avoided (key, data);
+}
+
+static void
+avoid_peer (Gateway *self, const char *address)
+{
+  KnlTime until = knl_kernel_now (self->process.kernel) + AVOID_PERIOD;
+
+  g_hash_table_foreach_remove (self->avoided, is_avoid_over, self);
+  g_hash_table_insert (self->avoided, g_strdup (address), g_memdup2 (&until, sizeof until));
+}
+
 /* Returns the link address of the peer to query; NULL: the store. */
 static const char *
-choose_peer (const Gateway *self)
+choose_peer (Gateway *self)
 {
   KnlTime now = knl_kernel_now (self->process.kernel);
-  const char *avoid = now < self->avoided_until ? self->avoided_address : NULL;
 
   if (now < self->query_store_until)
     return NULL;
   if (sv_peers_follows_store (self->peers) && now >= self->query_peers_until)
     return NULL;
-  if (self->peer_address != NULL && g_strcmp0 (self->peer_address, avoid) != 0
-      && sv_peers_is_follower (self->peers, self->peer_address))
+  if (self->peer_address != NULL && !is_avoided (self->peer_address, self)
+      && sv_peers_is_source (self->peers, self->peer_address))
     return self->peer_address;
-  return sv_peers_choose_follower (self->peers, avoid);
+  return sv_peers_choose_follower (self->peers, is_avoided, self);
 }
 
 static void
@@ -141,6 +164,7 @@
 gateway_start_source (Gateway *self)
 {
   self->started_at = knl_kernel_now (self->process.kernel);
+  self->avoided = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   schedule_choose (self, CHOOSE_INTERVAL);
 }
 
@@ -150,7 +174,7 @@
   knl_timer_stop (self->process.kernel, &self->source_timer);
   pl_store_free (self->peer_store);
   g_free (self->peer_address);
-  g_free (self->avoided_address);
+  g_clear_pointer (&self->avoided, g_hash_table_unref);
 }
 
 void
@@ -167,7 +191,7 @@
 {
   if (self->peer_address == NULL)
     return;
-  cm_log (CM_LOG_NOTICE, "confirmation-old", "s", "peer", self->peer_address);
+  cm_log (CM_LOG_NOTICE, "store-is-newer", "s", "peer", self->peer_address);
   self->query_store_until = knl_kernel_now (self->process.kernel) + QUERY_STORE_PERIOD;
   schedule_choose (self, 0);
 }
@@ -178,14 +202,7 @@
   KnlTime now = knl_kernel_now (self->process.kernel);
 
   if (self->peer_address != NULL)
-    {
-      /* A second peer failed while the first is still avoided: query the store. */
-      if (now < self->avoided_until && g_strcmp0 (self->avoided_address, self->peer_address) != 0)
-        self->query_store_until = now + QUERY_STORE_PERIOD;
-      g_free (self->avoided_address);
-      self->avoided_address = g_strdup (self->peer_address);
-      self->avoided_until = now + AVOID_PERIOD;
-    }
+    avoid_peer (self, self->peer_address);
   else if (self->store_unavailable_since == 0)
     self->store_unavailable_since = now;
   else if (now - self->store_unavailable_since > CUT_OFF_TIMEOUT)
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -73,6 +73,13 @@
                           PlCallFunc func,
                           gpointer data);
 
+/** Reads the changes of a table after a version, without waiting for any. */
+PlCall *pl_store_get_changes (PlStore *store,
+                              const char *table,
+                              guint64 after,
+                              PlCallFunc func,
+                              gpointer data);
+
 /** Writes a row if it has the version `version` (0: if there is no such row); else the call ends as
  * PL_CONFLICT. Takes ownership of `value`. */
 PlCall *pl_store_put (PlStore *store,
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -85,12 +85,17 @@
  * datagram has arrived yet. */
 gboolean sv_peers_expects_followers (const SvPeers *peers);
 
-/** Whether the instance with that link address belongs to our cell and follows the store. */
-gboolean sv_peers_is_follower (const SvPeers *peers, const char *link_address);
+/** Whether the instance with that link address follows the store for our cell, or may do so in
+ * place of those that do. */
+gboolean sv_peers_is_source (const SvPeers *peers, const char *link_address);
 
-/** Link address of an instance of our cell that follows the store, other than `avoid` (may be
- * NULL); NULL if there is none. Owned by `peers`. */
-const char *sv_peers_choose_follower (const SvPeers *peers, const char *avoid);
+/** Whether not to choose the instance with that link address. */
+typedef gboolean (*SvPeerAvoidFunc) (const char *link_address, gpointer data);
+
+/** Link address of an instance that follows the store: one of our cell, or else a relay of another
+ * cell. NULL if all are avoided. Owned by `peers`. */
+const char *
+sv_peers_choose_follower (const SvPeers *peers, SvPeerAvoidFunc avoid, gpointer data);
 
 /** Sets whether this instance accepts callers; a change is announced at once. */
 void sv_peers_set_ready (SvPeers *peers, gboolean ready);
--- a/serve/cells.c
+++ b/serve/cells.c
@@ -94,6 +94,18 @@
   return peer->is_in_cell && sv_peer_is_alive (self, peer);
 }
 
+guint
+sv_cells_rank (const SvPeers *self)
+{
+  const GPtrArray *alive = sv_cells_alive (self);
+  guint rank = 0;
+
+  while (rank < alive->len
+         && sv_peer_is_stronger (g_ptr_array_index (alive, rank), self->self.strength, self->id))
+    rank++;
+  return rank;
+}
+
 const Peer *
 sv_cells_relay (const SvPeers *self)
 {
@@ -218,32 +230,60 @@
   return stronger >= FOLLOWERS;
 }
 
-gboolean
-sv_peers_is_follower (const SvPeers *self, const char *link_address)
+void
+sv_cells_add_relays (const SvPeers *self, GPtrArray *found)
 {
-  g_autoptr (GPtrArray) followers = sv_cells_followers (self);
+  GHashTableIter iter;
+  gpointer value;
 
-  for (guint i = 0; i < followers->len; i++)
+  g_hash_table_iter_init (&iter, self->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (strcmp (((const Peer *)g_ptr_array_index (followers, i))->link_address, link_address)
-          == 0)
-        return TRUE;
+      const Cell *cell = value;
+      Peer *relay = g_hash_table_lookup (self->by_id, GUINT_TO_POINTER (cell->relay));
+
+      if (relay != NULL && !relay->cut_off && sv_cell_is_alive (self, cell))
+        g_ptr_array_add (found, relay);
     }
-  return FALSE;
 }
 
-const char *
-sv_peers_choose_follower (const SvPeers *self, const char *avoid)
+/* Spreads the requests of the cell's instances evenly over the candidates. */
+static const char *
+choose_source (const SvPeers *self, const GPtrArray *candidates, SvPeerAvoidFunc avoid, gpointer data)
 {
-  g_autoptr (GPtrArray) followers = sv_cells_followers (self);
-
-  /* Spreads the cell's requests evenly over the followers. */
-  for (guint i = 0; i < followers->len; i++)
+  for (guint i = 0; i < candidates->len; i++)
     {
-      const Peer *peer = g_ptr_array_index (followers, (i + self->id) % followers->len);
+      const Peer *peer = g_ptr_array_index (candidates, (i + self->id) % candidates->len);
 
-      if (g_strcmp0 (peer->link_address, avoid) != 0)
+      if (!avoid (peer->link_address, data))
         return peer->link_address;
     }
   return NULL;
 }
+
+const char *
+sv_peers_choose_follower (const SvPeers *self, SvPeerAvoidFunc avoid, gpointer data)
+{
+  g_autoptr (GPtrArray) followers = sv_cells_followers (self);
+  g_autoptr (GPtrArray) relays = g_ptr_array_new ();
+  const char *chosen = choose_source (self, followers, avoid, data);
+
+  if (chosen != NULL)
+    return chosen;
+  sv_cells_add_relays (self, relays);
+  return choose_source (self, relays, avoid, data);
+}
+
+gboolean
+sv_peers_is_source (const SvPeers *self, const char *link_address)
+{
+  g_autoptr (GPtrArray) sources = sv_cells_followers (self);
+
+  sv_cells_add_relays (self, sources);
+  for (guint i = 0; i < sources->len; i++)
+    {
+      if (strcmp (((const Peer *)g_ptr_array_index (sources, i))->link_address, link_address) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -16,6 +16,16 @@
 #define URGENT_THRESHOLD_FRACTION 0.45
 #define URGENT_INTERVAL_FRACTION  0.05
 
+/* The strongest instances of a cell query the store first. An interval between queries without an
+ * answer doubles from the first of these times to the second. */
+#define FIRST_STORE_QUERIERS   6
+#define MIN_STORE_QUERY_PERIOD (500 * KNL_MSEC)
+#define MAX_STORE_QUERY_PERIOD (4 * KNL_SEC)
+
+/* The others query it too, since the store may answer none of the first ones, but rarely: all of a
+ * cell together at most once in this time. Otherwise their calls would grow with the cell. */
+#define CELL_STORE_QUERY_PERIOD (125 * KNL_MSEC)
+
 /* A feed pauses for less than this after it delivered changes. If it was silent for longer, its
  * request is waiting at the store for changes. */
 #define MAX_FEED_PAUSE (600 * KNL_MSEC)
@@ -43,6 +53,8 @@
   KnlTime requested_at; /* time at which it was sent */
   UnreachedPosition config;
   UnreachedPosition endpoints;
+  KnlTime store_query_period; /* 0: the confirmation isn't old */
+  KnlTime next_store_query_at;
   gboolean is_recheck_due; /* the next timer sends a request whatever the age */
   SvPosition proven;       /* was the newest at `proven_at`; version 0: none */
   KnlTime proven_at;
@@ -55,23 +67,6 @@
   return sv_peers_follows_store (self->peers);
 }
 
-static void
-add_relays (const SvPeers *peers, GPtrArray *found)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, peers->cells);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Cell *cell = value;
-      Peer *relay = g_hash_table_lookup (peers->by_id, GUINT_TO_POINTER (cell->relay));
-
-      if (relay != NULL && !relay->cut_off && sv_cell_is_alive (peers, cell))
-        g_ptr_array_add (found, relay);
-    }
-}
-
 /* Chooses one of the instances that follow the store at random, so that one that is down isn't
  * queried repeatedly. If `is_urgent`, relays of other cells are included: a zone that is cut off
  * from the store is confirmed through other zones. */
@@ -81,7 +76,7 @@
   g_autoptr (GPtrArray) found = sv_cells_followers (self->peers);
 
   if (is_urgent)
-    add_relays (self->peers, found);
+    sv_cells_add_relays (self->peers, found);
   if (found->len == 0)
     return NULL;
   return g_ptr_array_index (
@@ -110,6 +105,44 @@
   sv_peers_send_confirmation (self->peers, peer, &request);
 }
 
+/* Sets the time of the next query of the store, at random for all but the first queriers. */
+static void
+schedule_store_query (SvConfirm *self)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+  guint n_alive = sv_peers_n_alive_in_cell (self->peers);
+
+  if (sv_cells_rank (self->peers) < FIRST_STORE_QUERIERS)
+    {
+      self->next_store_query_at = now + self->store_query_period;
+      self->store_query_period = CLAMP (2 * self->store_query_period, MIN_STORE_QUERY_PERIOD,
+                                        MAX_STORE_QUERY_PERIOD);
+      return;
+    }
+  self->store_query_period = (n_alive + 1) * CELL_STORE_QUERY_PERIOD;
+  self->next_store_query_at =
+      now
+      + (KnlTime)g_rand_double_range (knl_kernel_rand (self->kernel), 0,
+                                      (double)self->store_query_period);
+}
+
+/* Queries the store if no peer has confirmed in time, and it is this instance's turn. */
+static void
+query_store (SvConfirm *self, KnlTime age)
+{
+  if (age < fraction_of_staleness (self, STORE_THRESHOLD_FRACTION))
+    {
+      self->store_query_period = 0;
+      return;
+    }
+  if (self->store_query_period == 0)
+    schedule_store_query (self);
+  if (knl_kernel_now (self->kernel) < self->next_store_query_at)
+    return;
+  schedule_store_query (self);
+  self->events->query_store (self->data);
+}
+
 static void
 on_timer (gpointer data)
 {
@@ -127,8 +160,7 @@
   if (self->events->version (self->data).version == 0
       || (sv_confirm_polls_store (self) && !self->peers->cut_off))
     return;
-  if (age >= fraction_of_staleness (self, STORE_THRESHOLD_FRACTION))
-    self->events->query_store (self->data);
+  query_store (self, age);
   if (is_new || self->is_recheck_due
       || age >= fraction_of_staleness (self, REQUEST_THRESHOLD_FRACTION))
     query_peer (self, is_urgent);
@@ -280,7 +312,7 @@
   /* If versions follow each other quickly, or are large, the newest is already on its way here. */
   if (is_behind (self, &self->config, newest, own)
       && is_feed_silent (self, self->events->config_last_seen_at (self->data)))
-    self->events->query_store (self->data);
+    self->events->query_config (self->data);
   if (sv_position_compare (newest, own) == SV_POSITION_NEWER)
     recheck (self);
 }
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -276,6 +276,9 @@
 
 gboolean sv_cell_is_alive (const SvPeers *self, const Cell *cell);
 
+/** Number of alive peers of our cell that precede this instance in the choice of the relay. */
+guint sv_cells_rank (const SvPeers *self);
+
 /** The relay of our cell; NULL if it is this instance. */
 const Peer *sv_cells_relay (const SvPeers *self);
 
@@ -296,6 +299,9 @@
  * changes. */
 void sv_cells_note_changed (SvPeers *self);
 
+/** Adds the live relays of other cells that the store answers. */
+void sv_cells_add_relays (const SvPeers *self, GPtrArray *found);
+
 /* join.c */
 
 void sv_join_init (SvPeers *self);
--- a/tests/unit/sv_cells_test.c
+++ b/tests/unit/sv_cells_test.c
@@ -1,5 +1,7 @@
 /** What cells know of each other through their relays, while relays and datagrams are lost. */
 
+#include <string.h>
+
 #include "peers_fixture.h"
 #include "suite.h"
 
@@ -248,6 +250,12 @@
   peers_fixture_close (&fixture);
 }
 
+static gboolean
+is_address (const char *link_address, gpointer data)
+{
+  return g_strcmp0 (link_address, data) == 0;
+}
+
 /* The strongest instances follow the store, and each is queried by half of the others. */
 static void
 test_followers_are_the_strongest (void)
@@ -264,11 +272,12 @@
   peers_fixture_connect (&fixture);
   for (guint i = 0; i < INSTANCES; i++)
     {
-      const char *follower = sv_peers_choose_follower (fixture.peers[i], NULL);
-      const char *second = sv_peers_choose_follower (fixture.peers[i], follower);
+      const char *follower = sv_peers_choose_follower (fixture.peers[i], is_address, NULL);
+      const char *second =
+          sv_peers_choose_follower (fixture.peers[i], is_address, (gpointer)follower);
 
       CU_ASSERT_EQUAL (sv_peers_follows_store (fixture.peers[i]), i >= 4);
-      CU_ASSERT (sv_peers_is_follower (fixture.peers[i], follower));
+      CU_ASSERT (sv_peers_is_source (fixture.peers[i], follower));
       CU_ASSERT_STRING_NOT_EQUAL (follower, second);
     }
   /* An instance that leaves is replaced at once. */
@@ -279,6 +288,42 @@
   peers_fixture_close (&fixture);
 }
 
+static gboolean
+is_in_first_zone (const char *link_address, gpointer data)
+{
+  const PeersFixture *fixture = data;
+
+  for (guint i = 0; i < 3; i++)
+    {
+      if (strcmp (fixture->links[i], link_address) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Guards against a cell that turns to the store as a whole when both of its followers fail. */
+static void
+test_another_cells_relay_replaces_followers (void)
+{
+  PeersFixture fixture;
+  guint relay;
+
+  fixture_open (&fixture);
+  relay = relay_of (&fixture, 3);
+  for (guint i = 0; i < 3; i++)
+    {
+      const char *chosen =
+          sv_peers_choose_follower (fixture.peers[i], is_in_first_zone, &fixture);
+
+      CU_ASSERT_STRING_EQUAL (chosen, fixture.links[relay]);
+      CU_ASSERT (sv_peers_is_source (fixture.peers[i], chosen));
+    }
+  sv_peers_set_cut_off (fixture.peers[relay], TRUE);
+  peers_fixture_advance (&fixture, 2 * PEERS_HEARTBEAT_INTERVAL + PEERS_PROPAGATION_TIME);
+  CU_ASSERT_PTR_NULL (sv_peers_choose_follower (fixture.peers[0], is_in_first_zone, &fixture));
+  peers_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "sums are known everywhere", test_sums_are_known_everywhere },
   { "a lost relay is replaced", test_a_lost_relay_is_replaced },
@@ -287,6 +332,7 @@
   { "one relay is accepted for a cell", test_one_relay_is_accepted_for_a_cell },
   { "rejected followers are skipped", test_rejected_followers_are_skipped },
   { "followers are the strongest", test_followers_are_the_strongest },
+  { "another cell's relay replaces followers", test_another_cells_relay_replaces_followers },
 };
 
 SUITE_MAIN ("sv_cells", cases)
