--- a/gateway/members.c
+++ b/gateway/members.c
@@ -14,7 +14,7 @@
 /* Delay of a read or write that is repeated after a failure. It is multiplied by
  * RETRY_BACKOFF_FACTOR with each, up to MAX_RETRY_DELAY. */
 #define MIN_RETRY_DELAY      (40 * KNL_MSEC)
-#define MAX_RETRY_DELAY      (20 * KNL_SEC)
+#define MAX_RETRY_DELAY      (4 * KNL_SEC)
 #define RETRY_BACKOFF_FACTOR 8
 
 /* Interval between checks whether a contact has answered, and between requests to be introduced. */
@@ -279,6 +279,12 @@
   Gateway *self = data;
 
   self->member_timer = 0;
+  /* Peers that know this instance from before its restart reach it while the store is away. */
+  if (sv_peers_n_alive_in_cell (self->peers) > 0)
+    {
+      on_settled (self);
+      return;
+    }
   self->member_call =
       pl_store_get_row (self->store, PL_CELL_TABLE, self->member.zone, on_cell, self);
 }
