--- a/bench/gateway_scale.c
+++ b/bench/gateway_scale.c
@@ -182,8 +182,8 @@
   gf_fleet_put_config (fleet, 3, "key");
   gf_fleet_advance (fleet, OUTAGE_SPAN - KNL_SEC);
   row_store_set_door_mode (fleet->store, GF_DOOR_SIDE, ROW_STORE_SERVES);
-  figures->outage_calls = (row_store_n_calls (fleet->store) - calls)
-                          / ((double)OUTAGE_SPAN / (double)KNL_SEC);
+  figures->outage_calls =
+      (row_store_n_calls (fleet->store) - calls) / ((double)OUTAGE_SPAN / (double)KNL_SEC);
 }
 
 static Figures
@@ -251,8 +251,7 @@
   printf ("\n");
   for (int i = 2; i < argc; i++)
     {
-      figures[n] = measure ((guint)strtoul (argv[i], NULL, 10),
-                            (guint)strtoul (argv[1], NULL, 10));
+      figures[n] = measure ((guint)strtoul (argv[i], NULL, 10), (guint)strtoul (argv[1], NULL, 10));
       print_figures (&figures[n++]);
     }
   if (n > 1)
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -40,10 +40,10 @@
   gboolean is_receiving_config; /* the value being received is a configuration */
   KnlTime config_last_seen_at;  /* when the configuration feed was last answered */
   PlMirror *mirror;
-  PlStore *peer_store;   /* the peer that the feeds query; NULL: they query the store */
-  char *peer_address;    /* link address of `peer_store` */
-  GHashTable *avoided;   /* link address of a peer that didn't answer -> KnlTime until which */
-  PlCall *probe_call;    /* asks the store whether the configuration is the newest */
+  PlStore *peer_store; /* the peer that the feeds query; NULL: they query the store */
+  char *peer_address;  /* link address of `peer_store` */
+  GHashTable *avoided; /* link address of a peer that didn't answer -> KnlTime until which */
+  PlCall *probe_call;  /* asks the store whether the configuration is the newest */
   KnlTime probed_at;
   KnlTime query_store_until; /* until then the store is queried, even if a follower is available */
   KnlTime query_peers_until; /* until then followers are queried, as the store doesn't answer */
@@ -61,11 +61,11 @@
   guint64 cell_row_version; /* its version; 0: there is none */
   gboolean is_member;       /* the cell is found, or this instance is its first one */
   KnlTime join_started_at;
-  KnlTime join_sent_at; /* last request to be introduced */
-  KnlTime cells_read_at; /* last read of the rows of all cells, as relay; 0: none as this relay */
-  guint64 era;               /* newest era seen of the store; 0: none */
-  CmSeries *era_series;      /* counts eras after the first */
-  KnlTimerId reread_timer;   /* reads the cells' rows again */
+  KnlTime join_sent_at;    /* last request to be introduced */
+  KnlTime cells_read_at;   /* last read of the rows of all cells, as relay; 0: none as this relay */
+  guint64 era;             /* newest era seen of the store; 0: none */
+  CmSeries *era_series;    /* counts eras after the first */
+  KnlTimerId reread_timer; /* reads the cells' rows again */
   KnlTimerId tick_timer;
   KnlTime drain_since; /* 0: not draining */
   gint64 boot_mtime;   /* modification time of the settings file, in seconds */
@@ -121,7 +121,8 @@
 /** Called when the cell has been found. */
 void gateway_note_members_read (Gateway *self);
 
-/** Makes the feeds query the store for a while, because it has newer data than their source. Does nothing if the store is the source already. */
+/** Makes the feeds query the store for a while, because it has newer data than their source. Does
+ * nothing if the store is the source already. */
 void gateway_query_store (Gateway *self);
 
 /** A call to the current source of the feeds failed. */
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -153,8 +153,7 @@
   if (status != PL_OK && !self->is_member)
     schedule_retry (self, read_cell);
   else if (!self->is_member && is_first)
-    self->member_call =
-        pl_store_get (self->store, PL_MEMBER_TABLE, NULL, on_earlier_release, self);
+    self->member_call = pl_store_get (self->store, PL_MEMBER_TABLE, NULL, on_earlier_release, self);
   else if (!self->is_member)
     on_joined (self);
   else
@@ -172,8 +171,8 @@
   guint n = sv_peers_contacts (self->peers, contacts, MAX_CONTACTS);
 
   self->member_call =
-      pl_store_put (self->store, PL_CELL_TABLE, self->member.zone,
-                    pl_encode_contacts (contacts, n), self->cell_row_version, on_written, self);
+      pl_store_put (self->store, PL_CELL_TABLE, self->member.zone, pl_encode_contacts (contacts, n),
+                    self->cell_row_version, on_written, self);
 }
 
 /* Returns the number of contacts to which the request was sent. */
@@ -298,8 +297,8 @@
   guint alive = 0;
 
   for (guint i = 0; i < n; i++)
-    alive += is_self (self, &contacts[i])
-             || sv_peers_has_alive (self->peers, contacts[i].link_address);
+    alive +=
+        is_self (self, &contacts[i]) || sv_peers_has_alive (self->peers, contacts[i].link_address);
   return !is_contact (self)
          || alive < MIN (MAX_CONTACTS / 2, sv_peers_n_alive_in_cell (self->peers) + 1);
 }
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -94,8 +94,7 @@
 
 /** Link address of an instance that follows the store: one of our cell, or else a relay of another
  * cell. NULL if all are avoided. Owned by `peers`. */
-const char *
-sv_peers_choose_follower (const SvPeers *peers, SvPeerAvoidFunc avoid, gpointer data);
+const char *sv_peers_choose_follower (const SvPeers *peers, SvPeerAvoidFunc avoid, gpointer data);
 
 /** Sets whether this instance accepts callers; a change is announced at once. */
 void sv_peers_set_ready (SvPeers *peers, gboolean ready);
--- a/serve/cells.c
+++ b/serve/cells.c
@@ -249,7 +249,10 @@
 
 /* Spreads the requests of the cell's instances evenly over the candidates. */
 static const char *
-choose_source (const SvPeers *self, const GPtrArray *candidates, SvPeerAvoidFunc avoid, gpointer data)
+choose_source (const SvPeers *self,
+               const GPtrArray *candidates,
+               SvPeerAvoidFunc avoid,
+               gpointer data)
 {
   for (guint i = 0; i < candidates->len; i++)
     {
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -115,15 +115,14 @@
   if (sv_cells_rank (self->peers) < FIRST_STORE_QUERIERS)
     {
       self->next_store_query_at = now + self->store_query_period;
-      self->store_query_period = CLAMP (2 * self->store_query_period, MIN_STORE_QUERY_PERIOD,
-                                        MAX_STORE_QUERY_PERIOD);
+      self->store_query_period =
+          CLAMP (2 * self->store_query_period, MIN_STORE_QUERY_PERIOD, MAX_STORE_QUERY_PERIOD);
       return;
     }
   self->store_query_period = (n_alive + 1) * CELL_STORE_QUERY_PERIOD;
-  self->next_store_query_at =
-      now
-      + (KnlTime)g_rand_double_range (knl_kernel_rand (self->kernel), 0,
-                                      (double)self->store_query_period);
+  self->next_store_query_at = now
+                              + (KnlTime)g_rand_double_range (knl_kernel_rand (self->kernel), 0,
+                                                              (double)self->store_query_period);
 }
 
 /* Queries the store if no peer has confirmed in time, and it is this instance's turn. */
--- a/serve/join.c
+++ b/serve/join.c
@@ -136,8 +136,7 @@
   if (!sv_peers_is_relay (self))
     return;
   for (guint i = 0; i < MIN (alive->len, MAX_MEMBER_ROWS); i++)
-    add_member (datagram, members,
-                g_ptr_array_index (alive, self->next_member++ % alive->len));
+    add_member (datagram, members, g_ptr_array_index (alive, self->next_member++ % alive->len));
 }
 
 /* The address that the datagram came from is the only thing known of its sender. */
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -84,8 +84,7 @@
 gboolean
 sv_peer_is_alive (const SvPeers *self, const Peer *peer)
 {
-  return peer->last_seen_at > 0
-         && knl_kernel_now (self->kernel) < sv_peer_alive_until (self, peer);
+  return peer->last_seen_at > 0 && knl_kernel_now (self->kernel) < sv_peer_alive_until (self, peer);
 }
 
 static gboolean
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -119,8 +119,8 @@
   SvPosition endpoints_revision;
   evutil_socket_t socket;
   struct event *readable;
-  GHashTable *peers;    /* link address -> Peer */
-  GHashTable *by_id;    /* id -> Peer */
+  GHashTable *peers; /* link address -> Peer */
+  GHashTable *by_id; /* id -> Peer */
   AlivePeers *alive;
   GHashTable *cells;    /* id -> Cell, other ones */
   SocketAddress source; /* of the datagram that is being handled */
@@ -246,9 +246,8 @@
 /** Removes from `outbox` the updates that the datagram contains. */
 void sv_outbox_remove_sent (Outbox *outbox, const Alderturn__Datagram *datagram);
 
-void sv_peers_send_to (SvPeers *self,
-                       const SocketAddress *address,
-                       const Alderturn__Datagram *datagram);
+void
+sv_peers_send_to (SvPeers *self, const SocketAddress *address, const Alderturn__Datagram *datagram);
 void sv_peers_send (SvPeers *self, const Peer *peer, const Alderturn__Datagram *datagram);
 void sv_peers_send_to_cell (SvPeers *self, const Alderturn__Datagram *datagram);
 
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -49,8 +49,8 @@
   self->sent.datagrams++;
   self->sent.bytes += length;
   /* Not sent again: a failed send counts as a lost datagram. */
-  if (sendto (self->socket, bytes, length, MSG_DONTWAIT,
-              (const struct sockaddr *)&address->address, (socklen_t)address->length)
+  if (sendto (self->socket, bytes, length, MSG_DONTWAIT, (const struct sockaddr *)&address->address,
+              (socklen_t)address->length)
       < 0)
     cm_log (CM_LOG_DEBUG, "datagram-not-sent", "i", "error", (gint64)errno);
 }
--- a/tests/fakes/gateway_fleet.c
+++ b/tests/fakes/gateway_fleet.c
@@ -236,8 +236,8 @@
       guint others = n_running_in_zone (self, i % self->size.n_zones) - 1;
 
       if (self->instances[i].is_running)
-        unknown += others
-                   - MIN (others, sv_peers_n_alive_in_cell (self->instances[i].gateway.peers));
+        unknown +=
+            others - MIN (others, sv_peers_n_alive_in_cell (self->instances[i].gateway.peers));
     }
   return unknown;
 }
--- a/tests/unit/gw_members_test.c
+++ b/tests/unit/gw_members_test.c
@@ -19,15 +19,20 @@
 /* Calls to the store for each further instance that starts. */
 #define MAX_CALLS_PER_START 1.5
 
+/* Time for which the store turns some instances away. */
+#define OUTAGE_TIME (9 * KNL_SEC)
+
 /* A relay that was lost is replaced, and the cell's row with it. */
 #define RELAY_REPLACEMENT_TIME (4 * KNL_SEC)
 
-static const GfSize small = {
-  .n_instances = 18, .n_zones = ZONES, .n_endpoints = 30, .strong_every = 5
-};
-static const GfSize large = {
-  .n_instances = 90, .n_zones = ZONES, .n_endpoints = 30, .strong_every = 5
-};
+static const GfSize small = { .n_instances = 18,
+                              .n_zones = ZONES,
+                              .n_endpoints = 30,
+                              .strong_every = 5 };
+static const GfSize large = { .n_instances = 90,
+                              .n_zones = ZONES,
+                              .n_endpoints = 30,
+                              .strong_every = 5 };
 
 /* Calls of a fleet that starts with an empty table of cells. */
 static guint
@@ -157,8 +162,7 @@
 static void
 test_earlier_release_is_discovered (void)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
   socklen_t length = sizeof address;
   int earlier = socket (AF_INET, SOCK_DGRAM, 0);
   g_autofree char *row = NULL;
@@ -179,11 +183,55 @@
   close (earlier);
 }
 
+/* Calls while the store doesn't answer a third of the instances and the configuration changes. */
+static guint
+calls_of_partial_outage (guint n_instances, RowStoreMode mode)
+{
+  GfSize size = { .n_instances = n_instances,
+                  .n_zones = ZONES,
+                  .n_endpoints = 30,
+                  .strong_every = 5,
+                  .side_every = 3 };
+  GfFleet fleet;
+  guint calls;
+
+  gf_fleet_open (&fleet, &size);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  row_store_set_door_mode (fleet.store, GF_DOOR_SIDE, mode);
+  calls = row_store_n_calls (fleet.store);
+  gf_fleet_advance (&fleet, KNL_SEC);
+  gf_fleet_put_config (&fleet, 2, "key");
+  gf_fleet_advance (&fleet, OUTAGE_TIME - KNL_SEC);
+  CU_ASSERT_EQUAL (gf_fleet_n_outdated (&fleet, 2), 0);
+  calls = row_store_n_calls (fleet.store) - calls;
+  gf_fleet_close (&fleet);
+  return calls;
+}
+
+/* Guards against calls that grow with the number of instances: each turned to the store by itself,
+ * and repeated its call with each heartbeat of its peers. */
+static void
+test_partial_outage (void)
+{
+  static const RowStoreMode modes[] = { ROW_STORE_SILENT, ROW_STORE_REFUSES, ROW_STORE_DROPS };
+
+  for (guint i = 0; i < G_N_ELEMENTS (modes); i++)
+    {
+      guint few = calls_of_partial_outage (30, modes[i]);
+      guint many = calls_of_partial_outage (90, modes[i]);
+
+      CU_ASSERT (many <= 2 * few);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "calls of a first start grow with the instances alone", test_first_start },
   { "calls of a restart grow with the instances alone", test_restart_of_half },
   { "a cell whose contacts are gone is found", test_contacts_are_gone },
   { "lost contacts are replaced", test_lost_contacts_are_replaced },
+  { "calls in a partial outage don't grow with the instances", test_partial_outage },
   { "an unknown sender is answered", test_unknown_sender_is_answered },
   { "instances of an earlier release are discovered", test_earlier_release_is_discovered },
 };
--- a/tests/unit/sv_cells_test.c
+++ b/tests/unit/sv_cells_test.c
@@ -312,8 +312,7 @@
   relay = relay_of (&fixture, 3);
   for (guint i = 0; i < 3; i++)
     {
-      const char *chosen =
-          sv_peers_choose_follower (fixture.peers[i], is_in_first_zone, &fixture);
+      const char *chosen = sv_peers_choose_follower (fixture.peers[i], is_in_first_zone, &fixture);
 
       CU_ASSERT_STRING_EQUAL (chosen, fixture.links[relay]);
       CU_ASSERT (sv_peers_is_source (fixture.peers[i], chosen));
