serve: a told number of instances isn't told on

Cause: a newcomer takes the number of instances that a contact tells it; telling that on in turn would keep it alive by echoes after the fleet has shrunk. Change: what is told is what an instance knows by itself. Result: unit tests pass; found by reading, no run showed it.

--- a/serve/join.c
+++ b/serve/join.c
@@ -35,7 +35,7 @@
 begin_members (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
 {
   sv_peers_begin_datagram (self, datagram, rows);
-  datagram->instances = self->link.klass->n_instances (&self->link);
+  datagram->instances = sv_peers_n_known (self);
 }
 
 /* Tells a newcomer the strongest instances, which relay and follow the store. All others introduce
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -69,6 +69,12 @@
   return n;
 }
 
+guint
+sv_peers_n_known (const SvPeers *self)
+{
+  return 1 + sv_peers_n_in_zone (self, self->self.zone) + sv_cells_n_instances (self);
+}
+
 static KnlTime
 heartbeat_interval (const SvPeers *self)
 {
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -187,6 +187,10 @@
 /** Adds the instance at that address. Returns NULL if the address is invalid. */
 Peer *sv_peers_add (SvPeers *self, const char *link_address);
 
+/** Number of instances of all cells that this one knows of itself, alive or not, itself included.
+ */
+guint sv_peers_n_known (const SvPeers *self);
+
 /** Number of known peers of that zone, alive or not. */
 guint sv_peers_n_in_zone (const SvPeers *self, const char *zone);
 
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -417,9 +417,7 @@
 {
   const SvPeers *self = (const SvPeers *)link;
 
-  guint known = 1 + sv_peers_n_in_zone (self, self->self.zone) + sv_cells_n_instances (self);
-
-  return MAX (known, sv_join_told_instances (self));
+  return MAX (sv_peers_n_known (self), sv_join_told_instances (self));
 }
 
 const SvPeerLinkClass sv_peers_link_class = {
