gateway, serve: the time to leave counts from when a change may have been made

The feed pauses for 400 ms after changes; the endpoint's change was made in such a pause and noticed 321 ms later, and its 1.7 s as a last resort were counted from then. Where a peer is followed, its feed's pause comes on top. Change: the age that a change may have, the feed's pause and a peer's, is taken off the time as a last resort.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -379,11 +379,27 @@
   pl_mirror_notify (self->mirror);
 }
 
+/* A change that was made while the feed paused between two requests has waited in the store since.
+ * A peer's feed pauses, too. */
+static void
+on_endpoints_received (gpointer data)
+{
+  Gateway *self = data;
+  KnlTime pause =
+      pl_feed_last_answer (self->endpoints_feed).requested_at - self->endpoints_last_seen_at;
+  KnlTime lag = CLAMP (pause, 0, ENDPOINTS_COALESCE_DELAY);
+
+  if (self->peer_store != NULL)
+    lag += ENDPOINTS_COALESCE_DELAY;
+  sv_fleet_set_list_lag (self->fleet, lag);
+  on_rows_received (data);
+}
+
 static const PlFeedEvents endpoint_events = {
   .begin_list = on_begin_endpoints,
   .end_list = on_end_endpoints,
   .row = on_endpoint_row,
-  .received = on_rows_received,
+  .received = on_endpoints_received,
   .confirmed = on_endpoints_confirmed,
 };
 
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -111,6 +111,10 @@
 
 /** `leave_grace`: how long a leaving endpoint may still be sent requests as a last resort. */
 SvFleet *sv_fleet_new (KnlKernel *kernel, KnlTime leave_grace);
+
+/** Sets how long ago the changes that are applied next may have been made: an endpoint that leaves
+ * counts as leaving since then. */
+void sv_fleet_set_list_lag (SvFleet *fleet, KnlTime lag);
 void sv_fleet_free (SvFleet *fleet);
 
 void sv_fleet_on_replaced (SvFleet *fleet, SvReplacedFunc func, gpointer data);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -27,6 +27,7 @@
 {
   KnlKernel *kernel;
   KnlTime leave_grace;
+  KnlTime list_lag;     /* see sv_fleet_set_list_lag() */
   GHashTable *by_id;    /* id -> SvEndpoint, holds a reference */
   GHashTable *by_key;   /* &key -> SvEndpoint */
   GHashTable *services; /* name -> GPtrArray of SvEndpoint by key */
@@ -189,7 +190,7 @@
   /* The list may lag behind what the endpoint advertised, for as long as the store is unavailable.
    */
   if (entry->draining || endpoint->advertised_leaving_at > 0)
-    sv_endpoint_begin_leaving (endpoint, knl_kernel_now (self->kernel));
+    sv_endpoint_begin_leaving (endpoint, knl_kernel_now (self->kernel) - self->list_lag);
   else
     endpoint->state = SV_ENDPOINT_READY;
 }
@@ -206,7 +207,7 @@
 
   if (endpoint == NULL)
     return;
-  sv_endpoint_begin_leaving (endpoint, knl_kernel_now (self->kernel));
+  sv_endpoint_begin_leaving (endpoint, knl_kernel_now (self->kernel) - self->list_lag);
   endpoint->is_unlisted = TRUE;
   sv_fleet_sweep (self);
 }
@@ -223,6 +224,12 @@
     }
 }
 
+void
+sv_fleet_set_list_lag (SvFleet *self, KnlTime lag)
+{
+  self->list_lag = lag;
+}
+
 void
 sv_fleet_begin_list (SvFleet *self)
 {
--- a/tests/fakes/gateway_fleet.c
+++ b/tests/fakes/gateway_fleet.c
@@ -28,13 +28,13 @@
   row_store_put_in (self->store, PL_CONFIG_TABLE, PL_CONFIG_KEY, text);
 }
 
-static void
-put_endpoint (GfFleet *self, guint i)
+void
+gf_fleet_put_endpoint (GfFleet *self, guint i, const char *state)
 {
   g_autofree char *id = g_strdup_printf ("i-%u", i);
   g_autofree char *text = g_strdup_printf ("{\"service\":\"s\",\"address\":\"127.0.0.1:9\","
-                                           "\"zone\":\"z%u\",\"state\":\"ready\",\"slots\":8}",
-                                           i % self->size.n_zones);
+                                           "\"zone\":\"z%u\",\"state\":\"%s\",\"slots\":8}",
+                                           i % self->size.n_zones, state);
 
   row_store_put_in (self->store, PL_ENDPOINT_TABLE, id, text);
 }
@@ -76,7 +76,7 @@
     .bounds = {
       .key_withdrawal = 5 * KNL_SEC,
       .new_config = 5 * KNL_SEC,
-      .leaving = 5 * KNL_SEC,
+      .leaving = GF_LEAVING,
       .unused_memory = 4 * KNL_SEC,
       .grace = 8 * KNL_SEC,
       .retries = { .ratio = 0.2, .slack = 100, .window = 10 * KNL_SEC },
@@ -129,7 +129,7 @@
   choose_octet (self);
   gf_fleet_put_config (self, 1, "key");
   for (guint i = 0; i < size->n_endpoints; i++)
-    put_endpoint (self, i);
+    gf_fleet_put_endpoint (self, i, "ready");
 }
 
 void
--- a/tests/fakes/gateway_fleet.h
+++ b/tests/fakes/gateway_fleet.h
@@ -73,5 +73,11 @@
 /** Writes a configuration with that version, in which the workspace has `key`. */
 void gf_fleet_put_config (GfFleet *fleet, guint version, const char *key);
 
+/** Time in which no instance may send requests to an endpoint that leaves. */
+#define GF_LEAVING (2 * KNL_SEC)
+
+/** Writes the row of an endpoint with the state "ready" or "draining". */
+void gf_fleet_put_endpoint (GfFleet *fleet, guint i, const char *state);
+
 /** Running instances that use an older configuration. */
 guint gf_fleet_n_outdated (const GfFleet *fleet, guint version);
