gateway: a cell is found as soon as the store answers

All instances were killed and started at 35.0 s, and the store was away until 35.5 s. Change: an answer of the store to a feed repeats a failed read of the row at once. Result: gw_members "the cell is found with the configuration" fails without it, passes with it.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -59,6 +59,7 @@
   KnlTime poll_delay;       /* delay of the next read after a failed one */
   json_t *cell_row;         /* row of this instance's cell, as last read; NULL: none */
   guint64 cell_row_version; /* its version; 0: there is none */
+  gboolean is_cell_unread;  /* the last read or write of the row failed, and is to be repeated */
   gboolean is_member;       /* the cell is found, or this instance is its first one */
   KnlTime join_started_at;
   KnlTime join_sent_at;    /* last request to be introduced */
@@ -138,6 +139,9 @@
 
 void gateway_stop_membership (Gateway *self);
 
+/** The store has answered a feed: a failed read of the cell's row is repeated at once. */
+void gateway_note_store_answered (Gateway *self);
+
 /** Reads the cells' rows again, which the store may have lost, if this instance is a relay. */
 void gateway_reread_cells (Gateway *self);
 
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -55,6 +55,14 @@
   schedule (self, self->poll_delay, func);
 }
 
+/* The cell's row couldn't be read or written. */
+static void
+retry_read_cell (Gateway *self)
+{
+  self->is_cell_unread = TRUE;
+  schedule_retry (self, read_cell);
+}
+
 static guint
 read_contacts (const Gateway *self, SvMember *contacts)
 {
@@ -151,7 +159,7 @@
   cm_log (CM_LOG_NOTICE, "contacts-written", "s", "status", pl_status_name (status), "i",
           "replaced-version", (gint64)self->cell_row_version);
   if (status != PL_OK && !self->is_member)
-    schedule_retry (self, read_cell);
+    retry_read_cell (self);
   else if (!self->is_member && is_first)
     self->member_call = pl_store_get (self->store, PL_MEMBER_TABLE, NULL, on_earlier_release, self);
   else if (!self->is_member)
@@ -254,7 +262,7 @@
   self->member_call = NULL;
   if (status != PL_OK || *answer == NULL)
     {
-      schedule_retry (self, read_cell);
+      retry_read_cell (self);
       return;
     }
   drop_cell_row (self);
@@ -278,6 +286,7 @@
   Gateway *self = data;
 
   self->member_timer = 0;
+  self->is_cell_unread = FALSE;
   /* Peers that know this instance from before its restart reach it while the store is away. */
   if (sv_peers_n_alive_in_cell (self->peers) > 0)
     {
@@ -395,6 +404,15 @@
   read_cells (self);
 }
 
+void
+gateway_note_store_answered (Gateway *self)
+{
+  if (!self->is_cell_unread)
+    return;
+  knl_timer_stop (self->process.kernel, &self->member_timer);
+  read_cell (self);
+}
+
 void
 gateway_start_membership (Gateway *self)
 {
--- a/gateway/source.c
+++ b/gateway/source.c
@@ -221,4 +221,5 @@
     return;
   self->store_unavailable_since = 0;
   sv_peers_set_cut_off (self->peers, FALSE);
+  gateway_note_store_answered (self);
 }
--- a/tests/unit/gw_members_test.c
+++ b/tests/unit/gw_members_test.c
@@ -158,6 +158,30 @@
   gf_fleet_close (&fleet);
 }
 
+/* Guards against instances that serve without knowing of each other, each with the whole retry
+ * budget: the store was away for a moment after all had started, the configuration was read as soon
+ * as it was back, and the cell's row seconds later. */
+static void
+test_cell_is_found_with_the_configuration (void)
+{
+  static const KnlTime outage = 450 * KNL_MSEC;
+  static const KnlTime limit = 800 * KNL_MSEC;
+  GfFleet fleet;
+
+  gf_fleet_open (&fleet, &small);
+  gf_fleet_start_all (&fleet, 0);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  for (guint i = 0; i < small.n_instances; i++)
+    gf_fleet_kill (&fleet, i);
+  row_store_set_mode (fleet.store, ROW_STORE_REFUSES);
+  gf_fleet_start_all (&fleet, 0);
+  gf_fleet_advance (&fleet, outage);
+  row_store_set_mode (fleet.store, ROW_STORE_SERVES);
+  CU_ASSERT (gf_fleet_settle (&fleet, limit) < limit);
+  gf_fleet_close (&fleet);
+}
+
 /* During an upgrade instances of the earlier release would not learn of new ones. */
 static void
 test_earlier_release_is_discovered (void)
@@ -233,6 +257,7 @@
   { "lost contacts are replaced", test_lost_contacts_are_replaced },
   { "calls in a partial outage don't grow with the instances", test_partial_outage },
   { "an unknown sender is answered", test_unknown_sender_is_answered },
+  { "the cell is found with the configuration", test_cell_is_found_with_the_configuration },
   { "instances of an earlier release are discovered", test_earlier_release_is_discovered },
 };
 
