gateway: all rows of the earlier release are read in an upgrade

Change: pages are followed; a constant in serve/join.c no longer has the name of another one in serve/relay.c. Result: gw_members "instances of an earlier release are discovered", with the row on the second page, fails without it and passes with it, sanitizers on.

--- a/gateway/members.c
+++ b/gateway/members.c
@@ -123,6 +123,8 @@
     on_settled (self);
 }
 
+static void read_earlier_release (Gateway *self, const char *from);
+
 /* Instances of an earlier release don't read the cells' rows: they are discovered by theirs, and
  * learn of this instance from its introduction. */
 static void
@@ -146,9 +148,23 @@
         }
       json_decref (row.value);
     }
+  /* A page begins with the last row of the one before. */
+  if (status == PL_OK && *answer != NULL && (*answer)->more_pages && (*answer)->rows->len > 1)
+    {
+      const GPtrArray *rows = (*answer)->rows;
+
+      read_earlier_release (self, ((PlAnswerRow *)g_ptr_array_index (rows, rows->len - 1))->key);
+      return;
+    }
   on_joined (self);
 }
 
+static void
+read_earlier_release (Gateway *self, const char *from)
+{
+  self->member_call = pl_store_get (self->store, PL_MEMBER_TABLE, from, on_earlier_release, self);
+}
+
 static void
 on_written (PlStatus status, PlAnswer **answer, gpointer data)
 {
@@ -161,7 +177,7 @@
   if (status != PL_OK && !self->is_member)
     retry_read_cell (self);
   else if (!self->is_member && is_first)
-    self->member_call = pl_store_get (self->store, PL_MEMBER_TABLE, NULL, on_earlier_release, self);
+    read_earlier_release (self, NULL);
   else if (!self->is_member)
     on_joined (self);
   else
--- a/serve/join.c
+++ b/serve/join.c
@@ -15,7 +15,7 @@
 #define TOLD_COUNT_TTL (5 * KNL_SEC)
 
 /* Unknown senders that are answered in one heartbeat interval. */
-#define MAX_INTRODUCTIONS 1024
+#define MAX_ANSWERED_UNKNOWN 1024
 
 static void
 add_member (Alderturn__Datagram *datagram, MemberRows *members, const Peer *peer)
@@ -148,7 +148,7 @@
   Rows rows;
 
   if (self->source.length == 0 || sender == self->id
-      || g_hash_table_size (self->answered_unknown) >= MAX_INTRODUCTIONS
+      || g_hash_table_size (self->answered_unknown) >= MAX_ANSWERED_UNKNOWN
       || !g_hash_table_add (self->answered_unknown, GUINT_TO_POINTER (sender)))
     return;
   sv_peers_begin_datagram (self, &datagram, &rows);
--- a/tests/unit/gw_members_test.c
+++ b/tests/unit/gw_members_test.c
@@ -199,6 +199,10 @@
                          "\"incarnation\":1,\"strength\":500}",
                          ntohs (address.sin_port));
   gf_fleet_open (&fleet, &small);
+  /* The row is on the second page. */
+  row_store_set_page (fleet.store, 2);
+  row_store_put_in (fleet.store, PL_MEMBER_TABLE, "a", "{}");
+  row_store_put_in (fleet.store, PL_MEMBER_TABLE, "b", "{}");
   row_store_put_in (fleet.store, PL_MEMBER_TABLE, "old", row);
   gf_fleet_start (&fleet, 0);
   gf_fleet_advance (&fleet, 200 * KNL_MSEC);
