serve, metrics: closed connections under requests are logged with what decides whether they count

Change: closed-under-request and crash-reported, with the request's fingerprint, whether the connection was a kept one, and whether it was counted; metrics give counters and gauges before histograms. No decision changes.

--- a/common/metrics.c
+++ b/common/metrics.c
@@ -281,13 +281,25 @@
   g_list_free (all);
 }
 
+static void
+append_metrics (const CmMetrics *metrics, gboolean histograms, GString *text)
+{
+  for (guint i = 0; i < metrics->metrics->len; i++)
+    {
+      const CmMetric *metric = g_ptr_array_index (metrics->metrics, i);
+
+      if ((metric->def->type == CM_METRIC_HISTOGRAM) == histograms)
+        append_metric (text, metric);
+    }
+}
+
 GString *
 cm_metrics_render (const CmMetrics *metrics)
 {
   GString *text = g_string_new (NULL);
 
-  for (guint i = 0; i < metrics->metrics->len; i++)
-    append_metric (text, g_ptr_array_index (metrics->metrics, i));
+  append_metrics (metrics, FALSE, text);
+  append_metrics (metrics, TRUE, text);
   return text;
 }
 
--- a/include/common/metrics.h
+++ b/include/common/metrics.h
@@ -89,7 +89,9 @@
 /** The histogram of a series; owned by the series. */
 const CmHistogram *cm_series_histogram (const CmSeries *series);
 
-/** All metrics in Prometheus' text format 0.0.4, sorted by name; free with g_string_free. */
+/** All metrics in Prometheus' text format 0.0.4; free with g_string_free. Counters and gauges come
+ * first, so that a scraper that limits what it reads gets them whole; each part is sorted by name.
+ */
 GString *cm_metrics_render (const CmMetrics *metrics);
 
 /** Memory used by all series, in bytes, without GLib's hash tables. */
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -204,6 +204,23 @@
     sv_request_send (self);
 }
 
+/* Logs what is known when the connection ends under a request, and whether that counts as a crash
+ * of the endpoint. */
+static void
+log_closed (const SvRequest *self, gboolean was_kept, gboolean counted)
+{
+  SvEndpoint *endpoint = self->placement.first;
+  KnlTime now = sv_request_now (self);
+  g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", self->fingerprint);
+
+  cm_log (CM_LOG_NOTICE, "closed-under-request", "s", "request", self->params.id, "s",
+          "fingerprint", fingerprint, "s", "endpoint", endpoint->id, "b", "kept-connection",
+          was_kept, "b", "answer-begun", self->answer != NULL, "i", "since-sent-us",
+          now - self->sent_at, "i", "endpoint-silent-us",
+          endpoint->last_seen_at > 0 ? now - endpoint->last_seen_at : (gint64)-1, "b",
+          "counted-as-crash", counted);
+}
+
 static void
 note_crash (SvRequest *self)
 {
@@ -340,8 +357,12 @@
   gboolean was_stale =
       ht_exchange_is_reused (exchange) && self->answer == NULL && failure == HT_FAIL_CLOSED;
 
-  if (failure == HT_FAIL_CLOSED && !was_stale && self->first_sent_at == 0)
+  gboolean counts_as_crash = failure == HT_FAIL_CLOSED && !was_stale && self->first_sent_at == 0;
+
+  if (counts_as_crash)
     note_crash (self);
+  if (failure == HT_FAIL_CLOSED)
+    log_closed (self, ht_exchange_is_reused (exchange), counts_as_crash);
   close_send (self, ht_failure_name (failure));
   if (was_stale)
     ht_client_close_idle (self->core->parts.client, endpoint->address);
--- a/serve/core.c
+++ b/serve/core.c
@@ -227,6 +227,9 @@
 void
 sv_core_note_suspect (SvCore *self, guint64 fingerprint)
 {
+  g_autofree char *text = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", fingerprint);
+
+  cm_log (CM_LOG_NOTICE, "crash-reported", "s", "fingerprint", text);
   pol_suspects_note_crash (self->suspects, fingerprint);
 }
 
