--- /dev/null
+++ b/tests/unit/sv_crash_test.c
@@ -0,0 +1,76 @@
+/** Tests of requests that crash the endpoints that run them. */
+
+#include <string.h>
+
+#include "suite.h"
+#include "sv_fixture.h"
+
+#define GOOD_BYTES "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood"
+
+static const ScriptedAnswer good = { GOOD_BYTES, FALSE };
+static const ScriptedAnswer crashes = { NULL, TRUE };
+static const ScriptedAnswer serves_one_then_crashes[] = { { GOOD_BYTES, FALSE }, { NULL, TRUE } };
+
+/* The endpoint's process is gone for good: its row is removed, and its leave grace passes. */
+static void
+remove_endpoint (SvFixture *fixture, guint i)
+{
+  g_autofree char *id = g_strdup_printf ("i-%u", i);
+
+  sv_fleet_remove (fixture->fleet, id);
+  knl_paused_clock_advance (fixture->clock, 2 * KNL_SEC);
+  sv_fleet_sweep (fixture->fleet);
+  sv_core_confirm (fixture->core, knl_kernel_now (fixture->kernel));
+}
+
+/* Guards against a request that ends one endpoint after another where each crash closes a kept
+ * connection. */
+static void
+test_crashes_on_kept_connections_are_counted (void)
+{
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  for (guint i = 0; i < 3; i++)
+    {
+      sv_fixture_add_endpoint (&fixture, serves_one_then_crashes, 2);
+      sv_fixture_request (&fixture, "/once/good");
+      sv_fixture_wait_for (&fixture, "good");
+      sv_fixture_request (&fixture, "/once/crash");
+      sv_fixture_wait_for (&fixture, "HTTP/1.1 502");
+      remove_endpoint (&fixture, i);
+    }
+  sv_fixture_add_endpoint (&fixture, &good, 1);
+  sv_fixture_request (&fixture, "/once/crash");
+  sv_fixture_wait_for (&fixture, "HTTP/1.1");
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 503"));
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[3]), 0);
+  sv_fixture_close (&fixture);
+}
+
+/* Guards against a retry of a request that has just crashed the third endpoint. */
+static void
+test_no_retry_after_the_third_crash (void)
+{
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  for (guint i = 0; i < 4; i++)
+    sv_fixture_add_endpoint (&fixture, &crashes, 1);
+  for (guint i = 0; i < 2; i++)
+    {
+      sv_fixture_request (&fixture, "/again/crash");
+      sv_fixture_wait_for (&fixture, "HTTP/1.1 502");
+    }
+  CU_ASSERT_EQUAL (sv_fixture_all_requests (&fixture), 3);
+  sv_fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "crashes on kept connections are counted", test_crashes_on_kept_connections_are_counted },
+  { "no retry after the third crash", test_no_retry_after_the_third_crash },
+};
+
+SUITE_MAIN ("sv_crash", cases)
--- a/tests/unit/sv_era_test.c
+++ b/tests/unit/sv_era_test.c
@@ -5,6 +5,8 @@
 #include "suite.h"
 #include "sv_fixture.h"
 
+#define N_ENDPOINTS 3
+
 #define LEAVING 1
 #define MISSING 2
 
@@ -102,24 +104,24 @@
   static const ScriptedAnswer good = { "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
                                        FALSE };
   SvFixture fixture;
-  Known before[MAX_ENDPOINTS];
+  Known before[N_ENDPOINTS];
 
   sv_fixture_open (&fixture);
   sv_fixture_use_config (&fixture, 1, "key");
   sv_fixture_add_endpoint (&fixture, &silent, 1);
-  for (guint i = 1; i < MAX_ENDPOINTS; i++)
+  for (guint i = 1; i < N_ENDPOINTS; i++)
     sv_fixture_add_endpoint (&fixture, &good, 1);
-  apply_list (&fixture, 1, 90, MAX_ENDPOINTS);
+  apply_list (&fixture, 1, 90, N_ENDPOINTS);
   sv_fixture_request (&fixture, "/once/1");
   sv_fixture_wait_requests (&fixture, 0, 1);
   set_known_state (&fixture);
-  for (guint i = 0; i < MAX_ENDPOINTS; i++)
+  for (guint i = 0; i < N_ENDPOINTS; i++)
     before[i] = known_of (&fixture, i);
   /* The restored copy lacks the newest endpoint, which is then written again. */
   apply_list (&fixture, 2, 40, MISSING);
   CU_ASSERT_EQUAL (endpoint_of (&fixture, MISSING)->state, SV_ENDPOINT_LEAVING);
-  apply_list (&fixture, 2, 41, MAX_ENDPOINTS);
-  for (guint i = 0; i < MAX_ENDPOINTS; i++)
+  apply_list (&fixture, 2, 41, N_ENDPOINTS);
+  for (guint i = 0; i < N_ENDPOINTS; i++)
     {
       Known after = known_of (&fixture, i);
 
--- a/tests/unit/sv_fixture.h
+++ b/tests/unit/sv_fixture.h
@@ -12,7 +12,7 @@
 /** Header fields that sign an answer as the endpoint's own. */
 #define SIGNED "X-Attempt-Id: %ID\r\nX-Server-Stamp: s\r\n"
 
-#define MAX_ENDPOINTS 3
+#define MAX_ENDPOINTS 5
 
 typedef struct
 {
--- a/tests/unit/sv_memory_test.c
+++ b/tests/unit/sv_memory_test.c
@@ -5,6 +5,8 @@
 #include "suite.h"
 #include "sv_fixture.h"
 
+#define N_ENDPOINTS 3
+
 #define ACCEPTED "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"free\":10}"
 
 #define IDLE_BOUND (9 * KNL_SEC)
@@ -43,7 +45,7 @@
 
   sv_fixture_open (&fixture);
   sv_fixture_use_engines (&fixture, 1, &sv_fixture_small_engine);
-  for (guint i = 0; i < MAX_ENDPOINTS; i++)
+  for (guint i = 0; i < N_ENDPOINTS; i++)
     sv_fixture_add_endpoint (&fixture, i == RUNNER ? silent : accepted, 1);
   sv_fixture_request_prompt (&fixture, "/long/1", 120000);
   wait_sent (&fixture);
@@ -72,11 +74,11 @@
 
   sv_fixture_open (&fixture);
   sv_fixture_use_engines (&fixture, 1, &sv_fixture_small_engine);
-  for (guint i = 0; i < MAX_ENDPOINTS; i++)
+  for (guint i = 0; i < N_ENDPOINTS; i++)
     sv_fixture_add_endpoint (&fixture, accepted, 1);
   sv_fixture_request_prompt (&fixture, "/long/1", 120000);
   sv_fixture_wait_requests (&fixture, HOLDER, 1);
-  for (guint i = 0; i < MAX_ENDPOINTS; i++)
+  for (guint i = 0; i < N_ENDPOINTS; i++)
     {
       SvEndpoint *endpoint = g_ptr_array_index (sv_fleet_all (fixture.fleet), i);
 
--- a/tests/unit/sv_retry_after_test.c
+++ b/tests/unit/sv_retry_after_test.c
@@ -5,6 +5,8 @@
 #include "suite.h"
 #include "sv_fixture.h"
 
+#define N_ENDPOINTS 3
+
 #define ANSWER      "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood"
 #define RETRY_AFTER (3 * KNL_SEC)
 #define STEP        (400 * KNL_MSEC)
@@ -79,7 +81,7 @@
   script[1] = stream;
   sv_fixture_open (self);
   sv_fixture_use_engines (self, 1, &sv_fixture_small_engine);
-  for (guint i = 0; i < MAX_ENDPOINTS; i++)
+  for (guint i = 0; i < N_ENDPOINTS; i++)
     sv_fixture_add_endpoint (self, i == advertiser ? script : &stream, i == advertiser ? 2 : 1);
 }
 
