tests: instances of a test don't hear those of another test process

Seen: sv_peers failed once among all tests (peers_fixture_connect: an instance too many or too few is alive). Cause: the fixtures of sv_peers, sv_cells, sv_limit_kept and sv_confirm bind ports of 127.0.0.1 from the same one on; a port that one process frees is taken by another, which then gets the first one's datagrams, of instances with its names. Change: each process has a loopback address of its own, as the tests with whole gateways have; the function moves to suite.

--- a/tests/faults/gateway_test.c
+++ b/tests/faults/gateway_test.c
@@ -60,7 +60,7 @@
 settings_with_bound (Fixture *self, int revoke_ms)
 {
   const char *port = strchr (self->link, ':') + 1;
-  g_autofree char *ip = hn_loopback_ip (0);
+  g_autofree char *ip = suite_loopback_ip (0);
 
   return g_strdup_printf (SETTINGS_FORMAT, ip, port, port, self->callers, self->ready,
                           self->directory, row_store_address (self->store), revoke_ms);
--- a/tests/faults/harness.c
+++ b/tests/faults/harness.c
@@ -74,14 +74,6 @@
   return harness;
 }
 
-char *
-hn_loopback_ip (guint index)
-{
-  guint process = (guint)getpid ();
-
-  return g_strdup_printf ("127.%u.%u.%u", 1 + process / 256 % 254, process % 256, 1 + index);
-}
-
 /*
  * A port that is only looked up may be taken by another process, also as the local
  * end of a connection, before the server listens; tests would then fail sporadically.
--- a/tests/faults/harness.h
+++ b/tests/faults/harness.h
@@ -41,13 +41,6 @@
  */
 gboolean hn_harness_free (HnHarness *harness);
 
-/**
- * A loopback IP address that no other test process uses at the same time; free with g_free().
- * Gateways serve their metrics at a fixed port of their IP address: with a common one, a gateway of
- * a second run of the tests at the same time would not start.
- */
-char *hn_loopback_ip (guint index);
-
 /** Returns "127.0.0.1:PORT", reserved while the harness exists, also across restarts of a process
  * that listens there; owned by the harness. */
 const char *hn_address_new (HnHarness *harness);
--- a/tests/soak/era_return.c
+++ b/tests/soak/era_return.c
@@ -13,8 +13,9 @@
 
 #include "tests/fakes/row_store.h"
 #include "tests/faults/harness.h"
+#include "tests/unit/suite.h"
 
-/* Number of addresses that hn_loopback_ip() can give in one loopback network. */
+/* Number of addresses that suite_loopback_ip() can give in one loopback network. */
 #define MAX_INSTANCES 250
 
 /* Time after the start of all instances until only feeds use the store. */
@@ -59,7 +60,7 @@
 static void
 start_instance (Fleet *self, guint i)
 {
-  g_autofree char *ip = hn_loopback_ip (i);
+  g_autofree char *ip = suite_loopback_ip (i);
   g_autofree char *name = g_strdup_printf ("n%u", i);
   g_autofree char *text = NULL;
   const char *callers = hn_address_new (self->harness);
--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -170,7 +170,7 @@
 {
   Gateway *gateway = &self->gateways[i];
   const char *port = strchr (gateway->link, ':') + 1;
-  g_autofree char *ip = hn_loopback_ip (i);
+  g_autofree char *ip = suite_loopback_ip (i);
   g_autofree char *text =
       g_strdup_printf (SETTINGS_FORMAT, i, ip, port, port, gateway->callers, gateway->ready,
                        gateway->directory, row_store_address (self->store));
--- a/tests/unit/peers_fixture.c
+++ b/tests/unit/peers_fixture.c
@@ -1,6 +1,6 @@
 #include "peers_fixture.h"
 
-#include <CUnit/CUnit.h>
+#include "suite.h"
 
 #define TEST_TIMEOUT_S 20
 #define STRENGTH       100
@@ -28,10 +28,18 @@
   sv_fleet_update (fleet, &entry);
 }
 
+static char *
+new_address (void)
+{
+  static guint port = 22000;
+  g_autofree char *ip = suite_loopback_ip (0);
+
+  return g_strdup_printf ("%s:%u", ip, port++);
+}
+
 void
 peers_fixture_start (PeersFixture *self, guint i)
 {
-  static guint port = 22000;
   g_autofree char *name = g_strdup_printf ("n%u", i);
   g_autofree char *callers = g_strdup_printf ("10.0.0.%u:80", i);
 
@@ -48,7 +56,7 @@
                           .strength = self->strength[i] };
 
       if (self->links[i] == NULL)
-        self->links[i] = g_strdup_printf ("127.0.0.1:%u", port++);
+        self->links[i] = new_address ();
       member.link_address = self->links[i];
       self->peers[i] = sv_peers_new (self->kernel, self->base, self->fleets[i], &member);
       if (self->peers[i] == NULL)
--- a/tests/unit/suite.c
+++ b/tests/unit/suite.c
@@ -1,6 +1,7 @@
 #include "suite.h"
 
 #include <glib.h>
+#include <unistd.h>
 
 int
 suite_run (const char *name, const SuiteCase *cases, unsigned int count)
@@ -22,3 +23,11 @@
   CU_cleanup_registry ();
   return failures == 0 ? 0 : 1;
 }
+
+char *
+suite_loopback_ip (guint index)
+{
+  guint process = (guint)getpid ();
+
+  return g_strdup_printf ("127.%u.%u.%u", 1 + process / 256 % 254, process % 256, 1 + index);
+}
--- a/tests/unit/suite.h
+++ b/tests/unit/suite.h
@@ -7,6 +7,7 @@
 
 #include <CUnit/Basic.h>
 #include <CUnit/CUnit.h>
+#include <glib.h>
 
 typedef struct
 {
@@ -18,6 +19,14 @@
  * 2 if CUnit can't start. */
 int suite_run (const char *name, const SuiteCase *cases, unsigned int count);
 
+/**
+ * A loopback IP address that no other test process uses at the same time; free with g_free().
+ * Instances with a common one would hear the datagrams of another test's instances. Gateways serve
+ * their metrics at a fixed port of their IP address: with a common one, a gateway of a second run
+ * of the tests at the same time would not start.
+ */
+char *suite_loopback_ip (guint index);
+
 #define SUITE_MAIN(name, cases)                                                                    \
   int main (void)                                                                                  \
   {                                                                                                \
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -118,6 +118,7 @@
 open_instance (Fixture *self, guint i)
 {
   static guint port = 25000;
+  g_autofree char *ip = suite_loopback_ip (0);
   Instance *instance = &self->instances[i];
   g_autofree char *name = g_strdup_printf ("n%u", i);
 
@@ -131,7 +132,7 @@
                           .strength = 1 };
 
       g_free (instance->link);
-      instance->link = g_strdup_printf ("127.0.0.1:%u", port++);
+      instance->link = g_strdup_printf ("%s:%u", ip, port++);
       member.link_address = instance->link;
       instance->peers = sv_peers_new (self->kernel, self->base, instance->fleet, &member);
     }
