--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -77,12 +77,6 @@
   self->tick_timer = knl_timer_start (self->process.kernel, TICK_INTERVAL, on_tick, self);
 }
 
-static void
-on_suspect (guint64 fingerprint, gpointer data)
-{
-  sv_core_note_suspect (((Gateway *)data)->core, fingerprint);
-}
-
 /* Idle connections to the address belong to the endpoint's previous process. */
 static void
 on_endpoint_replaced (SvEndpoint *endpoint, gpointer data)
@@ -147,7 +141,7 @@
     .zone = self->boot->zone,
   };
   self->core = sv_core_new (&parts, &self->boot->bounds);
-  sv_peers_on_suspect (self->peers, on_suspect, self);
+  sv_peers_set_crashes (self->peers, sv_core_crashes (self->core));
   sv_fleet_on_replaced (self->fleet, on_endpoint_replaced, self);
 }
 
@@ -191,6 +185,8 @@
   gateway_stop_watching_era (self);
   gateway_stop_following (self);
   gateway_stop_membership (self);
+  if (self->peers != NULL)
+    sv_peers_set_crashes (self->peers, NULL);
   sv_core_free (self->core);
   gateway_close_servers (self);
   sv_peers_free (self->peers);
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -11,6 +11,7 @@
 #include "http/server.h"
 #include "serve/bounds.h"
 #include "serve/config.h"
+#include "serve/crashes.h"
 #include "serve/dialect.h"
 #include "serve/fleet.h"
 #include "serve/router.h"
@@ -27,8 +28,8 @@
   void (*prefill_ended) (SvPeerLink *link, guint64 prompt);
   /** This instance's load at some endpoint, or an endpoint's advertised limit, has changed. */
   void (*load_changed) (SvPeerLink *link);
-  /** A request with this fingerprint made the endpoint that ran it close the connection. */
-  void (*suspect) (SvPeerLink *link, guint64 fingerprint);
+  /** The core's records of crashes have changed. */
+  void (*crashes_changed) (SvPeerLink *link);
   /** A request was lost at the endpoint (`lost`), or an endpoint with loss reports has answered. */
   void (*health_changed) (SvPeerLink *link, const SvEndpoint *endpoint, gboolean lost);
   /** Number of instances, including this one. */
@@ -104,5 +105,5 @@
 /** The endpoint has restarted: its requests in flight are lost, and are retried or ended. */
 void sv_core_note_replaced (SvCore *core, const SvEndpoint *endpoint);
 
-/** Another instance reports a suspect; see SvPeerLinkClass. */
-void sv_core_note_suspect (SvCore *core, guint64 fingerprint);
+/** Endpoints lost under requests, as far as this instance knows; owned by the core. */
+SvCrashes *sv_core_crashes (SvCore *core);
--- a/include/serve/meters.h
+++ b/include/serve/meters.h
@@ -28,5 +28,8 @@
 /** Counts a send to an endpoint that advertises a limit. */
 void sv_meters_note_limited_send (SvMeters *meters, const char *service);
 
+/** Counts an endpoint that was lost under a request. */
+void sv_meters_note_crash (SvMeters *meters, const char *service);
+
 /** Records the error of the model's estimate of the time from the send to the first event. */
 void sv_meters_note_prediction (SvMeters *meters, KnlTime expected, KnlTime actual);
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -30,16 +30,15 @@
   guint strength; /**< thousandths of a core; the strongest become relay and followers */
 } SvMember;
 
-/** Called when a peer reports the fingerprint of a request that crashes endpoints. */
-typedef void (*SvPeerSuspectFunc) (guint64 fingerprint, gpointer data);
-
 /** Binds the UDP socket to `member->link_address`; strings are copied. Returns NULL with errno set
  * if it can't be bound. */
 SvPeers *
 sv_peers_new (KnlKernel *kernel, struct event_base *base, SvFleet *fleet, const SvMember *member);
 void sv_peers_free (SvPeers *peers);
 
-void sv_peers_on_suspect (SvPeers *peers, SvPeerSuspectFunc func, gpointer data);
+/** Sets the records of crashes that are exchanged with other instances; NULL: none. They must
+ * outlive `peers`, or be set to NULL before they are freed. */
+void sv_peers_set_crashes (SvPeers *peers, SvCrashes *crashes);
 
 /** The link through which the core announces changes; owned by `peers`. */
 SvPeerLink *sv_peers_link (SvPeers *peers);
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -22,6 +22,8 @@
 typedef struct Alderturn__Cell Alderturn__Cell;
 typedef struct Alderturn__Confirmation Alderturn__Confirmation;
 typedef struct Alderturn__CellMember Alderturn__CellMember;
+typedef struct Alderturn__EndpointCrash Alderturn__EndpointCrash;
+typedef struct Alderturn__AnsweredRequest Alderturn__AnsweredRequest;
 typedef struct Alderturn__Datagram Alderturn__Datagram;
 
 
@@ -229,6 +231,50 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * An endpoint was lost while it ran a request, and the sender has not heard from it since.
+ */
+struct  Alderturn__EndpointCrash
+{
+  ProtobufCMessage base;
+  /*
+   * fingerprint
+   */
+  uint64_t request;
+  /*
+   * hash of its id and start
+   */
+  uint64_t endpoint;
+  /*
+   * since it was lost
+   */
+  uint32_t age_ms;
+};
+#define ALDERTURN__ENDPOINT_CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__endpoint_crash__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * An endpoint has answered a request under which others had been lost.
+ */
+struct  Alderturn__AnsweredRequest
+{
+  ProtobufCMessage base;
+  /*
+   * fingerprint
+   */
+  uint64_t request;
+  /*
+   * since the answer
+   */
+  uint32_t age_ms;
+};
+#define ALDERTURN__ANSWERED_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__answered_request__descriptor) \
+    , 0, 0 }
+
+
 struct  Alderturn__Datagram
 {
   ProtobufCMessage base;
@@ -248,11 +294,6 @@
   Alderturn__EndpointLoad **loads;
   size_t n_reads;
   Alderturn__PlacedRead **reads;
-  /*
-   * fingerprints of requests that crash endpoints
-   */
-  size_t n_suspects;
-  uint64_t *suspects;
   /*
    * endpoints that the sender has just lost a request at
    */
@@ -314,10 +355,14 @@
    * that the sender knows of in all cells, itself counted; 0: not told
    */
   uint32_t instances;
+  size_t n_crashes;
+  Alderturn__EndpointCrash **crashes;
+  size_t n_answered;
+  Alderturn__AnsweredRequest **answered;
 };
 #define ALDERTURN__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__datagram__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /* Alderturn__EndpointLimit methods */
@@ -453,6 +498,44 @@
 void   alderturn__cell_member__free_unpacked
                      (Alderturn__CellMember *message,
                       ProtobufCAllocator *allocator);
+/* Alderturn__EndpointCrash methods */
+void   alderturn__endpoint_crash__init
+                     (Alderturn__EndpointCrash         *message);
+size_t alderturn__endpoint_crash__get_packed_size
+                     (const Alderturn__EndpointCrash   *message);
+size_t alderturn__endpoint_crash__pack
+                     (const Alderturn__EndpointCrash   *message,
+                      uint8_t             *out);
+size_t alderturn__endpoint_crash__pack_to_buffer
+                     (const Alderturn__EndpointCrash   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__EndpointCrash *
+       alderturn__endpoint_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__endpoint_crash__free_unpacked
+                     (Alderturn__EndpointCrash *message,
+                      ProtobufCAllocator *allocator);
+/* Alderturn__AnsweredRequest methods */
+void   alderturn__answered_request__init
+                     (Alderturn__AnsweredRequest         *message);
+size_t alderturn__answered_request__get_packed_size
+                     (const Alderturn__AnsweredRequest   *message);
+size_t alderturn__answered_request__pack
+                     (const Alderturn__AnsweredRequest   *message,
+                      uint8_t             *out);
+size_t alderturn__answered_request__pack_to_buffer
+                     (const Alderturn__AnsweredRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__AnsweredRequest *
+       alderturn__answered_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__answered_request__free_unpacked
+                     (Alderturn__AnsweredRequest *message,
+                      ProtobufCAllocator *allocator);
 /* Alderturn__Datagram methods */
 void   alderturn__datagram__init
                      (Alderturn__Datagram         *message);
@@ -495,6 +578,12 @@
 typedef void (*Alderturn__CellMember_Closure)
                  (const Alderturn__CellMember *message,
                   void *closure_data);
+typedef void (*Alderturn__EndpointCrash_Closure)
+                 (const Alderturn__EndpointCrash *message,
+                  void *closure_data);
+typedef void (*Alderturn__AnsweredRequest_Closure)
+                 (const Alderturn__AnsweredRequest *message,
+                  void *closure_data);
 typedef void (*Alderturn__Datagram_Closure)
                  (const Alderturn__Datagram *message,
                   void *closure_data);
@@ -511,6 +600,8 @@
 extern const ProtobufCMessageDescriptor alderturn__cell__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__confirmation__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__cell_member__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__endpoint_crash__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__answered_request__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -106,7 +106,7 @@
 }
 
 static gboolean
-check_suspect (SvRequest *self)
+check_crashes (SvRequest *self)
 {
   const HtMessage *request = ht_call_request (self->call);
   guint64 seed = XXH64 (request->target, strlen (request->target), 0);
@@ -114,7 +114,7 @@
   if (self->params.key != NULL)
     seed = XXH64 (self->params.key, strlen (self->params.key), seed);
   self->fingerprint = XXH64 (request->body->str, request->body->len, seed);
-  if (pol_suspects_check (self->core->suspects, self->fingerprint) != POL_SUSPICION_REFUSED)
+  if (!sv_crashes_is_refused (self->core->crashes, self->fingerprint))
     return TRUE;
   sv_request_refuse (self, 503, "crashes-endpoints");
   return FALSE;
@@ -126,6 +126,8 @@
   SvRequest *self = data;
 
   self->deadline_timer = 0;
+  if (self->exchange != NULL && self->last_received_at == 0)
+    sv_request_note_crash (self, "deadline");
   if (self->runs > 0 || self->exchange != NULL)
     sv_request_fail (self, 504, "deadline");
   else
@@ -151,7 +153,7 @@
 sv_request_admit (SvRequest *self)
 {
   static gboolean (*const checks[]) (SvRequest *) = {
-    check_config, check_required_fields, check_route, check_key, check_drain, check_suspect,
+    check_config, check_required_fields, check_route, check_key, check_drain, check_crashes,
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (checks); i++)
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -140,6 +140,42 @@
           self->first_sent_at > 0);
 }
 
+/*
+ * What shows here is only that the connection ended, or that nothing comes any more. A kept
+ * connection that closes may have been idle for too long, or the endpoint may have crashed; an
+ * answer of the endpoint to anyone tells them apart, see SvCrashes.
+ */
+void
+sv_request_note_crash (SvRequest *self, const char *fault)
+{
+  SvCore *core = self->core;
+  const SvEndpoint *endpoint = self->placement.first;
+  KnlTime now = sv_request_now (self);
+  SvCrash crash = { self->fingerprint, endpoint->key, now };
+  g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", self->fingerprint);
+
+  if (!sv_crashes_note_loss (core->crashes, &crash, SV_CRASH_OWN))
+    return;
+  cm_log (CM_LOG_NOTICE, "crash-suspected", "s", "request", self->params.id, "s", "fingerprint",
+          fingerprint, "s", "endpoint", endpoint->id, "s", "fault", fault, "i", "since-sent-us",
+          now - self->sent_at, "i", "endpoint-silent-us",
+          endpoint->last_seen_at > 0 ? now - endpoint->last_seen_at : (gint64)-1, "i", "crashes",
+          (gint64)sv_crashes_count (core->crashes, self->fingerprint));
+  sv_meters_note_crash (core->meters, self->service->name);
+  core->parts.link->klass->crashes_changed (core->parts.link);
+}
+
+/* An answer shows that the endpoint has run the request and survived it. */
+static void
+note_survived (SvRequest *self)
+{
+  SvCore *core = self->core;
+  SvAcquittal acquittal = { self->fingerprint, sv_request_now (self) };
+
+  if (sv_crashes_note_answer (core->crashes, &acquittal, SV_CRASH_OWN))
+    core->parts.link->klass->crashes_changed (core->parts.link);
+}
+
 void
 sv_request_give_up (SvRequest *self, const char *reason)
 {
@@ -198,38 +234,14 @@
   decision = pol_retry_decide (&rule, &retry);
   if (decision == POL_RETRY_NEVER)
     sv_request_give_up (self, fault);
+  else if (sv_crashes_is_refused (self->core->crashes, self->fingerprint))
+    sv_request_give_up (self, "crashes-endpoints");
   else if (!spend_retry (self, decision))
     sv_request_give_up (self, "no-retry-left");
   else
     sv_request_send (self);
 }
 
-/* Logs what is known when the connection ends under a request, and whether that counts as a crash
- * of the endpoint. */
-static void
-log_closed (const SvRequest *self, gboolean was_kept, gboolean counted)
-{
-  SvEndpoint *endpoint = self->placement.first;
-  KnlTime now = sv_request_now (self);
-  g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", self->fingerprint);
-
-  cm_log (CM_LOG_NOTICE, "closed-under-request", "s", "request", self->params.id, "s",
-          "fingerprint", fingerprint, "s", "endpoint", endpoint->id, "b", "kept-connection",
-          was_kept, "b", "answer-begun", self->answer != NULL, "i", "since-sent-us",
-          now - self->sent_at, "i", "endpoint-silent-us",
-          endpoint->last_seen_at > 0 ? now - endpoint->last_seen_at : (gint64)-1, "b",
-          "counted-as-crash", counted);
-}
-
-static void
-note_crash (SvRequest *self)
-{
-  SvPeerLink *link = self->core->parts.link;
-
-  pol_suspects_note_crash (self->core->suspects, self->fingerprint);
-  link->klass->suspect (link, self->fingerprint);
-}
-
 static HtHeadVerdict
 on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
@@ -327,6 +339,8 @@
       handle_rejection (self);
       return;
     }
+  if (!streaming || !sv_events_is_incomplete (&self->events))
+    note_survived (self);
   if (answer->status >= 500)
     {
       handle_error_answer (self, answer);
@@ -342,6 +356,7 @@
   if (sv_events_is_incomplete (&self->events))
     {
       sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
+      sv_request_note_crash (self, "torn-stream");
       sv_request_handle_loss (self, "torn-stream", TRUE);
       return;
     }
@@ -357,12 +372,8 @@
   gboolean was_stale =
       ht_exchange_is_reused (exchange) && self->answer == NULL && failure == HT_FAIL_CLOSED;
 
-  gboolean counts_as_crash = failure == HT_FAIL_CLOSED && !was_stale && self->first_sent_at == 0;
-
-  if (counts_as_crash)
-    note_crash (self);
   if (failure == HT_FAIL_CLOSED)
-    log_closed (self, ht_exchange_is_reused (exchange), counts_as_crash);
+    sv_request_note_crash (self, was_stale ? "stale-connection" : ht_failure_name (failure));
   close_send (self, ht_failure_name (failure));
   if (was_stale)
     ht_client_close_idle (self->core->parts.client, endpoint->address);
--- a/serve/core.c
+++ b/serve/core.c
@@ -5,9 +5,6 @@
  * PolBudgetRule. */
 #define RETRIES_USED_FRACTION 0.75
 
-/* A harmless request can lose its endpoint twice by coincidence. */
-static const PolSuspectRule suspect_rule = { .refuse_at = 3, .ttl = 60 * KNL_SEC };
-
 void
 sv_core_set_bounds (SvCore *self, const SvBounds *bounds)
 {
@@ -27,7 +24,7 @@
   self->confirmed_at = -KNL_NEVER;
   self->requests = g_hash_table_new (NULL, NULL);
   self->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  self->suspects = pol_suspects_new (parts->kernel, &suspect_rule);
+  self->crashes = sv_crashes_new (parts->kernel, parts->fleet);
   self->meters = sv_meters_new (parts->metrics);
   sv_fleet_on_prefill (parts->fleet, sv_core_note_prefill, self);
   return self;
@@ -57,7 +54,7 @@
   sv_fleet_on_prefill (self->parts.fleet, NULL, NULL);
   end_requests (self, sv_request_note_disconnect);
   sv_meters_free (self->meters);
-  pol_suspects_free (self->suspects);
+  sv_crashes_free (self->crashes);
   g_hash_table_unref (self->budgets);
   g_hash_table_unref (self->requests);
   sv_config_unref (self->config);
@@ -213,6 +210,7 @@
     {
       SvRequest *request = g_ptr_array_index (lost, i);
 
+      sv_request_note_crash (request, "endpoint-restarted");
       sv_request_cancel_send (request);
       sv_request_handle_loss (request, "endpoint-restarted", TRUE);
     }
@@ -224,13 +222,10 @@
   return g_hash_table_size (self->requests);
 }
 
-void
-sv_core_note_suspect (SvCore *self, guint64 fingerprint)
+SvCrashes *
+sv_core_crashes (SvCore *self)
 {
-  g_autofree char *text = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", fingerprint);
-
-  cm_log (CM_LOG_NOTICE, "crash-reported", "s", "fingerprint", text);
-  pol_suspects_note_crash (self->suspects, fingerprint);
+  return self->crashes;
 }
 
 PolBudget *
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -6,7 +6,6 @@
 #include "serve/events.h"
 #include "serve/meters.h"
 #include "serve/reservation.h"
-#include "policy/suspects.h"
 
 struct SvCore
 {
@@ -20,7 +19,7 @@
   KnlTime drain_since;  /* 0: not draining */
   GHashTable *requests; /* SvRequest */
   GHashTable *budgets;  /* service -> PolBudget */
-  PolSuspects *suspects;
+  SvCrashes *crashes;
   SvMeters *meters;
 };
 
@@ -131,6 +130,9 @@
 /** Cancels the current send, its timers and its reservation; no-op if there is none. */
 void sv_request_cancel_send (SvRequest *self);
 
+/** Records that the endpoint may have crashed under the request, and tells the peers. */
+void sv_request_note_crash (SvRequest *self, const char *fault);
+
 /** Handles a send that gave no usable answer: retries it, or ends the request. `ran`: it may have
  * run. */
 void sv_request_handle_loss (SvRequest *self, const char *fault, gboolean ran);
--- a/serve/meters.c
+++ b/serve/meters.c
@@ -37,6 +37,13 @@
   .labels = { "service" },
 };
 
+static const CmMetricDef crashes_def = {
+  .name = "alderturn_crashes_suspected_total",
+  .help = "Endpoints lost under a request that this instance sent",
+  .type = CM_METRIC_COUNTER,
+  .labels = { "service" },
+};
+
 static const CmMetricDef first_event_error_def = {
   .name = "alderturn_first_event_error_seconds",
   .help = "Distance between the expected and the seen time to the first event",
@@ -52,6 +59,7 @@
   CmMetric *total;
   CmMetric *sends;
   CmMetric *limited;
+  CmMetric *crashes;
   CmMetric *first_event_error;
 };
 
@@ -65,6 +73,7 @@
   self->total = cm_metrics_add (metrics, &total_def);
   self->sends = cm_metrics_add (metrics, &sends_def);
   self->limited = cm_metrics_add (metrics, &limited_def);
+  self->crashes = cm_metrics_add (metrics, &crashes_def);
   self->first_event_error = cm_metrics_add (metrics, &first_event_error_def);
   return self;
 }
@@ -101,6 +110,12 @@
   cm_series_add (cm_metric_series (self->limited, service, NULL, NULL), 1);
 }
 
+void
+sv_meters_note_crash (SvMeters *self, const char *service)
+{
+  cm_series_add (cm_metric_series (self->crashes, service, NULL, NULL), 1);
+}
+
 void
 sv_meters_note_prediction (SvMeters *self, KnlTime expected, KnlTime actual)
 {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -148,7 +148,10 @@
   sv_cells_note_changed (self);
   update_instance_counts (self);
   if (self->n_heartbeats++ % HEARTBEATS_PER_FULL == 0)
-    sv_peers_send_full (self, NULL);
+    {
+      sv_peers_send_full (self, NULL);
+      sv_peers_repeat_crashes (self);
+    }
   else
     sv_peers_send_heartbeat (self);
   sv_relay_on_heartbeat (self);
@@ -309,10 +312,9 @@
 }
 
 void
-sv_peers_on_suspect (SvPeers *self, SvPeerSuspectFunc func, gpointer data)
+sv_peers_set_crashes (SvPeers *self, SvCrashes *crashes)
 {
-  self->on_suspect = func;
-  self->on_suspect_data = data;
+  self->crashes = crashes;
 }
 
 SvPeerLink *
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -20,6 +20,10 @@
 /* Maximum rows for prompts, each listing the endpoints that prefill it. */
 #define MAX_PREFILL_ROWS 5
 
+/* Maximum rows for endpoints lost under a request, and for requests that were answered since. */
+#define MAX_CRASH_ROWS    8
+#define MAX_ANSWERED_ROWS 4
+
 /** Rows in a datagram that lists instances of the cell. */
 #define MAX_MEMBER_ROWS 12
 
@@ -86,7 +90,6 @@
 typedef struct
 {
   GArray *prefills;  /* PrefillRow */
-  GArray *suspects;  /* guint64 */
   GArray *lost;      /* guint64, keys of endpoints */
   GArray *lost_by;   /* guint32, id of the reporter for each of `lost` */
   GArray *answering; /* guint64, keys of endpoints */
@@ -149,8 +152,7 @@
   SvPeerConfirmFunc on_confirmation; /* NULL: none */
   SvPeerVersionsFunc on_versions;    /* NULL: none */
   gpointer on_confirmation_data;     /* passed to both */
-  SvPeerSuspectFunc on_suspect;
-  gpointer on_suspect_data;
+  SvCrashes *crashes;                /* NULL: not exchanged */
 };
 
 /** Storage for a datagram's rows, with the arrays of pointers that protobuf-c needs. */
@@ -162,6 +164,10 @@
   guint n_limits;
   Alderturn__PlacedRead prefills[MAX_PREFILL_ROWS];
   Alderturn__PlacedRead *prefill_rows[MAX_PREFILL_ROWS];
+  Alderturn__EndpointCrash crashes[MAX_CRASH_ROWS];
+  Alderturn__EndpointCrash *crash_rows[MAX_CRASH_ROWS];
+  Alderturn__AnsweredRequest answered[MAX_ANSWERED_ROWS];
+  Alderturn__AnsweredRequest *answered_rows[MAX_ANSWERED_ROWS];
 } Rows;
 
 /** Storage for the members of a datagram. */
@@ -247,6 +253,17 @@
 /** Adds as many of the updates in `outbox` as fit. Returns FALSE if there were none. */
 gboolean sv_peers_add_outbox (Alderturn__Datagram *datagram, Rows *rows, Outbox *outbox);
 
+/** Adds as many of the crashes that the audience has not been sent as fit. FALSE: there were none.
+ */
+gboolean sv_peers_add_crashes (SvPeers *self,
+                               Alderturn__Datagram *datagram,
+                               Rows *rows,
+                               SvCrashAudience audience);
+
+/** Announces again the crashes that may refuse a request: any datagram may be lost, and instances
+ * start later. */
+void sv_peers_repeat_crashes (SvPeers *self);
+
 /** Removes from `outbox` the updates that the datagram contains. */
 void sv_outbox_remove_sent (Outbox *outbox, const Alderturn__Datagram *datagram);
 
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -273,10 +273,40 @@
 }
 
 static void
-handle_suspects (SvPeers *self, const Alderturn__Datagram *datagram)
+log_crash (const SvPeers *self, const SvCrash *crash, const Peer *peer)
 {
-  for (guint i = 0; i < datagram->n_suspects && self->on_suspect != NULL; i++)
-    self->on_suspect (datagram->suspects[i], self->on_suspect_data);
+  const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, crash->endpoint);
+  g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", crash->fingerprint);
+
+  cm_log (CM_LOG_NOTICE, "crash-reported", "s", "fingerprint", fingerprint, "s", "endpoint",
+          endpoint != NULL ? endpoint->id : NULL, "s", "peer", peer->name, "i", "age-us",
+          knl_kernel_now (self->kernel) - crash->lost_at, "i", "crashes",
+          (gint64)sv_crashes_count (self->crashes, crash->fingerprint));
+}
+
+static void
+handle_crashes (SvPeers *self,
+                const Peer *peer,
+                const Alderturn__Datagram *datagram,
+                SvCrashOrigin origin)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  for (guint i = 0; i < datagram->n_answered && self->crashes != NULL; i++)
+    {
+      const Alderturn__AnsweredRequest *row = datagram->answered[i];
+      SvAcquittal acquittal = { row->request, now - (KnlTime)row->age_ms * KNL_MSEC };
+
+      sv_crashes_note_answer (self->crashes, &acquittal, origin);
+    }
+  for (guint i = 0; i < datagram->n_crashes && self->crashes != NULL; i++)
+    {
+      const Alderturn__EndpointCrash *row = datagram->crashes[i];
+      SvCrash crash = { row->request, row->endpoint, now - (KnlTime)row->age_ms * KNL_MSEC };
+
+      if (sv_crashes_note_loss (self->crashes, &crash, origin))
+        log_crash (self, &crash, peer);
+    }
 }
 
 static void
@@ -301,7 +331,7 @@
   handle_loads (self, peer, datagram);
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
-  handle_suspects (self, datagram);
+  handle_crashes (self, peer, datagram, SV_CRASH_OF_CELL);
   if (sv_peers_is_relay (self))
     sv_outbox_append (&self->cell_outbox, datagram, peer->id);
   sv_relay_announce (self);
@@ -349,7 +379,7 @@
   handle_cell_loads (self, cell, datagram);
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
-  handle_suspects (self, datagram);
+  handle_crashes (self, peer, datagram, SV_CRASH_OF_OTHER_CELL);
 }
 
 static void
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -12,12 +12,15 @@
 #define LOAD_DELAY    (5 * KNL_MSEC)
 #define PREFILL_DELAY (2 * KNL_MSEC)
 
+/* Instances of a cell that repeat what any instance has seen of crashes: the relay, and one that
+ * still knows when the relay has started again. */
+#define CRASH_REPEATERS 2
+
 void
 sv_outbox_init (Outbox *self)
 {
   *self = (Outbox){
     .prefills = g_array_new (FALSE, FALSE, sizeof (PrefillRow)),
-    .suspects = g_array_new (FALSE, FALSE, sizeof (guint64)),
     .lost = g_array_new (FALSE, FALSE, sizeof (guint64)),
     .lost_by = g_array_new (FALSE, FALSE, sizeof (guint32)),
     .answering = g_array_new (FALSE, FALSE, sizeof (guint64)),
@@ -28,7 +31,6 @@
 sv_outbox_clear (Outbox *self)
 {
   g_array_unref (self->prefills);
-  g_array_unref (self->suspects);
   g_array_unref (self->lost);
   g_array_unref (self->lost_by);
   g_array_unref (self->answering);
@@ -273,22 +275,59 @@
 sv_peers_add_outbox (Alderturn__Datagram *datagram, Rows *rows, Outbox *outbox)
 {
   fill_prefills (datagram, rows, outbox);
-  datagram->suspects = (guint64 *)(gpointer)outbox->suspects->data;
-  datagram->n_suspects = MIN (outbox->suspects->len, MAX_ROWS);
   datagram->lost = (guint64 *)(gpointer)outbox->lost->data;
   datagram->n_lost = MIN (outbox->lost->len, MAX_HEALTH_ROWS);
   datagram->lost_by = (guint32 *)(gpointer)outbox->lost_by->data;
   datagram->n_lost_by = MIN (outbox->lost_by->len, MAX_HEALTH_ROWS);
   datagram->answering = (guint64 *)(gpointer)outbox->answering->data;
   datagram->n_answering = MIN (outbox->answering->len, MAX_HEALTH_ROWS);
-  return datagram->n_reads + datagram->n_suspects + datagram->n_lost + datagram->n_answering > 0;
+  return datagram->n_reads + datagram->n_lost + datagram->n_answering > 0;
+}
+
+static guint32
+age_ms (const SvPeers *self, KnlTime since)
+{
+  return (guint32)((knl_kernel_now (self->kernel) - since) / KNL_MSEC);
+}
+
+gboolean
+sv_peers_add_crashes (SvPeers *self,
+                      Alderturn__Datagram *datagram,
+                      Rows *rows,
+                      SvCrashAudience audience)
+{
+  SvCrash losses[MAX_CRASH_ROWS];
+  SvAcquittal acquittals[MAX_ANSWERED_ROWS];
+
+  if (self->crashes == NULL)
+    return FALSE;
+  datagram->n_crashes = sv_crashes_take_losses (self->crashes, audience, losses, MAX_CRASH_ROWS);
+  datagram->crashes = rows->crash_rows;
+  for (guint i = 0; i < datagram->n_crashes; i++)
+    {
+      alderturn__endpoint_crash__init (&rows->crashes[i]);
+      rows->crashes[i].request = losses[i].fingerprint;
+      rows->crashes[i].endpoint = losses[i].endpoint;
+      rows->crashes[i].age_ms = age_ms (self, losses[i].lost_at);
+      rows->crash_rows[i] = &rows->crashes[i];
+    }
+  datagram->n_answered =
+      sv_crashes_take_acquittals (self->crashes, audience, acquittals, MAX_ANSWERED_ROWS);
+  datagram->answered = rows->answered_rows;
+  for (guint i = 0; i < datagram->n_answered; i++)
+    {
+      alderturn__answered_request__init (&rows->answered[i]);
+      rows->answered[i].request = acquittals[i].fingerprint;
+      rows->answered[i].age_ms = age_ms (self, acquittals[i].answered_at);
+      rows->answered_rows[i] = &rows->answered[i];
+    }
+  return datagram->n_crashes + datagram->n_answered > 0;
 }
 
 void
 sv_outbox_remove_sent (Outbox *self, const Alderturn__Datagram *datagram)
 {
   g_array_remove_range (self->prefills, 0, (guint)datagram->n_reads);
-  g_array_remove_range (self->suspects, 0, (guint)datagram->n_suspects);
   g_array_remove_range (self->lost, 0, (guint)datagram->n_lost);
   g_array_remove_range (self->lost_by, 0, (guint)datagram->n_lost_by);
   g_array_remove_range (self->answering, 0, (guint)datagram->n_answering);
@@ -300,6 +339,7 @@
 {
   const GPtrArray *endpoints = sv_fleet_all (self->fleet);
   Alderturn__Datagram datagram;
+  gboolean has_updates;
   Rows rows;
 
   sv_peers_begin_datagram (self, &datagram, &rows);
@@ -310,7 +350,9 @@
       if (endpoint->own_changed)
         add_own_load (self, &datagram, &rows, endpoint);
     }
-  if (!sv_peers_add_outbox (&datagram, &rows, &self->outbox) && datagram.n_loads == 0)
+  has_updates = sv_peers_add_outbox (&datagram, &rows, &self->outbox);
+  has_updates |= sv_peers_add_crashes (self, &datagram, &rows, SV_CRASHES_FOR_CELL);
+  if (!has_updates && datagram.n_loads == 0)
     return FALSE;
   sv_peers_send_to_cell (self, &datagram);
   if (sv_peers_is_relay (self))
@@ -345,7 +387,6 @@
         memcpy (row.keys, prefill->endpoints, row.n * sizeof *row.keys);
       g_array_append_val (self->prefills, row);
     }
-  g_array_append_vals (self->suspects, datagram->suspects, (guint)datagram->n_suspects);
   g_array_append_vals (self->answering, datagram->answering, (guint)datagram->n_answering);
   g_array_append_vals (self->lost, datagram->lost, (guint)datagram->n_lost);
   for (guint i = 0; i < datagram->n_lost; i++)
@@ -394,12 +435,18 @@
 }
 
 static void
-link_suspect (SvPeerLink *link, guint64 fingerprint)
+link_crashes_changed (SvPeerLink *link)
 {
-  SvPeers *self = (SvPeers *)link;
+  announce_within ((SvPeers *)link, PREFILL_DELAY);
+}
 
-  g_array_append_val (self->outbox.suspects, fingerprint);
-  announce_within (self, PREFILL_DELAY);
+void
+sv_peers_repeat_crashes (SvPeers *self)
+{
+  gboolean repeats_all = sv_cells_rank (self) < CRASH_REPEATERS;
+
+  if (self->crashes != NULL && sv_crashes_repeat (self->crashes, repeats_all))
+    announce_within (self, LOAD_DELAY);
 }
 
 static void
@@ -424,7 +471,7 @@
   .prefill_placed = link_prefill_placed,
   .prefill_ended = link_prefill_ended,
   .load_changed = link_load_changed,
-  .suspect = link_suspect,
+  .crashes_changed = link_crashes_changed,
   .health_changed = link_health_changed,
   .n_instances = link_n_instances,
 };
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -126,13 +126,16 @@
 {
   Alderturn__Cell cell = ALDERTURN__CELL__INIT;
   Alderturn__Datagram datagram;
+  gboolean has_updates;
   Rows rows;
 
   sv_peers_begin_datagram (self, &datagram, &rows);
   cell.id = self->cell;
   datagram.cell = &cell;
   add_changed_sums (self, &datagram, &rows);
-  if (!sv_peers_add_outbox (&datagram, &rows, &self->cell_outbox) && datagram.n_loads == 0)
+  has_updates = sv_peers_add_outbox (&datagram, &rows, &self->cell_outbox);
+  has_updates |= sv_peers_add_crashes (self, &datagram, &rows, SV_CRASHES_FOR_CELLS);
+  if (!has_updates && datagram.n_loads == 0)
     return FALSE;
   send_to_cells (self, &datagram);
   sv_outbox_remove_sent (&self->cell_outbox, &datagram);
--- a/serve/send.c
+++ b/serve/send.c
@@ -102,6 +102,7 @@
       return;
     }
   sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
+  sv_request_note_crash (self, "silent");
   sv_request_cancel_send (self);
   sv_request_handle_loss (self, "silent", TRUE);
 }
--- a/tests/unit/peers_fixture.c
+++ b/tests/unit/peers_fixture.c
@@ -11,12 +11,6 @@
   g_error ("the test timed out");
 }
 
-static void
-on_suspect (guint64 fingerprint, gpointer data)
-{
-  ((PeersFixture *)data)->suspect = fingerprint;
-}
-
 static void
 add_endpoint (SvFleet *fleet, guint i)
 {
@@ -62,13 +56,15 @@
       if (self->peers[i] == NULL)
         g_clear_pointer (&self->links[i], g_free);
     }
-  sv_peers_on_suspect (self->peers[i], on_suspect, self);
+  self->crashes[i] = sv_crashes_new (self->kernel, self->fleets[i]);
+  sv_peers_set_crashes (self->peers[i], self->crashes[i]);
 }
 
 void
 peers_fixture_stop (PeersFixture *self, guint i)
 {
   g_clear_pointer (&self->peers[i], sv_peers_free);
+  g_clear_pointer (&self->crashes[i], sv_crashes_free);
   g_clear_pointer (&self->fleets[i], sv_fleet_free);
 }
 
--- a/tests/unit/peers_fixture.h
+++ b/tests/unit/peers_fixture.h
@@ -25,7 +25,7 @@
   SvFleet *fleets[MAX_PEERS];
   SvPeers *peers[MAX_PEERS];
   char *links[MAX_PEERS];
-  guint64 suspect;     /* fingerprint that any instance last received from a peer */
+  SvCrashes *crashes[MAX_PEERS];
   guint64 incarnation; /* of instances that are started */
 } PeersFixture;
 
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -24,7 +24,7 @@
 }
 
 static void
-link_suspect (SvPeerLink *link, guint64 fingerprint)
+link_crashes_changed (SvPeerLink *link)
 {
 }
 
@@ -43,7 +43,7 @@
   .prefill_placed = link_prefill_placed,
   .prefill_ended = link_prefill_ended,
   .load_changed = link_load_changed,
-  .suspect = link_suspect,
+  .crashes_changed = link_crashes_changed,
   .health_changed = link_health_changed,
   .n_instances = link_n_instances,
 };
--- a/tests/unit/sv_limit_kept_test.c
+++ b/tests/unit/sv_limit_kept_test.c
@@ -296,7 +296,11 @@
       endpoint->sent = G_MAXUINT32 / 2;
       sv_endpoint_charge (endpoint, &load, 1);
       for (guint j = 0; j < 3; j++)
-        link->klass->suspect (link, i);
+        {
+          SvCrash crash = { i, j, knl_kernel_now (cluster.peers.kernel) };
+
+          sv_crashes_note_loss (cluster.peers.crashes[0], &crash, SV_CRASH_OWN);
+        }
     }
   link->klass->load_changed (link);
   peers_fixture_advance (&cluster.peers, 4 * PEERS_HEARTBEAT_INTERVAL + PEERS_PROPAGATION_TIME);
--- a/tests/unit/sv_peers_test.c
+++ b/tests/unit/sv_peers_test.c
@@ -16,6 +16,16 @@
   peers_fixture_connect (self);
 }
 
+static void
+note_crash (PeersFixture *fixture, guint i, guint64 fingerprint)
+{
+  SvPeerLink *link = sv_peers_link (fixture->peers[i]);
+  SvCrash crash = { fingerprint, 1, knl_kernel_now (fixture->kernel) };
+
+  sv_crashes_note_loss (fixture->crashes[i], &crash, SV_CRASH_OWN);
+  link->klass->crashes_changed (link);
+}
+
 static void
 test_one_introduction_is_enough (void)
 {
@@ -48,16 +58,17 @@
   endpoint = peers_fixture_endpoint (&fixture, 0);
   sv_endpoint_charge (endpoint, &load, 1);
   link->klass->prefill_placed (link, &prefill, &endpoint->key, 1);
-  link->klass->suspect (link, 77);
+  note_crash (&fixture, 0, 77);
   knl_paused_clock_advance (fixture.clock, 3 * KNL_MSEC);
-  while (peers_fixture_load (&fixture, 2).calls == 0 || fixture.suspect == 0)
+  while (peers_fixture_load (&fixture, 2).calls == 0
+         || sv_crashes_count (fixture.crashes[2], 77) == 0)
     event_base_loop (fixture.base, EVLOOP_ONCE);
   CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 2).decoding_streams[SV_GAP_MEDIUM], 1);
   CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 2).tokens, 5000);
   CU_ASSERT (sv_endpoint_prefill_left (peers_fixture_endpoint (&fixture, 2),
                                        knl_kernel_now (fixture.kernel))
              > 290 * KNL_MSEC);
-  CU_ASSERT_EQUAL (fixture.suspect, 77);
+  CU_ASSERT_EQUAL (sv_crashes_count (fixture.crashes[2], 77), 1);
   link->klass->prefill_ended (link, prefill.prompt);
   knl_paused_clock_advance (fixture.clock, 3 * KNL_MSEC);
   while (sv_endpoint_prefill_left (peers_fixture_endpoint (&fixture, 2),
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -322,6 +322,96 @@
   assert(message->base.descriptor == &alderturn__cell_member__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   alderturn__endpoint_crash__init
+                     (Alderturn__EndpointCrash         *message)
+{
+  static const Alderturn__EndpointCrash init_value = ALDERTURN__ENDPOINT_CRASH__INIT;
+  *message = init_value;
+}
+size_t alderturn__endpoint_crash__get_packed_size
+                     (const Alderturn__EndpointCrash *message)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__endpoint_crash__pack
+                     (const Alderturn__EndpointCrash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__endpoint_crash__pack_to_buffer
+                     (const Alderturn__EndpointCrash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__EndpointCrash *
+       alderturn__endpoint_crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__EndpointCrash *)
+     protobuf_c_message_unpack (&alderturn__endpoint_crash__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__endpoint_crash__free_unpacked
+                     (Alderturn__EndpointCrash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__endpoint_crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   alderturn__answered_request__init
+                     (Alderturn__AnsweredRequest         *message)
+{
+  static const Alderturn__AnsweredRequest init_value = ALDERTURN__ANSWERED_REQUEST__INIT;
+  *message = init_value;
+}
+size_t alderturn__answered_request__get_packed_size
+                     (const Alderturn__AnsweredRequest *message)
+{
+  assert(message->base.descriptor == &alderturn__answered_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__answered_request__pack
+                     (const Alderturn__AnsweredRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__answered_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__answered_request__pack_to_buffer
+                     (const Alderturn__AnsweredRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__answered_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__AnsweredRequest *
+       alderturn__answered_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__AnsweredRequest *)
+     protobuf_c_message_unpack (&alderturn__answered_request__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__answered_request__free_unpacked
+                     (Alderturn__AnsweredRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__answered_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   alderturn__datagram__init
                      (Alderturn__Datagram         *message)
 {
@@ -997,7 +1087,122 @@
   (ProtobufCMessageInit) alderturn__cell_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[23] =
+static const ProtobufCFieldDescriptor alderturn__endpoint_crash__field_descriptors[3] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointCrash, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointCrash, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointCrash, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__endpoint_crash__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = endpoint */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange alderturn__endpoint_crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor alderturn__endpoint_crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.EndpointCrash",
+  "EndpointCrash",
+  "Alderturn__EndpointCrash",
+  "alderturn",
+  sizeof(Alderturn__EndpointCrash),
+  3,
+  alderturn__endpoint_crash__field_descriptors,
+  alderturn__endpoint_crash__field_indices_by_name,
+  1,  alderturn__endpoint_crash__number_ranges,
+  (ProtobufCMessageInit) alderturn__endpoint_crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__answered_request__field_descriptors[2] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__AnsweredRequest, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__AnsweredRequest, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__answered_request__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange alderturn__answered_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor alderturn__answered_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.AnsweredRequest",
+  "AnsweredRequest",
+  "Alderturn__AnsweredRequest",
+  "alderturn",
+  sizeof(Alderturn__AnsweredRequest),
+  2,
+  alderturn__answered_request__field_descriptors,
+  alderturn__answered_request__field_indices_by_name,
+  1,  alderturn__answered_request__number_ranges,
+  (ProtobufCMessageInit) alderturn__answered_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[24] =
 {
   {
     "sender",
@@ -1095,18 +1300,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "suspects",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Alderturn__Datagram, n_suspects),
-    offsetof(Alderturn__Datagram, suspects),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "lost",
     10,
@@ -1275,36 +1468,62 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Alderturn__Datagram, n_crashes),
+    offsetof(Alderturn__Datagram, crashes),
+    &alderturn__endpoint_crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Alderturn__Datagram, n_answered),
+    offsetof(Alderturn__Datagram, answered),
+    &alderturn__answered_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__datagram__field_indices_by_name[] = {
-  10,   /* field[10] = answering */
-  13,   /* field[13] = cell */
-  17,   /* field[17] = config_version */
-  11,   /* field[11] = confirmation */
-  16,   /* field[16] = cut_off */
-  18,   /* field[18] = endpoints */
-  19,   /* field[19] = era */
+  23,   /* field[23] = answered */
+  9,   /* field[9] = answering */
+  12,   /* field[12] = cell */
+  16,   /* field[16] = config_version */
+  10,   /* field[10] = confirmation */
+  22,   /* field[22] = crashes */
+  15,   /* field[15] = cut_off */
+  17,   /* field[17] = endpoints */
+  18,   /* field[18] = era */
   4,   /* field[4] = from */
   1,   /* field[1] = incarnation */
-  22,   /* field[22] = instances */
-  20,   /* field[20] = introduce */
+  21,   /* field[21] = instances */
+  19,   /* field[19] = introduce */
   6,   /* field[6] = loads */
-  9,   /* field[9] = lost */
-  12,   /* field[12] = lost_by */
-  21,   /* field[21] = members */
-  14,   /* field[14] = passed */
+  8,   /* field[8] = lost */
+  11,   /* field[11] = lost_by */
+  20,   /* field[20] = members */
+  13,   /* field[13] = passed */
   7,   /* field[7] = reads */
   3,   /* field[3] = ready */
   0,   /* field[0] = sender */
   2,   /* field[2] = sequence */
-  8,   /* field[8] = suspects */
-  15,   /* field[15] = to_relay */
+  14,   /* field[14] = to_relay */
   5,   /* field[5] = whole */
 };
-static const ProtobufCIntRange alderturn__datagram__number_ranges[1 + 1] =
+static const ProtobufCIntRange alderturn__datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 10, 8 },
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor alderturn__datagram__descriptor =
 {
@@ -1314,10 +1533,10 @@
   "Alderturn__Datagram",
   "alderturn",
   sizeof(Alderturn__Datagram),
-  23,
+  24,
   alderturn__datagram__field_descriptors,
   alderturn__datagram__field_indices_by_name,
-  1,  alderturn__datagram__number_ranges,
+  2,  alderturn__datagram__number_ranges,
   (ProtobufCMessageInit) alderturn__datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
