--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -32,6 +32,11 @@
   void (*crashes_changed) (SvPeerLink *link);
   /** A request was lost at the endpoint (`lost`), or an endpoint with loss reports has answered. */
   void (*health_changed) (SvPeerLink *link, const SvEndpoint *endpoint, gboolean lost);
+  /** This instance has lost, or regained, its links to endpoints while peers reach them. */
+  void (*reach_changed) (SvPeerLink *link, gboolean is_lost);
+  /** Address at which a ready peer takes requests that this instance passes on, other than `avoid`;
+   * NULL: there is none. Free with g_free. */
+  char *(*passing_address) (SvPeerLink *link, const char *avoid);
   /** Number of instances, including this one. */
   guint (*n_instances) (const SvPeerLink *link);
 } SvPeerLinkClass;
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -33,6 +33,25 @@
 {
 }
 
+static const char *peer_address;
+
+static void
+link_reach_changed (SvPeerLink *link, gboolean is_lost)
+{
+}
+
+static char *
+link_passing_address (SvPeerLink *link, const char *avoid)
+{
+  return g_strcmp0 (peer_address, avoid) != 0 ? g_strdup (peer_address) : NULL;
+}
+
+void
+sv_fixture_set_peer (const char *address)
+{
+  peer_address = address;
+}
+
 static guint
 link_n_instances (const SvPeerLink *link)
 {
@@ -45,6 +64,8 @@
   .load_changed = link_load_changed,
   .crashes_changed = link_crashes_changed,
   .health_changed = link_health_changed,
+  .reach_changed = link_reach_changed,
+  .passing_address = link_passing_address,
   .n_instances = link_n_instances,
 };
 
@@ -222,6 +243,7 @@
 void
 sv_fixture_close (SvFixture *self)
 {
+  sv_fixture_set_peer (NULL);
   if (self->caller != NULL)
     bufferevent_free (self->caller);
   sv_core_free (self->core);
--- a/tests/unit/sv_fixture.h
+++ b/tests/unit/sv_fixture.h
@@ -53,6 +53,10 @@
  * first. */
 void sv_fixture_add_endpoint (SvFixture *self, const ScriptedAnswer *script, guint n);
 
+/** Sets where a peer takes requests that are passed on; NULL: there is no peer. Must live until the
+ * fixture is closed. */
+void sv_fixture_set_peer (const char *address);
+
 /** Sends bytes on the caller's connection, opening it if needed. */
 void sv_fixture_send (SvFixture *self, const char *bytes);
 
