--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -30,6 +30,7 @@
   SvMember member;
   SvCore *core;
   HtServer *caller_server;
+  HtServer *passing_server; /* NULL: requests of peers aren't taken */
   HtServer *ready_server;
   HtServer *directory_server;
   HtServer *metrics_server;
--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -38,7 +38,8 @@
 
   if (since > self->boot->bounds.grace - DRAIN_EXIT_MARGIN)
     return TRUE;
-  return since > MIN_DRAIN_PERIOD && ht_server_n_busy (self->caller_server) == 0;
+  return since > MIN_DRAIN_PERIOD && ht_server_n_busy (self->caller_server) == 0
+         && (self->passing_server == NULL || ht_server_n_busy (self->passing_server) == 0);
 }
 
 static void
@@ -115,6 +116,7 @@
     .zone = self->boot->zone,
     .region = self->boot->region,
     .strength = self->boot->strength,
+    .passing_port = self->boot->passing_port,
   };
   self->peers = sv_peers_new (self->process.kernel, self->process.base, self->fleet, &self->member);
   if (self->peers != NULL)
@@ -175,6 +177,8 @@
   sv_peers_leave (self->peers);
   sv_peers_set_ready (self->peers, FALSE);
   ht_server_drain (self->caller_server);
+  if (self->passing_server != NULL)
+    ht_server_drain (self->passing_server);
 }
 
 /* Frees users of an object before the object. */
--- a/gateway/servers.c
+++ b/gateway/servers.c
@@ -19,6 +19,9 @@
 #define CALLERS_FRACTION             0.5
 #define SMALL_SERVER_MAX_CONNECTIONS 256
 
+/* Peers that pass requests on get this part of the connections that callers may have. */
+#define PASSING_CONNECTIONS_DIVISOR 4
+
 /* Addresses in one answer of the directory; callers wouldn't use more. */
 #define MAX_DIRECTORY_ADDRESSES 64
 
@@ -41,6 +44,15 @@
 static const HtServerEvents caller_events = { .request = on_request,
                                               .disconnected = on_disconnected };
 
+static void
+on_passed_request (HtCall *call, gpointer data)
+{
+  sv_core_handle_passed (((Gateway *)data)->core, call);
+}
+
+static const HtServerEvents passing_events = { .request = on_passed_request,
+                                               .disconnected = on_disconnected };
+
 static void
 on_ready_request (HtCall *call, gpointer data)
 {
@@ -113,6 +125,9 @@
   HtServerLimits limits = caller_limits (self);
 
   ht_server_set_limits (self->caller_server, &limits);
+  limits.max_connections /= PASSING_CONNECTIONS_DIVISOR;
+  if (self->passing_server != NULL)
+    ht_server_set_limits (self->passing_server, &limits);
 }
 
 static HtServer *
@@ -121,7 +136,9 @@
   HtServerLimits limits = caller_limits (self);
   HtServer *server;
 
-  if (events != &caller_events)
+  if (events == &passing_events)
+    limits.max_connections /= PASSING_CONNECTIONS_DIVISOR;
+  else if (events != &caller_events)
     limits.max_connections = SMALL_SERVER_MAX_CONNECTIONS;
   server = ht_server_new (self->process.kernel, self->process.base, address, &limits, events, self);
   if (server == NULL)
@@ -136,18 +153,22 @@
   self->ready_server = open_server (self, self->boot->ready_address, &ready_events);
   self->directory_server = open_server (self, self->boot->directory_address, &directory_events);
   self->metrics_server = open_server (self, self->boot->metrics_address, &metrics_events);
+  if (self->boot->passing_address != NULL)
+    self->passing_server = open_server (self, self->boot->passing_address, &passing_events);
   self->mirror = pl_mirror_new (self->process.kernel, self->process.base, self->boot->link_address);
   if (self->mirror == NULL)
     cm_log (CM_LOG_ERR, "listen-failed", "s", "address", self->boot->link_address, "s", "error",
             strerror (errno));
   return self->caller_server != NULL && self->ready_server != NULL && self->directory_server != NULL
-         && self->metrics_server != NULL && self->mirror != NULL;
+         && self->metrics_server != NULL && self->mirror != NULL
+         && (self->boot->passing_address == NULL || self->passing_server != NULL);
 }
 
 void
 gateway_close_servers (Gateway *self)
 {
   ht_server_free (self->caller_server);
+  ht_server_free (self->passing_server);
   ht_server_free (self->ready_server);
   ht_server_free (self->directory_server);
   ht_server_free (self->metrics_server);
--- a/http/client.c
+++ b/http/client.c
@@ -30,13 +30,21 @@
   guint skipped;
 };
 
+struct HtProbe
+{
+  Connection *connection;
+  HtProbeFunc func;
+  gpointer data;
+};
+
 struct Connection
 {
   HtClient *client;
   char *address;
   struct bufferevent *stream;
   HtReader *reader;
-  HtExchange *exchange; /* NULL: idle */
+  HtExchange *exchange; /* NULL: idle, or probed */
+  HtProbe *probe;       /* NULL: none */
   KnlTimerId timer;     /* connect timeout, or end of the idle time */
   KnlTime idle_since;
   gsize first_request_bytes; /* bytes of the first request, which the connection was opened for */
@@ -72,6 +80,7 @@
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
   g_free (self->exchange);
+  g_free (self->probe);
   g_free (self->address);
   g_free (self);
 }
@@ -93,12 +102,27 @@
   g_hash_table_remove (self->client->connections, self);
 }
 
+/* Closes the connection, and reports. */
+static void
+end_probe (Connection *self, gboolean connected)
+{
+  HtProbe probe = *self->probe;
+
+  g_hash_table_remove (self->client->connections, self);
+  probe.func (connected, probe.data);
+}
+
 /* Fails the exchange, if there is one, and closes the connection. */
 static void
 fail (Connection *self, HtFailure failure)
 {
   HtExchange *exchange = self->exchange;
 
+  if (self->probe != NULL)
+    {
+      end_probe (self, FALSE);
+      return;
+    }
   if (exchange == NULL)
     {
       connection_drop (self);
@@ -315,6 +339,8 @@
     {
       self->connected = TRUE;
       knl_timer_stop (self->client->kernel, &self->timer);
+      if (self->probe != NULL)
+        end_probe (self, TRUE);
     }
   else if (!self->connected && !has_sent (self))
     fail (self, HT_FAIL_CONNECT);
@@ -433,6 +459,26 @@
     g_hash_table_remove (connection->client->connections, connection);
 }
 
+HtProbe *
+ht_client_probe (HtClient *self,
+                 const char *address,
+                 KnlTime timeout,
+                 HtProbeFunc func,
+                 gpointer data)
+{
+  Connection *connection = connect_to (self, address, timeout);
+
+  connection->probe = g_new0 (HtProbe, 1);
+  *connection->probe = (HtProbe){ .connection = connection, .func = func, .data = data };
+  return connection->probe;
+}
+
+void
+ht_probe_cancel (HtProbe *self)
+{
+  g_hash_table_remove (self->connection->client->connections, self->connection);
+}
+
 gboolean
 ht_exchange_is_reused (const HtExchange *self)
 {
--- a/include/http/client.h
+++ b/include/http/client.h
@@ -72,6 +72,21 @@
  * made, and `exchange` is no longer valid. */
 void ht_exchange_cancel (HtExchange *exchange);
 
+typedef struct HtProbe HtProbe;
+
+/** The probe has ended and is freed: whether a connection was established. */
+typedef void (*HtProbeFunc) (gboolean connected, gpointer data);
+
+/** Opens a connection to `address` without a request, and closes it once it is established. */
+HtProbe *ht_client_probe (HtClient *client,
+                          const char *address,
+                          KnlTime timeout,
+                          HtProbeFunc func,
+                          gpointer data);
+
+/** Ends the probe without a callback. */
+void ht_probe_cancel (HtProbe *probe);
+
 /** Whether the request was sent on a connection that an earlier exchange had used. */
 gboolean ht_exchange_is_reused (const HtExchange *exchange);
 
--- a/include/platform/boot.h
+++ b/include/platform/boot.h
@@ -16,8 +16,10 @@
   char *ready_address;     /**< where the platform sends readiness checks */
   char *directory_address; /**< where callers look up the instances' addresses */
   char *link_address;      /**< where datagrams of other instances are received */
+  char *passing_address;   /**< where peers pass requests on to this instance; NULL: nowhere */
   char *metrics_address;
   char *store_address;
+  guint16 passing_port;  /**< of `passing_address`; 0: none */
   guint strength;        /**< CPU time available to the process, in thousandths of a core */
   double link_rate;      /**< bytes a second of the machine's network link */
   guint store_reads;     /**< store reads a second that all instances together may make */
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -90,6 +90,9 @@
 /** Handles a new request; its answer is asynchronous. */
 void sv_core_handle_request (SvCore *core, HtCall *call);
 
+/** Handles a request that a peer passes on, as that of a caller; it isn't passed on again. */
+void sv_core_handle_passed (SvCore *core, HtCall *call);
+
 /** The call's caller has disconnected. */
 void sv_core_note_disconnect (SvCore *core, HtCall *call);
 
--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -83,6 +83,9 @@
   void (*read_request) (SvDialect *dialect, const HtMessage *request, SvRequestParams *params);
   /** Start line and header fields of the request to the endpoint, except Content-Length. */
   GString *(*write_forward) (SvDialect *dialect, const SvForward *forward);
+  /** The same for a request that is passed on to a peer as the caller sent it, key included;
+   * `left`: time until the deadline, 0: none. */
+  GString *(*write_pass) (SvDialect *dialect, const HtMessage *request, KnlTime left);
   void (*read_reply) (SvDialect *dialect, const HtMessage *answer, SvReply *reply);
   /** Header fields of the endpoint's answer that are forwarded. */
   GString *(*write_reply) (SvDialect *dialect, const HtMessage *answer);
--- a/include/serve/meters.h
+++ b/include/serve/meters.h
@@ -31,5 +31,8 @@
 /** Counts an endpoint that was lost under a request. */
 void sv_meters_note_crash (SvMeters *meters, const char *service);
 
+/** Counts a request passed on, `direction` "to-peer" or "from-peer", by its result. */
+void sv_meters_note_pass (SvMeters *meters, const char *direction, const char *result);
+
 /** Records the error of the model's estimate of the time from the send to the first event. */
 void sv_meters_note_prediction (SvMeters *meters, KnlTime expected, KnlTime actual);
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -27,7 +27,8 @@
   const char *callers_address;
   const char *zone;
   const char *region;
-  guint strength; /**< thousandths of a core; the strongest become relay and followers */
+  guint16 passing_port; /**< where all instances take requests of peers; 0: they don't */
+  guint strength;       /**< thousandths of a core; the strongest become relay and followers */
 } SvMember;
 
 /** Binds the UDP socket to `member->link_address`; strings are copied. Returns NULL with errno set
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -120,6 +120,15 @@
   return FALSE;
 }
 
+static gboolean
+check_passed (SvRequest *self)
+{
+  if (!self->is_passed || sv_core_takes_passed (self->core))
+    return TRUE;
+  sv_request_refuse (self, 503, "too-many-passed-on");
+  return FALSE;
+}
+
 static void
 on_deadline (gpointer data)
 {
@@ -128,7 +137,7 @@
   self->deadline_timer = 0;
   if (self->exchange != NULL && self->last_received_at == 0)
     sv_request_note_crash (self, "deadline");
-  if (self->runs > 0 || self->exchange != NULL)
+  if (self->runs > 0 || self->exchange != NULL || self->pass != NULL)
     sv_request_fail (self, 504, "deadline");
   else
     sv_request_refuse (self, 503, "deadline-before-run");
@@ -153,7 +162,8 @@
 sv_request_admit (SvRequest *self)
 {
   static gboolean (*const checks[]) (SvRequest *) = {
-    check_config, check_required_fields, check_route, check_key, check_drain, check_crashes,
+    check_config, check_required_fields, check_route,  check_key,
+    check_drain,  check_crashes,         check_passed,
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (checks); i++)
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -258,6 +258,8 @@
     return HT_HEAD_REFUSE;
   self->answer = answer;
   self->last_received_at = sv_request_now (self);
+  if (!ht_exchange_is_reused (exchange))
+    sv_reach_note_connected (sv_request_reach (self));
   if (self->reply.in_service >= 0)
     sv_endpoint_note_report (self->placement.first, (guint)self->reply.in_service,
                              self->last_received_at);
@@ -372,6 +374,8 @@
   gboolean was_stale =
       ht_exchange_is_reused (exchange) && self->answer == NULL && failure == HT_FAIL_CLOSED;
 
+  if (failure == HT_FAIL_CONNECT)
+    sv_reach_note_failure (sv_request_reach (self), endpoint);
   if (failure == HT_FAIL_CLOSED)
     sv_request_note_crash (self, was_stale ? "stale-connection" : ht_failure_name (failure));
   close_send (self, ht_failure_name (failure));
--- a/serve/core.c
+++ b/serve/core.c
@@ -13,6 +13,18 @@
   self->bounds.retries.slack_after = bounds->retries.window;
 }
 
+static void
+on_reach_changed (gboolean is_lost, gpointer data)
+{
+  SvCore *self = data;
+  SvPeerLink *link = self->parts.link;
+  gboolean were_lost = self->n_lost > 0;
+
+  self->n_lost += is_lost ? 1 : -1;
+  if ((self->n_lost > 0) != were_lost)
+    link->klass->reach_changed (link, is_lost);
+}
+
 SvCore *
 sv_core_new (const SvCoreParts *parts, const SvBounds *bounds)
 {
@@ -25,6 +37,8 @@
   self->requests = g_hash_table_new (NULL, NULL);
   self->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->crashes = sv_crashes_new (parts->kernel, parts->fleet);
+  self->reach =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)sv_reach_free);
   self->meters = sv_meters_new (parts->metrics);
   sv_fleet_on_prefill (parts->fleet, sv_core_note_prefill, self);
   return self;
@@ -55,6 +69,7 @@
   end_requests (self, sv_request_note_disconnect);
   sv_meters_free (self->meters);
   sv_crashes_free (self->crashes);
+  g_hash_table_unref (self->reach);
   g_hash_table_unref (self->budgets);
   g_hash_table_unref (self->requests);
   sv_config_unref (self->config);
@@ -102,13 +117,15 @@
                                                   ht_call_request (self->call), &self->params);
 }
 
-void
-sv_core_handle_request (SvCore *self, HtCall *call)
+static void
+handle_request (SvCore *self, HtCall *call, gboolean is_passed)
 {
   SvRequest *request = g_new0 (SvRequest, 1);
 
   request->core = self;
   request->call = call;
+  request->is_passed = is_passed;
+  self->n_passed += is_passed;
   ht_call_set_data (call, request);
   g_hash_table_add (self->requests, request);
   init_request (request);
@@ -116,6 +133,18 @@
     sv_request_send (request);
 }
 
+void
+sv_core_handle_request (SvCore *self, HtCall *call)
+{
+  handle_request (self, call, FALSE);
+}
+
+void
+sv_core_handle_passed (SvCore *self, HtCall *call)
+{
+  handle_request (self, call, TRUE);
+}
+
 void
 sv_core_note_disconnect (SvCore *self, HtCall *call)
 {
@@ -228,6 +257,20 @@
   return self->crashes;
 }
 
+SvReach *
+sv_core_reach (SvCore *self, const char *service)
+{
+  SvReach *reach = g_hash_table_lookup (self->reach, service);
+
+  if (reach == NULL)
+    {
+      reach = sv_reach_new (self->parts.kernel, self->parts.client, self->parts.fleet, service,
+                            on_reach_changed, self);
+      g_hash_table_insert (self->reach, g_strdup (service), reach);
+    }
+  return reach;
+}
+
 PolBudget *
 sv_core_budget (SvCore *self, const char *service)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -5,6 +5,7 @@
 #include "serve/core.h"
 #include "serve/events.h"
 #include "serve/meters.h"
+#include "serve/reach.h"
 #include "serve/reservation.h"
 
 struct SvCore
@@ -20,6 +21,9 @@
   GHashTable *requests; /* SvRequest */
   GHashTable *budgets;  /* service -> PolBudget */
   SvCrashes *crashes;
+  GHashTable *reach; /* service -> SvReach */
+  guint n_lost;      /* services that this instance has lost its links to */
+  guint n_passed;    /* requests that peers passed on to this instance and that have not ended */
   SvMeters *meters;
 };
 
@@ -42,6 +46,10 @@
   GPtrArray *excluded; /* SvEndpoint that failed this request; holds references */
   /* an endpoint's error answer, owned; forwarded if no later attempt gives a better one */
   HtMessage *failure;
+  gboolean is_passed;     /* a peer passed it on to this instance */
+  HtExchange *pass;       /* with the peer that it is passed on to; NULL: none */
+  char *passed_to;        /* address of the last peer that it was passed on to; NULL: none */
+  guint passes;           /* peers that it was passed on to */
   const char *last_fault; /* why the last send failed; NULL: none has */
 
   /* the current send */
@@ -75,6 +83,9 @@
   const char *reason;
 } SvOutcome;
 
+/** This instance's links to a service. */
+SvReach *sv_core_reach (SvCore *core, const char *service);
+
 static inline KnlTime
 sv_request_now (const SvRequest *self)
 {
@@ -87,6 +98,13 @@
  * callers are refused then. */
 gboolean sv_core_is_stale (const SvCore *core);
 
+/** The links to the service that the request is for. */
+static inline SvReach *
+sv_request_reach (const SvRequest *self)
+{
+  return sv_core_reach (self->core, self->service->name);
+}
+
 /* admission.c */
 
 /** Runs all admission checks. FALSE: the request was refused and freed. */
@@ -101,6 +119,18 @@
  * endpoint has capacity for it. */
 gboolean sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement);
 
+/* pass.c */
+
+/** Passes the request on to a peer, if this instance has lost its links to endpoints. FALSE: it is
+ * to be sent from here. */
+gboolean sv_request_pass (SvRequest *self);
+
+/** Cancels the exchange with the peer; no-op if there is none. */
+void sv_request_cancel_pass (SvRequest *self);
+
+/** Whether another request that a peer has passed on may be taken. */
+gboolean sv_core_takes_passed (const SvCore *core);
+
 /* move.c */
 
 /** SvFleetPrefillFunc: a prompt was placed for prefill at endpoints with these keys; `data` is the
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -50,7 +50,8 @@
           self->workspace != NULL ? self->workspace->name : NULL, "i", "status",
           (gint64)outcome->status, "s", "reason", outcome->reason, "s", "endpoint",
           self->placement.first != NULL ? self->placement.first->id : NULL, "i", "sends",
-          (gint64)self->sends, "s", "last-fault", self->last_fault, "i", "prompt-tokens",
+          (gint64)self->sends, "s", "passed-to", self->passed_to, "b", "passed-by-peer",
+          self->is_passed, "s", "last-fault", self->last_fault, "i", "prompt-tokens",
           (gint64)self->params.prompt_tokens, "i", "parts", (gint64)self->placement.n_helpers + 1,
           "i", "expected-us", (gint64)self->placement.expected, "i", "first-us",
           self->first_sent_at > 0 ? self->first_sent_at - self->begun_at : (gint64)-1, "i",
@@ -76,6 +77,8 @@
   };
 
   sv_meters_note_request (self->core->meters, &measured);
+  if (self->is_passed)
+    sv_meters_note_pass (self->core->meters, "from-peer", outcome->reason);
   log_end (self, outcome, now);
 }
 
@@ -85,6 +88,8 @@
   SvCore *core = self->core;
 
   sv_request_cancel_send (self);
+  sv_request_cancel_pass (self);
+  core->n_passed -= self->is_passed;
   knl_timer_stop (core->parts.kernel, &self->deadline_timer);
   g_hash_table_remove (core->requests, self);
   g_ptr_array_unref (self->excluded);
@@ -94,6 +99,7 @@
   sv_placement_clear (&self->placement);
   ht_message_free (self->failure);
   sv_config_unref (self->config);
+  g_free (self->passed_to);
   g_free (self);
 }
 
@@ -160,12 +166,20 @@
 void
 sv_request_stop (SvRequest *self)
 {
-  if (self->runs == 0 && self->exchange == NULL)
+  if (self->runs == 0 && self->exchange == NULL && self->pass == NULL)
     sv_request_refuse (self, 503, "stopped");
   else
     sv_request_fail (self, 504, "stopped");
 }
 
+static const char *
+forward_reason (const SvRequest *self, const HtMessage *answer)
+{
+  if (answer->status < 300)
+    return "answered";
+  return self->passed_to != NULL && !self->reply.is_signed ? "refused-by-peer" : "endpoint-failed";
+}
+
 void
 sv_request_forward (SvRequest *self, const HtMessage *answer)
 {
@@ -173,7 +187,7 @@
   GString *fields = dialect->klass->write_reply (dialect, answer);
   SvOutcome outcome = {
     .status = answer->status,
-    .reason = answer->status < 300 ? "answered" : "endpoint-failed",
+    .reason = forward_reason (self, answer),
   };
 
   self->first_sent_at = knl_kernel_now (self->core->parts.kernel);
--- a/serve/meters.c
+++ b/serve/meters.c
@@ -44,6 +44,13 @@
   .labels = { "service" },
 };
 
+static const CmMetricDef passed_def = {
+  .name = "alderturn_passed_requests_total",
+  .help = "Requests passed on to a peer, or taken from one, by result",
+  .type = CM_METRIC_COUNTER,
+  .labels = { "direction", "result" },
+};
+
 static const CmMetricDef first_event_error_def = {
   .name = "alderturn_first_event_error_seconds",
   .help = "Distance between the expected and the seen time to the first event",
@@ -60,6 +67,7 @@
   CmMetric *sends;
   CmMetric *limited;
   CmMetric *crashes;
+  CmMetric *passed;
   CmMetric *first_event_error;
 };
 
@@ -74,6 +82,7 @@
   self->sends = cm_metrics_add (metrics, &sends_def);
   self->limited = cm_metrics_add (metrics, &limited_def);
   self->crashes = cm_metrics_add (metrics, &crashes_def);
+  self->passed = cm_metrics_add (metrics, &passed_def);
   self->first_event_error = cm_metrics_add (metrics, &first_event_error_def);
   return self;
 }
@@ -116,6 +125,12 @@
   cm_series_add (cm_metric_series (self->crashes, service, NULL, NULL), 1);
 }
 
+void
+sv_meters_note_pass (SvMeters *self, const char *direction, const char *result)
+{
+  cm_series_add (cm_metric_series (self->passed, direction, result, NULL), 1);
+}
+
 void
 sv_meters_note_prediction (SvMeters *self, KnlTime expected, KnlTime actual)
 {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -264,6 +264,7 @@
     .zone = g_strdup (member->zone),
     .region = g_strdup (member->region),
     .strength = member->strength,
+    .passing_port = member->passing_port,
   };
   self->cell = id_of (member->zone);
   self->peers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_free);
@@ -326,12 +327,8 @@
 void
 sv_peers_set_ready (SvPeers *self, gboolean ready)
 {
-  if (self->ready == ready)
-    return;
-  self->ready = ready;
-  cm_log (CM_LOG_NOTICE, "ready-changed", "b", "ready", ready);
-  sv_peers_send_full (self, NULL);
-  sv_relay_note_ready (self);
+  self->accepts = ready;
+  sv_peers_update_ready (self);
 }
 
 void
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -117,6 +117,8 @@
   guint64 sequence;
   SvPeerTraffic sent;
   gboolean ready;
+  gboolean accepts;    /* as last set by sv_peers_set_ready() */
+  gboolean links_lost; /* this instance reaches no endpoint, while peers do */
   gboolean cut_off;
   guint64 config_version;
   SvPosition endpoints_revision;
@@ -213,6 +215,19 @@
                                SvPeerVersionsFunc on_versions,
                                gpointer data);
 
+/* peers_reach.c */
+
+/** Applies whether this instance accepts callers. One that has lost its links to endpoints isn't
+ * listed to callers for as long as others are: requests that reach it all the same are passed on.
+ */
+void sv_peers_update_ready (SvPeers *self);
+
+/** This instance has lost, or regained, its links to endpoints. */
+void sv_peers_set_links_lost (SvPeers *self, gboolean is_lost);
+
+/** See SvPeerLinkClass. */
+char *sv_peers_passing_address (SvPeers *self, const char *avoid);
+
 /* peers_tell.c */
 
 /** Callbacks through which the core announces changes to peers. */
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -459,6 +459,18 @@
   announce_within (self, PREFILL_DELAY);
 }
 
+static void
+link_reach_changed (SvPeerLink *link, gboolean is_lost)
+{
+  sv_peers_set_links_lost ((SvPeers *)link, is_lost);
+}
+
+static char *
+link_passing_address (SvPeerLink *link, const char *avoid)
+{
+  return sv_peers_passing_address ((SvPeers *)link, avoid);
+}
+
 static guint
 link_n_instances (const SvPeerLink *link)
 {
@@ -473,5 +485,7 @@
   .load_changed = link_load_changed,
   .crashes_changed = link_crashes_changed,
   .health_changed = link_health_changed,
+  .reach_changed = link_reach_changed,
+  .passing_address = link_passing_address,
   .n_instances = link_n_instances,
 };
--- a/serve/send.c
+++ b/serve/send.c
@@ -103,6 +103,7 @@
     }
   sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
   sv_request_note_crash (self, "silent");
+  sv_reach_note_failure (sv_request_reach (self), self->placement.first);
   sv_request_cancel_send (self);
   sv_request_handle_loss (self, "silent", TRUE);
 }
@@ -426,6 +427,8 @@
       sv_request_give_up (self, "no-time-left");
       return;
     }
+  if (sv_request_pass (self))
+    return;
   if (!place (self))
     {
       sv_request_give_up (self,
--- a/tests/unit/peers_fixture.c
+++ b/tests/unit/peers_fixture.c
@@ -47,6 +47,7 @@
                           .callers_address = callers,
                           .zone = self->zones[i],
                           .region = "r",
+                          .passing_port = 7341,
                           .strength = self->strength[i] };
 
       if (self->links[i] == NULL)
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -254,6 +254,8 @@
   sv_fleet_free (self->fleet);
   pl_dialect_free (self->dialect);
   cm_metrics_free (self->metrics);
+  /* Connections with a pending callback are freed by the loop. */
+  event_base_loop (self->base, EVLOOP_NONBLOCK);
   knl_kernel_free (self->kernel);
   knl_paused_clock_free (self->clock);
   event_free (self->test_timeout);
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -23,7 +23,7 @@
 static void
 fixture_open (Fixture *self, const ScriptedAnswer *peer_script, guint n)
 {
-  static const char *const ids[] = { "i-0", "i-1", "i-2", "i-3" };
+  static const char *const ids[] = { "u-0", "u-1", "u-2", "u-3" };
 
   sv_fixture_open (&self->core);
   sv_fixture_use_config (&self->core, 1, "key");
@@ -103,8 +103,153 @@
     }
 }
 
+/* The peer gets the request as the caller sent it, with less time. */
+static void
+test_requests_are_passed_on_unchanged (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture, &good, 1);
+  lose_links (&fixture);
+  sv_fixture_request (&fixture.core, "/once/1");
+  advance (&fixture, 200 * KNL_MSEC);
+  CU_ASSERT_STRING_EQUAL (scripted_endpoint_field (fixture.peer, "x-attempt-id"), "a1");
+  CU_ASSERT_STRING_EQUAL (scripted_endpoint_field (fixture.peer, "authorization"), "Bearer key");
+  CU_ASSERT_STRING_EQUAL (scripted_endpoint_field (fixture.peer, "x-deadline-ms"), "3990");
+  CU_ASSERT_STRING_EQUAL (scripted_endpoint_body (fixture.peer), "hi");
+  fixture_close (&fixture);
+}
+
+/* Guards against a peer's refusal that its caller is told as a failure, or an answer lost at the
+ * peer that is told as a refusal. */
+static void
+test_answers_of_a_peer (void)
+{
+  static const struct
+  {
+    const char *path;
+    ScriptedAnswer answer;
+    const char *wanted;
+  } rows[] = {
+    { "/once/1",
+      { "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %ID\r\nRetry-After: 0.200\r\n"
+        "Content-Length: 0\r\n\r\n",
+        FALSE },
+      "HTTP/1.1 503" },
+    { "/once/1", { NULL, TRUE }, "HTTP/1.1 502" },
+    { "/once/1",
+      { "HTTP/1.1 500 Internal Server Error\r\n" SIGNED "Content-Length: 4\r\n\r\ngood", FALSE },
+      "HTTP/1.1 500" },
+    { "/stream/1",
+      { "HTTP/1.1 200 OK\r\n" SIGNED "Content-Type: text/event-stream\r\n"
+        "Content-Length: 20\r\n\r\nid: 0\ndata: x\n\n",
+        TRUE },
+      "HTTP/1.1 200" },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      Fixture fixture;
+
+      fixture_open (&fixture, &rows[i].answer, 1);
+      lose_links (&fixture);
+      sv_fixture_request (&fixture.core, rows[i].path);
+      advance (&fixture, 200 * KNL_MSEC);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, rows[i].wanted));
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 1);
+      /* A stream that breaks off doesn't look complete. */
+      CU_ASSERT_EQUAL (fixture.core.ended, rows[i].answer.closes && rows[i].answer.bytes != NULL);
+      fixture_close (&fixture);
+    }
+}
+
+/* Guards against work for callers that have left: the peer is told by the end of its connection. */
+static void
+test_disconnected_callers_are_cancelled_at_the_peer (void)
+{
+  static const ScriptedAnswer silent = { NULL, FALSE };
+  Fixture fixture;
+
+  fixture_open (&fixture, &silent, 1);
+  lose_links (&fixture);
+  sv_fixture_request (&fixture.core, "/once/1");
+  advance (&fixture, 100 * KNL_MSEC);
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 1);
+  g_clear_pointer (&fixture.core.caller, bufferevent_free);
+  advance (&fixture, 100 * KNL_MSEC);
+  CU_ASSERT_EQUAL (scripted_endpoint_n_closed_by_peer (fixture.peer), 1);
+  CU_ASSERT_EQUAL (sv_core_n_requests (fixture.core.core), 0);
+  fixture_close (&fixture);
+}
+
+/* Guards against an instance that stays cut off in its own eyes after its links are back. */
+static void
+test_links_are_regained (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture, &good, 1);
+  lose_links (&fixture);
+  sv_fixture_add_endpoint (&fixture.core, &good, 1);
+  advance (&fixture, KNL_SEC);
+  sv_fixture_request (&fixture.core, "/once/1");
+  advance (&fixture, 100 * KNL_MSEC);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "good"));
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 0);
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.core.endpoints[0]), 1);
+  fixture_close (&fixture);
+}
+
+/* Guards against an outage of all endpoints that is taken for this instance's own: no peer could
+ * serve the requests either. */
+static void
+test_an_outage_for_all_is_no_loss_of_links (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture, &good, 1);
+  sv_fixture_request (&fixture.core, "/again/first");
+  sv_fixture_wait_for (&fixture.core, "HTTP/1.1 503");
+  for (guint i = 0; i < 10; i++)
+    {
+      knl_paused_clock_advance (fixture.core.clock, 100 * KNL_MSEC);
+      event_base_loop (fixture.core.base, EVLOOP_NONBLOCK);
+      knl_kernel_run_due (fixture.core.kernel);
+    }
+  sv_fixture_request (&fixture.core, "/again/1");
+  sv_fixture_wait_for (&fixture.core, "HTTP/1.1 503");
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 0);
+  fixture_close (&fixture);
+}
+
+/* Guards against a single endpoint that is down, and is taken for the loss of all links. */
+static void
+test_one_endpoint_down_is_no_loss_of_links (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture, &good, 1);
+  for (guint i = 0; i < 3; i++)
+    sv_fixture_add_endpoint (&fixture.core, &good, 1);
+  for (guint i = 0; i < 5; i++)
+    {
+      sv_fixture_request (&fixture.core, "/again/1");
+      advance (&fixture, 100 * KNL_MSEC);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "good"));
+    }
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 0);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "callers are served through a peer", test_callers_are_served_through_a_peer },
+  { "requests are passed on unchanged", test_requests_are_passed_on_unchanged },
+  { "answers of a peer", test_answers_of_a_peer },
+  { "disconnected callers are cancelled at the peer",
+    test_disconnected_callers_are_cancelled_at_the_peer },
+  { "links are regained", test_links_are_regained },
+  { "an outage for all is no loss of links", test_an_outage_for_all_is_no_loss_of_links },
+  { "one endpoint down is no loss of links", test_one_endpoint_down_is_no_loss_of_links },
 };
 
 SUITE_MAIN ("sv_pass", cases)
