--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -374,7 +374,8 @@
   gboolean was_stale =
       ht_exchange_is_reused (exchange) && self->answer == NULL && failure == HT_FAIL_CLOSED;
 
-  if (failure == HT_FAIL_CONNECT)
+  self->unreached = failure == HT_FAIL_CONNECT;
+  if (self->unreached)
     sv_reach_note_failure (sv_request_reach (self), endpoint);
   if (failure == HT_FAIL_CLOSED)
     sv_request_note_crash (self, was_stale ? "stale-connection" : ht_failure_name (failure));
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -46,6 +46,7 @@
   GPtrArray *excluded; /* SvEndpoint that failed this request; holds references */
   /* an endpoint's error answer, owned; forwarded if no later attempt gives a better one */
   HtMessage *failure;
+  gboolean unreached;     /* no connection to the endpoint of the last send was established */
   gboolean is_passed;     /* a peer passed it on to this instance */
   HtExchange *pass;       /* with the peer that it is passed on to; NULL: none */
   char *passed_to;        /* address of the last peer that it was passed on to; NULL: none */
--- a/serve/pass.c
+++ b/serve/pass.c
@@ -150,14 +150,23 @@
   g_string_free (head, TRUE);
 }
 
+/* Of a request that couldn't reach its endpoint while a peer has heard from that endpoint: it is
+ * this instance's link that has failed, even if others have not. */
+static gboolean
+is_cut_off_from_endpoint (const SvRequest *self)
+{
+  return self->unreached && self->placement.first->last_seen_at > self->sent_at;
+}
+
 gboolean
 sv_request_pass (SvRequest *self)
 {
   SvPeerLink *link = self->core->parts.link;
   char *address;
 
-  if (self->is_passed || !sv_reach_is_lost (sv_request_reach (self))
-      || ht_call_has_begun (self->call) || self->passes >= MAX_PASSES)
+  if (self->is_passed || ht_call_has_begun (self->call) || self->passes >= MAX_PASSES)
+    return FALSE;
+  if (!sv_reach_is_lost (sv_request_reach (self)) && !is_cut_off_from_endpoint (self))
     return FALSE;
   address = link->klass->passing_address (link, self->passed_to);
   if (address == NULL)
--- a/serve/reach.c
+++ b/serve/reach.c
@@ -29,7 +29,9 @@
   KnlTime first_failed_at;
   KnlTime last_failed_at;
   gboolean is_lost;
-  HtProbe *probe; /* NULL: none is on its way */
+  HtProbe *probe;    /* NULL: none is on its way */
+  guint64 probed;    /* key of the endpoint probed last */
+  guint64 connected; /* key of the endpoint that the last probe reached; 0: it failed */
   KnlTimerId timer;
 };
 
@@ -98,6 +100,7 @@
 end_probing (SvReach *self)
 {
   self->n_failed = 0;
+  self->connected = 0;
   knl_timer_stop (self->kernel, &self->timer);
   set_lost (self, FALSE);
 }
@@ -117,11 +120,17 @@
   SvReach *self = data;
 
   self->probe = NULL;
-  if (connected)
+  if (connected && (!self->is_lost || self->connected != 0))
     {
       end_probing (self);
       return;
     }
+  self->connected = connected ? self->probed : 0;
+  if (connected)
+    {
+      send_probe (self);
+      return;
+    }
   set_lost (self, silence_of_endpoints (self) < PEERS_REACH_WINDOW);
   self->timer = knl_timer_start (self->kernel, PROBE_INTERVAL, on_probe_due, self);
 }
@@ -151,7 +160,8 @@
       const SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
       gboolean failed = has_failed (self, endpoint->key);
 
-      if (endpoint->state != SV_ENDPOINT_READY || failed > chosen_failed)
+      if (endpoint->state != SV_ENDPOINT_READY || failed > chosen_failed
+          || endpoint->key == self->connected)
         continue;
       if (chosen == NULL || failed < chosen_failed || endpoint->last_seen_at > chosen->last_seen_at)
         {
@@ -172,6 +182,7 @@
       end_probing (self);
       return;
     }
+  self->probed = endpoint->key;
   self->probe = ht_client_probe (self->client, endpoint->address, PROBE_TIMEOUT, on_probed, self);
 }
 
@@ -196,7 +207,7 @@
 void
 sv_reach_note_connected (SvReach *self)
 {
-  if (self->probe == NULL)
+  if (self->probe == NULL && !self->is_lost)
     end_probing (self);
 }
 
--- a/serve/send.c
+++ b/serve/send.c
@@ -274,6 +274,7 @@
   GString *head;
 
   sv_request_register_prefill (self);
+  self->unreached = FALSE;
   self->sent_at = sv_request_now (self);
   if (self->last_event >= 0)
     {
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -21,20 +21,26 @@
 } Fixture;
 
 static void
-fixture_open (Fixture *self, const ScriptedAnswer *peer_script, guint n)
+set_addresses (Fixture *self, const char *address)
 {
   static const char *const ids[] = { "u-0", "u-1", "u-2", "u-3" };
 
-  sv_fixture_open (&self->core);
-  sv_fixture_use_config (&self->core, 1, "key");
   for (guint i = 0; i < G_N_ELEMENTS (ids); i++)
     {
       SvEndpointEntry entry = {
-        .id = ids[i], .service = "s", .address = UNREACHABLE, .zone = "a", .slots = 4
+        .id = ids[i], .service = "s", .address = address, .zone = "a", .slots = 4
       };
 
       sv_fleet_update (self->core.fleet, &entry);
     }
+}
+
+static void
+fixture_open (Fixture *self, const ScriptedAnswer *peer_script, guint n)
+{
+  sv_fixture_open (&self->core);
+  sv_fixture_use_config (&self->core, 1, "key");
+  set_addresses (self, UNREACHABLE);
   self->peer = scripted_endpoint_new (self->core.base, peer_script, n);
   sv_fixture_set_peer (scripted_endpoint_address (self->peer));
 }
@@ -191,6 +197,7 @@
   fixture_open (&fixture, &good, 1);
   lose_links (&fixture);
   sv_fixture_add_endpoint (&fixture.core, &good, 1);
+  set_addresses (&fixture, scripted_endpoint_address (fixture.core.endpoints[0]));
   advance (&fixture, KNL_SEC);
   sv_fixture_request (&fixture.core, "/once/1");
   advance (&fixture, 100 * KNL_MSEC);
@@ -200,6 +207,24 @@
   fixture_close (&fixture);
 }
 
+/* Guards against an instance that reaches one endpoint of many, and goes on losing its callers'
+ * requests at the others. */
+static void
+test_one_endpoint_reached_is_not_enough (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture, &good, 1);
+  lose_links (&fixture);
+  sv_fixture_add_endpoint (&fixture.core, &good, 1);
+  advance (&fixture, KNL_SEC);
+  sv_fixture_request (&fixture.core, "/once/1");
+  advance (&fixture, 100 * KNL_MSEC);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "good"));
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 1);
+  fixture_close (&fixture);
+}
+
 /* Guards against an outage of all endpoints that is taken for this instance's own: no peer could
  * serve the requests either. */
 static void
@@ -248,6 +273,7 @@
   { "disconnected callers are cancelled at the peer",
     test_disconnected_callers_are_cancelled_at_the_peer },
   { "links are regained", test_links_are_regained },
+  { "one endpoint reached is not enough", test_one_endpoint_reached_is_not_enough },
   { "an outage for all is no loss of links", test_an_outage_for_all_is_no_loss_of_links },
   { "one endpoint down is no loss of links", test_one_endpoint_down_is_no_loss_of_links },
 };
