serve: records of crashes are dropped when they expire, and looked through only when some are unsent

Cause: expired records were removed only when 4,096 were kept, and nothing said whether any was unsent. Change: a mark for each audience; expired records are dropped with each full datagram. Result: sv_crash_peers: 8 pass; without the drop "old records are dropped" fails.

--- a/include/serve/crashes.h
+++ b/include/serve/crashes.h
@@ -65,8 +65,12 @@
 /** Whether the request has ended so many endpoints that it isn't run. */
 gboolean sv_crashes_is_refused (const SvCrashes *crashes, guint64 fingerprint);
 
-/** Marks for sending again the losses of requests that have two or more: this instance's own ones,
- * or with `all` also those that others have seen. FALSE: there are none. */
+/** Number of requests that records are kept of. */
+guint sv_crashes_n_requests (const SvCrashes *crashes);
+
+/** To be called regularly: drops expired records, and marks for sending again the losses of
+ * requests that have two or more: this instance's own ones, or with `all` also those that others
+ * have seen. FALSE: there are none. */
 gboolean sv_crashes_repeat (SvCrashes *crashes, gboolean all);
 
 /** Fills in losses, or acquittals, that the audience has not been sent; they then count as sent.
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -40,6 +40,10 @@
   KnlKernel *kernel;
   SvFleet *fleet;
   GHashTable *records; /* &fingerprint -> Record */
+  /* Whether any may be unsent. Each announcement of loads asks for them: without this it would look
+   * at all records, thousands after many endpoints have failed at once. */
+  gboolean has_unsent_losses[SV_CRASHES_N_AUDIENCES];
+  gboolean has_unsent_acquittals[SV_CRASHES_N_AUDIENCES];
 };
 
 SvCrashes *
@@ -105,6 +109,13 @@
   return endpoint != NULL && endpoint->last_seen_at > loss->lost_at + SURVIVAL_MARGIN;
 }
 
+static void
+note_unsent (gboolean *has_unsent, const gboolean *unsent)
+{
+  for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
+    has_unsent[i] |= unsent[i];
+}
+
 static Loss *
 find_loss (Record *record, guint64 endpoint)
 {
@@ -155,6 +166,7 @@
                   .lost_at = crash->lost_at,
                   .origin = origin,
                   .unsent = { origin == SV_CRASH_OWN, origin != SV_CRASH_OF_OTHER_CELL } };
+  note_unsent (self->has_unsent_losses, loss->unsent);
   record->expires = MAX (record->expires, crash->lost_at + RECORD_TTL);
   return TRUE;
 }
@@ -179,6 +191,7 @@
   record->expires = MAX (record->expires, acquittal->answered_at + RECORD_TTL);
   record->acquittal_unsent[SV_CRASHES_FOR_CELL] = origin == SV_CRASH_OWN;
   record->acquittal_unsent[SV_CRASHES_FOR_CELLS] = origin != SV_CRASH_OF_OTHER_CELL;
+  note_unsent (self->has_unsent_acquittals, record->acquittal_unsent);
   return TRUE;
 }
 
@@ -212,6 +225,7 @@
         continue;
       loss->unsent[SV_CRASHES_FOR_CELL] = TRUE;
       loss->unsent[SV_CRASHES_FOR_CELLS] = loss->origin != SV_CRASH_OF_OTHER_CELL;
+      note_unsent (self->has_unsent_losses, loss->unsent);
       repeated = TRUE;
     }
   return repeated;
@@ -224,6 +238,7 @@
   gpointer value;
   gboolean repeated = FALSE;
 
+  g_hash_table_foreach_remove (self->records, is_expired, self->kernel);
   g_hash_table_iter_init (&iter, self->records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -245,6 +260,8 @@
   gpointer value;
   guint n = 0;
 
+  if (!self->has_unsent_losses[audience])
+    return 0;
   g_hash_table_iter_init (&iter, self->records);
   while (n < max_losses && g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -260,6 +277,7 @@
           losses[n++] = (SvCrash){ record->fingerprint, loss->endpoint, loss->lost_at };
         }
     }
+  self->has_unsent_losses[audience] = n == max_losses;
   return n;
 }
 
@@ -273,6 +291,8 @@
   gpointer value;
   guint n = 0;
 
+  if (!self->has_unsent_acquittals[audience])
+    return 0;
   g_hash_table_iter_init (&iter, self->records);
   while (n < max_acquittals && g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -283,5 +303,12 @@
       record->acquittal_unsent[audience] = FALSE;
       acquittals[n++] = (SvAcquittal){ record->fingerprint, record->answered_at };
     }
+  self->has_unsent_acquittals[audience] = n == max_acquittals;
   return n;
 }
+
+guint
+sv_crashes_n_requests (const SvCrashes *self)
+{
+  return g_hash_table_size (self->records);
+}
--- a/tests/unit/sv_crash_peers_test.c
+++ b/tests/unit/sv_crash_peers_test.c
@@ -144,6 +144,46 @@
   peers_fixture_close (&fixture);
 }
 
+/* Guards against more losses than fit into one datagram, of which the rest is never sent. */
+static void
+test_many_losses_are_all_told (void)
+{
+  static const guint n = 50;
+  PeersFixture fixture;
+  SvPeerLink *link;
+
+  fixture_open (&fixture);
+  link = sv_peers_link (fixture.peers[0]);
+  for (guint i = 0; i < n; i++)
+    {
+      SvCrash crash = { 1000 + i, 1, knl_kernel_now (fixture.kernel) };
+
+      sv_crashes_note_loss (fixture.crashes[0], &crash, SV_CRASH_OWN);
+    }
+  link->klass->crashes_changed (link);
+  peers_fixture_advance (&fixture, 2 * PEERS_PROPAGATION_TIME);
+  for (guint i = 0; i < INSTANCES; i++)
+    CU_ASSERT_EQUAL (sv_crashes_n_requests (fixture.crashes[i]), n);
+  peers_fixture_close (&fixture);
+}
+
+/* Guards against records that are kept, and looked through, for as long as the process runs. */
+static void
+test_old_records_are_dropped (void)
+{
+  PeersFixture fixture;
+
+  fixture_open (&fixture);
+  note_crash (&fixture, 0, 1);
+  peers_fixture_advance (&fixture, PEERS_PROPAGATION_TIME);
+  CU_ASSERT_EQUAL (sv_crashes_n_requests (fixture.crashes[2]), 1);
+  knl_paused_clock_advance (fixture.clock, 61 * KNL_SEC);
+  peers_fixture_advance (&fixture, 5 * PEERS_HEARTBEAT_INTERVAL);
+  for (guint i = 0; i < INSTANCES; i++)
+    CU_ASSERT_EQUAL (sv_crashes_n_requests (fixture.crashes[i]), 0);
+  peers_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "crashes are repeated", test_crashes_are_repeated },
   { "crashes outlive who saw them", test_crashes_outlive_who_saw_them },
@@ -152,6 +192,8 @@
   { "an answer clears crashes everywhere", test_an_answer_clears_crashes_everywhere },
   { "endpoints that answer a peer have not crashed",
     test_endpoints_that_answer_a_peer_have_not_crashed },
+  { "many losses are all told", test_many_losses_are_all_told },
+  { "old records are dropped", test_old_records_are_dropped },
 };
 
 SUITE_MAIN ("sv_crash_peers", cases)
