serve, wire, platform: interfaces for evacuated zones, cold and slow endpoints, offered load

Change: fields of datagrams for the parts, the cold figures of a service and of an endpoint's row, and the bounds evacMs, coldOverage and coldSlack of the settings are decoded; nothing reads them yet.

--- a/include/serve/bounds.h
+++ b/include/serve/bounds.h
@@ -17,6 +17,9 @@
   KnlTime idle_memory;    /**< longest time from reserving memory to its use; 0: no bound */
   KnlTime grace;          /**< from the stop signal to the end of the process */
   PolBudgetRule retries;  /**< for each service, over all instances */
+  KnlTime evacuation;     /**< nothing may be sent to an evacuated zone after this; 0: no bound */
+  double cold_overage;    /**< in any second a cold endpoint may be sent its rate times this, */
+  double cold_slack;      /**< plus this many requests, by all instances together */
 } SvBounds;
 
 /** Largest age of the last confirmation at which keys of the configuration are accepted;
--- a/include/serve/config.h
+++ b/include/serve/config.h
@@ -49,10 +49,19 @@
   double mean_answer_tokens;
 } SvEngineSpec;
 
+/** What endpoints of a service bear while they are cold: after their start, and whenever they
+ * report it. */
+typedef struct
+{
+  KnlTime duration; /**< how long an endpoint is cold after its start */
+  double rate;      /**< requests a second that a cold one tolerates; 0: not limited */
+} SvColdSpec;
+
 typedef struct
 {
   char *name;
   SvEngineSpec engine;
+  SvColdSpec cold;
 } SvService;
 
 typedef struct
--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -59,8 +59,9 @@
   const char *at_fault; /**< address of the endpoint that caused the failure; NULL: not stated */
   KnlTime retry_after;  /**< Retry-After: time until this instance may send again; 0: none */
   gboolean is_leaving;  /**< the endpoint advertises that it is about to exit */
-  double limit; /**< requests per second that the endpoint accepts from all callers together;
-                     POL_NO_LIMIT: any number */
+  double limit;      /**< requests per second that the endpoint accepts from all callers together;
+                          POL_NO_LIMIT: any number */
+  KnlTime cold_left; /**< how long the endpoint stays cold; -1: not stated */
 } SvReply;
 
 /** Applies the limit that an answer advertises, and logs a change. TRUE: it has changed. */
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -103,6 +103,8 @@
   guint slots;
   gboolean draining;
   guint64 start;       /**< see SvEndpoint */
+  KnlTime cold_left;   /**< how long the endpoint stays cold, from when the row was written; -1: not
+                            stated */
   SvPosition revision; /**< in the store; version 0: unknown */
 } SvEndpointEntry;
 
@@ -125,6 +127,10 @@
 /** The endpoint's row was removed; unknown ids are ignored. */
 void sv_fleet_remove (SvFleet *fleet, const char *id);
 
+/** The evacuation of the zone has ended, by a change at `revision`: its endpoints count as cold
+ * unless newer rows say otherwise. */
+void sv_fleet_note_zone_restored (SvFleet *fleet, const char *zone, SvPosition revision);
+
 /** Drops endpoints whose row was removed more than the leave grace ago. */
 void sv_fleet_sweep (SvFleet *fleet);
 
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Alderturn__EndpointLimit Alderturn__EndpointLimit;
+typedef struct Alderturn__EndpointPace Alderturn__EndpointPace;
 typedef struct Alderturn__EndpointLoad Alderturn__EndpointLoad;
 typedef struct Alderturn__PlacedRead Alderturn__PlacedRead;
 typedef struct Alderturn__Sender Alderturn__Sender;
@@ -24,6 +25,7 @@
 typedef struct Alderturn__CellMember Alderturn__CellMember;
 typedef struct Alderturn__EndpointCrash Alderturn__EndpointCrash;
 typedef struct Alderturn__AnsweredRequest Alderturn__AnsweredRequest;
+typedef struct Alderturn__OfferedLoad Alderturn__OfferedLoad;
 typedef struct Alderturn__Datagram Alderturn__Datagram;
 
 
@@ -56,6 +58,30 @@
     , 0, 0, 0 }
 
 
+/*
+ * How slow an endpoint is, by what the sender, or a cell, has seen of its answers.
+ */
+struct  Alderturn__EndpointPace
+{
+  ProtobufCMessage base;
+  /*
+   * its time for a piece of work, of the time that its service declares
+   */
+  uint32_t percent;
+  /*
+   * that this is estimated from
+   */
+  uint32_t samples;
+  /*
+   * since the newest of them
+   */
+  uint32_t age_ms;
+};
+#define ALDERTURN__ENDPOINT_PACE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__endpoint_pace__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * What the sender, or a cell, has in flight at an endpoint.
  */
@@ -86,10 +112,11 @@
    */
   uint32_t cell;
   Alderturn__EndpointLimit *limit;
+  Alderturn__EndpointPace *pace;
 };
 #define ALDERTURN__ENDPOINT_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__endpoint_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL }
 
 
 /*
@@ -200,13 +227,17 @@
    */
   uint64_t endpoints;
   /*
-   * of the store, that both versions are of; 0: not known
+   * of the store, that all versions are of; 0: not known
    */
   uint64_t era;
+  /*
+   * newest revision among the rows of evacuated zones that the answerer has applied
+   */
+  uint64_t evacuations;
 };
 #define ALDERTURN__CONFIRMATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__confirmation__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -275,6 +306,42 @@
     , 0, 0 }
 
 
+/*
+ * Load that callers offer, by workspace, to the sender or to all instances of a cell.
+ */
+struct  Alderturn__OfferedLoad
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint32_t service;
+  /*
+   * see SvOfferedClass
+   */
+  uint32_t class_;
+  /*
+   * hash of its name; 0: all workspaces that have no row of their own
+   */
+  uint32_t workspace;
+  /*
+   * engine time that is asked for in a second, in ms
+   */
+  uint32_t cost;
+  /*
+   * since the end of the second that was counted
+   */
+  uint32_t age_ms;
+  /*
+   * number of them in a row with workspace 0
+   */
+  uint32_t workspaces;
+};
+#define ALDERTURN__OFFERED_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__offered_load__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 struct  Alderturn__Datagram
 {
   ProtobufCMessage base;
@@ -359,10 +426,16 @@
   Alderturn__EndpointCrash **crashes;
   size_t n_answered;
   Alderturn__AnsweredRequest **answered;
+  /*
+   * newest revision among the rows of evacuated zones; 0: not told
+   */
+  uint64_t evacuations;
+  size_t n_offered;
+  Alderturn__OfferedLoad **offered;
 };
 #define ALDERTURN__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__datagram__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /* Alderturn__EndpointLimit methods */
@@ -384,6 +457,25 @@
 void   alderturn__endpoint_limit__free_unpacked
                      (Alderturn__EndpointLimit *message,
                       ProtobufCAllocator *allocator);
+/* Alderturn__EndpointPace methods */
+void   alderturn__endpoint_pace__init
+                     (Alderturn__EndpointPace         *message);
+size_t alderturn__endpoint_pace__get_packed_size
+                     (const Alderturn__EndpointPace   *message);
+size_t alderturn__endpoint_pace__pack
+                     (const Alderturn__EndpointPace   *message,
+                      uint8_t             *out);
+size_t alderturn__endpoint_pace__pack_to_buffer
+                     (const Alderturn__EndpointPace   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__EndpointPace *
+       alderturn__endpoint_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__endpoint_pace__free_unpacked
+                     (Alderturn__EndpointPace *message,
+                      ProtobufCAllocator *allocator);
 /* Alderturn__EndpointLoad methods */
 void   alderturn__endpoint_load__init
                      (Alderturn__EndpointLoad         *message);
@@ -536,6 +628,25 @@
 void   alderturn__answered_request__free_unpacked
                      (Alderturn__AnsweredRequest *message,
                       ProtobufCAllocator *allocator);
+/* Alderturn__OfferedLoad methods */
+void   alderturn__offered_load__init
+                     (Alderturn__OfferedLoad         *message);
+size_t alderturn__offered_load__get_packed_size
+                     (const Alderturn__OfferedLoad   *message);
+size_t alderturn__offered_load__pack
+                     (const Alderturn__OfferedLoad   *message,
+                      uint8_t             *out);
+size_t alderturn__offered_load__pack_to_buffer
+                     (const Alderturn__OfferedLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__OfferedLoad *
+       alderturn__offered_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__offered_load__free_unpacked
+                     (Alderturn__OfferedLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Alderturn__Datagram methods */
 void   alderturn__datagram__init
                      (Alderturn__Datagram         *message);
@@ -560,6 +671,9 @@
 typedef void (*Alderturn__EndpointLimit_Closure)
                  (const Alderturn__EndpointLimit *message,
                   void *closure_data);
+typedef void (*Alderturn__EndpointPace_Closure)
+                 (const Alderturn__EndpointPace *message,
+                  void *closure_data);
 typedef void (*Alderturn__EndpointLoad_Closure)
                  (const Alderturn__EndpointLoad *message,
                   void *closure_data);
@@ -584,6 +698,9 @@
 typedef void (*Alderturn__AnsweredRequest_Closure)
                  (const Alderturn__AnsweredRequest *message,
                   void *closure_data);
+typedef void (*Alderturn__OfferedLoad_Closure)
+                 (const Alderturn__OfferedLoad *message,
+                  void *closure_data);
 typedef void (*Alderturn__Datagram_Closure)
                  (const Alderturn__Datagram *message,
                   void *closure_data);
@@ -594,6 +711,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor alderturn__endpoint_limit__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__endpoint_pace__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__endpoint_load__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__placed_read__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__sender__descriptor;
@@ -602,6 +720,7 @@
 extern const ProtobufCMessageDescriptor alderturn__cell_member__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__endpoint_crash__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__answered_request__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__offered_load__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -224,6 +224,11 @@
     }
 }
 
+void
+sv_fleet_note_zone_restored (SvFleet *self, const char *zone, SvPosition revision)
+{
+}
+
 void
 sv_fleet_set_list_lag (SvFleet *self, KnlTime lag)
 {
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -21,7 +21,7 @@
     "{\"name\":\"broken\"}],"
     "\"services\":[{\"name\":\"x\",\"healthPath\":\"/health\",\"maxConns\":424,\"engine\":"
     "{\"slots\":16,\"kvCapacity\":315000,\"stride\":51,\"step_ms\":0.85,\"read_per_s\":177000.0}},"
-    "{\"name\":\"y\"}],"
+    "{\"name\":\"y\",\"coldStartS\":2.5,\"coldPerS\":17.0}],"
     "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,"
     "\"idleTimeoutMs\":15000},"
     "\"tenants\":[{\"name\":\"w\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1}]}";
@@ -42,6 +42,9 @@
   CU_ASSERT_EQUAL (plain->max_attempts, 1);
   CU_ASSERT_TRUE (sv_service_is_engine (sv_config_service (config, "x")));
   CU_ASSERT_FALSE (sv_service_is_engine (sv_config_service (config, "y")));
+  CU_ASSERT_EQUAL (sv_config_service (config, "x")->cold.rate, 0);
+  CU_ASSERT_EQUAL (sv_config_service (config, "y")->cold.duration, 2500 * KNL_MSEC);
+  CU_ASSERT_EQUAL (sv_config_service (config, "y")->cold.rate, 17);
   CU_ASSERT_STRING_EQUAL (sv_config_workspace (config, "k2")->name, "w");
   CU_ASSERT_PTR_NULL (sv_config_workspace (config, "k3"));
   CU_ASSERT_EQUAL (config->limits.idle_timeout, 15 * KNL_SEC);
@@ -199,12 +202,14 @@
     gboolean is_entry;
     gboolean draining;
     guint64 start;
+    KnlTime cold_left; /* 0: not stated */
   } rows[] = {
     { ENTRY ("\"ready\"", "6", ""), TRUE, FALSE, 0 },
     { ENTRY ("\"draining\"", "6", ""), TRUE, TRUE, 0 },
     { ENTRY ("\"ready\"", "6", ",\"born\":1764722741000"), TRUE, FALSE, 1764722741000 },
     { ENTRY ("\"ready\"", "6", ",\"seqNo\":4,\"coldLeftMs\":0.5,\"version\":\"v1\""), TRUE, FALSE,
-      0 },
+      0, KNL_MSEC / 2 },
+    { ENTRY ("\"ready\"", "6", ",\"coldLeftMs\":1e300"), TRUE, FALSE, 0, 3600 * KNL_SEC },
     { ENTRY ("\"ready\"", "6", ",\"unknown\":{}"), TRUE, FALSE, 0 },
     { ENTRY ("\"ready\"", "6", ",\"born\":\"1764722741000\""), FALSE },
     { ENTRY ("\"ready\"", "6", ",\"born\":1764722741000.5"), FALSE },
@@ -248,6 +253,8 @@
       CU_ASSERT_EQUAL (pl_decode_endpoint ("i-1", value, &entry), rows[i].is_entry);
       CU_ASSERT_EQUAL (entry.draining, rows[i].draining);
       CU_ASSERT_EQUAL (entry.start, rows[i].start);
+      if (rows[i].is_entry)
+        CU_ASSERT_EQUAL (entry.cold_left, rows[i].cold_left != 0 ? rows[i].cold_left : -1);
       json_decref (value);
     }
 }
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &alderturn__endpoint_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   alderturn__endpoint_pace__init
+                     (Alderturn__EndpointPace         *message)
+{
+  static const Alderturn__EndpointPace init_value = ALDERTURN__ENDPOINT_PACE__INIT;
+  *message = init_value;
+}
+size_t alderturn__endpoint_pace__get_packed_size
+                     (const Alderturn__EndpointPace *message)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_pace__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__endpoint_pace__pack
+                     (const Alderturn__EndpointPace *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_pace__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__endpoint_pace__pack_to_buffer
+                     (const Alderturn__EndpointPace *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__endpoint_pace__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__EndpointPace *
+       alderturn__endpoint_pace__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__EndpointPace *)
+     protobuf_c_message_unpack (&alderturn__endpoint_pace__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__endpoint_pace__free_unpacked
+                     (Alderturn__EndpointPace *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__endpoint_pace__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   alderturn__endpoint_load__init
                      (Alderturn__EndpointLoad         *message)
 {
@@ -412,6 +457,51 @@
   assert(message->base.descriptor == &alderturn__answered_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   alderturn__offered_load__init
+                     (Alderturn__OfferedLoad         *message)
+{
+  static const Alderturn__OfferedLoad init_value = ALDERTURN__OFFERED_LOAD__INIT;
+  *message = init_value;
+}
+size_t alderturn__offered_load__get_packed_size
+                     (const Alderturn__OfferedLoad *message)
+{
+  assert(message->base.descriptor == &alderturn__offered_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__offered_load__pack
+                     (const Alderturn__OfferedLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__offered_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__offered_load__pack_to_buffer
+                     (const Alderturn__OfferedLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__offered_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__OfferedLoad *
+       alderturn__offered_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__OfferedLoad *)
+     protobuf_c_message_unpack (&alderturn__offered_load__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__offered_load__free_unpacked
+                     (Alderturn__OfferedLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__offered_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   alderturn__datagram__init
                      (Alderturn__Datagram         *message)
 {
@@ -521,7 +611,71 @@
   (ProtobufCMessageInit) alderturn__endpoint_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__endpoint_load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor alderturn__endpoint_pace__field_descriptors[3] =
+{
+  {
+    "percent",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointPace, percent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointPace, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointPace, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__endpoint_pace__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = percent */
+  1,   /* field[1] = samples */
+};
+static const ProtobufCIntRange alderturn__endpoint_pace__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor alderturn__endpoint_pace__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.EndpointPace",
+  "EndpointPace",
+  "Alderturn__EndpointPace",
+  "alderturn",
+  sizeof(Alderturn__EndpointPace),
+  3,
+  alderturn__endpoint_pace__field_descriptors,
+  alderturn__endpoint_pace__field_indices_by_name,
+  1,  alderturn__endpoint_pace__number_ranges,
+  (ProtobufCMessageInit) alderturn__endpoint_pace__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__endpoint_load__field_descriptors[10] =
 {
   {
     "endpoint",
@@ -631,6 +785,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "pace",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointLoad, pace),
+    &alderturn__endpoint_pace__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__endpoint_load__field_indices_by_name[] = {
   1,   /* field[1] = calls */
@@ -639,6 +805,7 @@
   8,   /* field[8] = limit */
   4,   /* field[4] = loose */
   3,   /* field[3] = medium */
+  9,   /* field[9] = pace */
   6,   /* field[6] = silent_ms */
   2,   /* field[2] = tight */
   5,   /* field[5] = tokens */
@@ -646,7 +813,7 @@
 static const ProtobufCIntRange alderturn__endpoint_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor alderturn__endpoint_load__descriptor =
 {
@@ -656,7 +823,7 @@
   "Alderturn__EndpointLoad",
   "alderturn",
   sizeof(Alderturn__EndpointLoad),
-  9,
+  10,
   alderturn__endpoint_load__field_descriptors,
   alderturn__endpoint_load__field_indices_by_name,
   1,  alderturn__endpoint_load__number_ranges,
@@ -920,7 +1087,7 @@
   (ProtobufCMessageInit) alderturn__cell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__confirmation__field_descriptors[5] =
+static const ProtobufCFieldDescriptor alderturn__confirmation__field_descriptors[6] =
 {
   {
     "stamp",
@@ -982,18 +1149,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Confirmation, evacuations),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__confirmation__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   3,   /* field[3] = endpoints */
   4,   /* field[4] = era */
+  5,   /* field[5] = evacuations */
   0,   /* field[0] = stamp */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange alderturn__confirmation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor alderturn__confirmation__descriptor =
 {
@@ -1003,7 +1183,7 @@
   "Alderturn__Confirmation",
   "alderturn",
   sizeof(Alderturn__Confirmation),
-  5,
+  6,
   alderturn__confirmation__field_descriptors,
   alderturn__confirmation__field_indices_by_name,
   1,  alderturn__confirmation__number_ranges,
@@ -1202,7 +1382,110 @@
   (ProtobufCMessageInit) alderturn__answered_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[24] =
+static const ProtobufCFieldDescriptor alderturn__offered_load__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__OfferedLoad, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "class",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__OfferedLoad, class_),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__OfferedLoad, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cost",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__OfferedLoad, cost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__OfferedLoad, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspaces",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__OfferedLoad, workspaces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__offered_load__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  1,   /* field[1] = class */
+  3,   /* field[3] = cost */
+  0,   /* field[0] = service */
+  2,   /* field[2] = workspace */
+  5,   /* field[5] = workspaces */
+};
+static const ProtobufCIntRange alderturn__offered_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor alderturn__offered_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.OfferedLoad",
+  "OfferedLoad",
+  "Alderturn__OfferedLoad",
+  "alderturn",
+  sizeof(Alderturn__OfferedLoad),
+  6,
+  alderturn__offered_load__field_descriptors,
+  alderturn__offered_load__field_indices_by_name,
+  1,  alderturn__offered_load__number_ranges,
+  (ProtobufCMessageInit) alderturn__offered_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[26] =
 {
   {
     "sender",
@@ -1492,6 +1775,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, evacuations),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offered",
+    27,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Alderturn__Datagram, n_offered),
+    offsetof(Alderturn__Datagram, offered),
+    &alderturn__offered_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__datagram__field_indices_by_name[] = {
   23,   /* field[23] = answered */
@@ -1503,6 +1810,7 @@
   15,   /* field[15] = cut_off */
   17,   /* field[17] = endpoints */
   18,   /* field[18] = era */
+  24,   /* field[24] = evacuations */
   4,   /* field[4] = from */
   1,   /* field[1] = incarnation */
   21,   /* field[21] = instances */
@@ -1511,6 +1819,7 @@
   8,   /* field[8] = lost */
   11,   /* field[11] = lost_by */
   20,   /* field[20] = members */
+  25,   /* field[25] = offered */
   13,   /* field[13] = passed */
   7,   /* field[7] = reads */
   3,   /* field[3] = ready */
@@ -1523,7 +1832,7 @@
 {
   { 1, 0 },
   { 10, 8 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor alderturn__datagram__descriptor =
 {
@@ -1533,7 +1842,7 @@
   "Alderturn__Datagram",
   "alderturn",
   sizeof(Alderturn__Datagram),
-  24,
+  26,
   alderturn__datagram__field_descriptors,
   alderturn__datagram__field_indices_by_name,
   2,  alderturn__datagram__number_ranges,
