serve: cold endpoints get what they can take

Change: rows, answers and restored zones decide until when an endpoint is cold (serve/endpoint_cold.c). The peers give the fleet the members, from which the policy chooses the senders; the wait for a token is part of sv_endpoint_wait_time(), so endpoints without one are left out at every level, and callers get the wait as Retry-After. Cold endpoints help no other prompts, come last in roles, and cost more than warm ones with room; a prompt that would queue takes a cold one with a free slot. A prompt for which memory was being reserved is placed again if one of its endpoints has become cold or has no token left. Healthy endpoints that are left out only because they are cold are no reason to ignore the losses that others report.

--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -11,6 +11,7 @@
 #include "policy/shared_health.h"
 #include "policy/health.h"
 #include "policy/limit.h"
+#include "serve/cold.h"
 #include "serve/config.h"
 #include "serve/position.h"
 #include "serve/prefills.h"
@@ -49,7 +50,7 @@
                             leave grace */
 } SvEndpointState;
 
-typedef struct
+struct SvEndpoint
 {
   gint refs;
   char *id;
@@ -91,7 +92,8 @@
   guint32 announced_sent;        /**< `sent_in_cell` as last announced to other cells */
   double announced_rate;         /**< the limit's rate as last announced to other cells */
   GArray *reported_sends;        /**< SvReportedSends */
-} SvEndpoint;
+  SvEndpointCold cold;
+};
 
 /** An endpoint's row in the platform's list. */
 typedef struct
@@ -148,6 +150,16 @@
  * included in both; its share of an endpoint's limit follows from them. */
 void sv_fleet_set_instances (SvFleet *fleet, guint known, guint reachable);
 
+/** Sets the instances from which those that send to a cold endpoint are chosen. Before it is called
+ * this instance sends nothing to cold endpoints. */
+void sv_fleet_set_members (SvFleet *fleet, const SvMembers *members);
+
+/** Sets how many requests cold endpoints may get. */
+void sv_fleet_set_cold_bounds (SvFleet *fleet, const SvBounds *bounds);
+
+/** Sets the configuration's services, as far as they concern cold endpoints. */
+void sv_fleet_set_cold_config (SvFleet *fleet, const SvConfig *config);
+
 /** All endpoints; owned by the fleet. */
 const GPtrArray *sv_fleet_all (const SvFleet *fleet);
 
@@ -245,7 +257,8 @@
 /** Whether its limit, or that it was lifted recently, is to be announced to peers. */
 gboolean sv_endpoint_announces_limit (const SvEndpoint *endpoint, KnlTime now);
 
-/** Time until its advertised Retry-After and limit permit a request of this instance; 0: now. */
+/** Time until its advertised Retry-After and limit, and that it is cold, permit a request of this
+ * instance; 0: now. */
 KnlTime sv_endpoint_wait_time (const SvFleet *fleet, SvEndpoint *endpoint, KnlTime now);
 
 /** Records an answer that reports a failure of the endpoint itself. */
--- a/include/serve/meters.h
+++ b/include/serve/meters.h
@@ -28,6 +28,9 @@
 /** Counts a send to an endpoint that advertises a limit. */
 void sv_meters_note_limited_send (SvMeters *meters, const char *service);
 
+/** Counts a send to an endpoint that is cold. */
+void sv_meters_note_cold_send (SvMeters *meters, const char *service);
+
 /** Counts an endpoint that was lost under a request. */
 void sv_meters_note_crash (SvMeters *meters, const char *service);
 
--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -39,9 +39,11 @@
   candidate->pass = sv_model_pass_ms (spec, sv_load_decoding_streams (&candidate->load),
                                       (double)candidate->load.tokens);
   candidate->order = candidate->prefill_left;
-  /* Parts of other prompts would come in addition to the requests that its limit allows. */
-  candidate->can_help =
-      sv_endpoint_can_help (endpoint, now) && !pol_limit_is_advertised (&endpoint->limit);
+  candidate->is_cold = sv_endpoint_is_cold (endpoint, now);
+  /* Parts of other prompts would come in addition to the requests that its limit allows, or that it
+   * may get while it is cold. */
+  candidate->can_help = sv_endpoint_can_help (endpoint, now) && !candidate->is_cold
+                        && !pol_limit_is_advertised (&endpoint->limit);
   for (guint i = 0; i < SV_N_GAP_CLASSES; i++)
     candidate->order += candidate->load.decoding_streams[i] * stream_cost_ms[i];
 }
@@ -92,6 +94,61 @@
     }
 }
 
+/* Healthy endpoints that are left out only because they are cold: that isn't a reason to ignore the
+ * losses of others. */
+static guint
+count_cold_left_out (const SvFleet *fleet, const SvDemand *demand, KnlTime now)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
+  guint n = 0;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      n += sv_endpoint_cold_wait (endpoint, now) > 0
+           && is_accepted (fleet, endpoint, LEVEL_HEALTHY, now);
+    }
+  return n;
+}
+
+static gboolean
+are_mostly_doubted (const SvFleet *fleet,
+                    const SvDemand *demand,
+                    KnlTime now,
+                    const GArray *candidates)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
+  guint healthy = candidates->len;
+
+  if (endpoints == NULL || healthy >= MIN_HEALTHY_FRACTION * endpoints->len)
+    return FALSE;
+  if (healthy > 0)
+    healthy += count_cold_left_out (fleet, demand, now);
+  return healthy < MIN_HEALTHY_FRACTION * endpoints->len;
+}
+
+/* Cold endpoints come after all others when roles are assigned: they are slow, and a role that they
+ * have only while this instance may send to them would change the roles of the others. */
+static void
+move_cold_last (GArray *candidates)
+{
+  guint n = candidates->len;
+
+  for (guint i = 0, seen = 0; seen < n; seen++)
+    {
+      SvCandidate candidate = g_array_index (candidates, SvCandidate, i);
+
+      if (!candidate.is_cold)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (candidates, i);
+      g_array_append_val (candidates, candidate);
+    }
+}
+
 /*
  * When losses are reported for most endpoints, the fault is more likely on the
  * reporters' side, and leaving out all of these endpoints would leave none to
@@ -100,14 +157,14 @@
 GArray *
 sv_candidates_collect (const SvFleet *fleet, const SvDemand *demand, KnlTime now)
 {
-  const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (SvCandidate));
 
   collect_level (fleet, demand, LEVEL_HEALTHY, now, candidates);
-  if (endpoints != NULL && candidates->len < MIN_HEALTHY_FRACTION * endpoints->len)
+  if (are_mostly_doubted (fleet, demand, now, candidates))
     collect_level (fleet, demand, LEVEL_USABLE, now, candidates);
   if (candidates->len == 0)
     collect_level (fleet, demand, LEVEL_LAST_RESORT, now, candidates);
+  move_cold_last (candidates);
   return candidates;
 }
 
--- a/serve/core.c
+++ b/serve/core.c
@@ -11,6 +11,7 @@
   self->bounds = *bounds;
   self->bounds.retries.used_fraction = RETRIES_USED_FRACTION;
   self->bounds.retries.slack_after = bounds->retries.window;
+  sv_fleet_set_cold_bounds (self->parts.fleet, bounds);
 }
 
 static void
@@ -85,6 +86,7 @@
           "replaces", self->config != NULL ? (gint64)self->config->version : (gint64)-1);
   sv_config_unref (self->config);
   self->config = sv_config_ref (config);
+  sv_fleet_set_cold_config (self->parts.fleet, config);
   return TRUE;
 }
 
--- a/serve/endpoint.c
+++ b/serve/endpoint.c
@@ -59,6 +59,7 @@
   g_array_unref (self->peers);
   g_array_unref (self->reported_sends);
   sv_prefills_clear (&self->prefills);
+  sv_cold_rules_unref (self->cold.rules);
   g_free (self);
 }
 
@@ -74,6 +75,7 @@
 static void
 count_own_sends (SvEndpoint *self, guint n)
 {
+  sv_endpoint_charge_cold (self, n);
   if (!pol_limit_is_advertised (&self->limit))
     return;
   pol_limit_charge (&self->limit, n);
--- a/serve/endpoint_signals.c
+++ b/serve/endpoint_signals.c
@@ -1,4 +1,5 @@
-/** Signals that endpoints advertise in their answers: leaving, Retry-After, limit. */
+/** Signals that endpoints advertise in their answers: leaving, Retry-After, that they are cold,
+ * limit. */
 
 #include "common/log.h"
 #include "serve/dialect.h"
@@ -33,5 +34,6 @@
     return FALSE;
   note_leaving (self, endpoint, at);
   note_retry_after (self, endpoint, at);
+  sv_endpoint_note_cold_answer (endpoint, self->cold_left, at);
   return sv_reply_note_limit (self, endpoint, at);
 }
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -37,6 +37,7 @@
   GHashTable *unlisted; /* ids not yet seen in the list being applied; NULL: no list is */
   guint known;          /* see sv_fleet_set_instances() */
   guint reachable;
+  SvColdRules *cold_rules;
   guint64 seed; /* random, differs between instances */
   SvReplacedFunc on_replaced;
   gpointer on_replaced_data;
@@ -59,6 +60,7 @@
   self->prefills = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   self->all = g_ptr_array_new ();
   self->known = self->reachable = 1;
+  self->cold_rules = sv_cold_rules_new (knl_kernel_now (kernel));
   self->seed = g_rand_int (knl_kernel_rand (kernel));
   return self;
 }
@@ -75,6 +77,7 @@
   g_hash_table_unref (self->services);
   g_hash_table_unref (self->by_key);
   g_hash_table_unref (self->by_id);
+  sv_cold_rules_unref (self->cold_rules);
   g_free (self);
 }
 
@@ -116,6 +119,7 @@
   sv_prefills_init (&endpoint->prefills);
   pol_limit_init (&endpoint->limit);
   endpoint->announced_rate = POL_NO_LIMIT;
+  endpoint->cold.rules = sv_cold_rules_ref (self->cold_rules);
   endpoint->reported_sends = g_array_new (FALSE, FALSE, sizeof (SvReportedSends));
   endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
   if (service == NULL)
@@ -193,6 +197,8 @@
     sv_endpoint_begin_leaving (endpoint, knl_kernel_now (self->kernel) - self->list_lag);
   else
     endpoint->state = SV_ENDPOINT_READY;
+  sv_endpoint_note_cold_row (endpoint, entry->cold_left, entry->revision, self->list_lag,
+                             knl_kernel_now (self->kernel));
 }
 
 /*
@@ -224,9 +230,42 @@
     }
 }
 
+static void
+update_cold (SvFleet *self)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  for (guint i = 0; i < self->all->len; i++)
+    sv_endpoint_update_cold (g_ptr_array_index (self->all, i), now);
+}
+
 void
 sv_fleet_note_zone_restored (SvFleet *self, const char *zone, SvPosition revision)
 {
+  sv_cold_rules_note_zone_restored (self->cold_rules, zone, revision,
+                                    knl_kernel_now (self->kernel));
+  update_cold (self);
+}
+
+void
+sv_fleet_set_members (SvFleet *self, const SvMembers *members)
+{
+  sv_cold_rules_set_members (self->cold_rules, members);
+  update_cold (self);
+}
+
+void
+sv_fleet_set_cold_bounds (SvFleet *self, const SvBounds *bounds)
+{
+  sv_cold_rules_set_bounds (self->cold_rules, bounds);
+  update_cold (self);
+}
+
+void
+sv_fleet_set_cold_config (SvFleet *self, const SvConfig *config)
+{
+  sv_cold_rules_set_config (self->cold_rules, config);
+  update_cold (self);
 }
 
 void
@@ -393,7 +432,9 @@
 KnlTime
 sv_endpoint_wait_time (const SvFleet *fleet, SvEndpoint *self, KnlTime now)
 {
-  return MAX (self->retry_after_until - now, limit_wait (fleet, self, now));
+  KnlTime wait = MAX (self->retry_after_until - now, limit_wait (fleet, self, now));
+
+  return MAX (wait, sv_endpoint_cold_wait (self, now));
 }
 
 const GPtrArray *
--- a/serve/meters.c
+++ b/serve/meters.c
@@ -37,6 +37,13 @@
   .labels = { "service" },
 };
 
+static const CmMetricDef cold_def = {
+  .name = "alderturn_cold_sends_total",
+  .help = "Requests sent to endpoints that are cold",
+  .type = CM_METRIC_COUNTER,
+  .labels = { "service" },
+};
+
 static const CmMetricDef crashes_def = {
   .name = "alderturn_crashes_suspected_total",
   .help = "Endpoints lost under a request that this instance sent",
@@ -66,6 +73,7 @@
   CmMetric *total;
   CmMetric *sends;
   CmMetric *limited;
+  CmMetric *cold;
   CmMetric *crashes;
   CmMetric *passed;
   CmMetric *first_event_error;
@@ -81,6 +89,7 @@
   self->total = cm_metrics_add (metrics, &total_def);
   self->sends = cm_metrics_add (metrics, &sends_def);
   self->limited = cm_metrics_add (metrics, &limited_def);
+  self->cold = cm_metrics_add (metrics, &cold_def);
   self->crashes = cm_metrics_add (metrics, &crashes_def);
   self->passed = cm_metrics_add (metrics, &passed_def);
   self->first_event_error = cm_metrics_add (metrics, &first_event_error_def);
@@ -119,6 +128,12 @@
   cm_series_add (cm_metric_series (self->limited, service, NULL, NULL), 1);
 }
 
+void
+sv_meters_note_cold_send (SvMeters *self, const char *service)
+{
+  cm_series_add (cm_metric_series (self->cold, service, NULL, NULL), 1);
+}
+
 void
 sv_meters_note_crash (SvMeters *self, const char *service)
 {
--- a/serve/place_long.c
+++ b/serve/place_long.c
@@ -11,6 +11,10 @@
 #define RUN_MEMORY_COST 300.0
 #define OVERLOAD_COST   20000.0
 
+/* Cost in ms of a cold endpoint, which runs slower at first than its load says. A backlog that is
+ * longer costs more, and so does having no free slot. */
+#define COLD_COST 2000.0
+
 /* Endpoints whose costs for running a long prompt differ by less than this, in ms, count as about
  * equal, and each request prefers a different one: two prompts at the same endpoint often need more
  * memory than it has, and the second would wait there until the first has been answered. */
@@ -140,6 +144,8 @@
 
   cost += RUN_NOISE_COST * noise_of (choice, candidate);
   cost += RUN_MEMORY_COST * (double)candidate->load.tokens / (double)choice->spec->memory_tokens;
+  if (candidate->is_cold)
+    cost += COLD_COST;
   if (candidate->load.calls >= choice->spec->slots)
     cost += OVERLOAD_COST;
   return sv_candidate_has_memory (choice, candidate) ? cost : cost + OVERLOAD_COST;
--- a/serve/place_short.c
+++ b/serve/place_short.c
@@ -13,6 +13,10 @@
  * packed. */
 #define UNPACKED_COST_FRACTION 0.5
 
+/* Fraction of the objective that is added to the cost of a cold endpoint: it runs slower at first
+ * than its load says. */
+#define COLD_COST_FRACTION 0.5
+
 /* Cost of a candidate in ms: the time to the first event, plus penalties. */
 static double
 cost_of_packing (const SvChoice *choice, const SvCandidate *candidate)
@@ -25,6 +29,8 @@
     cost += candidate->pass * (1 + candidate->load.calls);
   if (candidate->role != SV_ROLE_PACKED)
     cost += UNPACKED_COST_FRACTION * objective;
+  if (candidate->is_cold)
+    cost += COLD_COST_FRACTION * objective;
   return cost;
 }
 
@@ -37,6 +43,29 @@
   return x->order < y->order ? -1 : x->order > y->order;
 }
 
+static gboolean
+is_full (const SvChoice *choice, const SvCandidate *candidate)
+{
+  return candidate->load.calls >= choice->spec->slots;
+}
+
+/* If the best candidate is full, so that the prompt would queue there, moves the best cold one that
+ * isn't full to the front. */
+static void
+prefer_cold_to_queueing (const SvChoice *choice)
+{
+  for (guint i = 1; is_full (choice, sv_candidate_at (choice, 0)) && i < choice->candidates->len;
+       i++)
+    {
+      SvCandidate candidate = *sv_candidate_at (choice, i);
+
+      if (!candidate.is_cold || is_full (choice, &candidate))
+        continue;
+      g_array_remove_index (choice->candidates, i);
+      g_array_prepend_val (choice->candidates, candidate);
+    }
+}
+
 /* Time in ms that an endpoint spends on other work before it completes a part that it gets now. */
 static double
 time_before_part (const SvCandidate *candidate)
@@ -75,9 +104,10 @@
   for (guint i = 0; i < choice->candidates->len; i++)
     sv_candidate_at (choice, i)->order = cost_of_packing (choice, sv_candidate_at (choice, i));
   g_array_sort (choice->candidates, compare_for_packing);
+  prefer_cold_to_queueing (choice);
   first = sv_candidate_at (choice, 0);
   placement->first = first->endpoint;
-  placement->is_full = first->load.calls >= choice->spec->slots;
+  placement->is_full = is_full (choice, first);
   before = MAX (time_before_part (first), add_packed_helpers (choice, parts, placement));
   part_ms = choice->prefill_ms / (placement->n_helpers + 1);
   placement->part = (KnlTime)(part_ms * KNL_MSEC);
--- a/serve/router.c
+++ b/serve/router.c
@@ -4,6 +4,10 @@
 #include "serve/engine_model.h"
 #include "serve/router_internal.h"
 
+/* Cost of a cold endpoint of a plain service in requests in flight per slot: it is slower at first
+ * than its load says, and is chosen when others have no free slot. */
+#define COLD_PLAIN_COST 0.8
+
 static double
 cost_of_plain (const SvDemand *demand, const SvCandidate *candidate)
 {
@@ -15,7 +19,7 @@
     .health = &endpoint->health,
   };
 
-  return pol_plain_cost (&plain);
+  return pol_plain_cost (&plain) + (candidate->is_cold ? COLD_PLAIN_COST : 0);
 }
 
 static void
--- a/serve/router_internal.h
+++ b/serve/router_internal.h
@@ -28,6 +28,7 @@
   double pass;         /* duration of a pass without prefill, ms */
   double order;        /* sort key, ms; see stream_cost_ms and cost_of_packing */
   SvRole role;
+  gboolean is_cold;  /* slower than it looks at first */
   gboolean can_help; /* may prefill parts of prompts that other endpoints run */
 } SvCandidate;
 
--- a/serve/send.c
+++ b/serve/send.c
@@ -284,6 +284,8 @@
   log_send (self);
   if (pol_limit_is_advertised (&self->placement.first->limit))
     sv_meters_note_limited_send (self->core->meters, self->service->name);
+  if (sv_endpoint_is_cold (self->placement.first, self->sent_at))
+    sv_meters_note_cold_send (self->core->meters, self->service->name);
   sv_request_charge (self, 1);
   head = write_head (self, last_event);
   start_exchange (self, head);
@@ -293,8 +295,24 @@
         knl_timer_start (self->core->parts.kernel, silence_timeout (self), on_watch, self);
 }
 
-/* While the reservation was made, the endpoint advertised a Retry-After: places the request anew,
- * without counting this send. */
+/* Whether what the endpoints have stated since the request was placed still allows to send it. */
+static gboolean
+is_still_allowed (const SvRequest *self)
+{
+  const SvPlacement *placement = &self->placement;
+  KnlTime now = sv_request_now (self);
+
+  for (guint i = 0; i < placement->n_helpers; i++)
+    {
+      if (sv_endpoint_is_cold (placement->helpers[i], now))
+        return FALSE;
+    }
+  return placement->first->retry_after_until <= now
+         && sv_endpoint_cold_wait (placement->first, now) == 0;
+}
+
+/* While the reservation was made, an endpoint advertised a Retry-After or became cold: places the
+ * request anew, without counting this send. */
 static void
 place_again (SvRequest *self)
 {
@@ -308,7 +326,7 @@
 {
   SvRequest *self = data;
 
-  if (ready && self->placement.first->retry_after_until > sv_request_now (self))
+  if (ready && !is_still_allowed (self))
     {
       place_again (self);
       return;
