tests: cold endpoints and instances that know each other by datagrams

Cause: the policy's test gives all instances their members; whether the peers report them so that all agree on the senders was untested.

Change: eight instances in three zones: all learn at once that endpoints are cold, two zones are cut off, each instance starts again while endpoints are cold, one instance is isolated.

--- /dev/null
+++ b/tests/unit/sv_cold_peers_test.c
@@ -0,0 +1,237 @@
+/** Cold endpoints, and instances that know each other only from datagrams. */
+
+#include "peers_fixture.h"
+#include "suite.h"
+
+#define INSTANCES 8
+#define ENDPOINTS 6
+
+#define RATE      17.0
+#define BOUND     (1.5 * RATE + 5)
+#define STEP      (2 * KNL_MSEC)
+#define COLD_TIME (3 * KNL_SEC)
+
+static const char *const zones[INSTANCES] = { "a", "a", "a", "a", "b", "b", "b", "c" };
+
+typedef struct
+{
+  PeersFixture peers;
+  SvConfig *config;
+  GArray *sends[ENDPOINTS]; /* KnlTime */
+} Cluster;
+
+static void
+set_rules (Cluster *self, guint i)
+{
+  static const SvBounds bounds = { .cold_overage = 1.5, .cold_slack = 5 };
+
+  sv_fleet_set_cold_bounds (self->peers.fleets[i], &bounds);
+  sv_fleet_set_cold_config (self->peers.fleets[i], self->config);
+}
+
+static void
+cluster_open (Cluster *self)
+{
+  *self = (Cluster){ .config = sv_config_new (1) };
+  sv_config_add_service (self->config, "s")->cold =
+      (SvColdSpec){ .duration = COLD_TIME, .rate = RATE };
+  peers_fixture_open (&self->peers, zones, INSTANCES, ENDPOINTS);
+  peers_fixture_connect (&self->peers);
+  peers_fixture_advance (&self->peers, 3 * PEERS_HEARTBEAT_INTERVAL);
+  for (guint i = 0; i < ENDPOINTS; i++)
+    self->sends[i] = g_array_new (FALSE, FALSE, sizeof (KnlTime));
+  for (guint i = 0; i < INSTANCES; i++)
+    set_rules (self, i);
+}
+
+static void
+cluster_close (Cluster *self)
+{
+  for (guint i = 0; i < ENDPOINTS; i++)
+    g_array_unref (self->sends[i]);
+  peers_fixture_close (&self->peers);
+  sv_config_unref (self->config);
+}
+
+static SvEndpoint *
+endpoint_at (Cluster *self, guint instance, guint endpoint)
+{
+  g_autofree char *id = g_strdup_printf ("i-%u", endpoint);
+  const GPtrArray *all = sv_fleet_all (self->peers.fleets[instance]);
+  guint i = 0;
+
+  while (g_strcmp0 (((SvEndpoint *)g_ptr_array_index (all, i))->id, id) != 0)
+    i++;
+  return g_ptr_array_index (all, i);
+}
+
+/* The instance learns from the endpoints' rows that they are cold. */
+static void
+learn_cold (Cluster *self, guint i)
+{
+  KnlTime now = knl_kernel_now (self->peers.kernel);
+
+  for (guint j = 0; j < ENDPOINTS; j++)
+    sv_endpoint_note_cold_row (endpoint_at (self, i, j), 9 * KNL_SEC, (SvPosition){ 1, 7 }, 0, now);
+}
+
+static void
+send_if_allowed (Cluster *self, guint i, guint j)
+{
+  static const SvLoad one = { .calls = 1 };
+  KnlTime now = knl_kernel_now (self->peers.kernel);
+  SvEndpoint *endpoint = endpoint_at (self, i, j);
+
+  while (sv_endpoint_wait_time (self->peers.fleets[i], endpoint, now) <= 0)
+    {
+      sv_endpoint_charge (endpoint, &one, 1);
+      g_array_append_val (self->sends[j], now);
+    }
+}
+
+/* Every instance has more requests than it may send. */
+static void
+run (Cluster *self, KnlTime time)
+{
+  for (KnlTime passed = 0; passed < time; passed += STEP)
+    {
+      for (guint i = 0; i < INSTANCES; i++)
+        for (guint j = 0; self->peers.peers[i] != NULL && j < ENDPOINTS; j++)
+          send_if_allowed (self, i, j);
+      peers_fixture_advance (&self->peers, STEP);
+    }
+}
+
+static guint
+max_in_second (const GArray *sends)
+{
+  guint max_count = 0;
+  guint first = 0;
+
+  for (guint i = 0; i < sends->len; i++)
+    {
+      while (g_array_index (sends, KnlTime, i) - g_array_index (sends, KnlTime, first) >= KNL_SEC)
+        first++;
+      max_count = MAX (max_count, i + 1 - first);
+    }
+  return max_count;
+}
+
+static void
+check_sends (const Cluster *self, double max_in_any_second, guint min_count)
+{
+  for (guint j = 0; j < ENDPOINTS; j++)
+    {
+      CU_ASSERT (max_in_second (self->sends[j]) <= max_in_any_second);
+      CU_ASSERT (self->sends[j]->len >= min_count);
+    }
+}
+
+static guint
+count_senders (Cluster *self, guint endpoint)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < INSTANCES; i++)
+    n += self->peers.peers[i] != NULL
+         && endpoint_at (self, i, endpoint)->cold.bucket.share.is_sender;
+  return n;
+}
+
+/* Guards against instances that all send at once when a zone's endpoints come back cold, and
+ * against senders that not all instances agree on. */
+static void
+test_all_learn_at_once (void)
+{
+  Cluster cluster;
+
+  cluster_open (&cluster);
+  for (guint i = 0; i < INSTANCES; i++)
+    learn_cold (&cluster, i);
+  for (guint j = 0; j < ENDPOINTS; j++)
+    {
+      CU_ASSERT_EQUAL (count_senders (&cluster, j), 6);
+      for (guint i = 0; i < INSTANCES; i++)
+        CU_ASSERT_EQUAL (endpoint_at (&cluster, i, j)->cold.bucket.share.n_senders, 6);
+    }
+  run (&cluster, COLD_TIME);
+  check_sends (&cluster, BOUND, (guint)(0.9 * RATE * COLD_TIME / KNL_SEC));
+  cluster_close (&cluster);
+}
+
+/* Guards against cells that are cut off from each other and each send the whole rate. */
+static void
+test_partition (void)
+{
+  Cluster cluster;
+
+  cluster_open (&cluster);
+  for (guint i = 0; i < INSTANCES; i++)
+    learn_cold (&cluster, i);
+  run (&cluster, 500 * KNL_MSEC);
+  /* Datagrams of the other zones' instances are no longer delivered. */
+  for (guint i = 4; i < INSTANCES; i++)
+    peers_fixture_stop (&cluster.peers, i);
+  /* Another cell counts as silent after 2 s. */
+  run (&cluster, 8 * PEERS_HEARTBEAT_INTERVAL);
+  for (guint j = 0; j < ENDPOINTS; j++)
+    {
+      CU_ASSERT_EQUAL (count_senders (&cluster, j), 3);
+      g_array_set_size (cluster.sends[j], 0);
+    }
+  run (&cluster, 4 * KNL_SEC);
+  check_sends (&cluster, BOUND / 2, 1);
+  cluster_close (&cluster);
+}
+
+/* Guards against an instance that starts while endpoints are cold and sends as one that knows the
+ * others. */
+static void
+test_starts_while_endpoints_are_cold (void)
+{
+  Cluster cluster;
+
+  cluster_open (&cluster);
+  for (guint i = 0; i < INSTANCES; i++)
+    learn_cold (&cluster, i);
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      run (&cluster, 700 * KNL_MSEC);
+      peers_fixture_stop (&cluster.peers, i);
+      peers_fixture_start (&cluster.peers, i);
+      set_rules (&cluster, i);
+      learn_cold (&cluster, i);
+      for (guint j = 0; j < INSTANCES; j++)
+        if (j != i)
+          peers_fixture_discover (&cluster.peers, i, j);
+    }
+  run (&cluster, KNL_SEC);
+  check_sends (&cluster, BOUND, 1);
+  cluster_close (&cluster);
+}
+
+/* Guards against an isolated instance that takes itself for the only one. */
+static void
+test_isolated_instance (void)
+{
+  Cluster cluster;
+
+  cluster_open (&cluster);
+  for (guint i = 0; i + 1 < INSTANCES; i++)
+    peers_fixture_stop (&cluster.peers, i);
+  peers_fixture_advance (&cluster.peers, 6 * PEERS_HEARTBEAT_INTERVAL);
+  learn_cold (&cluster, INSTANCES - 1);
+  run (&cluster, 4 * KNL_SEC);
+  for (guint j = 0; j < ENDPOINTS; j++)
+    CU_ASSERT (cluster.sends[j]->len <= 4 * RATE / INSTANCES);
+  cluster_close (&cluster);
+}
+
+static const SuiteCase cases[] = {
+  { "all learn at once", test_all_learn_at_once },
+  { "a partition", test_partition },
+  { "instances start while endpoints are cold", test_starts_while_endpoints_are_cold },
+  { "an isolated instance", test_isolated_instance },
+};
+
+SUITE_MAIN ("sv_cold_peers", cases)
