--- a/tests/fakes/gateway_fleet.c
+++ b/tests/fakes/gateway_fleet.c
@@ -80,6 +80,8 @@
       .unused_memory = 4 * KNL_SEC,
       .grace = 8 * KNL_SEC,
       .retries = { .ratio = 0.2, .slack = 100, .window = 10 * KNL_SEC },
+      .cold_overage = 1.5,
+      .cold_slack = 5,
     },
   };
   return boot;
