--- a/serve/endpoint_cold.c
+++ b/serve/endpoint_cold.c
@@ -225,6 +225,14 @@
           "own-requests-a-second", share->rate);
 }
 
+static void
+end_cold (SvEndpoint *self)
+{
+  if (self->cold.until > 0)
+    cm_log (CM_LOG_NOTICE, "endpoint-warm", "s", "endpoint", self->id);
+  self->cold.until = 0;
+}
+
 void
 sv_endpoint_update_cold (SvEndpoint *self, KnlTime now)
 {
@@ -233,11 +241,9 @@
   KnlTime until = spec != NULL ? MAX (cold->stated_until, restored_until (self, spec)) : 0;
   PolColdShare share;
 
-  if (until <= now)
+  if (spec == NULL || until <= now)
     {
-      if (cold->until > 0)
-        cm_log (CM_LOG_NOTICE, "endpoint-warm", "s", "endpoint", self->id);
-      cold->until = 0;
+      end_cold (self);
       return;
     }
   share = share_of (cold->rules, self, spec, now);
--- a/tests/unit/sv_cold_core_test.c
+++ b/tests/unit/sv_cold_core_test.c
@@ -113,13 +113,12 @@
 static void
 test_core_sets_the_rules (void)
 {
-  static const ScriptedAnswer script[] = { good };
   g_autoptr (SvConfig) config = sv_config_new (2);
   SvFixture fixture;
   SvEndpoint *endpoint;
 
   sv_fixture_open (&fixture);
-  sv_fixture_add_endpoint (&fixture, script, 1);
+  sv_fixture_add_endpoint (&fixture, &good, 1);
   endpoint = g_ptr_array_index (sv_fleet_all (fixture.fleet), 0);
   sv_endpoint_note_cold_answer (endpoint, 9 * KNL_SEC, knl_kernel_now (fixture.kernel));
   sv_config_add_service (config, "s")->cold = (SvColdSpec){ .duration = KNL_SEC, .rate = 17 };
