serve: the set of evacuated zones

The gateway reads no evacuation rows, so requests reach endpoints of zones that the operator has evacuated.

SvEvacuations keeps the set, fed by rows, removals and complete lists with their positions. What is older than the applied state changes nothing; a list of another era ends an evacuation only after a delay.

--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -12,6 +12,7 @@
 #include "policy/health.h"
 #include "policy/limit.h"
 #include "serve/config.h"
+#include "serve/evacuations.h"
 #include "serve/position.h"
 #include "serve/prefills.h"
 
@@ -64,6 +65,7 @@
   KnlTime leaving_since;
   KnlTime advertised_leaving_at; /**< when it advertised, in an answer to this instance, that it is
                                 leaving; 0: it has not */
+  gboolean is_evacuated;         /**< its zone is evacuated: nothing new is sent there */
   gboolean is_unlisted;          /**< its row was removed; it is kept for the leave grace */
   gboolean is_replaced;          /**< its id now belongs to another start, service or address; only
                                       holders of a reference still see it */
@@ -131,6 +133,12 @@
  * unless newer rows say otherwise. */
 void sv_fleet_note_zone_restored (SvFleet *fleet, const char *zone, SvPosition revision);
 
+/** The evacuated zones; owned by the fleet. Changes apply to its endpoints at once. */
+SvEvacuations *sv_fleet_evacuations (const SvFleet *fleet);
+
+/** Number of this instance's own requests in flight at endpoints of evacuated zones. */
+guint sv_fleet_n_evacuated_requests (const SvFleet *fleet);
+
 /** Drops endpoints whose row was removed more than the leave grace ago. */
 void sv_fleet_sweep (SvFleet *fleet);
 
--- /dev/null
+++ b/serve/evacuations.c
@@ -0,0 +1,261 @@
+#include "serve/evacuations.h"
+
+/* State of a zone whose row was written at some time. */
+typedef struct
+{
+  SvPosition position;    /* of its newest row */
+  gboolean is_evacuated;  /* the row exists */
+  SvPosition absent_from; /* list of another era that lacks the row; version 0: none does */
+  KnlTime restore_at;     /* when the evacuation ends because of that list */
+} Zone;
+
+struct SvEvacuations
+{
+  KnlKernel *kernel;
+  const SvEvacuationEvents *events;
+  gpointer data;
+  KnlTime restore_delay;
+  GHashTable *zones;     /* name -> Zone; removed ones only until the next list */
+  GHashTable *listed;    /* name -> SvPosition, rows of the list being read; NULL: none is */
+  SvPosition list_as_of; /* of the last list applied */
+  SvPosition newest;     /* of the rows applied */
+  guint n_evacuated;
+  KnlTimerId timer; /* next end of an evacuation */
+};
+
+static void schedule_restore (SvEvacuations *self);
+
+SvEvacuations *
+sv_evacuations_new (KnlKernel *kernel, const SvEvacuationEvents *events, gpointer data)
+{
+  SvEvacuations *self = g_new0 (SvEvacuations, 1);
+
+  self->kernel = kernel;
+  self->events = events;
+  self->data = data;
+  self->zones = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return self;
+}
+
+static void
+drop_list (SvEvacuations *self)
+{
+  g_clear_pointer (&self->listed, g_hash_table_unref);
+}
+
+void
+sv_evacuations_free (SvEvacuations *self)
+{
+  if (self == NULL)
+    return;
+  knl_timer_stop (self->kernel, &self->timer);
+  drop_list (self);
+  g_hash_table_unref (self->zones);
+  g_free (self);
+}
+
+void
+sv_evacuations_set_restore_delay (SvEvacuations *self, KnlTime delay)
+{
+  self->restore_delay = delay;
+}
+
+static gboolean
+is_older (SvPosition position, SvPosition than)
+{
+  return sv_position_compare (position, than) == SV_POSITION_OLDER;
+}
+
+/* Records that the row of the zone was changed at `position`. */
+static Zone *
+note_row (SvEvacuations *self, const char *name, SvPosition position)
+{
+  Zone *zone = g_hash_table_lookup (self->zones, name);
+
+  if (zone == NULL)
+    {
+      zone = g_new0 (Zone, 1);
+      g_hash_table_insert (self->zones, g_strdup (name), zone);
+    }
+  zone->position = position;
+  zone->absent_from = (SvPosition){ 0 };
+  if (!is_older (position, self->newest))
+    self->newest = position;
+  return zone;
+}
+
+static gboolean
+is_outdated (const SvEvacuations *self, const char *name, SvPosition position)
+{
+  const Zone *zone = g_hash_table_lookup (self->zones, name);
+
+  return is_older (position, self->list_as_of)
+         || (zone != NULL && is_older (position, zone->position));
+}
+
+static void
+evacuate (SvEvacuations *self, const char *name, Zone *zone)
+{
+  if (zone->is_evacuated)
+    return;
+  zone->is_evacuated = TRUE;
+  self->n_evacuated++;
+  self->events->evacuated (name, zone->position, self->data);
+}
+
+static void
+restore (SvEvacuations *self, const char *name, Zone *zone, SvPosition position)
+{
+  if (!zone->is_evacuated)
+    return;
+  zone->is_evacuated = FALSE;
+  self->n_evacuated--;
+  self->events->restored (name, position, self->data);
+}
+
+void
+sv_evacuations_put (SvEvacuations *self, const char *name, SvPosition position)
+{
+  if (self->listed != NULL)
+    {
+      g_hash_table_replace (self->listed, g_strdup (name), g_memdup2 (&position, sizeof position));
+      return;
+    }
+  if (is_outdated (self, name, position))
+    return;
+  evacuate (self, name, note_row (self, name, position));
+  schedule_restore (self);
+}
+
+void
+sv_evacuations_remove (SvEvacuations *self, const char *name, SvPosition position)
+{
+  if (is_outdated (self, name, position))
+    return;
+  restore (self, name, note_row (self, name, position), position);
+  schedule_restore (self);
+}
+
+void
+sv_evacuations_begin_list (SvEvacuations *self)
+{
+  drop_list (self);
+  self->listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+static void
+apply_listed (SvEvacuations *self, GHashTable *listed)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer position;
+
+  g_hash_table_iter_init (&iter, listed);
+  while (g_hash_table_iter_next (&iter, &name, &position))
+    evacuate (self, name, note_row (self, name, *(SvPosition *)position));
+}
+
+/* Handles a zone that the list as of `position` lacks. Returns whether its state is to be dropped.
+ */
+static gboolean
+apply_absence (SvEvacuations *self, const char *name, Zone *zone, SvPosition position)
+{
+  if (!zone->is_evacuated)
+    return TRUE;
+  if (zone->position.era == position.era || self->restore_delay == 0)
+    {
+      restore (self, name, zone, position);
+      return TRUE;
+    }
+  /* Later lists of the same era don't extend the delay. */
+  if (zone->absent_from.version > 0 && zone->absent_from.era == position.era)
+    return FALSE;
+  zone->absent_from = position;
+  zone->restore_at = knl_kernel_now (self->kernel) + self->restore_delay;
+  return FALSE;
+}
+
+void
+sv_evacuations_end_list (SvEvacuations *self, SvPosition position)
+{
+  g_autoptr (GHashTable) listed = g_steal_pointer (&self->listed);
+  GHashTableIter iter;
+  gpointer name;
+  gpointer zone;
+
+  if (listed == NULL || is_older (position, self->list_as_of) || is_older (position, self->newest))
+    return;
+  apply_listed (self, listed);
+  g_hash_table_iter_init (&iter, self->zones);
+  while (g_hash_table_iter_next (&iter, &name, &zone))
+    {
+      if (!g_hash_table_contains (listed, name) && apply_absence (self, name, zone, position))
+        g_hash_table_iter_remove (&iter);
+    }
+  self->list_as_of = position;
+  schedule_restore (self);
+}
+
+static void
+on_restore_due (gpointer data)
+{
+  SvEvacuations *self = data;
+  KnlTime now = knl_kernel_now (self->kernel);
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  self->timer = 0;
+  g_hash_table_iter_init (&iter, self->zones);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      Zone *zone = value;
+
+      if (zone->absent_from.version == 0 || zone->restore_at > now)
+        continue;
+      restore (self, name, zone, zone->absent_from);
+      g_hash_table_iter_remove (&iter);
+    }
+  schedule_restore (self);
+}
+
+static void
+schedule_restore (SvEvacuations *self)
+{
+  KnlTime next = KNL_NEVER;
+  GHashTableIter iter;
+  gpointer value;
+
+  knl_timer_stop (self->kernel, &self->timer);
+  g_hash_table_iter_init (&iter, self->zones);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Zone *zone = value;
+
+      if (zone->absent_from.version > 0)
+        next = MIN (next, zone->restore_at);
+    }
+  if (next != KNL_NEVER)
+    self->timer = knl_timer_start (self->kernel, MAX (next - knl_kernel_now (self->kernel), 0),
+                                   on_restore_due, self);
+}
+
+gboolean
+sv_evacuations_has (const SvEvacuations *self, const char *name)
+{
+  const Zone *zone = name != NULL ? g_hash_table_lookup (self->zones, name) : NULL;
+
+  return zone != NULL && zone->is_evacuated;
+}
+
+guint
+sv_evacuations_count (const SvEvacuations *self)
+{
+  return self->n_evacuated;
+}
+
+SvPosition
+sv_evacuations_newest (const SvEvacuations *self)
+{
+  return self->newest;
+}
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "common/log.h"
+#include "serve/fleet_internal.h"
 
 /* From PREFILL_SWEEP_THRESHOLD registered prefills on, those older than SV_PREFILL_TTL, whose end
  * was never reported, are removed. That is done at most once in SWEEP_INTERVAL: under load most are
@@ -38,6 +39,7 @@
   guint known;          /* see sv_fleet_set_instances() */
   guint reachable;
   guint64 seed; /* random, differs between instances */
+  SvEvacuations *evacuations;
   SvReplacedFunc on_replaced;
   gpointer on_replaced_data;
   SvFleetPrefillFunc on_prefill;
@@ -59,6 +61,7 @@
   self->prefills = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   self->all = g_ptr_array_new ();
   self->known = self->reachable = 1;
+  self->evacuations = sv_evacuations_new (kernel, &sv_fleet_zone_events, self);
   self->seed = g_rand_int (knl_kernel_rand (kernel));
   return self;
 }
@@ -70,6 +73,7 @@
     return;
   if (self->unlisted != NULL)
     g_hash_table_unref (self->unlisted);
+  sv_evacuations_free (self->evacuations);
   g_hash_table_unref (self->prefills);
   g_ptr_array_unref (self->all);
   g_hash_table_unref (self->services);
@@ -185,6 +189,7 @@
   endpoint->revision = entry->revision;
   g_free (endpoint->zone);
   endpoint->zone = g_strdup (entry->zone);
+  endpoint->is_evacuated = sv_evacuations_has (self->evacuations, endpoint->zone);
   endpoint->slots = entry->slots;
   endpoint->is_unlisted = FALSE;
   /* The list may lag behind what the endpoint advertised, for as long as the store is unavailable.
@@ -229,6 +234,12 @@
 {
 }
 
+SvEvacuations *
+sv_fleet_evacuations (const SvFleet *self)
+{
+  return self->evacuations;
+}
+
 void
 sv_fleet_set_list_lag (SvFleet *self, KnlTime lag)
 {
