serve: nothing new goes to evacuated zones

Endpoints of evacuated zones are no candidates at any level, don't count toward rate limits and shared health, and aren't probed. A placement is checked again once its memory is reserved. Where only evacuated endpoints are left the request is refused at once (503 zones-evacuated). An instance whose confirmation is older than 0.9 of the bound can't know the evacuated zones: it isn't ready and refuses requests (503 zones-not-confirmed), at admission and before each send; streams don't migrate and silent requests aren't withdrawn then. In-flight work, renewals and releases go on.

Each of the checks was taken out in turn and a test failed, except for the check at admission, which the one before the send repeats.

--- a/include/serve/bounds.h
+++ b/include/serve/bounds.h
@@ -34,6 +34,10 @@
  * indefinitely. */
 KnlTime sv_bounds_max_config_staleness (const SvBounds *bounds);
 
+/** Age of the last confirmation from which on no request is sent, since a zone may have been
+ * evacuated after it; KNL_NEVER: requests are sent at any age. */
+KnlTime sv_bounds_max_zone_staleness (const SvBounds *bounds);
+
 /** How long a leaving endpoint is still sent requests when no other endpoint is left. */
 KnlTime sv_bounds_leave_grace (const SvBounds *bounds);
 
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -37,12 +37,13 @@
   KnlTime expected; /**< time to the first event */
   KnlTime backlog;  /**< prefill time already queued, at the chosen endpoint with the most of it */
   SvLoad load;      /**< that the request adds to the first endpoint */
-  KnlTime limit_wait; /**< no endpoint was found because of rate limits: time until one of them
-                        allows a request; 0: limits aren't the reason */
+  gboolean is_evacuated; /**< no endpoint was found, and only evacuated zones have any left */
+  KnlTime limit_wait;    /**< no endpoint was found because of rate limits: time until one of them
+                           allows a request; 0: limits aren't the reason */
 } SvPlacement;
 
 /** Fills in `placement`, without references to its endpoints. FALSE: there is no endpoint that the
- * request may be sent to now; only `limit_wait` is meaningful then. */
+ * request may be sent to now; only `limit_wait` and `is_evacuated` are meaningful then. */
 gboolean
 sv_router_place (const SvFleet *fleet, const SvDemand *demand, KnlTime now, SvPlacement *placement);
 
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -90,6 +90,17 @@
   return self->workspace != NULL || refuse_unknown (self, 401, "unknown-key");
 }
 
+/* An evacuation takes effect at every instance within its bound, even if this one receives no
+ * update. No route is exempt, since all are served by endpoints in some zone. */
+static gboolean
+check_zones (SvRequest *self)
+{
+  if (!sv_core_has_stale_zones (self->core))
+    return TRUE;
+  sv_request_refuse (self, 503, "zones-not-confirmed");
+  return FALSE;
+}
+
 static gboolean
 check_drain (SvRequest *self)
 {
@@ -162,8 +173,8 @@
 sv_request_admit (SvRequest *self)
 {
   static gboolean (*const checks[]) (SvRequest *) = {
-    check_config, check_required_fields, check_route,  check_key,
-    check_drain,  check_crashes,         check_passed,
+    check_config, check_required_fields, check_route,   check_key,
+    check_zones,  check_drain,           check_crashes, check_passed,
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (checks); i++)
--- a/serve/bounds.c
+++ b/serve/bounds.c
@@ -9,6 +9,10 @@
 /* A peer announces a configuration once it is in use there, which takes up to half of the bound. */
 #define STALE_CONFIG_FRACTION 0.5
 
+/* A request that is sent just before the end takes time to reach its endpoint, and clocks differ.
+ */
+#define ZONE_FRACTION 0.9
+
 /* The bound counts from the time when the store is informed; this instance is informed later. */
 #define LEAVE_FRACTION 0.85
 
@@ -42,6 +46,12 @@
   return self->new_config > 0 ? fraction_of (self->new_config, STALE_CONFIG_FRACTION) : KNL_NEVER;
 }
 
+KnlTime
+sv_bounds_max_zone_staleness (const SvBounds *self)
+{
+  return self->evacuation > 0 ? fraction_of (self->evacuation, ZONE_FRACTION) : KNL_NEVER;
+}
+
 KnlTime
 sv_bounds_leave_grace (const SvBounds *self)
 {
--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -84,7 +84,8 @@
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
       SvCandidate candidate;
 
-      if (sv_demand_excludes (demand, endpoint) || !is_accepted (fleet, endpoint, level, now)
+      if (endpoint->is_evacuated || sv_demand_excludes (demand, endpoint)
+          || !is_accepted (fleet, endpoint, level, now)
           || sv_endpoint_wait_time (fleet, endpoint, now) > 0)
         continue;
       candidate_init (demand, endpoint, now, &candidate);
@@ -92,6 +93,16 @@
     }
 }
 
+static guint
+count_not_evacuated (const GPtrArray *endpoints)
+{
+  guint n = 0;
+
+  for (guint i = 0; endpoints != NULL && i < endpoints->len; i++)
+    n += !((const SvEndpoint *)g_ptr_array_index (endpoints, i))->is_evacuated;
+  return n;
+}
+
 /*
  * When losses are reported for most endpoints, the fault is more likely on the
  * reporters' side, and leaving out all of these endpoints would leave none to
@@ -104,7 +115,7 @@
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (SvCandidate));
 
   collect_level (fleet, demand, LEVEL_HEALTHY, now, candidates);
-  if (endpoints != NULL && candidates->len < MIN_HEALTHY_FRACTION * endpoints->len)
+  if (candidates->len < MIN_HEALTHY_FRACTION * count_not_evacuated (endpoints))
     collect_level (fleet, demand, LEVEL_USABLE, now, candidates);
   if (candidates->len == 0)
     collect_level (fleet, demand, LEVEL_LAST_RESORT, now, candidates);
--- a/serve/core.c
+++ b/serve/core.c
@@ -196,10 +196,19 @@
   return knl_kernel_now (self->parts.kernel) - since >= bound;
 }
 
+gboolean
+sv_core_has_stale_zones (const SvCore *self)
+{
+  KnlTime bound = sv_bounds_max_zone_staleness (&self->bounds);
+
+  return bound != KNL_NEVER && sv_core_config_age (self) >= bound;
+}
+
 gboolean
 sv_core_is_ready (const SvCore *self)
 {
-  if (self->config == NULL || self->drain_since != 0 || sv_core_is_stale (self))
+  if (self->config == NULL || self->drain_since != 0 || sv_core_is_stale (self)
+      || sv_core_has_stale_zones (self))
     return FALSE;
   if (!self->config->has_workspaces)
     return TRUE;
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -99,6 +99,10 @@
  * callers are refused then. */
 gboolean sv_core_is_stale (const SvCore *core);
 
+/** Whether the configuration's table was confirmed so long ago that a zone may have been evacuated
+ * unnoticed; nothing is sent to endpoints then. */
+gboolean sv_core_has_stale_zones (const SvCore *core);
+
 /** The links to the service that the request is for. */
 static inline SvReach *
 sv_request_reach (const SvRequest *self)
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -7,9 +7,9 @@
  * together from returning together. */
 #define RETRY_AFTER_MIN (150 * KNL_MSEC)
 
-/* The same where the endpoints are full, as a fraction of the caller's remaining time: a burst
- * lasts for seconds, and a caller that returns during it would be refused again. With the random
- * factor it stays below a third of that time, which is the most that callers honour. */
+/* The same where the endpoints are full or evacuated, as a fraction of the caller's remaining time:
+ * a burst lasts for seconds, and a caller that returns during it would be refused again. With the
+ * random factor it stays below a third of that time, which is the most that callers honour. */
 #define RETRY_AFTER_FULL_FRACTION 0.16
 
 /* Largest Retry-After in other cases, as a fraction of the caller's remaining time: the rest is
@@ -132,7 +132,8 @@
 
   if (self->placement.limit_wait > 0)
     return self->placement.limit_wait + delay;
-  if ((self->placement.is_full || self->placement.lacks_memory) && self->deadline != KNL_NEVER)
+  if ((self->placement.is_full || self->placement.lacks_memory || self->placement.is_evacuated)
+      && self->deadline != KNL_NEVER)
     return (KnlTime)(RETRY_AFTER_FULL_FRACTION * (double)MAX (left, 0)
                      * g_rand_double_range (knl_kernel_rand (kernel), 1, 2));
   if (self->deadline != KNL_NEVER && self->deadline > 0)
--- a/serve/move.c
+++ b/serve/move.c
@@ -40,6 +40,7 @@
 can_migrate (const SvRequest *self)
 {
   return self->exchange != NULL && self->last_event_at > 0 && self->route->resumable
+         && !sv_core_has_stale_zones (self->core)
          && sv_gap_class_of (self->route->gap_objective) == SV_GAP_TIGHT
          && self->longest_gap <= self->route->gap_objective
          && self->runs + 1 < self->route->max_attempts && sv_service_is_engine (self->service)
--- a/serve/reach.c
+++ b/serve/reach.c
@@ -160,7 +160,7 @@
       const SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
       gboolean failed = has_failed (self, endpoint->key);
 
-      if (endpoint->state != SV_ENDPOINT_READY || failed > chosen_failed
+      if (endpoint->state != SV_ENDPOINT_READY || endpoint->is_evacuated || failed > chosen_failed
           || endpoint->key == self->connected)
         continue;
       if (chosen == NULL || failed < chosen_failed || endpoint->last_seen_at > chosen->last_seen_at)
--- a/serve/router.c
+++ b/serve/router.c
@@ -50,7 +50,7 @@
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
       KnlTime wait = sv_endpoint_wait_time (fleet, endpoint, now);
 
-      if (!sv_endpoint_is_usable (endpoint, now))
+      if (endpoint->is_evacuated || !sv_endpoint_is_usable (endpoint, now))
         continue;
       if (wait == 0)
         return 0;
@@ -59,6 +59,26 @@
   return min_wait;
 }
 
+/* Whether, of the endpoints that the request could still be sent to, all are in evacuated zones. */
+static gboolean
+has_only_evacuated (const SvFleet *fleet, const SvDemand *demand)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
+  gboolean has_evacuated = FALSE;
+
+  for (guint i = 0; endpoints != NULL && i < endpoints->len; i++)
+    {
+      const SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (sv_demand_excludes (demand, endpoint) || sv_endpoint_has_left (fleet, endpoint))
+        continue;
+      if (!endpoint->is_evacuated)
+        return FALSE;
+      has_evacuated = TRUE;
+    }
+  return has_evacuated;
+}
+
 gboolean
 sv_router_place (const SvFleet *fleet, const SvDemand *demand, KnlTime now, SvPlacement *placement)
 {
@@ -73,6 +93,7 @@
   if (candidates->len == 0)
     {
       placement->limit_wait = min_limit_wait (fleet, demand, now);
+      placement->is_evacuated = has_only_evacuated (fleet, demand);
       return FALSE;
     }
   if (!sv_service_is_engine (demand->service) || demand->prompt_tokens == 0)
--- a/serve/send.c
+++ b/serve/send.c
@@ -95,7 +95,7 @@
   if (self->runs + 1 >= self->route->max_attempts)
     return;
   /* The endpoint may just be slow: its work isn't discarded unless the request can be retried. */
-  if (!sv_request_has_retry_left (self))
+  if (!sv_request_has_retry_left (self) || sv_core_has_stale_zones (self->core))
     {
       self->watch_timer =
           knl_timer_start (self->core->parts.kernel, WATCH_RETRY_DELAY, on_watch, self);
@@ -293,8 +293,26 @@
         knl_timer_start (self->core->parts.kernel, silence_timeout (self), on_watch, self);
 }
 
-/* While the reservation was made, the endpoint advertised a Retry-After: places the request anew,
- * without counting this send. */
+static gboolean
+has_evacuated_endpoint (const SvPlacement *placement)
+{
+  gboolean found = placement->first->is_evacuated;
+
+  for (guint i = 0; i < placement->n_helpers; i++)
+    found |= placement->helpers[i]->is_evacuated;
+  return found;
+}
+
+/* While the reservation was made, the endpoint may have advertised a Retry-After, or a zone may
+ * have been evacuated. */
+static gboolean
+is_placement_outdated (const SvRequest *self)
+{
+  return self->placement.first->retry_after_until > sv_request_now (self)
+         || has_evacuated_endpoint (&self->placement) || sv_core_has_stale_zones (self->core);
+}
+
+/* Places the request anew, without counting this send. */
 static void
 place_again (SvRequest *self)
 {
@@ -308,7 +326,7 @@
 {
   SvRequest *self = data;
 
-  if (ready && self->placement.first->retry_after_until > sv_request_now (self))
+  if (ready && is_placement_outdated (self))
     {
       place_again (self);
       return;
@@ -420,6 +438,14 @@
   return TRUE;
 }
 
+static const char *
+unplaced_reason (const SvPlacement *placement)
+{
+  if (placement->is_evacuated)
+    return "zones-evacuated";
+  return placement->limit_wait > 0 ? "endpoints-limited" : "no-endpoint";
+}
+
 void
 sv_request_send (SvRequest *self)
 {
@@ -430,10 +456,14 @@
     }
   if (sv_request_pass (self))
     return;
+  if (sv_core_has_stale_zones (self->core))
+    {
+      sv_request_give_up (self, "zones-not-confirmed");
+      return;
+    }
   if (!place (self))
     {
-      sv_request_give_up (self,
-                          self->placement.limit_wait > 0 ? "endpoints-limited" : "no-endpoint");
+      sv_request_give_up (self, unplaced_reason (&self->placement));
       return;
     }
   if (will_miss_deadline (self))
--- a/tests/unit/sv_router_test.c
+++ b/tests/unit/sv_router_test.c
@@ -459,7 +459,27 @@
   fixture_close (&fixture);
 }
 
+/* Guards against parts of a long prompt that engines of an evacuated zone read. */
+static void
+test_evacuated_engines_neither_run_nor_help (void)
+{
+  Fixture fixture;
+  SvPlacement placement;
+
+  fixture_open (&fixture, ENGINES);
+  for (guint i = 0; i < ENGINES / 2; i++)
+    ((SvEndpoint *)g_ptr_array_index (sv_fleet_all (fixture.fleet), i))->is_evacuated = TRUE;
+  placement = place_long (&fixture, 100000);
+  CU_ASSERT_FALSE (placement.first->is_evacuated);
+  CU_ASSERT (placement.n_helpers > 0);
+  for (guint i = 0; i < placement.n_helpers; i++)
+    CU_ASSERT_FALSE (placement.helpers[i]->is_evacuated);
+  CU_ASSERT_FALSE (place_short (&fixture).first->is_evacuated);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
+  { "evacuated engines neither run nor help", test_evacuated_engines_neither_run_nor_help },
   { "short streams leave engines free", test_short_streams_leave_engines_free },
   { "long prompts avoid short streams", test_long_prompts_avoid_short_streams },
   { "engines with few slots", test_engines_with_few_slots },
