serve: instances tell each other of evacuations

An instance whose feed misses an evacuation notices it only when the request times out, and a peer's confirmation of the configuration extends the time for which it goes on.

Heartbeats, relay descriptions and confirmations state the newest row of evacuated zones that was applied, removals included, if it is of the announced era. A proof counts only if all evacuations that the peer had applied are applied here, too.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -179,6 +179,16 @@
                        .version = config->version };
 }
 
+static SvPosition
+confirm_config_known (gpointer data)
+{
+  const Gateway *self = data;
+
+  if (self->config_feed == NULL)
+    return (SvPosition){ 0 };
+  return pl_feed_position (self->config_feed);
+}
+
 static KnlTime
 confirm_confirmed_at (gpointer data)
 {
@@ -304,6 +314,7 @@
 
 static const SvConfirmEvents confirm_events = {
   .version = confirm_version,
+  .config_known = confirm_config_known,
   .confirmed_at = confirm_confirmed_at,
   .confirm = confirm_note_confirmed,
   .query_store = confirm_query_store,
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -18,6 +18,9 @@
 {
   /** Version of the configuration in use (0: there is none) and the store's era. */
   SvPosition (*version) (gpointer data);
+  /** Position up to which all changes of the configuration's table were applied, including those of
+   * evacuated zones; version 0: none yet. */
+  SvPosition (*config_known) (gpointer data);
   /** Time for which it was last known to be the newest; -KNL_NEVER: never. */
   KnlTime (*confirmed_at) (gpointer data);
   /** The configuration in use was the newest at that time. */
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -52,11 +52,13 @@
   guint64 stamp;        /* of the pending request; 0: none */
   KnlTime requested_at; /* time at which it was sent */
   UnreachedPosition config;
+  UnreachedPosition evacuations;
   UnreachedPosition endpoints;
   KnlTime store_query_period; /* 0: the confirmation isn't old */
   KnlTime next_store_query_at;
-  gboolean is_recheck_due; /* the next timer sends a request whatever the age */
-  SvPosition proven;       /* was the newest at `proven_at`; version 0: none */
+  gboolean is_recheck_due;    /* the next timer sends a request whatever the age */
+  SvPosition proven;          /* was the newest at `proven_at`; version 0: none */
+  guint64 proven_evacuations; /* newest row of evacuated zones that was applied there by then */
   KnlTime proven_at;
   SvPendingConfigs pending_configs;
 };
@@ -177,15 +179,25 @@
   self->timer = knl_timer_start (self->kernel, MAX_UPDATE_DELAY + KNL_MSEC, on_timer, self);
 }
 
+/* Whether all changes of evacuated zones up to that version of the era were applied here. */
+static gboolean
+has_evacuations (const SvConfirm *self, guint64 era, guint64 version)
+{
+  SvPosition known = self->events->config_known (self->data);
+
+  return version == 0 || (known.era == era && known.version >= version);
+}
+
 /* A configuration that was the newest at a time, or any newer one, contains every change
- * acknowledged by then. */
+ * acknowledged by then. Evacuations are rows of their own, so those that the peer had applied must
+ * have been applied here, too. */
 static void
 use_proof (SvConfirm *self)
 {
   SvPosition own = self->events->version (self->data);
 
-  if (self->proven.version == 0 || own.era != self->proven.era
-      || own.version < self->proven.version)
+  if (self->proven.version == 0 || own.era != self->proven.era || own.version < self->proven.version
+      || !has_evacuations (self, self->proven.era, self->proven_evacuations))
     return;
   self->proven.version = 0;
   self->events->confirm (self->proven_at, self->data);
@@ -220,6 +232,7 @@
   confirmation.era = own.era;
   confirmation.age_ms = (guint32)(age / KNL_MSEC + 1);
   confirmation.endpoints = endpoints.era == own.era ? endpoints.version : 0;
+  confirmation.evacuations = sv_peers_evacuations (self->peers, own.era);
   if (confirmation.version > 0)
     sv_peers_send_confirmation (self->peers, peer, &confirmation);
 }
@@ -260,6 +273,17 @@
   return now - behind->since > MAX_UPDATE_DELAY;
 }
 
+/* The same for the configuration and the evacuated zones, which are in one table. */
+static gboolean
+is_config_behind (SvConfirm *self, SvPosition config, SvPosition evacuations)
+{
+  gboolean behind = is_behind (self, &self->config, config, self->events->version (self->data));
+
+  behind |=
+      is_behind (self, &self->evacuations, evacuations, self->events->config_known (self->data));
+  return behind && is_feed_silent (self, self->events->config_last_seen_at (self->data));
+}
+
 static void
 note_config_reported (SvConfirm *self, guint64 version)
 {
@@ -271,7 +295,11 @@
  * poll the store: the others learn of them within their cell, and so don't all query the store at
  * once. */
 static void
-on_versions (const Peer *peer, SvPosition config, SvPosition endpoints, gpointer data)
+on_versions (const Peer *peer,
+             SvPosition config,
+             SvPosition endpoints,
+             SvPosition evacuations,
+             gpointer data)
 {
   SvConfirm *self = data;
 
@@ -281,8 +309,7 @@
   if (is_behind (self, &self->endpoints, endpoints, self->events->endpoints_known (self->data))
       && is_feed_silent (self, self->events->endpoints_last_seen_at (self->data)))
     self->events->query_endpoints (self->data);
-  if (is_behind (self, &self->config, config, self->events->version (self->data))
-      && is_feed_silent (self, self->events->config_last_seen_at (self->data)))
+  if (is_config_behind (self, config, evacuations))
     self->events->query_config (self->data);
 }
 
@@ -290,6 +317,7 @@
 handle_answer (SvConfirm *self, const Alderturn__Confirmation *reported)
 {
   SvPosition newest = { reported->era, reported->version };
+  SvPosition evacuations = { reported->era, reported->evacuations };
   SvPosition own = self->events->version (self->data);
 
   if (self->stamp == 0 || reported->stamp != self->stamp)
@@ -305,14 +333,16 @@
   if (newest.era == own.era && newest.version >= own.version)
     {
       self->proven = newest;
+      self->proven_evacuations = reported->evacuations;
       self->proven_at = self->requested_at - (KnlTime)reported->age_ms * KNL_MSEC;
       use_proof (self);
     }
   /* If versions follow each other quickly, or are large, the newest is already on its way here. */
-  if (is_behind (self, &self->config, newest, own)
-      && is_feed_silent (self, self->events->config_last_seen_at (self->data)))
+  if (is_config_behind (self, newest, evacuations))
     self->events->query_config (self->data);
-  if (sv_position_compare (newest, own) == SV_POSITION_NEWER)
+  if (sv_position_compare (newest, own) == SV_POSITION_NEWER
+      || sv_position_compare (evacuations, self->events->config_known (self->data))
+             == SV_POSITION_NEWER)
     recheck (self);
 }
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -338,6 +338,23 @@
   self->endpoints_revision = endpoints;
 }
 
+guint64
+sv_peers_evacuations (const SvPeers *self, guint64 era)
+{
+  SvPosition newest = sv_evacuations_newest (sv_fleet_evacuations (self->fleet));
+
+  return newest.era == era ? newest.version : 0;
+}
+
+void
+sv_peers_fill_versions (const SvPeers *self, Alderturn__Datagram *datagram)
+{
+  datagram->config_version = self->config_version;
+  datagram->endpoints = self->endpoints_revision.version;
+  datagram->era = self->endpoints_revision.era;
+  datagram->evacuations = sv_peers_evacuations (self, datagram->era);
+}
+
 void
 sv_peers_set_cut_off (SvPeers *self, gboolean cut_off)
 {
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -100,10 +100,12 @@
                                    const Alderturn__Confirmation *confirmation,
                                    gpointer data);
 
-/** Called when a peer reports its versions of the configuration and the endpoint list. */
+/** Called when a peer reports its versions of the configuration and the endpoint list, and the
+ * newest row of evacuated zones that it has applied (version 0: none). */
 typedef void (*SvPeerVersionsFunc) (const Peer *peer,
                                     SvPosition config,
                                     SvPosition endpoints,
+                                    SvPosition evacuations,
                                     gpointer data);
 
 struct SvPeers
@@ -202,6 +204,13 @@
 /** Number of known peers of that zone, alive or not. */
 guint sv_peers_n_in_zone (const SvPeers *self, const char *zone);
 
+/** Version of the newest row of evacuated zones that this instance has applied, if it is of that
+ * era; 0: none. */
+guint64 sv_peers_evacuations (const SvPeers *self, guint64 era);
+
+/** Fills in the versions that this instance has. */
+void sv_peers_fill_versions (const SvPeers *self, Alderturn__Datagram *datagram);
+
 /* peers_take.c */
 
 /** Handles a received datagram; `bytes` may be malformed. */
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -268,6 +268,7 @@
   if (datagram->config_version > 0 && self->on_versions != NULL)
     self->on_versions (peer, (SvPosition){ datagram->era, datagram->config_version },
                        (SvPosition){ datagram->era, datagram->endpoints },
+                       (SvPosition){ datagram->era, datagram->evacuations },
                        self->on_confirmation_data);
   return peer;
 }
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -227,9 +227,7 @@
 
   sv_peers_begin_datagram (self, &datagram, &rows);
   sv_join_add_members (self, &datagram, &members);
-  datagram.config_version = self->config_version;
-  datagram.endpoints = self->endpoints_revision.version;
-  datagram.era = self->endpoints_revision.era;
+  sv_peers_fill_versions (self, &datagram);
   sv_peers_send_to_cell (self, &datagram);
 }
 
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -209,9 +209,7 @@
 
   sv_peers_begin_datagram (self, &datagram, &rows);
   sv_peers_fill_sender (self, &datagram, &sender);
-  datagram.config_version = self->config_version;
-  datagram.endpoints = self->endpoints_revision.version;
-  datagram.era = self->endpoints_revision.era;
+  sv_peers_fill_versions (self, &datagram);
   cell.id = self->cell;
   cell.described = TRUE;
   cell.instances = 1 + sv_peers_n_in_zone (self, self->self.zone);
