gateway, serve: followers that the store doesn't answer are confirmed

With a bound for evacuations an instance that isn't confirmed refuses all requests, and followers were unconfirmed for seconds in three cases, each seen with 12 instances of which the store turned away four.

An instance that began to follow the store kept the wait of 8 s of those that ask a peer, and was confirmed by its end only: the wait is set with the source. A follower asked no peer for a confirmation until it counted as cut off: it does from 0.8 of the largest age on, like all others. A follower whose request got no answer while peers had a newer row repeated it, which restarted its timeout, and counted as cut off after 7 s: each repetition counts as a failure of the store.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -309,7 +309,13 @@
 static void
 confirm_query_config (gpointer data)
 {
-  retry_query (data, ((Gateway *)data)->config_feed);
+  Gateway *self = data;
+
+  /* The query restarts the timeout of the one without an answer, which would show that the store
+   * doesn't answer. */
+  if (self->peer_store == NULL)
+    gateway_note_source_failed (self);
+  retry_query (self, self->config_feed);
 }
 
 static const SvConfirmEvents confirm_events = {
@@ -461,6 +467,8 @@
       create_feeds (self, store);
       return;
     }
+  /* The longer wait of an instance that asked a peer would leave it unconfirmed for seconds. */
+  pl_feed_set_wait (self->config_feed, config_wait (self));
   pl_feed_set_source (self->config_feed, store);
   pl_feed_set_source (self->endpoints_feed, store);
 }
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -144,6 +144,15 @@
   self->events->query_store (self->data);
 }
 
+/* Whether the store confirms this instance's configuration in time. If it doesn't answer, calls
+ * take seconds to time out before the instance counts as cut off. */
+static gboolean
+is_confirmed_by_store (const SvConfirm *self, KnlTime age)
+{
+  return sv_confirm_polls_store (self) && !self->peers->cut_off
+         && age < fraction_of_staleness (self, STORE_THRESHOLD_FRACTION);
+}
+
 static void
 on_timer (gpointer data)
 {
@@ -158,8 +167,7 @@
                        fraction_of_staleness (self, is_urgent ? URGENT_INTERVAL_FRACTION
                                                               : REQUEST_INTERVAL_FRACTION),
                        on_timer, self);
-  if (self->events->version (self->data).version == 0
-      || (sv_confirm_polls_store (self) && !self->peers->cut_off))
+  if (self->events->version (self->data).version == 0 || is_confirmed_by_store (self, age))
     return;
   query_store (self, age);
   if (is_new || self->is_recheck_due
--- a/tests/unit/sv_confirm_test.c
+++ b/tests/unit/sv_confirm_test.c
@@ -277,7 +277,35 @@
   confirm_fixture_close (&fixture);
 }
 
+/* Guards against a follower that refuses callers while the store leaves its requests unanswered,
+ * and calls to it take seconds to time out: the other follower confirms it. */
+static void
+test_followers_confirm_each_other (void)
+{
+  ConfirmFixture fixture;
+  ConfirmInstance *unanswered = NULL;
+
+  confirm_fixture_open (&fixture);
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      if (sv_confirm_polls_store (fixture.instances[i].confirm))
+        unanswered = &fixture.instances[i];
+    }
+  for (KnlTime passed = 0; passed < 2 * MAX_STALENESS; passed += STEP)
+    {
+      KnlTime before = unanswered->confirmed_at;
+
+      confirm_fixture_confirm_followers (&fixture);
+      unanswered->confirmed_at = before;
+      confirm_fixture_advance (&fixture, STEP, FALSE);
+      CU_ASSERT (confirm_fixture_age (&fixture, unanswered) < MAX_STALENESS);
+    }
+  CU_ASSERT (unanswered->n_store_queries > 0);
+  confirm_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
+  { "followers confirm each other", test_followers_confirm_each_other },
   { "other zones confirm", test_other_zones_confirm },
   { "few query the store and all are confirmed", test_few_query_the_store_and_all_are_confirmed },
   { "late answers are old", test_late_answers_are_old },
