gateway, platform: rows of evacuated zones are followed

The key is recognised in platform/; a key that names no zone, or one of more than 200 bytes, is ignored and logged. Rows, removals and complete lists go to the fleet's set of evacuated zones. Confirmations are requested by the shortest of the bounds that need them. Gauges: alderturn_evacuated_zones, alderturn_evacuated_requests.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -33,11 +33,6 @@
 #define CONFIG_COALESCE_FRACTION 0.25
 #define ENDPOINTS_COALESCE_DELAY (400 * KNL_MSEC)
 
-static void
-ignore (gpointer data)
-{
-}
-
 /* The fields asked-us, first-byte-us and received-us are the ages of the query and of the first and
  * the last byte of its answer. */
 static void
@@ -59,7 +54,7 @@
   Gateway *self = data;
   SvConfig *config;
 
-  if (strcmp (row->key, PL_CONFIG_KEY) != 0 || row->removed)
+  if (gateway_take_evacuation (self, row) || strcmp (row->key, PL_CONFIG_KEY) != 0 || row->removed)
     return;
   config = pl_config_decoder_end (self->config_decoder);
   if (config == NULL)
@@ -73,6 +68,18 @@
   sv_config_unref (config);
 }
 
+static void
+on_begin_config_list (gpointer data)
+{
+  gateway_begin_evacuations (data);
+}
+
+static void
+on_end_config_list (gpointer data)
+{
+  gateway_end_evacuations (data);
+}
+
 static void
 on_begin_config (const char *key, gpointer data)
 {
@@ -156,8 +163,8 @@
 }
 
 static const PlFeedEvents config_events = {
-  .begin_list = ignore,
-  .end_list = ignore,
+  .begin_list = on_begin_config_list,
+  .end_list = on_end_config_list,
   .row = on_config_row,
   .begin_value = on_begin_config,
   .value = on_config_value,
@@ -433,6 +440,8 @@
 
   if (config_max_staleness == KNL_NEVER)
     config_max_staleness = sv_bounds_max_negative_staleness (&self->boot->bounds);
+  config_max_staleness =
+      MIN (config_max_staleness, sv_bounds_max_zone_staleness (&self->boot->bounds));
   self->config_decoder = pl_config_decoder_new ();
   sv_core_set_stale_since (self->core, config_stale_since, self);
   self->confirm = sv_confirm_new (self->process.kernel, self->peers, config_max_staleness,
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -55,6 +55,7 @@
   SvPosition endpoints_revision;       /* newest row received from the endpoint table */
   KnlTime endpoints_last_seen_at;      /* when the endpoint feed was last answered */
   CmLogRateLimit unreadable_log_limit; /* endpoint rows that can't be decoded */
+  CmLogRateLimit evacuation_log_limit; /* evacuation rows whose key names no zone */
   PlCall *member_call;
   KnlTimerId member_timer;
   KnlTime poll_delay;       /* delay of the next read after a failed one */
@@ -114,6 +115,21 @@
 /** Sets the store or peer that the feeds query; creates the feeds on the first call. */
 void gateway_set_feed_source (Gateway *self, PlStore *store);
 
+/* evacuations.c */
+
+/** Begins and ends a complete list of the configuration's table. */
+void gateway_begin_evacuations (Gateway *self);
+void gateway_end_evacuations (Gateway *self);
+
+/** Applies a row of the configuration's table if it evacuates a zone. FALSE: it doesn't. */
+gboolean gateway_take_evacuation (Gateway *self, const PlRow *row);
+
+/** Applies the bounds of the settings to evacuations. */
+void gateway_apply_evacuation_bound (Gateway *self);
+
+/** Sets the gauges of evacuated zones. */
+void gateway_update_evacuation_gauges (Gateway *self);
+
 /* source.c */
 
 /** Starts to choose the source that the feeds query; the choice is reviewed periodically. */
--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -108,6 +108,7 @@
 open_peers (Gateway *self, guint64 incarnation)
 {
   self->fleet = sv_fleet_new (self->process.kernel, sv_bounds_leave_grace (&self->boot->bounds));
+  gateway_apply_evacuation_bound (self);
   self->member = (SvMember){
     .name = self->boot->name,
     .incarnation = incarnation,
--- a/gateway/servers.c
+++ b/gateway/servers.c
@@ -88,8 +88,10 @@
 on_metrics_request (HtCall *call, gpointer data)
 {
   Gateway *self = data;
-  GString *text = cm_metrics_render (self->metrics);
+  GString *text;
 
+  gateway_update_evacuation_gauges (self);
+  text = cm_metrics_render (self->metrics);
   ht_call_answer (call, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
   g_string_free (text, TRUE);
 }
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -13,6 +13,13 @@
 #define PL_CONFIG_TABLE "op"
 #define PL_CONFIG_KEY   "config"
 
+/** Longest name of an evacuated zone, in bytes. */
+#define PL_MAX_ZONE_BYTES 200
+
+/** Returns whether a row of PL_CONFIG_TABLE with this key evacuates a zone. `*zone` is then the
+ * zone's name, within `key`; NULL if it is empty or too long. */
+gboolean pl_decode_evacuation (const char *key, const char **zone);
+
 /** Table in which endpoints register, each under its id. */
 #define PL_ENDPOINT_TABLE "servers"
 
--- a/tests/fakes/gateway_fleet.c
+++ b/tests/fakes/gateway_fleet.c
@@ -74,7 +74,8 @@
     .max_files = 1000,
     .directory_ttl_s = 5,
     .bounds = {
-      .key_withdrawal = 5 * KNL_SEC,
+      .key_withdrawal = self->size.evacuation > 0 ? 4 * self->size.evacuation : 5 * KNL_SEC,
+      .evacuation = self->size.evacuation,
       .new_config = 5 * KNL_SEC,
       .leaving = GF_LEAVING,
       .unused_memory = 4 * KNL_SEC,
--- a/tests/fakes/gateway_fleet.h
+++ b/tests/fakes/gateway_fleet.h
@@ -22,6 +22,7 @@
   guint n_zones;
   guint n_endpoints;
   guint strong_every; /**< every this many instances one is stronger; 0: none */
+  KnlTime evacuation; /**< bound for evacuations, four times as long for keys; 0: none */
   guint side_every;   /**< every this many instances one uses GF_DOOR_SIDE; 0: none */
 } GfSize;
 
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -498,7 +498,45 @@
   pl_dialect_free (dialect);
 }
 
+/* Guards against rows that evacuate no zone, or another one, because their keys aren't read in
+ * full.
+ */
+static void
+test_evacuation_keys (void)
+{
+  g_autofree char *longest = g_strnfill (PL_MAX_ZONE_BYTES, 'z');
+  g_autofree char *longest_key = g_strconcat ("evacuate/", longest, NULL);
+  g_autofree char *overlong_key = g_strconcat ("evacuate/z", longest, NULL);
+  const struct
+  {
+    const char *key;
+    gboolean is_evacuation;
+    const char *zone;
+  } rows[] = {
+    { "evacuate/z1", TRUE, "z1" },
+    { "evacuate/a b/c", TRUE, "a b/c" },
+    { "evacuate/", TRUE, NULL },
+    { longest_key, TRUE, longest },
+    { overlong_key, TRUE, NULL },
+    { "evacuate", FALSE, NULL },
+    { "evacuated/z1", FALSE, NULL },
+    { "Evacuate/z1", FALSE, NULL },
+    { "x/evacuate/z1", FALSE, NULL },
+    { PL_CONFIG_KEY, FALSE, NULL },
+    { "", FALSE, NULL },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const char *zone = NULL;
+
+      CU_ASSERT_EQUAL (pl_decode_evacuation (rows[i].key, &zone), rows[i].is_evacuation);
+      CU_ASSERT_EQUAL (g_strcmp0 (zone, rows[i].zone), 0);
+    }
+}
+
 static const SuiteCase cases[] = {
+  { "keys of evacuated zones", test_evacuation_keys },
   { "a configuration in pieces", test_config_in_pieces },
   { "unchanged routes are taken over", test_unchanged_routes_are_reused },
   { "a broken configuration", test_broken_config },
