gateway: a store that wasn't asked hasn't failed

Before its feeds have a source an instance can be told of newer rows by peers; that counted as a failure of the store. Found by reading; the unit tests pass.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -320,7 +320,7 @@
 
   /* The query restarts the timeout of the one without an answer, which would show that the store
    * doesn't answer. */
-  if (self->peer_store == NULL)
+  if (self->peer_store == NULL && self->config_feed != NULL)
     gateway_note_source_failed (self);
   retry_query (self, self->config_feed);
 }
