serve: evacuated zones and cold endpoints together

Cause: both parts change which endpoints are candidates, and what is checked again after a reservation.

Evacuated endpoints are left out where healthy endpoints are counted, also among those that are left out only because they are cold; one check after a reservation covers Retry-After, cold endpoints, evacuated zones and stale zones.

--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -86,7 +86,8 @@
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
       SvCandidate candidate;
 
-      if (sv_demand_excludes (demand, endpoint) || !is_accepted (fleet, endpoint, level, now)
+      if (endpoint->is_evacuated || sv_demand_excludes (demand, endpoint)
+          || !is_accepted (fleet, endpoint, level, now)
           || sv_endpoint_wait_time (fleet, endpoint, now) > 0)
         continue;
       candidate_init (demand, endpoint, now, &candidate);
@@ -94,6 +95,16 @@
     }
 }
 
+static guint
+count_not_evacuated (const GPtrArray *endpoints)
+{
+  guint n = 0;
+
+  for (guint i = 0; endpoints != NULL && i < endpoints->len; i++)
+    n += !((const SvEndpoint *)g_ptr_array_index (endpoints, i))->is_evacuated;
+  return n;
+}
+
 /* Healthy endpoints that are left out only because they are cold: that isn't a reason to ignore the
  * losses of others. */
 static guint
@@ -106,7 +117,7 @@
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
-      n += sv_endpoint_cold_wait (endpoint, now) > 0
+      n += !endpoint->is_evacuated && sv_endpoint_cold_wait (endpoint, now) > 0
            && is_accepted (fleet, endpoint, LEVEL_HEALTHY, now);
     }
   return n;
@@ -121,11 +132,11 @@
   const GPtrArray *endpoints = sv_fleet_service (fleet, demand->service->name);
   guint healthy = candidates->len;
 
-  if (endpoints == NULL || healthy >= MIN_HEALTHY_FRACTION * endpoints->len)
+  if (endpoints == NULL || healthy >= MIN_HEALTHY_FRACTION * count_not_evacuated (endpoints))
     return FALSE;
   if (healthy > 0)
     healthy += count_cold_left_out (fleet, demand, now);
-  return healthy < MIN_HEALTHY_FRACTION * endpoints->len;
+  return healthy < MIN_HEALTHY_FRACTION * count_not_evacuated (endpoints);
 }
 
 /* Cold endpoints come after all others when roles are assigned: they are slow, and a role that they
--- a/serve/send.c
+++ b/serve/send.c
@@ -95,7 +95,7 @@
   if (self->runs + 1 >= self->route->max_attempts)
     return;
   /* The endpoint may just be slow: its work isn't discarded unless the request can be retried. */
-  if (!sv_request_has_retry_left (self))
+  if (!sv_request_has_retry_left (self) || sv_core_has_stale_zones (self->core))
     {
       self->watch_timer =
           knl_timer_start (self->core->parts.kernel, WATCH_RETRY_DELAY, on_watch, self);
@@ -295,24 +295,41 @@
         knl_timer_start (self->core->parts.kernel, silence_timeout (self), on_watch, self);
 }
 
-/* Whether what the endpoints have stated since the request was placed still allows to send it. */
 static gboolean
-is_still_allowed (const SvRequest *self)
+has_evacuated_endpoint (const SvPlacement *placement)
 {
-  const SvPlacement *placement = &self->placement;
-  KnlTime now = sv_request_now (self);
+  gboolean found = placement->first->is_evacuated;
 
   for (guint i = 0; i < placement->n_helpers; i++)
+    found |= placement->helpers[i]->is_evacuated;
+  return found;
+}
+
+static gboolean
+has_cold_helper (const SvRequest *self)
+{
+  for (guint i = 0; i < self->placement.n_helpers; i++)
     {
-      if (sv_endpoint_is_cold (placement->helpers[i], now))
-        return FALSE;
+      if (sv_endpoint_is_cold (self->placement.helpers[i], sv_request_now (self)))
+        return TRUE;
     }
-  return placement->first->retry_after_until <= now
-         && sv_endpoint_cold_wait (placement->first, now) == 0;
+  return FALSE;
 }
 
-/* While the reservation was made, an endpoint advertised a Retry-After or became cold: places the
- * request anew, without counting this send. */
+/* While the reservation was made, an endpoint may have advertised a Retry-After or become cold, or
+ * a zone may have been evacuated. */
+static gboolean
+is_placement_outdated (const SvRequest *self)
+{
+  SvEndpoint *first = self->placement.first;
+  KnlTime now = sv_request_now (self);
+
+  return first->retry_after_until > now || sv_endpoint_cold_wait (first, now) > 0
+         || has_cold_helper (self) || has_evacuated_endpoint (&self->placement)
+         || sv_core_has_stale_zones (self->core);
+}
+
+/* Places the request anew, without counting this send. */
 static void
 place_again (SvRequest *self)
 {
@@ -326,7 +343,7 @@
 {
   SvRequest *self = data;
 
-  if (ready && !is_still_allowed (self))
+  if (ready && is_placement_outdated (self))
     {
       place_again (self);
       return;
@@ -438,6 +455,14 @@
   return TRUE;
 }
 
+static const char *
+unplaced_reason (const SvPlacement *placement)
+{
+  if (placement->is_evacuated)
+    return "zones-evacuated";
+  return placement->limit_wait > 0 ? "endpoints-limited" : "no-endpoint";
+}
+
 void
 sv_request_send (SvRequest *self)
 {
@@ -448,10 +473,14 @@
     }
   if (sv_request_pass (self))
     return;
+  if (sv_core_has_stale_zones (self->core))
+    {
+      sv_request_give_up (self, "zones-not-confirmed");
+      return;
+    }
   if (!place (self))
     {
-      sv_request_give_up (self,
-                          self->placement.limit_wait > 0 ? "endpoints-limited" : "no-endpoint");
+      sv_request_give_up (self, unplaced_reason (&self->placement));
       return;
     }
   if (will_miss_deadline (self))
