serve: slow endpoints are measured and announced

Cause: the speed of an endpoint was known by its service's declared figures only. Change: the time between events of a stream, over the expected time of the passes and of the prefill known to be placed there, is a sample of its endpoint; for plain endpoints the time of an answer over the service's median. Estimates are announced in EndpointLoad.pace, by relays for their cell, and in full datagrams also for idle endpoints. A registered prefill counts as longer at a slow endpoint. Log line endpoint-pace, gauge alderturn_slow_endpoints.

--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -11,6 +11,7 @@
 #include "policy/shared_health.h"
 #include "policy/health.h"
 #include "policy/limit.h"
+#include "policy/pace.h"
 #include "serve/config.h"
 #include "serve/position.h"
 #include "serve/prefills.h"
@@ -91,6 +92,12 @@
   guint32 announced_sent;        /**< `sent_in_cell` as last announced to other cells */
   double announced_rate;         /**< the limit's rate as last announced to other cells */
   GArray *reported_sends;        /**< SvReportedSends */
+  PolPace pace;                  /**< how slow it is */
+  KnlTime paced_at;              /**< when that was last updated; 0: never */
+  double logged_factor;          /**< `pace.factor` as last logged */
+  double mean_answer;            /**< plain endpoints: mean time to an answer, ms; 0: not known */
+  guint32 announced_pace;        /**< own estimate in percent as last announced; 0: none was */
+  guint32 announced_cell_pace;   /**< the same of this cell to other cells */
 } SvEndpoint;
 
 /** An endpoint's row in the platform's list. */
@@ -152,7 +159,8 @@
 const GPtrArray *sv_fleet_all (const SvFleet *fleet);
 
 /** Registers the prefill of a prompt, in equal parts, at the endpoints with these keys; unknown
- * keys are skipped. */
+ * keys are skipped. The length is the one by the declared figures; it counts as longer at slow
+ * endpoints. */
 void sv_fleet_add_prefill (SvFleet *fleet, const SvPrefill *prefill, const guint64 *keys, guint n);
 
 /** The prefill of the prompt is complete or was abandoned. */
--- a/include/serve/meters.h
+++ b/include/serve/meters.h
@@ -36,3 +36,6 @@
 
 /** Records the error of the model's estimate of the time from the send to the first event. */
 void sv_meters_note_prediction (SvMeters *meters, KnlTime expected, KnlTime actual);
+
+/** Sets the number of the service's endpoints that count as slow. */
+void sv_meters_set_slow_endpoints (SvMeters *meters, const char *service, guint n);
--- a/include/serve/prefills.h
+++ b/include/serve/prefills.h
@@ -14,8 +14,9 @@
 
 typedef struct
 {
-  GArray *rows; /**< oldest first */
-  KnlTime at;   /**< time that `left` of the rows applies to */
+  GArray *rows;   /**< oldest first */
+  KnlTime at;     /**< time that `left` of the rows applies to */
+  KnlTime placed; /**< total length of all rows added so far */
 } SvPrefills;
 
 /** Prefill of one prompt, or of a part of it, at one engine. */
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -109,6 +109,18 @@
     link->klass->health_changed (link, self->placement.first, FALSE);
 }
 
+/* Answers to prompts say little: how long they take depends on their length. */
+static void
+note_plain_pace (SvRequest *self)
+{
+  KnlTime now = sv_request_now (self);
+
+  if (self->reply.status < 300 && self->params.prompt_tokens == 0
+      && sv_pace_note_answer (self->core->parts.fleet, self->placement.first, now - self->sent_at,
+                              now))
+    sv_request_note_pace (self);
+}
+
 /* Cleans up after an exchange that ended without being cancelled. */
 static void
 close_send (SvRequest *self, const char *result)
@@ -352,6 +364,7 @@
   if (!streaming)
     {
       note_answer (self);
+      note_plain_pace (self);
       handle_complete_answer (self, answer);
       return;
     }
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -5,6 +5,7 @@
 #include "serve/core.h"
 #include "serve/events.h"
 #include "serve/meters.h"
+#include "serve/pace.h"
 #include "serve/reach.h"
 #include "serve/reservation.h"
 
@@ -75,6 +76,7 @@
   KnlTime last_received_at; /* when bytes were last received from the endpoint */
   KnlTime last_event_at;    /* when the last event was sent; 0: none was */
   KnlTime longest_gap;
+  SvPaceStream pace; /* of the current send */
 } SvRequest;
 
 /** How a request ended, for the log and the metrics. */
@@ -116,6 +118,10 @@
 /** Sends the request to an endpoint, defers the send, or ends (and frees) the request. */
 void sv_request_send (SvRequest *self);
 
+/** To be called after a sample of its endpoint's pace: updates the service's endpoints, and
+ * announces what has changed. */
+void sv_request_note_pace (SvRequest *self);
+
 /** Finds a placement for the request that excludes `endpoint`, without changing anything. FALSE: no
  * endpoint has capacity for it. */
 gboolean sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -115,6 +115,8 @@
   endpoint->key = XXH64 (entry->id, strlen (entry->id), entry->start);
   sv_prefills_init (&endpoint->prefills);
   pol_limit_init (&endpoint->limit);
+  pol_pace_init (&endpoint->pace);
+  endpoint->logged_factor = 1;
   endpoint->announced_rate = POL_NO_LIMIT;
   endpoint->reported_sends = g_array_new (FALSE, FALSE, sizeof (SvReportedSends));
   endpoint->peers = g_array_new (FALSE, FALSE, sizeof (SvPeerLoad));
@@ -306,9 +308,12 @@
   for (guint i = 0; i < n; i++)
     {
       SvEndpoint *endpoint = sv_fleet_by_key (self, keys[i]);
+      SvPrefill part = *prefill;
 
-      if (endpoint != NULL)
-        sv_prefills_add (&endpoint->prefills, prefill, now);
+      if (endpoint == NULL)
+        continue;
+      part.length = (KnlTime)((double)prefill->length * endpoint->pace.factor);
+      sv_prefills_add (&endpoint->prefills, &part, now);
     }
   record_prefill (self, prefill->prompt, keys, n);
   if (self->on_prefill != NULL)
@@ -356,7 +361,10 @@
 
       if (first != NULL && sv_prefills_find (&first->prefills, placed->prompt, now, &prefill)
           && prefill.until_ended)
-        func (&prefill, placed->keys, placed->n, data);
+        {
+          prefill.length = (KnlTime)((double)prefill.length / first->pace.factor);
+          func (&prefill, placed->keys, placed->n, data);
+        }
     }
 }
 
--- a/serve/meters.c
+++ b/serve/meters.c
@@ -59,6 +59,13 @@
   .scale = 1e6,
 };
 
+static const CmMetricDef slow_def = {
+  .name = "alderturn_slow_endpoints",
+  .help = "Endpoints that count as slow",
+  .type = CM_METRIC_GAUGE,
+  .labels = { "service" },
+};
+
 struct SvMeters
 {
   CmMetric *requests;
@@ -69,6 +76,7 @@
   CmMetric *crashes;
   CmMetric *passed;
   CmMetric *first_event_error;
+  CmMetric *slow;
 };
 
 SvMeters *
@@ -84,6 +92,7 @@
   self->crashes = cm_metrics_add (metrics, &crashes_def);
   self->passed = cm_metrics_add (metrics, &passed_def);
   self->first_event_error = cm_metrics_add (metrics, &first_event_error_def);
+  self->slow = cm_metrics_add (metrics, &slow_def);
   return self;
 }
 
@@ -140,3 +149,9 @@
       cm_metric_series (self->first_event_error, error > 0 ? "late" : "early", NULL, NULL),
       (guint64)ABS (error));
 }
+
+void
+sv_meters_set_slow_endpoints (SvMeters *self, const char *service, guint n)
+{
+  cm_series_set (cm_metric_series (self->slow, service, NULL, NULL), n);
+}
--- /dev/null
+++ b/serve/pace.c
@@ -0,0 +1,221 @@
+#include "serve/pace.h"
+
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "serve/engine_model.h"
+
+/* Shortest time between two updates of a service: each looks at all of its endpoints. */
+#define REFRESH_INTERVAL (50 * KNL_MSEC)
+
+/* Events within this time count as one read; a pass takes many times as long. */
+#define SAME_READ_TIME (5 * KNL_MSEC)
+
+/* Gaps with more known prefill than this, in passes, give no sample: how much of it an engine
+ * processes in one pass isn't known well enough. */
+#define MAX_PREFILL_PASSES 2.0
+
+/* Plain endpoints: weight of a new answer in the mean time of an endpoint's answers, and number of
+ * endpoints from which their median is relied on. */
+#define ANSWER_WEIGHT    0.125
+#define MIN_PLAIN_MEDIAN 3
+
+/* An estimate is announced at once when it differs from the announced one by this fraction. */
+#define ANNOUNCED_FRACTION 0.1
+
+/* A change of the slowdown by this factor is logged. */
+#define LOGGED_FACTOR 1.25
+
+static SvPaceMark
+take_mark (SvEndpoint *endpoint, const SvEngineSpec *spec, KnlTime now)
+{
+  SvLoad load = sv_endpoint_load (endpoint, now);
+  guint streams = MAX (sv_load_decoding_streams (&load), 1);
+
+  return (SvPaceMark){
+    .at = now,
+    .pass_ms = sv_model_pass_ms (spec, streams, (double)load.tokens),
+    .left = sv_endpoint_prefill_left (endpoint, now),
+    .placed = endpoint->prefills.placed,
+  };
+}
+
+/* Adds the sample of the last read. Prefill that is placed at a slow endpoint is registered with
+ * the time that it takes there, but samples are relative to the declared figures. */
+static gboolean
+add_sample (const SvPaceStream *stream, SvEndpoint *endpoint)
+{
+  const SvPaceMark *previous = &stream->previous;
+  const SvPaceMark *last = &stream->last;
+  double prefill = (double)(previous->left + last->placed - previous->placed) / KNL_MSEC;
+  double passes = stream->n_events * previous->pass_ms;
+
+  prefill /= endpoint->pace.factor;
+  if (previous->at == 0 || passes <= 0 || prefill > MAX_PREFILL_PASSES * passes)
+    return FALSE;
+  pol_pace_add_sample (&endpoint->pace,
+                       (double)(last->at - previous->at) / KNL_MSEC / (passes + prefill), last->at);
+  return TRUE;
+}
+
+gboolean
+sv_pace_note_event (SvPaceStream *self, SvEndpoint *endpoint, const SvEngineSpec *spec, KnlTime now)
+{
+  gboolean is_added;
+
+  if (self->last.at > 0 && now - self->last.at < SAME_READ_TIME)
+    {
+      self->n_events++;
+      return FALSE;
+    }
+  is_added = add_sample (self, endpoint);
+  self->previous = self->last;
+  self->last = take_mark (endpoint, spec, now);
+  self->n_events = 1;
+  return is_added;
+}
+
+/* Median of the mean answer times at the service's endpoints, in ms; 0: too few are known. */
+static double
+median_answer (const GPtrArray *endpoints)
+{
+  g_autofree double *times = g_new (double, endpoints->len);
+  guint n = 0;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (endpoint->mean_answer > 0)
+        times[n++] = endpoint->mean_answer;
+    }
+  return n < MIN_PLAIN_MEDIAN ? 0 : pol_pace_median (times, n);
+}
+
+/* An endpoint with more requests than half of its slots may take longer, in proportion. */
+static double
+crowding (const SvEndpoint *endpoint, KnlTime now)
+{
+  double calls = sv_endpoint_load (endpoint, now).calls;
+
+  return MAX (2 * calls / MAX (endpoint->slots, 1), 1);
+}
+
+gboolean
+sv_pace_note_answer (const SvFleet *fleet, SvEndpoint *endpoint, KnlTime time, KnlTime now)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fleet, endpoint->service);
+  double ms = (double)time / KNL_MSEC / crowding (endpoint, now);
+  double median;
+
+  if (endpoints == NULL)
+    return FALSE;
+  endpoint->mean_answer = endpoint->mean_answer > 0
+                              ? (1 - ANSWER_WEIGHT) * endpoint->mean_answer + ANSWER_WEIGHT * ms
+                              : ms;
+  median = median_answer (endpoints);
+  if (median <= 0)
+    return FALSE;
+  pol_pace_add_sample (&endpoint->pace, ms / median, now);
+  return TRUE;
+}
+
+static void
+set_factor (SvEndpoint *endpoint, double factor)
+{
+  double before = endpoint->logged_factor;
+
+  endpoint->pace.factor = factor;
+  if ((factor > 1) == (before > 1) && factor < before * LOGGED_FACTOR
+      && before < factor * LOGGED_FACTOR)
+    return;
+  endpoint->logged_factor = factor;
+  cm_log (CM_LOG_NOTICE, "endpoint-pace", "s", "endpoint", endpoint->id, "f", "factor", factor, "f",
+          "before", before, "i", "own-samples", (gint64)endpoint->pace.own.samples, "f",
+          "own-factor", endpoint->pace.own.ratio, "i", "reports", (gint64)endpoint->pace.n_reports);
+}
+
+static double
+reference_of (const GPtrArray *endpoints, double *ratios, KnlTime now)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      const SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      PolPaceEstimate measured = pol_pace_measure (&endpoint->pace, now);
+
+      if (measured.samples > 0)
+        ratios[n++] = measured.ratio;
+    }
+  return pol_pace_reference (ratios, n);
+}
+
+static guint
+update_all (const GPtrArray *endpoints, KnlTime now)
+{
+  g_autofree double *ratios = g_new (double, endpoints->len);
+  double reference = reference_of (endpoints, ratios, now);
+  double median;
+  guint n_slow = 0;
+
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      ratios[i] = pol_pace_update (&endpoint->pace, reference, now);
+      endpoint->paced_at = now;
+    }
+  median = pol_pace_median (ratios, endpoints->len);
+  for (guint i = 0; i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      set_factor (endpoint, pol_pace_factor (endpoint->pace.combined, median));
+      n_slow += endpoint->pace.factor > 1;
+    }
+  return n_slow;
+}
+
+gint
+sv_pace_refresh (const SvFleet *fleet, const char *service, KnlTime now)
+{
+  const GPtrArray *endpoints = sv_fleet_service (fleet, service);
+  const SvEndpoint *first;
+
+  if (endpoints == NULL)
+    return -1;
+  first = g_ptr_array_index (endpoints, 0);
+  if (first->paced_at > 0 && now - first->paced_at < REFRESH_INTERVAL)
+    return -1;
+  return (gint)update_all (endpoints, now);
+}
+
+guint32
+sv_pace_percent (gboolean is_known, const PolPaceEstimate *estimate)
+{
+  return is_known ? (guint32)(estimate->ratio * 100 + 0.5) : 0;
+}
+
+gboolean
+sv_pace_mark_changed (SvEndpoint *endpoint, KnlTime now)
+{
+  PolPaceEstimate estimate;
+  gboolean is_known = pol_pace_own_report (&endpoint->pace, now, &estimate);
+  gint64 percent = sv_pace_percent (is_known, &estimate);
+  gint64 announced = endpoint->announced_pace;
+
+  if (!is_known || ABS (percent - announced) <= ANNOUNCED_FRACTION * (double)announced)
+    return FALSE;
+  endpoint->own_changed = TRUE;
+  endpoint->cell_changed = TRUE;
+  return TRUE;
+}
+
+void
+sv_pace_note_report (SvEndpoint *endpoint, const PolPaceReport *report, KnlTime now)
+{
+  pol_pace_add_report (&endpoint->pace, report, now);
+  if (!report->is_cell)
+    endpoint->cell_changed = TRUE;
+}
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -164,6 +164,8 @@
   Alderturn__EndpointLoad *load_rows[MAX_ROWS];
   Alderturn__EndpointLimit limits[MAX_ROWS]; /* limit of the same index in `loads` */
   guint n_limits;
+  Alderturn__EndpointPace paces[MAX_ROWS]; /* pace of the same index in `loads` */
+  guint n_paces;
   Alderturn__PlacedRead prefills[MAX_PREFILL_ROWS];
   Alderturn__PlacedRead *prefill_rows[MAX_PREFILL_ROWS];
   Alderturn__EndpointCrash crashes[MAX_CRASH_ROWS];
@@ -228,6 +230,35 @@
 /** See SvPeerLinkClass. */
 char *sv_peers_passing_address (SvPeers *self, const char *avoid);
 
+/* peers_pace.c */
+
+/** Whether this instance announces how slow the endpoint is, also while it has no load there. */
+gboolean sv_peers_announces_pace (const SvPeers *self, const SvEndpoint *endpoint);
+
+/** Adds this instance's estimate of the endpoint's pace, if it is to be announced, to the row added
+ * last. */
+void sv_peers_add_own_pace (const SvPeers *self,
+                            Alderturn__Datagram *datagram,
+                            Rows *rows,
+                            SvEndpoint *endpoint);
+
+/** The same with the estimate of the whole cell. */
+void sv_peers_add_cell_pace (const SvPeers *self,
+                             Alderturn__Datagram *datagram,
+                             Rows *rows,
+                             SvEndpoint *endpoint);
+
+/** Whether the cell's estimate differs by at most a tenth from what was last announced to other
+ * cells. */
+gboolean sv_peers_has_told_cell_pace (const SvPeers *self, const SvEndpoint *endpoint);
+
+/** Handles a report of how slow the endpoint is. `source`: id of the peer or cell. */
+void sv_peers_handle_pace (SvPeers *self,
+                           SvEndpoint *endpoint,
+                           const Alderturn__EndpointPace *pace,
+                           guint32 source,
+                           gboolean is_cell);
+
 /* peers_tell.c */
 
 /** Callbacks through which the core announces changes to peers. */
@@ -247,7 +278,7 @@
                            Alderturn__Datagram *datagram,
                            Alderturn__Sender *sender);
 
-/** Whether the datagram has `max_rows` load rows or more; a limit counts as a row. */
+/** Whether the datagram has `max_rows` load rows or more; a limit or pace counts as one. */
 gboolean sv_rows_are_full (const Rows *rows, const Alderturn__Datagram *datagram, guint max_rows);
 
 /** Adds a row with the endpoint's `load`; there is space for MAX_ROWS. */
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -193,6 +193,8 @@
       if (row->limit != NULL)
         handle_limit (self, endpoint, row->limit,
                       (SvReportedSends){ .source = peer->id, .reporter = peer->id });
+      if (row->pace != NULL)
+        sv_peers_handle_pace (self, endpoint, row->pace, peer->id, FALSE);
       peer->is_counted = TRUE;
     }
 }
@@ -214,6 +216,8 @@
       cell->is_counted = TRUE;
       if (row->limit != NULL)
         handle_limit (self, endpoint, row->limit, reported);
+      if (row->pace != NULL)
+        sv_peers_handle_pace (self, endpoint, row->pace, cell->id, TRUE);
     }
 }
 
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -96,6 +96,7 @@
   datagram->ready = self->ready;
   datagram->cut_off = self->cut_off;
   rows->n_limits = 0;
+  rows->n_paces = 0;
   datagram->loads = rows->load_rows;
   datagram->reads = rows->prefill_rows;
 }
@@ -103,7 +104,7 @@
 gboolean
 sv_rows_are_full (const Rows *rows, const Alderturn__Datagram *datagram, guint max_rows)
 {
-  return datagram->n_loads + rows->n_limits >= max_rows;
+  return datagram->n_loads + rows->n_limits + rows->n_paces >= max_rows;
 }
 
 void
@@ -158,6 +159,7 @@
 {
   sv_peers_add_load (self, datagram, rows, endpoint, &endpoint->own);
   sv_peers_add_limit (self, datagram, rows, endpoint, endpoint->sent);
+  sv_peers_add_own_pace (self, datagram, rows, endpoint);
   endpoint->own_changed = FALSE;
 }
 
@@ -193,7 +195,8 @@
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
       if (endpoint->own.calls == 0
-          && !sv_endpoint_announces_limit (endpoint, knl_kernel_now (self->kernel)))
+          && !sv_endpoint_announces_limit (endpoint, knl_kernel_now (self->kernel))
+          && !sv_peers_announces_pace (self, endpoint))
         continue;
       if (sv_rows_are_full (rows, datagram, MAX_ROWS))
         {
--- a/serve/prefills.c
+++ b/serve/prefills.c
@@ -12,6 +12,7 @@
 {
   self->rows = g_array_new (FALSE, FALSE, sizeof (Row));
   self->at = 0;
+  self->placed = 0;
 }
 
 void
@@ -53,6 +54,7 @@
 
   advance (self, now);
   g_array_append_val (self->rows, row);
+  self->placed += prefill->length;
 }
 
 void
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -80,9 +80,9 @@
 }
 
 static gboolean
-is_announced (const SvEndpoint *endpoint, const SvLoad *sum)
+is_announced (const SvPeers *self, const SvEndpoint *endpoint, const SvLoad *sum)
 {
-  return is_same_load (sum, &endpoint->announced)
+  return is_same_load (sum, &endpoint->announced) && sv_peers_has_told_cell_pace (self, endpoint)
          && endpoint->announced_sent == endpoint->sent_in_cell
          && endpoint->announced_rate == endpoint->limit.rate;
 }
@@ -94,6 +94,7 @@
 
   sv_peers_add_load (self, datagram, rows, endpoint, &sum);
   sv_peers_add_limit (self, datagram, rows, endpoint, endpoint->sent_in_cell);
+  sv_peers_add_cell_pace (self, datagram, rows, endpoint);
   endpoint->announced = sum;
   endpoint->announced_sent = endpoint->sent_in_cell;
   endpoint->announced_rate = endpoint->limit.rate;
@@ -113,7 +114,7 @@
       if (!endpoint->cell_changed)
         continue;
       sum = sv_endpoint_own_cell_load (endpoint);
-      if (is_announced (endpoint, &sum))
+      if (is_announced (self, endpoint, &sum))
         endpoint->cell_changed = FALSE;
       else
         add_sum (self, datagram, rows, endpoint);
--- a/serve/send.c
+++ b/serve/send.c
@@ -116,6 +116,26 @@
   return self->params.answer_hint > 0 ? MIN (self->params.answer_hint, max_tokens) : max_tokens;
 }
 
+static void
+refresh_pace (const SvRequest *self)
+{
+  const SvCore *core = self->core;
+  gint n_slow = sv_pace_refresh (core->parts.fleet, self->service->name, sv_request_now (self));
+
+  if (n_slow >= 0)
+    sv_meters_set_slow_endpoints (core->meters, self->service->name, (guint)n_slow);
+}
+
+void
+sv_request_note_pace (SvRequest *self)
+{
+  SvPeerLink *link = self->core->parts.link;
+
+  refresh_pace (self);
+  if (sv_pace_mark_changed (self->placement.first, sv_request_now (self)))
+    link->klass->load_changed (link);
+}
+
 static gboolean
 find_placement (SvRequest *self, const GPtrArray *excluded, SvPlacement *placement)
 {
@@ -133,6 +153,7 @@
     .excluded = excluded,
   };
 
+  refresh_pace (self);
   return sv_router_place (core->parts.fleet, &demand, now, placement);
 }
 
@@ -457,6 +478,7 @@
   self->sent_at = sv_request_now (self);
   self->last_received_at = 0;
   sv_events_reset (&self->events);
+  self->pace = (SvPaceStream){ .n_events = 0 };
   if (needs_reservation (self))
     reserve (self);
   else
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -42,12 +42,22 @@
   sv_request_end_prefill (self);
 }
 
+static void
+note_pace (SvRequest *self)
+{
+  if (sv_service_is_engine (self->service)
+      && sv_pace_note_event (&self->pace, self->placement.first, &self->service->engine,
+                             sv_request_now (self)))
+    sv_request_note_pace (self);
+}
+
 static void
 on_event (const SvEvent *event, gpointer data)
 {
   SvRequest *self = data;
 
   note_prefill_complete (self);
+  note_pace (self);
   /* A second run may repeat events that the first has already sent. */
   if (event->id >= 0 && event->id <= self->last_event)
     return;
