serve: decisions weigh how slow endpoints are

Cause: a prompt waits for its slowest part, and slow endpoints were taken for as fast as others. Simulated engines can be slower.

--- a/bench/policies.c
+++ b/bench/policies.c
@@ -6,6 +6,7 @@
 #include "kernel/paused.h"
 #include "serve/defer.h"
 #include "serve/engine_model.h"
+#include "serve/pace.h"
 #include "serve/router.h"
 #include "tests/fakes/pass_engine.h"
 
@@ -77,6 +78,7 @@
   KnlTime last_at;
   KnlTime longest_gap;
   gboolean in_prefill;
+  SvPaceStream pace;
   SvPlacement placement;
 } Request;
 
@@ -119,6 +121,7 @@
   guint32 from;
   guint64 endpoint;
   SvLoad load;
+  PolPaceReport pace; /* without samples: none */
   SvPrefill prefill;
   guint n;
   guint64 keys[SV_MAX_HELPERS + 1];
@@ -131,7 +134,11 @@
   SvEndpoint *endpoint = sv_fleet_by_key (update->to->fleet, update->endpoint);
 
   if (endpoint != NULL)
-    sv_endpoint_set_peer (endpoint, update->from, &update->load);
+    {
+      sv_endpoint_set_peer (endpoint, update->from, &update->load);
+      if (update->pace.estimate.samples > 0)
+        sv_pace_note_report (endpoint, &update->pace, now_of (update->to->sim));
+    }
   if (update->prefill.prompt != 0 && update->n > 0)
     sv_fleet_add_prefill (update->to->fleet, &update->prefill, update->keys, update->n);
   else if (update->prefill.prompt != 0)
@@ -143,7 +150,10 @@
 announce_load (Request *request, const SvPrefill *prefill, const guint64 *keys, guint n)
 {
   Sim *sim = request->sim;
+  PolPaceReport pace = { .source = request->instance->id };
 
+  if (!pol_pace_own_report (&request->placement.first->pace, now_of (sim), &pace.estimate))
+    pace.estimate.samples = 0;
   for (guint i = 0; i < sim->options->instances; i++)
     {
       LoadUpdate *update;
@@ -155,6 +165,7 @@
       update->from = request->instance->id;
       update->endpoint = request->placement.first->key;
       update->load = request->placement.first->own;
+      update->pace = pace;
       if (prefill != NULL)
         update->prefill = *prefill;
       update->n = n;
@@ -185,6 +196,27 @@
     announce_load (request, &prefill, NULL, 0);
 }
 
+/* As the core does with the events of a stream. */
+static void
+note_pace (Request *request)
+{
+  SvEndpoint *endpoint = request->placement.first;
+  KnlTime now = now_of (request->sim);
+
+  if (request->sim->options->ignores_pace
+      || !sv_pace_note_event (&request->pace, endpoint, &spec, now))
+    return;
+  sv_pace_refresh (request->instance->fleet, "llm", now);
+  if (sv_pace_mark_changed (endpoint, now))
+    {
+      PolPaceEstimate estimate;
+      gboolean is_known = pol_pace_own_report (&endpoint->pace, now, &estimate);
+
+      endpoint->announced_pace = sv_pace_percent (is_known, &estimate);
+      announce_load (request, NULL, NULL, 0);
+    }
+}
+
 static void
 on_event (gpointer data, guint index)
 {
@@ -192,6 +224,7 @@
   KnlTime now = now_of (request->sim);
 
   end_prefill (request);
+  note_pace (request);
   if (index == 0)
     request->first_at = now;
   else
@@ -269,7 +302,10 @@
     .objective_left = MAX (request->submitted_at + request->kind->objective - now_of (sim), 0),
     .gap_objective = request->kind->gap,
   };
-  KnlTime wait = sim->policy->place (request, &demand);
+  KnlTime wait;
+
+  sv_pace_refresh (request->instance->fleet, "llm", now_of (sim));
+  wait = sim->policy->place (request, &demand);
 
   if (wait > 0)
     knl_timer_start (sim->kernel, wait, place, request);
@@ -493,7 +529,13 @@
   add_routes (self);
   self->engines = g_ptr_array_new_with_free_func ((GDestroyNotify)fk_pass_engine_free);
   for (guint i = 0; i < self->options->engines; i++)
-    g_ptr_array_add (self->engines, fk_pass_engine_new (self->kernel, &spec));
+    {
+      FkPassEngine *engine = fk_pass_engine_new (self->kernel, &spec);
+
+      if (i < self->options->slow_engines)
+        fk_pass_engine_set_slowdown (engine, self->options->slowdown);
+      g_ptr_array_add (self->engines, engine);
+    }
   self->instances = g_new0 (Instance, self->options->instances);
   for (guint i = 0; i < self->options->instances; i++)
     {
--- a/bench/policies.h
+++ b/bench/policies.h
@@ -19,6 +19,9 @@
   double load;   /**< multiplies all arrivals */
   guint seconds;
   guint seed;
+  guint slow_engines; /**< engines that are `slowdown` times slower than declared */
+  double slowdown;
+  gboolean ignores_pace; /**< instances don't measure how slow engines are */
 } BenchPolicyOptions;
 
 typedef struct
--- a/include/policy/plain.h
+++ b/include/policy/plain.h
@@ -11,6 +11,7 @@
   guint slots;            /**< requests that it processes at once; 0: not known */
   gboolean is_other_zone; /**< in another availability zone */
   const PolHealth *health;
+  double pace; /**< how many times slower than others it is; 0: not known, counts as 1 */
 } PolPlainCandidate;
 
 /** The cost, in requests in flight per slot. */
--- a/policy/plain.c
+++ b/policy/plain.c
@@ -8,7 +8,12 @@
 double
 pol_plain_cost (const PolPlainCandidate *candidate)
 {
-  double cost = (double)candidate->calls / MAX (candidate->slots, 1);
+  double pace = MAX (candidate->pace, 1);
+  double slots = MAX (candidate->slots, 1);
+  double cost = pace * ((double)candidate->calls / slots);
+
+  /* The request itself takes longer, too. */
+  cost += (pace - 1) / slots;
 
   if (candidate->is_other_zone)
     cost += OTHER_ZONE_COST;
--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -36,8 +36,10 @@
 
   *candidate = (SvCandidate){ .endpoint = endpoint, .load = sv_endpoint_load (endpoint, now) };
   candidate->prefill_left = (double)sv_endpoint_prefill_left (endpoint, now) / KNL_MSEC;
-  candidate->pass = sv_model_pass_ms (spec, sv_load_decoding_streams (&candidate->load),
-                                      (double)candidate->load.tokens);
+  candidate->pace = endpoint->pace.factor;
+  candidate->pass = candidate->pace
+                    * sv_model_pass_ms (spec, sv_load_decoding_streams (&candidate->load),
+                                        (double)candidate->load.tokens);
   candidate->order = candidate->prefill_left;
   /* Parts of other prompts would come in addition to the requests that its limit allows. */
   candidate->can_help =
@@ -132,6 +134,24 @@
   return MAX ((double)choice->spec->slots - SV_PACK_SPARE_SLOTS, 1);
 }
 
+/* Gives the roles to the candidates in their order, but to slow ones only after all others. */
+static void
+assign_in_order (SvChoice *choice, guint packed, guint decoding)
+{
+  guint n = 0;
+
+  for (guint round = 0; round < 2; round++)
+    {
+      for (guint i = 0; i < choice->candidates->len && n < packed + decoding; i++)
+        {
+          SvCandidate *candidate = sv_candidate_at (choice, i);
+
+          if ((candidate->pace > 1) == (round == 1))
+            candidate->role = n++ < packed ? SV_ROLE_PACKED : SV_ROLE_DECODE;
+        }
+    }
+}
+
 /*
  * Streams with a tight gap objective are packed onto the first endpoints of an
  * order that is the same at all instances, on as many as they need; long prompts
@@ -160,11 +180,18 @@
   decoding =
       (guint)ceil ((tokens + 1) / (DECODE_MEMORY_FRACTION * (double)choice->spec->memory_tokens))
       + 1;
-  for (guint i = 0; i < choice->candidates->len && i < packed + decoding; i++)
-    sv_candidate_at (choice, i)->role = i < packed ? SV_ROLE_PACKED : SV_ROLE_DECODE;
+  assign_in_order (choice, packed, decoding);
   choice->packed_mean = tight / packed;
 }
 
+gboolean
+sv_candidate_misses_gap (const SvChoice *choice, const SvCandidate *candidate)
+{
+  KnlTime gap = choice->demand->gap_objective;
+
+  return candidate->pace > 1 && gap > 0 && candidate->pass * KNL_MSEC > (double)gap;
+}
+
 gboolean
 sv_candidate_has_memory (const SvChoice *choice, const SvCandidate *candidate)
 {
--- a/serve/move.c
+++ b/serve/move.c
@@ -26,7 +26,8 @@
   double pass = sv_model_pass_ms (&self->service->engine, sv_load_decoding_streams (&load),
                                   (double)load.tokens);
 
-  return sv_endpoint_prefill_left (endpoint, now) + (KnlTime)(pass * KNL_MSEC);
+  return sv_endpoint_prefill_left (endpoint, now)
+         + (KnlTime)(pass * endpoint->pace.factor * KNL_MSEC);
 }
 
 static KnlTime
--- a/serve/place_long.c
+++ b/serve/place_long.c
@@ -16,6 +16,14 @@
  * memory than it has, and the second would wait there until the first has been answered. */
 #define RUN_NOISE_COST 300.0
 
+/* Cost in ms of running a long prompt at an endpoint that is twice as slow as others, in proportion
+ * to the slowdown; the most that it costs is less than running it among packed streams. */
+#define RUN_SLOW_COST     1000.0
+#define MAX_RUN_SLOW_COST 1800.0
+
+/* Between those of SV_ROLE_DECODE and SV_ROLE_PACKED. */
+#define SLOW_HELPER_RANK 1.5
+
 /* A prompt that exceeds the free memory of the endpoint that runs it is held by several endpoints:
  * by the first with FIRST_HOLD_FRACTION of its free memory, by each helper with at most
  * HELPER_HOLD_FRACTION of its free memory and at least MIN_HOLD_TOKENS tokens. */
@@ -37,6 +45,15 @@
  * otherwise equal. */
 #define WAIT_COST 10.0
 
+/* Position of the candidate's role in the order of helpers. Slow ones come after all others that
+ * aren't packed: a prompt waits for its slowest part. */
+static double
+helper_rank (const SvCandidate *candidate)
+{
+  return candidate->pace > 1 && candidate->role != SV_ROLE_PACKED ? SLOW_HELPER_RANK
+                                                                  : candidate->role;
+}
+
 static int
 compare_for_prefill (gconstpointer a, gconstpointer b)
 {
@@ -45,8 +62,10 @@
 
   if (x->can_help != y->can_help)
     return x->can_help ? -1 : 1;
-  if (x->role != y->role)
-    return x->role < y->role ? -1 : 1;
+  if (helper_rank (x) != helper_rank (y))
+    return helper_rank (x) < helper_rank (y) ? -1 : 1;
+  if (x->pace != y->pace)
+    return x->pace < y->pace ? -1 : 1;
   if (x->order != y->order)
     return x->order < y->order ? -1 : 1;
   return x->endpoint->key > y->endpoint->key ? -1 : 1;
@@ -102,11 +121,11 @@
   for (guint i = 0; i < n; i++)
     {
       const SvCandidate *candidate = sv_candidate_at (choice, i);
-      double pass_ms = candidate->prefill_left + part + candidate->pass;
+      double pass_ms = candidate->prefill_left + part * candidate->pace + candidate->pass;
 
       finish = MAX (finish, pass_ms);
       late += late_streams (choice, candidate, pass_ms);
-      late += sv_load_decoding_streams (&candidate->load) * (part / SLOWDOWN_MS);
+      late += sv_load_decoding_streams (&candidate->load) * (part * candidate->pace / SLOWDOWN_MS);
     }
   *expected = finish;
   return late + weight_of (choice) * ramp (finish, FIRST_EVENT_LATE_START * objective, objective)
@@ -138,6 +157,9 @@
   };
   double cost = candidate->prefill_left + candidate->pass + role_cost[candidate->role];
 
+  cost += MIN (RUN_SLOW_COST * (candidate->pace - 1), MAX_RUN_SLOW_COST);
+  if (sv_candidate_misses_gap (choice, candidate))
+    cost += OVERLOAD_COST;
   cost += RUN_NOISE_COST * noise_of (choice, candidate);
   cost += RUN_MEMORY_COST * (double)candidate->load.tokens / (double)choice->spec->memory_tokens;
   if (candidate->load.calls >= choice->spec->slots)
@@ -255,8 +277,8 @@
   placement->lacks_memory = remaining > 0;
 }
 
-/* Mean duration of a pass without prefill, in ms, 0 for idle endpoints. Prefill takes place within
- * passes, whose decoding takes time too. */
+/* Mean duration of a pass without prefill by the declared figures, in ms, 0 for idle endpoints.
+ * Prefill takes place within passes, whose decoding takes time too. */
 static double
 mean_pass (const SvChoice *choice, guint width)
 {
@@ -265,7 +287,7 @@
   for (guint i = 0; i < width; i++)
     {
       if (sv_load_decoding_streams (&sv_candidate_at (choice, i)->load) > 0)
-        sum += sv_candidate_at (choice, i)->pass;
+        sum += sv_candidate_at (choice, i)->pass / sv_candidate_at (choice, i)->pace;
     }
   return sum / width;
 }
--- a/serve/place_short.c
+++ b/serve/place_short.c
@@ -13,11 +13,14 @@
  * packed. */
 #define UNPACKED_COST_FRACTION 0.5
 
+/* Cost in ms of a slow endpoint whose streams miss their gap objective: more than any queue. */
+#define MISSED_GAP_COST 20000.0
+
 /* Cost of a candidate in ms: the time to the first event, plus penalties. */
 static double
 cost_of_packing (const SvChoice *choice, const SvCandidate *candidate)
 {
-  double cost = candidate->prefill_left + choice->prefill_ms + candidate->pass;
+  double cost = candidate->prefill_left + choice->prefill_ms * candidate->pace + candidate->pass;
   double objective = (double)choice->demand->objective_left / KNL_MSEC;
 
   if (candidate->load.calls + SV_PACK_SPARE_SLOTS > choice->spec->slots
@@ -25,6 +28,8 @@
     cost += candidate->pass * (1 + candidate->load.calls);
   if (candidate->role != SV_ROLE_PACKED)
     cost += UNPACKED_COST_FRACTION * objective;
+  if (sv_candidate_misses_gap (choice, candidate))
+    cost += MISSED_GAP_COST;
   return cost;
 }
 
@@ -44,6 +49,22 @@
   return candidate->prefill_left + candidate->pass;
 }
 
+/* Whether the prompt would wait longer for a part at this slow candidate than it would without it.
+ * `longest`: longest time_before_part() of the helpers so far. */
+static gboolean
+delays_prompt (const SvChoice *choice,
+               const SvCandidate *candidate,
+               const SvPlacement *placement,
+               double longest)
+{
+  const SvCandidate *first = sv_candidate_at (choice, 0);
+  double part = choice->prefill_ms / (placement->n_helpers + 2);
+  double without = choice->prefill_ms / (placement->n_helpers + 1) * first->pace
+                   + MAX (time_before_part (first), longest);
+
+  return candidate->pace > 1 && time_before_part (candidate) + part * candidate->pace > without;
+}
+
 /* Adds the best candidates that may help until the prompt is split into `parts`. Returns the
  * longest time_before_part() among them. */
 static double
@@ -55,7 +76,7 @@
     {
       const SvCandidate *candidate = sv_candidate_at (choice, i);
 
-      if (!candidate->can_help)
+      if (!candidate->can_help || delays_prompt (choice, candidate, placement, longest))
         continue;
       placement->helpers[placement->n_helpers++] = candidate->endpoint;
       longest = MAX (longest, time_before_part (candidate));
@@ -81,6 +102,8 @@
   before = MAX (time_before_part (first), add_packed_helpers (choice, parts, placement));
   part_ms = choice->prefill_ms / (placement->n_helpers + 1);
   placement->part = (KnlTime)(part_ms * KNL_MSEC);
-  placement->prefill = placement->part + (KnlTime)(EXTRA_PASSES * first->pass * KNL_MSEC);
-  placement->expected = (KnlTime)((before + part_ms) * KNL_MSEC);
+  /* By the declared figures: it is registered at each endpoint with the endpoint's pace. */
+  placement->prefill =
+      placement->part + (KnlTime)(EXTRA_PASSES * (first->pass / first->pace) * KNL_MSEC);
+  placement->expected = (KnlTime)((before + part_ms * first->pace) * KNL_MSEC);
 }
--- a/serve/router.c
+++ b/serve/router.c
@@ -12,6 +12,7 @@
     .calls = candidate->load.calls,
     .slots = endpoint->slots,
     .is_other_zone = g_strcmp0 (endpoint->zone, demand->zone) != 0,
+    .pace = candidate->pace,
     .health = &endpoint->health,
   };
 
--- a/serve/router_internal.h
+++ b/serve/router_internal.h
@@ -25,7 +25,8 @@
   SvEndpoint *endpoint;
   SvLoad load;
   double prefill_left; /* prefill backlog, ms */
-  double pass;         /* duration of a pass without prefill, ms */
+  double pace;         /* times that its passes and prefills are slower; 1: not slow */
+  double pass;         /* duration of a pass without prefill at its pace, ms */
   double order;        /* sort key, ms; see stream_cost_ms and cost_of_packing */
   SvRole role;
   gboolean can_help; /* may prefill parts of prompts that other endpoints run */
@@ -55,6 +56,9 @@
 
 SvCandidate *sv_candidate_at (const SvChoice *choice, guint index);
 
+/** Whether the candidate is so slow that its passes alone exceed the stream's gap objective. */
+gboolean sv_candidate_misses_gap (const SvChoice *choice, const SvCandidate *candidate);
+
 /** Whether the candidate has free memory for the full prompt and its answer. */
 gboolean sv_candidate_has_memory (const SvChoice *choice, const SvCandidate *candidate);
 
--- a/tests/fakes/pass_engine.c
+++ b/tests/fakes/pass_engine.c
@@ -28,6 +28,7 @@
 {
   KnlKernel *kernel;
   const SvEngineSpec *spec;
+  double slowdown;
   GQueue waiting; /* FkPassRequest */
   GPtrArray *running;
   GQueue parts;         /* Part, in the order of their prefill */
@@ -51,6 +52,7 @@
 
   self->kernel = kernel;
   self->spec = spec;
+  self->slowdown = 1;
   g_queue_init (&self->waiting);
   g_queue_init (&self->parts);
   self->running = g_ptr_array_new ();
@@ -59,6 +61,12 @@
   return self;
 }
 
+void
+fk_pass_engine_set_slowdown (FkPassEngine *self, double slowdown)
+{
+  self->slowdown = slowdown;
+}
+
 void
 fk_pass_engine_free (FkPassEngine *self)
 {
@@ -93,8 +101,9 @@
 
   for (guint i = 0; i < self->decoding->len; i++)
     context += context_of (g_ptr_array_index (self->decoding, i));
-  return self->spec->step_ms + self->decoding->len * self->spec->stream_step_ms
-         + context / 1000 * self->spec->context_ms_per_k;
+  return self->slowdown
+         * (self->spec->step_ms + self->decoding->len * self->spec->stream_step_ms
+            + context / 1000 * self->spec->context_ms_per_k);
 }
 
 /* Prefills up to `chunk` tokens from the head of the queue; returns the time that it takes, in ms.
@@ -112,7 +121,7 @@
 
       part->tokens -= tokens;
       tokens_left -= tokens;
-      ms += tokens * part->ms_per_token;
+      ms += self->slowdown * tokens * part->ms_per_token;
       if (part->tokens > 0)
         break;
       g_queue_pop_head (&self->parts);
--- a/tests/fakes/pass_engine.h
+++ b/tests/fakes/pass_engine.h
@@ -38,6 +38,10 @@
 /** `spec` isn't copied and must outlive the engine. */
 FkPassEngine *fk_pass_engine_new (KnlKernel *kernel, const SvEngineSpec *spec);
 
+/** Makes passes and prefills of the engine `slowdown` times as long as `spec` says, from the next
+ * steps on. */
+void fk_pass_engine_set_slowdown (FkPassEngine *engine, double slowdown);
+
 /** Its requests are freed without callbacks. Requests of other engines that it helps must have
  * ended before. */
 void fk_pass_engine_free (FkPassEngine *engine);
