serve: idle endpoints are tried by short streams where some endpoint is slow

Cause: only streams show how slow an endpoint is; a slow one that only prefills parts of prompts was never noticed, and made every prompt late that it helped. Change: while some endpoint of a service counts as slow, one in four short streams goes to an idle endpoint that nobody has measured for 10 s (3 s if it counts as slow). Normal estimates are announced then, too. An instance that measured several endpoints needs no second reporter.

--- a/bench/policies.c
+++ b/bench/policies.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "kernel/paused.h"
 #include "serve/defer.h"
@@ -301,6 +302,8 @@
     .answer_tokens = (guint64)request->events * spec.stride,
     .objective_left = MAX (request->submitted_at + request->kind->objective - now_of (sim), 0),
     .gap_objective = request->kind->gap,
+    .seed =
+        sim->options->slow_engines > 0 ? XXH64 (&request->number, sizeof request->number, 0) : 0,
   };
   KnlTime wait;
 
--- a/include/policy/pace.h
+++ b/include/policy/pace.h
@@ -35,6 +35,13 @@
   KnlTime at;    /**< time of the newest sample */
 } PolPaceEstimate;
 
+/** The ratio that counts as normal at an instance. */
+typedef struct
+{
+  double ratio;
+  guint n; /**< endpoints that it was measured at */
+} PolPaceReference;
+
 typedef struct
 {
   guint32 source; /**< id of the peer or cell */
@@ -48,10 +55,11 @@
   guint n_samples; /**< added so far; they are kept as a ring */
   PolPaceReport reports[POL_PACE_MAX_REPORTS];
   guint n_reports;
-  double reference;    /**< own samples are relative to this; see pol_pace_reference() */
-  PolPaceEstimate own; /**< last estimate from enough samples of this instance */
-  KnlTime slow_until;  /**< until when an own estimate below POL_PACE_MIN_SLOW is announced */
-  double combined;     /**< estimate from all sources at `combined_at` */
+  double reference;        /**< own samples are relative to this; see pol_pace_reference() */
+  gboolean is_alone;       /**< no other endpoint was measured for the reference */
+  PolPaceEstimate own;     /**< last estimate from enough samples of this instance */
+  KnlTime announced_until; /**< until when recent estimates are announced even if not slow */
+  double combined;         /**< estimate from all sources at `combined_at` */
   KnlTime combined_at;
   KnlTime known_at; /**< newest sample in any estimate that was combined while it was recent */
   double
@@ -67,6 +75,9 @@
 /** Adds a report; it replaces an earlier one of the same source. */
 void pol_pace_add_report (PolPace *pace, const PolPaceReport *report, KnlTime now);
 
+/** Makes recent own estimates be announced for 8 s even if the endpoint isn't slow. */
+void pol_pace_announce (PolPace *pace, KnlTime now);
+
 /** Estimate from this instance's recent samples alone, not relative to the reference; `samples` is
  * 0 if there are too few. */
 PolPaceEstimate pol_pace_measure (const PolPace *pace, KnlTime now);
@@ -76,11 +87,15 @@
  * which are reordered. If all of them are slow, the instance itself is slow or the expected times
  * are wrong. It is never below 1.
  */
-double pol_pace_reference (double *ratios, guint n);
+PolPaceReference pol_pace_reference (double *ratios, guint n);
 
 /** Sets the reference of this instance's samples, and combines all sources. Returns the combined
- * estimate, which falls by at most half of its excess in 4 s (2 s while samples show it). */
-double pol_pace_update (PolPace *pace, double reference, KnlTime now);
+ * estimate, which falls by at most half of its excess in 8 s (2 s while samples show it). */
+double pol_pace_update (PolPace *pace, const PolPaceReference *reference, KnlTime now);
+
+/** Time of the newest sample in any estimate, here or reported; far in the past if there is none.
+ */
+KnlTime pol_pace_newest (const PolPace *pace);
 
 /** Median of the combined estimates at all endpoints of a service, which are reordered. */
 double pol_pace_median (double *ratios, guint n);
--- a/policy/pace.c
+++ b/policy/pace.c
@@ -8,7 +8,7 @@
 
 /* Time in which an estimate without recent samples loses half of its excess over 1, and the same
  * while recent samples show a smaller one. */
-#define FALL_TIME         (4 * KNL_SEC)
+#define FALL_TIME         (8 * KNL_SEC)
 #define SAMPLED_FALL_TIME (2 * KNL_SEC)
 
 /* Samples that arrive within this time belong to the same pass; a pass takes at least 40 ms. */
@@ -28,18 +28,21 @@
 /* Fewer samples are enough to show that an endpoint isn't slow. */
 #define MIN_NORMAL_SAMPLES 3
 
-/* Samples that all sources together need for an effect. A reporter's samples count at most as
- * MAX_REPORT_WEIGHT, so that one instance alone can't make others avoid an endpoint. */
-#define MIN_COMBINED_SAMPLES 8
-#define MAX_REPORT_WEIGHT    6
+/* Samples that all sources together need for an effect, and the most that a report counts as. An
+ * instance that has measured a single endpoint can't tell whether it is slow itself: others need a
+ * second report. */
+#define MIN_COMBINED_SAMPLES 7
+#define MAX_REPORT_WEIGHT    8
 #define MAX_CELL_WEIGHT      32
+#define MAX_ALONE_WEIGHT     6
 
 /* From this number of measured endpoints on the reference is their median, below it their minimum:
  * of few endpoints most may be slow by chance. */
 #define MIN_MEDIAN_ENDPOINTS 5
 
-/* How long an instance announces that an endpoint is no longer slow. */
-#define RECOVERED_ANNOUNCE_PERIOD (8 * KNL_SEC)
+/* How long an instance announces that an endpoint is no longer slow, or that it isn't, while others
+ * of the service are. */
+#define NORMAL_ANNOUNCE_PERIOD (8 * KNL_SEC)
 
 /* The estimates that are combined, at most one for each source. */
 typedef struct
@@ -130,6 +133,12 @@
   return CLAMP (ratio / reference, 1, POL_PACE_MAX);
 }
 
+void
+pol_pace_announce (PolPace *self, KnlTime now)
+{
+  self->announced_until = MAX (self->announced_until, now + NORMAL_ANNOUNCE_PERIOD);
+}
+
 static void
 update_own (PolPace *self, KnlTime now)
 {
@@ -139,7 +148,7 @@
     return;
   measured.ratio = relative (measured.ratio, self->reference);
   if (measured.ratio >= POL_PACE_MIN_SLOW)
-    self->slow_until = measured.at + RECOVERED_ANNOUNCE_PERIOD;
+    pol_pace_announce (self, measured.at);
   self->own = measured;
 }
 
@@ -284,13 +293,14 @@
 }
 
 double
-pol_pace_update (PolPace *self, double reference, KnlTime now)
+pol_pace_update (PolPace *self, const PolPaceReference *reference, KnlTime now)
 {
   Evidence evidence;
   gboolean is_sampled;
   double combined;
 
-  self->reference = reference;
+  self->reference = reference->ratio;
+  self->is_alone = reference->n < 2;
   update_own (self, now);
   evidence = collect (self, TRUE, TRUE, now);
   is_sampled = evidence.weight >= MIN_COMBINED_SAMPLES;
@@ -307,6 +317,16 @@
   return combined;
 }
 
+KnlTime
+pol_pace_newest (const PolPace *self)
+{
+  KnlTime at = self->own.samples > 0 ? self->own.at : -KNL_NEVER / 2;
+
+  for (guint i = 0; i < self->n_reports; i++)
+    at = MAX (at, self->reports[i].estimate.at);
+  return at;
+}
+
 double
 pol_pace_median (double *ratios, guint n)
 {
@@ -316,14 +336,16 @@
   return MAX (ratios[(n - 1) / 2], 1);
 }
 
-double
+PolPaceReference
 pol_pace_reference (double *ratios, guint n)
 {
-  /* A single endpoint tells nothing about the instance. */
+  PolPaceReference reference = { .ratio = 1, .n = n };
+
   if (n < 2)
-    return 1;
+    return reference;
   qsort (ratios, n, sizeof *ratios, compare_ratios);
-  return MAX (ratios[n < MIN_MEDIAN_ENDPOINTS ? 0 : (n - 1) / 2], 1);
+  reference.ratio = MAX (ratios[n < MIN_MEDIAN_ENDPOINTS ? 0 : (n - 1) / 2], 1);
+  return reference;
 }
 
 double
@@ -340,8 +362,10 @@
   *estimate = aged (&self->own, now);
   if (estimate->samples == 0)
     return FALSE;
+  if (self->is_alone)
+    estimate->samples = MIN (estimate->samples, MAX_ALONE_WEIGHT);
   return estimate->ratio >= POL_PACE_MIN_SLOW
-         || (is_recent (estimate, now) && now < self->slow_until);
+         || (is_recent (estimate, now) && now < self->announced_until);
 }
 
 gboolean
@@ -360,5 +384,5 @@
   if (estimate->samples == 0)
     return FALSE;
   /* Peers report only endpoints that are slow, or were. */
-  return estimate->ratio >= POL_PACE_MIN_SLOW || has_reports || now < self->slow_until;
+  return estimate->ratio >= POL_PACE_MIN_SLOW || has_reports || now < self->announced_until;
 }
--- a/serve/pace.c
+++ b/serve/pace.c
@@ -135,7 +135,7 @@
           "own-factor", endpoint->pace.own.ratio, "i", "reports", (gint64)endpoint->pace.n_reports);
 }
 
-static double
+static PolPaceReference
 reference_of (const GPtrArray *endpoints, double *ratios, KnlTime now)
 {
   guint n = 0;
@@ -155,7 +155,7 @@
 update_all (const GPtrArray *endpoints, KnlTime now)
 {
   g_autofree double *ratios = g_new (double, endpoints->len);
-  double reference = reference_of (endpoints, ratios, now);
+  PolPaceReference reference = reference_of (endpoints, ratios, now);
   double median;
   guint n_slow = 0;
 
@@ -163,7 +163,7 @@
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
-      ratios[i] = pol_pace_update (&endpoint->pace, reference, now);
+      ratios[i] = pol_pace_update (&endpoint->pace, &reference, now);
       endpoint->paced_at = now;
     }
   median = pol_pace_median (ratios, endpoints->len);
@@ -174,6 +174,9 @@
       set_factor (endpoint, pol_pace_factor (endpoint->pace.combined, median));
       n_slow += endpoint->pace.factor > 1;
     }
+  /* Other instances then need not find out on their own that the rest are normal. */
+  for (guint i = 0; i < endpoints->len && n_slow > 0; i++)
+    pol_pace_announce (&((SvEndpoint *)g_ptr_array_index (endpoints, i))->pace, now);
   return n_slow;
 }
 
--- a/serve/place_short.c
+++ b/serve/place_short.c
@@ -16,6 +16,12 @@
 /* Cost in ms of a slow endpoint whose streams miss their gap objective: more than any queue. */
 #define MISSED_GAP_COST 20000.0
 
+/* One of TRIED_STREAMS short streams goes to an idle endpoint of which nobody has a sample of the
+ * last TRIED_INTERVAL, or TRIED_SLOW_INTERVAL if it counts as slow. */
+#define TRIED_STREAMS       4
+#define TRIED_INTERVAL      (10 * KNL_SEC)
+#define TRIED_SLOW_INTERVAL (3 * KNL_SEC)
+
 /* Cost of a candidate in ms: the time to the first event, plus penalties. */
 static double
 cost_of_packing (const SvChoice *choice, const SvCandidate *candidate)
@@ -84,6 +90,47 @@
   return longest;
 }
 
+/* Whether a stream at the idle candidate would tell how slow it is: nothing is known, or it was
+ * slow when it was last used. */
+static gboolean
+is_worth_trying (const SvChoice *choice, const SvCandidate *candidate)
+{
+  const PolPace *pace = &candidate->endpoint->pace;
+  KnlTime interval = candidate->pace > 1 ? TRIED_SLOW_INTERVAL : TRIED_INTERVAL;
+  double first = choice->prefill_ms * candidate->pace + candidate->pass;
+
+  return candidate->load.calls == 0 && candidate->prefill_left <= 0 && candidate->can_help
+         && choice->now - pol_pace_newest (pace) > interval
+         && first * KNL_MSEC < (double)choice->demand->objective_left
+         && !sv_candidate_misses_gap (choice, candidate);
+}
+
+/*
+ * Only streams show how slow an endpoint is. Parts of prompts that others run don't, and all
+ * prompts with a part at a slow endpoint would be late. Where some endpoint of the service is slow,
+ * a few short streams therefore go to idle endpoints, those that count as slow included.
+ */
+static SvCandidate *
+candidate_to_try (const SvChoice *choice)
+{
+  guint64 chosen = choice->demand->seed;
+  gboolean has_slow = FALSE;
+  guint n = choice->candidates->len;
+
+  for (guint i = 0; i < n; i++)
+    has_slow |= sv_candidate_at (choice, i)->pace > 1;
+  if (!has_slow || chosen % TRIED_STREAMS != 0)
+    return NULL;
+  for (guint i = 0; i < n; i++)
+    {
+      SvCandidate *candidate = sv_candidate_at (choice, (guint)((chosen / TRIED_STREAMS + i) % n));
+
+      if (is_worth_trying (choice, candidate))
+        return candidate;
+    }
+  return NULL;
+}
+
 /* The longer ones of the short prompts are split too; packed endpoints are preferred as helpers. */
 void
 sv_place_short (const SvChoice *choice, SvPlacement *placement)
@@ -93,8 +140,12 @@
   double before;
   double part_ms;
 
+  SvCandidate *tried = candidate_to_try (choice);
+
   for (guint i = 0; i < choice->candidates->len; i++)
     sv_candidate_at (choice, i)->order = cost_of_packing (choice, sv_candidate_at (choice, i));
+  if (tried != NULL)
+    tried->order = 0;
   g_array_sort (choice->candidates, compare_for_packing);
   first = sv_candidate_at (choice, 0);
   placement->first = first->endpoint;
--- a/serve/router.c
+++ b/serve/router.c
@@ -68,6 +68,7 @@
     .demand = demand,
     .spec = &demand->service->engine,
     .candidates = candidates,
+    .now = now,
   };
 
   *placement = (SvPlacement){ .load = { .calls = 1 } };
--- a/serve/router_internal.h
+++ b/serve/router_internal.h
@@ -38,6 +38,7 @@
   const SvDemand *demand;
   const SvEngineSpec *spec;
   GArray *candidates; /* SvCandidate */
+  KnlTime now;
   double prefill_ms;  /* prefill time of the full prompt */
   double packed_mean; /* mean number of tight streams on a packed endpoint */
 } SvChoice;
--- a/tests/unit/pace_test.c
+++ b/tests/unit/pace_test.c
@@ -66,7 +66,7 @@
 refresh (Fleet *self, guint instance)
 {
   double ratios[ENDPOINTS];
-  double reference;
+  PolPaceReference reference;
   double median;
   guint n = 0;
 
@@ -79,7 +79,7 @@
     }
   reference = pol_pace_reference (ratios, n);
   for (guint j = 0; j < ENDPOINTS; j++)
-    ratios[j] = pol_pace_update (&self->paces[instance][j], reference, self->now);
+    ratios[j] = pol_pace_update (&self->paces[instance][j], &reference, self->now);
   median = pol_pace_median (ratios, ENDPOINTS);
   for (guint j = 0; j < ENDPOINTS; j++)
     self->paces[instance][j].factor = pol_pace_factor (self->paces[instance][j].combined, median);
@@ -269,7 +269,7 @@
   for (guint i = 0; i < 20; i++)
     run_pass (&fleet, &slow, ENDPOINTS);
   run_idle (&fleet, 4 * KNL_SEC);
-  for (guint i = 0; i < 5; i++)
+  for (guint i = 0; i < 12; i++)
     {
       before = fleet.paces[0][0].factor;
       run_idle (&fleet, 4 * KNL_SEC);
@@ -280,28 +280,54 @@
   fleet_close (&fleet);
 }
 
-/* Guards against one instance with a fault of its own that makes all others avoid an endpoint. */
+/* Guards against one instance with a fault of its own that makes all others avoid an endpoint: it
+ * has measured no other one, so its report counts only together with a second. */
 static void
-test_one_reporter_is_not_enough (void)
+test_an_instance_with_one_endpoint_is_not_enough (void)
 {
-  PolPaceReport report = { .source = 1, .estimate = { 5, 500, KNL_SEC } };
+  static const PolPaceReference alone = { .ratio = 1, .n = 1 };
+  static const PolPaceReference several = { .ratio = 1, .n = 3 };
+  PolPaceReport report = { .source = 1 };
+  PolPace sender;
   PolPace pace;
 
+  pol_pace_init (&sender);
   pol_pace_init (&pace);
+  for (guint i = 0; i < 20; i++)
+    pol_pace_add_sample (&sender, 5, KNL_SEC + i * PASS);
+  pol_pace_update (&sender, &alone, 2 * KNL_SEC);
+  CU_ASSERT_TRUE (pol_pace_own_report (&sender, 2 * KNL_SEC, &report.estimate));
   for (guint i = 0; i < 10; i++)
-    pol_pace_add_report (&pace, &report, KNL_SEC);
-  CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, 1, KNL_SEC), 1), 1);
+    pol_pace_add_report (&pace, &report, 2 * KNL_SEC);
+  CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, &several, 2 * KNL_SEC), 1), 1);
   report.source = 2;
-  pol_pace_add_report (&pace, &report, KNL_SEC);
-  CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, 1, KNL_SEC), 1), 5);
-  /* Many sources, and times in the future, stay within bounds. */
+  pol_pace_add_report (&pace, &report, 2 * KNL_SEC);
+  CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, &several, 2 * KNL_SEC), 1), 5);
+  /* With a second endpoint that isn't slow, it knows that it isn't slow itself. */
+  pol_pace_init (&pace);
+  pol_pace_update (&sender, &several, 2 * KNL_SEC);
+  CU_ASSERT_TRUE (pol_pace_own_report (&sender, 2 * KNL_SEC, &report.estimate));
+  pol_pace_add_report (&pace, &report, 2 * KNL_SEC);
+  CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, &several, 2 * KNL_SEC), 1), 5);
+}
+
+/* Guards against reports that fill the memory, or count from the future for ever. */
+static void
+test_reports_are_bounded (void)
+{
+  static const PolPaceReference none = { .ratio = 1 };
+  PolPace pace;
+
+  pol_pace_init (&pace);
   for (guint i = 0; i < 100; i++)
     {
-      report = (PolPaceReport){ .source = 10 + i, .estimate = { 1e9, G_MAXUINT, KNL_NEVER } };
+      PolPaceReport report = { .source = 10 + i, .estimate = { 1e9, G_MAXUINT, KNL_NEVER } };
+
       pol_pace_add_report (&pace, &report, KNL_SEC);
     }
   CU_ASSERT_EQUAL (pace.n_reports, POL_PACE_MAX_REPORTS);
-  CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, 1, KNL_SEC), 1), POL_PACE_MAX);
+  CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, &none, KNL_SEC), 1), POL_PACE_MAX);
+  CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, &none, 100 * KNL_SEC), 1), 1);
 }
 
 /* Guards against a service of which nothing is left because most of it counts as slow. */
@@ -334,7 +360,9 @@
   { "slow endpoints are noticed", test_slow_endpoints_are_noticed },
   { "a slowdown that ends is noticed slowly", test_a_slowdown_that_ends_is_noticed_slowly },
   { "an idle endpoint is trusted slowly", test_an_idle_endpoint_is_trusted_slowly },
-  { "one reporter is not enough", test_one_reporter_is_not_enough },
+  { "an instance with one endpoint is not enough",
+    test_an_instance_with_one_endpoint_is_not_enough },
+  { "reports are bounded", test_reports_are_bounded },
   { "most endpoints cannot be slow", test_most_endpoints_cannot_be_slow },
 };
 
