serve: samples are taken only where the expected passes are known

Cause: on equal simulated engines a few endpoints counted as slow: contexts that several endpoints hold, parts that last longer than expected and full engines lengthen passes alike. Change: no samples from such gaps.

--- a/bench/policies.c
+++ b/bench/policies.c
@@ -204,7 +204,7 @@
   SvEndpoint *endpoint = request->placement.first;
   KnlTime now = now_of (request->sim);
 
-  if (request->sim->options->ignores_pace
+  if (request->sim->options->ignores_pace || sv_placement_needs_reservation (&request->placement)
       || !sv_pace_note_event (&request->pace, endpoint, &spec, now))
     return;
   sv_pace_refresh (request->instance->fleet, "llm", now);
--- a/include/policy/pace.h
+++ b/include/policy/pace.h
@@ -56,7 +56,7 @@
   PolPaceReport reports[POL_PACE_MAX_REPORTS];
   guint n_reports;
   double reference;        /**< own samples are relative to this; see pol_pace_reference() */
-  gboolean is_alone;       /**< no other endpoint was measured for the reference */
+  gboolean is_unsure;      /**< too few endpoints were measured for a reference */
   PolPaceEstimate own;     /**< last estimate from enough samples of this instance */
   KnlTime announced_until; /**< until when recent estimates are announced even if not slow */
   double combined;         /**< estimate from all sources at `combined_at` */
--- a/include/serve/pace.h
+++ b/include/serve/pace.h
@@ -11,10 +11,12 @@
 /** State of a stream's endpoint at the time of an event. */
 typedef struct
 {
-  KnlTime at;     /**< 0: there was no event */
-  double pass_ms; /**< expected duration of the pass that began */
-  KnlTime left;   /**< prefill that was placed there and not complete */
-  KnlTime placed; /**< all prefill that had been placed there, see SvPrefills */
+  KnlTime at;       /**< 0: there was no event */
+  double pass_ms;   /**< expected duration of the pass that began */
+  gboolean is_full; /**< its slots were used up, or its memory nearly */
+  guint parts;      /**< parts of split prompts in progress there */
+  KnlTime left;     /**< prefill that was placed there and not complete */
+  KnlTime placed;   /**< all prefill that had been placed there, see SvPrefills */
 } SvPaceMark;
 
 /** The last two reads of a stream that brought events; all zero before the first. */
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -55,3 +55,6 @@
 /** Writes the keys of all endpoints that prefill the prompt, the key of `first` at index 0, and
  * returns their number. */
 guint sv_placement_prefill_keys (const SvPlacement *placement, guint64 keys[SV_MAX_HELPERS + 1]);
+
+/** Whether helpers hold a part of the request's context. */
+gboolean sv_placement_needs_reservation (const SvPlacement *placement);
--- a/policy/pace.c
+++ b/policy/pace.c
@@ -29,16 +29,17 @@
 #define MIN_NORMAL_SAMPLES 3
 
 /* Samples that all sources together need for an effect, and the most that a report counts as. An
- * instance that has measured a single endpoint can't tell whether it is slow itself: others need a
+ * instance that has measured few endpoints can't tell whether it is slow itself: others need a
  * second report. */
 #define MIN_COMBINED_SAMPLES 7
 #define MAX_REPORT_WEIGHT    8
 #define MAX_CELL_WEIGHT      32
-#define MAX_ALONE_WEIGHT     6
+#define MAX_UNSURE_WEIGHT    6
 
-/* From this number of measured endpoints on the reference is their median, below it their minimum:
- * of few endpoints most may be slow by chance. */
-#define MIN_MEDIAN_ENDPOINTS 5
+/* From MIN_MEDIAN measured endpoints on the reference is their median, from MIN_REFERENCE on their
+ * lower quartile: of few endpoints most may be slow by chance. Fewer tell nothing. */
+#define MIN_MEDIAN    8
+#define MIN_REFERENCE 4
 
 /* How long an instance announces that an endpoint is no longer slow, or that it isn't, while others
  * of the service are. */
@@ -300,7 +301,7 @@
   double combined;
 
   self->reference = reference->ratio;
-  self->is_alone = reference->n < 2;
+  self->is_unsure = reference->n < MIN_REFERENCE;
   update_own (self, now);
   evidence = collect (self, TRUE, TRUE, now);
   is_sampled = evidence.weight >= MIN_COMBINED_SAMPLES;
@@ -341,10 +342,10 @@
 {
   PolPaceReference reference = { .ratio = 1, .n = n };
 
-  if (n < 2)
+  if (n < MIN_REFERENCE)
     return reference;
   qsort (ratios, n, sizeof *ratios, compare_ratios);
-  reference.ratio = MAX (ratios[n < MIN_MEDIAN_ENDPOINTS ? 0 : (n - 1) / 2], 1);
+  reference.ratio = MAX (ratios[(n - 1) / (n < MIN_MEDIAN ? 4 : 2)], 1);
   return reference;
 }
 
@@ -362,8 +363,8 @@
   *estimate = aged (&self->own, now);
   if (estimate->samples == 0)
     return FALSE;
-  if (self->is_alone)
-    estimate->samples = MIN (estimate->samples, MAX_ALONE_WEIGHT);
+  if (self->is_unsure)
+    estimate->samples = MIN (estimate->samples, MAX_UNSURE_WEIGHT);
   return estimate->ratio >= POL_PACE_MIN_SLOW
          || (is_recent (estimate, now) && now < self->announced_until);
 }
--- a/serve/pace.c
+++ b/serve/pace.c
@@ -26,6 +26,10 @@
 /* A change of the slowdown by this factor is logged. */
 #define LOGGED_FACTOR 1.25
 
+/* With its memory nearly full, an endpoint may run contexts that other endpoints hold in part; its
+ * load has only the part that it holds itself, and expected passes would be too short. */
+#define MAX_MEMORY_FRACTION 0.8
+
 static SvPaceMark
 take_mark (SvEndpoint *endpoint, const SvEngineSpec *spec, KnlTime now)
 {
@@ -35,6 +39,9 @@
   return (SvPaceMark){
     .at = now,
     .pass_ms = sv_model_pass_ms (spec, streams, (double)load.tokens),
+    .is_full = load.calls >= spec->slots
+               || (double)load.tokens > MAX_MEMORY_FRACTION * (double)spec->memory_tokens,
+    .parts = sv_prefills_count_parts (&endpoint->prefills),
     .left = sv_endpoint_prefill_left (endpoint, now),
     .placed = endpoint->prefills.placed,
   };
@@ -53,6 +60,9 @@
   prefill /= endpoint->pace.factor;
   if (previous->at == 0 || passes <= 0 || prefill > MAX_PREFILL_PASSES * passes)
     return FALSE;
+  /* A part may last many passes longer than expected, and lengthen all of them alike. */
+  if (previous->parts > 0 || last->parts > 0 || previous->is_full)
+    return FALSE;
   pol_pace_add_sample (&endpoint->pace,
                        (double)(last->at - previous->at) / KNL_MSEC / (passes + prefill), last->at);
   return TRUE;
--- a/serve/router.c
+++ b/serve/router.c
@@ -125,3 +125,14 @@
     keys[n++] = self->helpers[i]->key;
   return n;
 }
+
+gboolean
+sv_placement_needs_reservation (const SvPlacement *self)
+{
+  for (guint i = 0; i < self->n_helpers; i++)
+    {
+      if (self->holds[i] > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
--- a/serve/send.c
+++ b/serve/send.c
@@ -390,17 +390,6 @@
       sv_reservation_new (&parts, self->params.id, endpoints, tokens, n, on_reserved, self);
 }
 
-static gboolean
-needs_reservation (const SvRequest *self)
-{
-  for (guint i = 0; i < self->placement.n_helpers; i++)
-    {
-      if (self->placement.holds[i] > 0)
-        return TRUE;
-    }
-  return FALSE;
-}
-
 /* A long prompt whose deadline comes before its prefill can end isn't sent: the prefill would take
  * seconds for nothing, at the cost of other requests. */
 static gboolean
@@ -479,7 +468,7 @@
   self->last_received_at = 0;
   sv_events_reset (&self->events);
   self->pace = (SvPaceStream){ .n_events = 0 };
-  if (needs_reservation (self))
+  if (sv_placement_needs_reservation (&self->placement))
     reserve (self);
   else
     send_now (self);
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -42,10 +42,11 @@
   sv_request_end_prefill (self);
 }
 
+/* Of a context that several endpoints hold, the load of the first has only a part. */
 static void
 note_pace (SvRequest *self)
 {
-  if (sv_service_is_engine (self->service)
+  if (sv_service_is_engine (self->service) && !sv_placement_needs_reservation (&self->placement)
       && sv_pace_note_event (&self->pace, self->placement.first, &self->service->engine,
                              sv_request_now (self)))
     sv_request_note_pace (self);
--- a/tests/unit/pace_test.c
+++ b/tests/unit/pace_test.c
@@ -283,10 +283,10 @@
 /* Guards against one instance with a fault of its own that makes all others avoid an endpoint: it
  * has measured no other one, so its report counts only together with a second. */
 static void
-test_an_instance_with_one_endpoint_is_not_enough (void)
+test_an_instance_with_few_endpoints_is_not_enough (void)
 {
-  static const PolPaceReference alone = { .ratio = 1, .n = 1 };
-  static const PolPaceReference several = { .ratio = 1, .n = 3 };
+  static const PolPaceReference few = { .ratio = 1, .n = 3 };
+  static const PolPaceReference several = { .ratio = 1, .n = 4 };
   PolPaceReport report = { .source = 1 };
   PolPace sender;
   PolPace pace;
@@ -295,7 +295,7 @@
   pol_pace_init (&pace);
   for (guint i = 0; i < 20; i++)
     pol_pace_add_sample (&sender, 5, KNL_SEC + i * PASS);
-  pol_pace_update (&sender, &alone, 2 * KNL_SEC);
+  pol_pace_update (&sender, &few, 2 * KNL_SEC);
   CU_ASSERT_TRUE (pol_pace_own_report (&sender, 2 * KNL_SEC, &report.estimate));
   for (guint i = 0; i < 10; i++)
     pol_pace_add_report (&pace, &report, 2 * KNL_SEC);
@@ -303,7 +303,7 @@
   report.source = 2;
   pol_pace_add_report (&pace, &report, 2 * KNL_SEC);
   CU_ASSERT_EQUAL (pol_pace_factor (pol_pace_update (&pace, &several, 2 * KNL_SEC), 1), 5);
-  /* With a second endpoint that isn't slow, it knows that it isn't slow itself. */
+  /* With more endpoints that aren't slow, it knows that it isn't slow itself. */
   pol_pace_init (&pace);
   pol_pace_update (&sender, &several, 2 * KNL_SEC);
   CU_ASSERT_TRUE (pol_pace_own_report (&sender, 2 * KNL_SEC, &report.estimate));
@@ -360,8 +360,8 @@
   { "slow endpoints are noticed", test_slow_endpoints_are_noticed },
   { "a slowdown that ends is noticed slowly", test_a_slowdown_that_ends_is_noticed_slowly },
   { "an idle endpoint is trusted slowly", test_an_idle_endpoint_is_trusted_slowly },
-  { "an instance with one endpoint is not enough",
-    test_an_instance_with_one_endpoint_is_not_enough },
+  { "an instance with few endpoints is not enough",
+    test_an_instance_with_few_endpoints_is_not_enough },
   { "reports are bounded", test_reports_are_bounded },
   { "most endpoints cannot be slow", test_most_endpoints_cannot_be_slow },
 };
