tests: decisions by pace, samples, and a calm load on unequal engines

Arrivals of the simulated load no longer depend on the random numbers of deferrals, so that trials compare the same prompts.

--- a/bench/policies.c
+++ b/bench/policies.c
@@ -402,7 +402,10 @@
 
   sv_router_place (request->instance->fleet, demand, now, &request->placement);
   wait = sv_defer_decide (&defer_case);
-  return wait > 0 ? wait + g_rand_int_range (request->sim->rand, 0, 5 * KNL_MSEC) : 0;
+  /* Not the random numbers of the arrivals, which are the same whatever is decided here. */
+  return wait > 0
+             ? wait + g_rand_int_range (knl_kernel_rand (request->sim->kernel), 0, 5 * KNL_MSEC)
+             : 0;
 }
 
 /* Sends by the router's choice at once, without deferring. */
--- a/policy/pace.c
+++ b/policy/pace.c
@@ -36,6 +36,10 @@
 #define MAX_CELL_WEIGHT      32
 #define MAX_UNSURE_WEIGHT    6
 
+/* Own samples that are too few for an estimate, and all slow, count as this many: they confirm a
+ * report, and have no effect alone. */
+#define CONFIRMING_WEIGHT 3
+
 /* From MIN_MEDIAN measured endpoints on the reference is their median, from MIN_REFERENCE on their
  * lower quartile: of few endpoints most may be slow by chance. Fewer tell nothing. */
 #define MIN_MEDIAN    8
@@ -48,7 +52,7 @@
 /* The estimates that are combined, at most one for each source. */
 typedef struct
 {
-  PolPaceEstimate rows[POL_PACE_MAX_REPORTS + 1];
+  PolPaceEstimate rows[POL_PACE_MAX_REPORTS + 2];
   guint n;
   guint weight; /* sum of `samples` */
 } Evidence;
@@ -233,6 +237,22 @@
   evidence->weight += row.samples;
 }
 
+/* The smallest of a few own samples; `samples` is 0 if there are none or they suffice. */
+static PolPaceEstimate
+confirming (const PolPace *self, KnlTime now)
+{
+  double ratios[POL_PACE_MAX_SAMPLES];
+  guint n = recent_ratios (self, now, ratios);
+  PolPaceEstimate estimate = { .at = now };
+
+  if (n == 0 || (self->own.samples > 0 && now - self->own.at <= SAMPLE_TTL))
+    return estimate;
+  qsort (ratios, n, sizeof *ratios, compare_ratios);
+  estimate.ratio = relative (ratios[0], self->reference);
+  estimate.samples = CONFIRMING_WEIGHT;
+  return estimate;
+}
+
 static Evidence
 collect (const PolPace *self, gboolean with_cells, gboolean recent, KnlTime now)
 {
@@ -244,6 +264,8 @@
   if (own.samples > 0 && own.ratio < POL_PACE_MIN_SLOW)
     own.samples = MAX (own.samples, MIN_COMBINED_SAMPLES);
   add_evidence (&evidence, &own, recent, now);
+  own = confirming (self, now);
+  add_evidence (&evidence, &own, recent, now);
   for (guint i = 0; i < self->n_reports; i++)
     {
       if (with_cells || !self->reports[i].is_cell)
@@ -382,7 +404,7 @@
   *estimate = (PolPaceEstimate){ .ratio = weighted_median (&evidence),
                                  .samples = evidence.weight,
                                  .at = newest (&evidence) };
-  if (estimate->samples == 0)
+  if (estimate->samples <= CONFIRMING_WEIGHT)
     return FALSE;
   /* Peers report only endpoints that are slow, or were. */
   return estimate->ratio >= POL_PACE_MIN_SLOW || has_reports || now < self->announced_until;
--- a/tests/unit/sv_pace_test.c
+++ b/tests/unit/sv_pace_test.c
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include "bench/policies.h"
 #include "kernel/paused.h"
 #include "serve/engine_model.h"
 #include "serve/pace.h"
@@ -214,8 +215,377 @@
     CU_ASSERT_EQUAL (digest_of_placements (seed, FALSE), digest_of_placements (seed, TRUE));
 }
 
+/* Makes the endpoint count as slow, as after enough samples. */
+static void
+set_pace (Fixture *self, SvEndpoint *endpoint, double pace)
+{
+  endpoint->pace.combined = pace;
+  endpoint->pace.combined_at = now_of (self);
+  endpoint->pace.own = (PolPaceEstimate){ pace, 20, now_of (self) };
+  endpoint->pace.factor = pace;
+}
+
+/* Makes every third endpoint of the service slow. */
+static void
+slow_third (Fixture *self, const char *service, double pace)
+{
+  for (guint i = 0; i < ENGINES; i += 3)
+    set_pace (self, endpoint_at (self, service, i), pace);
+}
+
+/* Guards against prompts that are late because they run at a slow endpoint, or wait for the part of
+ * a slow helper, while others are idle. */
+static void
+test_slow_endpoints_come_last (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  slow_third (&fixture, "llm", 2.5);
+  slow_third (&fixture, "app", 2.5);
+  for (guint i = 0; i < 6 * G_N_ELEMENTS (kinds); i++)
+    {
+      SvPlacement placement;
+      /* Seeds that try no idle endpoint. */
+      guint64 seed = 4 * i + 1;
+
+      CU_ASSERT_TRUE (place (&fixture, &kinds[i % 5], seed, &placement));
+      CU_ASSERT_EQUAL (placement.first->pace.factor, 1);
+      for (guint j = 0; j < placement.n_helpers; j++)
+        CU_ASSERT_EQUAL (placement.helpers[j]->pace.factor, 1);
+      if (kinds[i % 5].tokens < 10000)
+        start (&fixture, &placement, seed);
+    }
+  fixture_close (&fixture);
+}
+
+/* Guards against idle slow endpoints while short streams queue at full ones, and against streams
+ * whose every gap at the slow one is too long. */
+static void
+test_slow_endpoints_take_what_others_cannot (void)
+{
+  static const SvLoad full = { .calls = 16, .decoding_streams = { 16 }, .tokens = 80000 };
+  static const struct
+  {
+    double pace;
+    gboolean takes;
+  } rows[] = { { 2.5, TRUE }, { 4, TRUE }, { 8, FALSE } };
+
+  for (guint row = 0; row < G_N_ELEMENTS (rows); row++)
+    {
+      SvPlacement placement;
+      Fixture fixture;
+
+      fixture_open (&fixture);
+      slow_third (&fixture, "llm", rows[row].pace);
+      for (guint i = 0; i < ENGINES; i++)
+        {
+          if (i % 3 > 0)
+            sv_endpoint_charge (endpoint_at (&fixture, "llm", i), &full, 1);
+        }
+      CU_ASSERT_TRUE (place (&fixture, &kinds[1], 1, &placement));
+      CU_ASSERT_EQUAL (placement.first->pace.factor > 1, rows[row].takes);
+      CU_ASSERT_EQUAL (placement.is_full, !rows[row].takes);
+      fixture_close (&fixture);
+    }
+}
+
+/* Guards against a service that refuses all requests because all of its endpoints are slow. */
+static void
+test_slow_endpoints_are_used_if_there_are_no_others (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < ENGINES; i++)
+    {
+      set_pace (&fixture, endpoint_at (&fixture, "llm", i), 10);
+      set_pace (&fixture, endpoint_at (&fixture, "app", i), 10);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      SvPlacement placement;
+
+      CU_ASSERT_TRUE (place (&fixture, &kinds[i], 1, &placement));
+    }
+  /* In relation to each other they aren't slow. */
+  sv_pace_refresh (fixture.fleet, "llm", now_of (&fixture));
+  CU_ASSERT_EQUAL (endpoint_at (&fixture, "llm", 0)->pace.factor, 1);
+  fixture_close (&fixture);
+}
+
+/* Guards against a slow plain endpoint that gets as many requests as the others, and queues them.
+ */
+static void
+test_plain_load_counts_by_pace (void)
+{
+  guint slow_calls = 0;
+  guint calls = 0;
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  slow_third (&fixture, "app", 4);
+  for (guint i = 0; i < 100; i++)
+    {
+      SvPlacement placement;
+
+      CU_ASSERT_TRUE (place (&fixture, &kinds[0], i, &placement));
+      start (&fixture, &placement, i);
+    }
+  for (guint i = 0; i < ENGINES; i++)
+    {
+      SvEndpoint *endpoint = endpoint_at (&fixture, "app", i);
+
+      calls += endpoint->own.calls;
+      slow_calls += endpoint->pace.factor > 1 ? endpoint->own.calls : 0;
+    }
+  CU_ASSERT_EQUAL (calls, 100);
+  CU_ASSERT (slow_calls > 0 && slow_calls <= 15);
+  fixture_close (&fixture);
+}
+
+/* Guards against prompts placed on top of a part that a slow endpoint is still processing. */
+static void
+test_parts_take_longer_at_slow_endpoints (void)
+{
+  static const SvPrefill prefill = { .prompt = 1, .length = 100 * KNL_MSEC, .until_ended = TRUE };
+  Fixture fixture;
+  guint64 keys[2];
+
+  fixture_open (&fixture);
+  set_pace (&fixture, endpoint_at (&fixture, "llm", 0), 2.5);
+  for (guint i = 0; i < 2; i++)
+    keys[i] = endpoint_at (&fixture, "llm", i)->key;
+  sv_fleet_add_prefill (fixture.fleet, &prefill, keys, 2);
+  CU_ASSERT_EQUAL (sv_endpoint_prefill_left (endpoint_at (&fixture, "llm", 0), now_of (&fixture)),
+                   250 * KNL_MSEC);
+  CU_ASSERT_EQUAL (sv_endpoint_prefill_left (endpoint_at (&fixture, "llm", 1), now_of (&fixture)),
+                   100 * KNL_MSEC);
+  fixture_close (&fixture);
+}
+
+/* Number of 64 short prompts that go to the idle endpoint. */
+static guint
+count_tries (Fixture *self, const SvEndpoint *endpoint)
+{
+  guint n = 0;
+
+  for (guint64 seed = 0; seed < 64; seed++)
+    {
+      SvPlacement placement;
+
+      CU_ASSERT_TRUE (place (self, &kinds[1], seed, &placement));
+      n += placement.first == endpoint;
+    }
+  return n;
+}
+
+/* Guards against an endpoint that was slow once and stays idle for good. */
+static void
+test_idle_slow_endpoints_are_tried (void)
+{
+  Fixture fixture;
+  SvEndpoint *slow;
+
+  fixture_open (&fixture);
+  slow = endpoint_at (&fixture, "llm", 4);
+  for (guint i = 0; i < ENGINES; i++)
+    endpoint_at (&fixture, "llm", i)->pace.own = (PolPaceEstimate){ 1, 20, now_of (&fixture) };
+  set_pace (&fixture, slow, 2.5);
+  CU_ASSERT_EQUAL (count_tries (&fixture, slow), 0);
+  knl_paused_clock_advance (fixture.clock, 4 * KNL_SEC);
+  CU_ASSERT_EQUAL (count_tries (&fixture, slow), 16);
+  /* Without any try it is trusted again in the end. */
+  for (guint i = 0; i < 40; i++)
+    {
+      sv_pace_refresh (fixture.fleet, "llm", now_of (&fixture));
+      knl_paused_clock_advance (fixture.clock, KNL_SEC);
+    }
+  CU_ASSERT_EQUAL (slow->pace.factor, 1);
+  /* Where nothing is slow, nothing is tried. */
+  CU_ASSERT_EQUAL (count_tries (&fixture, slow), 0);
+  fixture_close (&fixture);
+}
+
+/* Reads of a stream: time since the last one, and events in it. */
+typedef struct
+{
+  KnlTime after;
+  guint n;
+} Read;
+
+static double
+last_ratio (const SvEndpoint *endpoint)
+{
+  const PolPace *pace = &endpoint->pace;
+
+  return pace->n_samples > 0 ? pace->samples[pace->n_samples - 1].ratio : 0;
+}
+
+/*
+ * Guards against endpoints that count as slow because an instance had no processor time and read
+ * several events at once, or because of a prefill that is known to be placed there.
+ */
+static void
+test_samples_are_relative_to_known_work (void)
+{
+  static const struct
+  {
+    const char *name;
+    Read reads[3];
+    KnlTime prefill; /* placed with the first read */
+    guint64 tokens;  /* of context there */
+    gboolean is_part;
+    guint samples;
+    double ratio; /* of the last sample */
+  } rows[] = {
+    { "as expected", { { 0, 1 }, { 50, 1 }, { 50, 1 } }, 0, 0, FALSE, 1, 1 },
+    { "slow", { { 0, 1 }, { 125, 1 }, { 125, 1 } }, 0, 0, FALSE, 1, 2.5 },
+    { "bunched", { { 0, 1 }, { 250, 5 }, { 50, 1 } }, 0, 0, FALSE, 1, 1 },
+    { "prefill", { { 0, 1 }, { 130, 1 }, { 50, 1 } }, 80, 0, FALSE, 1, 1 },
+    { "too much prefill", { { 0, 1 }, { 400, 1 }, { 50, 1 } }, 350, 0, FALSE, 0, 0 },
+    { "a part", { { 0, 1 }, { 130, 1 }, { 50, 1 } }, 10, 0, TRUE, 0, 0 },
+    { "a full memory", { { 0, 1 }, { 130, 1 }, { 50, 1 } }, 0, 290000, FALSE, 0, 0 },
+    { "a single event", { { 0, 1 }, { 0, 0 }, { 0, 0 } }, 0, 0, FALSE, 0, 0 },
+  };
+
+  for (guint row = 0; row < G_N_ELEMENTS (rows); row++)
+    {
+      SvPaceStream stream = { .n_events = 0 };
+      Fixture fixture;
+      SvEndpoint *endpoint;
+      SvLoad load = { .calls = 1, .decoding_streams = { 1 }, .tokens = rows[row].tokens };
+
+      fixture_open (&fixture);
+      endpoint = endpoint_at (&fixture, "llm", 0);
+      sv_endpoint_charge (endpoint, &load, 1);
+      for (guint i = 0; i < 3; i++)
+        {
+          knl_paused_clock_advance (fixture.clock, rows[row].reads[i].after * KNL_MSEC);
+          for (guint j = 0; j < rows[row].reads[i].n; j++)
+            sv_pace_note_event (&stream, endpoint, &spec, now_of (&fixture));
+          if (i == 0 && rows[row].prefill > 0)
+            sv_fleet_add_prefill (fixture.fleet,
+                                  &(SvPrefill){ .prompt = 1,
+                                                .length = rows[row].prefill * KNL_MSEC,
+                                                .until_ended = rows[row].is_part },
+                                  &endpoint->key, 1);
+        }
+      if (endpoint->pace.n_samples != rows[row].samples
+          || ABS (last_ratio (endpoint) - rows[row].ratio) > 0.02)
+        printf ("\n  %s: %u samples, %.2f", rows[row].name, endpoint->pace.n_samples,
+                last_ratio (endpoint));
+      CU_ASSERT_EQUAL (endpoint->pace.n_samples, rows[row].samples);
+      CU_ASSERT_DOUBLE_EQUAL (last_ratio (endpoint), rows[row].ratio, 0.02);
+      fixture_close (&fixture);
+    }
+}
+
+/* Guards against plain endpoints whose speed is never known, and against one that counts as slow
+ * because it has many requests. */
+static void
+test_plain_answers_are_samples (void)
+{
+  static const SvLoad full = { .calls = 16 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  sv_endpoint_charge (endpoint_at (&fixture, "app", 2), &full, 1);
+  for (guint i = 0; i < 200; i++)
+    {
+      guint at = i % 6;
+      KnlTime time = (20 + i % 5) * KNL_MSEC;
+
+      knl_paused_clock_advance (fixture.clock, 5 * KNL_MSEC);
+      if (at == 1)
+        time *= 4;
+      if (at == 2)
+        time *= 2;
+      sv_pace_note_answer (fixture.fleet, endpoint_at (&fixture, "app", at), time,
+                           now_of (&fixture));
+      sv_pace_refresh (fixture.fleet, "app", now_of (&fixture));
+    }
+  CU_ASSERT (endpoint_at (&fixture, "app", 1)->pace.factor > 2.5);
+  CU_ASSERT_EQUAL (endpoint_at (&fixture, "app", 2)->pace.factor, 1);
+  CU_ASSERT_EQUAL (endpoint_at (&fixture, "app", 3)->pace.factor, 1);
+  fixture_close (&fixture);
+}
+
+static double
+in_time (const BenchPolicyResult *result, guint kind)
+{
+  return (double)result->kinds[kind].in_time / result->kinds[kind].submitted;
+}
+
+/*
+ * Guards against a calm day that is lost because a third of the engines are slower than declared:
+ * with 12 of 36 engines 2.5 times slower, a third of the short prompts were late.
+ */
+static void
+test_calm_load_on_unequal_engines (void)
+{
+  BenchPolicyOptions options = { .policy = "routed",
+                                 .engines = 36,
+                                 .instances = 6,
+                                 .delay = 4 * KNL_MSEC,
+                                 .load = 0.4,
+                                 .seconds = 30,
+                                 .seed = 2,
+                                 .slow_engines = 12,
+                                 .slowdown = 2.5 };
+  BenchPolicyResult measured;
+  BenchPolicyResult ignored;
+
+  CU_ASSERT_TRUE (bench_policy_run (&options, &measured));
+  options.ignores_pace = TRUE;
+  CU_ASSERT_TRUE (bench_policy_run (&options, &ignored));
+  printf ("\n  earned %.3f, without estimates %.3f; short %.3f and %.3f", measured.earned,
+          ignored.earned, in_time (&measured, 0), in_time (&ignored, 0));
+  CU_ASSERT (measured.earned > 0.92);
+  CU_ASSERT (in_time (&measured, 0) > 0.88);
+  CU_ASSERT (ignored.earned < 0.85);
+  CU_ASSERT (in_time (&ignored, 0) < 0.75);
+  bench_policy_result_clear (&measured);
+  bench_policy_result_clear (&ignored);
+}
+
+/* Guards against engines that count as slow although all are as declared. */
+static void
+test_equal_engines_under_load_are_not_slow (void)
+{
+  BenchPolicyOptions options = { .policy = "routed",
+                                 .engines = 18,
+                                 .instances = 6,
+                                 .delay = 4 * KNL_MSEC,
+                                 .load = 0.6,
+                                 .seconds = 30,
+                                 .seed = 1 };
+  BenchPolicyResult measured;
+  BenchPolicyResult ignored;
+
+  CU_ASSERT_TRUE (bench_policy_run (&options, &measured));
+  options.ignores_pace = TRUE;
+  CU_ASSERT_TRUE (bench_policy_run (&options, &ignored));
+  CU_ASSERT_EQUAL (measured.earned, ignored.earned);
+  for (guint i = 0; i < BENCH_KINDS; i++)
+    CU_ASSERT_EQUAL (measured.kinds[i].in_time, ignored.kinds[i].in_time);
+  bench_policy_result_clear (&measured);
+  bench_policy_result_clear (&ignored);
+}
+
 static const SuiteCase cases[] = {
   { "equal endpoints are placed as before", test_equal_endpoints_are_placed_as_before },
+  { "slow endpoints come last", test_slow_endpoints_come_last },
+  { "slow endpoints take what others cannot", test_slow_endpoints_take_what_others_cannot },
+  { "slow endpoints are used if there are no others",
+    test_slow_endpoints_are_used_if_there_are_no_others },
+  { "plain load counts by pace", test_plain_load_counts_by_pace },
+  { "parts take longer at slow endpoints", test_parts_take_longer_at_slow_endpoints },
+  { "idle slow endpoints are tried", test_idle_slow_endpoints_are_tried },
+  { "samples are relative to known work", test_samples_are_relative_to_known_work },
+  { "plain answers are samples", test_plain_answers_are_samples },
+  { "calm load on unequal engines", test_calm_load_on_unequal_engines },
+  { "equal engines under load are not slow", test_equal_engines_under_load_are_not_slow },
 };
 
 SUITE_MAIN ("sv_pace", cases)
