--- a/serve/pace.c
+++ b/serve/pace.c
@@ -89,17 +89,18 @@
 static double
 median_answer (const GPtrArray *endpoints)
 {
-  g_autofree double *times = g_new (double, endpoints->len);
-  guint n = 0;
+  g_autoptr (GArray) times = g_array_new (FALSE, FALSE, sizeof (double));
 
   for (guint i = 0; i < endpoints->len; i++)
     {
       const SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
       if (endpoint->mean_answer > 0)
-        times[n++] = endpoint->mean_answer;
+        g_array_append_val (times, endpoint->mean_answer);
     }
-  return n < MIN_PLAIN_MEDIAN ? 0 : pol_pace_median (times, n);
+  if (times->len < MIN_PLAIN_MEDIAN)
+    return 0;
+  return pol_pace_median ((double *)(gpointer)times->data, times->len);
 }
 
 /* An endpoint with more requests than half of its slots may take longer, in proportion. */
@@ -146,9 +147,9 @@
 }
 
 static PolPaceReference
-reference_of (const GPtrArray *endpoints, double *ratios, KnlTime now)
+reference_of (const GPtrArray *endpoints, KnlTime now)
 {
-  guint n = 0;
+  g_autoptr (GArray) ratios = g_array_new (FALSE, FALSE, sizeof (double));
 
   for (guint i = 0; i < endpoints->len; i++)
     {
@@ -156,27 +157,28 @@
       PolPaceEstimate measured = pol_pace_measure (&endpoint->pace, now);
 
       if (measured.samples > 0)
-        ratios[n++] = measured.ratio;
+        g_array_append_val (ratios, measured.ratio);
     }
-  return pol_pace_reference (ratios, n);
+  return pol_pace_reference ((double *)(gpointer)ratios->data, ratios->len);
 }
 
 static guint
 update_all (const GPtrArray *endpoints, KnlTime now)
 {
-  g_autofree double *ratios = g_new (double, endpoints->len);
-  PolPaceReference reference = reference_of (endpoints, ratios, now);
+  g_autoptr (GArray) ratios = g_array_new (FALSE, FALSE, sizeof (double));
+  PolPaceReference reference = reference_of (endpoints, now);
   double median;
   guint n_slow = 0;
 
   for (guint i = 0; i < endpoints->len; i++)
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      double combined = pol_pace_update (&endpoint->pace, &reference, now);
 
-      ratios[i] = pol_pace_update (&endpoint->pace, &reference, now);
+      g_array_append_val (ratios, combined);
       endpoint->paced_at = now;
     }
-  median = pol_pace_median (ratios, endpoints->len);
+  median = pol_pace_median ((double *)(gpointer)ratios->data, ratios->len);
   for (guint i = 0; i < endpoints->len; i++)
     {
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
--- a/tests/unit/sv_move_test.c
+++ b/tests/unit/sv_move_test.c
@@ -35,6 +35,7 @@
   guint n_endpoints;
   gboolean no_retries;
   gboolean migrates;
+  double pace; /* of the stream's engine; 0: not slow */
 } Row;
 
 /*
@@ -45,6 +46,8 @@
 static const Row rows[] = {
   { "a long part", 900 * KNL_MSEC, FALSE, TRUE, 2, FALSE, TRUE },
   { "a part shorter than its gap objective", 100 * KNL_MSEC, FALSE, TRUE, 2, FALSE, FALSE },
+  { "a part shorter than its gap objective at a slow engine", 100 * KNL_MSEC, FALSE, TRUE, 2, FALSE,
+    TRUE, 4 },
   { "a long part elsewhere", 900 * KNL_MSEC, TRUE, TRUE, 2, FALSE, FALSE },
   { "a short prompt", 900 * KNL_MSEC, FALSE, FALSE, 2, FALSE, FALSE },
   { "nowhere to go", 900 * KNL_MSEC, FALSE, TRUE, 1, FALSE, FALSE },
@@ -112,6 +115,13 @@
   sv_fixture_wait_for (&fixture, "id: 2");
   runner = runner_of (&fixture);
   target = row->elsewhere ? 1 - runner : runner;
+  if (row->pace > 0)
+    {
+      PolPace *pace = &endpoint_of (&fixture, runner)->pace;
+
+      pace->factor = pace->combined = row->pace;
+      pace->combined_at = knl_kernel_now (fixture.kernel);
+    }
   sv_fleet_add_prefill (fixture.fleet, &prefill, &endpoint_of (&fixture, target)->key, 1);
   knl_paused_clock_advance (fixture.clock, 40 * KNL_MSEC);
   settle (&fixture);
