--- a/tests/unit/sv_pace_test.c
+++ b/tests/unit/sv_pace_test.c
@@ -290,6 +290,77 @@
     }
 }
 
+/* Load of the endpoints that aren't slow, while the slow ones are idle. */
+typedef struct
+{
+  const char *name;
+  guint kind;
+  SvLoad load;
+  KnlTime prefill;    /* placed at each */
+  guint n_loaded;     /* number of them that have the load */
+  gboolean no_others; /* none of them but the first may help */
+  gboolean has_helpers;
+} Choice;
+
+static void
+check_choice (const Choice *choice)
+{
+  Fixture fixture;
+  guint n = 0;
+
+  fixture_open (&fixture);
+  slow_third (&fixture, "llm", 2.5);
+  for (guint i = 0; i < ENGINES; i++)
+    {
+      SvEndpoint *endpoint = endpoint_at (&fixture, "llm", i);
+      SvPrefill prefill = { .prompt = 1000 + i, .length = choice->prefill };
+
+      if (endpoint->pace.factor > 1)
+        continue;
+      if (n++ < choice->n_loaded)
+        sv_endpoint_charge (endpoint, &choice->load, 1);
+      sv_fleet_add_prefill (fixture.fleet, &prefill, &endpoint->key, 1);
+      if (choice->no_others)
+        sv_endpoint_note_helper_rejection (endpoint, now_of (&fixture));
+    }
+  for (guint64 seed = 1; seed < 64; seed += 2)
+    {
+      SvPlacement placement;
+      guint n_slow = 0;
+
+      CU_ASSERT_TRUE (place (&fixture, &kinds[choice->kind], seed, &placement));
+      n_slow += placement.first->pace.factor > 1;
+      for (guint i = 0; i < placement.n_helpers; i++)
+        n_slow += placement.helpers[i]->pace.factor > 1;
+      if (n_slow > 0)
+        printf ("\n  %s: %u slow", choice->name, n_slow);
+      CU_ASSERT_EQUAL (n_slow, 0);
+      CU_ASSERT_EQUAL (placement.n_helpers > 0, choice->has_helpers);
+    }
+  fixture_close (&fixture);
+}
+
+/* Guards against idle slow endpoints that look cheaper than others with some load. */
+static void
+test_loaded_endpoints_are_better_than_slow_ones (void)
+{
+  static const Choice choices[] = {
+    { "those that run long prompts are full", 4, { .calls = 16 }, 0, 4, FALSE, TRUE },
+    { "all others hold contexts",
+      3,
+      { .calls = 1, .decoding_streams = { 0, 0, 1 }, .tokens = 200000 },
+      0,
+      ENGINES,
+      FALSE,
+      TRUE },
+    { "all others have some prefill", 1, { .calls = 0 }, 240 * KNL_MSEC, 0, FALSE, FALSE },
+    { "only slow ones can help", 2, { .calls = 0 }, 0, 0, TRUE, FALSE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (choices); i++)
+    check_choice (&choices[i]);
+}
+
 /* Guards against a service that refuses all requests because all of its endpoints are slow. */
 static void
 test_slow_endpoints_are_used_if_there_are_no_others (void)
@@ -577,6 +648,7 @@
   { "equal endpoints are placed as before", test_equal_endpoints_are_placed_as_before },
   { "slow endpoints come last", test_slow_endpoints_come_last },
   { "slow endpoints take what others cannot", test_slow_endpoints_take_what_others_cannot },
+  { "loaded endpoints are better than slow ones", test_loaded_endpoints_are_better_than_slow_ones },
   { "slow endpoints are used if there are no others",
     test_slow_endpoints_are_used_if_there_are_no_others },
   { "plain load counts by pace", test_plain_load_counts_by_pace },
