--- a/serve/router.c
+++ b/serve/router.c
@@ -16,6 +16,7 @@
     .calls = candidate->load.calls,
     .slots = endpoint->slots,
     .is_other_zone = g_strcmp0 (endpoint->zone, demand->zone) != 0,
+    .pace = candidate->pace,
     .health = &endpoint->health,
   };
 
@@ -91,6 +92,7 @@
     .demand = demand,
     .spec = &demand->service->engine,
     .candidates = candidates,
+    .now = now,
   };
 
   *placement = (SvPlacement){ .load = { .calls = 1 } };
@@ -148,3 +150,14 @@
     keys[n++] = self->helpers[i]->key;
   return n;
 }
+
+gboolean
+sv_placement_needs_reservation (const SvPlacement *self)
+{
+  for (guint i = 0; i < self->n_helpers; i++)
+    {
+      if (self->holds[i] > 0)
+        return TRUE;
+    }
+  return FALSE;
+}
--- a/serve/send.c
+++ b/serve/send.c
@@ -116,6 +116,26 @@
   return self->params.answer_hint > 0 ? MIN (self->params.answer_hint, max_tokens) : max_tokens;
 }
 
+static void
+refresh_pace (const SvRequest *self)
+{
+  const SvCore *core = self->core;
+  gint n_slow = sv_pace_refresh (core->parts.fleet, self->service->name, sv_request_now (self));
+
+  if (n_slow >= 0)
+    sv_meters_set_slow_endpoints (core->meters, self->service->name, (guint)n_slow);
+}
+
+void
+sv_request_note_pace (SvRequest *self)
+{
+  SvPeerLink *link = self->core->parts.link;
+
+  refresh_pace (self);
+  if (sv_pace_mark_changed (self->placement.first, sv_request_now (self)))
+    link->klass->load_changed (link);
+}
+
 static gboolean
 find_placement (SvRequest *self, const GPtrArray *excluded, SvPlacement *placement)
 {
@@ -133,6 +153,7 @@
     .excluded = excluded,
   };
 
+  refresh_pace (self);
   return sv_router_place (core->parts.fleet, &demand, now, placement);
 }
 
@@ -404,17 +425,6 @@
       sv_reservation_new (&parts, self->params.id, endpoints, tokens, n, on_reserved, self);
 }
 
-static gboolean
-needs_reservation (const SvRequest *self)
-{
-  for (guint i = 0; i < self->placement.n_helpers; i++)
-    {
-      if (self->placement.holds[i] > 0)
-        return TRUE;
-    }
-  return FALSE;
-}
-
 /* A long prompt whose deadline comes before its prefill can end isn't sent: the prefill would take
  * seconds for nothing, at the cost of other requests. */
 static gboolean
@@ -504,7 +514,8 @@
   self->sent_at = sv_request_now (self);
   self->last_received_at = 0;
   sv_events_reset (&self->events);
-  if (needs_reservation (self))
+  self->pace = (SvPaceStream){ .n_events = 0 };
+  if (sv_placement_needs_reservation (&self->placement))
     reserve (self);
   else
     send_now (self);
