http: back-pressure for callers that read slowly, and a bound on the sum of unsent bytes

Cause: what an instance held for readers had a bound only for each caller's connection (4 MB, checked every 250 ms), so a few hundred slow readers, or endpoints that read request bodies slowly, could use up its memory. Streams were read from their endpoint at any speed. A caller with more than 64 kB of a next request waiting made the loop spin: a bufferevent at its high watermark calls back again and again.

Change: an exchange names the call that its answer is forwarded to, and isn't read while that call has more than 256 kB unsent, until 64 kB are left. HtUnsent sums unsent answer bytes, unsent request bytes and collected answers; at its bound it ends the connection that holds the most, from a timer, and logs slow-reader-ended. Callers are ended by a reset, so that an answer that ends with its connection can't look complete. The kernel takes a closed window of 2 s for a broken connection; callers that are behind get 10 s. A connection isn't read while its next request can't be processed.

--- a/http/client.c
+++ b/http/client.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http/flow_internal.h"
 #include "http/socket.h"
 
 /* Fraction of the idle time advertised by the peer for which connections are kept: the peer began
@@ -41,6 +42,9 @@
 {
   HtClient *client;
   char *address;
+  HtHolder holder;
+  HtSource source;    /* of the call that the answer is forwarded to */
+  KnlTime resumed_at; /* when the source was last resumed in this exchange; 0: never */
   struct bufferevent *stream;
   HtReader *reader;
   HtExchange *exchange; /* NULL: idle, or probed */
@@ -60,6 +64,7 @@
   struct event_base *base;
   HtLimits limits;
   KnlTime idle_timeout;
+  HtUnsent *unsent;        /* NULL: its connections aren't counted */
   GHashTable *connections; /* set of all Connection */
   GHashTable *idle;        /* address -> GPtrArray of Connection, most recently used last */
   guint64 n_opened;
@@ -68,15 +73,25 @@
 const char *
 ht_failure_name (HtFailure failure)
 {
-  static const char *const names[] = { "connect", "closed", "bad-answer", "large-answer" };
+  static const char *const names[] = { "connect", "closed", "bad-answer", "large-answer",
+                                       "unsent" };
 
   return names[failure];
 }
 
+static void
+stop_forwarding (Connection *self)
+{
+  if (self->source.flow != NULL)
+    ht_flow_disconnect (self->source.flow);
+}
+
 static void
 connection_free (Connection *self)
 {
   knl_timer_stop (self->client->kernel, &self->timer);
+  stop_forwarding (self);
+  ht_holder_leave (&self->holder);
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
   g_free (self->exchange);
@@ -204,6 +219,8 @@
   if (is_reusable (self, answer))
     {
       self->exchange = NULL;
+      stop_forwarding (self);
+      ht_holder_set_body (&self->holder, 0);
       add_to_idle (self, max_idle_time);
       exchange->events->done (exchange, answer, exchange->data);
       g_free (exchange);
@@ -256,6 +273,7 @@
     exchange->events->body (exchange, bytes, length, exchange->data);
   else
     g_string_append_len (ht_reader_message (self->reader)->body, bytes, (gssize)length);
+  ht_holder_set_body (&self->holder, ht_reader_message (self->reader)->body->len);
 }
 
 static const HtReaderEvents reader_events = { .head = on_head, .body = on_body };
@@ -376,6 +394,40 @@
   g_free (self);
 }
 
+void
+ht_client_count_unsent (HtClient *self, HtUnsent *unsent)
+{
+  self->unsent = unsent;
+}
+
+static void
+holder_end (HtHolder *holder)
+{
+  fail ((Connection *)((char *)holder - G_STRUCT_OFFSET (Connection, holder)), HT_FAIL_UNSENT);
+}
+
+static char *
+holder_address (HtHolder *holder)
+{
+  Connection *self = (Connection *)((char *)holder - G_STRUCT_OFFSET (Connection, holder));
+
+  return g_strdup (self->address);
+}
+
+static const HtHolderClass holder_class = { .address = holder_address, .end = holder_end };
+
+static void
+set_paused (HtSource *source, gboolean paused)
+{
+  Connection *self = (Connection *)((char *)source - G_STRUCT_OFFSET (Connection, source));
+
+  if (paused)
+    bufferevent_disable (self->stream, EV_READ);
+  else
+    bufferevent_enable (self->stream, EV_READ);
+  self->resumed_at = knl_kernel_now (self->client->kernel);
+}
+
 static Connection *
 connect_to (HtClient *self, const char *address, KnlTime timeout)
 {
@@ -390,6 +442,9 @@
       bufferevent_socket_new (self->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   connection->reader = ht_reader_new (TRUE, &self->limits, &reader_events, connection);
   bufferevent_setcb (connection->stream, on_readable, NULL, on_event, connection);
+  connection->source.set_paused = set_paused;
+  ht_holder_join (&connection->holder, self->unsent, &holder_class,
+                  bufferevent_get_output (connection->stream));
   g_hash_table_add (self->connections, connection);
   self->n_opened++;
   if (fd < 0 || evutil_parse_sockaddr_port (address, (struct sockaddr *)&peer, &length) != 0)
@@ -437,6 +492,7 @@
   exchange->events = events;
   exchange->data = data;
   connection->exchange = exchange;
+  connection->resumed_at = 0;
   ht_reader_begin (connection->reader, request->is_head);
   bufferevent_write (connection->stream, request->head, strlen (request->head));
   bufferevent_write (connection->stream, "\r\n", 2);
@@ -445,6 +501,8 @@
   if (!exchange->reused)
     connection->first_request_bytes =
         evbuffer_get_length (bufferevent_get_output (connection->stream));
+  if (request->forward_to != NULL)
+    ht_flow_connect (ht_call_flow (request->forward_to), &connection->source);
   return exchange;
 }
 
@@ -485,6 +543,15 @@
   return self->reused;
 }
 
+KnlTime
+ht_exchange_resumed_at (const HtExchange *self)
+{
+  const Connection *connection = self->connection;
+
+  return connection->source.is_paused ? knl_kernel_now (connection->client->kernel)
+                                      : connection->resumed_at;
+}
+
 void
 ht_client_close_idle (HtClient *self, const char *address)
 {
--- a/http/server.c
+++ b/http/server.c
@@ -10,6 +10,7 @@
 
 #include "common/settings.h"
 #include "common/socket.h"
+#include "http/flow_internal.h"
 #include "http/socket.h"
 
 /* Interval between checks for connections past their timeouts: a tenth of the shortest timeout. */
@@ -31,6 +32,7 @@
 struct HtCall
 {
   Connection *connection;
+  HtFlow flow;
   HtMessage *request;
   KnlTime begun_at;
   gboolean begun;
@@ -41,6 +43,7 @@
 struct Connection
 {
   HtServer *server;
+  HtHolder holder;
   struct bufferevent *stream;
   HtReader *reader;
   HtCall *call;         /* the request being answered */
@@ -50,6 +53,7 @@
   gboolean closing;     /* waits only until the answer is sent and the caller has closed its side */
   gboolean half_closed; /* everything is sent, and the sending side is shut down */
   gboolean expect_handled; /* the Expect field of this request has been handled */
+  gboolean is_behind;      /* the caller has left much of the answer unread */
   gsize unsent;            /* unsent answer bytes at the last sweep */
 };
 
@@ -59,6 +63,7 @@
   struct event_base *base;
   struct evconnlistener *listener;
   HtServerLimits limits;
+  HtUnsent *unsent; /* NULL: its connections aren't counted */
   const HtServerEvents *events;
   gpointer data;
   GHashTable *connections; /* set of Connection */
@@ -71,6 +76,7 @@
 static void
 call_free (HtCall *call)
 {
+  ht_flow_disconnect (&call->flow);
   ht_message_free (call->request);
   g_free (call);
 }
@@ -80,6 +86,7 @@
 {
   if (self->call != NULL)
     call_free (self->call);
+  ht_holder_leave (&self->holder);
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
   g_free (self);
@@ -93,12 +100,59 @@
   g_hash_table_remove (self->server->connections, self);
 }
 
+/* Resets the connection when it is closed: an answer that ends with its connection would appear
+ * complete if the connection were closed in order. */
+static void
+set_reset_on_close (Connection *self)
+{
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (bufferevent_getfd (self->stream), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
+/* Ends a connection whose caller has left too much unread. */
+static void
+end_unread (Connection *self)
+{
+  set_reset_on_close (self);
+  connection_drop (self);
+}
+
+static void
+holder_end (HtHolder *holder)
+{
+  end_unread ((Connection *)((char *)holder - G_STRUCT_OFFSET (Connection, holder)));
+}
+
+static char *
+holder_address (HtHolder *holder)
+{
+  Connection *self = (Connection *)((char *)holder - G_STRUCT_OFFSET (Connection, holder));
+
+  return ht_socket_peer (bufferevent_getfd (self->stream));
+}
+
+static const HtHolderClass holder_class = { .address = holder_address, .end = holder_end };
+
 static gsize
 unsent_bytes (const Connection *self)
 {
   return evbuffer_get_length (bufferevent_get_output (self->stream));
 }
 
+/* A connection whose caller is alive, but doesn't read, isn't to be taken for a broken one; only
+ * where a bound on the sum ends such callers. */
+static void
+update_is_behind (Connection *self)
+{
+  gboolean is_behind = self->server->unsent != NULL && unsent_bytes (self) > MAX_READ_AHEAD_BYTES;
+
+  if (is_behind == self->is_behind)
+    return;
+  self->is_behind = is_behind;
+  ht_socket_tolerate_slow_reader (bufferevent_getfd (self->stream), is_behind);
+}
+
 /*
  * Closing a socket with unread input resets the connection, and the reset discards answer bytes
  * that the caller hasn't read yet. So only the sending side is shut down, and further input is
@@ -149,13 +203,14 @@
 
   self->call = NULL;
   call_free (call);
-  if (!keep)
+  update_is_behind (self);
+  if (keep)
     {
-      close_after_answer (self);
-      return;
+      self->since = knl_kernel_now (self->server->kernel);
+      ht_reader_begin (self->reader, FALSE);
     }
-  self->since = knl_kernel_now (self->server->kernel);
-  ht_reader_begin (self->reader, FALSE);
+  else
+    close_after_answer (self);
   if (evbuffer_get_length (bufferevent_get_input (self->stream)) > 0)
     bufferevent_trigger (self->stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
@@ -186,6 +241,7 @@
   HtCall *call = g_new0 (HtCall, 1);
 
   call->connection = self;
+  call->flow.stream = self->stream;
   call->request = ht_reader_steal (self->reader);
   call->begun_at = self->since;
   call->keep_alive = call->request->keep_alive;
@@ -212,6 +268,19 @@
     send_refusal (self, 417);
 }
 
+/* A bufferevent whose input has reached its high watermark and isn't consumed calls back again and
+ * again, so it isn't read until the input can be processed. */
+static void
+set_reading (Connection *self, gboolean reads)
+{
+  if (reads == ((bufferevent_get_enabled (self->stream) & EV_READ) != 0))
+    return;
+  if (reads)
+    bufferevent_enable (self->stream, EV_READ);
+  else
+    bufferevent_disable (self->stream, EV_READ);
+}
+
 static void
 process_input (Connection *self)
 {
@@ -223,10 +292,15 @@
   if (self->closing)
     {
       evbuffer_drain (input, length);
+      set_reading (self, TRUE);
       return;
     }
   if (self->call != NULL || length == 0 || unsent_bytes (self) > MAX_READ_AHEAD_BYTES)
-    return;
+    {
+      set_reading (self, length < MAX_READ_AHEAD_BYTES);
+      return;
+    }
+  set_reading (self, TRUE);
   if (!self->reading)
     {
       self->reading = TRUE;
@@ -271,6 +345,9 @@
 {
   Connection *self = data;
 
+  update_is_behind (self);
+  if (self->call != NULL)
+    ht_flow_update (&self->call->flow);
   if (self->closing && !self->half_closed)
     shut_down_sending (self);
   else if (!self->closing)
@@ -308,6 +385,8 @@
   bufferevent_setcb (connection->stream, on_readable, on_written, on_event, connection);
   bufferevent_setwatermark (connection->stream, EV_READ, 0, MAX_READ_AHEAD_BYTES);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+  ht_holder_join (&connection->holder, self->unsent, &holder_class,
+                  bufferevent_get_output (connection->stream));
   g_hash_table_add (self->connections, connection);
 }
 
@@ -355,6 +434,8 @@
       if (connection->reading && connection->call == NULL && !connection->closing
           && unsent_bytes (connection) <= self->limits.max_unsent)
         send_refusal (connection, 408);
+      else if (unsent_bytes (connection) > 0)
+        end_unread (connection);
       else
         connection_drop (connection);
     }
@@ -415,6 +496,12 @@
     ht_reader_set_limits (((Connection *)key)->reader, &limits->message);
 }
 
+void
+ht_server_count_unsent (HtServer *self, HtUnsent *unsent)
+{
+  self->unsent = unsent;
+}
+
 void
 ht_server_drain (HtServer *self)
 {
@@ -469,6 +556,12 @@
   return unsent;
 }
 
+HtFlow *
+ht_call_flow (HtCall *call)
+{
+  return &call->flow;
+}
+
 HtMessage *
 ht_call_request (HtCall *call)
 {
@@ -543,15 +636,16 @@
 
   if (length == 0)
     return;
-  if (!call->request->supports_chunked)
+  if (call->request->supports_chunked)
     {
-      write_text (call->connection, bytes, length);
-      return;
+      g_snprintf (size, sizeof size, "%" G_GSIZE_MODIFIER "x\r\n", length);
+      write_text (call->connection, size, strlen (size));
     }
-  g_snprintf (size, sizeof size, "%" G_GSIZE_MODIFIER "x\r\n", length);
-  write_text (call->connection, size, strlen (size));
   write_text (call->connection, bytes, length);
-  write_text (call->connection, "\r\n", 2);
+  if (call->request->supports_chunked)
+    write_text (call->connection, "\r\n", 2);
+  update_is_behind (call->connection);
+  ht_flow_update (&call->flow);
 }
 
 gboolean
@@ -578,10 +672,9 @@
 ht_call_abort (HtCall *call)
 {
   Connection *self = call->connection;
-  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
 
   self->call = NULL;
   call_free (call);
-  setsockopt (bufferevent_getfd (self->stream), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  set_reset_on_close (self);
   g_hash_table_remove (self->server->connections, self);
 }
--- a/http/socket.c
+++ b/http/socket.c
@@ -1,5 +1,6 @@
 #include "http/socket.h"
 
+#include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -8,6 +9,10 @@
  * consecutive lost packets. */
 #define UNACKNOWLEDGED_TIMEOUT_MS 2000
 
+/* The same while a caller is known to read slowly. Endpoints cut off answers that stay unread for
+ * some seconds, so more time would not help a stream. */
+#define SLOW_READER_TIMEOUT_MS 10000
+
 /* Connections without traffic are probed after KEEPALIVE_IDLE_S seconds, then twice at an interval
  * of one second. A connection that has become silent, such as a long wait for changes in the
  * store, is detected within three seconds. */
@@ -36,3 +41,27 @@
   for (size_t i = 0; i < sizeof options / sizeof options[0]; i++)
     setsockopt (fd, options[i].level, options[i].name, &options[i].value, sizeof options[i].value);
 }
+
+void
+ht_socket_tolerate_slow_reader (evutil_socket_t fd, gboolean tolerates)
+{
+  const int timeout = tolerates ? SLOW_READER_TIMEOUT_MS : UNACKNOWLEDGED_TIMEOUT_MS;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+}
+
+char *
+ht_socket_peer (evutil_socket_t fd)
+{
+  struct sockaddr_storage address;
+  socklen_t length = sizeof address;
+  char host[NI_MAXHOST];
+  char port[NI_MAXSERV];
+
+  if (getpeername (fd, (struct sockaddr *)&address, &length) != 0
+      || getnameinfo ((struct sockaddr *)&address, length, host, sizeof host, port, sizeof port,
+                      NI_NUMERICHOST | NI_NUMERICSERV)
+             != 0)
+    return NULL;
+  return g_strdup_printf ("%s:%s", host, port);
+}
--- a/include/http/client.h
+++ b/include/http/client.h
@@ -10,6 +10,8 @@
 
 #include "http/message.h"
 #include "http/reader.h"
+#include "http/server.h"
+#include "http/unsent.h"
 #include "kernel/kernel.h"
 
 typedef struct HtClient HtClient;
@@ -21,6 +23,7 @@
   HT_FAIL_CLOSED,  /**< the connection ended before the answer was complete */
   HT_FAIL_BAD,     /**< the bytes received weren't a valid HTTP answer */
   HT_FAIL_LARGE,   /**< the answer exceeded the limits */
+  HT_FAIL_UNSENT,  /**< it held the most when the sum of unsent bytes reached its bound */
 } HtFailure;
 
 const char *ht_failure_name (HtFailure failure);
@@ -52,6 +55,8 @@
   gboolean is_head;        /**< HEAD request: no body, even with a Content-Length */
   KnlTime connect_timeout; /**< for establishing a new connection */
   KnlTime max_idle;        /**< reuse a connection only if used within this; 0: don't */
+  HtCall *forward_to;      /**< the call that the answer is forwarded to as it arrives; it isn't
+                              read while the call has many unsent bytes. NULL: none */
 } HtExchangeRequest;
 
 /** Connections idle for longer than `idle_timeout` are closed, even if the peer allows more. */
@@ -63,6 +68,10 @@
 /** Drops all exchanges without a callback; NULL is allowed. */
 void ht_client_free (HtClient *client);
 
+/** Counts what connections opened from now on hold: unsent request bytes, and answers that are
+ * collected in the message; NULL: doesn't. */
+void ht_client_count_unsent (HtClient *client, HtUnsent *unsent);
+
 HtExchange *ht_client_send (HtClient *client,
                             const HtExchangeRequest *request,
                             const HtExchangeEvents *events,
@@ -90,6 +99,10 @@
 /** Whether the request was sent on a connection that an earlier exchange had used. */
 gboolean ht_exchange_is_reused (const HtExchange *exchange);
 
+/** When the answer was read again after it had not been read because of `forward_to`; now while it
+ * isn't read; 0: it has always been read. */
+KnlTime ht_exchange_resumed_at (const HtExchange *exchange);
+
 /** Closes the idle connections to an address. */
 void ht_client_close_idle (HtClient *client, const char *address);
 
--- a/include/http/server.h
+++ b/include/http/server.h
@@ -12,6 +12,7 @@
 
 #include "http/message.h"
 #include "http/reader.h"
+#include "http/unsent.h"
 #include "kernel/kernel.h"
 
 typedef struct HtServer HtServer;
@@ -58,6 +59,10 @@
 /** Changes the limits, also for open connections. */
 void ht_server_set_limits (HtServer *server, const HtServerLimits *limits);
 
+/** Counts the unsent answer bytes of connections that are accepted from now on; NULL: doesn't. A
+ * connection that is ended to keep the sum below its bound counts as disconnected. */
+void ht_server_count_unsent (HtServer *server, HtUnsent *unsent);
+
 /** From now on each answer closes its connection. Idle connections stay open: closing them could
  * cross requests that are already in transit. */
 void ht_server_drain (HtServer *server);
--- a/include/http/socket.h
+++ b/include/http/socket.h
@@ -3,6 +3,7 @@
 /** Socket options for every TCP connection of the data path. */
 
 #include <event2/util.h>
+#include <glib.h>
 
 /** Length of the queue of connections waiting to be accepted. Beyond it the kernel drops SYN
  * packets, which are sent again only after a second or more. */
@@ -14,3 +15,10 @@
  * minutes.
  */
 void ht_socket_tune (evutil_socket_t fd);
+
+/** Sets whether a peer that acknowledges but doesn't read is given more time: the kernel counts a
+ * window that stays closed as data that stays unacknowledged. */
+void ht_socket_tolerate_slow_reader (evutil_socket_t fd, gboolean tolerates);
+
+/** The remote address, "IP:PORT"; NULL if there is none any more. Free with g_free. */
+char *ht_socket_peer (evutil_socket_t fd);
