serve: streams are read as fast as their callers read

Cause: with back-pressure an endpoint seems silent while its caller doesn't read, and may cut the stream off after some seconds. Both counted against the endpoint, and against the request as one that crashes endpoints.

Change: sends and requests passed on name their call. The watch for silence counts from when the stream was last read again. A stream that breaks within 1 s of not being read goes on elsewhere without a loss or a suspected crash.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -10,6 +10,10 @@
 /* Sends allowed beyond the route's max_attempts if they certainly did not run. */
 #define MAX_EXTRA_NOT_RUN_SENDS 3
 
+/* A stream that breaks this soon after it wasn't read was cut off by its endpoint for that: what
+ * the sockets' buffers still had of it is read within milliseconds. */
+#define UNREAD_WINDOW (1 * KNL_SEC)
+
 static void
 exclude (SvRequest *self, SvEndpoint *endpoint)
 {
@@ -330,6 +334,37 @@
     sv_request_forward (self, answer);
 }
 
+/* The caller has left so much unread that the endpoint's answer wasn't read, and the endpoint is
+ * not at fault if it cut the answer off. */
+static gboolean
+was_unread (const SvRequest *self, const HtExchange *exchange)
+{
+  KnlTime resumed_at = ht_exchange_resumed_at (exchange);
+
+  return resumed_at > 0 && sv_request_now (self) - resumed_at < UNREAD_WINDOW;
+}
+
+static void
+handle_torn_stream (SvRequest *self, const HtExchange *exchange)
+{
+  if (!was_unread (self, exchange))
+    {
+      sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
+      sv_request_note_crash (self, "torn-stream");
+    }
+  sv_request_handle_loss (self, "torn-stream", TRUE);
+}
+
+/* The exchange held the most when the unsent bytes of this instance reached their bound. Another
+ * send would make it hold as much again. */
+static void
+handle_ended_exchange (SvRequest *self)
+{
+  close_send (self, ht_failure_name (HT_FAIL_UNSENT));
+  self->runs++;
+  sv_request_give_up (self, "unsent-bytes");
+}
+
 static void
 on_done (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
@@ -357,9 +392,7 @@
     }
   if (sv_events_is_incomplete (&self->events))
     {
-      sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
-      sv_request_note_crash (self, "torn-stream");
-      sv_request_handle_loss (self, "torn-stream", TRUE);
+      handle_torn_stream (self, exchange);
       return;
     }
   note_answer (self);
@@ -373,16 +406,22 @@
   SvEndpoint *endpoint = self->placement.first;
   gboolean was_stale =
       ht_exchange_is_reused (exchange) && self->answer == NULL && failure == HT_FAIL_CLOSED;
+  gboolean is_cut_off = failure == HT_FAIL_CLOSED && was_unread (self, exchange);
 
+  if (failure == HT_FAIL_UNSENT)
+    {
+      handle_ended_exchange (self);
+      return;
+    }
   self->unreached = failure == HT_FAIL_CONNECT;
   if (self->unreached)
     sv_reach_note_failure (sv_request_reach (self), endpoint);
-  if (failure == HT_FAIL_CLOSED)
+  if (failure == HT_FAIL_CLOSED && !is_cut_off)
     sv_request_note_crash (self, was_stale ? "stale-connection" : ht_failure_name (failure));
   close_send (self, ht_failure_name (failure));
   if (was_stale)
     ht_client_close_idle (self->core->parts.client, endpoint->address);
-  else
+  else if (!is_cut_off)
     {
       sv_endpoint_note_loss (endpoint, sv_request_now (self));
       announce_loss (self);
--- a/serve/pass.c
+++ b/serve/pass.c
@@ -140,6 +140,7 @@
     .is_head = g_strcmp0 (request->method, "HEAD") == 0,
     .connect_timeout = CONNECT_TIMEOUT,
     .max_idle = sv_route_is_idempotent (self->route) ? MAX_REUSE_IDLE : 0,
+    .forward_to = self->call,
   };
 
   if (request->body->len > 0 || ht_message_get (request, "content-length") != NULL
--- a/serve/send.c
+++ b/serve/send.c
@@ -78,7 +78,9 @@
 on_watch (gpointer data)
 {
   SvRequest *self = data;
-  KnlTime since = MAX (self->sent_at, self->last_received_at);
+  /* While its answer isn't read, because the caller doesn't read, an endpoint seems silent. */
+  KnlTime read_since = MAX (self->sent_at, ht_exchange_resumed_at (self->exchange));
+  KnlTime since = MAX (read_since, self->last_received_at);
   KnlTime left = since + silence_timeout (self) - sv_request_now (self);
 
   /* Prefills known to be running there explain a gap, and so does a queue: an endpoint that answers
@@ -237,6 +239,7 @@
     .is_head = g_strcmp0 (request->method, "HEAD") == 0,
     .connect_timeout = CONNECT_TIMEOUT,
     .max_idle = sv_route_is_idempotent (self->route) ? MAX_REUSE_IDLE : MAX_REUSE_IDLE_ONCE,
+    .forward_to = self->call,
   };
 
   self->exchange = ht_client_send (self->core->parts.client, &exchange, &sv_request_events, self);
