platform, gateway: memoryMb bounds the unsent bytes of an instance

Cause: the bound of unsent bytes needs the memory of the instance.

Change: memoryMb under limits of the settings is decoded, if it is there; a quarter of it bounds the unsent bytes of callers, peers, endpoints and the small servers. Gauge alderturn_unsent_bytes.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -21,6 +21,8 @@
   PlBoot *boot;
   KnlProcess process;
   CmMetrics *metrics;
+  HtUnsent *unsent; /* of callers, peers and endpoints */
+  CmSeries *unsent_series;
   HtClient *endpoints_client;
   HtClient *store_client;
   PlStore *store;
@@ -98,6 +100,8 @@
 
 /* servers.c */
 
+void gateway_add_unsent_metric (Gateway *self);
+
 /** Opens the listening sockets. Returns FALSE, and logs the failure, if one can't be opened. */
 gboolean gateway_open_servers (Gateway *self);
 void gateway_close_servers (Gateway *self);
--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -22,6 +22,9 @@
 #define MAX_ANSWER_HEAD_BYTES 32768
 #define MAX_ANSWER_BODY_BYTES ((gsize)64 << 20)
 
+/* Part of the instance's memory that may hold bytes for slow readers. */
+#define UNSENT_MEMORY_DIVISOR 4
+
 /* Idle connections to endpoints and the store are closed after this at the latest. */
 #define IDLE_TIMEOUT (20 * KNL_SEC)
 
@@ -96,8 +99,10 @@
 {
   HtLimits limits = { MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_BODY_BYTES };
 
+  self->unsent = ht_unsent_new (self->process.kernel, self->boot->memory / UNSENT_MEMORY_DIVISOR);
   self->endpoints_client =
       ht_client_new (self->process.kernel, self->process.base, &limits, IDLE_TIMEOUT);
+  ht_client_count_unsent (self->endpoints_client, self->unsent);
   self->store_client =
       ht_client_new (self->process.kernel, self->process.base, &limits, IDLE_TIMEOUT);
   self->store = pl_store_new (self->process.kernel, self->store_client, self->boot->store_address);
@@ -132,6 +137,7 @@
 
   self->metrics = cm_metrics_new ();
   gateway_add_era_metric (self);
+  gateway_add_unsent_metric (self);
   self->dialect = pl_dialect_new ();
   parts = (SvCoreParts){
     .kernel = self->process.kernel,
@@ -198,6 +204,7 @@
   pl_store_free (self->store);
   ht_client_free (self->endpoints_client);
   ht_client_free (self->store_client);
+  ht_unsent_free (self->unsent);
   pl_dialect_free (self->dialect);
   cm_metrics_free (self->metrics);
 }
--- a/gateway/servers.c
+++ b/gateway/servers.c
@@ -84,12 +84,27 @@
 
 static const HtServerEvents directory_events = { .request = on_directory_request };
 
+static const CmMetricDef unsent_metric = {
+  .name = "alderturn_unsent_bytes",
+  .help = "Bytes held for callers, endpoints and peers that have not read them yet",
+  .type = CM_METRIC_GAUGE,
+};
+
+void
+gateway_add_unsent_metric (Gateway *self)
+{
+  self->unsent_series =
+      cm_metric_series (cm_metrics_add (self->metrics, &unsent_metric), NULL, NULL, NULL);
+}
+
 static void
 on_metrics_request (HtCall *call, gpointer data)
 {
   Gateway *self = data;
-  GString *text = cm_metrics_render (self->metrics);
+  GString *text;
 
+  cm_series_set (self->unsent_series, (double)ht_unsent_bytes (self->unsent));
+  text = cm_metrics_render (self->metrics);
   ht_call_answer (call, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
   g_string_free (text, TRUE);
 }
@@ -143,6 +158,8 @@
   server = ht_server_new (self->process.kernel, self->process.base, address, &limits, events, self);
   if (server == NULL)
     cm_log (CM_LOG_ERR, "listen-failed", "s", "address", address, "s", "error", strerror (errno));
+  else
+    ht_server_count_unsent (server, self->unsent);
   return server;
 }
 
--- a/include/platform/boot.h
+++ b/include/platform/boot.h
@@ -23,6 +23,7 @@
   guint strength;        /**< CPU time available to the process, in thousandths of a core */
   double link_rate;      /**< bytes a second of the machine's network link */
   guint store_reads;     /**< store reads a second that all instances together may make */
+  gsize memory;          /**< bytes of memory available to the process; 0: not stated */
   guint max_files;       /**< file descriptors that the process may open */
   guint directory_ttl_s; /**< seconds for which callers may cache an answer of the directory */
   SvBounds bounds;
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -288,6 +288,50 @@
   g_unlink (path);
 }
 
+/* Guards against an instance that is refused because its settings state no memory, and against one
+ * whose bound is off by a unit. */
+static void
+test_memory_setting (void)
+{
+  static const struct
+  {
+    const char *limits;
+    gsize memory;
+  } rows[] = {
+    { "", 0 },
+    { ",\"memoryMb\":160", 160000000 },
+    { ",\"memoryMb\":0.5", 500000 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *path = NULL;
+      gint file = g_file_open_tmp ("alderturn-XXXXXX", &path, NULL);
+      g_autofree char *text = g_strdup_printf (
+          "{\"nodeName\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":\"10.0.0.1\","
+          "\"portRange\":[7000,7001],\"listen\":{\"front\":\"10.0.0.1:1\","
+          "\"ready\":\"10.0.0.1:2\",\"directory\":\"10.0.0.1:3\"},"
+          "\"platform\":{\"address\":\"10.0.0.2:3\",\"readsPerS\":1},"
+          "\"limits\":{\"cpuShare\":1,\"cores\":1,\"linkMbps\":100,\"maxFds\":1000%s},"
+          "\"bounds\":{\"strictRevoke\":true,\"revokeMs\":1,\"configApplyMs\":1,\"drainMs\":1,"
+          "\"freeMs\":1,\"graceS\":1,\"retryBudgetRatio\":1,\"retrySlack\":1,"
+          "\"budgetWindowS\":1,\"ttl_max_s\":1}}",
+          rows[i].limits);
+      CmFindings findings;
+      PlBoot *boot;
+
+      cm_findings_init (&findings);
+      CU_ASSERT_EQUAL (write (file, text, strlen (text)), (ssize_t)strlen (text));
+      close (file);
+      boot = pl_boot_load (path, &findings);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (boot);
+      CU_ASSERT_EQUAL (boot->memory, rows[i].memory);
+      pl_boot_free (boot);
+      cm_findings_clear (&findings);
+      g_unlink (path);
+    }
+}
+
 static GString *
 forward_of (HtMessage *request, const SvEndpoint *endpoint)
 {
@@ -507,6 +551,7 @@
   { "no configuration", test_invalid_config },
   { "entries of endpoints", test_endpoints },
   { "all errors of the settings are reported", test_settings_findings },
+  { "the memory of the settings", test_memory_setting },
   { "forwarded fields", test_forwarded_fields },
   { "fields of an endpoint's answer", test_replies },
   { "limits advertised in answers", test_limits },
