http: calls of a server in a file of their own

Cause: server.c had grown to 680 lines. Change: call.c has the answers, server_internal.h the structures that both share; only moved and renamed.

--- a/http/server.c
+++ b/http/server.c
@@ -4,88 +4,29 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <http_parser.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "common/settings.h"
 #include "common/socket.h"
-#include "http/flow_internal.h"
+#include "http/server_internal.h"
 #include "http/socket.h"
 
 /* Interval between checks for connections past their timeouts: a tenth of the shortest timeout. */
 #define SWEEP_INTERVAL (250 * KNL_MSEC)
 
-/* Bytes of the next request that are read ahead while one is answered; the rest stays in the
- * socket's receive buffer. Also the unsent answer bytes above which the next request isn't
- * processed. */
-#define MAX_READ_AHEAD_BYTES 65536
-
 /* How long a closing connection waits for the caller to receive more of the answer, and then to
  * close its side. */
 #define CLOSE_TIMEOUT (2 * KNL_SEC)
 
 #define CONTINUE_ANSWER "HTTP/1.1 100 Continue\r\n\r\n"
 
-typedef struct Connection Connection;
-
-struct HtCall
-{
-  Connection *connection;
-  HtFlow flow;
-  HtMessage *request;
-  KnlTime begun_at;
-  gboolean begun;
-  gboolean keep_alive;
-  gpointer data;
-};
-
-struct Connection
-{
-  HtServer *server;
-  HtHolder holder;
-  struct bufferevent *stream;
-  HtReader *reader;
-  HtCall *call;         /* the request being answered */
-  KnlTime since;        /* start of the current timeout: connection accepted, first byte of
-                           a request, end of an answer, or last progress in sending */
-  gboolean reading;     /* part of a request has been received */
-  gboolean closing;     /* waits only until the answer is sent and the caller has closed its side */
-  gboolean half_closed; /* everything is sent, and the sending side is shut down */
-  gboolean expect_handled; /* the Expect field of this request has been handled */
-  gboolean is_behind;      /* the caller has left much of the answer unread */
-  gsize unsent;            /* unsent answer bytes at the last sweep */
-};
-
-struct HtServer
-{
-  KnlKernel *kernel;
-  struct event_base *base;
-  struct evconnlistener *listener;
-  HtServerLimits limits;
-  HtUnsent *unsent; /* NULL: its connections aren't counted */
-  const HtServerEvents *events;
-  gpointer data;
-  GHashTable *connections; /* set of Connection */
-  KnlTimerId sweep_timer;
-  gboolean draining;
-};
-
 static const HtReaderEvents reader_events = { 0 };
 
-static void
-call_free (HtCall *call)
-{
-  ht_flow_disconnect (&call->flow);
-  ht_message_free (call->request);
-  g_free (call);
-}
-
 static void
 connection_free (Connection *self)
 {
   if (self->call != NULL)
-    call_free (self->call);
+    ht_call_free (self->call);
   ht_holder_leave (&self->holder);
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
@@ -100,21 +41,11 @@
   g_hash_table_remove (self->server->connections, self);
 }
 
-/* Resets the connection when it is closed: an answer that ends with its connection would appear
- * complete if the connection were closed in order. */
-static void
-set_reset_on_close (Connection *self)
-{
-  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
-
-  setsockopt (bufferevent_getfd (self->stream), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-}
-
 /* Ends a connection whose caller has left too much unread. */
 static void
 end_unread (Connection *self)
 {
-  set_reset_on_close (self);
+  ht_connection_set_reset (self);
   connection_drop (self);
 }
 
@@ -134,87 +65,6 @@
 
 static const HtHolderClass holder_class = { .address = holder_address, .end = holder_end };
 
-static gsize
-unsent_bytes (const Connection *self)
-{
-  return evbuffer_get_length (bufferevent_get_output (self->stream));
-}
-
-/* A connection whose caller is alive, but doesn't read, isn't to be taken for a broken one; only
- * where a bound on the sum ends such callers. */
-static void
-update_is_behind (Connection *self)
-{
-  gboolean is_behind = self->server->unsent != NULL && unsent_bytes (self) > MAX_READ_AHEAD_BYTES;
-
-  if (is_behind == self->is_behind)
-    return;
-  self->is_behind = is_behind;
-  ht_socket_tolerate_slow_reader (bufferevent_getfd (self->stream), is_behind);
-}
-
-/*
- * Closing a socket with unread input resets the connection, and the reset discards answer bytes
- * that the caller hasn't read yet. So only the sending side is shut down, and further input is
- * dropped until the caller closes its side.
- */
-static void
-shut_down_sending (Connection *self)
-{
-  self->half_closed = TRUE;
-  self->since = knl_kernel_now (self->server->kernel);
-  shutdown (bufferevent_getfd (self->stream), SHUT_WR);
-}
-
-static void
-close_after_answer (Connection *self)
-{
-  self->closing = TRUE;
-  self->since = knl_kernel_now (self->server->kernel);
-  if (unsent_bytes (self) == 0)
-    shut_down_sending (self);
-}
-
-static void
-write_text (Connection *self, const char *text, gsize length)
-{
-  bufferevent_write (self->stream, text, length);
-}
-
-static void
-write_head (HtCall *call, guint status, const char *fields, const char *framing)
-{
-  Connection *self = call->connection;
-  g_autofree char *head = NULL;
-
-  if (self->server->draining)
-    call->keep_alive = FALSE;
-  head = g_strdup_printf ("HTTP/1.1 %u %s\r\n%s%s%s\r\n", status,
-                          http_status_str ((enum http_status)status), fields != NULL ? fields : "",
-                          framing, call->keep_alive ? "" : "Connection: close\r\n");
-  write_text (self, head, strlen (head));
-}
-
-static void
-finish_answer (HtCall *call)
-{
-  Connection *self = call->connection;
-  gboolean keep = call->keep_alive && !self->server->draining;
-
-  self->call = NULL;
-  call_free (call);
-  update_is_behind (self);
-  if (keep)
-    {
-      self->since = knl_kernel_now (self->server->kernel);
-      ht_reader_begin (self->reader, FALSE);
-    }
-  else
-    close_after_answer (self);
-  if (evbuffer_get_length (bufferevent_get_input (self->stream)) > 0)
-    bufferevent_trigger (self->stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-}
-
 static void
 send_refusal (Connection *self, guint status)
 {
@@ -228,11 +78,11 @@
       status, http_status_str ((enum http_status)status), fields->str, body->len);
 
   self->reading = FALSE;
-  write_text (self, head, strlen (head));
-  write_text (self, body->str, body->len);
+  ht_connection_write (self, head, strlen (head));
+  ht_connection_write (self, body->str, body->len);
   g_string_free (body, TRUE);
   g_string_free (fields, TRUE);
-  close_after_answer (self);
+  ht_connection_close_after_answer (self);
 }
 
 static void
@@ -263,7 +113,7 @@
   if (expected == NULL || !ht_reader_message (self->reader)->supports_chunked)
     return;
   if (g_ascii_strcasecmp (expected, "100-continue") == 0)
-    write_text (self, CONTINUE_ANSWER, strlen (CONTINUE_ANSWER));
+    ht_connection_write (self, CONTINUE_ANSWER, strlen (CONTINUE_ANSWER));
   else
     send_refusal (self, 417);
 }
@@ -295,7 +145,7 @@
       set_reading (self, TRUE);
       return;
     }
-  if (self->call != NULL || length == 0 || unsent_bytes (self) > MAX_READ_AHEAD_BYTES)
+  if (self->call != NULL || length == 0 || ht_connection_unsent (self) > MAX_READ_AHEAD_BYTES)
     {
       set_reading (self, length < MAX_READ_AHEAD_BYTES);
       return;
@@ -345,11 +195,11 @@
 {
   Connection *self = data;
 
-  update_is_behind (self);
+  ht_connection_update_is_behind (self);
   if (self->call != NULL)
     ht_flow_update (&self->call->flow);
   if (self->closing && !self->half_closed)
-    shut_down_sending (self);
+    ht_connection_shut_down (self);
   else if (!self->closing)
     process_input (self); /* the next request may have waited until this answer was sent */
 }
@@ -394,7 +244,7 @@
 is_overdue (Connection *self, KnlTime now)
 {
   const HtServerLimits *limits = &self->server->limits;
-  gsize unsent = unsent_bytes (self);
+  gsize unsent = ht_connection_unsent (self);
   gboolean makes_progress = unsent < self->unsent;
 
   self->unsent = unsent;
@@ -432,9 +282,9 @@
       Connection *connection = g_ptr_array_index (overdue, i);
 
       if (connection->reading && connection->call == NULL && !connection->closing
-          && unsent_bytes (connection) <= self->limits.max_unsent)
+          && ht_connection_unsent (connection) <= self->limits.max_unsent)
         send_refusal (connection, 408);
-      else if (unsent_bytes (connection) > 0)
+      else if (ht_connection_unsent (connection) > 0)
         end_unread (connection);
       else
         connection_drop (connection);
@@ -538,7 +388,8 @@
     {
       const Connection *connection = key;
 
-      busy += connection->call != NULL || connection->reading || unsent_bytes (connection) > 0;
+      busy +=
+          connection->call != NULL || connection->reading || ht_connection_unsent (connection) > 0;
     }
   return busy;
 }
@@ -552,129 +403,6 @@
 
   g_hash_table_iter_init (&iter, self->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    unsent += unsent_bytes (key);
+    unsent += ht_connection_unsent (key);
   return unsent;
 }
-
-HtFlow *
-ht_call_flow (HtCall *call)
-{
-  return &call->flow;
-}
-
-HtMessage *
-ht_call_request (HtCall *call)
-{
-  return call->request;
-}
-
-void
-ht_call_set_data (HtCall *call, gpointer data)
-{
-  call->data = data;
-}
-
-gpointer
-ht_call_data (HtCall *call)
-{
-  return call->data;
-}
-
-KnlTime
-ht_call_begun_at (const HtCall *call)
-{
-  return call->begun_at;
-}
-
-void
-ht_call_answer (HtCall *call, guint status, const char *fields, const char *body, gsize length)
-{
-  char framing[48];
-  Connection *self = call->connection;
-
-  g_snprintf (framing, sizeof framing, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
-  write_head (call, status, fields, status == 204 || status == 304 ? "" : framing);
-  if (length > 0 && strcmp (call->request->method, "HEAD") != 0)
-    write_text (self, body, length);
-  finish_answer (call);
-}
-
-static void
-release_bytes (const void *data, size_t length, void *bytes)
-{
-  g_bytes_unref (bytes);
-}
-
-void
-ht_call_answer_bytes (HtCall *call, guint status, const char *fields, GBytes *body)
-{
-  gsize length;
-  const char *bytes = g_bytes_get_data (body, &length);
-  struct evbuffer *output = bufferevent_get_output (call->connection->stream);
-  char framing[48];
-
-  g_snprintf (framing, sizeof framing, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
-  write_head (call, status, fields, framing);
-  if (length > 0)
-    evbuffer_add_reference (output, bytes, length, release_bytes, g_bytes_ref (body));
-  finish_answer (call);
-}
-
-void
-ht_call_begin (HtCall *call, guint status, const char *fields)
-{
-  call->begun = TRUE;
-  call->keep_alive = call->keep_alive && call->request->supports_chunked;
-  write_head (call, status, fields,
-              call->request->supports_chunked ? "Transfer-Encoding: chunked\r\n" : "");
-}
-
-void
-ht_call_send (HtCall *call, const char *bytes, gsize length)
-{
-  char size[24];
-
-  if (length == 0)
-    return;
-  if (call->request->supports_chunked)
-    {
-      g_snprintf (size, sizeof size, "%" G_GSIZE_MODIFIER "x\r\n", length);
-      write_text (call->connection, size, strlen (size));
-    }
-  write_text (call->connection, bytes, length);
-  if (call->request->supports_chunked)
-    write_text (call->connection, "\r\n", 2);
-  update_is_behind (call->connection);
-  ht_flow_update (&call->flow);
-}
-
-gboolean
-ht_call_has_begun (const HtCall *call)
-{
-  return call->begun;
-}
-
-void
-ht_call_end (HtCall *call)
-{
-  if (call->request->supports_chunked)
-    write_text (call->connection, "0\r\n\r\n", 5);
-  finish_answer (call);
-}
-
-gsize
-ht_call_unsent (const HtCall *call)
-{
-  return unsent_bytes (call->connection);
-}
-
-void
-ht_call_abort (HtCall *call)
-{
-  Connection *self = call->connection;
-
-  self->call = NULL;
-  call_free (call);
-  set_reset_on_close (self);
-  g_hash_table_remove (self->server->connections, self);
-}
--- /dev/null
+++ b/http/server_internal.h
@@ -0,0 +1,76 @@
+#pragma once
+
+/** Connections and calls of a server; included by server.c and call.c only. */
+
+#include "http/flow_internal.h"
+#include "http/server.h"
+
+/* Bytes of the next request that are read ahead while one is answered; the rest stays in the
+ * socket's receive buffer. Also the unsent answer bytes above which the next request isn't
+ * processed. */
+#define MAX_READ_AHEAD_BYTES 65536
+
+typedef struct Connection Connection;
+
+struct HtCall
+{
+  Connection *connection;
+  HtFlow flow;
+  HtMessage *request;
+  KnlTime begun_at;
+  gboolean begun;
+  gboolean keep_alive;
+  gpointer data;
+};
+
+struct Connection
+{
+  HtServer *server;
+  HtHolder holder;
+  struct bufferevent *stream;
+  HtReader *reader;
+  HtCall *call;         /* the request being answered */
+  KnlTime since;        /* start of the current timeout: connection accepted, first byte of
+                           a request, end of an answer, or last progress in sending */
+  gboolean reading;     /* part of a request has been received */
+  gboolean closing;     /* waits only until the answer is sent and the caller has closed its side */
+  gboolean half_closed; /* everything is sent, and the sending side is shut down */
+  gboolean expect_handled; /* the Expect field of this request has been handled */
+  gboolean is_behind;      /* the caller has left much of the answer unread */
+  gsize unsent;            /* unsent answer bytes at the last sweep */
+};
+
+struct HtServer
+{
+  KnlKernel *kernel;
+  struct event_base *base;
+  struct evconnlistener *listener;
+  HtServerLimits limits;
+  HtUnsent *unsent; /* NULL: its connections aren't counted */
+  const HtServerEvents *events;
+  gpointer data;
+  GHashTable *connections; /* set of Connection */
+  KnlTimerId sweep_timer;
+  gboolean draining;
+};
+
+/* call.c */
+
+void ht_call_free (HtCall *call);
+
+void ht_connection_write (Connection *self, const char *text, gsize length);
+
+/** Answer bytes not sent yet. */
+gsize ht_connection_unsent (const Connection *self);
+
+/** Sets by the unsent bytes for how long the caller may leave them unread. */
+void ht_connection_update_is_behind (Connection *self);
+
+/** Resets the connection when it is closed. */
+void ht_connection_set_reset (Connection *self);
+
+/** Shuts down the sending side, once everything is sent. */
+void ht_connection_shut_down (Connection *self);
+
+/** Closes the connection once everything is sent. */
+void ht_connection_close_after_answer (Connection *self);
