--- a/tests/fakes/gateway_fleet.c
+++ b/tests/fakes/gateway_fleet.c
@@ -71,6 +71,7 @@
     .strength = is_every (i, self->size.strong_every) ? STRONG : WEAK,
     .link_rate = 2.5e6,
     .store_reads = 2000,
+    .memory = GF_MEMORY,
     .max_files = 1000,
     .directory_ttl_s = 5,
     .bounds = {
--- a/tests/fakes/gateway_fleet.h
+++ b/tests/fakes/gateway_fleet.h
@@ -45,6 +45,9 @@
   guint64 incarnation;
 } GfFleet;
 
+/** Memory of each instance, in bytes. */
+#define GF_MEMORY 16000000
+
 /** Creates the fleet with a filled store; no instance runs yet. */
 void gf_fleet_open (GfFleet *fleet, const GfSize *size);
 void gf_fleet_close (GfFleet *fleet);
