--- a/http/call.c
+++ b/http/call.c
@@ -24,20 +24,6 @@
   return evbuffer_get_length (bufferevent_get_output (self->stream));
 }
 
-/* A connection whose caller is alive, but doesn't read, isn't to be taken for a broken one; only
- * where a bound on the sum ends such callers. */
-void
-ht_connection_update_is_behind (Connection *self)
-{
-  gboolean is_behind =
-      self->server->unsent != NULL && ht_connection_unsent (self) > MAX_READ_AHEAD_BYTES;
-
-  if (is_behind == self->is_behind)
-    return;
-  self->is_behind = is_behind;
-  ht_socket_tolerate_slow_reader (bufferevent_getfd (self->stream), is_behind);
-}
-
 /*
  * Closing a socket with unread input resets the connection, and the reset discards answer bytes
  * that the caller hasn't read yet. So only the sending side is shut down, and further input is
@@ -96,7 +82,6 @@
 
   self->call = NULL;
   ht_call_free (call);
-  ht_connection_update_is_behind (self);
   if (keep)
     {
       self->since = knl_kernel_now (self->server->kernel);
@@ -196,7 +181,6 @@
   ht_connection_write (call->connection, bytes, length);
   if (call->request->supports_chunked)
     ht_connection_write (call->connection, "\r\n", 2);
-  ht_connection_update_is_behind (call->connection);
   ht_flow_update (&call->flow);
 }
 
--- a/http/server.c
+++ b/http/server.c
@@ -195,7 +195,6 @@
 {
   Connection *self = data;
 
-  ht_connection_update_is_behind (self);
   if (self->call != NULL)
     ht_flow_update (&self->call->flow);
   if (self->closing && !self->half_closed)
@@ -240,6 +239,19 @@
   g_hash_table_add (self->connections, connection);
 }
 
+/* A connection whose caller is alive, but doesn't read, isn't to be taken for a broken one; only
+ * where a bound on the sum ends such callers. */
+static void
+update_is_behind (Connection *self)
+{
+  gboolean is_behind = self->server->unsent != NULL && ht_connection_unsent (self) > 0;
+
+  if (is_behind == self->is_behind)
+    return;
+  self->is_behind = is_behind;
+  ht_socket_tolerate_slow_reader (bufferevent_getfd (self->stream), is_behind);
+}
+
 static gboolean
 is_overdue (Connection *self, KnlTime now)
 {
@@ -274,6 +286,7 @@
   g_hash_table_iter_init (&iter, self->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
+      update_is_behind (key);
       if (is_overdue (key, now))
         g_ptr_array_add (overdue, key);
     }
--- a/http/server_internal.h
+++ b/http/server_internal.h
@@ -36,7 +36,7 @@
   gboolean closing;     /* waits only until the answer is sent and the caller has closed its side */
   gboolean half_closed; /* everything is sent, and the sending side is shut down */
   gboolean expect_handled; /* the Expect field of this request has been handled */
-  gboolean is_behind;      /* the caller has left much of the answer unread */
+  gboolean is_behind;      /* the last sweep found unsent answer bytes */
   gsize unsent;            /* unsent answer bytes at the last sweep */
 };
 
@@ -63,9 +63,6 @@
 /** Answer bytes not sent yet. */
 gsize ht_connection_unsent (const Connection *self);
 
-/** Sets by the unsent bytes for how long the caller may leave them unread. */
-void ht_connection_update_is_behind (Connection *self);
-
 /** Resets the connection when it is closed. */
 void ht_connection_set_reset (Connection *self);
 
--- a/tests/unit/ht_unsent_test.c
+++ b/tests/unit/ht_unsent_test.c
@@ -1,7 +1,10 @@
 /** Callers and endpoints that read slowly, over loopback: what is held for them, and who is ended.
  */
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "relay_fixture.h"
 #include "suite.h"
@@ -12,6 +15,12 @@
 /* Turns of the loop in which a stream without back-pressure moves some megabytes. */
 #define MANY_TURNS 20
 
+/* Larger than any descriptor of a test. */
+#define MAX_FD 1024
+
+/* Longer than the interval at which a server checks its connections. */
+#define SWEEP (300 * KNL_MSEC)
+
 /* Most unsent bytes of one stream: what may be unsent before its source is paused, and what a turn
  * of the loop reads. */
 #define STREAM_BYTES (300 * KB)
@@ -82,6 +91,52 @@
     }
 }
 
+/* TCP_USER_TIMEOUT of the server's side of a caller's connection, in ms; -1: it isn't open. */
+static int
+user_timeout_of (const RelayCaller *caller)
+{
+  struct sockaddr_in own;
+  struct sockaddr_in peer;
+  socklen_t length = sizeof own;
+  int timeout = -1;
+
+  getsockname (bufferevent_getfd (caller->stream), (struct sockaddr *)&own, &length);
+  for (int fd = 0; fd < MAX_FD; fd++)
+    {
+      length = sizeof peer;
+      if (getpeername (fd, (struct sockaddr *)&peer, &length) != 0 || peer.sin_port != own.sin_port)
+        continue;
+      length = sizeof timeout;
+      getsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &length);
+    }
+  return timeout;
+}
+
+/* Guards against a caller that pauses for 2 s and is cut off by the kernel, which takes a closed
+ * window for a broken connection. */
+static void
+test_pausing_caller_gets_more_time (void)
+{
+  RelayFixture fixture;
+  RelayCaller *caller;
+  int normal;
+
+  relay_fixture_open (&fixture, 0);
+  caller = relay_fixture_call (&fixture, "/stream/8000000", "1.1", 0);
+  while (ht_server_unsent (fixture.front) == 0)
+    relay_fixture_turn (&fixture, 1);
+  normal = user_timeout_of (caller);
+  CU_ASSERT (normal > 0);
+  knl_paused_clock_advance (fixture.clock, SWEEP);
+  CU_ASSERT (user_timeout_of (caller) > 4 * normal);
+  relay_caller_set_reading (caller, TRUE);
+  relay_caller_wait (caller);
+  CU_ASSERT_TRUE (caller->complete);
+  knl_paused_clock_advance (fixture.clock, SWEEP);
+  CU_ASSERT_EQUAL (user_timeout_of (caller), normal);
+  relay_fixture_close (&fixture);
+}
+
 /* Guards against a kept connection that is never read again after its last answer was paused. */
 static void
 test_connection_is_reused_after_a_pause (void)
@@ -282,6 +337,7 @@
 static const SuiteCase cases[] = {
   { "which connection is ended", test_choice },
   { "a caller that pauses gets every byte", test_pausing_caller_gets_every_byte },
+  { "a caller that pauses gets more time", test_pausing_caller_gets_more_time },
   { "a connection is reused after a pause", test_connection_is_reused_after_a_pause },
   { "others are served while many don't read", test_others_are_served },
   { "the connection that holds the most is ended", test_greediest_is_ended },
