--- a/tests/unit/ht_unsent_test.c
+++ b/tests/unit/ht_unsent_test.c
@@ -50,6 +50,66 @@
     CU_ASSERT_EQUAL (ht_unsent_choose (rows[i].holdings, rows[i].n, rows[i].bound), rows[i].chosen);
 }
 
+typedef struct
+{
+  HtHolder holder;
+  struct evbuffer *output;
+  gboolean has_ended;
+} Holder;
+
+static char *
+holder_address (HtHolder *holder)
+{
+  return NULL;
+}
+
+static void
+holder_end (HtHolder *holder)
+{
+  ((Holder *)holder)->has_ended = TRUE;
+  ht_holder_leave (holder);
+}
+
+static const HtHolderClass holder_class = { .address = holder_address, .end = holder_end };
+
+static void
+holder_write (Holder *self, gsize length)
+{
+  static const char zeros[100];
+
+  evbuffer_add (self->output, zeros, length);
+}
+
+/* Guards against a caller that reads a fast stream and is ended in place of one that has stopped:
+ * for a moment it holds as much. */
+static void
+test_old_bytes_decide (void)
+{
+  KnlPausedClock *clock = knl_paused_clock_new ();
+  KnlKernel *kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 5);
+  HtUnsent *unsent = ht_unsent_new (kernel, 100);
+  Holder stopped = { .output = evbuffer_new () };
+  Holder reading = { .output = evbuffer_new () };
+
+  ht_holder_join (&stopped.holder, unsent, &holder_class, stopped.output);
+  ht_holder_join (&reading.holder, unsent, &holder_class, reading.output);
+  holder_write (&stopped, 40);
+  holder_write (&reading, 50);
+  knl_paused_clock_advance (clock, 2 * SWEEP);
+  evbuffer_drain (reading.output, 50);
+  holder_write (&reading, 65);
+  knl_kernel_run_due (kernel);
+  CU_ASSERT_TRUE (stopped.has_ended);
+  CU_ASSERT_FALSE (reading.has_ended);
+  CU_ASSERT_EQUAL (ht_unsent_bytes (unsent), 65);
+  ht_holder_leave (&reading.holder);
+  ht_unsent_free (unsent);
+  evbuffer_free (stopped.output);
+  evbuffer_free (reading.output);
+  knl_kernel_free (kernel);
+  knl_paused_clock_free (clock);
+}
+
 /* Guards against a stream that is read on without bound while its caller doesn't read, and against
  * one that stalls or loses bytes once the caller reads on. */
 static void
@@ -99,8 +159,8 @@
 static int
 user_timeout_of (const RelayCaller *caller)
 {
-  struct sockaddr_in own;
-  struct sockaddr_in peer;
+  struct sockaddr_in own = { 0 };
+  struct sockaddr_in peer = { 0 };
   socklen_t length = sizeof own;
   int timeout = -1;
 
@@ -277,9 +337,10 @@
 static void
 write_zeros (RelayCaller *caller, gsize length)
 {
-  g_autofree char *zeros = g_malloc0 (length);
+  char *zeros = g_malloc0 (length);
 
   bufferevent_write (caller->stream, zeros, length);
+  g_free (zeros);
 }
 
 /* Guards against a request body that is lost or counted for ever when its endpoint reads slowly,
@@ -348,6 +409,7 @@
 
 static const SuiteCase cases[] = {
   { "which connection is ended", test_choice },
+  { "bytes held for a while decide", test_old_bytes_decide },
   { "a caller that pauses gets every byte", test_pausing_caller_gets_every_byte },
   { "a caller that pauses gets more time", test_pausing_caller_gets_more_time },
   { "a connection is reused after a pause", test_connection_is_reused_after_a_pause },
