--- a/http/server.c
+++ b/http/server.c
@@ -4,82 +4,30 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <http_parser.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "common/settings.h"
 #include "common/socket.h"
+#include "http/server_internal.h"
 #include "http/socket.h"
 
 /* Interval between checks for connections past their timeouts: a tenth of the shortest timeout. */
 #define SWEEP_INTERVAL (250 * KNL_MSEC)
 
-/* Bytes of the next request that are read ahead while one is answered; the rest stays in the
- * socket's receive buffer. Also the unsent answer bytes above which the next request isn't
- * processed. */
-#define MAX_READ_AHEAD_BYTES 65536
-
 /* How long a closing connection waits for the caller to receive more of the answer, and then to
  * close its side. */
 #define CLOSE_TIMEOUT (2 * KNL_SEC)
 
 #define CONTINUE_ANSWER "HTTP/1.1 100 Continue\r\n\r\n"
 
-typedef struct Connection Connection;
-
-struct HtCall
-{
-  Connection *connection;
-  HtMessage *request;
-  KnlTime begun_at;
-  gboolean begun;
-  gboolean keep_alive;
-  gpointer data;
-};
-
-struct Connection
-{
-  HtServer *server;
-  struct bufferevent *stream;
-  HtReader *reader;
-  HtCall *call;         /* the request being answered */
-  KnlTime since;        /* start of the current timeout: connection accepted, first byte of
-                           a request, end of an answer, or last progress in sending */
-  gboolean reading;     /* part of a request has been received */
-  gboolean closing;     /* waits only until the answer is sent and the caller has closed its side */
-  gboolean half_closed; /* everything is sent, and the sending side is shut down */
-  gboolean expect_handled; /* the Expect field of this request has been handled */
-  gsize unsent;            /* unsent answer bytes at the last sweep */
-};
-
-struct HtServer
-{
-  KnlKernel *kernel;
-  struct event_base *base;
-  struct evconnlistener *listener;
-  HtServerLimits limits;
-  const HtServerEvents *events;
-  gpointer data;
-  GHashTable *connections; /* set of Connection */
-  KnlTimerId sweep_timer;
-  gboolean draining;
-};
-
 static const HtReaderEvents reader_events = { 0 };
 
-static void
-call_free (HtCall *call)
-{
-  ht_message_free (call->request);
-  g_free (call);
-}
-
 static void
 connection_free (Connection *self)
 {
   if (self->call != NULL)
-    call_free (self->call);
+    ht_call_free (self->call);
+  ht_holder_leave (&self->holder);
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
   g_free (self);
@@ -93,72 +41,29 @@
   g_hash_table_remove (self->server->connections, self);
 }
 
-static gsize
-unsent_bytes (const Connection *self)
-{
-  return evbuffer_get_length (bufferevent_get_output (self->stream));
-}
-
-/*
- * Closing a socket with unread input resets the connection, and the reset discards answer bytes
- * that the caller hasn't read yet. So only the sending side is shut down, and further input is
- * dropped until the caller closes its side.
- */
+/* Ends a connection whose caller has left too much unread. */
 static void
-shut_down_sending (Connection *self)
+end_unread (Connection *self)
 {
-  self->half_closed = TRUE;
-  self->since = knl_kernel_now (self->server->kernel);
-  shutdown (bufferevent_getfd (self->stream), SHUT_WR);
+  ht_connection_set_reset (self);
+  connection_drop (self);
 }
 
 static void
-close_after_answer (Connection *self)
+holder_end (HtHolder *holder)
 {
-  self->closing = TRUE;
-  self->since = knl_kernel_now (self->server->kernel);
-  if (unsent_bytes (self) == 0)
-    shut_down_sending (self);
+  end_unread ((Connection *)((char *)holder - G_STRUCT_OFFSET (Connection, holder)));
 }
 
-static void
-write_text (Connection *self, const char *text, gsize length)
+static char *
+holder_address (HtHolder *holder)
 {
-  bufferevent_write (self->stream, text, length);
-}
+  Connection *self = (Connection *)((char *)holder - G_STRUCT_OFFSET (Connection, holder));
 
-static void
-write_head (HtCall *call, guint status, const char *fields, const char *framing)
-{
-  Connection *self = call->connection;
-  g_autofree char *head = NULL;
-
-  if (self->server->draining)
-    call->keep_alive = FALSE;
-  head = g_strdup_printf ("HTTP/1.1 %u %s\r\n%s%s%s\r\n", status,
-                          http_status_str ((enum http_status)status), fields != NULL ? fields : "",
-                          framing, call->keep_alive ? "" : "Connection: close\r\n");
-  write_text (self, head, strlen (head));
+  return ht_socket_peer (bufferevent_getfd (self->stream));
 }
 
-static void
-finish_answer (HtCall *call)
-{
-  Connection *self = call->connection;
-  gboolean keep = call->keep_alive && !self->server->draining;
-
-  self->call = NULL;
-  call_free (call);
-  if (!keep)
-    {
-      close_after_answer (self);
-      return;
-    }
-  self->since = knl_kernel_now (self->server->kernel);
-  ht_reader_begin (self->reader, FALSE);
-  if (evbuffer_get_length (bufferevent_get_input (self->stream)) > 0)
-    bufferevent_trigger (self->stream, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-}
+static const HtHolderClass holder_class = { .address = holder_address, .end = holder_end };
 
 static void
 send_refusal (Connection *self, guint status)
@@ -173,11 +78,11 @@
       status, http_status_str ((enum http_status)status), fields->str, body->len);
 
   self->reading = FALSE;
-  write_text (self, head, strlen (head));
-  write_text (self, body->str, body->len);
+  ht_connection_write (self, head, strlen (head));
+  ht_connection_write (self, body->str, body->len);
   g_string_free (body, TRUE);
   g_string_free (fields, TRUE);
-  close_after_answer (self);
+  ht_connection_close_after_answer (self);
 }
 
 static void
@@ -186,6 +91,7 @@
   HtCall *call = g_new0 (HtCall, 1);
 
   call->connection = self;
+  call->flow.stream = self->stream;
   call->request = ht_reader_steal (self->reader);
   call->begun_at = self->since;
   call->keep_alive = call->request->keep_alive;
@@ -207,11 +113,24 @@
   if (expected == NULL || !ht_reader_message (self->reader)->supports_chunked)
     return;
   if (g_ascii_strcasecmp (expected, "100-continue") == 0)
-    write_text (self, CONTINUE_ANSWER, strlen (CONTINUE_ANSWER));
+    ht_connection_write (self, CONTINUE_ANSWER, strlen (CONTINUE_ANSWER));
   else
     send_refusal (self, 417);
 }
 
+/* A bufferevent whose input has reached its high watermark and isn't consumed calls back again and
+ * again, so it isn't read until the input can be processed. */
+static void
+set_reading (Connection *self, gboolean reads)
+{
+  if (reads == ((bufferevent_get_enabled (self->stream) & EV_READ) != 0))
+    return;
+  if (reads)
+    bufferevent_enable (self->stream, EV_READ);
+  else
+    bufferevent_disable (self->stream, EV_READ);
+}
+
 static void
 process_input (Connection *self)
 {
@@ -223,10 +142,15 @@
   if (self->closing)
     {
       evbuffer_drain (input, length);
+      set_reading (self, TRUE);
       return;
     }
-  if (self->call != NULL || length == 0 || unsent_bytes (self) > MAX_READ_AHEAD_BYTES)
-    return;
+  if (self->call != NULL || length == 0 || ht_connection_unsent (self) > MAX_READ_AHEAD_BYTES)
+    {
+      set_reading (self, length < MAX_READ_AHEAD_BYTES);
+      return;
+    }
+  set_reading (self, TRUE);
   if (!self->reading)
     {
       self->reading = TRUE;
@@ -271,8 +195,10 @@
 {
   Connection *self = data;
 
+  if (self->call != NULL)
+    ht_flow_update (&self->call->flow);
   if (self->closing && !self->half_closed)
-    shut_down_sending (self);
+    ht_connection_shut_down (self);
   else if (!self->closing)
     process_input (self); /* the next request may have waited until this answer was sent */
 }
@@ -308,14 +234,29 @@
   bufferevent_setcb (connection->stream, on_readable, on_written, on_event, connection);
   bufferevent_setwatermark (connection->stream, EV_READ, 0, MAX_READ_AHEAD_BYTES);
   bufferevent_enable (connection->stream, EV_READ | EV_WRITE);
+  ht_holder_join (&connection->holder, self->unsent, &holder_class,
+                  bufferevent_get_output (connection->stream));
   g_hash_table_add (self->connections, connection);
 }
 
+/* A connection whose caller is alive, but doesn't read, isn't to be taken for a broken one; only
+ * where a bound on the sum ends such callers. */
+static void
+update_is_behind (Connection *self)
+{
+  gboolean is_behind = self->server->unsent != NULL && ht_connection_unsent (self) > 0;
+
+  if (is_behind == self->is_behind)
+    return;
+  self->is_behind = is_behind;
+  ht_socket_tolerate_slow_reader (bufferevent_getfd (self->stream), is_behind);
+}
+
 static gboolean
 is_overdue (Connection *self, KnlTime now)
 {
   const HtServerLimits *limits = &self->server->limits;
-  gsize unsent = unsent_bytes (self);
+  gsize unsent = ht_connection_unsent (self);
   gboolean makes_progress = unsent < self->unsent;
 
   self->unsent = unsent;
@@ -345,6 +286,7 @@
   g_hash_table_iter_init (&iter, self->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
+      update_is_behind (key);
       if (is_overdue (key, now))
         g_ptr_array_add (overdue, key);
     }
@@ -353,8 +295,10 @@
       Connection *connection = g_ptr_array_index (overdue, i);
 
       if (connection->reading && connection->call == NULL && !connection->closing
-          && unsent_bytes (connection) <= self->limits.max_unsent)
+          && ht_connection_unsent (connection) <= self->limits.max_unsent)
         send_refusal (connection, 408);
+      else if (ht_connection_unsent (connection) > 0)
+        end_unread (connection);
       else
         connection_drop (connection);
     }
@@ -415,6 +359,12 @@
     ht_reader_set_limits (((Connection *)key)->reader, &limits->message);
 }
 
+void
+ht_server_count_unsent (HtServer *self, HtUnsent *unsent)
+{
+  self->unsent = unsent;
+}
+
 void
 ht_server_drain (HtServer *self)
 {
@@ -451,7 +401,8 @@
     {
       const Connection *connection = key;
 
-      busy += connection->call != NULL || connection->reading || unsent_bytes (connection) > 0;
+      busy +=
+          connection->call != NULL || connection->reading || ht_connection_unsent (connection) > 0;
     }
   return busy;
 }
@@ -465,123 +416,6 @@
 
   g_hash_table_iter_init (&iter, self->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    unsent += unsent_bytes (key);
+    unsent += ht_connection_unsent (key);
   return unsent;
 }
-
-HtMessage *
-ht_call_request (HtCall *call)
-{
-  return call->request;
-}
-
-void
-ht_call_set_data (HtCall *call, gpointer data)
-{
-  call->data = data;
-}
-
-gpointer
-ht_call_data (HtCall *call)
-{
-  return call->data;
-}
-
-KnlTime
-ht_call_begun_at (const HtCall *call)
-{
-  return call->begun_at;
-}
-
-void
-ht_call_answer (HtCall *call, guint status, const char *fields, const char *body, gsize length)
-{
-  char framing[48];
-  Connection *self = call->connection;
-
-  g_snprintf (framing, sizeof framing, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
-  write_head (call, status, fields, status == 204 || status == 304 ? "" : framing);
-  if (length > 0 && strcmp (call->request->method, "HEAD") != 0)
-    write_text (self, body, length);
-  finish_answer (call);
-}
-
-static void
-release_bytes (const void *data, size_t length, void *bytes)
-{
-  g_bytes_unref (bytes);
-}
-
-void
-ht_call_answer_bytes (HtCall *call, guint status, const char *fields, GBytes *body)
-{
-  gsize length;
-  const char *bytes = g_bytes_get_data (body, &length);
-  struct evbuffer *output = bufferevent_get_output (call->connection->stream);
-  char framing[48];
-
-  g_snprintf (framing, sizeof framing, "Content-Length: %" G_GSIZE_FORMAT "\r\n", length);
-  write_head (call, status, fields, framing);
-  if (length > 0)
-    evbuffer_add_reference (output, bytes, length, release_bytes, g_bytes_ref (body));
-  finish_answer (call);
-}
-
-void
-ht_call_begin (HtCall *call, guint status, const char *fields)
-{
-  call->begun = TRUE;
-  call->keep_alive = call->keep_alive && call->request->supports_chunked;
-  write_head (call, status, fields,
-              call->request->supports_chunked ? "Transfer-Encoding: chunked\r\n" : "");
-}
-
-void
-ht_call_send (HtCall *call, const char *bytes, gsize length)
-{
-  char size[24];
-
-  if (length == 0)
-    return;
-  if (!call->request->supports_chunked)
-    {
-      write_text (call->connection, bytes, length);
-      return;
-    }
-  g_snprintf (size, sizeof size, "%" G_GSIZE_MODIFIER "x\r\n", length);
-  write_text (call->connection, size, strlen (size));
-  write_text (call->connection, bytes, length);
-  write_text (call->connection, "\r\n", 2);
-}
-
-gboolean
-ht_call_has_begun (const HtCall *call)
-{
-  return call->begun;
-}
-
-void
-ht_call_end (HtCall *call)
-{
-  if (call->request->supports_chunked)
-    write_text (call->connection, "0\r\n\r\n", 5);
-  finish_answer (call);
-}
-
-gsize
-ht_call_unsent (const HtCall *call)
-{
-  return unsent_bytes (call->connection);
-}
-
-void
-ht_call_abort (HtCall *call)
-{
-  Connection *self = call->connection;
-  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
-
-  self->call = NULL;
-  call_free (call);
-  setsockopt (bufferevent_getfd (self->stream), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
-  g_hash_table_remove (self->server->connections, self);
-}
