--- a/serve/place_short.c
+++ b/serve/place_short.c
@@ -166,6 +166,7 @@
 {
   guint parts = CLAMP ((guint)ceil (choice->prefill_ms / SV_SPLIT_MS), 1, SV_MAX_HELPERS + 1);
   const SvCandidate *first;
+  double wait;
   double before;
   SvCandidate *tried = candidate_to_try (choice);
   double part_ms;
@@ -179,7 +180,9 @@
   first = sv_candidate_at (choice, 0);
   placement->first = first->endpoint;
   placement->is_full = is_full (choice, first);
-  before = MAX (time_before_part (first), add_packed_helpers (choice, parts, placement));
+  /* MAX evaluates its arguments twice. */
+  wait = add_packed_helpers (choice, parts, placement);
+  before = MAX (time_before_part (first), wait);
   part_ms = choice->prefill_ms / (placement->n_helpers + 1);
   placement->part = (KnlTime)(part_ms * KNL_MSEC);
   /* By the declared figures: it is registered at each endpoint with the endpoint's pace. */
