policy, serve, wire: what an endpoint states of its own pace

Cause: an endpoint that only prefills parts of other endpoints' prompts gives no samples, so nobody knows that it is slow.

Change: PolPace takes a statement of the endpoint itself. The newest statement to any instance decides where samples are too few, and never against enough samples or a few normal ones. It ages as samples do and is announced to peers and other cells (EndpointPace.stated), also when its value is the same, since peers need its age. The log line endpoint-pace has "stated".

The unit suite passes with address and undefined sanitizers.

--- a/include/policy/pace.h
+++ b/include/policy/pace.h
@@ -31,8 +31,9 @@
 typedef struct
 {
   double ratio;
-  guint samples; /**< that it is estimated from; 0: there is no estimate */
-  KnlTime at;    /**< time of the newest sample */
+  guint samples;      /**< that it is estimated from; 0: there is no estimate */
+  KnlTime at;         /**< time of the newest sample */
+  gboolean is_stated; /**< the endpoint itself stated it, and `samples` is only its weight */
 } PolPaceEstimate;
 
 /** The ratio that counts as normal at an instance. */
@@ -55,11 +56,13 @@
   guint n_samples; /**< added so far; they are kept as a ring */
   PolPaceReport reports[POL_PACE_MAX_REPORTS];
   guint n_reports;
-  double reference;        /**< own samples are relative to this; see pol_pace_reference() */
-  gboolean is_unsure;      /**< too few endpoints were measured for a reference */
-  PolPaceEstimate own;     /**< last estimate from enough samples of this instance */
-  KnlTime announced_until; /**< until when recent estimates are announced even if not slow */
-  double combined;         /**< estimate from all sources at `combined_at` */
+  double reference;              /**< own samples are relative to this; see pol_pace_reference() */
+  gboolean is_unsure;            /**< too few endpoints were measured for a reference */
+  PolPaceEstimate own;           /**< last estimate from enough samples of this instance */
+  PolPaceEstimate stated;        /**< what the endpoint last stated itself, to this instance */
+  gboolean decided_by_statement; /**< `combined` rests on what the endpoint stated */
+  KnlTime announced_until;       /**< until when recent estimates are announced even if not slow */
+  double combined;               /**< estimate from all sources at `combined_at` */
   KnlTime combined_at;
   KnlTime known_at; /**< newest sample in any estimate that was combined while it was recent */
   double
@@ -72,6 +75,10 @@
  * their events at the end of the same pass. */
 void pol_pace_add_sample (PolPace *pace, double ratio, KnlTime now);
 
+/** Adds what the endpoint itself states in an answer to this instance: a finite number that isn't
+ * negative. It decides where samples, here and at peers, are too few, and ages like them. */
+void pol_pace_add_statement (PolPace *pace, double ratio, KnlTime now);
+
 /** Adds a report; it replaces an earlier one of the same source. */
 void pol_pace_add_report (PolPace *pace, const PolPaceReport *report, KnlTime now);
 
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -101,6 +101,10 @@
   double mean_answer;            /**< plain endpoints: mean time to an answer, ms; 0: not known */
   guint32 announced_pace;        /**< own estimate in percent as last announced; 0: none was */
   guint32 announced_cell_pace;   /**< the same of this cell to other cells */
+  KnlTime announced_cell_statement; /**< time of the endpoint's own statement of its pace that was
+                                       last announced to other cells; 0: none was */
+  KnlTime pace_asked_at;            /**< when this instance last asked it for its pace; 0: never */
+  gboolean is_pace_asked;           /**< such a call is in flight */
   SvEndpointCold cold; /**< whether it is cold, and this instance's share of what it may get */
 };
 
--- a/include/serve/pace.h
+++ b/include/serve/pace.h
@@ -45,6 +45,10 @@
  * its row is marked as changed. */
 gboolean sv_pace_mark_changed (SvEndpoint *endpoint, KnlTime now);
 
+/** Handles what the endpoint states itself; its row is marked as changed, also if the value is the
+ * same: peers need its age. */
+void sv_pace_note_statement (SvEndpoint *endpoint, double ratio, KnlTime now);
+
 /** Handles a report of a peer or another cell's relay. */
 void sv_pace_note_report (SvEndpoint *endpoint, const PolPaceReport *report, KnlTime now);
 
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -76,10 +76,14 @@
    * since the newest of them
    */
   uint32_t age_ms;
+  /*
+   * the endpoint stated it itself; samples is only its weight
+   */
+  protobuf_c_boolean stated;
 };
 #define ALDERTURN__ENDPOINT_PACE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__endpoint_pace__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
--- a/policy/pace.c
+++ b/policy/pace.c
@@ -52,9 +52,10 @@
 /* The estimates that are combined, at most one for each source. */
 typedef struct
 {
-  PolPaceEstimate rows[POL_PACE_MAX_REPORTS + 2];
+  PolPaceEstimate rows[POL_PACE_MAX_REPORTS + 3];
   guint n;
-  guint weight; /* sum of `samples` */
+  guint weight;       /* sum of `samples` */
+  gboolean is_stated; /* it contains a statement of the endpoint */
 } Evidence;
 
 void
@@ -173,6 +174,18 @@
     self->n_samples = POL_PACE_MAX_SAMPLES;
 }
 
+void
+pol_pace_add_statement (PolPace *self, double ratio, KnlTime now)
+{
+  self->stated = (PolPaceEstimate){
+    .ratio = relative (ratio, 1),
+    .samples = MIN_COMBINED_SAMPLES,
+    .at = now,
+    .is_stated = TRUE,
+  };
+  pol_pace_announce (self, now);
+}
+
 /* The report of the source, or the one that a new source replaces. */
 static PolPaceReport *
 report_slot (PolPace *self, const PolPaceReport *report)
@@ -253,8 +266,9 @@
   return estimate;
 }
 
+/* Estimates that come from samples. */
 static Evidence
-collect (const PolPace *self, gboolean with_cells, gboolean recent, KnlTime now)
+collect_sampled (const PolPace *self, gboolean with_cells, gboolean recent, KnlTime now)
 {
   Evidence evidence = { .n = 0 };
   PolPaceEstimate own = self->own;
@@ -268,9 +282,60 @@
   add_evidence (&evidence, &own, recent, now);
   for (guint i = 0; i < self->n_reports; i++)
     {
-      if (with_cells || !self->reports[i].is_cell)
-        add_evidence (&evidence, &self->reports[i].estimate, recent, now);
+      const PolPaceReport *report = &self->reports[i];
+
+      if (!report->estimate.is_stated && (with_cells || !report->is_cell))
+        add_evidence (&evidence, &report->estimate, recent, now);
+    }
+  return evidence;
+}
+
+/* The newest statement of the endpoint to any instance; `samples` is 0 if there is none. */
+static PolPaceEstimate
+newest_statement (const PolPace *self, gboolean with_cells)
+{
+  PolPaceEstimate statement = self->stated;
+
+  for (guint i = 0; i < self->n_reports; i++)
+    {
+      const PolPaceReport *report = &self->reports[i];
+
+      if (!report->estimate.is_stated || (report->is_cell && !with_cells))
+        continue;
+      if (statement.samples == 0 || report->estimate.at > statement.at)
+        statement = report->estimate;
+    }
+  return statement;
+}
+
+/* Where samples are too few, the newest statement decides, unless some of them show the endpoint
+ * normal: nothing makes samples smaller. */
+static void
+add_statement (Evidence *evidence, const PolPaceEstimate *statement, gboolean recent, KnlTime now)
+{
+  guint weight = evidence->weight;
+
+  if (weight >= MIN_COMBINED_SAMPLES)
+    return;
+  for (guint i = 0; i < evidence->n; i++)
+    {
+      const PolPaceEstimate *row = &evidence->rows[i];
+
+      if (row->ratio < POL_PACE_MIN_SLOW && row->samples >= MIN_NORMAL_SAMPLES)
+        return;
     }
+  add_evidence (evidence, statement, recent, now);
+  evidence->is_stated = evidence->weight > weight;
+}
+
+static Evidence
+collect (const PolPace *self, gboolean with_cells, gboolean recent, KnlTime now)
+{
+  Evidence evidence = collect_sampled (self, with_cells, recent, now);
+  PolPaceEstimate statement = newest_statement (self, with_cells);
+
+  if (statement.samples > 0)
+    add_statement (&evidence, &statement, recent, now);
   return evidence;
 }
 
@@ -334,7 +399,10 @@
   else
     evidence = collect (self, TRUE, FALSE, now);
   if (is_sampled || is_usable (self, &evidence))
-    combined = MAX (combined, weighted_median (&evidence));
+    {
+      combined = MAX (combined, weighted_median (&evidence));
+      self->decided_by_statement = evidence.is_stated;
+    }
   self->combined = combined;
   self->combined_at = now;
   return combined;
@@ -345,6 +413,8 @@
 {
   KnlTime at = self->own.samples > 0 ? self->own.at : -KNL_NEVER / 2;
 
+  if (self->stated.samples > 0)
+    at = MAX (at, self->stated.at);
   for (guint i = 0; i < self->n_reports; i++)
     at = MAX (at, self->reports[i].estimate.at);
   return at;
@@ -379,13 +449,26 @@
   return factor < POL_PACE_MIN_SLOW ? 1 : MIN (factor, POL_PACE_MAX);
 }
 
+/* The estimate from samples while it is recent or newer than what the endpoint stated. */
+static const PolPaceEstimate *
+own_estimate (const PolPace *self, KnlTime now)
+{
+  const PolPaceEstimate *own = &self->own;
+
+  if (self->stated.samples == 0)
+    return own;
+  if (own->samples > 0 && (is_recent (own, now) || own->at >= self->stated.at))
+    return own;
+  return &self->stated;
+}
+
 gboolean
 pol_pace_own_report (const PolPace *self, KnlTime now, PolPaceEstimate *estimate)
 {
-  *estimate = aged (&self->own, now);
+  *estimate = aged (own_estimate (self, now), now);
   if (estimate->samples == 0)
     return FALSE;
-  if (self->is_unsure)
+  if (self->is_unsure && !estimate->is_stated)
     estimate->samples = MIN (estimate->samples, MAX_UNSURE_WEIGHT);
   return estimate->ratio >= POL_PACE_MIN_SLOW
          || (is_recent (estimate, now) && now < self->announced_until);
@@ -403,7 +486,8 @@
     evidence = collect (self, FALSE, FALSE, now);
   *estimate = (PolPaceEstimate){ .ratio = weighted_median (&evidence),
                                  .samples = evidence.weight,
-                                 .at = newest (&evidence) };
+                                 .at = newest (&evidence),
+                                 .is_stated = evidence.is_stated };
   if (estimate->samples <= CONFIRMING_WEIGHT)
     return FALSE;
   /* Peers report only endpoints that are slow, or were. */
--- a/serve/pace.c
+++ b/serve/pace.c
@@ -143,7 +143,8 @@
   endpoint->logged_factor = factor;
   cm_log (CM_LOG_NOTICE, "endpoint-pace", "s", "endpoint", endpoint->id, "f", "factor", factor, "f",
           "before", before, "i", "own-samples", (gint64)endpoint->pace.own.samples, "f",
-          "own-factor", endpoint->pace.own.ratio, "i", "reports", (gint64)endpoint->pace.n_reports);
+          "own-factor", endpoint->pace.own.ratio, "i", "reports", (gint64)endpoint->pace.n_reports,
+          "b", "stated", endpoint->pace.decided_by_statement);
 }
 
 static PolPaceReference
@@ -227,6 +228,14 @@
   return TRUE;
 }
 
+void
+sv_pace_note_statement (SvEndpoint *endpoint, double ratio, KnlTime now)
+{
+  pol_pace_add_statement (&endpoint->pace, ratio, now);
+  endpoint->own_changed = TRUE;
+  endpoint->cell_changed = TRUE;
+}
+
 void
 sv_pace_note_report (SvEndpoint *endpoint, const PolPaceReport *report, KnlTime now)
 {
--- a/serve/peers_pace.c
+++ b/serve/peers_pace.c
@@ -17,6 +17,7 @@
   alderturn__endpoint_pace__init (pace);
   pace->percent = sv_pace_percent (TRUE, estimate);
   pace->samples = estimate->samples;
+  pace->stated = estimate->is_stated;
   pace->age_ms = (guint32)CLAMP (age / KNL_MSEC, 0, (KnlTime)G_MAXUINT32);
   rows->loads[last].pace = pace;
   rows->n_paces++;
@@ -54,6 +55,9 @@
   gint64 percent = sv_pace_percent (is_known, &estimate);
   gint64 announced = endpoint->announced_cell_pace;
 
+  /* Other cells would otherwise ask the endpoint again. */
+  if (is_known && estimate.is_stated && estimate.at > endpoint->announced_cell_statement)
+    return FALSE;
   return ABS (percent - announced) <= announced / 10;
 }
 
@@ -68,6 +72,8 @@
       pol_pace_cell_report (&endpoint->pace, knl_kernel_now (self->kernel), &estimate);
 
   endpoint->announced_cell_pace = sv_pace_percent (is_known, &estimate);
+  if (is_known && estimate.is_stated)
+    endpoint->announced_cell_statement = estimate.at;
   if (is_known)
     add_pace (self, datagram, rows, &estimate);
 }
@@ -85,7 +91,8 @@
     .is_cell = is_cell,
     .estimate = { .ratio = pace->percent / 100.0,
                   .samples = pace->samples,
-                  .at = now - (KnlTime)pace->age_ms * KNL_MSEC },
+                  .at = now - (KnlTime)pace->age_ms * KNL_MSEC,
+                  .is_stated = pace->stated },
   };
 
   sv_pace_note_report (endpoint, &report, now);
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -611,7 +611,7 @@
   (ProtobufCMessageInit) alderturn__endpoint_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__endpoint_pace__field_descriptors[3] =
+static const ProtobufCFieldDescriptor alderturn__endpoint_pace__field_descriptors[4] =
 {
   {
     "percent",
@@ -649,16 +649,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stated",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointPace, stated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__endpoint_pace__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   0,   /* field[0] = percent */
   1,   /* field[1] = samples */
+  3,   /* field[3] = stated */
 };
 static const ProtobufCIntRange alderturn__endpoint_pace__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor alderturn__endpoint_pace__descriptor =
 {
@@ -668,7 +681,7 @@
   "Alderturn__EndpointPace",
   "alderturn",
   sizeof(Alderturn__EndpointPace),
-  3,
+  4,
   alderturn__endpoint_pace__field_descriptors,
   alderturn__endpoint_pace__field_indices_by_name,
   1,  alderturn__endpoint_pace__number_ranges,
