serve, platform: endpoints are asked how slow they are

Change: SvPaceReports asks GET /report of endpoints of which nobody has a recent estimate: those with a part of a split prompt whose first event came 1.5 times and 100 ms later than expected, and, while some endpoint of the service is slow, all of them with a probability of 1 / instances in each check. One call for an endpoint at a time and in 2 s, 17 calls a second for an instance. Evacuated, leaving, unusable and cold endpoints aren't asked, nor those that advertise a limit or a Retry-After. Counter alderturn_pace_reports_total.

--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -100,6 +100,11 @@
                              const SvEndpoint *endpoint,
                              const SvReserve *reserve,
                              char **head);
+  /** Start line and header fields of a call that asks an endpoint how slow it is. */
+  GString *(*write_pace_call) (SvDialect *dialect, const SvEndpoint *endpoint);
+  /** Reads the body of the answer to it; sets `slowdown` to a number from 1 to POL_PACE_MAX.
+   * FALSE: it has none. */
+  gboolean (*read_pace) (SvDialect *dialect, const char *body, gsize length, double *slowdown);
 } SvDialectClass;
 
 struct SvDialect
--- a/include/serve/meters.h
+++ b/include/serve/meters.h
@@ -42,3 +42,6 @@
 
 /** Sets the number of the service's endpoints that count as slow. */
 void sv_meters_set_slow_endpoints (SvMeters *meters, const char *service, guint n);
+
+/** Counts a call that asked an endpoint how slow it is, by its result. */
+void sv_meters_note_pace_report (SvMeters *meters, const char *service, const char *result);
--- a/serve/core.c
+++ b/serve/core.c
@@ -26,6 +26,21 @@
     link->klass->reach_changed (link, is_lost);
 }
 
+static SvPaceReports *
+new_pace_reports (const SvCore *self)
+{
+  SvPaceReportsParts parts = {
+    .kernel = self->parts.kernel,
+    .client = self->parts.client,
+    .dialect = self->parts.dialect,
+    .fleet = self->parts.fleet,
+    .link = self->parts.link,
+    .meters = self->meters,
+  };
+
+  return sv_pace_reports_new (&parts);
+}
+
 SvCore *
 sv_core_new (const SvCoreParts *parts, const SvBounds *bounds)
 {
@@ -41,6 +56,7 @@
   self->reach =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)sv_reach_free);
   self->meters = sv_meters_new (parts->metrics);
+  self->pace_reports = new_pace_reports (self);
   sv_fleet_on_prefill (parts->fleet, sv_core_note_prefill, self);
   return self;
 }
@@ -68,6 +84,7 @@
     return;
   sv_fleet_on_prefill (self->parts.fleet, NULL, NULL);
   end_requests (self, sv_request_note_disconnect);
+  sv_pace_reports_free (self->pace_reports);
   sv_meters_free (self->meters);
   sv_crashes_free (self->crashes);
   g_hash_table_unref (self->reach);
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -6,6 +6,7 @@
 #include "serve/events.h"
 #include "serve/meters.h"
 #include "serve/pace.h"
+#include "serve/pace_reports.h"
 #include "serve/reach.h"
 #include "serve/reservation.h"
 
@@ -26,6 +27,7 @@
   guint n_lost;      /* services that this instance has lost its links to */
   guint n_passed;    /* requests that peers passed on to this instance and that have not ended */
   SvMeters *meters;
+  SvPaceReports *pace_reports;
 };
 
 /** One request of a caller, from its reception to the end of its answer. */
--- a/serve/meters.c
+++ b/serve/meters.c
@@ -73,6 +73,13 @@
   .labels = { "service" },
 };
 
+static const CmMetricDef pace_reports_def = {
+  .name = "alderturn_pace_reports_total",
+  .help = "Calls that ask endpoints how slow they are, by result",
+  .type = CM_METRIC_COUNTER,
+  .labels = { "service", "result" },
+};
+
 struct SvMeters
 {
   CmMetric *requests;
@@ -85,6 +92,7 @@
   CmMetric *passed;
   CmMetric *first_event_error;
   CmMetric *slow;
+  CmMetric *pace_reports;
 };
 
 SvMeters *
@@ -102,6 +110,7 @@
   self->passed = cm_metrics_add (metrics, &passed_def);
   self->first_event_error = cm_metrics_add (metrics, &first_event_error_def);
   self->slow = cm_metrics_add (metrics, &slow_def);
+  self->pace_reports = cm_metrics_add (metrics, &pace_reports_def);
   return self;
 }
 
@@ -170,3 +179,9 @@
 {
   cm_series_set (cm_metric_series (self->slow, service, NULL, NULL), n);
 }
+
+void
+sv_meters_note_pace_report (SvMeters *self, const char *service, const char *result)
+{
+  cm_series_add (cm_metric_series (self->pace_reports, service, result, NULL), 1);
+}
--- a/serve/send.c
+++ b/serve/send.c
@@ -121,11 +121,13 @@
 static void
 refresh_pace (const SvRequest *self)
 {
-  const SvCore *core = self->core;
+  SvCore *core = self->core;
   gint n_slow = sv_pace_refresh (core->parts.fleet, self->service->name, sv_request_now (self));
 
   if (n_slow >= 0)
     sv_meters_set_slow_endpoints (core->meters, self->service->name, (guint)n_slow);
+  if (n_slow > 0 && sv_service_is_engine (self->service) && !sv_core_has_stale_zones (core))
+    sv_pace_reports_check (core->pace_reports, self->service->name);
 }
 
 void
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -9,6 +9,14 @@
          && !self->reply.not_run;
 }
 
+/* A part at a slow endpoint may be what the first event waited for. */
+static void
+ask_if_late (const SvRequest *self, KnlTime waited)
+{
+  if (sv_pace_reports_is_late (&self->placement, waited) && !sv_core_has_stale_zones (self->core))
+    sv_pace_reports_ask_suspects (self->core->pace_reports, &self->placement);
+}
+
 static void
 begin_answer (SvRequest *self)
 {
@@ -18,6 +26,7 @@
     return;
   self->first_sent_at = now;
   sv_meters_note_prediction (self->core->meters, self->placement.expected, now - self->sent_at);
+  ask_if_late (self, now - self->sent_at);
   ht_call_begin (self->call, 200, self->fields != NULL ? self->fields->str : NULL);
 }
 
