--- a/serve/peers_pace.c
+++ b/serve/peers_pace.c
@@ -4,6 +4,10 @@
 
 #include "peers_internal.h"
 
+/* A newer statement of an endpoint is told to other cells if it is newer than the last one by this:
+ * its time is known to some ms only, and each repetition of it would be told otherwise. */
+#define MIN_STATEMENT_INTERVAL (1 * KNL_SEC)
+
 static void
 add_pace (const SvPeers *self,
           Alderturn__Datagram *datagram,
@@ -56,7 +60,8 @@
   gint64 announced = endpoint->announced_cell_pace;
 
   /* Other cells would otherwise ask the endpoint again. */
-  if (is_known && estimate.is_stated && estimate.at > endpoint->announced_cell_statement)
+  if (is_known && estimate.is_stated
+      && estimate.at >= endpoint->announced_cell_statement + MIN_STATEMENT_INTERVAL)
     return FALSE;
   return ABS (percent - announced) <= announced / 10;
 }
