--- a/tests/unit/sv_pace_calls_test.c
+++ b/tests/unit/sv_pace_calls_test.c
@@ -5,6 +5,7 @@
 
 #include "peers_fixture.h"
 #include "serve/pace.h"
+#include "serve/peers_internal.h"
 #include "suite.h"
 #include "sv_fixture.h"
 
@@ -286,9 +287,51 @@
   peers_fixture_close (&fixture);
 }
 
+typedef struct
+{
+  KnlTime newer_by; /* than the statement that other cells were told */
+  gboolean is_told;
+} RepeatedRow;
+
+/* Guards against datagrams to other cells with each repetition of a statement, whose time varies by
+ * some ms, and against other cells that don't hear of a new one of the same value. */
+static const RepeatedRow repeated_rows[] = {
+  { 0, TRUE },
+  { 30 * KNL_MSEC, TRUE },
+  { 2 * KNL_SEC, FALSE },
+};
+
+static void
+test_repetitions_are_not_told (void)
+{
+  static const char *const zones[INSTANCES] = { "a", "a", "b", "b" };
+  PeersFixture fixture;
+  SvEndpoint *endpoint;
+  KnlTime now;
+
+  peers_fixture_open (&fixture, zones, INSTANCES, 8);
+  endpoint = peers_fixture_endpoint (&fixture, 0);
+  now = knl_kernel_now (fixture.kernel);
+  endpoint->announced_cell_pace = 250;
+  for (guint i = 0; i < G_N_ELEMENTS (repeated_rows); i++)
+    {
+      PolPaceReport report = {
+        .source = 1,
+        .estimate = { .ratio = 2.5, .samples = 7, .at = now, .is_stated = TRUE },
+      };
+
+      sv_pace_note_report (endpoint, &report, now);
+      endpoint->announced_cell_statement = now - repeated_rows[i].newer_by;
+      CU_ASSERT_EQUAL (sv_peers_has_told_cell_pace (fixture.peers[0], endpoint),
+                       repeated_rows[i].is_told);
+    }
+  peers_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "calls", test_calls },
   { "statements reach all instances", test_statements_reach_all_instances },
+  { "repetitions are not told", test_repetitions_are_not_told },
 };
 
 SUITE_MAIN ("sv_pace_calls", cases)
