serve: announcements of slow endpoints leave room for loads

Cause: once one endpoint of a service was slow, all with recent samples were announced, each with two of the 36 rows of a full datagram. From 19 on it wasn't whole, so loads left by lost datagrams were never dropped. The endpoints after the first 18 were never announced, and a datagram of changes carried half as many loads.

Change: full datagrams carry loads and limits first, and `whole` depends on these alone. Paces fill the space that is left, in turn, with four rows of their own. Datagrams of changes get paces last, as far as their bytes permit; a row whose pace has no space is sent again.

Tests: three new cases in sv_pace_peers failed before and pass now.

--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -14,6 +14,10 @@
 /* Maximum rows of one kind in a datagram, to stay below the usual packet size. */
 #define MAX_ROWS 36
 
+/* Rows that a full datagram has for paces alone, so that some are announced even if loads and
+ * limits use up MAX_ROWS. */
+#define SPARE_PACE_ROWS 4
+
 /* Maximum rows for endpoints where requests were lost, and for those that answer again. */
 #define MAX_HEALTH_ROWS 10
 
@@ -142,6 +146,7 @@
   guint n_in_cell;      /* peers of our cell, alive or not, at the last heartbeat */
   gboolean was_relay;   /* at the last heartbeat */
   guint next_described; /* index of the first endpoint in the next description */
+  guint next_paced; /* index of the first endpoint whose pace the next full datagram announces */
   KnlTime cell_announced_at; /* last time that changes were announced to other cells; 0: never */
   KnlTimerId cell_timer;     /* next announcement to other cells; 0: none is scheduled */
   KnlTime described_at;      /* last description sent because of a change; 0: never */
@@ -162,11 +167,13 @@
 /** Storage for a datagram's rows, with the arrays of pointers that protobuf-c needs. */
 typedef struct
 {
-  Alderturn__EndpointLoad loads[MAX_ROWS];
-  Alderturn__EndpointLoad *load_rows[MAX_ROWS];
-  Alderturn__EndpointLimit limits[MAX_ROWS]; /* limit of the same index in `loads` */
+  Alderturn__EndpointLoad loads[MAX_ROWS + SPARE_PACE_ROWS];
+  Alderturn__EndpointLoad *load_rows[MAX_ROWS + SPARE_PACE_ROWS];
+  SvEndpoint *endpoints[MAX_ROWS + SPARE_PACE_ROWS]; /* of the same index, in rows that may get a
+                                                        pace */
+  Alderturn__EndpointLimit limits[MAX_ROWS + SPARE_PACE_ROWS]; /* of the same index in `loads` */
   guint n_limits;
-  Alderturn__EndpointPace paces[MAX_ROWS]; /* pace of the same index in `loads` */
+  Alderturn__EndpointPace paces[MAX_ROWS + SPARE_PACE_ROWS]; /* of the same index in `loads` */
   guint n_paces;
   Alderturn__PlacedRead prefills[MAX_PREFILL_ROWS];
   Alderturn__PlacedRead *prefill_rows[MAX_PREFILL_ROWS];
@@ -241,21 +248,16 @@
 
 /* peers_pace.c */
 
-/** Whether this instance announces how slow the endpoint is, also while it has no load there. */
-gboolean sv_peers_announces_pace (const SvPeers *self, const SvEndpoint *endpoint);
+/** Adds this instance's estimates of the rows' endpoints, where they are to be announced. Rows
+ * whose estimate has no space are marked as changed again. */
+void sv_peers_add_own_paces (const SvPeers *self, Alderturn__Datagram *datagram, Rows *rows);
 
-/** Adds this instance's estimate of the endpoint's pace, if it is to be announced, to the row added
- * last. */
-void sv_peers_add_own_pace (const SvPeers *self,
-                            Alderturn__Datagram *datagram,
-                            Rows *rows,
-                            SvEndpoint *endpoint);
+/** The same with the estimates of the whole cell. */
+void sv_peers_add_cell_paces (const SvPeers *self, Alderturn__Datagram *datagram, Rows *rows);
 
-/** The same with the estimate of the whole cell. */
-void sv_peers_add_cell_pace (const SvPeers *self,
-                             Alderturn__Datagram *datagram,
-                             Rows *rows,
-                             SvEndpoint *endpoint);
+/** Fills the space that is left in a full datagram with this instance's estimates, also of
+ * endpoints that have no load; the next full datagram continues where this one ends. */
+void sv_peers_add_paces_in_turn (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows);
 
 /** Whether the cell's estimate differs by at most a tenth from what was last announced to other
  * cells. */
@@ -270,6 +272,12 @@
 
 /* peers_tell.c */
 
+/** Adds a row with this instance's own load and limit. */
+void sv_peers_add_own_load (const SvPeers *self,
+                            Alderturn__Datagram *datagram,
+                            Rows *rows,
+                            SvEndpoint *endpoint);
+
 /** Callbacks through which the core announces changes to peers. */
 extern const SvPeerLinkClass sv_peers_link_class;
 
@@ -287,10 +295,10 @@
                            Alderturn__Datagram *datagram,
                            Alderturn__Sender *sender);
 
-/** Whether the datagram has `max_rows` load rows or more; a limit or pace counts as one. */
+/** Whether the datagram has `max_rows` load rows or more; a limit counts as one. */
 gboolean sv_rows_are_full (const Rows *rows, const Alderturn__Datagram *datagram, guint max_rows);
 
-/** Adds a row with the endpoint's `load`; there is space for MAX_ROWS. */
+/** Adds a row with the endpoint's `load`; there is space for MAX_ROWS and SPARE_PACE_ROWS. */
 void sv_peers_add_load (const SvPeers *self,
                         Alderturn__Datagram *datagram,
                         Rows *rows,
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -104,7 +104,7 @@
 gboolean
 sv_rows_are_full (const Rows *rows, const Alderturn__Datagram *datagram, guint max_rows)
 {
-  return datagram->n_loads + rows->n_limits + rows->n_paces >= max_rows;
+  return datagram->n_loads + rows->n_limits >= max_rows;
 }
 
 void
@@ -154,12 +154,15 @@
   rows->n_limits++;
 }
 
-static void
-add_own_load (const SvPeers *self, Alderturn__Datagram *datagram, Rows *rows, SvEndpoint *endpoint)
+void
+sv_peers_add_own_load (const SvPeers *self,
+                       Alderturn__Datagram *datagram,
+                       Rows *rows,
+                       SvEndpoint *endpoint)
 {
+  rows->endpoints[datagram->n_loads] = endpoint;
   sv_peers_add_load (self, datagram, rows, endpoint, &endpoint->own);
   sv_peers_add_limit (self, datagram, rows, endpoint, endpoint->sent);
-  sv_peers_add_own_pace (self, datagram, rows, endpoint);
   endpoint->own_changed = FALSE;
 }
 
@@ -195,16 +198,16 @@
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
       if (endpoint->own.calls == 0
-          && !sv_endpoint_announces_limit (endpoint, knl_kernel_now (self->kernel))
-          && !sv_peers_announces_pace (self, endpoint))
+          && !sv_endpoint_announces_limit (endpoint, knl_kernel_now (self->kernel)))
         continue;
       if (sv_rows_are_full (rows, datagram, MAX_ROWS))
         {
           datagram->whole = FALSE;
           break;
         }
-      add_own_load (self, datagram, rows, endpoint);
+      sv_peers_add_own_load (self, datagram, rows, endpoint);
     }
+  sv_peers_add_paces_in_turn (self, datagram, rows);
 }
 
 void
@@ -349,10 +352,11 @@
       SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
 
       if (endpoint->own_changed)
-        add_own_load (self, &datagram, &rows, endpoint);
+        sv_peers_add_own_load (self, &datagram, &rows, endpoint);
     }
   has_updates = sv_peers_add_outbox (&datagram, &rows, &self->outbox);
   has_updates |= sv_peers_add_crashes (self, &datagram, &rows, SV_CRASHES_FOR_CELL);
+  sv_peers_add_own_paces (self, &datagram, &rows);
   if (!has_updates && datagram.n_loads == 0)
     return FALSE;
   sv_peers_send_to_cell (self, &datagram);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -92,9 +92,9 @@
 {
   SvLoad sum = sv_endpoint_own_cell_load (endpoint);
 
+  rows->endpoints[datagram->n_loads] = endpoint;
   sv_peers_add_load (self, datagram, rows, endpoint, &sum);
   sv_peers_add_limit (self, datagram, rows, endpoint, endpoint->sent_in_cell);
-  sv_peers_add_cell_pace (self, datagram, rows, endpoint);
   endpoint->announced = sum;
   endpoint->announced_sent = endpoint->sent_in_cell;
   endpoint->announced_rate = endpoint->limit.rate;
@@ -136,6 +136,7 @@
   add_changed_sums (self, &datagram, &rows);
   has_updates = sv_peers_add_outbox (&datagram, &rows, &self->cell_outbox);
   has_updates |= sv_peers_add_crashes (self, &datagram, &rows, SV_CRASHES_FOR_CELLS);
+  sv_peers_add_cell_paces (self, &datagram, &rows);
   if (!has_updates && datagram.n_loads == 0)
     return FALSE;
   send_to_cells (self, &datagram);
@@ -220,6 +221,7 @@
   for (guint i = 0; i < MIN (endpoints->len, MAX_DESCRIBED_ENDPOINTS); i++)
     add_sum (self, &datagram, &rows,
              g_ptr_array_index (endpoints, self->next_described++ % endpoints->len));
+  sv_peers_add_cell_paces (self, &datagram, &rows);
   send_to_cells (self, &datagram);
 }
 
--- a/tests/unit/sv_pace_peers_test.c
+++ b/tests/unit/sv_pace_peers_test.c
@@ -13,6 +13,9 @@
 #define MANY_ENDPOINTS 60
 #define N_SLOW         25
 
+/* Loads that a datagram of changes has space for. */
+#define LOADS_PER_CHANGE 18
+
 static const char *const zones[INSTANCES] = { "a", "a", "a", "b", "b", "b" };
 
 static void
@@ -149,6 +152,87 @@
   peers_fixture_close (&fixture);
 }
 
+/* Lets time pass until the last datagram of each kind has arrived, with samples of all endpoints at
+ * instance 1, of which the first `n_slow` are slow. */
+static void
+measure_all (PeersFixture *self, guint n_slow, KnlTime time)
+{
+  const GPtrArray *all = sv_fleet_service (self->fleets[1], "s");
+
+  for (KnlTime passed = 0; passed < time; passed += 500 * KNL_MSEC)
+    {
+      for (guint i = 0; i < all->len; i++)
+        add_samples (self, g_ptr_array_index (all, i), i < n_slow ? 4 : 1);
+      sv_pace_refresh (self->fleets[1], "s", knl_kernel_now (self->kernel));
+      peers_fixture_advance (self, 500 * KNL_MSEC);
+    }
+}
+
+/* Guards against loads that stay after a lost datagram for as long as one endpoint is slow: full
+ * datagrams had no space left for the announcements of all others, and so didn't end any load. */
+static void
+test_lost_changes_are_repaired_while_endpoints_are_slow (void)
+{
+  PeersFixture fixture;
+
+  fixture_open (&fixture, 60);
+  peers_fixture_call (&fixture, 1, 3);
+  measure_all (&fixture, 1, KNL_SEC);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 0).calls, 3);
+  sv_endpoint_charge (peers_fixture_endpoint (&fixture, 1), &(SvLoad){ .calls = 3 }, -1);
+  /* As if the datagram that announces the change had been lost. */
+  peers_fixture_endpoint (&fixture, 1)->own_changed = FALSE;
+  measure_all (&fixture, 1, 4 * KNL_SEC);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 0).calls, 0);
+  peers_fixture_close (&fixture);
+}
+
+/* Guards against slow endpoints that full datagrams never announce since the first ones fill them.
+ */
+static void
+test_all_paces_are_announced_in_turn (void)
+{
+  PeersFixture fixture;
+  const GPtrArray *all;
+  guint n_slow = 0;
+
+  fixture_open (&fixture, MANY_ENDPOINTS);
+  peers_fixture_stop (&fixture, 0);
+  measure_all (&fixture, N_SLOW, KNL_SEC);
+  fixture.incarnation++;
+  peers_fixture_start (&fixture, 0);
+  peers_fixture_discover (&fixture, 0, 1);
+  measure_all (&fixture, N_SLOW, 8 * KNL_SEC);
+  all = sv_fleet_service (fixture.fleets[0], "s");
+  for (guint i = 0; i < all->len; i++)
+    n_slow += ((SvEndpoint *)g_ptr_array_index (all, i))->pace.n_reports > 0;
+  CU_ASSERT_EQUAL (n_slow, MANY_ENDPOINTS);
+  peers_fixture_close (&fixture);
+}
+
+/* Guards against loads that are known later since the paces of their endpoints take their space. */
+static void
+test_paces_take_no_space_from_changed_loads (void)
+{
+  static const SvLoad load = { .calls = 1 };
+  PeersFixture fixture;
+  const GPtrArray *all;
+  gint64 sent;
+
+  fixture_open (&fixture, LOADS_PER_CHANGE);
+  all = sv_fleet_service (fixture.fleets[1], "s");
+  measure_all (&fixture, 3, KNL_SEC);
+  for (guint i = 0; i < all->len; i++)
+    sv_endpoint_charge (g_ptr_array_index (all, i), &load, 1);
+  sent = (gint64)sv_peers_sent (fixture.peers[1]).datagrams;
+  sv_peers_link (fixture.peers[1])->klass->load_changed (sv_peers_link (fixture.peers[1]));
+  peers_fixture_advance (&fixture, 10 * KNL_MSEC);
+  /* One to each of the two others in the cell. */
+  CU_ASSERT_EQUAL ((gint64)sv_peers_sent (fixture.peers[1]).datagrams - sent, 2);
+  CU_ASSERT_EQUAL (peers_fixture_load (&fixture, 0).calls, 1);
+  peers_fixture_close (&fixture);
+}
+
 /* Guards against a restarted endpoint that counts as slow for what its earlier start did. */
 static void
 test_a_restart_resets_the_estimate (void)
@@ -197,6 +281,10 @@
   { "slow endpoints are announced to all cells", test_slow_endpoints_are_announced_to_all_cells },
   { "idle slow endpoints are announced", test_idle_slow_endpoints_are_announced },
   { "many slow endpoints fit into datagrams", test_many_slow_endpoints_fit_into_datagrams },
+  { "lost changes are repaired while endpoints are slow",
+    test_lost_changes_are_repaired_while_endpoints_are_slow },
+  { "all paces are announced in turn", test_all_paces_are_announced_in_turn },
+  { "paces take no space from changed loads", test_paces_take_no_space_from_changed_loads },
   { "a restart resets the estimate", test_a_restart_resets_the_estimate },
   { "slow endpoints are counted", test_slow_endpoints_are_counted },
 };
