serve: updates of estimates skip idle endpoints

Cause: every 50 ms while requests arrive, all endpoints of a service were measured twice and updated, also when nobody had a sample; and every plain answer allocated, copied and sorted the mean answer times of all. Services may have thousands of endpoints, and instances have 0.12 of a core.

Change: samples and reports put an endpoint on its service's list of those that an update looks at, and it stays there for as long as anything recent, or its estimate, could have an effect. Each is measured once. An update without any of them ends at once. The median answer time is computed with the updates and kept; a mean without an answer for 10 s is dropped.

Tests that set an estimate directly now put the endpoint on the list, as a sample would.

--- a/include/policy/pace.h
+++ b/include/policy/pace.h
@@ -49,8 +49,22 @@
   PolPaceEstimate estimate;
 } PolPaceReport;
 
+/** The endpoints of a service that an update has to look at. All others have an estimate of 1 and
+ * nothing recent that could change it. */
 typedef struct
 {
+  GPtrArray *watched;         /**< PolPace */
+  PolPaceReference reference; /**< as of the last update */
+  KnlTime announced_until; /**< as pol_pace_announce() has set it for endpoints that it left out */
+  KnlTime updated_at;      /**< 0: never */
+  double median_answer;    /**< median time to an answer at plain endpoints, ms; 0: not known */
+} PolPaceGroup;
+
+typedef struct
+{
+  PolPaceGroup *group; /**< NULL: none */
+  gboolean is_watched;
+  guint watched_index; /**< in `group->watched`, if it is watched */
   PolPaceSample samples[POL_PACE_MAX_SAMPLES];
   guint n_samples; /**< added so far; they are kept as a ring */
   PolPaceReport reports[POL_PACE_MAX_REPORTS];
@@ -68,6 +82,27 @@
 
 void pol_pace_init (PolPace *pace);
 
+/** Makes it a member of the group that another endpoint of the service has; NULL: of a new one. */
+void pol_pace_join (PolPace *pace, PolPaceGroup *group);
+
+/** Leaves its group, if it has one. */
+void pol_pace_leave (PolPace *pace);
+
+/** Makes the updates of its group include it. Samples and reports do so. */
+void pol_pace_watch (PolPace *pace);
+
+/** Ends that if updates no longer depend on it. */
+void pol_pace_unwatch (PolPace *pace, KnlTime now);
+
+/** pol_pace_announce() for all endpoints of the group. */
+void pol_pace_announce_all (PolPaceGroup *group, KnlTime now);
+
+/** Whether it is 1 or next to it, and nothing recent could change that. */
+gboolean pol_pace_is_settled (const PolPace *pace, KnlTime now);
+
+/** Sets what this instance's samples are relative to. */
+void pol_pace_set_reference (PolPace *pace, const PolPaceReference *reference);
+
 /** Adds a sample. Samples within 20 ms count as one, the smallest: the streams of an endpoint get
  * their events at the end of the same pass. */
 void pol_pace_add_sample (PolPace *pace, double ratio, KnlTime now);
@@ -75,7 +110,11 @@
 /** Adds a report; it replaces an earlier one of the same source. */
 void pol_pace_add_report (PolPace *pace, const PolPaceReport *report, KnlTime now);
 
-/** Makes recent own estimates be announced for 8 s even if the endpoint isn't slow. */
+/** How long an instance announces that an endpoint is no longer slow, or that it isn't, while
+ * others of the service are. */
+#define POL_PACE_ANNOUNCE_PERIOD (8 * KNL_SEC)
+
+/** Makes recent own estimates be announced for that time even if the endpoint isn't slow. */
 void pol_pace_announce (PolPace *pace, KnlTime now);
 
 /** Estimate from this instance's recent samples alone, not relative to the reference; `samples` is
@@ -93,6 +132,12 @@
  * estimate, which falls by at most half of its excess in 8 s (2 s while samples show it). */
 double pol_pace_update (PolPace *pace, const PolPaceReference *reference, KnlTime now);
 
+/** The same with the result of pol_pace_measure(). */
+double pol_pace_combine (PolPace *pace,
+                         const PolPaceEstimate *measured,
+                         const PolPaceReference *reference,
+                         KnlTime now);
+
 /** Time of the newest sample in any estimate, here or reported; far in the past if there is none.
  */
 KnlTime pol_pace_newest (const PolPace *pace);
@@ -100,6 +145,9 @@
 /** Median of the combined estimates at all endpoints of a service, which are reordered. */
 double pol_pace_median (double *ratios, guint n);
 
+/** The same with `n_normal` more estimates of 1. */
+double pol_pace_median_with_normal (double *ratios, guint n, guint n_normal);
+
 /** The slowdown for decisions from a combined estimate and the service's median. */
 double pol_pace_factor (double combined, double median);
 
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -96,9 +96,9 @@
   double announced_rate;         /**< the limit's rate as last announced to other cells */
   GArray *reported_sends;        /**< SvReportedSends */
   PolPace pace;                  /**< how slow it is */
-  KnlTime paced_at;              /**< when that was last updated; 0: never */
   double logged_factor;          /**< `pace.factor` as last logged */
   double mean_answer;            /**< plain endpoints: mean time to an answer, ms; 0: not known */
+  KnlTime mean_answer_at;        /**< when that was last updated */
   guint32 announced_pace;        /**< own estimate in percent as last announced; 0: none was */
   guint32 announced_cell_pace;   /**< the same of this cell to other cells */
   SvEndpointCold cold; /**< whether it is cold, and this instance's share of what it may get */
--- a/policy/pace.c
+++ b/policy/pace.c
@@ -45,9 +45,9 @@
 #define MIN_MEDIAN    8
 #define MIN_REFERENCE 4
 
-/* How long an instance announces that an endpoint is no longer slow, or that it isn't, while others
- * of the service are. */
-#define NORMAL_ANNOUNCE_PERIOD (8 * KNL_SEC)
+/* A combined estimate that exceeds 1 by less counts as 1 once nothing recent is known: it has no
+ * effect, and would take minutes to reach 1. */
+#define MIN_EXCESS 0.001
 
 /* The estimates that are combined, at most one for each source. */
 typedef struct
@@ -141,20 +141,25 @@
 void
 pol_pace_announce (PolPace *self, KnlTime now)
 {
-  self->announced_until = MAX (self->announced_until, now + NORMAL_ANNOUNCE_PERIOD);
+  self->announced_until = MAX (self->announced_until, now + POL_PACE_ANNOUNCE_PERIOD);
 }
 
-static void
-update_own (PolPace *self, KnlTime now)
+void
+pol_pace_set_reference (PolPace *self, const PolPaceReference *reference)
 {
-  PolPaceEstimate measured = pol_pace_measure (self, now);
+  self->reference = reference->ratio;
+  self->is_unsure = reference->n < MIN_REFERENCE;
+}
 
-  if (measured.samples == 0)
+static void
+update_own (PolPace *self, const PolPaceEstimate *measured)
+{
+  if (measured->samples == 0)
     return;
-  measured.ratio = relative (measured.ratio, self->reference);
-  if (measured.ratio >= POL_PACE_MIN_SLOW)
-    pol_pace_announce (self, measured.at);
-  self->own = measured;
+  self->own = *measured;
+  self->own.ratio = relative (measured->ratio, self->reference);
+  if (self->own.ratio >= POL_PACE_MIN_SLOW)
+    pol_pace_announce (self, measured->at);
 }
 
 void
@@ -162,6 +167,7 @@
 {
   PolPaceSample *last = last_sample (self);
 
+  pol_pace_watch (self);
   if (last != NULL && now - last->at < SAME_PASS_TIME)
     {
       last->ratio = MIN (last->ratio, ratio);
@@ -197,6 +203,7 @@
   guint max_weight = report->is_cell ? MAX_CELL_WEIGHT : MAX_REPORT_WEIGHT;
   PolPaceReport *slot = report_slot (self, report);
 
+  pol_pace_watch (self);
   *slot = *report;
   slot->estimate.ratio = relative (report->estimate.ratio, 1);
   slot->estimate.samples = MIN (report->estimate.samples, max_weight);
@@ -316,15 +323,17 @@
 }
 
 double
-pol_pace_update (PolPace *self, const PolPaceReference *reference, KnlTime now)
+pol_pace_combine (PolPace *self,
+                  const PolPaceEstimate *measured,
+                  const PolPaceReference *reference,
+                  KnlTime now)
 {
   Evidence evidence;
   gboolean is_sampled;
   double combined;
 
-  self->reference = reference->ratio;
-  self->is_unsure = reference->n < MIN_REFERENCE;
-  update_own (self, now);
+  pol_pace_set_reference (self, reference);
+  update_own (self, measured);
   evidence = collect (self, TRUE, TRUE, now);
   is_sampled = evidence.weight >= MIN_COMBINED_SAMPLES;
   combined = fall_back (self->combined, now - self->combined_at,
@@ -340,6 +349,39 @@
   return combined;
 }
 
+double
+pol_pace_update (PolPace *self, const PolPaceReference *reference, KnlTime now)
+{
+  PolPaceEstimate measured = pol_pace_measure (self, now);
+
+  return pol_pace_combine (self, &measured, reference, now);
+}
+
+/* Whether an estimate still has an effect, however old it is. */
+static gboolean
+has_effect (const PolPaceEstimate *estimate, KnlTime now)
+{
+  return estimate->samples > 0
+         && (is_recent (estimate, now) || aged (estimate, now).ratio >= POL_PACE_MIN_SLOW);
+}
+
+gboolean
+pol_pace_is_settled (const PolPace *self, KnlTime now)
+{
+  guint n = self->n_samples;
+
+  if (n > 0 && now - self->samples[(n - 1) % POL_PACE_MAX_SAMPLES].at <= SAMPLE_TTL)
+    return FALSE;
+  if (self->combined >= 1 + MIN_EXCESS || has_effect (&self->own, now))
+    return FALSE;
+  for (guint i = 0; i < self->n_reports; i++)
+    {
+      if (has_effect (&self->reports[i].estimate, now))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 KnlTime
 pol_pace_newest (const PolPace *self)
 {
@@ -351,12 +393,20 @@
 }
 
 double
-pol_pace_median (double *ratios, guint n)
+pol_pace_median_with_normal (double *ratios, guint n, guint n_normal)
 {
-  if (n == 0)
+  guint middle = (n + n_normal - 1) / 2;
+
+  if (n == 0 || middle < n_normal)
     return 1;
   qsort (ratios, n, sizeof *ratios, compare_ratios);
-  return MAX (ratios[(n - 1) / 2], 1);
+  return MAX (ratios[middle - n_normal], 1);
+}
+
+double
+pol_pace_median (double *ratios, guint n)
+{
+  return pol_pace_median_with_normal (ratios, n, 0);
 }
 
 PolPaceReference
--- a/serve/endpoint.c
+++ b/serve/endpoint.c
@@ -59,6 +59,7 @@
   g_array_unref (self->peers);
   g_array_unref (self->reported_sends);
   sv_prefills_clear (&self->prefills);
+  pol_pace_leave (&self->pace);
   sv_cold_rules_unref (self->cold.rules);
   g_free (self);
 }
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -99,6 +99,7 @@
 {
   GPtrArray *service = g_hash_table_lookup (self->services, endpoint->service);
 
+  pol_pace_leave (&endpoint->pace);
   if (service != NULL && g_ptr_array_remove (service, endpoint) && service->len == 0)
     g_hash_table_remove (self->services, endpoint->service);
   g_ptr_array_remove (self->all, endpoint);
@@ -106,6 +107,12 @@
   g_hash_table_remove (self->by_id, endpoint->id);
 }
 
+static PolPaceGroup *
+pace_group (const GPtrArray *service)
+{
+  return ((SvEndpoint *)g_ptr_array_index (service, 0))->pace.group;
+}
+
 static SvEndpoint *
 add (SvFleet *self, const SvEndpointEntry *entry)
 {
@@ -133,6 +140,7 @@
       service = g_ptr_array_new ();
       g_hash_table_insert (self->services, g_strdup (entry->service), service);
     }
+  pol_pace_join (&endpoint->pace, service->len > 0 ? pace_group (service) : NULL);
   g_ptr_array_add (service, endpoint);
   g_ptr_array_sort (service, compare_keys);
   g_ptr_array_add (self->all, endpoint);
--- a/serve/pace.c
+++ b/serve/pace.c
@@ -20,6 +20,9 @@
 #define ANSWER_WEIGHT    0.125
 #define MIN_PLAIN_MEDIAN 3
 
+/* A mean without a new answer for this time is dropped: the load may have changed since. */
+#define ANSWER_TTL (10 * KNL_SEC)
+
 /* An estimate is announced at once when it differs from the announced one by this fraction. */
 #define ANNOUNCED_FRACTION 0.1
 
@@ -85,24 +88,6 @@
   return is_added;
 }
 
-/* Median of the mean answer times at the service's endpoints, in ms; 0: too few are known. */
-static double
-median_answer (const GPtrArray *endpoints)
-{
-  g_autoptr (GArray) times = g_array_new (FALSE, FALSE, sizeof (double));
-
-  for (guint i = 0; i < endpoints->len; i++)
-    {
-      const SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
-
-      if (endpoint->mean_answer > 0)
-        g_array_append_val (times, endpoint->mean_answer);
-    }
-  if (times->len < MIN_PLAIN_MEDIAN)
-    return 0;
-  return pol_pace_median ((double *)(gpointer)times->data, times->len);
-}
-
 /* An endpoint with more requests than half of its slots may take longer, in proportion. */
 static double
 crowding (const SvEndpoint *endpoint, KnlTime now)
@@ -119,12 +104,14 @@
   double ms = (double)time / KNL_MSEC / crowding (endpoint, now);
   double median;
 
-  if (endpoints == NULL)
+  if (endpoints == NULL || endpoint->pace.group == NULL)
     return FALSE;
   endpoint->mean_answer = endpoint->mean_answer > 0
                               ? (1 - ANSWER_WEIGHT) * endpoint->mean_answer + ANSWER_WEIGHT * ms
                               : ms;
-  median = median_answer (endpoints);
+  endpoint->mean_answer_at = now;
+  pol_pace_watch (&endpoint->pace);
+  median = endpoint->pace.group->median_answer;
   if (median <= 0)
     return FALSE;
   pol_pace_add_sample (&endpoint->pace, ms / median, now);
@@ -146,49 +133,94 @@
           "own-factor", endpoint->pace.own.ratio, "i", "reports", (gint64)endpoint->pace.n_reports);
 }
 
+static SvEndpoint *
+watched_at (const PolPaceGroup *group, guint index)
+{
+  gpointer pace = g_ptr_array_index (group->watched, index);
+
+  return (SvEndpoint *)(gpointer)((char *)pace - G_STRUCT_OFFSET (SvEndpoint, pace));
+}
+
+/* Median of the mean answer times at the service's endpoints, in ms; 0: too few are known. */
+static double
+median_answer (const PolPaceGroup *group, KnlTime now)
+{
+  g_autoptr (GArray) times = g_array_new (FALSE, FALSE, sizeof (double));
+
+  for (guint i = 0; i < group->watched->len; i++)
+    {
+      SvEndpoint *endpoint = watched_at (group, i);
+
+      if (now - endpoint->mean_answer_at > ANSWER_TTL)
+        endpoint->mean_answer = 0;
+      if (endpoint->mean_answer > 0)
+        g_array_append_val (times, endpoint->mean_answer);
+    }
+  if (times->len < MIN_PLAIN_MEDIAN)
+    return 0;
+  return pol_pace_median ((double *)(gpointer)times->data, times->len);
+}
+
 static PolPaceReference
-reference_of (const GPtrArray *endpoints, KnlTime now)
+reference_of (const GArray *measured)
 {
   g_autoptr (GArray) ratios = g_array_new (FALSE, FALSE, sizeof (double));
 
-  for (guint i = 0; i < endpoints->len; i++)
+  for (guint i = 0; i < measured->len; i++)
     {
-      const SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
-      PolPaceEstimate measured = pol_pace_measure (&endpoint->pace, now);
+      const PolPaceEstimate *estimate = &g_array_index (measured, PolPaceEstimate, i);
 
-      if (measured.samples > 0)
-        g_array_append_val (ratios, measured.ratio);
+      if (estimate->samples > 0)
+        g_array_append_val (ratios, estimate->ratio);
     }
   return pol_pace_reference ((double *)(gpointer)ratios->data, ratios->len);
 }
 
-static guint
-update_all (const GPtrArray *endpoints, KnlTime now)
+/* Updates the estimates of the watched endpoints, and returns the median of all. */
+static double
+update_estimates (PolPaceGroup *group, guint n_endpoints, KnlTime now)
 {
+  g_autoptr (GArray) measured = g_array_new (FALSE, FALSE, sizeof (PolPaceEstimate));
   g_autoptr (GArray) ratios = g_array_new (FALSE, FALSE, sizeof (double));
-  PolPaceReference reference = reference_of (endpoints, now);
-  double median;
-  guint n_slow = 0;
+  guint n = group->watched->len;
+
+  for (guint i = 0; i < n; i++)
+    {
+      PolPaceEstimate estimate = pol_pace_measure (&watched_at (group, i)->pace, now);
 
-  for (guint i = 0; i < endpoints->len; i++)
+      g_array_append_val (measured, estimate);
+    }
+  group->reference = reference_of (measured);
+  for (guint i = 0; i < n; i++)
     {
-      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
-      double combined = pol_pace_update (&endpoint->pace, &reference, now);
+      const PolPaceEstimate *estimate = &g_array_index (measured, PolPaceEstimate, i);
+      double combined =
+          pol_pace_combine (&watched_at (group, i)->pace, estimate, &group->reference, now);
 
       g_array_append_val (ratios, combined);
-      endpoint->paced_at = now;
     }
-  median = pol_pace_median ((double *)(gpointer)ratios->data, ratios->len);
-  for (guint i = 0; i < endpoints->len; i++)
+  return pol_pace_median_with_normal ((double *)(gpointer)ratios->data, n, n_endpoints - n);
+}
+
+static guint
+update_watched (PolPaceGroup *group, guint n_endpoints, KnlTime now)
+{
+  double median = update_estimates (group, n_endpoints, now);
+  guint n_slow = 0;
+
+  /* Backwards, since the last one takes the place of one that is removed. */
+  for (guint i = group->watched->len; i > 0; i--)
     {
-      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+      SvEndpoint *endpoint = watched_at (group, i - 1);
 
       set_factor (endpoint, pol_pace_factor (endpoint->pace.combined, median));
       n_slow += endpoint->pace.factor > 1;
+      if (endpoint->mean_answer == 0)
+        pol_pace_unwatch (&endpoint->pace, now);
     }
   /* Other instances then need not find out on their own that the rest are normal. */
-  for (guint i = 0; i < endpoints->len && n_slow > 0; i++)
-    pol_pace_announce (&((SvEndpoint *)g_ptr_array_index (endpoints, i))->pace, now);
+  if (n_slow > 0)
+    pol_pace_announce_all (group, now);
   return n_slow;
 }
 
@@ -196,14 +228,18 @@
 sv_pace_refresh (const SvFleet *fleet, const char *service, KnlTime now)
 {
   const GPtrArray *endpoints = sv_fleet_service (fleet, service);
-  const SvEndpoint *first;
+  PolPaceGroup *group;
 
   if (endpoints == NULL)
     return -1;
-  first = g_ptr_array_index (endpoints, 0);
-  if (first->paced_at > 0 && now - first->paced_at < REFRESH_INTERVAL)
+  group = ((SvEndpoint *)g_ptr_array_index (endpoints, 0))->pace.group;
+  if (group->updated_at > 0 && now - group->updated_at < REFRESH_INTERVAL)
     return -1;
-  return (gint)update_all (endpoints, now);
+  group->updated_at = now;
+  if (group->watched->len == 0)
+    return 0;
+  group->median_answer = median_answer (group, now);
+  return (gint)update_watched (group, endpoints->len, now);
 }
 
 guint32
--- a/tests/unit/sv_pace_test.c
+++ b/tests/unit/sv_pace_test.c
@@ -223,6 +223,7 @@
   endpoint->pace.combined_at = now_of (self);
   endpoint->pace.own = (PolPaceEstimate){ pace, 20, now_of (self) };
   endpoint->pace.factor = pace;
+  pol_pace_watch (&endpoint->pace);
 }
 
 /* Makes every third endpoint of the service slow. */
