serve: prefills keep their declared time

Cause: a prefill is registered with the time that it takes at the endpoint's factor of that moment, but samples and announced prefills divided by the present factor. After a change of the factor both were wrong: a prefill placed at 2.5 gave a wrong sample at factor 2.

Change: rows of the backlog keep the declared time. Samples and announcements use what is left of it.

--- a/include/serve/pace.h
+++ b/include/serve/pace.h
@@ -15,7 +15,7 @@
   double pass_ms;   /**< expected duration of the pass that began */
   gboolean is_full; /**< its slots were used up, or its memory nearly */
   guint parts;      /**< parts of split prompts in progress there */
-  KnlTime left;     /**< prefill that was placed there and not complete */
+  KnlTime left;     /**< declared prefill that was placed there and not complete */
   KnlTime placed;   /**< all prefill that had been placed there, see SvPrefills */
 } SvPaceMark;
 
--- a/include/serve/prefills.h
+++ b/include/serve/prefills.h
@@ -16,7 +16,7 @@
 {
   GArray *rows;   /**< oldest first */
   KnlTime at;     /**< time that `left` of the rows applies to */
-  KnlTime placed; /**< total length of all rows added so far */
+  KnlTime placed; /**< total declared length of all rows added so far */
 } SvPrefills;
 
 /** Prefill of one prompt, or of a part of it, at one engine. */
@@ -24,6 +24,7 @@
 {
   guint64 prompt;       /**< id of the prompt, the same at all engines that prefill parts of it */
   KnlTime length;       /**< time that the engine needs */
+  KnlTime declared;     /**< time by the declared figures; 0: the same */
   gboolean until_ended; /**< counts until sv_prefills_end(), but at most for SV_PREFILL_TTL; FALSE:
                           until its time has passed */
 } SvPrefill;
@@ -40,8 +41,8 @@
 /** Removes the prompt: its prefill is complete or was cancelled. No effect if unknown. */
 void sv_prefills_end (SvPrefills *prefills, guint64 prompt, KnlTime now);
 
-/** Finds a prompt and sets `prefill->length` to the prefill time left. FALSE: not in the backlog.
- */
+/** Finds a prompt and sets `prefill->length` and `prefill->declared` to the prefill time left.
+ * FALSE: not in the backlog. */
 gboolean sv_prefills_find (SvPrefills *prefills, guint64 prompt, KnlTime now, SvPrefill *prefill);
 
 /** Number of rows with `until_ended`: parts of split prompts in progress or waiting. */
@@ -49,3 +50,6 @@
 
 /** Time until the whole backlog has been processed. */
 KnlTime sv_prefills_time_left (SvPrefills *prefills, KnlTime now);
+
+/** The same by the declared figures. */
+KnlTime sv_prefills_declared_left (SvPrefills *prefills, KnlTime now);
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -370,6 +370,7 @@
 
       if (endpoint == NULL)
         continue;
+      part.declared = prefill->length;
       part.length = (KnlTime)((double)prefill->length * endpoint->pace.factor);
       sv_prefills_add (&endpoint->prefills, &part, now);
     }
@@ -420,7 +421,7 @@
       if (first != NULL && sv_prefills_find (&first->prefills, placed->prompt, now, &prefill)
           && prefill.until_ended)
         {
-          prefill.length = (KnlTime)((double)prefill.length / first->pace.factor);
+          prefill.length = prefill.declared;
           func (&prefill, placed->keys, placed->n, data);
         }
     }
--- a/serve/pace.c
+++ b/serve/pace.c
@@ -45,13 +45,12 @@
     .is_full = load.calls >= spec->slots
                || (double)load.tokens > MAX_MEMORY_FRACTION * (double)spec->memory_tokens,
     .parts = sv_prefills_count_parts (&endpoint->prefills),
-    .left = sv_endpoint_prefill_left (endpoint, now),
+    .left = sv_prefills_declared_left (&endpoint->prefills, now),
     .placed = endpoint->prefills.placed,
   };
 }
 
-/* Adds the sample of the last read. Prefill that is placed at a slow endpoint is registered with
- * the time that it takes there, but samples are relative to the declared figures. */
+/* Adds the sample of the last read, relative to the declared figures. */
 static gboolean
 add_sample (const SvPaceStream *stream, SvEndpoint *endpoint)
 {
@@ -60,7 +59,6 @@
   double prefill = (double)(previous->left + last->placed - previous->placed) / KNL_MSEC;
   double passes = stream->n_events * previous->pass_ms;
 
-  prefill /= endpoint->pace.factor;
   if (previous->at == 0 || passes <= 0 || prefill > MAX_PREFILL_PASSES * passes)
     return FALSE;
   /* A part may last many passes longer than expected, and lengthen all of them alike. */
--- a/serve/prefills.c
+++ b/serve/prefills.c
@@ -52,9 +52,11 @@
 {
   Row row = { .prefill = *prefill, .left = prefill->length, .expires = now + SV_PREFILL_TTL };
 
+  if (row.prefill.declared == 0)
+    row.prefill.declared = prefill->length;
   advance (self, now);
   g_array_append_val (self->rows, row);
-  self->placed += prefill->length;
+  self->placed += row.prefill.declared;
 }
 
 void
@@ -68,6 +70,17 @@
     }
 }
 
+/* The part of the declared time that is left: the engine may have been known to be slower. */
+static KnlTime
+declared_left (const Row *row)
+{
+  const SvPrefill *prefill = &row->prefill;
+
+  if (prefill->length == 0)
+    return 0;
+  return (KnlTime)((double)row->left * (double)prefill->declared / (double)prefill->length);
+}
+
 gboolean
 sv_prefills_find (SvPrefills *self, guint64 prompt, KnlTime now, SvPrefill *prefill)
 {
@@ -80,6 +93,7 @@
         continue;
       *prefill = row->prefill;
       prefill->length = row->left;
+      prefill->declared = declared_left (row);
       return TRUE;
     }
   return FALSE;
@@ -105,3 +119,14 @@
     left += row_at (self, i)->left;
   return left;
 }
+
+KnlTime
+sv_prefills_declared_left (SvPrefills *self, KnlTime now)
+{
+  KnlTime left = 0;
+
+  advance (self, now);
+  for (guint i = 0; i < self->rows->len; i++)
+    left += declared_left (row_at (self, i));
+  return left;
+}
--- a/tests/unit/sv_pace_group_test.c
+++ b/tests/unit/sv_pace_group_test.c
@@ -1,6 +1,7 @@
-/** Which endpoints an update of the estimates looks at, and what it costs where most are idle. */
+/** Which endpoints an update of the estimates looks at, and what the estimates are made from. */
 
 #include "kernel/paused.h"
+#include "serve/engine_model.h"
 #include "serve/pace.h"
 #include "suite.h"
 
@@ -249,11 +250,58 @@
   fixture_close (&fixture);
 }
 
+static void
+note_length (const SvPrefill *prefill, const guint64 *keys, guint n, gpointer length)
+{
+  *(KnlTime *)length = prefill->length;
+}
+
+/* Guards against samples and announced prefills that are wrong when an endpoint's factor has
+ * changed since the prefill was placed there. */
+static void
+test_prefills_keep_the_declared_time (void)
+{
+  static const SvEngineSpec spec = { .slots = 16, .memory_tokens = 300000, .step_ms = 50 };
+  static const double factors[] = { 1, 2.5, 10 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (factors); i++)
+    {
+      SvPrefill prefill = { .prompt = 1, .length = 40 * KNL_MSEC };
+      SvPaceStream stream = { .n_events = 0 };
+      double pass_ms = sv_model_pass_ms (&spec, 1, 0);
+      Fixture fixture;
+      SvEndpoint *endpoint;
+      KnlTime length = 0;
+
+      fixture_open (&fixture, 1);
+      endpoint = endpoint_at (&fixture, 0);
+      sv_pace_note_event (&stream, endpoint, &spec, knl_kernel_now (fixture.kernel));
+      endpoint->pace.factor = factors[i];
+      sv_fleet_add_prefill (fixture.fleet, &prefill, &endpoint->key, 1);
+      endpoint->pace.factor = 2;
+      knl_paused_clock_advance (fixture.clock, (KnlTime)(2 * (pass_ms + 40) * KNL_MSEC));
+      sv_pace_note_event (&stream, endpoint, &spec, knl_kernel_now (fixture.kernel));
+      /* A read gives its sample with the next one. */
+      knl_paused_clock_advance (fixture.clock, 10 * KNL_MSEC);
+      sv_pace_note_event (&stream, endpoint, &spec, knl_kernel_now (fixture.kernel));
+      CU_ASSERT_EQUAL (endpoint->pace.n_samples, 1);
+      CU_ASSERT_DOUBLE_EQUAL (endpoint->pace.samples[0].ratio, 2, 0.02);
+      prefill = (SvPrefill){ .prompt = 2, .length = 100 * KNL_MSEC, .until_ended = TRUE };
+      endpoint->pace.factor = factors[i];
+      sv_fleet_add_prefill (fixture.fleet, &prefill, &endpoint->key, 1);
+      endpoint->pace.factor = 2;
+      sv_fleet_each_prefill (fixture.fleet, note_length, &length);
+      CU_ASSERT_EQUAL (length, 100 * KNL_MSEC);
+      fixture_close (&fixture);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "idle endpoints are not looked at", test_idle_endpoints_are_not_looked_at },
   { "dropped endpoints are not looked at", test_dropped_endpoints_are_not_looked_at },
   { "results are those of updating all", test_results_are_those_of_updating_all },
   { "the median answer is kept", test_the_median_answer_is_kept },
+  { "prefills keep the declared time", test_prefills_keep_the_declared_time },
 };
 
 SUITE_MAIN ("sv_pace_group", cases)
