http: slow callers are kept only where the sum is bounded

Cause: a caller with unsent bytes was kept for 10 s instead of 2 s as soon as its bytes were counted, which the gateway always does. Without memoryMb there is no bound on the sum, so nothing ends such callers.

Tests: the case "a caller that pauses gets more time" used a bound of 0 and expected the longer time, against the rule. It is now a table: with a bound exactly five times the normal time, without one the normal time.

--- a/http/server.c
+++ b/http/server.c
@@ -244,7 +244,8 @@
 static void
 update_is_behind (Connection *self)
 {
-  gboolean is_behind = self->server->unsent != NULL && ht_connection_unsent (self) > 0;
+  gboolean is_behind =
+      ht_unsent_is_bounded (self->server->unsent) && ht_connection_unsent (self) > 0;
 
   if (is_behind == self->is_behind)
     return;
--- a/http/unsent.c
+++ b/http/unsent.c
@@ -151,6 +151,12 @@
   return self->bytes;
 }
 
+gboolean
+ht_unsent_is_bounded (const HtUnsent *self)
+{
+  return self != NULL && self->bound > 0;
+}
+
 void
 ht_holder_join (HtHolder *self, HtUnsent *sum, const HtHolderClass *klass, struct evbuffer *output)
 {
--- a/include/http/unsent.h
+++ b/include/http/unsent.h
@@ -46,6 +46,9 @@
 
 gsize ht_unsent_bytes (const HtUnsent *unsent);
 
+/** Whether connections are ended at a bound; `unsent` may be NULL. */
+gboolean ht_unsent_is_bounded (const HtUnsent *unsent);
+
 /** Counts the bytes in `output`, the connection's output buffer, from now on. `sum` may be NULL:
  * the connection isn't counted. */
 void ht_holder_join (HtHolder *holder,
--- a/tests/unit/ht_unsent_test.c
+++ b/tests/unit/ht_unsent_test.c
@@ -177,29 +177,39 @@
 }
 
 /* Guards against a caller that pauses for 2 s and is cut off by the kernel, which takes a closed
- * window for a broken connection. */
+ * window for a broken connection; and, where no bound on the sum ends such callers, against one
+ * that is kept for longer. */
 static void
 test_pausing_caller_gets_more_time (void)
 {
-  RelayFixture fixture;
-  RelayCaller *caller;
-  int normal;
+  static const struct
+  {
+    gsize bound;
+    int factor; /* of the normal time */
+  } rows[] = { { 64 * MB, 5 }, { 0, 1 } };
 
-  relay_fixture_open (&fixture, 0);
-  fixture.keeps_user_timeouts = TRUE;
-  caller = relay_fixture_call (&fixture, "/stream/8000000", "1.1", 0);
-  while (ht_server_unsent (fixture.front) == 0)
-    relay_fixture_turn (&fixture, 1);
-  normal = user_timeout_of (caller);
-  CU_ASSERT (normal > 0);
-  knl_paused_clock_advance (fixture.clock, SWEEP);
-  CU_ASSERT (user_timeout_of (caller) > 4 * normal);
-  relay_caller_set_reading (caller, TRUE);
-  relay_caller_wait (caller);
-  CU_ASSERT_TRUE (caller->complete);
-  knl_paused_clock_advance (fixture.clock, SWEEP);
-  CU_ASSERT_EQUAL (user_timeout_of (caller), normal);
-  relay_fixture_close (&fixture);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      RelayFixture fixture;
+      RelayCaller *caller;
+      int normal;
+
+      relay_fixture_open (&fixture, rows[i].bound);
+      fixture.keeps_user_timeouts = TRUE;
+      caller = relay_fixture_call (&fixture, "/stream/8000000", "1.1", 0);
+      while (ht_server_unsent (fixture.front) == 0)
+        relay_fixture_turn (&fixture, 1);
+      normal = user_timeout_of (caller);
+      CU_ASSERT (normal > 0);
+      knl_paused_clock_advance (fixture.clock, SWEEP);
+      CU_ASSERT_EQUAL (user_timeout_of (caller), rows[i].factor * normal);
+      relay_caller_set_reading (caller, TRUE);
+      relay_caller_wait (caller);
+      CU_ASSERT_TRUE (caller->complete);
+      knl_paused_clock_advance (fixture.clock, SWEEP);
+      CU_ASSERT_EQUAL (user_timeout_of (caller), normal);
+      relay_fixture_close (&fixture);
+    }
 }
 
 /* Guards against a kept connection that is never read again after its last answer was paused. */
