--- a/http/client.c
+++ b/http/client.c
@@ -422,9 +422,11 @@
   Connection *self = (Connection *)((char *)source - G_STRUCT_OFFSET (Connection, source));
 
   if (paused)
-    bufferevent_disable (self->stream, EV_READ);
-  else
-    bufferevent_enable (self->stream, EV_READ);
+    {
+      bufferevent_disable (self->stream, EV_READ);
+      return;
+    }
+  bufferevent_enable (self->stream, EV_READ);
   self->resumed_at = knl_kernel_now (self->client->kernel);
 }
 
