serve: a full datagram to one peer doesn't use up a turn

Paces are announced in turn over the full datagrams. One that goes to a single peer, such as a newcomer, advanced the turn for the others too, which missed these paces until the next round.

sv_pace_peers and sv_pace_group pass with address and undefined sanitizers.

--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -216,8 +216,11 @@
   Alderturn__Datagram datagram;
   Alderturn__Sender member;
   Rows rows;
+  guint first = self->next_paced;
 
   fill_full_datagram (self, &datagram, &member, &rows);
+  /* The others get the same paces with the next one. */
+  self->next_paced = peer != NULL ? first : self->next_paced;
   if (peer != NULL)
     sv_peers_send (self, peer, &datagram);
   else
