--- a/policy/pace.c
+++ b/policy/pace.c
@@ -15,8 +15,8 @@
 #define SAME_PASS_TIME (20 * KNL_MSEC)
 
 /* Number of samples from which the smallest, or from QUANTILE_SAMPLES on the second smallest, is
- * relied on. With half of an endpoint's passes lengthened by unknown work, 30 trials of 30 s on
- * 6 endpoints had no wrong estimate; 8 had with N_ALIKE 6 and MAX_SPREAD 1.25. */
+ * relied on. Unknown work lengthens about half of the passes of a busy endpoint: with fewer samples
+ * all of them may be lengthened by chance. */
 #define MIN_SAMPLES      12
 #define QUANTILE_SAMPLES 20
 
@@ -45,9 +45,9 @@
 #define MIN_MEDIAN    8
 #define MIN_REFERENCE 4
 
-/* How long an instance announces that an endpoint is no longer slow, or that it isn't, while others
- * of the service are. */
-#define NORMAL_ANNOUNCE_PERIOD (8 * KNL_SEC)
+/* A combined estimate that exceeds 1 by less counts as 1 once nothing recent is known: it has no
+ * effect, and would take minutes to reach 1. */
+#define MIN_EXCESS 0.001
 
 /* The estimates that are combined, at most one for each source. */
 typedef struct
@@ -142,20 +142,25 @@
 void
 pol_pace_announce (PolPace *self, KnlTime now)
 {
-  self->announced_until = MAX (self->announced_until, now + NORMAL_ANNOUNCE_PERIOD);
+  self->announced_until = MAX (self->announced_until, now + POL_PACE_ANNOUNCE_PERIOD);
 }
 
-static void
-update_own (PolPace *self, KnlTime now)
+void
+pol_pace_set_reference (PolPace *self, const PolPaceReference *reference)
 {
-  PolPaceEstimate measured = pol_pace_measure (self, now);
+  self->reference = reference->ratio;
+  self->is_unsure = reference->n < MIN_REFERENCE;
+}
 
-  if (measured.samples == 0)
+static void
+update_own (PolPace *self, const PolPaceEstimate *measured)
+{
+  if (measured->samples == 0)
     return;
-  measured.ratio = relative (measured.ratio, self->reference);
-  if (measured.ratio >= POL_PACE_MIN_SLOW)
-    pol_pace_announce (self, measured.at);
-  self->own = measured;
+  self->own = *measured;
+  self->own.ratio = relative (measured->ratio, self->reference);
+  if (self->own.ratio >= POL_PACE_MIN_SLOW)
+    pol_pace_announce (self, measured->at);
 }
 
 void
@@ -163,6 +168,7 @@
 {
   PolPaceSample *last = last_sample (self);
 
+  pol_pace_watch (self);
   if (last != NULL && now - last->at < SAME_PASS_TIME)
     {
       last->ratio = MIN (last->ratio, ratio);
@@ -177,6 +183,7 @@
 void
 pol_pace_add_statement (PolPace *self, double ratio, KnlTime now)
 {
+  pol_pace_watch (self);
   self->stated = (PolPaceEstimate){
     .ratio = relative (ratio, 1),
     .samples = MIN_COMBINED_SAMPLES,
@@ -210,6 +217,7 @@
   guint max_weight = report->is_cell ? MAX_CELL_WEIGHT : MAX_REPORT_WEIGHT;
   PolPaceReport *slot = report_slot (self, report);
 
+  pol_pace_watch (self);
   *slot = *report;
   slot->estimate.ratio = relative (report->estimate.ratio, 1);
   slot->estimate.samples = MIN (report->estimate.samples, max_weight);
@@ -266,26 +274,41 @@
   return estimate;
 }
 
+/* The estimate that a report adds. A relay speaks for many instances, but a false report of it
+ * alone must not decide against recent normal samples of this instance: it counts at most as much.
+ */
+static PolPaceEstimate
+reported (const PolPaceReport *report, const PolPaceEstimate *own, KnlTime now)
+{
+  PolPaceEstimate estimate = report->estimate;
+
+  if (report->is_cell && own->samples > 0 && own->ratio < POL_PACE_MIN_SLOW && is_recent (own, now))
+    estimate.samples = MIN (estimate.samples, own->samples);
+  return estimate;
+}
+
 /* Estimates that come from samples. */
 static Evidence
 collect_sampled (const PolPace *self, gboolean with_cells, gboolean recent, KnlTime now)
 {
   Evidence evidence = { .n = 0 };
   PolPaceEstimate own = self->own;
+  PolPaceEstimate row;
 
   /* Unknown work can't make a sample smaller, so a few normal ones are as good as many slow ones.
    */
   if (own.samples > 0 && own.ratio < POL_PACE_MIN_SLOW)
     own.samples = MAX (own.samples, MIN_COMBINED_SAMPLES);
   add_evidence (&evidence, &own, recent, now);
-  own = confirming (self, now);
-  add_evidence (&evidence, &own, recent, now);
+  row = confirming (self, now);
+  add_evidence (&evidence, &row, recent, now);
   for (guint i = 0; i < self->n_reports; i++)
     {
       const PolPaceReport *report = &self->reports[i];
 
+      row = reported (report, &own, now);
       if (!report->estimate.is_stated && (with_cells || !report->is_cell))
-        add_evidence (&evidence, &report->estimate, recent, now);
+        add_evidence (&evidence, &row, recent, now);
     }
   return evidence;
 }
@@ -381,15 +404,17 @@
 }
 
 double
-pol_pace_update (PolPace *self, const PolPaceReference *reference, KnlTime now)
+pol_pace_combine (PolPace *self,
+                  const PolPaceEstimate *measured,
+                  const PolPaceReference *reference,
+                  KnlTime now)
 {
   Evidence evidence;
   gboolean is_sampled;
   double combined;
 
-  self->reference = reference->ratio;
-  self->is_unsure = reference->n < MIN_REFERENCE;
-  update_own (self, now);
+  pol_pace_set_reference (self, reference);
+  update_own (self, measured);
   evidence = collect (self, TRUE, TRUE, now);
   is_sampled = evidence.weight >= MIN_COMBINED_SAMPLES;
   combined = fall_back (self->combined, now - self->combined_at,
@@ -408,6 +433,40 @@
   return combined;
 }
 
+double
+pol_pace_update (PolPace *self, const PolPaceReference *reference, KnlTime now)
+{
+  PolPaceEstimate measured = pol_pace_measure (self, now);
+
+  return pol_pace_combine (self, &measured, reference, now);
+}
+
+/* Whether an estimate still has an effect, however old it is. */
+static gboolean
+has_effect (const PolPaceEstimate *estimate, KnlTime now)
+{
+  return estimate->samples > 0
+         && (is_recent (estimate, now) || aged (estimate, now).ratio >= POL_PACE_MIN_SLOW);
+}
+
+gboolean
+pol_pace_is_settled (const PolPace *self, KnlTime now)
+{
+  guint n = self->n_samples;
+
+  if (n > 0 && now - self->samples[(n - 1) % POL_PACE_MAX_SAMPLES].at <= SAMPLE_TTL)
+    return FALSE;
+  if (self->combined >= 1 + MIN_EXCESS || has_effect (&self->own, now)
+      || has_effect (&self->stated, now))
+    return FALSE;
+  for (guint i = 0; i < self->n_reports; i++)
+    {
+      if (has_effect (&self->reports[i].estimate, now))
+        return FALSE;
+    }
+  return TRUE;
+}
+
 KnlTime
 pol_pace_newest (const PolPace *self)
 {
@@ -421,12 +480,20 @@
 }
 
 double
-pol_pace_median (double *ratios, guint n)
+pol_pace_median_with_normal (double *ratios, guint n, guint n_normal)
 {
-  if (n == 0)
+  guint middle = (n + n_normal - 1) / 2;
+
+  if (n == 0 || middle < n_normal)
     return 1;
   qsort (ratios, n, sizeof *ratios, compare_ratios);
-  return MAX (ratios[(n - 1) / 2], 1);
+  return MAX (ratios[middle - n_normal], 1);
+}
+
+double
+pol_pace_median (double *ratios, guint n)
+{
+  return pol_pace_median_with_normal (ratios, n, 0);
 }
 
 PolPaceReference
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -99,6 +99,7 @@
 {
   GPtrArray *service = g_hash_table_lookup (self->services, endpoint->service);
 
+  pol_pace_leave (&endpoint->pace);
   if (service != NULL && g_ptr_array_remove (service, endpoint) && service->len == 0)
     g_hash_table_remove (self->services, endpoint->service);
   g_ptr_array_remove (self->all, endpoint);
@@ -106,6 +107,12 @@
   g_hash_table_remove (self->by_id, endpoint->id);
 }
 
+static PolPaceGroup *
+pace_group (const GPtrArray *service)
+{
+  return ((SvEndpoint *)g_ptr_array_index (service, 0))->pace.group;
+}
+
 static SvEndpoint *
 add (SvFleet *self, const SvEndpointEntry *entry)
 {
@@ -133,6 +140,7 @@
       service = g_ptr_array_new ();
       g_hash_table_insert (self->services, g_strdup (entry->service), service);
     }
+  pol_pace_join (&endpoint->pace, service->len > 0 ? pace_group (service) : NULL);
   g_ptr_array_add (service, endpoint);
   g_ptr_array_sort (service, compare_keys);
   g_ptr_array_add (self->all, endpoint);
@@ -362,6 +370,7 @@
 
       if (endpoint == NULL)
         continue;
+      part.declared = prefill->length;
       part.length = (KnlTime)((double)prefill->length * endpoint->pace.factor);
       sv_prefills_add (&endpoint->prefills, &part, now);
     }
@@ -412,7 +421,7 @@
       if (first != NULL && sv_prefills_find (&first->prefills, placed->prompt, now, &prefill)
           && prefill.until_ended)
         {
-          prefill.length = (KnlTime)((double)prefill.length / first->pace.factor);
+          prefill.length = prefill.declared;
           func (&prefill, placed->keys, placed->n, data);
         }
     }
