peers: cold endpoints count the instances that relays hear

A side of a partition that cuts through zones counted every foreign cell with all instances that its relay knows, alive or not. Of 84 instances in three zones that are split in half, each side took 70 for heard, and both sides together exceeded the bound of cold endpoints.

A relay states in its cell's description how many instances it hears (Cell.heard; 0 or absent: as many as it knows). The fraction that is heard and the cells' sizes for cold endpoints use that number; the number of known instances and advertised limits keep the described one.

--- a/include/serve/cold.h
+++ b/include/serve/cold.h
@@ -11,7 +11,7 @@
 typedef struct
 {
   guint32 id;      /**< hash of its zone's name */
-  guint instances; /**< as its relay reports */
+  guint instances; /**< those that its relay hears */
 } SvCellSize;
 
 /** The instances as this one knows them. */
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -195,13 +195,17 @@
   size_t n_ready;
   char **ready;
   /*
-   * the two fields above are filled
+   * the two fields above and the one below are filled
    */
   protobuf_c_boolean described;
+  /*
+   * of these, the ones that the relay hears, itself counted; 0: not stated, all of them
+   */
+  uint32_t heard;
 };
 #define ALDERTURN__CELL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__cell__descriptor) \
-    , 0, 0, 0,NULL, 0 }
+    , 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -145,7 +145,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Cell *cell = value;
-      SvCellSize size = { .id = cell->id, .instances = cell->instances };
+      SvCellSize size = { .id = cell->id, .instances = cell->heard };
 
       if (sv_cell_is_alive (self, cell))
         g_array_append_val (sizes, size);
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -72,6 +72,7 @@
   guint32 relay;        /* id of its relay; 0: not known yet */
   KnlTime last_seen_at; /* -KNL_NEVER: never */
   guint instances;      /* as last reported by its relay */
+  guint heard;          /* of these, the ones that its relay hears */
   GPtrArray *ready;     /* addresses for callers, as last reported */
   gboolean is_counted;
 } Cell;
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -379,6 +379,7 @@
   if (datagram->cell->described)
     {
       cell->instances = datagram->cell->instances;
+      cell->heard = datagram->cell->heard > 0 ? datagram->cell->heard : cell->instances;
       replace_ready (cell, datagram->cell);
     }
   handle_cell_loads (self, cell, datagram);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -214,6 +214,7 @@
   cell.id = self->cell;
   cell.described = TRUE;
   cell.instances = 1 + sv_peers_n_in_zone (self, self->self.zone);
+  cell.heard = 1 + sv_peers_n_alive_in_cell (self);
   cell.ready = ready;
   cell.n_ready = fill_ready (self, ready);
   datagram.cell = &cell;
--- a/tests/unit/sv_cold_peers_test.c
+++ b/tests/unit/sv_cold_peers_test.c
@@ -184,6 +184,36 @@
   cluster_close (&cluster);
 }
 
+static void
+stop_all (Cluster *self, const guint *instances, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    peers_fixture_stop (&self->peers, instances[i]);
+}
+
+/* Guards against a side of a partition that counts all known instances of another cell as heard,
+ * though only some of them are on its side. */
+static void
+test_partition_through_zones (void)
+{
+  static const guint cut_off[] = { 2, 3, 6 };
+  Cluster cluster;
+
+  cluster_open (&cluster);
+  for (guint i = 0; i < INSTANCES; i++)
+    learn_cold (&cluster, i);
+  stop_all (&cluster, cut_off, G_N_ELEMENTS (cut_off));
+  peers_fixture_advance (&cluster.peers, 8 * PEERS_HEARTBEAT_INTERVAL);
+  for (guint j = 0; j < ENDPOINTS; j++)
+    {
+      CU_ASSERT_EQUAL (count_senders (&cluster, j), 3);
+      CU_ASSERT_EQUAL (endpoint_at (&cluster, 0, j)->cold.bucket.share.n_senders, 3);
+    }
+  /* The described numbers, by which advertised limits are divided, are those that are known. */
+  CU_ASSERT_EQUAL (sv_peers_n_alive (cluster.peers.peers[0]), 1 + 3 + 1);
+  cluster_close (&cluster);
+}
+
 /* Guards against an instance that starts while endpoints are cold and sends as one that knows the
  * others. */
 static void
@@ -230,6 +260,7 @@
 static const SuiteCase cases[] = {
   { "all learn at once", test_all_learn_at_once },
   { "a partition", test_partition },
+  { "a partition through zones", test_partition_through_zones },
   { "instances start while endpoints are cold", test_starts_while_endpoints_are_cold },
   { "an isolated instance", test_isolated_instance },
 };
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -1010,7 +1010,7 @@
   (ProtobufCMessageInit) alderturn__sender__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__cell__field_descriptors[4] =
+static const ProtobufCFieldDescriptor alderturn__cell__field_descriptors[5] =
 {
   {
     "id",
@@ -1060,9 +1060,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heard",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Cell, heard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__cell__field_indices_by_name[] = {
   3,   /* field[3] = described */
+  4,   /* field[4] = heard */
   0,   /* field[0] = id */
   1,   /* field[1] = instances */
   2,   /* field[2] = ready */
@@ -1070,7 +1083,7 @@
 static const ProtobufCIntRange alderturn__cell__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor alderturn__cell__descriptor =
 {
@@ -1080,7 +1093,7 @@
   "Alderturn__Cell",
   "alderturn",
   sizeof(Alderturn__Cell),
-  4,
+  5,
   alderturn__cell__field_descriptors,
   alderturn__cell__field_indices_by_name,
   1,  alderturn__cell__number_ranges,
