cold: no sender that hears less than half of its cell

An instance that has just started may have heard few of its cell when its first second is over. Most instances that rank before it are then missing, so it took itself for a sender beside the real ones.

Peers give the fleet the number of known instances of the own cell, and an instance that hears less than half of them isn't a sender.

--- a/include/serve/cold.h
+++ b/include/serve/cold.h
@@ -21,6 +21,7 @@
   guint32 cell;         /**< of its own cell */
   const guint32 *peers; /**< ids of the live peers of its cell */
   guint n_peers;
+  guint known_in_cell;     /**< instances that exist in its own cell, this one included */
   const SvCellSize *cells; /**< other cells that are heard */
   guint n_cells;
   guint known;            /**< instances that exist, this one included */
--- a/serve/endpoint_cold.c
+++ b/serve/endpoint_cold.c
@@ -35,6 +35,7 @@
   gboolean has_members;
   guint32 id;
   guint known;
+  guint known_in_cell;
   KnlTime detection_time;
   GArray *peers; /* guint32 */
   GArray *cells; /* SvCellSize, our own first */
@@ -82,6 +83,7 @@
   self->has_members = TRUE;
   self->id = members->id;
   self->known = MAX (members->known, 1);
+  self->known_in_cell = members->known_in_cell;
   self->detection_time = members->detection_time;
   g_array_set_size (self->peers, 0);
   g_array_set_size (self->cells, 0);
@@ -177,13 +179,20 @@
   return cells;
 }
 
+/* An instance that hears few of its cell ranks first for most endpoints, as many others may. */
+static gboolean
+hears_half_of_cell (const SvColdRules *self)
+{
+  return 2 * (1 + self->peers->len) >= self->known_in_cell;
+}
+
 static PolColdShare
 share_of (const SvColdRules *self, const SvEndpoint *endpoint, const SvColdSpec *spec, KnlTime now)
 {
   g_autoptr (GArray) cells = NULL;
   PolColdView view = { .rate = spec->rate, .bound = spec->rate * self->overage + self->slack };
 
-  if (!self->has_members || now - self->begun_at < INTRODUCTION_TIME)
+  if (!self->has_members || now - self->begun_at < INTRODUCTION_TIME || !hears_half_of_cell (self))
     return (PolColdShare){ 0 };
   cells = cells_for (self, endpoint, &view.heard);
   view.known = MAX (self->known, view.heard);
--- a/serve/peers_members.c
+++ b/serve/peers_members.c
@@ -42,6 +42,7 @@
     .cell = self->cell,
     .peers = (const guint32 *)peers->data,
     .n_peers = peers->len,
+    .known_in_cell = 1 + sv_peers_n_in_zone (self, self->self.zone),
     .cells = (const SvCellSize *)cells->data,
     .n_cells = cells->len,
     .known = self->link.klass->n_instances (&self->link),
--- a/tests/unit/sv_cold_peers_test.c
+++ b/tests/unit/sv_cold_peers_test.c
@@ -257,11 +257,36 @@
   cluster_close (&cluster);
 }
 
+/* Guards against an instance that hears few of its cell, as after its start, and takes itself for a
+ * sender in place of those that it doesn't hear. */
+static void
+test_few_of_the_cell_are_heard (void)
+{
+  static const guint half[] = { 1, 2 };
+  static const guint third[] = { 3 };
+  Cluster cluster;
+  guint n_senders = 0;
+
+  cluster_open (&cluster);
+  stop_all (&cluster, half, G_N_ELEMENTS (half));
+  peers_fixture_advance (&cluster.peers, 8 * PEERS_HEARTBEAT_INTERVAL);
+  learn_cold (&cluster, 0);
+  for (guint j = 0; j < ENDPOINTS; j++)
+    n_senders += endpoint_at (&cluster, 0, j)->cold.bucket.share.is_sender;
+  CU_ASSERT (n_senders > 0);
+  stop_all (&cluster, third, G_N_ELEMENTS (third));
+  peers_fixture_advance (&cluster.peers, 8 * PEERS_HEARTBEAT_INTERVAL);
+  for (guint j = 0; j < ENDPOINTS; j++)
+    CU_ASSERT_FALSE (endpoint_at (&cluster, 0, j)->cold.bucket.share.is_sender);
+  cluster_close (&cluster);
+}
+
 static const SuiteCase cases[] = {
   { "all learn at once", test_all_learn_at_once },
   { "a partition", test_partition },
   { "a partition through zones", test_partition_through_zones },
   { "instances start while endpoints are cold", test_starts_while_endpoints_are_cold },
+  { "few of the cell are heard", test_few_of_the_cell_are_heard },
   { "an isolated instance", test_isolated_instance },
 };
 
