zones: every applied removal counts as a restoration

An instance that never saw a zone evacuated, since its feed was behind and got only the removal, reported no restoration, and the zone's endpoints counted as warm there.

Each removal that is applied is reported, once. The case "an older row changes nothing" begins with such a removal and now expects its event.

Run: sv_evacuations with a new case fails without the change; with it sv_evacuations, gw_evacuations and sv_zones pass.

--- a/include/serve/evacuations.h
+++ b/include/serve/evacuations.h
@@ -14,7 +14,8 @@
 
 typedef struct SvEvacuations SvEvacuations;
 
-/** Called when a zone enters or leaves the set, by a change at `position`; must not change the set.
+/** Called when a zone enters or leaves the set, by a change at `position`, and for the removal of a
+ * row that this instance had not applied; must not change the set.
  */
 typedef void (*SvEvacuationFunc) (const char *zone, SvPosition position, gpointer data);
 
--- a/serve/evacuations.c
+++ b/serve/evacuations.c
@@ -93,6 +93,15 @@
          || (zone != NULL && is_older (position, zone->position));
 }
 
+static gboolean
+is_applied_removal (const SvEvacuations *self, const char *name, SvPosition position)
+{
+  const Zone *zone = g_hash_table_lookup (self->zones, name);
+
+  return zone != NULL && !zone->is_evacuated
+         && sv_position_compare (position, zone->position) == SV_POSITION_SAME;
+}
+
 static void
 evacuate (SvEvacuations *self, const char *name, Zone *zone)
 {
@@ -103,13 +112,14 @@
   self->events->evacuated (name, zone->position, self->data);
 }
 
+/* The zone may be unknown, where this instance learns only of the removal: its endpoints were out
+ * of service all the same. */
 static void
 restore (SvEvacuations *self, const char *name, Zone *zone, SvPosition position)
 {
-  if (!zone->is_evacuated)
-    return;
+  if (zone->is_evacuated)
+    self->n_evacuated--;
   zone->is_evacuated = FALSE;
-  self->n_evacuated--;
   self->events->restored (name, position, self->data);
 }
 
@@ -130,7 +140,7 @@
 void
 sv_evacuations_remove (SvEvacuations *self, const char *name, SvPosition position)
 {
-  if (is_outdated (self, name, position))
+  if (is_outdated (self, name, position) || is_applied_removal (self, name, position))
     return;
   restore (self, name, note_row (self, name, position), position);
   schedule_restore (self);
