send: endpoints that left the fleet make a placement outdated

While a reservation is pending, the fleet may drop an endpoint or replace it by its next start. The request still holds the old object, which learns neither of its zone's evacuation nor that it is cold, and the prompt was sent there.

The check moves to serve/placement_check.c.

--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -130,6 +130,13 @@
  * endpoint has capacity for it. */
 gboolean sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement);
 
+/* placement_check.c */
+
+/** Whether something has changed since the request was placed because of which it must not be sent
+ * like that: an endpoint has advertised a Retry-After, become cold or left the fleet, or a zone was
+ * evacuated. */
+gboolean sv_request_is_placement_outdated (const SvRequest *self);
+
 /* pass.c */
 
 /** Passes the request on to a peer, if this instance has lost its links to endpoints. FALSE: it is
--- a/serve/send.c
+++ b/serve/send.c
@@ -319,40 +319,6 @@
         knl_timer_start (self->core->parts.kernel, silence_timeout (self), on_watch, self);
 }
 
-static gboolean
-has_evacuated_endpoint (const SvPlacement *placement)
-{
-  gboolean found = placement->first->is_evacuated;
-
-  for (guint i = 0; i < placement->n_helpers; i++)
-    found |= placement->helpers[i]->is_evacuated;
-  return found;
-}
-
-static gboolean
-has_cold_helper (const SvRequest *self)
-{
-  for (guint i = 0; i < self->placement.n_helpers; i++)
-    {
-      if (sv_endpoint_is_cold (self->placement.helpers[i], sv_request_now (self)))
-        return TRUE;
-    }
-  return FALSE;
-}
-
-/* While the reservation was made, an endpoint may have advertised a Retry-After or become cold, or
- * a zone may have been evacuated. */
-static gboolean
-is_placement_outdated (const SvRequest *self)
-{
-  SvEndpoint *first = self->placement.first;
-  KnlTime now = sv_request_now (self);
-
-  return first->retry_after_until > now || sv_endpoint_cold_wait (first, now) > 0
-         || has_cold_helper (self) || has_evacuated_endpoint (&self->placement)
-         || sv_core_has_stale_zones (self->core);
-}
-
 /* Places the request anew, without counting this send. */
 static void
 place_again (SvRequest *self)
@@ -367,7 +333,7 @@
 {
   SvRequest *self = data;
 
-  if (ready && is_placement_outdated (self))
+  if (ready && sv_request_is_placement_outdated (self))
     {
       place_again (self);
       return;
--- a/tests/unit/sv_zones_running_test.c
+++ b/tests/unit/sv_zones_running_test.c
@@ -130,8 +130,31 @@
   sv_fixture_wait_requests (self, HOLDER, 1);
 }
 
+/* The fleet replaces each endpoint of these zones by its next start. */
+static void
+restart_zones (SvFixture *self, const char *zones)
+{
+  for (guint i = 0; i < 3; i++)
+    {
+      SvEndpoint *endpoint = sv_endpoint_ref (zones_fixture_endpoint (self, i));
+      SvEndpointEntry entry = {
+        .id = endpoint->id,
+        .service = "s",
+        .zone = endpoint->zone,
+        .slots = 4,
+        .start = endpoint->start + 1,
+        .address = endpoint->address,
+      };
+
+      if (strstr (zones, endpoint->zone) != NULL)
+        sv_fleet_update (self->fleet, &entry);
+      sv_endpoint_unref (endpoint);
+    }
+}
+
 /* Guards against a prompt that is sent with, or to, an endpoint whose zone was evacuated while its
- * memory was being reserved, or when no zone is confirmed any more. */
+ * memory was being reserved, also one that was replaced meanwhile, or when no zone is confirmed any
+ * more. */
 static void
 test_reserved_prompts_are_checked_again (void)
 {
@@ -140,16 +163,21 @@
     const char *evacuated;
     gboolean is_stale;
     const char *reason;
-  } rows[] = { { "r", FALSE, NULL },
-               { "h", FALSE, NULL },
-               { "rh", FALSE, "zones-evacuated" },
-               { "", TRUE, "zones-not-confirmed" } };
+    const char *restarted; /* zone whose endpoints restart before */
+  } rows[] = { { "r", FALSE, NULL, "" },
+               { "h", FALSE, NULL, "" },
+               { "rh", FALSE, "zones-evacuated", "" },
+               { "", TRUE, "zones-not-confirmed", "" },
+               { "r", FALSE, NULL, "r" },
+               { "h", FALSE, NULL, "h" },
+               { "rh", FALSE, "zones-evacuated", "rh" } };
 
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
     {
       SvFixture fixture;
 
       open_with_engines (&fixture, &zones_silent);
+      restart_zones (&fixture, rows[i].restarted);
       zones_fixture_evacuate (&fixture, rows[i].evacuated);
       if (rows[i].is_stale)
         zones_fixture_set_bounds (&fixture, 1);
