gateway: count failed queries, and never postpone the choice

While an instance is behind, each heartbeat of a peer counted as a failure of the source, also when no query was sent because one was too recent, and each failure started the 50 ms timer of the next choice anew. With many peers the choice was postponed again and again.

pl_feed_poll_now() returns whether it sent a poll, and only then the store's failure is counted. A review of the source that is due is moved to an earlier time only.

Run: gw_members with the new case "frequent failures postpone nothing" fails without the change of the timer; with it gw_members, pl_store, gw_evacuations, gw_cold, gw_endpoints and sv_confirm pass.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -287,16 +287,17 @@
   return feed_last_seen_at (self, self->endpoints_feed, self->endpoints_last_seen_at);
 }
 
-/* The current source doesn't answer, or has older data than a peer. */
-static void
+/* The current source doesn't answer, or has older data than a peer. Returns whether the store is
+ * queried again. */
+static gboolean
 retry_query (Gateway *self, PlFeed *feed)
 {
   if (feed == NULL)
-    return;
-  if (self->peer_store != NULL)
-    gateway_note_source_failed (self);
-  else
-    pl_feed_poll_now (feed);
+    return FALSE;
+  if (self->peer_store == NULL)
+    return pl_feed_poll_now (feed);
+  gateway_note_source_failed (self);
+  return FALSE;
 }
 
 static void
@@ -319,10 +320,9 @@
   Gateway *self = data;
 
   /* The query restarts the timeout of the one without an answer, which would show that the store
-   * doesn't answer. */
-  if (self->peer_store == NULL && self->config_feed != NULL)
+   * doesn't answer. Peers report newer data more often than queries are sent. */
+  if (retry_query (self, self->config_feed))
     gateway_note_source_failed (self);
-  retry_query (self, self->config_feed);
 }
 
 static const SvConfirmEvents confirm_events = {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -54,6 +54,7 @@
   KnlTime members_read_at;         /* 0: the cell isn't found yet */
   KnlTime started_at;
   KnlTimerId source_timer;
+  KnlTime source_due_at;               /* when `source_timer` ends */
   SvPosition endpoints_revision;       /* newest row received from the endpoint table */
   KnlTime endpoints_last_seen_at;      /* when the endpoint feed was last answered */
   CmLogRateLimit unreadable_log_limit; /* endpoint rows that can't be decoded */
--- a/gateway/source.c
+++ b/gateway/source.c
@@ -134,6 +134,21 @@
          && (!sv_peers_follows_store (self->peers) || !sv_peers_expects_followers (self->peers));
 }
 
+static void on_choose (gpointer data);
+
+/* Never makes a review later that is due already: failures may follow each other at any rate. */
+static void
+schedule_choose (Gateway *self, KnlTime delay)
+{
+  KnlTime due_at = knl_kernel_now (self->process.kernel) + delay;
+
+  if (self->source_timer != 0 && self->source_due_at <= due_at)
+    return;
+  knl_timer_stop (self->process.kernel, &self->source_timer);
+  self->source_due_at = due_at;
+  self->source_timer = knl_timer_start (self->process.kernel, delay, on_choose, self);
+}
+
 static void
 on_choose (gpointer data)
 {
@@ -141,10 +156,9 @@
   gboolean can_choose = may_choose (self);
   const char *chosen;
 
-  self->source_timer = knl_timer_start (
-      self->process.kernel,
-      can_choose || self->config_feed != NULL ? CHOOSE_INTERVAL : INITIAL_CHOOSE_INTERVAL,
-      on_choose, self);
+  self->source_timer = 0;
+  schedule_choose (self, can_choose || self->config_feed != NULL ? CHOOSE_INTERVAL
+                                                                 : INITIAL_CHOOSE_INTERVAL);
   if (!can_choose)
     return;
   limit_mirror (self);
@@ -153,13 +167,6 @@
     use_source (self, chosen);
 }
 
-static void
-schedule_choose (Gateway *self, KnlTime delay)
-{
-  knl_timer_stop (self->process.kernel, &self->source_timer);
-  self->source_timer = knl_timer_start (self->process.kernel, delay, on_choose, self);
-}
-
 void
 gateway_start_source (Gateway *self)
 {
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -181,5 +181,5 @@
 void pl_feed_set_wait (PlFeed *feed, KnlTime wait);
 
 /** Polls at once and cancels a call that is still waiting. If an answer is being received or
- * delivered, polls after it. */
-void pl_feed_poll_now (PlFeed *feed);
+ * delivered, polls after it. Returns whether a poll was sent: not if one is too recent. */
+gboolean pl_feed_poll_now (PlFeed *feed);
--- a/tests/unit/gw_members_test.c
+++ b/tests/unit/gw_members_test.c
@@ -254,6 +254,38 @@
     }
 }
 
+/* Guards against an instance that keeps a source which has failed, since each further failure
+ * postponed the choice of another one. */
+static void
+test_frequent_failures_postpone_nothing (void)
+{
+  static const KnlTime failure_interval = 20 * KNL_MSEC;
+  g_autofree char *before = NULL;
+  Gateway *gateway = NULL;
+  GfFleet fleet;
+
+  gf_fleet_open (&fleet, &small);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  for (guint i = 0; i < small.n_instances; i++)
+    {
+      if (fleet.instances[i].gateway.peer_address != NULL)
+        gateway = &fleet.instances[i].gateway;
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (gateway);
+  before = g_strdup (gateway->peer_address);
+  for (KnlTime passed = 0; passed < 200 * KNL_MSEC; passed += failure_interval)
+    {
+      /* Only the first source fails. */
+      if (g_strcmp0 (gateway->peer_address, before) == 0)
+        gateway_note_source_failed (gateway);
+      gf_fleet_advance (&fleet, failure_interval);
+    }
+  CU_ASSERT (g_strcmp0 (gateway->peer_address, before) != 0);
+  gf_fleet_close (&fleet);
+}
+
 static const SuiteCase cases[] = {
   { "calls of a first start grow with the instances alone", test_first_start },
   { "calls of a restart grow with the instances alone", test_restart_of_half },
@@ -263,6 +295,7 @@
   { "an unknown sender is answered", test_unknown_sender_is_answered },
   { "the cell is found with the configuration", test_cell_is_found_with_the_configuration },
   { "instances of an earlier release are discovered", test_earlier_release_is_discovered },
+  { "frequent failures postpone nothing", test_frequent_failures_postpone_nothing },
 };
 
 SUITE_MAIN ("gw_members", cases)
--- a/tests/unit/pl_store_test.c
+++ b/tests/unit/pl_store_test.c
@@ -325,19 +325,21 @@
   fixture_close (&fixture);
 }
 
-/* Polls at each heartbeat of one of many peers. */
-static void
+/* Polls at each heartbeat of one of many peers; returns how many polls were sent. */
+static guint
 poll_for (Fixture *self, KnlTime time)
 {
   static const KnlTime heartbeat_interval = 10 * KNL_MSEC;
+  guint n = 0;
 
   for (KnlTime passed = 0; passed < time; passed += heartbeat_interval)
     {
-      pl_feed_poll_now (self->feed);
+      n += pl_feed_poll_now (self->feed);
       knl_paused_clock_advance (self->clock, heartbeat_interval);
       for (guint round = 0; round < 10; round++)
         event_base_loop (self->base, EVLOOP_NONBLOCK);
     }
+  return n;
 }
 
 /*
@@ -349,13 +351,15 @@
 {
   static const KnlTime outage = 9 * KNL_SEC;
   Fixture fixture;
+  guint polls;
   guint calls;
 
   fixture_open (&fixture);
   wait_feeds (&fixture, 1);
   row_store_set_mode (fixture.rows, ROW_STORE_SILENT);
   calls = row_store_n_calls (fixture.rows);
-  poll_for (&fixture, outage);
+  polls = poll_for (&fixture, outage);
+  CU_ASSERT (polls > 0 && polls <= row_store_n_calls (fixture.rows) - calls);
   CU_ASSERT (row_store_n_calls (fixture.rows) - calls <= 2 * outage / KNL_SEC);
   row_store_set_mode (fixture.rows, ROW_STORE_SERVES);
   row_store_put (fixture.rows, "b", "{\"v\":\"2\"}");
