gateway: a reloaded bound reaches the confirmations

A changed or new evacMs reached the core on reload, but confirmations were still requested as often as the bound at the start required.

sv_confirm_set_max_staleness() changes the bound and restarts the timer of the requests; the reload calls it.

Run: sv_confirm_zones with the new case "a shorter bound" fails if the setter does nothing; with it sv_confirm and sv_confirm_zones pass. The call in gateway/reload.c has no test of its own.

--- a/gateway/reload.c
+++ b/gateway/reload.c
@@ -39,6 +39,7 @@
     {
       self->boot->bounds = boot->bounds;
       sv_core_set_bounds (self->core, &boot->bounds);
+      sv_confirm_set_max_staleness (self->confirm, sv_bounds_max_confirmation_age (&boot->bounds));
       gateway_apply_evacuation_bound (self);
       pl_boot_free (boot);
       cm_log (CM_LOG_NOTICE, "settings-reloaded");
--- a/include/serve/bounds.h
+++ b/include/serve/bounds.h
@@ -38,6 +38,9 @@
  * evacuated after it; KNL_NEVER: requests are sent at any age. */
 KnlTime sv_bounds_max_zone_staleness (const SvBounds *bounds);
 
+/** Largest age that the last confirmation may have in calm operation: one of the above. */
+KnlTime sv_bounds_max_confirmation_age (const SvBounds *bounds);
+
 /** How long a leaving endpoint is still sent requests when no other endpoint is left. */
 KnlTime sv_bounds_leave_grace (const SvBounds *bounds);
 
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -51,6 +51,9 @@
                            gpointer data);
 void sv_confirm_free (SvConfirm *confirm);
 
+/** Changes `max_staleness`. */
+void sv_confirm_set_max_staleness (SvConfirm *confirm, KnlTime max_staleness);
+
 /** To be called when the configuration in use may have changed other than by an answer of the
  * store. It is confirmed if a proof is known already; else, if it was never confirmed, a peer is
  * queried at once. */
--- a/serve/bounds.c
+++ b/serve/bounds.c
@@ -52,6 +52,16 @@
   return self->evacuation > 0 ? fraction_of (self->evacuation, ZONE_FRACTION) : KNL_NEVER;
 }
 
+KnlTime
+sv_bounds_max_confirmation_age (const SvBounds *self)
+{
+  KnlTime age = sv_bounds_max_key_staleness (self);
+
+  if (age == KNL_NEVER)
+    age = sv_bounds_max_negative_staleness (self);
+  return MIN (age, sv_bounds_max_zone_staleness (self));
+}
+
 KnlTime
 sv_bounds_leave_grace (const SvBounds *self)
 {
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -363,6 +363,18 @@
     answer (data, peer, confirmation);
 }
 
+void
+sv_confirm_set_max_staleness (SvConfirm *self, KnlTime max_staleness)
+{
+  if (max_staleness == self->max_staleness)
+    return;
+  self->max_staleness = max_staleness;
+  knl_timer_stop (self->kernel, &self->timer);
+  if (max_staleness != KNL_NEVER)
+    self->timer = knl_timer_start (
+        self->kernel, fraction_of_staleness (self, REQUEST_INTERVAL_FRACTION), on_timer, self);
+}
+
 SvConfirm *
 sv_confirm_new (KnlKernel *kernel,
                 SvPeers *peers,
@@ -374,13 +386,10 @@
 
   self->kernel = kernel;
   self->peers = peers;
-  self->max_staleness = max_staleness;
   self->events = events;
   self->data = data;
   sv_peers_on_confirmation (peers, on_confirmation, on_versions, self);
-  if (max_staleness != KNL_NEVER)
-    self->timer = knl_timer_start (kernel, fraction_of_staleness (self, REQUEST_INTERVAL_FRACTION),
-                                   on_timer, self);
+  sv_confirm_set_max_staleness (self, max_staleness);
   return self;
 }
 
--- a/tests/unit/sv_confirm_zones_test.c
+++ b/tests/unit/sv_confirm_zones_test.c
@@ -152,7 +152,29 @@
   confirm_fixture_close (&fixture);
 }
 
+/* Guards against a bound that becomes shorter while the process runs, and after which this instance
+ * asks for confirmations as rarely as before. */
+static void
+test_shorter_bound (void)
+{
+  static const KnlTime bound = 600 * KNL_MSEC;
+  ConfirmFixture fixture;
+  ConfirmInstance *other;
+
+  confirm_fixture_open (&fixture);
+  other = confirm_fixture_non_follower (&fixture);
+  sv_confirm_set_max_staleness (other->confirm, bound);
+  confirm_fixture_advance (&fixture, bound, TRUE);
+  for (guint i = 0; i < 20; i++)
+    {
+      CU_ASSERT (confirm_fixture_age (&fixture, other) < bound);
+      confirm_fixture_advance (&fixture, STEP, TRUE);
+    }
+  confirm_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
+  { "a shorter bound", test_shorter_bound },
   { "missed evacuations confirm nothing", test_missed_evacuations_confirm_nothing },
   { "a proof waits for its evacuations", test_a_proof_waits_for_its_evacuations },
   { "missed evacuations are requested", test_missed_evacuations_are_requested },
