gateway: the wait for configurations respects the largest age

The store holds a follower's query back for 1.2 to 2.5 s whatever the bounds are.

The wait is capped so that an answer confirms before the last confirmation is too old for keys or zones. The cap is 2.6 s at a bound of 5,000 ms, so nothing changes there.

Run: gw_evacuations with the new case "a short bound" fails without the change; with it gw_evacuations, pl_store and pl_transfer pass.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -8,7 +8,7 @@
 /* How long the store holds an answer back when nothing changes. Each answer confirms that the data
  * is current, so the wait for the configuration is a fraction of the time for which keys may go
  * unconfirmed. With many instances the wait grows up to MAX_CONFIG_WAIT, which bounds the rate of
- * all their calls together. */
+ * all their calls together, or up to what the largest age of confirmations allows. */
 #define CONFIG_WAIT     (1200 * KNL_MSEC)
 #define MAX_CONFIG_WAIT (2500 * KNL_MSEC)
 
@@ -110,11 +110,15 @@
 {
   guint instances = sv_peers_n_alive (self->peers) + 1;
   double rate = CONFIG_READS_FRACTION * MAX (self->boot->store_reads, 1);
+  const SvBounds *bounds = &self->boot->bounds;
+  KnlTime max_age =
+      MIN (sv_bounds_max_key_staleness (bounds), sv_bounds_max_zone_staleness (bounds));
+  KnlTime max_wait = MIN (MAX_CONFIG_WAIT, pl_feed_max_wait (max_age));
   KnlTime min_wait = (KnlTime)((double)instances / rate * (double)KNL_SEC);
 
   if (!sv_confirm_polls_store (self->confirm))
     return CONFIG_WAIT_SHARED;
-  return MIN (MAX (CONFIG_WAIT, min_wait), MAX_CONFIG_WAIT);
+  return MIN (MAX (CONFIG_WAIT, min_wait), max_wait);
 }
 
 /* Announces the versions in use here to peers, which detect by them what they have missed. */
@@ -436,16 +440,11 @@
 void
 gateway_start_following (Gateway *self)
 {
-  KnlTime config_max_staleness = sv_bounds_max_key_staleness (&self->boot->bounds);
-
-  if (config_max_staleness == KNL_NEVER)
-    config_max_staleness = sv_bounds_max_negative_staleness (&self->boot->bounds);
-  config_max_staleness =
-      MIN (config_max_staleness, sv_bounds_max_zone_staleness (&self->boot->bounds));
   self->config_decoder = pl_config_decoder_new ();
   sv_core_set_stale_since (self->core, config_stale_since, self);
-  self->confirm = sv_confirm_new (self->process.kernel, self->peers, config_max_staleness,
-                                  &confirm_events, self);
+  self->confirm =
+      sv_confirm_new (self->process.kernel, self->peers,
+                      sv_bounds_max_confirmation_age (&self->boot->bounds), &confirm_events, self);
   gateway_start_source (self);
 }
 
@@ -453,7 +452,7 @@
 create_feeds (Gateway *self, PlStore *store)
 {
   PlFeedPace config_pace = {
-    .wait = CONFIG_WAIT,
+    .wait = config_wait (self),
     .coalesce_delay = CONFIG_COALESCE_DELAY,
     .max_coalesce_delay =
         (KnlTime)(CONFIG_COALESCE_FRACTION * (double)self->boot->bounds.new_config),
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -180,6 +180,10 @@
 /** Sets the wait of later calls. */
 void pl_feed_set_wait (PlFeed *feed, KnlTime wait);
 
+/** Longest wait with which answers, if nothing changes, confirm the data before the last
+ * confirmation is older than `max_age`. */
+KnlTime pl_feed_max_wait (KnlTime max_age);
+
 /** Polls at once and cancels a call that is still waiting. If an answer is being received or
  * delivered, polls after it. Returns whether a poll was sent: not if one is too recent. */
 gboolean pl_feed_poll_now (PlFeed *feed);
--- a/tests/unit/gw_evacuations_test.c
+++ b/tests/unit/gw_evacuations_test.c
@@ -408,7 +408,28 @@
   fixture_close (&fixture);
 }
 
+/* Guards against instances that refuse requests in calm operation, since the store holds their
+ * queries back for longer than a short bound allows. */
+static void
+test_short_bound (void)
+{
+  static const GfSize short_size = { .n_instances = 12, .n_zones = 2, .evacuation = 2 * KNL_SEC };
+  GfFleet fleet;
+
+  gf_fleet_open (&fleet, &short_size);
+  gf_fleet_start_all (&fleet, 0);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  for (KnlTime passed = 0; passed < 10 * KNL_SEC; passed += ASK_INTERVAL)
+    {
+      gf_fleet_advance (&fleet, ASK_INTERVAL);
+      CU_ASSERT_EQUAL (gf_fleet_n_unready (&fleet), 0);
+    }
+  gf_fleet_close (&fleet);
+}
+
 static const SuiteCase cases[] = {
+  { "a short bound", test_short_bound },
   { "rows reach all instances", test_rows_reach_all_instances },
   { "instances that start know it", test_instances_that_start_know_it },
   { "history gone", test_history_gone },
