cold: a wait at a rate close to 0 is bounded

The wait for a token at a tiny positive rate was too large for its integer type, which is undefined. It is clamped before the cast.

Run: pol_cold_share with the new case "rates close to zero" fails without the change and passes with it.

--- a/policy/cold_start.c
+++ b/policy/cold_start.c
@@ -11,6 +11,9 @@
  * large cells heartbeats are rare, and it is the time in which all notice a dead instance. */
 #define MIN_HANDOVER (1 * KNL_SEC)
 
+/* Longest wait that is stated, also at rates close to 0. */
+#define MAX_WAIT (3600 * KNL_SEC)
+
 guint
 pol_cold_max_senders (double rate, double bound, guint instances)
 {
@@ -132,6 +135,7 @@
 pol_cold_bucket_wait (PolColdBucket *self, KnlTime now)
 {
   double missing;
+  double wait;
 
   if (!self->share.is_sender)
     return KNL_NEVER;
@@ -139,5 +143,6 @@
   missing = 1 - self->tokens;
   if (missing <= 0)
     return 0;
-  return (KnlTime)(missing / self->share.rate * KNL_SEC) + 1 + MAX (self->filled_at - now, 0);
+  wait = MIN (missing / self->share.rate * KNL_SEC, (double)MAX_WAIT);
+  return (KnlTime)wait + 1 + MAX (self->filled_at - now, 0);
 }
--- a/tests/unit/pol_cold_share_test.c
+++ b/tests/unit/pol_cold_share_test.c
@@ -121,7 +121,25 @@
     }
 }
 
+/* Guards against a wait that is too long for its type, and so is negative or means never. */
+static void
+test_rates_close_to_zero (void)
+{
+  static const double rates[] = { 1e-6, 1e-13, 1e-300, 5e-324 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rates); i++)
+    {
+      PolColdBucket bucket = { 0 };
+      KnlTime wait;
+
+      pol_cold_bucket_start (&bucket, &(PolColdShare){ 1, TRUE, FALSE, rates[i], KNL_SEC }, 0);
+      wait = pol_cold_bucket_wait (&bucket, KNL_SEC);
+      CU_ASSERT (wait >= 1000 * KNL_SEC && wait <= 3601 * KNL_SEC);
+    }
+}
+
 static const SuiteCase cases[] = {
+  { "rates close to zero", test_rates_close_to_zero },
   { "number of senders", test_number_of_senders },
   { "senders by cell", test_senders_by_cell },
   { "bucket starts and fills", test_bucket_starts_and_fills },
