zones: removed rows are forgotten

The set of evacuated zones kept each zone whose row was removed until the next complete list, which may never come. They are forgotten after REMOVED_TTL, when a further row arrives.

--- a/serve/evacuations.c
+++ b/serve/evacuations.c
@@ -1,10 +1,15 @@
 #include "serve/evacuations.h"
 
+/* A removed row is remembered for this long: older rows of the zone that arrive late, as from
+ * another source, change nothing until then. Sources differ by seconds. */
+#define REMOVED_TTL (600 * KNL_SEC)
+
 /* State of a zone whose row was written at some time. */
 typedef struct
 {
   SvPosition position;    /* of its newest row */
   gboolean is_evacuated;  /* the row exists */
+  KnlTime changed_at;     /* when its newest row was applied here */
   SvPosition absent_from; /* list of another era that lacks the row; version 0: none does */
   KnlTime restore_at;     /* when the evacuation ends because of that list */
 } Zone;
@@ -15,7 +20,7 @@
   const SvEvacuationEvents *events;
   gpointer data;
   KnlTime restore_delay;
-  GHashTable *zones;     /* name -> Zone; removed ones only until the next list */
+  GHashTable *zones;     /* name -> Zone; removed ones until the next list, or for REMOVED_TTL */
   GHashTable *listed;    /* name -> SvPosition, rows of the list being read; NULL: none is */
   SvPosition list_as_of; /* of the last list applied */
   SvPosition newest;     /* of the rows applied */
@@ -66,18 +71,30 @@
   return sv_position_compare (position, than) == SV_POSITION_OLDER;
 }
 
+static gboolean
+is_forgotten (gpointer name, gpointer value, gpointer data)
+{
+  const SvEvacuations *self = data;
+  const Zone *zone = value;
+
+  return !zone->is_evacuated && knl_kernel_now (self->kernel) - zone->changed_at > REMOVED_TTL;
+}
+
 /* Records that the row of the zone was changed at `position`. */
 static Zone *
 note_row (SvEvacuations *self, const char *name, SvPosition position)
 {
-  Zone *zone = g_hash_table_lookup (self->zones, name);
+  Zone *zone;
 
+  g_hash_table_foreach_remove (self->zones, is_forgotten, self);
+  zone = g_hash_table_lookup (self->zones, name);
   if (zone == NULL)
     {
       zone = g_new0 (Zone, 1);
       g_hash_table_insert (self->zones, g_strdup (name), zone);
     }
   zone->position = position;
+  zone->changed_at = knl_kernel_now (self->kernel);
   zone->absent_from = (SvPosition){ 0 };
   if (!is_older (position, self->newest))
     self->newest = position;
