tests: partitions through cells, and the sum over both sides

The partition cases of cold endpoints ran along cells only, and the one with datagrams checked a single side.

If cells count as described instead of as heard, the sum of both sides exceeds the rate in sv_cold_peers.

--- a/tests/unit/sv_cold_peers_test.c
+++ b/tests/unit/sv_cold_peers_test.c
@@ -214,6 +214,90 @@
   cluster_close (&cluster);
 }
 
+static int
+compare_times (gconstpointer a, gconstpointer b)
+{
+  KnlTime x = *(const KnlTime *)a;
+  KnlTime y = *(const KnlTime *)b;
+
+  return (x > y) - (x < y);
+}
+
+static void
+drop_sends (Cluster *self)
+{
+  for (guint j = 0; j < ENDPOINTS; j++)
+    g_array_set_size (self->sends[j], 0);
+}
+
+/* Adds what the other side has sent. */
+static void
+add_sends (Cluster *self, const Cluster *other)
+{
+  for (guint j = 0; j < ENDPOINTS; j++)
+    {
+      g_array_append_vals (self->sends[j], other->sends[j]->data, other->sends[j]->len);
+      g_array_sort (self->sends[j], compare_times);
+    }
+}
+
+/* Only the instances of that side, "x" or "y" in `sides`, are heard from now on. */
+static void
+cut_off_others (Cluster *self, const char *sides, char side)
+{
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      if (sides[i] != side)
+        peers_fixture_stop (&self->peers, i);
+    }
+}
+
+/* Each side is run by a cluster of its own, since all datagrams within one are delivered. Both are
+ * the same until the partition. */
+static void
+check_both_sides (const char *sides)
+{
+  static const KnlTime transition = 8 * PEERS_HEARTBEAT_INTERVAL;
+  static const guint max_senders = 6;
+  Cluster clusters[2];
+
+  for (guint k = 0; k < 2; k++)
+    {
+      cluster_open (&clusters[k]);
+      for (guint i = 0; i < INSTANCES; i++)
+        learn_cold (&clusters[k], i);
+      run (&clusters[k], 500 * KNL_MSEC);
+      cut_off_others (&clusters[k], sides, k == 0 ? 'x' : 'y');
+    }
+  drop_sends (&clusters[1]);
+  for (guint k = 0; k < 2; k++)
+    run (&clusters[k], transition);
+  add_sends (&clusters[0], &clusters[1]);
+  check_sends (&clusters[0], BOUND, 1);
+  for (guint k = 0; k < 2; k++)
+    {
+      drop_sends (&clusters[k]);
+      run (&clusters[k], COLD_TIME);
+    }
+  add_sends (&clusters[0], &clusters[1]);
+  check_sends (&clusters[0], BOUND, 1);
+  for (guint j = 0; j < ENDPOINTS; j++)
+    CU_ASSERT (clusters[0].sends[j]->len <= RATE * COLD_TIME / KNL_SEC + max_senders);
+  for (guint k = 0; k < 2; k++)
+    cluster_close (&clusters[k]);
+}
+
+/* Guards against sides of a partition that each keep to the bound, but not both together. */
+static void
+test_sum_of_both_sides (void)
+{
+  /* In the order of the zones "aaaabbbc". */
+  static const char *const sides[] = { "xxxxyyyy", "xxyyxxyx", "xyxyxyxy", "xxxyyyyx" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (sides); i++)
+    check_both_sides (sides[i]);
+}
+
 /* Guards against an instance that starts while endpoints are cold and sends as one that knows the
  * others. */
 static void
@@ -284,6 +368,7 @@
 static const SuiteCase cases[] = {
   { "all learn at once", test_all_learn_at_once },
   { "a partition", test_partition },
+  { "the sum of both sides", test_sum_of_both_sides },
   { "a partition through zones", test_partition_through_zones },
   { "instances start while endpoints are cold", test_starts_while_endpoints_are_cold },
   { "few of the cell are heard", test_few_of_the_cell_are_heard },
