tests: relays that don't state how many instances they hear

Guards the compatibility of Cell.heard: a description without it counts as all instances that it names.

--- a/tests/unit/sv_cold_peers_test.c
+++ b/tests/unit/sv_cold_peers_test.c
@@ -1,7 +1,13 @@
 /** Cold endpoints, and instances that know each other only from datagrams. */
 
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
 #include "peers_fixture.h"
 #include "suite.h"
+#include "wire/datagram.pb-c.h"
 
 #define INSTANCES 8
 #define ENDPOINTS 6
@@ -365,7 +371,80 @@
   cluster_close (&cluster);
 }
 
+static void
+send_datagram (const char *address, const Alderturn__Datagram *datagram)
+{
+  guint8 bytes[1024];
+  gsize length = alderturn__datagram__pack (datagram, bytes);
+  struct sockaddr_storage receiver;
+  int receiver_length = sizeof receiver;
+  int fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+  evutil_parse_sockaddr_port (address, (struct sockaddr *)&receiver, &receiver_length);
+  CU_ASSERT_EQUAL (
+      sendto (fd, bytes, length, 0, (struct sockaddr *)&receiver, (socklen_t)receiver_length),
+      (gssize)length);
+  close (fd);
+}
+
+/* Describes a cell "b" of five instances to the instance at that address. */
+static void
+describe_cell (const char *address, guint heard)
+{
+  Alderturn__Datagram datagram = ALDERTURN__DATAGRAM__INIT;
+  Alderturn__Sender sender = ALDERTURN__SENDER__INIT;
+  Alderturn__Cell cell = ALDERTURN__CELL__INIT;
+
+  sender.name = "x";
+  sender.link_address = "127.0.0.1:9";
+  sender.callers_address = "127.0.0.1:9";
+  sender.zone = "b";
+  sender.region = "r";
+  cell.id = (guint32)XXH64 ("b", 1, 0);
+  cell.described = TRUE;
+  cell.instances = 5;
+  cell.heard = heard;
+  datagram.sender = (guint32)XXH64 ("x", 1, 0);
+  datagram.incarnation = 1;
+  datagram.sequence = 1;
+  datagram.from = &sender;
+  datagram.cell = &cell;
+  send_datagram (address, &datagram);
+}
+
+/* Guards against relays that don't state how many instances they hear, as those of an earlier
+ * version, and whose cells would count as nearly empty. */
+static void
+test_relays_that_state_nothing (void)
+{
+  static const struct
+  {
+    guint heard;
+    guint n_senders;
+  } rows[] = { { 0, 6 }, { 2, 3 }, { 5, 6 } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      Cluster cluster = { .config = sv_config_new (1) };
+
+      sv_config_add_service (cluster.config, "s")->cold =
+          (SvColdSpec){ .duration = COLD_TIME, .rate = RATE };
+      peers_fixture_open (&cluster.peers, zones, 1, 1);
+      set_rules (&cluster, 0);
+      peers_fixture_advance (&cluster.peers, 2 * KNL_SEC);
+      describe_cell (cluster.peers.links[0], rows[i].heard);
+      peers_fixture_advance (&cluster.peers, PEERS_HEARTBEAT_INTERVAL + PEERS_PROPAGATION_TIME);
+      sv_endpoint_note_cold_answer (endpoint_at (&cluster, 0, 0), 9 * KNL_SEC,
+                                    knl_kernel_now (cluster.peers.kernel));
+      CU_ASSERT_EQUAL (endpoint_at (&cluster, 0, 0)->cold.bucket.share.n_senders,
+                       rows[i].n_senders);
+      peers_fixture_close (&cluster.peers);
+      sv_config_unref (cluster.config);
+    }
+}
+
 static const SuiteCase cases[] = {
+  { "relays that state nothing", test_relays_that_state_nothing },
   { "all learn at once", test_all_learn_at_once },
   { "a partition", test_partition },
   { "the sum of both sides", test_sum_of_both_sides },
