--- a/include/serve/cold.h
+++ b/include/serve/cold.h
@@ -11,7 +11,7 @@
 typedef struct
 {
   guint32 id;      /**< hash of its zone's name */
-  guint instances; /**< as its relay reports */
+  guint instances; /**< those that its relay hears */
 } SvCellSize;
 
 /** The instances as this one knows them. */
@@ -21,9 +21,11 @@
   guint32 cell;         /**< of its own cell */
   const guint32 *peers; /**< ids of the live peers of its cell */
   guint n_peers;
+  guint known_in_cell;     /**< instances that exist in its own cell, this one included */
   const SvCellSize *cells; /**< other cells that are heard */
   guint n_cells;
-  guint known; /**< instances that exist, this one included */
+  guint known;            /**< instances that exist, this one included */
+  KnlTime detection_time; /**< after which all of its cell have noticed that a peer has ended */
 } SvMembers;
 
 /** What decides about all cold endpoints; shared by them. */
--- a/policy/cold_start.c
+++ b/policy/cold_start.c
@@ -6,9 +6,13 @@
  * that the tokens which senders start with are bounded by their number. */
 #define MIN_HEARD_TO_START 0.9
 
-/* An instance that becomes a sender later begins to fill its bucket after this time: the one that
- * it replaces may learn of the change up to two heartbeats later and sends until then. */
-#define HANDOVER (1 * KNL_SEC)
+/* An instance that becomes a sender later begins to fill its bucket after this time at least: the
+ * one that it replaces may learn of the change up to two heartbeats later and sends until then. In
+ * large cells heartbeats are rare, and it is the time in which all notice a dead instance. */
+#define MIN_HANDOVER (1 * KNL_SEC)
+
+/* Longest wait that is stated, also at rates close to 0. */
+#define MAX_WAIT (3600 * KNL_SEC)
 
 guint
 pol_cold_max_senders (double rate, double bound, guint instances)
@@ -80,6 +84,7 @@
   PolColdShare share = {
     .n_senders = count_senders (view),
     .hears_most = fraction >= MIN_HEARD_TO_START,
+    .handover = MAX (view->detection_time, MIN_HANDOVER),
   };
 
   share.is_sender = share.n_senders > 0 && view->rank < count_own_senders (view, share.n_senders);
@@ -117,7 +122,7 @@
     return;
   self->tokens = MIN (self->tokens, 0);
   if (share->is_sender)
-    self->filled_at = now + HANDOVER;
+    self->filled_at = now + share->handover;
 }
 
 void
@@ -130,6 +135,7 @@
 pol_cold_bucket_wait (PolColdBucket *self, KnlTime now)
 {
   double missing;
+  double wait;
 
   if (!self->share.is_sender)
     return KNL_NEVER;
@@ -137,5 +143,6 @@
   missing = 1 - self->tokens;
   if (missing <= 0)
     return 0;
-  return (KnlTime)(missing / self->share.rate * KNL_SEC) + 1 + MAX (self->filled_at - now, 0);
+  wait = MIN (missing / self->share.rate * KNL_SEC, (double)MAX_WAIT);
+  return (KnlTime)wait + 1 + MAX (self->filled_at - now, 0);
 }
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -142,6 +142,12 @@
 
 /** Why a request that doesn't wait any longer is refused; NULL: it is sent. */
 const char *sv_request_wait_refusal (const SvRequest *self);
+/* placement_check.c */
+
+/** Whether something has changed since the request was placed because of which it must not be sent
+ * like that: an endpoint has advertised a Retry-After, become cold or left the fleet, or a zone was
+ * evacuated. */
+gboolean sv_request_is_placement_outdated (const SvRequest *self);
 
 /* pass.c */
 
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -76,6 +76,7 @@
   guint32 relay;        /* id of its relay; 0: not known yet */
   KnlTime last_seen_at; /* -KNL_NEVER: never */
   guint instances;      /* as last reported by its relay */
+  guint heard;          /* of these, the ones that its relay hears */
   GPtrArray *ready;     /* addresses for callers, as last reported */
   gboolean is_counted;
 } Cell;
@@ -213,6 +214,10 @@
 /** Number of known peers of that zone, alive or not. */
 guint sv_peers_n_in_zone (const SvPeers *self, const char *zone);
 
+/** Longest time after the end of a peer of our cell until its instances count it as dead: each
+ * checks at its own heartbeats. */
+KnlTime sv_peers_detection_time (const SvPeers *self);
+
 /** Version of the newest row of evacuated zones that this instance has applied, if it is of that
  * era; 0: none. */
 guint64 sv_peers_evacuations (const SvPeers *self, guint64 era);
@@ -220,6 +225,11 @@
 /** Fills in the versions that this instance has. */
 void sv_peers_fill_versions (const SvPeers *self, Alderturn__Datagram *datagram);
 
+/* peers_members.c */
+
+/** Tells the fleet which instances are alive. */
+void sv_peers_update_members (SvPeers *self);
+
 /* peers_take.c */
 
 /** Handles a received datagram; `bytes` may be malformed. */
