tests: evacuated zones and cold endpoints in the gateway soak

Cause: the soak of real gateway processes knew neither of the rows that evacuate zones nor of cold endpoints, so that their rules were tested without signals, restarts and a failing store only.

Change: the operator's rows of evacuated zones come and go at random, up to two at once, short ones and ones that last longer than the bound. No request may arrive at an endpoint of such a zone later than the bound after the row was written; the endpoints must be used again after the end. Endpoints become cold at random and may get coldPerS x coldOverage + coldSlack requests in any second. The rows are in a file of their own; there are four endpoints in three zones, since one leaves, one is limited and one is behind a proxy.

--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -1,8 +1,9 @@
 /**
  * Runs real gateways under external faults: overlapping signals, a store that
  * refuses calls, drops them or doesn't answer, a proxy in front of an endpoint that
- * delays, closes and freezes connections, reloaded settings, withdrawn keys. The
- * guarantees are checked from the callers' and the endpoints' side.
+ * delays, closes and freezes connections, reloaded settings, withdrawn keys,
+ * evacuated zones, cold endpoints. The guarantees are checked from the callers' and
+ * the endpoints' side.
  *
  * usage: gateway_soak FIRST COUNT SECONDS; runs the seeds FIRST to FIRST + COUNT - 1.
  * A seed that fails is printed with the violations.
@@ -27,12 +28,15 @@
 #define REVOKE_TIMEOUT  (3 * KNL_SEC)
 #define ANSWER_SLACK    (2 * KNL_SEC)
 
+/* Bounds of evacuations, by turns of the seeds: shorter than that of withdrawn keys, so that many
+ * evacuations last longer, and longer, so that requests without confirmation are refused because of
+ * the keys first. */
+#define SHORT_EVACUATION (2 * KNL_SEC)
+#define LONG_EVACUATION  (4 * KNL_SEC)
+
 /* One seed in this many injects no faults into the gateways' processes and the store's service. */
 #define CALM_SEEDS 3
 
-/* Time within which all instances that reach the store run the newest configuration. */
-#define SETTLE_TIME (4 * KNL_SEC)
-
 /* How long a caller's key may work after it was withdrawn, including the duration of a request. */
 #define KEY_TIMEOUT (REVOKE_TIMEOUT + REQUEST_TIMEOUT)
 
@@ -43,15 +47,18 @@
   "\"address\":\"%s\",\"readsPerS\":100},"                                                         \
   "\"bounds\":{\"strictRevoke\":true,\"revokeMs\":3000,\"configApplyMs\":2000,\"stall_ms\":1500,"  \
   "\"graceS\":4,\"freeMs\":4000,\"retryBudgetRatio\":0.2,\"retrySlack\":100,\"budgetWindowS\":10," \
-  "\"drainMs\":2000,\"ttl_max_s\":5}}"
+  "\"drainMs\":2000,\"ttl_max_s\":5,"                                                              \
+  "\"evacMs\":%" G_GINT64_FORMAT ",\"coldOverage\":" G_STRINGIFY (                                 \
+      GS_COLD_OVERAGE) ",\"coldSlack\":" G_STRINGIFY (GS_COLD_SLACK) "}}"
 
 #define CONFIG_FORMAT                                                                              \
   "{\"version\":%u,\"routes\":[{\"name\":\"once\",\"hostname\":\"h\",\"prefix\":\"/once/\","       \
   "\"routeKind\":\"unsafe\",\"maxAttempts\":2,\"timeoutMs\":2000,\"targetLatencyMs\":100,"         \
   "\"service\":\"s\"},{\"name\":\"again\",\"hostname\":\"h\",\"prefix\":\"/again/\","              \
   "\"routeKind\":\"safe\",\"maxAttempts\":2,\"timeoutMs\":2000,\"targetLatencyMs\":100,"           \
-  "\"service\":\"s\"}],\"services\":[{\"name\":\"s\"}],"                                           \
-  "\"tenants\":[{\"name\":\"w\",\"apiKeys\":[\"key\",\"key-%u\"]}]}"
+  "\"service\":\"s\"}],\"services\":[{\"name\":\"s\",\"coldStartS\":2,\"coldPerS\":" G_STRINGIFY ( \
+      GS_COLD_PER_S) "}],"                                                                         \
+                     "\"tenants\":[{\"name\":\"w\",\"apiKeys\":[\"key\",\"key-%u\"]}]}"
 
 /* When the request's key was withdrawn, which the next version of the configuration does; the time
  * of sending if it wasn't. */
@@ -171,9 +178,9 @@
   Gateway *gateway = &self->gateways[i];
   const char *port = strchr (gateway->link, ':') + 1;
   g_autofree char *ip = suite_loopback_ip (i);
-  g_autofree char *text =
-      g_strdup_printf (SETTINGS_FORMAT, i, ip, port, port, gateway->callers, gateway->ready,
-                       gateway->directory, row_store_address (self->store));
+  g_autofree char *text = g_strdup_printf (
+      SETTINGS_FORMAT, i, ip, port, port, gateway->callers, gateway->ready, gateway->directory,
+      row_store_address (self->store), self->evacuation_bound / KNL_MSEC);
 
   CU_ASSERT_TRUE (g_file_set_contents (gateway->settings, text, -1, NULL));
 }
@@ -239,19 +246,38 @@
     gs_check_limit (self, &self->endpoints[i]);
 }
 
-/* Checks that the key of the newest configuration works everywhere once the store serves again. */
+static void
+send_for (Soak *self, KnlTime time)
+{
+  KnlTime end = gs_now (self) + time;
+
+  while (gs_now (self) < end)
+    {
+      send_request (self);
+      hn_run_for (self->harness, STEP);
+    }
+}
+
+/* Checks that the key of the newest configuration works everywhere once the store serves again, and
+ * that no zone stays evacuated. */
 static void
 check_settled (Soak *self)
 {
   Request *requests[GATEWAYS];
+  KnlTime settled_at;
 
   row_store_set_mode (self->store, ROW_STORE_SERVES);
+  gs_set_proxy_fault (self, "{\"mode\":\"none\"}");
+  gs_restore_zones (self, KNL_NEVER);
   self->rewrite_at = MIN (self->rewrite_at, gs_now (self));
   gs_rewrite_lost_rows (self);
-  hn_run_for (self->harness, SETTLE_TIME);
+  hn_run_for (self->harness, GS_SETTLE_TIME);
   for (guint i = 0; i < GATEWAYS; i++)
     requests[i] = send_to (self, &self->gateways[i], self->version);
-  hn_run_for (self->harness, REQUEST_TIMEOUT + ANSWER_SLACK);
+  settled_at = gs_now (self);
+  send_for (self, ANSWER_SLACK);
+  hn_run_for (self->harness, REQUEST_TIMEOUT);
+  gs_check_used (self, settled_at);
   for (guint i = 0; i < GATEWAYS; i++)
     {
       if (requests[i]->status == 401 || requests[i]->status == 0)
@@ -275,7 +301,8 @@
 
   *self = (Soak){ .harness = hn_harness_new (),
                   .rand = g_rand_new_with_seed (seed),
-                  .is_calm = seed % CALM_SEEDS == 0 };
+                  .is_calm = seed % CALM_SEEDS == 0,
+                  .evacuation_bound = seed % 2 == 1 ? SHORT_EVACUATION : LONG_EVACUATION };
   self->requests = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, request_free);
   self->withdrawn_at = g_array_new (FALSE, FALSE, sizeof (KnlTime));
   self->client = ht_client_new (self->harness->kernel, self->harness->base, &limits, 10 * KNL_SEC);
@@ -285,6 +312,7 @@
   gs_put_config (self);
   for (guint i = 0; i < ENDPOINTS; i++)
     gs_start_endpoint (self, i);
+  gs_put_rows (self);
   for (guint i = 0; i < GATEWAYS; i++)
     {
       Gateway *gateway = &self->gateways[i];
@@ -316,12 +344,11 @@
     {
       ht_server_free (self->endpoints[i].server);
       g_array_unref (self->endpoints[i].arrivals);
+      g_array_unref (self->endpoints[i].cold_arrivals);
     }
   row_store_free (self->store);
   g_array_unref (self->versions);
   g_free (self->config);
-  for (guint i = 0; i < ENDPOINTS; i++)
-    g_free (self->entries[i]);
   CU_ASSERT_TRUE (hn_harness_free (self->harness));
   g_hash_table_unref (self->requests);
   g_array_unref (self->withdrawn_at);
@@ -351,23 +378,29 @@
       version = row_store_version (soak.store);
       g_array_append_val (soak.versions, version);
       gs_rewrite_lost_rows (&soak);
+      gs_restore_zones (&soak, gs_now (&soak));
+      if (soak.store_mode != ROW_STORE_SERVES)
+        gs_note_store_fault (&soak, gs_now (&soak) + GS_SETTLE_TIME);
       if (gs_now (&soak) > limit_starts_at && soak.endpoints[ENDPOINTS - 1].rate == 0)
         gs_advertise_limit (&soak);
       soak.endpoints[LEAVING_ENDPOINT].is_leaving = gs_now (&soak) > leaving_starts_at;
       if (gs_now (&soak) < next_fault)
         continue;
       gs_inject (&soak);
+      gs_change_rows (&soak);
       next_fault = gs_now (&soak) + FAULT_INTERVAL;
     }
   for (guint i = 0; i < GATEWAYS; i++)
-    hn_signal (soak.gateways[i].process, SIGCONT);
+    gs_resume (&soak, &soak.gateways[i]);
   hn_run_for (soak.harness, REQUEST_TIMEOUT + ANSWER_SLACK);
   check_all (&soak);
   check_settled (&soak);
   printf ("seed %u: %u requests, %u answered, %u counted against a limit of %u, "
-          "%u answers with Retry-After, %u violations\n",
+          "%u answers with Retry-After, %u evacuations, %u requests to cold endpoints, "
+          "%u violations\n",
           seed, soak.next, soak.answered, soak.endpoints[ENDPOINTS - 1].arrivals->len,
-          soak.endpoints[ENDPOINTS - 1].rate, soak.n_retry_after, soak.violations);
+          soak.endpoints[ENDPOINTS - 1].rate, soak.n_retry_after, soak.n_evacuations,
+          soak.n_cold_arrivals, soak.violations);
   if (soak.violations > 0)
     print_logs (&soak);
   CU_ASSERT_EQUAL (soak.violations, 0);
--- a/tests/soak/gateway_soak_endpoints.c
+++ b/tests/soak/gateway_soak_endpoints.c
@@ -178,6 +178,7 @@
     }
   count_arrival (endpoint, request->gateway);
   check_signals (endpoint, request);
+  gs_check_rows (endpoint, request);
   if (g_rand_double (self->rand) < 0.05)
     {
       refuse_request (endpoint, request->gateway, call, id);
@@ -218,11 +219,10 @@
   };
   const char *own = hn_address_new (self->harness);
   const char *listed = own;
-  g_autofree char *id = g_strdup_printf ("i-%u", i);
-  g_autofree char *entry = NULL;
 
-  self->endpoints[i] =
-      (Endpoint){ .soak = self, .arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)) };
+  self->endpoints[i] = (Endpoint){ .soak = self,
+                                   .arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)),
+                                   .cold_arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)) };
   self->endpoints[i].server = ht_server_new (self->harness->kernel, self->harness->base, own,
                                              &limits, &endpoint_events, &self->endpoints[i]);
   if (i == 0)
@@ -241,11 +241,7 @@
       listed = arguments[1];
       self->proxy = arguments[5];
     }
-  entry = g_strdup_printf ("{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"a\","
-                           "\"state\":\"ready\",\"slots\":20}",
-                           listed);
-  row_store_put_in (self->store, "servers", id, entry);
-  self->entries[i] = g_steal_pointer (&entry);
+  self->endpoints[i].listed_address = listed;
 }
 
 /* Checks the span that begins with each arrival: it may contain one and a half times the advertised
--- a/tests/soak/gateway_soak_faults.c
+++ b/tests/soak/gateway_soak_faults.c
@@ -12,9 +12,20 @@
 static void
 fault_pause (Soak *self, Gateway *gateway)
 {
+  gateway->is_paused = TRUE;
+  gateway->paused_at = gs_now (self);
   hn_signal (gateway->process, SIGSTOP);
 }
 
+void
+gs_resume (Soak *self, Gateway *gateway)
+{
+  hn_signal (gateway->process, SIGCONT);
+  if (gateway->is_paused)
+    gateway->resumed_at = gs_now (self);
+  gateway->is_paused = FALSE;
+}
+
 static void
 fault_kill (Soak *self, Gateway *gateway)
 {
@@ -42,7 +53,8 @@
 static void
 fault_store_mode (Soak *self, Gateway *gateway)
 {
-  row_store_set_mode (self->store, (RowStoreMode)g_rand_int_range (self->rand, 0, 4));
+  self->store_mode = (RowStoreMode)g_rand_int_range (self->rand, 0, 4);
+  row_store_set_mode (self->store, self->store_mode);
 }
 
 static void
@@ -61,7 +73,8 @@
 
   row_store_restore (self->store, version);
   self->rewrite_at =
-      gs_now (self) + g_rand_int_range (self->rand, 0, MAX_REWRITE_DELAY_MS) * KNL_MSEC;
+      gs_now (self) + g_rand_int_range (self->rand, 1, MAX_REWRITE_DELAY_MS) * KNL_MSEC;
+  gs_note_store_fault (self, self->rewrite_at + GS_ROW_TIME);
 }
 
 void
@@ -70,13 +83,7 @@
   if (self->rewrite_at == 0 || gs_now (self) < self->rewrite_at)
     return;
   self->rewrite_at = 0;
-  for (guint i = 0; i < ENDPOINTS; i++)
-    {
-      g_autofree char *id = g_strdup_printf ("i-%u", i);
-
-      row_store_put_in (self->store, "servers", id, self->entries[i]);
-    }
-  row_store_put_in (self->store, "op", "config", self->config);
+  gs_put_rows (self);
 }
 
 static void
@@ -85,6 +92,19 @@
   gs_put_config (self);
 }
 
+void
+gs_set_proxy_fault (Soak *self, const char *fault)
+{
+  HnRequest request = {
+    .address = self->proxy,
+    .method = "POST",
+    .path = "/fault",
+    .body = fault,
+  };
+
+  hn_request (self->harness, &request, NULL);
+}
+
 static void
 fault_proxy (Soak *self, Gateway *gateway)
 {
@@ -97,14 +117,8 @@
     "{\"mode\":\"delay\",\"ms\":150}",
     "{\"mode\":\"refuse\"}",
   };
-  HnRequest request = {
-    .address = self->proxy,
-    .method = "POST",
-    .path = "/fault",
-    .body = faults[g_rand_int_range (self->rand, 0, G_N_ELEMENTS (faults))],
-  };
 
-  hn_request (self->harness, &request, NULL);
+  gs_set_proxy_fault (self, faults[g_rand_int_range (self->rand, 0, G_N_ELEMENTS (faults))]);
 }
 
 /* In the list of faults, the first CALM_FAULTS affect neither the processes nor the store's
@@ -126,7 +140,7 @@
 
   /* Resumes all processes first, so that at most one is stopped. */
   for (guint i = 0; i < GATEWAYS; i++)
-    hn_signal (self->gateways[i].process, SIGCONT);
+    gs_resume (self, &self->gateways[i]);
   if (chosen >= CALM_FAULTS + STORE_FAULTS)
     gateway->faulted_at = gs_now (self);
   faults[chosen](self, gateway);
--- a/tests/soak/gateway_soak_internal.h
+++ b/tests/soak/gateway_soak_internal.h
@@ -8,7 +8,19 @@
 #include "tests/faults/harness.h"
 
 #define GATEWAYS  3
-#define ENDPOINTS 3
+#define ENDPOINTS 4
+#define ZONES     3 /* of endpoints; endpoint i is in zone i % ZONES */
+
+/** Time within which all instances that reach the store run the newest configuration. */
+#define GS_SETTLE_TIME (4 * KNL_SEC)
+
+/** Time within which they have read a row of an endpoint that is written while the store serves. */
+#define GS_ROW_TIME (1 * KNL_SEC)
+
+/** What cold endpoints can take (see docs/design/hard-load.md). */
+#define GS_COLD_PER_S   4
+#define GS_COLD_OVERAGE 1.5
+#define GS_COLD_SLACK   5
 
 typedef struct Soak Soak;
 
@@ -23,6 +35,9 @@
   KnlTime faulted_at;          /* last start, stop, kill or termination of the process */
   KnlTime limit_advertised_at; /* when an answer first advertised the limit to this process; 0: not
                                   yet */
+  gboolean is_paused;
+  KnlTime paused_at;
+  KnlTime resumed_at;
 } Gateway;
 
 /** What an endpoint has advertised to a gateway in its answers. */
@@ -41,9 +56,22 @@
   KnlTime limited_at; /* when the limit was set */
   GArray *arrivals;   /* KnlTime, of requests that count against the limit */
   gboolean is_leaving;
+  const char *listed_address; /* in its row */
+  KnlTime cold_until;
+  KnlTime cold_from;     /* when all instances know that it is cold */
+  GArray *cold_arrivals; /* KnlTime, since then */
+  KnlTime used_at;       /* last arrival of a request */
   EndpointSignals signals[GATEWAYS];
 } Endpoint;
 
+typedef struct
+{
+  KnlTime evacuated_at; /* when the store acknowledged the row; 0: not evacuated */
+  KnlTime written_at;   /* when the row was last written or removed */
+  KnlTime restore_at;   /* when the operator removes the row */
+  gboolean was_evacuated;
+} Zone;
+
 /** The outcome of one request, as its caller and the endpoints saw it. */
 typedef struct
 {
@@ -69,13 +97,18 @@
   Endpoint endpoints[ENDPOINTS];
   const char *proxy; /* control address of the proxy in front of endpoint 0 */
   Gateway gateways[GATEWAYS];
-  GHashTable *requests;     /* id -> Request */
-  GArray *withdrawn_at;     /* KnlTime, by version: when its key was withdrawn */
-  char *config;             /* the newest configuration that the operator wrote */
-  char *entries[ENDPOINTS]; /* rows of the endpoints in the store */
-  GArray *versions;         /* guint64, version of the store at each step */
-  KnlTime rewrite_at;       /* when lost rows are to be written again; 0: none are lost */
-  gboolean is_calm;         /* no faults of processes or of the store's service */
+  GHashTable *requests; /* id -> Request */
+  GArray *withdrawn_at; /* KnlTime, by version: when its key was withdrawn */
+  char *config;         /* the newest configuration that the operator wrote */
+  Zone zones[ZONES];
+  KnlTime evacuation_bound;
+  RowStoreMode store_mode;
+  KnlTime rows_read_at; /* when all instances have read the rows after the store's last fault */
+  guint n_evacuations;
+  guint n_cold_arrivals; /* requests that count against the rate of a cold endpoint */
+  GArray *versions;      /* guint64, version of the store at each step */
+  KnlTime rewrite_at;    /* when lost rows are to be written again; 0: none are lost */
+  gboolean is_calm;      /* no faults of processes or of the store's service */
   guint version;
   guint next;
   guint answered;
@@ -107,8 +140,31 @@
 /** Checks the arrivals at an endpoint against the rate limit that it advertises. */
 void gs_check_limit (Soak *self, const Endpoint *endpoint);
 
+/* gateway_soak_rows.c */
+
+/** Writes all rows of the operator and the endpoints. */
+void gs_put_rows (Soak *self);
+
+/** Evacuates a random zone and makes a random endpoint cold, unless they are. */
+void gs_change_rows (Soak *self);
+
+/** Removes the rows of evacuated zones that are to end by `until`. */
+void gs_restore_zones (Soak *self, KnlTime until);
+
+/** Notes a fault of the store after which all instances have read its rows at `rows_read_at`. */
+void gs_note_store_fault (Soak *self, KnlTime rows_read_at);
+
+/** Checks a request's arrival against the zones' and the endpoint's rows. */
+void gs_check_rows (Endpoint *endpoint, const Request *request);
+
+/** Checks that the endpoints of zones that were evacuated have received requests since then. */
+void gs_check_used (Soak *self, KnlTime since);
+
 /* gateway_soak_faults.c */
 
+void gs_set_proxy_fault (Soak *self, const char *fault);
+void gs_resume (Soak *self, Gateway *gateway);
+
 /** Injects a random fault at a random gateway. */
 void gs_inject (Soak *self);
 
