tests: all endpoints of the gateway soak are cold once it is calm

Change: all endpoints become cold when the faults end, and the requests by which the use of restored zones is checked come as fast as before.

--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -170,6 +170,13 @@
   send_to (self, gateway, version);
 }
 
+static void
+send_some (Soak *self)
+{
+  for (guint i = 0; i < REQUESTS_PER_STEP; i++)
+    send_request (self);
+}
+
 /* Gateways and the store */
 
 void
@@ -253,13 +260,14 @@
 
   while (gs_now (self) < end)
     {
-      send_request (self);
+      send_some (self);
       hn_run_for (self->harness, STEP);
     }
 }
 
 /* Checks that the key of the newest configuration works everywhere once the store serves again, and
- * that no zone stays evacuated. */
+ * that no zone stays evacuated. All endpoints are cold meanwhile: among the faults, few requests
+ * arrive at an endpoint that all instances know to be cold. */
 static void
 check_settled (Soak *self)
 {
@@ -271,6 +279,7 @@
   gs_restore_zones (self, KNL_NEVER);
   self->rewrite_at = MIN (self->rewrite_at, gs_now (self));
   gs_rewrite_lost_rows (self);
+  gs_make_all_cold (self, GS_SETTLE_TIME + REQUEST_TIMEOUT + ANSWER_SLACK);
   hn_run_for (self->harness, GS_SETTLE_TIME);
   for (guint i = 0; i < GATEWAYS; i++)
     requests[i] = send_to (self, &self->gateways[i], self->version);
@@ -372,8 +381,7 @@
   next_fault = gs_now (&soak) + FAULT_INTERVAL;
   while (gs_now (&soak) < end)
     {
-      for (guint i = 0; i < REQUESTS_PER_STEP; i++)
-        send_request (&soak);
+      send_some (&soak);
       hn_run_for (soak.harness, STEP);
       version = row_store_version (soak.store);
       g_array_append_val (soak.versions, version);
--- a/tests/soak/gateway_soak_internal.h
+++ b/tests/soak/gateway_soak_internal.h
@@ -148,6 +148,8 @@
 /** Evacuates a random zone and makes a random endpoint cold, unless they are. */
 void gs_change_rows (Soak *self);
 
+void gs_make_all_cold (Soak *self, KnlTime duration);
+
 /** Removes the rows of evacuated zones that are to end by `until`. */
 void gs_restore_zones (Soak *self, KnlTime until);
 
--- a/tests/soak/gateway_soak_rows.c
+++ b/tests/soak/gateway_soak_rows.c
@@ -105,12 +105,11 @@
 }
 
 static void
-make_cold (Soak *self, guint i)
+make_cold (Soak *self, guint i, KnlTime duration)
 {
   Endpoint *endpoint = &self->endpoints[i];
 
-  endpoint->cold_until =
-      gs_now (self) + g_rand_int_range (self->rand, MIN_COLD_MS, MAX_COLD_MS) * KNL_MSEC;
+  endpoint->cold_until = gs_now (self) + duration;
   endpoint->cold_from = known_from (self);
   g_array_set_size (endpoint->cold_arrivals, 0);
   put_endpoint (self, i);
@@ -127,7 +126,14 @@
     evacuate (self, zone);
   if (g_rand_double (self->rand) < COLD_FRACTION
       && self->endpoints[endpoint].cold_until < gs_now (self))
-    make_cold (self, endpoint);
+    make_cold (self, endpoint, g_rand_int_range (self->rand, MIN_COLD_MS, MAX_COLD_MS) * KNL_MSEC);
+}
+
+void
+gs_make_all_cold (Soak *self, KnlTime duration)
+{
+  for (guint i = 0; i < ENDPOINTS; i++)
+    make_cold (self, i, duration);
 }
 
 static void
