--- a/include/serve/engine_model.h
+++ b/include/serve/engine_model.h
@@ -19,3 +19,7 @@
 /** Duration in ms of a pass without prefill, with `n_streams` decoding streams that have
  * `context_tokens` of context in total. */
 double sv_model_pass_ms (const SvEngineSpec *spec, guint n_streams, double context_tokens);
+
+/** Engine time in ms that a request takes: its prefill, and its part of the passes that generate
+ * its answer, at an engine whose slots all run requests like it. */
+double sv_model_request_ms (const SvEngineSpec *spec, double prompt_tokens, double answer_tokens);
--- a/serve/engine_model.c
+++ b/serve/engine_model.c
@@ -16,3 +16,14 @@
 
   return MAX (spec->stride, 1) * step;
 }
+
+double
+sv_model_request_ms (const SvEngineSpec *spec, double prompt_tokens, double answer_tokens)
+{
+  guint slots = MAX (spec->slots, 1);
+  double passes = answer_tokens / MAX (spec->stride, 1);
+  double context = prompt_tokens + answer_tokens / 2;
+
+  return sv_model_prefill_ms (spec, prompt_tokens)
+         + passes * sv_model_pass_ms (spec, slots, slots * context) / slots;
+}
