serve: requests are admitted by a plan while their service is overloaded

Cause: when more is asked for than the engines can do, whoever asks most gets most, and requests wait behind the slots of an engine, where nobody can refuse them.

Change: SvOverload measures every 100 ms whether a service of engines is saturated (0.9 of the slots taken, or 250 ms of prefill before each engine), and adjusts the planned utilisation. While it was saturated within the last 2 s and the offered load is above the planned one, a request is admitted with the probability that the plan gives to its class and workspace, by the hash of its id; a refusal is 503 "overloaded" with a Retry-After of 0.16 to 0.32 of the caller's time left. Requests that a peer passed on and streams that resume are counted, not refused. Log line "overloaded" and gauges of offered, planned and admitted load.

--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -14,6 +14,7 @@
 #include "serve/crashes.h"
 #include "serve/dialect.h"
 #include "serve/fleet.h"
+#include "serve/offered.h"
 #include "serve/router.h"
 
 typedef struct SvCore SvCore;
@@ -115,3 +116,6 @@
 
 /** Endpoints lost under requests, as far as this instance knows; owned by the core. */
 SvCrashes *sv_core_crashes (SvCore *core);
+
+/** Load that callers offer, by service; owned by the core. */
+SvOffered *sv_core_offered (SvCore *core);
--- /dev/null
+++ b/include/serve/overload.h
@@ -0,0 +1,59 @@
+#pragma once
+
+/**
+ * Admission while a service of model engines is overloaded.
+ *
+ * Saturation is measured every 100 ms from loads that all instances know alike, and adjusts the
+ * planned utilisation of the engines. While the service was saturated within the last 2 s and more
+ * is offered than planned, a request is admitted with the probability that the plan gives to its
+ * class and workspace (see policy/admission.h). At all other times every request is admitted.
+ */
+
+#include "common/metrics.h"
+#include "serve/fleet.h"
+#include "serve/offered.h"
+
+typedef struct SvOverload SvOverload;
+
+/** Number of all instances, this one included. */
+typedef guint (*SvInstancesFunc) (gpointer data);
+
+typedef struct
+{
+  KnlKernel *kernel;
+  SvFleet *fleet;
+  SvOffered *offered;
+  CmMetrics *metrics;
+  SvInstancesFunc n_instances;
+  gpointer data;
+} SvOverloadParts;
+
+/** A request to be admitted. */
+typedef struct
+{
+  const char *id;
+  const char *workspace; /**< NULL: none */
+  guint64 prompt_tokens;
+  guint64 answer_tokens; /**< expected length of the answer */
+  guint priority;
+  KnlTime objective;  /**< for the first event; 0: none */
+  KnlTime waited;     /**< since the caller's first attempt */
+  gboolean is_exempt; /**< it is counted, but always admitted */
+} SvOverloadRequest;
+
+/** The parts must outlive it. */
+SvOverload *
+sv_overload_new (const SvOverloadParts *parts, const char *service, const SvEngineSpec *spec);
+void sv_overload_free (SvOverload *overload);
+
+/** Sets new figures for the service's engines. */
+void sv_overload_set_spec (SvOverload *overload, const SvEngineSpec *spec);
+
+/** Counts the request as offered, and decides whether it is admitted; a refusal is logged. */
+gboolean sv_overload_admit (SvOverload *overload, const SvOverloadRequest *request);
+
+/** Whether the service was saturated recently, so that requests may be refused. */
+gboolean sv_overload_is_saturated (const SvOverload *overload);
+
+/** Planned utilisation of the engines. */
+double sv_overload_utilisation (const SvOverload *overload);
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -158,6 +158,52 @@
         knl_timer_start (core->parts.kernel, self->deadline - now, on_deadline, self);
 }
 
+/* What has passed since the caller's first attempt: it waits for the route's timeout in all. */
+static KnlTime
+waited_of_caller (const SvRequest *self)
+{
+  if (self->params.timeout <= 0 || self->route->timeout <= 0)
+    return 0;
+  return MAX (self->route->timeout - self->params.timeout, 0);
+}
+
+static guint
+priority_of (const SvRequest *self)
+{
+  if (self->workspace != NULL && self->workspace->priority >= 0)
+    return (guint)self->workspace->priority;
+  return self->route->priority;
+}
+
+static guint64
+expected_answer (const SvRequestParams *params)
+{
+  return params->answer_hint > 0 ? MIN (params->answer_hint, params->answer_tokens)
+                                 : params->answer_tokens;
+}
+
+/* Requests that a peer passed on were admitted there, and streams that resume were admitted when
+ * they began. */
+static gboolean
+is_admitted (SvRequest *self)
+{
+  SvOverload *overload = g_hash_table_lookup (self->core->overloads, self->service->name);
+  SvOverloadRequest request = {
+    .id = self->params.id,
+    .workspace = self->workspace != NULL ? self->workspace->name : NULL,
+    .prompt_tokens = self->params.prompt_tokens,
+    .answer_tokens = expected_answer (&self->params),
+    .priority = priority_of (self),
+    .objective = self->route->objective,
+    .waited = waited_of_caller (self),
+    .is_exempt = self->is_passed || self->params.last_event != NULL,
+  };
+
+  if (overload == NULL || request.prompt_tokens == 0)
+    return TRUE;
+  return sv_overload_admit (overload, &request);
+}
+
 gboolean
 sv_request_admit (SvRequest *self)
 {
@@ -172,8 +218,14 @@
         return FALSE;
     }
   admit (self);
-  if (self->service != NULL)
+  if (self->service == NULL)
+    {
+      sv_request_refuse (self, 503, "service-not-declared");
+      return FALSE;
+    }
+  if (is_admitted (self))
     return TRUE;
-  sv_request_refuse (self, 503, "service-not-declared");
+  self->is_overload = TRUE;
+  sv_request_refuse (self, 503, "overloaded");
   return FALSE;
 }
--- a/serve/core.c
+++ b/serve/core.c
@@ -40,6 +40,9 @@
   self->reach =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)sv_reach_free);
   self->meters = sv_meters_new (parts->metrics);
+  self->offered = sv_offered_new (parts->kernel);
+  self->overloads =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)sv_overload_free);
   sv_fleet_on_prefill (parts->fleet, sv_core_note_prefill, self);
   return self;
 }
@@ -67,6 +70,8 @@
     return;
   sv_fleet_on_prefill (self->parts.fleet, NULL, NULL);
   end_requests (self, sv_request_note_disconnect);
+  g_hash_table_unref (self->overloads);
+  sv_offered_free (self->offered);
   sv_meters_free (self->meters);
   sv_crashes_free (self->crashes);
   g_hash_table_unref (self->reach);
@@ -76,6 +81,57 @@
   g_free (self);
 }
 
+static guint
+n_instances (gpointer data)
+{
+  SvPeerLink *link = ((SvCore *)data)->parts.link;
+
+  return link->klass->n_instances (link);
+}
+
+static void
+update_overload (SvCore *self, const SvService *service)
+{
+  SvOverload *overload = g_hash_table_lookup (self->overloads, service->name);
+  SvOverloadParts parts = {
+    .kernel = self->parts.kernel,
+    .fleet = self->parts.fleet,
+    .offered = self->offered,
+    .metrics = self->parts.metrics,
+    .n_instances = n_instances,
+    .data = self,
+  };
+
+  if (overload != NULL)
+    sv_overload_set_spec (overload, &service->engine);
+  else
+    g_hash_table_insert (self->overloads, g_strdup (service->name),
+                         sv_overload_new (&parts, service->name, &service->engine));
+}
+
+static gboolean
+is_no_engine (gpointer name, gpointer overload, gpointer config)
+{
+  return !sv_service_is_engine (sv_config_service (config, name));
+}
+
+/* Saturation is measured for all services of engines, also those that no caller of this instance
+ * uses: peers count on its report that it is offered nothing. */
+static void
+update_overloads (SvCore *self)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  g_hash_table_foreach_remove (self->overloads, is_no_engine, self->config);
+  g_hash_table_iter_init (&iter, self->config->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    {
+      if (sv_service_is_engine (service))
+        update_overload (self, service);
+    }
+}
+
 gboolean
 sv_core_set_config (SvCore *self, SvConfig *config)
 {
@@ -85,6 +141,7 @@
           "replaces", self->config != NULL ? (gint64)self->config->version : (gint64)-1);
   sv_config_unref (self->config);
   self->config = sv_config_ref (config);
+  update_overloads (self);
   return TRUE;
 }
 
@@ -257,6 +314,12 @@
   return self->crashes;
 }
 
+SvOffered *
+sv_core_offered (SvCore *self)
+{
+  return self->offered;
+}
+
 SvReach *
 sv_core_reach (SvCore *self, const char *service)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -5,6 +5,7 @@
 #include "serve/core.h"
 #include "serve/events.h"
 #include "serve/meters.h"
+#include "serve/overload.h"
 #include "serve/reach.h"
 #include "serve/reservation.h"
 
@@ -22,8 +23,10 @@
   GHashTable *budgets;  /* service -> PolBudget */
   SvCrashes *crashes;
   GHashTable *reach; /* service -> SvReach */
-  guint n_lost;      /* services that this instance has lost its links to */
-  guint n_passed;    /* requests that peers passed on to this instance and that have not ended */
+  SvOffered *offered;
+  GHashTable *overloads; /* service -> SvOverload; those whose endpoints are engines */
+  guint n_lost;          /* services that this instance has lost its links to */
+  guint n_passed; /* requests that peers passed on to this instance and that have not ended */
   SvMeters *meters;
 };
 
@@ -48,6 +51,7 @@
   HtMessage *failure;
   gboolean unreached;     /* no connection to the endpoint of the last send was established */
   gboolean is_passed;     /* a peer passed it on to this instance */
+  gboolean is_overload;   /* it is refused because its service is overloaded */
   HtExchange *pass;       /* with the peer that it is passed on to; NULL: none */
   char *passed_to;        /* address of the last peer that it was passed on to; NULL: none */
   guint passes;           /* peers that it was passed on to */
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -132,7 +132,8 @@
 
   if (self->placement.limit_wait > 0)
     return self->placement.limit_wait + delay;
-  if ((self->placement.is_full || self->placement.lacks_memory) && self->deadline != KNL_NEVER)
+  if ((self->placement.is_full || self->placement.lacks_memory || self->is_overload)
+      && self->deadline != KNL_NEVER)
     return (KnlTime)(RETRY_AFTER_FULL_FRACTION * (double)MAX (left, 0)
                      * g_rand_double_range (knl_kernel_rand (kernel), 1, 2));
   if (self->deadline != KNL_NEVER && self->deadline > 0)
--- /dev/null
+++ b/serve/overload.c
@@ -0,0 +1,342 @@
+#include "serve/overload.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "common/log.h"
+#include "serve/engine_model.h"
+#include "serve/router_internal.h"
+
+/* Interval of the measurements: about the time of two passes, within which loads change. */
+#define INTERVAL (100 * KNL_MSEC)
+
+/* A service is saturated when this fraction of its slots is taken: the last slots are free only for
+ * moments between two requests, and packing keeps some of them free. */
+#define SATURATED_SLOTS 0.9
+
+/* It is also saturated when engines have more prefill than this before them on average: a short
+ * prompt's objective is a few hundred ms, so one that arrives then is late. */
+#define SATURATED_BACKLOG (250 * KNL_MSEC)
+
+/* Requests may be refused for this long after the last saturation. */
+#define REFUSING_TIME (2 * KNL_SEC)
+
+/* Planned utilisation: its bounds, and its change in each interval. It may exceed 1, as the engine
+ * model and the lengths of answers are estimates. It falls faster than it rises, so that queues at
+ * the engines are short-lived. */
+#define MIN_UTILISATION 0.3
+#define MAX_UTILISATION 1.2
+#define FALL_FACTOR     0.9
+#define RISE_FACTOR     1.03
+
+/* Minimum that each class gets of what it offers, so that none starves. */
+#define MIN_CLASS_FRACTION 0.3
+
+/* Prompts with a longer prefill, in ms, are long. */
+#define MEDIUM_PREFILL_MS 1000.0
+
+/* Distinguishes the hash that decides on admission from the one that selects a route's service. */
+#define ADMISSION_SEED 1
+
+struct SvOverload
+{
+  SvOverloadParts parts;
+  char *service;
+  guint32 id;
+  SvEngineSpec spec;
+  double utilisation;
+  KnlTime saturated_at; /* -KNL_NEVER: never */
+  KnlTimerId timer;
+  CmLogRateLimit refusals; /* limits log lines about refused requests */
+  CmSeries *offered_gauge;
+  CmSeries *planned_gauge;
+  CmSeries *admitted_gauge;
+
+  /* the plan; all zero while none is in force */
+  gboolean is_planned;
+  PolAdmissionClass classes[SV_OFFERED_CLASSES];
+  GHashTable *loads; /* &key of class and workspace -> guint64, load of one workspace */
+  guint64 offered;
+  guint64 capacity;
+  guint heard;
+  KnlTime age; /* of the oldest report that the plan is made of, at `planned_at` */
+  KnlTime planned_at;
+};
+
+static const CmMetricDef offered_def = {
+  .name = "alderturn_offered_load",
+  .help = "Engine time that all callers ask for, s/s, while the service is saturated",
+  .type = CM_METRIC_GAUGE,
+  .labels = { "service" },
+};
+
+static const CmMetricDef planned_def = {
+  .name = "alderturn_planned_load",
+  .help = "Engine time that is planned to be used, s/s",
+  .type = CM_METRIC_GAUGE,
+  .labels = { "service" },
+};
+
+static const CmMetricDef admitted_def = {
+  .name = "alderturn_admitted_load",
+  .help = "Engine time of the requests that are admitted, s/s, while the service is saturated",
+  .type = CM_METRIC_GAUGE,
+  .labels = { "service" },
+};
+
+/* Load of the service's usable endpoints. */
+typedef struct
+{
+  guint n;
+  guint calls; /* at each endpoint up to its slots */
+  guint slots;
+  KnlTime backlog; /* sum of the prefill times left */
+} EnginesLoad;
+
+static EnginesLoad
+measure (const SvOverload *self, KnlTime now)
+{
+  const GPtrArray *endpoints = sv_fleet_service (self->parts.fleet, self->service);
+  EnginesLoad sum = { 0 };
+
+  for (guint i = 0; endpoints != NULL && i < endpoints->len; i++)
+    {
+      SvEndpoint *endpoint = g_ptr_array_index (endpoints, i);
+
+      if (!sv_endpoint_is_usable (endpoint, now))
+        continue;
+      sum.n++;
+      sum.slots += self->spec.slots;
+      sum.calls += MIN (sv_endpoint_load (endpoint, now).calls, self->spec.slots);
+      sum.backlog += sv_endpoint_prefill_left (endpoint, now);
+    }
+  return sum;
+}
+
+static gboolean
+is_saturated (const EnginesLoad *load)
+{
+  return load->n > 0
+         && (load->calls >= SATURATED_SLOTS * load->slots
+             || load->backlog > SATURATED_BACKLOG * load->n);
+}
+
+gboolean
+sv_overload_is_saturated (const SvOverload *self)
+{
+  return self->saturated_at != -KNL_NEVER
+         && knl_kernel_now (self->parts.kernel) - self->saturated_at < REFUSING_TIME;
+}
+
+static guint64
+row_key (guint class, guint32 workspace)
+{
+  return (guint64) class << 32 | workspace;
+}
+
+static void
+note_load (SvOverload *self, const PolOfferedRow *row)
+{
+  guint64 *load = g_new (guint64, 2);
+
+  load[0] = row_key (row->class, row->workspace);
+  load[1] = row->load / MAX (row->n, 1);
+  g_hash_table_replace (self->loads, load, load);
+}
+
+static void
+drop_plan (SvOverload *self)
+{
+  self->is_planned = FALSE;
+  g_hash_table_remove_all (self->loads);
+  cm_series_set (self->offered_gauge, 0);
+  cm_series_set (self->admitted_gauge, 0);
+}
+
+static void
+make_plan (SvOverload *self, KnlTime now)
+{
+  SvOfferedTotals totals =
+      sv_offered_totals (self->parts.offered, self->id, self->parts.n_instances (self->parts.data));
+  guint64 admitted = 0;
+
+  pol_admission_plan (self->capacity, self->classes, SV_OFFERED_CLASSES,
+                      (PolOfferedRow *)(gpointer)totals.rows->data, totals.rows->len);
+  self->offered = 0;
+  for (guint i = 0; i < SV_OFFERED_CLASSES; i++)
+    {
+      self->offered += self->classes[i].offered;
+      admitted += self->classes[i].capacity;
+    }
+  g_hash_table_remove_all (self->loads);
+  for (guint i = 0; i < totals.rows->len; i++)
+    note_load (self, &g_array_index (totals.rows, PolOfferedRow, i));
+  self->is_planned = TRUE;
+  self->heard = totals.heard;
+  self->age = totals.age;
+  self->planned_at = now;
+  cm_series_set (self->offered_gauge, (double)self->offered / KNL_SEC);
+  cm_series_set (self->admitted_gauge, (double)admitted / KNL_SEC);
+  sv_offered_totals_clear (&totals);
+}
+
+static void
+on_due (gpointer data)
+{
+  SvOverload *self = data;
+  KnlTime now = knl_kernel_now (self->parts.kernel);
+  EnginesLoad load = measure (self, now);
+  gboolean saturated = is_saturated (&load);
+
+  self->timer = knl_timer_start (self->parts.kernel, INTERVAL, on_due, self);
+  self->utilisation = CLAMP (self->utilisation * (saturated ? FALL_FACTOR : RISE_FACTOR),
+                             MIN_UTILISATION, MAX_UTILISATION);
+  self->capacity = (guint64)(self->utilisation * load.n * KNL_SEC);
+  cm_series_set (self->planned_gauge, (double)self->capacity / KNL_SEC);
+  if (saturated)
+    {
+      self->saturated_at = now;
+      sv_offered_note_saturated (self->parts.offered, self->id);
+    }
+  if (sv_overload_is_saturated (self))
+    make_plan (self, now);
+  else if (self->is_planned)
+    drop_plan (self);
+}
+
+SvOverload *
+sv_overload_new (const SvOverloadParts *parts, const char *service, const SvEngineSpec *spec)
+{
+  SvOverload *self = g_new0 (SvOverload, 1);
+
+  self->parts = *parts;
+  self->service = g_strdup (service);
+  self->id = sv_offered_service_id (service);
+  self->spec = *spec;
+  self->utilisation = MAX_UTILISATION;
+  self->saturated_at = -KNL_NEVER;
+  self->loads = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  for (guint i = 0; i < SV_OFFERED_CLASSES; i++)
+    self->classes[i] = (PolAdmissionClass){ .rank = sv_offered_class_rank (i),
+                                            .min_fraction = MIN_CLASS_FRACTION };
+  self->offered_gauge =
+      cm_metric_series (cm_metrics_add (parts->metrics, &offered_def), service, NULL, NULL);
+  self->planned_gauge =
+      cm_metric_series (cm_metrics_add (parts->metrics, &planned_def), service, NULL, NULL);
+  self->admitted_gauge =
+      cm_metric_series (cm_metrics_add (parts->metrics, &admitted_def), service, NULL, NULL);
+  self->timer = knl_timer_start (parts->kernel, INTERVAL, on_due, self);
+  return self;
+}
+
+void
+sv_overload_free (SvOverload *self)
+{
+  if (self == NULL)
+    return;
+  knl_timer_stop (self->parts.kernel, &self->timer);
+  drop_plan (self);
+  g_hash_table_unref (self->loads);
+  g_free (self->service);
+  g_free (self);
+}
+
+void
+sv_overload_set_spec (SvOverload *self, const SvEngineSpec *spec)
+{
+  self->spec = *spec;
+}
+
+double
+sv_overload_utilisation (const SvOverload *self)
+{
+  return self->utilisation;
+}
+
+static SvPrefillLength
+length_of (double prefill_ms)
+{
+  if (prefill_ms <= SV_SPLIT_MS)
+    return SV_PREFILL_SHORT;
+  return prefill_ms <= MEDIUM_PREFILL_MS ? SV_PREFILL_MEDIUM : SV_PREFILL_LONG;
+}
+
+static guint
+class_of (const SvOverload *self, const SvOverloadRequest *request)
+{
+  double prefill_ms = sv_model_prefill_ms (&self->spec, (double)request->prompt_tokens);
+  /* The shortest time to a first event, at as many endpoints as a prompt may be split over. */
+  KnlTime shortest = (KnlTime)(prefill_ms / (SV_MAX_HELPERS + 1) * KNL_MSEC);
+  SvOfferedClass class = {
+    .is_late = request->objective > 0 && request->waited + shortest > request->objective,
+    .priority = request->priority,
+    .length = length_of (prefill_ms),
+  };
+
+  return sv_offered_class_index (&class);
+}
+
+/* The workspace's load in the class; one without a row of its own is one of the others. */
+static guint64
+load_of_workspace (const SvOverload *self, guint class, guint32 workspace)
+{
+  guint64 key = row_key (class, workspace);
+  const guint64 *load = g_hash_table_lookup (self->loads, &key);
+
+  if (load == NULL)
+    {
+      key = row_key (class, 0);
+      load = g_hash_table_lookup (self->loads, &key);
+    }
+  return load != NULL ? load[1] : 0;
+}
+
+static double
+admitted_fraction (const SvOverload *self, guint class, guint32 workspace)
+{
+  if (!self->is_planned || self->offered <= self->capacity || !sv_overload_is_saturated (self))
+    return 1;
+  return pol_admission_fraction (&self->classes[class], load_of_workspace (self, class, workspace));
+}
+
+static void
+log_refusal (SvOverload *self, const SvOverloadRequest *request, guint class, double fraction)
+{
+  KnlTime now = knl_kernel_now (self->parts.kernel);
+  g_autofree char *name = NULL;
+  guint32 workspace = sv_offered_workspace_id (request->workspace);
+
+  if (!cm_log_rate_limit_allows (&self->refusals, now))
+    return;
+  name = sv_offered_class_name (class);
+  cm_log (CM_LOG_NOTICE, "overloaded", "s", "request", request->id, "s", "service", self->service,
+          "s", "class", name, "s", "workspace", request->workspace, "f", "admitted-fraction",
+          fraction, "f", "workspace-load",
+          (double)load_of_workspace (self, class, workspace) / KNL_SEC, "f", "class-offered",
+          (double)self->classes[class].offered / KNL_SEC, "f", "class-planned",
+          (double)self->classes[class].capacity / KNL_SEC, "f", "offered",
+          (double)self->offered / KNL_SEC, "f", "planned", (double)self->capacity / KNL_SEC, "i",
+          "instances-heard", (gint64)self->heard, "i", "age-us", self->age + now - self->planned_at,
+          "i", "so-far", self->refusals.count);
+}
+
+gboolean
+sv_overload_admit (SvOverload *self, const SvOverloadRequest *request)
+{
+  guint class = class_of (self, request);
+  guint32 workspace = sv_offered_workspace_id (request->workspace);
+  double cost_ms = sv_model_request_ms (&self->spec, (double)request->prompt_tokens,
+                                        (double)request->answer_tokens);
+  guint64 hash = XXH64 (request->id, strlen (request->id), ADMISSION_SEED);
+  double fraction;
+
+  sv_offered_note_request (self->parts.offered, self->id, class, workspace,
+                           (guint64)(cost_ms * KNL_MSEC));
+  if (request->is_exempt)
+    return TRUE;
+  fraction = admitted_fraction (self, class, workspace);
+  if ((double)(hash >> 11) / 0x1p53 < fraction)
+    return TRUE;
+  log_refusal (self, request, class, fraction);
+  return FALSE;
+}
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -92,7 +92,12 @@
 static void
 on_request (HtCall *call, gpointer data)
 {
-  sv_core_handle_request (((SvFixture *)data)->core, call);
+  SvFixture *self = data;
+
+  if (self->is_passed)
+    sv_core_handle_passed (self->core, call);
+  else
+    sv_core_handle_request (self->core, call);
 }
 
 static void
--- a/tests/unit/sv_fixture.h
+++ b/tests/unit/sv_fixture.h
@@ -29,6 +29,7 @@
   char *address;
   ScriptedEndpoint *endpoints[MAX_ENDPOINTS];
   guint n_endpoints;
+  gboolean is_passed; /* requests count as passed on by a peer */
 
   struct bufferevent *caller;
   GString *received;
--- /dev/null
+++ b/tests/unit/sv_overload_test.c
@@ -0,0 +1,416 @@
+/** Tests of admission while a service is overloaded: whose requests are refused, and when. */
+
+#include <string.h>
+
+#include "common/log.h"
+#include "kernel/paused.h"
+#include "serve/engine_model.h"
+#include "serve/overload.h"
+#include "suite.h"
+
+#define ENGINES  10
+#define INTERVAL (100 * KNL_MSEC)
+
+static const SvEngineSpec spec = {
+  .slots = 10,
+  .memory_tokens = 1000000,
+  .stride = 50,
+  .step_ms = 1,
+  .prefill_tokens_per_ms = 100,
+};
+
+/* Requests of a second, by kind. */
+typedef struct
+{
+  const char *workspace;
+  guint64 prompt_tokens;
+  guint priority;
+  KnlTime waited;
+  double rate;
+} Kind;
+
+typedef struct
+{
+  guint offered;
+  guint admitted;
+} Count;
+
+typedef struct
+{
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  SvFleet *fleet;
+  SvOffered *offered;
+  CmMetrics *metrics;
+  SvOverload *overload;
+  guint instances;
+  guint n_requests;
+  KnlTime played;
+  SvLoad load;
+} Fixture;
+
+static guint
+n_instances (gpointer data)
+{
+  return ((Fixture *)data)->instances;
+}
+
+static void
+fixture_open (Fixture *self)
+{
+  SvOverloadParts parts;
+
+  *self = (Fixture){ .clock = knl_paused_clock_new (), .instances = 1 };
+  knl_paused_clock_advance (self->clock, 10 * KNL_SEC);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 1);
+  self->fleet = sv_fleet_new (self->kernel, KNL_SEC);
+  self->offered = sv_offered_new (self->kernel);
+  self->metrics = cm_metrics_new ();
+  for (guint i = 0; i < ENGINES; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+      SvEndpointEntry entry = {
+        .id = id, .service = "s", .address = "127.0.0.1:9", .zone = "a", .slots = spec.slots
+      };
+
+      sv_fleet_update (self->fleet, &entry);
+    }
+  parts = (SvOverloadParts){ .kernel = self->kernel,
+                             .fleet = self->fleet,
+                             .offered = self->offered,
+                             .metrics = self->metrics,
+                             .n_instances = n_instances,
+                             .data = self };
+  self->overload = sv_overload_new (&parts, "s", &spec);
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  sv_overload_free (self->overload);
+  cm_metrics_free (self->metrics);
+  sv_offered_free (self->offered);
+  sv_fleet_free (self->fleet);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+}
+
+/* Sets the calls at each engine, as other instances would report them. */
+static void
+set_calls (Fixture *self, guint calls)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->fleet);
+
+  self->load.calls = calls;
+  for (guint i = 0; i < endpoints->len; i++)
+    sv_endpoint_set_peer (g_ptr_array_index (endpoints, i), 1, &self->load);
+}
+
+static gboolean
+request (Fixture *self, const Kind *kind, gboolean is_exempt)
+{
+  g_autofree char *id = g_strdup_printf ("r%u", self->n_requests++);
+  SvOverloadRequest offered = { .id = id,
+                                .workspace = kind->workspace,
+                                .prompt_tokens = kind->prompt_tokens,
+                                .answer_tokens = 100,
+                                .priority = kind->priority,
+                                .objective = 4 * KNL_SEC,
+                                .waited = kind->waited,
+                                .is_exempt = is_exempt };
+
+  return sv_overload_admit (self->overload, &offered);
+}
+
+/* Plays the kinds for `time`, evenly, and counts them. */
+static void
+play (Fixture *self, const Kind *kinds, guint n, KnlTime time, Count *counts)
+{
+  for (KnlTime passed = 0; passed < time; passed += 10 * KNL_MSEC)
+    {
+      for (guint i = 0; i < n; i++)
+        {
+          double before = kinds[i].rate * (double)self->played / KNL_SEC;
+          double after = kinds[i].rate * (double)(self->played + 10 * KNL_MSEC) / KNL_SEC;
+
+          for (guint j = (guint)before; j < (guint)after; j++)
+            {
+              gboolean admitted = request (self, &kinds[i], FALSE);
+
+              if (counts == NULL)
+                continue;
+              counts[i].offered++;
+              counts[i].admitted += admitted;
+            }
+        }
+      self->played += 10 * KNL_MSEC;
+      knl_paused_clock_advance (self->clock, 10 * KNL_MSEC);
+    }
+}
+
+static double
+fraction (const Count *count)
+{
+  return (double)count->admitted / count->offered;
+}
+
+/* Engine time a second that the kinds offer, in engines. */
+static double
+offered_engines (const Kind *kinds, guint n)
+{
+  double sum = 0;
+
+  for (guint i = 0; i < n; i++)
+    sum += kinds[i].rate * sv_model_request_ms (&spec, (double)kinds[i].prompt_tokens, 100) / 1000;
+  return sum;
+}
+
+/* Keeps the planned utilisation near 1, as engines with room only now and then would. */
+static void
+play_saturated (Fixture *self, const Kind *kinds, guint n, KnlTime time, Count *counts)
+{
+  for (KnlTime passed = 0; passed < time; passed += INTERVAL)
+    {
+      set_calls (self, sv_overload_utilisation (self->overload) > 1 ? spec.slots : 5);
+      play (self, kinds, n, INTERVAL, counts);
+    }
+}
+
+/* 3.5 times what ten engines can do, a third of it from the workspace "w0", most of it short. */
+static const Kind surge[] = {
+  { "w0", 1000, 0, 0, 580 }, { "w1", 1000, 0, 0, 10 }, { "w2", 1000, 0, 0, 500 },
+  { "w3", 1000, 0, 0, 370 }, { "w0", 60000, 0, 0, 2 }, { "w1", 60000, 0, 0, 0.25 },
+  { "w2", 200000, 0, 0, 1 }, { "w3", 1000, 2, 0, 50 }, { "w3", 1000, 0, 9 * KNL_SEC, 50 },
+};
+
+/* Guards against a workspace that takes the capacity of a small one, and against classes that get
+ * less than their minimum, when far more is offered than the engines can do. */
+static void
+test_surge_leaves_small_workspaces_alone (void)
+{
+  Count counts[G_N_ELEMENTS (surge)] = { 0 };
+  double admitted = 0;
+  Fixture self;
+
+  CU_ASSERT_DOUBLE_EQUAL (offered_engines (surge, G_N_ELEMENTS (surge)), 35, 3);
+  fixture_open (&self);
+  play_saturated (&self, surge, G_N_ELEMENTS (surge), 3 * KNL_SEC, NULL);
+  play_saturated (&self, surge, G_N_ELEMENTS (surge), 60 * KNL_SEC, counts);
+  CU_ASSERT_EQUAL (fraction (&counts[1]), 1);
+  CU_ASSERT_EQUAL (fraction (&counts[5]), 1);
+  CU_ASSERT (fraction (&counts[0]) < 0.5 && fraction (&counts[0]) > 0.1);
+  /* The large ones get the same load, whatever they ask for. */
+  CU_ASSERT_DOUBLE_EQUAL (counts[0].admitted / (double)counts[2].admitted, 1, 0.1);
+  CU_ASSERT_DOUBLE_EQUAL (counts[3].admitted / (double)counts[2].admitted, 1, 0.1);
+  /* Less urgent and late requests keep their minimum, which is less than 0.3 where the minimums
+   * together exceed the capacity. */
+  CU_ASSERT (fraction (&counts[7]) > 0.15 && fraction (&counts[7]) < 0.4);
+  CU_ASSERT (fraction (&counts[8]) > 0.15 && fraction (&counts[8]) < 0.4);
+  CU_ASSERT (fraction (&counts[6]) > 0.15);
+  for (guint i = 0; i < G_N_ELEMENTS (surge); i++)
+    admitted += fraction (&counts[i]) * offered_engines (&surge[i], 1);
+  CU_ASSERT (admitted > 0.75 * ENGINES && admitted < 1.25 * ENGINES);
+  fixture_close (&self);
+}
+
+/* Guards against refusals that go on when the load is no longer above what is planned. */
+static void
+test_refusals_end_with_the_surge (void)
+{
+  static const Kind calm[] = { { "w0", 1000, 0, 0, 60 }, { "w1", 60000, 0, 0, 1 } };
+  Count counts[G_N_ELEMENTS (calm)] = { 0 };
+  Fixture self;
+
+  fixture_open (&self);
+  play_saturated (&self, surge, G_N_ELEMENTS (surge), 8 * KNL_SEC, NULL);
+  /* The engines' queues empty meanwhile. */
+  set_calls (&self, spec.slots);
+  play (&self, calm, G_N_ELEMENTS (calm), 500 * KNL_MSEC, NULL);
+  set_calls (&self, 5);
+  play (&self, calm, G_N_ELEMENTS (calm), 1500 * KNL_MSEC, NULL);
+  play (&self, calm, G_N_ELEMENTS (calm), 5 * KNL_SEC, counts);
+  for (guint i = 0; i < G_N_ELEMENTS (calm); i++)
+    CU_ASSERT_EQUAL (counts[i].admitted, counts[i].offered);
+  fixture_close (&self);
+}
+
+/* Guards against refusals while the engines have room, however much the model says is offered, and
+ * against refusals of a load below the planned one while engines are saturated for a moment. */
+static void
+test_with_room_nothing_is_refused (void)
+{
+  static const Kind calm[] = { { "w0", 1000, 0, 0, 60 },
+                               { "w1", 60000, 2, 0, 1 },
+                               { "w2", 1000, 4, 9 * KNL_SEC, 10 } };
+  Count counts[G_N_ELEMENTS (surge)] = { 0 };
+  Fixture self;
+
+  fixture_open (&self);
+  set_calls (&self, 8);
+  play (&self, surge, G_N_ELEMENTS (surge), 10 * KNL_SEC, counts);
+  knl_paused_clock_advance (self.clock, 2 * KNL_SEC);
+  for (guint i = 0; i < 50; i++)
+    {
+      set_calls (&self, i % 5 == 0 ? spec.slots : 5);
+      play (&self, calm, G_N_ELEMENTS (calm), INTERVAL, counts);
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (surge); i++)
+    CU_ASSERT_EQUAL (counts[i].admitted, counts[i].offered);
+  fixture_close (&self);
+}
+
+/* Guards against prefill backlog that isn't noticed while slots are free, and against saturation
+ * that is seen where there are no engines. */
+static void
+test_prefill_backlog_is_saturation (void)
+{
+  static const struct
+  {
+    KnlTime backlog;
+    guint calls;
+    gboolean is_saturated;
+  } rows[] = {
+    { 0, 8, FALSE },
+    { 0, 9, TRUE },
+    { 240 * KNL_MSEC, 0, FALSE },
+    { 400 * KNL_MSEC, 0, TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      SvPrefill prefill = { .prompt = 1, .length = rows[i].backlog + INTERVAL };
+      guint64 keys[ENGINES];
+      Fixture self;
+
+      fixture_open (&self);
+      for (guint j = 0; j < ENGINES; j++)
+        keys[j] = ((SvEndpoint *)g_ptr_array_index (sv_fleet_all (self.fleet), j))->key;
+      if (rows[i].backlog > 0)
+        sv_fleet_add_prefill (self.fleet, &prefill, keys, ENGINES);
+      set_calls (&self, rows[i].calls);
+      knl_paused_clock_advance (self.clock, INTERVAL);
+      CU_ASSERT_EQUAL (sv_overload_is_saturated (self.overload), rows[i].is_saturated);
+      for (guint j = 0; j < ENGINES; j++)
+        {
+          g_autofree char *id = g_strdup_printf ("i-%u", j);
+
+          sv_fleet_remove (self.fleet, id);
+        }
+      knl_paused_clock_advance (self.clock, 4 * KNL_SEC);
+      CU_ASSERT_FALSE (sv_overload_is_saturated (self.overload));
+      fixture_close (&self);
+    }
+}
+
+/* Guards against a request that is refused although a peer has admitted it, or its stream has
+ * begun, and against such requests that aren't counted. */
+static void
+test_exempt_requests_are_counted (void)
+{
+  static const Kind kind = { "w0", 1000, 0, 0, 0 };
+  SvOfferedReport report;
+  Fixture self;
+
+  fixture_open (&self);
+  play_saturated (&self, surge, G_N_ELEMENTS (surge), 3 * KNL_SEC, NULL);
+  knl_paused_clock_advance (self.clock, 1100 * KNL_MSEC);
+  for (guint i = 0; i < 100; i++)
+    CU_ASSERT_TRUE (request (&self, &kind, TRUE));
+  sv_offered_report_own (self.offered, sv_offered_service_id ("s"), &report);
+  CU_ASSERT_EQUAL_FATAL (report.n_rows, 1);
+  CU_ASSERT_DOUBLE_EQUAL ((double)report.rows[0].load / KNL_MSEC,
+                          100 * sv_model_request_ms (&spec, 1000, 100), 1);
+  fixture_close (&self);
+}
+
+/* Guards against an instance that gives a repeated attempt another answer. */
+static void
+test_repeated_attempt_gets_the_same_answer (void)
+{
+  guint refused = 0;
+  Fixture self;
+
+  fixture_open (&self);
+  play_saturated (&self, surge, G_N_ELEMENTS (surge), 3 * KNL_SEC, NULL);
+  for (guint i = 0; i < 200; i++)
+    {
+      guint id = self.n_requests;
+      gboolean first = request (&self, &surge[0], FALSE);
+
+      self.n_requests = id;
+      CU_ASSERT_EQUAL (request (&self, &surge[0], FALSE), first);
+      refused += !first;
+    }
+  CU_ASSERT (refused > 50);
+  fixture_close (&self);
+}
+
+/* Guards against instances of which each refuses as much as all together have to, or too little:
+ * one that others report more load to refuses by the sum. */
+static void
+test_load_of_other_instances_counts (void)
+{
+  static const Kind own[] = { { "w0", 1000, 0, 0, 30 }, { "w1", 1000, 0, 0, 5 } };
+  Count counts[G_N_ELEMENTS (own)] = { 0 };
+  SvOfferedReport others = { .service = sv_offered_service_id ("s"), .n_rows = 2 };
+  SvOfferedSource cell = { .id = 4, .is_cell = TRUE, .instances = 9 };
+  Fixture self;
+
+  others.rows[0] = (PolOfferedRow){ 0, sv_offered_workspace_id ("w0"), 1, 30 * KNL_SEC };
+  others.rows[1] = (PolOfferedRow){ 0, 0, 20, 4 * KNL_SEC };
+  fixture_open (&self);
+  self.instances = 10;
+  for (guint i = 0; i < 100; i++)
+    {
+      sv_offered_note_report (self.offered, &cell, &others);
+      play_saturated (&self, own, G_N_ELEMENTS (own), INTERVAL, i > 30 ? counts : NULL);
+    }
+  CU_ASSERT (fraction (&counts[0]) > 0.05 && fraction (&counts[0]) < 0.35);
+  CU_ASSERT_EQUAL (fraction (&counts[1]), 1);
+  fixture_close (&self);
+}
+
+static void
+count_lines (const char *line, gpointer data)
+{
+  if (strstr (line, "\"overloaded\"") != NULL && strstr (line, "\"admitted-fraction\"") != NULL
+      && strstr (line, "\"on-time-0-short\"") != NULL && strstr (line, "\"so-far\"") != NULL)
+    (*(guint *)data)++;
+}
+
+/* Guards against refusals that can't be explained, or fill the log. */
+static void
+test_refusals_are_logged_and_measured (void)
+{
+  CmMetric *offered;
+  guint lines = 0;
+  Fixture self;
+
+  fixture_open (&self);
+  cm_log_set_sink (count_lines, &lines);
+  play_saturated (&self, &surge[1], 1, 5 * KNL_SEC, NULL);
+  CU_ASSERT_EQUAL (lines, 0);
+  play_saturated (&self, surge, G_N_ELEMENTS (surge), 5 * KNL_SEC, NULL);
+  cm_log_set_sink (NULL, NULL);
+  CU_ASSERT (lines >= 1 && lines <= 5);
+  offered = cm_metrics_add (self.metrics, &(CmMetricDef){ .name = "alderturn_offered_load" });
+  CU_ASSERT_DOUBLE_EQUAL (cm_series_value (cm_metric_series (offered, "s", NULL, NULL)),
+                          offered_engines (surge, G_N_ELEMENTS (surge)), 4);
+  set_calls (&self, 0);
+  knl_paused_clock_advance (self.clock, 3 * KNL_SEC);
+  CU_ASSERT_EQUAL (cm_series_value (cm_metric_series (offered, "s", NULL, NULL)), 0);
+  fixture_close (&self);
+}
+
+static const SuiteCase cases[] = {
+  { "a surge leaves small workspaces alone", test_surge_leaves_small_workspaces_alone },
+  { "refusals end with the surge", test_refusals_end_with_the_surge },
+  { "with room nothing is refused", test_with_room_nothing_is_refused },
+  { "prefill backlog is saturation", test_prefill_backlog_is_saturation },
+  { "exempt requests are counted", test_exempt_requests_are_counted },
+  { "a repeated attempt gets the same answer", test_repeated_attempt_gets_the_same_answer },
+  { "load of other instances counts", test_load_of_other_instances_counts },
+  { "refusals are logged and measured", test_refusals_are_logged_and_measured },
+};
+
+SUITE_MAIN ("sv_overload", cases)
