serve: instances report offered load to each other while saturated

Cause: each instance sees only its own callers; how much of a workspace's load is admitted has to follow from what it offers to all.

--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -144,6 +144,7 @@
   };
   self->core = sv_core_new (&parts, &self->boot->bounds);
   sv_peers_set_crashes (self->peers, sv_core_crashes (self->core));
+  sv_peers_set_offered (self->peers, sv_core_offered (self->core));
   sv_fleet_on_replaced (self->fleet, on_endpoint_replaced, self);
 }
 
@@ -190,7 +191,10 @@
   gateway_stop_following (self);
   gateway_stop_membership (self);
   if (self->peers != NULL)
-    sv_peers_set_crashes (self->peers, NULL);
+    {
+      sv_peers_set_crashes (self->peers, NULL);
+      sv_peers_set_offered (self->peers, NULL);
+    }
   sv_core_free (self->core);
   gateway_close_servers (self);
   sv_peers_free (self->peers);
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -16,6 +16,7 @@
 #include <event2/event.h>
 
 #include "serve/core.h"
+#include "serve/offered.h"
 
 typedef struct SvPeers SvPeers;
 
@@ -41,6 +42,10 @@
  * outlive `peers`, or be set to NULL before they are freed. */
 void sv_peers_set_crashes (SvPeers *peers, SvCrashes *crashes);
 
+/** Sets the offered load that is exchanged with other instances; NULL: none. It must outlive
+ * `peers`, or be set to NULL before it is freed. */
+void sv_peers_set_offered (SvPeers *peers, SvOffered *offered);
+
 /** The link through which the core announces changes; owned by `peers`. */
 SvPeerLink *sv_peers_link (SvPeers *peers);
 
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -291,6 +291,7 @@
     return;
   knl_timer_stop (self->kernel, &self->heartbeat_timer);
   knl_timer_stop (self->kernel, &self->change_timer);
+  sv_peers_set_offered (self, NULL);
   if (self->readable != NULL)
     event_free (self->readable);
   if (self->socket >= 0)
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -155,6 +155,8 @@
   SvPeerVersionsFunc on_versions;    /* NULL: none */
   gpointer on_confirmation_data;     /* passed to both */
   SvCrashes *crashes;                /* NULL: not exchanged */
+  SvOffered *offered;                /* NULL: not exchanged */
+  KnlTimerId offered_timer;          /* next report of offered load; 0: none is due */
 };
 
 /** Storage for a datagram's rows, with the arrays of pointers that protobuf-c needs. */
@@ -359,8 +361,18 @@
 /** Number of all instances that a peer told recently; 0: none did. */
 guint sv_join_told_instances (const SvPeers *self);
 
+/* peers_offered.c */
+
+/** Handles the report of offered load in the datagram, if it has one. */
+void sv_peers_handle_offered (SvPeers *self,
+                              const SvOfferedSource *source,
+                              const Alderturn__Datagram *datagram);
+
 /* relay.c */
 
+/** Sends the datagram, which speaks for our cell, to the relays of other cells. */
+void sv_relay_send_to_cells (SvPeers *self, const Alderturn__Datagram *datagram);
+
 /** To be called with each heartbeat: the relay sends its cell's description to other cells, and the
  * loads of silent cells are dropped. */
 void sv_relay_on_heartbeat (SvPeers *self);
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -54,8 +54,8 @@
     }
 }
 
-static void
-send_to_cells (SvPeers *self, const Alderturn__Datagram *datagram)
+void
+sv_relay_send_to_cells (SvPeers *self, const Alderturn__Datagram *datagram)
 {
   GHashTableIter iter;
   gpointer cell;
@@ -137,7 +137,7 @@
   has_updates |= sv_peers_add_crashes (self, &datagram, &rows, SV_CRASHES_FOR_CELLS);
   if (!has_updates && datagram.n_loads == 0)
     return FALSE;
-  send_to_cells (self, &datagram);
+  sv_relay_send_to_cells (self, &datagram);
   sv_outbox_remove_sent (&self->cell_outbox, &datagram);
   return TRUE;
 }
@@ -221,7 +221,7 @@
   for (guint i = 0; i < MIN (endpoints->len, MAX_DESCRIBED_ENDPOINTS); i++)
     add_sum (self, &datagram, &rows,
              g_ptr_array_index (endpoints, self->next_described++ % endpoints->len));
-  send_to_cells (self, &datagram);
+  sv_relay_send_to_cells (self, &datagram);
 }
 
 static void
