policy: the classes of a rank are divided in one array

Change: what a class is given stands beside it in one array. Run: pol_admission passes; scripts/check is clean.

--- a/policy/admission.c
+++ b/policy/admission.c
@@ -59,68 +59,72 @@
   return rest;
 }
 
+/* A class, and what it gets of the capacity of its rank. */
+typedef struct
+{
+  PolAdmissionClass *class;
+  guint64 given;
+} ClassShare;
+
 static int
 compare_offered (const void *a, const void *b)
 {
-  guint64 x = (*(PolAdmissionClass *const *)a)->offered;
-  guint64 y = (*(PolAdmissionClass *const *)b)->offered;
+  guint64 x = ((const ClassShare *)a)->class->offered;
+  guint64 y = ((const ClassShare *)b)->class->offered;
 
   return x < y ? -1 : x > y;
 }
 
-/* Divides `capacity` among the classes, in ascending order of what they offer. Returns what is left
- * of it. `given`: set to what each class gets. */
+/* Divides `rest`, and the minimums of the classes, among them in ascending order of what they
+ * offer. Returns what is left. */
 static guint64
-divide (PolAdmissionClass *const *classes, guint n, guint64 capacity, guint64 *given)
+divide (ClassShare *shares, guint n, guint64 rest)
 {
-  PolFairShare share = { .remaining = capacity, .participants = n };
+  PolFairShare fair = { .remaining = rest, .participants = n };
 
+  for (guint i = 0; i < n; i++)
+    fair.remaining += shares[i].class->capacity;
   for (guint i = 0; i < n; i++)
     {
-      given[i] = MIN (classes[i]->offered, pol_fair_share_equal (&share));
-      pol_fair_share_meet (&share, given[i], 1);
+      shares[i].given = MIN (shares[i].class->offered, pol_fair_share_equal (&fair));
+      pol_fair_share_meet (&fair, shares[i].given, 1);
     }
-  return share.remaining;
+  return fair.remaining;
 }
 
-/* Removes the first class that has more than it was given, as its minimum. FALSE: there is none. */
+/* Removes the first class whose minimum is more than it was given. FALSE: there is none. */
 static gboolean
-remove_above (PolAdmissionClass **classes, guint *n, const guint64 *given)
+remove_above (ClassShare *shares, guint *n)
 {
   for (guint i = 0; i < *n; i++)
     {
-      if (classes[i]->capacity <= given[i])
+      if (shares[i].class->capacity <= shares[i].given)
         continue;
       (*n)--;
-      memmove (&classes[i], &classes[i + 1], (*n - i) * sizeof (*classes));
+      memmove (&shares[i], &shares[i + 1], (*n - i) * sizeof *shares);
       return TRUE;
     }
   return FALSE;
 }
 
-/* Divides `rest`, and their minimums, among the classes of one rank, and returns what is left. If
- * the first class got all, a surge of short prompts would take the capacity of long ones. */
+/* Divides `rest` among the classes of one rank, max-min fairly with their minimums, and returns
+ * what is left. If the first class got all, a surge of short prompts would take the capacity of
+ * long ones. */
 static guint64
 give_rest_to_rank (PolAdmissionClass *classes, guint n, guint64 rest)
 {
-  g_autofree PolAdmissionClass **order = g_new (PolAdmissionClass *, n);
-  g_autofree guint64 *given = g_new (guint64, n);
+  ClassShare *shares = g_new (ClassShare, n);
   guint64 left;
 
   for (guint i = 0; i < n; i++)
-    order[i] = &classes[i];
-  qsort (order, n, sizeof (*order), compare_offered);
+    shares[i] = (ClassShare){ .class = &classes[i] };
+  qsort (shares, n, sizeof *shares, compare_offered);
   do
-    {
-      guint64 capacity = rest;
-
-      for (guint i = 0; i < n; i++)
-        capacity += order[i]->capacity;
-      left = divide (order, n, capacity, given);
-    }
-  while (remove_above (order, &n, given));
+    left = divide (shares, n, rest);
+  while (remove_above (shares, &n));
   for (guint i = 0; i < n; i++)
-    order[i]->capacity = given[i];
+    shares[i].class->capacity = shares[i].given;
+  g_free (shares);
   return left;
 }
 
