--- a/tests/unit/pol_admission_test.c
+++ b/tests/unit/pol_admission_test.c
@@ -149,7 +149,7 @@
 {
   PolOfferedRow rows[600];
   PolAdmissionClass class = { .min_fraction = 0.3 };
-  guint64 capacity = 40 * 1000000;
+  guint64 capacity = 40000000;
   guint64 admitted;
 
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
--- a/tests/unit/sv_admission_test.c
+++ b/tests/unit/sv_admission_test.c
@@ -94,6 +94,7 @@
   for (guint i = 0; i < REQUESTS; i++)
     {
       const char *after;
+      double seconds;
 
       if (request (&self, ""))
         {
@@ -104,9 +105,8 @@
       CU_ASSERT_PTR_NOT_NULL (strstr (self.core.received->str, "HTTP/1.1 503"));
       CU_ASSERT_PTR_NULL (strstr (self.core.received->str, "X-Server-Stamp"));
       after = strstr (self.core.received->str, "Retry-After: ");
-      CU_ASSERT_PTR_NOT_NULL_FATAL (after);
-      CU_ASSERT (atof (after + strlen ("Retry-After: ")) >= 0.16 * 5);
-      CU_ASSERT (atof (after + strlen ("Retry-After: ")) <= 0.32 * 5 + 0.001);
+      seconds = after != NULL ? atof (after + strlen ("Retry-After: ")) : 0;
+      CU_ASSERT (seconds >= 0.16 * 5 && seconds <= 0.32 * 5 + 0.001);
     }
   CU_ASSERT (refused > REQUESTS / 5 && refused < REQUESTS);
   CU_ASSERT_EQUAL (sv_fixture_all_requests (&self.core), served);
--- a/tests/unit/sv_offered_peers_test.c
+++ b/tests/unit/sv_offered_peers_test.c
@@ -77,7 +77,7 @@
   peers_fixture_connect (&fixture);
   note_saturated (&fixture);
   play (&fixture, 2 * KNL_SEC);
-  check_totals (&fixture, 5 * 100 * KNL_MSEC, INSTANCES);
+  check_totals (&fixture, 500 * KNL_MSEC, INSTANCES);
   peers_fixture_close (&fixture);
 }
 
@@ -100,8 +100,8 @@
   before = sv_peers_sent (fixture.peers[0]).datagrams;
   play (&fixture, 2 * KNL_SEC);
   /* Five a second to two peers of its cell, and to a relay if it is one itself. */
-  CU_ASSERT (sv_peers_sent (fixture.peers[0]).datagrams - before <= sent + 2 + 2 * 5 * 3);
-  CU_ASSERT (sv_peers_sent (fixture.peers[0]).datagrams - before >= sent + 2 * 4 * 2);
+  CU_ASSERT (sv_peers_sent (fixture.peers[0]).datagrams - before <= sent + 32);
+  CU_ASSERT (sv_peers_sent (fixture.peers[0]).datagrams - before >= sent + 16);
   play (&fixture, 6 * KNL_SEC);
   CU_ASSERT_EQUAL (totals_at (&fixture, 0).heard, 1);
   peers_fixture_close (&fixture);
@@ -124,7 +124,7 @@
   play (&fixture, 2500 * KNL_MSEC);
   note_saturated (&fixture);
   play (&fixture, 500 * KNL_MSEC);
-  check_totals (&fixture, 6 * 100 * KNL_MSEC, 3);
+  check_totals (&fixture, 600 * KNL_MSEC, 3);
   fixture.incarnation++;
   for (guint i = 3; i < INSTANCES; i++)
     {
@@ -135,7 +135,7 @@
   play (&fixture, 2 * KNL_SEC);
   note_saturated (&fixture);
   play (&fixture, REPORTING_TIME + KNL_SEC);
-  check_totals (&fixture, 5 * 100 * KNL_MSEC, INSTANCES);
+  check_totals (&fixture, 500 * KNL_MSEC, INSTANCES);
   peers_fixture_close (&fixture);
 }
 
--- a/tests/unit/sv_offered_test.c
+++ b/tests/unit/sv_offered_test.c
@@ -197,7 +197,7 @@
     }
   sv_offered_report_own (self.offered, SERVICE, &own);
   CU_ASSERT_EQUAL (own.n_rows, SV_OFFERED_OWN_ROWS + 2);
-  CU_ASSERT_EQUAL (sum_of_rows (own.rows, own.n_rows), 799000 + 24 * 3000000);
+  CU_ASSERT_EQUAL (sum_of_rows (own.rows, own.n_rows), 799000 + 72000000);
   CU_ASSERT_PTR_NOT_NULL (find_row (&own, short_class, 300));
   others = find_row (&own, short_class, 0);
   CU_ASSERT_PTR_NOT_NULL_FATAL (others);
@@ -205,7 +205,7 @@
   report (&self, 1, 5000, 0);
   sv_offered_report_cell (self.offered, SERVICE, 2, &cell);
   CU_ASSERT (cell.n_rows <= SV_OFFERED_CELL_ROWS + 2);
-  CU_ASSERT_EQUAL (sum_of_rows (cell.rows, cell.n_rows), 804000 + 24 * 3000000);
+  CU_ASSERT_EQUAL (sum_of_rows (cell.rows, cell.n_rows), 804000 + 72000000);
   CU_ASSERT_PTR_NOT_NULL (find_row (&cell, short_class, 300));
   fixture_close (&self);
 }
@@ -219,11 +219,11 @@
   fixture_open (&self);
   for (guint32 i = 1; i <= 5000; i++)
     sv_offered_note_request (self.offered, SERVICE, 0, i, 1000);
-  CU_ASSERT_EQUAL (total (&self, 1, NULL), 5000 * 1000);
+  CU_ASSERT_EQUAL (total (&self, 1, NULL), 5000000);
   knl_paused_clock_advance (self.clock, 2 * KNL_SEC);
   for (guint32 i = 10001; i <= 10010; i++)
     sv_offered_note_request (self.offered, SERVICE, 0, i, 1000);
-  CU_ASSERT_EQUAL (total (&self, 1, NULL), 10 * 1000);
+  CU_ASSERT_EQUAL (total (&self, 1, NULL), 10000);
   fixture_close (&self);
 }
 
