serve: refusals don't lapse while a surge goes on

Cause: planned utilisation rose by 3% an interval. After it had fallen to 0.4 nothing was saturated for 2 s, so refusals ended, all requests of 3.5 times the capacity were admitted for 100 ms, and it fell again: every 2.3 s in the test's play.

Change: it rises by 0.04 of the engines' time, from its minimum to above 1 within 2 s. The check that the offered load exceeds the planned one is part of the plan (all levels are open then) and no longer stands twice. Tests: refusals last as long as the surge, callers at one instance, exempt requests amid refusals.

--- a/serve/overload.c
+++ b/serve/overload.c
@@ -23,11 +23,13 @@
 
 /* Planned utilisation: its bounds, and its change in each interval. It may exceed 1, as the engine
  * model and the lengths of answers are estimates. It falls faster than it rises, so that queues at
- * the engines are short-lived. */
+ * the engines are short-lived. From its minimum it rises above 1 within REFUSING_TIME: when it rose
+ * by a factor of 1.03, refusals lapsed every 2.3 s while 3.5 times the capacity was asked for, and
+ * for 100 ms all requests were admitted. */
 #define MIN_UTILISATION 0.3
 #define MAX_UTILISATION 1.2
 #define FALL_FACTOR     0.9
-#define RISE_FACTOR     1.03
+#define RISE            0.04
 
 /* Minimum that each class gets of what it offers, so that none starves. */
 #define MIN_CLASS_FRACTION 0.3
@@ -189,7 +191,7 @@
   gboolean saturated = is_saturated (&load);
 
   self->timer = knl_timer_start (self->parts.kernel, INTERVAL, on_due, self);
-  self->utilisation = CLAMP (self->utilisation * (saturated ? FALL_FACTOR : RISE_FACTOR),
+  self->utilisation = CLAMP (saturated ? self->utilisation * FALL_FACTOR : self->utilisation + RISE,
                              MIN_UTILISATION, MAX_UTILISATION);
   self->capacity = (guint64)(self->utilisation * load.n * KNL_SEC);
   cm_series_set (self->planned_gauge, (double)self->capacity / KNL_SEC);
@@ -294,7 +296,7 @@
 static double
 admitted_fraction (const SvOverload *self, guint class, guint32 workspace)
 {
-  if (!self->is_planned || self->offered <= self->capacity || !sv_overload_is_saturated (self))
+  if (!self->is_planned || !sv_overload_is_saturated (self))
     return 1;
   return pol_admission_fraction (&self->classes[class], load_of_workspace (self, class, workspace));
 }
--- a/tests/unit/sv_overload_peers_test.c
+++ b/tests/unit/sv_overload_peers_test.c
@@ -23,13 +23,14 @@
   .prefill_tokens_per_ms = 100,
 };
 
-/* Requests that callers send in a second, to all instances in turn. */
+/* Requests that callers send in a second, to all instances in turn, or to one only. */
 typedef struct
 {
   const char *workspace;
   guint64 prompt_tokens;
   guint priority;
   double rate;
+  guint instance; /* the one that they are sent to, counted from 1; 0: all */
 } Kind;
 
 typedef struct
@@ -163,7 +164,7 @@
 static void
 request (Fixture *self, const Kind *kind, Count *count)
 {
-  guint instance = self->n_requests % INSTANCES;
+  guint instance = kind->instance > 0 ? kind->instance - 1 : self->n_requests % INSTANCES;
   g_autofree char *id = g_strdup_printf ("r%u", self->n_requests++);
   SvOverloadRequest offered = { .id = id,
                                 .workspace = kind->workspace,
@@ -259,6 +260,45 @@
   fixture_close (&self);
 }
 
+/* Guards against instances that divide the capacity by their own callers alone: a workspace whose
+ * callers all come to one instance must get as much as one whose callers come to all. */
+static void
+test_callers_at_one_instance (void)
+{
+  static const Kind uneven[] = { { "w0", 1000, 0, 1200, 1 },
+                                 { "w1", 1000, 0, 60, 6 },
+                                 { "w2", 1000, 0, 600 } };
+  Count before[G_N_ELEMENTS (uneven)] = { 0 };
+  Count counts[G_N_ELEMENTS (uneven)] = { 0 };
+  Fixture self;
+
+  fixture_open (&self);
+  play (&self, uneven, G_N_ELEMENTS (uneven), 4 * KNL_SEC, before);
+  play (&self, uneven, G_N_ELEMENTS (uneven), 8 * KNL_SEC, counts);
+  CU_ASSERT_EQUAL (fraction (&counts[1]), 1);
+  CU_ASSERT_DOUBLE_EQUAL (counts[0].admitted / (double)counts[2].admitted, 1, 0.15);
+  fixture_close (&self);
+}
+
+/* Guards against refusals that lapse during a surge, so that all requests are admitted for a moment
+ * and the engines are flooded. */
+static void
+test_refusals_last_as_long_as_the_surge (void)
+{
+  Count counts[G_N_ELEMENTS (surge)] = { 0 };
+  Fixture self;
+
+  fixture_open (&self);
+  play (&self, surge, G_N_ELEMENTS (surge), 2 * KNL_SEC, counts);
+  for (guint i = 0; i < 100; i++)
+    {
+      play (&self, surge, G_N_ELEMENTS (surge), 100 * KNL_MSEC, counts);
+      for (guint j = 0; j < INSTANCES; j++)
+        CU_ASSERT_TRUE (sv_overload_is_saturated (self.overloads[j]));
+    }
+  fixture_close (&self);
+}
+
 /* Guards against refusals that outlast the surge by more than 2 s. */
 static void
 test_step_down_ends_refusals (void)
@@ -304,6 +344,8 @@
 
 static const SuiteCase cases[] = {
   { "a surge at several instances", test_surge_at_several_instances },
+  { "callers at one instance", test_callers_at_one_instance },
+  { "refusals last as long as the surge", test_refusals_last_as_long_as_the_surge },
   { "a step down ends refusals", test_step_down_ends_refusals },
   { "no refusals with room", test_no_refusals_with_room },
 };
--- a/tests/unit/sv_overload_test.c
+++ b/tests/unit/sv_overload_test.c
@@ -313,6 +313,8 @@
 
   fixture_open (&self);
   play_saturated (&self, surge, G_N_ELEMENTS (surge), 3 * KNL_SEC, NULL);
+  for (guint i = 0; i < 200; i++)
+    CU_ASSERT_TRUE (request (&self, &surge[0], TRUE));
   knl_paused_clock_advance (self.clock, 1100 * KNL_MSEC);
   for (guint i = 0; i < 100; i++)
     CU_ASSERT_TRUE (request (&self, &kind, TRUE));
