--- a/serve/offered.c
+++ b/serve/offered.c
@@ -21,10 +21,11 @@
  * what an instance receives from 600 workspaces in a second. */
 #define MAX_OWN_ROWS 1024
 
-/* Bounds for reports of other instances, which may be wrong: engine time of 1,000 engines, and a
- * number of workspaces above any that is configured. */
+/* Bounds for reports of other instances, which may be wrong: engine time of 1,000 engines, and
+ * numbers of workspaces and instances above any that exist. */
 #define MAX_REPORTED_LOAD       ((guint64)1000 * KNL_SEC)
 #define MAX_REPORTED_WORKSPACES 10000
+#define MAX_REPORTED_INSTANCES  10000
 
 /* Reports kept at the same time, one for each service of each instance of the cell and of each
  * other cell. */
@@ -369,6 +370,7 @@
   kept->key[0] = (guint64)source->is_cell << 32 | source->id;
   kept->key[1] = kept->service = report->service;
   kept->source = *source;
+  kept->source.instances = CLAMP (source->instances, 1, MAX_REPORTED_INSTANCES);
   kept->counted_at = counted_at;
   copy_rows (kept, report);
   old = g_hash_table_lookup (self->reports, kept);
--- a/tests/unit/sv_offered_test.c
+++ b/tests/unit/sv_offered_test.c
@@ -147,7 +147,8 @@
   fixture_close (&self);
 }
 
-/* Guards against a false report that makes sums or state unbounded. */
+/* Guards against a false report that makes sums unbounded, or a number of instances that overflows
+ * and leads to a division by zero. */
 static void
 test_false_reports_are_bounded (void)
 {
@@ -162,6 +163,8 @@
   fixture_open (&self);
   sv_offered_note_report (self.offered, &from, &message);
   CU_ASSERT_EQUAL (total (&self, 2, NULL), (guint64)1000 * KNL_SEC);
+  report_cell (&self, 4, G_MAXUINT32, 1000);
+  CU_ASSERT_EQUAL (total (&self, 2, NULL), (guint64)1000 * KNL_SEC + 1000);
   fixture_close (&self);
 }
 
@@ -214,12 +217,18 @@
 static void
 test_state_is_bounded (void)
 {
+  SvOfferedReport report_of_all;
   Fixture self;
+  guint n = 0;
 
   fixture_open (&self);
   for (guint32 i = 1; i <= 5000; i++)
     sv_offered_note_request (self.offered, SERVICE, 0, i, 1000);
   CU_ASSERT_EQUAL (total (&self, 1, NULL), 5000000);
+  sv_offered_report_own (self.offered, SERVICE, &report_of_all);
+  for (guint i = 0; i < report_of_all.n_rows; i++)
+    n += report_of_all.rows[i].n;
+  CU_ASSERT (n > 600 && n < 1100);
   knl_paused_clock_advance (self.clock, 2 * KNL_SEC);
   for (guint32 i = 10001; i <= 10010; i++)
     sv_offered_note_request (self.offered, SERVICE, 0, i, 1000);
