tests: callers that come back too late are admitted last

Cause: nothing showed that the time that a caller still waits decides its class. Change: a case of sv_admission with callers at 4 s and 5 s of the route's 5 s.

--- a/tests/unit/sv_admission_test.c
+++ b/tests/unit/sv_admission_test.c
@@ -21,12 +21,13 @@
 {
   SvFixture core;
   guint n_requests;
+  guint deadline_ms;
 } Fixture;
 
 static void
 fixture_open (Fixture *self)
 {
-  *self = (Fixture){ .n_requests = 0 };
+  *self = (Fixture){ .deadline_ms = 5000 };
   sv_fixture_open (&self->core);
   sv_fixture_use_engines (&self->core, 1, &sv_fixture_small_engine);
   sv_fixture_add_endpoint (&self->core, &good, 1);
@@ -37,9 +38,9 @@
 request (Fixture *self, const char *fields)
 {
   g_autofree char *text = g_strdup_printf (
-      "POST /stream/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r%u\r\nX-Deadline-Ms: 5000\r\n"
+      "POST /stream/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r%u\r\nX-Deadline-Ms: %u\r\n"
       "X-Token-Counts: 2000,100\r\nAuthorization: Bearer key\r\n%sContent-Length: 2\r\n\r\nhi",
-      self->n_requests++, fields);
+      self->n_requests++, self->deadline_ms, fields);
 
   sv_core_confirm (self->core.core, knl_kernel_now (self->core.kernel));
   g_string_truncate (self->core.received, 0);
@@ -156,6 +157,31 @@
   sv_fixture_close (&self.core);
 }
 
+/* Guards against a caller that comes back too late to meet its objective, and takes the place of
+ * one that can still meet it. */
+static void
+test_late_callers_come_last (void)
+{
+  Fixture self;
+  guint on_time;
+  guint late;
+
+  fixture_open (&self);
+  set_backlog (&self, KNL_SEC);
+  for (guint i = 0; i < REQUESTS; i++)
+    {
+      self.deadline_ms = i % 2 == 0 ? 4000 : 5000;
+      CU_ASSERT_TRUE (request (&self, ""));
+    }
+  knl_paused_clock_advance (self.core.clock, INTERVAL);
+  self.deadline_ms = 5000;
+  on_time = count_served (&self, "");
+  self.deadline_ms = 4000;
+  late = count_served (&self, "");
+  CU_ASSERT (late > 0 && late < 0.7 * on_time);
+  sv_fixture_close (&self.core);
+}
+
 /* Guards against plain services that are taken for engines, and a service that is no longer one of
  * engines. */
 static void
@@ -175,6 +201,7 @@
   { "no refusal without saturation", test_no_refusal_without_saturation },
   { "resumed streams are admitted", test_resumed_streams_are_admitted },
   { "passed requests are admitted", test_passed_requests_are_admitted },
+  { "late callers come last", test_late_callers_come_last },
   { "only engines are protected", test_only_engines_are_protected },
 };
 
