serve: load is shed by slots, for deployments whose settings ask for it

Change: only taken slots are saturation, classes go in order (on time before late, urgent before less urgent, short before long) with a minimum of 0.2 of what each offers; lengths of answers without a hint are the service's usual ones; prompts of streams with tight gaps are short. Load is shed only where the settings name the contract.

--- a/include/serve/bounds.h
+++ b/include/serve/bounds.h
@@ -17,6 +17,8 @@
   KnlTime idle_memory;    /**< longest time from reserving memory to its use; 0: no bound */
   KnlTime grace;          /**< from the stop signal to the end of the process */
   PolBudgetRule retries;  /**< for each service, over all instances */
+  gboolean sheds_load;    /**< requests are refused, by class and workspace, while the endpoints of
+                             their service are overloaded */
   KnlTime evacuation;     /**< nothing may be sent to an evacuated zone after this; 0: no bound */
   double cold_overage;    /**< in any second a cold endpoint may be sent its rate times this, */
   double cold_slack;      /**< plus this many requests, by all instances together */
--- a/include/serve/offered.h
+++ b/include/serve/offered.h
@@ -37,10 +37,6 @@
 /** Index of the class in the order of admission, below SV_OFFERED_CLASSES. */
 guint sv_offered_class_index (const SvOfferedClass *class);
 
-/** Rank of the class with that index, see PolAdmissionClass: requests that differ only in length
- * have the same. */
-guint sv_offered_class_rank (guint index);
-
 /** Name of the class for log lines; free with g_free. */
 char *sv_offered_class_name (guint index);
 
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -176,10 +176,11 @@
 }
 
 static guint64
-expected_answer (const SvRequestParams *params)
+expected_answer (const SvRequestParams *params, const SvEngineSpec *spec)
 {
-  return params->answer_hint > 0 ? MIN (params->answer_hint, params->answer_tokens)
-                                 : params->answer_tokens;
+  guint64 usual = spec->mean_answer_tokens > 0 ? (guint64)spec->mean_answer_tokens : G_MAXUINT64;
+
+  return MIN (params->answer_hint > 0 ? params->answer_hint : usual, params->answer_tokens);
 }
 
 /* Requests that a peer passed on were admitted there, and streams that resume were admitted when
@@ -192,9 +193,10 @@
     .id = self->params.id,
     .workspace = self->workspace != NULL ? self->workspace->name : NULL,
     .prompt_tokens = self->params.prompt_tokens,
-    .answer_tokens = expected_answer (&self->params),
+    .answer_tokens = expected_answer (&self->params, &self->service->engine),
     .priority = priority_of (self),
     .objective = self->route->objective,
+    .gap_objective = self->route->gap_objective,
     .waited = waited_of_caller (self),
     .is_exempt = self->is_passed || self->params.last_event != NULL,
   };
--- a/serve/core.c
+++ b/serve/core.c
@@ -123,6 +123,11 @@
   GHashTableIter iter;
   gpointer service;
 
+  if (!self->bounds.sheds_load)
+    {
+      g_hash_table_remove_all (self->overloads);
+      return;
+    }
   g_hash_table_foreach_remove (self->overloads, is_no_engine, self->config);
   g_hash_table_iter_init (&iter, self->config->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
--- a/serve/offered_class.c
+++ b/serve/offered_class.c
@@ -12,17 +12,11 @@
   return rank * SV_N_PREFILL_LENGTHS + class->length;
 }
 
-guint
-sv_offered_class_rank (guint index)
-{
-  return index / SV_N_PREFILL_LENGTHS;
-}
-
 char *
 sv_offered_class_name (guint index)
 {
   static const char *const lengths[SV_N_PREFILL_LENGTHS] = { "short", "medium", "long" };
-  guint rank = sv_offered_class_rank (index);
+  guint rank = index / SV_N_PREFILL_LENGTHS;
 
   return g_strdup_printf ("%s-%u-%s", rank < SV_OFFERED_PRIORITIES ? "on-time" : "late",
                           rank % SV_OFFERED_PRIORITIES, lengths[index % SV_N_PREFILL_LENGTHS]);
--- a/serve/overload.c
+++ b/serve/overload.c
@@ -10,29 +10,23 @@
 /* Interval of the measurements: about the time of two passes, within which loads change. */
 #define INTERVAL (100 * KNL_MSEC)
 
-/* A service is saturated when this fraction of its slots is taken: the last slots are free only for
- * moments between two requests, and packing keeps some of them free. */
-#define SATURATED_SLOTS 0.9
-
-/* It is also saturated when engines have more prefill than this before them on average: a short
- * prompt's objective is a few hundred ms, so one that arrives then is late. */
-#define SATURATED_BACKLOG (250 * KNL_MSEC)
+/* A service is saturated when this fraction of its slots is taken: packing leaves a quarter of the
+ * slots of an endpoint free for requests that other instances send at the same time, and beyond
+ * that first events are late. Prefill is no measure: long prompts wait for it at the instance. */
+#define SATURATED_SLOTS 0.8
 
 /* Requests may be refused for this long after the last saturation. */
 #define REFUSING_TIME (2 * KNL_SEC)
 
-/* Planned utilisation: its bounds, and its change in each interval. It may exceed 1, as the engine
- * model and the lengths of answers are estimates. It falls faster than it rises, so that queues at
- * the engines are short-lived. From its minimum it rises above 1 within REFUSING_TIME: when it rose
- * by a factor of 1.03, refusals lapsed every 2.3 s while 3.5 times the capacity was asked for, and
- * for 100 ms all requests were admitted. */
-#define MIN_UTILISATION 0.3
-#define MAX_UTILISATION 1.2
-#define FALL_FACTOR     0.9
-#define RISE            0.04
+/* Planned utilisation: its bounds, and its change in each interval. It falls faster than it rises,
+ * so that queues at the engines are short-lived. */
+#define MIN_UTILISATION 0.5
+#define MAX_UTILISATION 1.0
+#define FALL_FACTOR     0.95
+#define RISE            0.02
 
 /* Minimum that each class gets of what it offers, so that none starves. */
-#define MIN_CLASS_FRACTION 0.3
+#define MIN_CLASS_FRACTION 0.2
 
 /* Prompts with a longer prefill, in ms, are long. */
 #define MEDIUM_PREFILL_MS 1000.0
@@ -92,7 +86,6 @@
   guint n;
   guint calls; /* at each endpoint up to its slots */
   guint slots;
-  KnlTime backlog; /* sum of the prefill times left */
 } EnginesLoad;
 
 static EnginesLoad
@@ -110,7 +103,6 @@
       sum.n++;
       sum.slots += self->spec.slots;
       sum.calls += MIN (sv_endpoint_load (endpoint, now).calls, self->spec.slots);
-      sum.backlog += sv_endpoint_prefill_left (endpoint, now);
     }
   return sum;
 }
@@ -118,9 +110,7 @@
 static gboolean
 is_saturated (const EnginesLoad *load)
 {
-  return load->n > 0
-         && (load->calls >= SATURATED_SLOTS * load->slots
-             || load->backlog > SATURATED_BACKLOG * load->n);
+  return load->n > 0 && load->calls >= SATURATED_SLOTS * load->slots;
 }
 
 gboolean
@@ -219,8 +209,7 @@
   self->saturated_at = -KNL_NEVER;
   self->loads = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   for (guint i = 0; i < SV_OFFERED_CLASSES; i++)
-    self->classes[i] = (PolAdmissionClass){ .rank = sv_offered_class_rank (i),
-                                            .min_fraction = MIN_CLASS_FRACTION };
+    self->classes[i] = (PolAdmissionClass){ .rank = i, .min_fraction = MIN_CLASS_FRACTION };
   self->offered_gauge =
       cm_metric_series (cm_metrics_add (parts->metrics, &offered_def), service, NULL, NULL);
   self->planned_gauge =
@@ -256,9 +245,10 @@
 }
 
 static SvPrefillLength
-length_of (double prefill_ms)
+length_of (const SvOverloadRequest *request, double prefill_ms)
 {
-  if (prefill_ms <= SV_SPLIT_MS)
+  /* Prompts of streams with a tight gap objective are placed like short ones. */
+  if (prefill_ms <= SV_SPLIT_MS || sv_gap_class_of (request->gap_objective) == SV_GAP_TIGHT)
     return SV_PREFILL_SHORT;
   return prefill_ms <= MEDIUM_PREFILL_MS ? SV_PREFILL_MEDIUM : SV_PREFILL_LONG;
 }
@@ -272,7 +262,7 @@
   SvOfferedClass class = {
     .is_late = request->objective > 0 && request->waited + shortest > request->objective,
     .priority = request->priority,
-    .length = length_of (prefill_ms),
+    .length = length_of (request, prefill_ms),
   };
 
   return sv_offered_class_index (&class);
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -177,6 +177,7 @@
     .idle_memory = 9 * KNL_SEC,
     .grace = 8 * KNL_SEC,
     .retries = { .ratio = 0.2, .slack = 100, .window = 10 * KNL_SEC },
+    .sheds_load = TRUE,
   };
   static const HtServerLimits server_limits = {
     .message = { 16384, 1 << 20 },
