policy: each class of admission precedes the ones after it

Cause: no two classes share a rank any more, so the max-min division among classes of one rank was unused.

Change: the division and the rank are removed; the rest of the capacity goes to the classes in their order.

--- a/include/policy/admission.h
+++ b/include/policy/admission.h
@@ -21,16 +21,14 @@
 
 typedef struct
 {
-  guint rank;          /**< classes of a lower rank precede; those of one rank are in sequence and
-                            divide what there is for them max-min fairly */
   double min_fraction; /**< of what the class offers that it gets before any class gets more */
   guint64 offered;     /**< sum of its rows */
   guint64 capacity;    /**< that it gets, `offered` at most */
   guint64 level;       /**< a workspace is admitted up to this load; POL_NO_LEVEL: in full */
 } PolAdmissionClass;
 
-/** Fills in `offered`, `capacity` and `level` of the classes, which are in order of rank. Rows of
- * unknown classes are ignored; the order of rows is changed. */
+/** Fills in `offered`, `capacity` and `level` of the classes, which are in order: each precedes
+ * those after it. Rows of unknown classes are ignored; the order of rows is changed. */
 void pol_admission_plan (guint64 capacity,
                          PolAdmissionClass *classes,
                          guint n_classes,
--- a/policy/admission.c
+++ b/policy/admission.c
@@ -1,7 +1,6 @@
 #include "policy/admission.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "policy/fair_share.h"
 
@@ -59,85 +58,16 @@
   return rest;
 }
 
-/* A class, and what it gets of the capacity of its rank. */
-typedef struct
-{
-  PolAdmissionClass *class;
-  guint64 given;
-} ClassShare;
-
-static int
-compare_offered (const void *a, const void *b)
-{
-  guint64 x = ((const ClassShare *)a)->class->offered;
-  guint64 y = ((const ClassShare *)b)->class->offered;
-
-  return x < y ? -1 : x > y;
-}
-
-/* Divides `rest`, and the minimums of the classes, among them in ascending order of what they
- * offer. Returns what is left. */
-static guint64
-divide (ClassShare *shares, guint n, guint64 rest)
-{
-  PolFairShare fair = { .remaining = rest, .participants = n };
-
-  for (guint i = 0; i < n; i++)
-    fair.remaining += shares[i].class->capacity;
-  for (guint i = 0; i < n; i++)
-    {
-      shares[i].given = MIN (shares[i].class->offered, pol_fair_share_equal (&fair));
-      pol_fair_share_meet (&fair, shares[i].given, 1);
-    }
-  return fair.remaining;
-}
-
-/* Removes the first class whose minimum is more than it was given. FALSE: there is none. */
-static gboolean
-remove_above (ClassShare *shares, guint *n)
-{
-  for (guint i = 0; i < *n; i++)
-    {
-      if (shares[i].class->capacity <= shares[i].given)
-        continue;
-      (*n)--;
-      memmove (&shares[i], &shares[i + 1], (*n - i) * sizeof *shares);
-      return TRUE;
-    }
-  return FALSE;
-}
-
-/* Divides `rest` among the classes of one rank, max-min fairly with their minimums, and returns
- * what is left. If the first class got all, a surge of short prompts would take the capacity of
- * long ones. */
-static guint64
-give_rest_to_rank (PolAdmissionClass *classes, guint n, guint64 rest)
-{
-  ClassShare *shares = g_new (ClassShare, n);
-  guint64 left;
-
-  for (guint i = 0; i < n; i++)
-    shares[i] = (ClassShare){ .class = &classes[i] };
-  qsort (shares, n, sizeof *shares, compare_offered);
-  do
-    left = divide (shares, n, rest);
-  while (remove_above (shares, &n));
-  for (guint i = 0; i < n; i++)
-    shares[i].class->capacity = shares[i].given;
-  g_free (shares);
-  return left;
-}
-
+/* Gives the classes the rest of the capacity, in their order. */
 static void
 give_rest (PolAdmissionClass *classes, guint n_classes, guint64 rest)
 {
-  guint end;
-
-  for (guint begin = 0; begin < n_classes; begin = end)
+  for (guint i = 0; i < n_classes; i++)
     {
-      for (end = begin + 1; end < n_classes && classes[end].rank == classes[begin].rank; end++)
-        ;
-      rest = give_rest_to_rank (&classes[begin], end - begin, rest);
+      guint64 more = MIN (classes[i].offered - classes[i].capacity, rest);
+
+      classes[i].capacity += more;
+      rest -= more;
     }
 }
 
--- a/serve/overload.c
+++ b/serve/overload.c
@@ -210,7 +210,7 @@
   self->saturated_at = -KNL_NEVER;
   self->loads = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   for (guint i = 0; i < SV_OFFERED_CLASSES; i++)
-    self->classes[i] = (PolAdmissionClass){ .rank = i, .min_fraction = MIN_CLASS_FRACTION };
+    self->classes[i] = (PolAdmissionClass){ .min_fraction = MIN_CLASS_FRACTION };
   self->offered_gauge =
       cm_metric_series (cm_metrics_add (parts->metrics, &offered_def), service, NULL, NULL);
   self->planned_gauge =
