serve: nothing is refused before enough instances have reported

Cause: until reports arrive, an instance multiplies its own one-second sample by the number of instances, so uneven arrivals pass for overload (seen by sv_overload_peers, "no refusals with room": one request refused).

Change: a plan needs reports of half of the known instances.

--- a/serve/overload.c
+++ b/serve/overload.c
@@ -26,6 +26,10 @@
 #define FALL_FACTOR     0.95
 #define RISE            0.02
 
+/* Nothing is refused until this fraction of the instances has reported what they are offered:
+ * scaled to all instances, uneven arrivals at a few of them would pass for overload. */
+#define MIN_HEARD_FRACTION 0.5
+
 /* Minimum that each class gets of what it offers, so that none starves. */
 #define MIN_CLASS_FRACTION 0.2
 
@@ -149,8 +153,8 @@
 static void
 make_plan (SvOverload *self, KnlTime now)
 {
-  SvOfferedTotals totals =
-      sv_offered_totals (self->parts.offered, self->id, self->parts.n_instances (self->parts.data));
+  guint known = self->parts.n_instances (self->parts.data);
+  SvOfferedTotals totals = sv_offered_totals (self->parts.offered, self->id, known);
   guint64 admitted = 0;
 
   pol_admission_plan (self->capacity, self->classes, SV_OFFERED_CLASSES,
@@ -164,7 +168,7 @@
   g_hash_table_remove_all (self->loads);
   for (guint i = 0; i < totals.rows->len; i++)
     note_load (self, &g_array_index (totals.rows, PolOfferedRow, i));
-  self->is_planned = TRUE;
+  self->is_planned = totals.heard >= MIN_HEARD_FRACTION * known;
   self->heard = totals.heard;
   self->age = totals.age;
   self->planned_at = now;
