--- a/tests/unit/sv_fixture.h
+++ b/tests/unit/sv_fixture.h
@@ -29,6 +29,7 @@
   char *address;
   ScriptedEndpoint *endpoints[MAX_ENDPOINTS];
   guint n_endpoints;
+  gboolean is_passed; /* requests count as passed on by a peer */
 
   struct bufferevent *caller;
   GString *received;
@@ -37,6 +38,9 @@
 
 /** Opens the fixture. A timer aborts the process if the test takes too long. */
 void sv_fixture_open (SvFixture *self);
+
+/** The same, with a core that doesn't shed load. */
+void sv_fixture_open_without_shedding (SvFixture *self);
 void sv_fixture_close (SvFixture *self);
 
 /** Sets a configuration with the routes /once/, /once-of-two/, /again/, /stream/ and /long/ of the
