--- a/policy/pace.c
+++ b/policy/pace.c
@@ -3,8 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 
-/* Age up to which samples and estimates count as evidence. */
-#define SAMPLE_TTL (4 * KNL_SEC)
+#include "pace_internal.h"
 
 /* Time in which an estimate without recent samples loses half of its excess over 1, and the same
  * while recent samples show a smaller one. */
@@ -14,20 +13,6 @@
 /* Samples that arrive within this time belong to the same pass; a pass takes at least 40 ms. */
 #define SAME_PASS_TIME (20 * KNL_MSEC)
 
-/* Number of samples from which the smallest, or from QUANTILE_SAMPLES on the second smallest, is
- * relied on. Unknown work lengthens about half of the passes of a busy endpoint: with fewer samples
- * all of them may be lengthened by chance. */
-#define MIN_SAMPLES      12
-#define QUANTILE_SAMPLES 20
-
-/* This many newest samples are enough if the largest is at most MAX_SPREAD times the smallest:
- * unknown work lengthens passes by different amounts, a slow endpoint all of them alike. */
-#define N_ALIKE    7
-#define MAX_SPREAD 1.2
-
-/* Fewer samples are enough to show that an endpoint isn't slow. */
-#define MIN_NORMAL_SAMPLES 3
-
 /* Samples that all sources together need for an effect, and the most that a report counts as. An
  * instance that has measured few endpoints can't tell whether it is slow itself: others need a
  * second report. */
@@ -40,11 +25,6 @@
  * report, and have no effect alone. */
 #define CONFIRMING_WEIGHT 3
 
-/* From MIN_MEDIAN measured endpoints on the reference is their median, from MIN_REFERENCE on their
- * lower quartile: of few endpoints most may be slow by chance. Fewer tell nothing. */
-#define MIN_MEDIAN    8
-#define MIN_REFERENCE 4
-
 /* A combined estimate that exceeds 1 by less counts as 1 once nothing recent is known: it has no
  * effect, and would take minutes to reach 1. */
 #define MIN_EXCESS 0.001
@@ -70,69 +50,6 @@
   return self->n_samples > 0 ? &self->samples[(self->n_samples - 1) % POL_PACE_MAX_SAMPLES] : NULL;
 }
 
-static int
-compare_ratios (const void *a, const void *b)
-{
-  double x = *(const double *)a;
-  double y = *(const double *)b;
-
-  return x < y ? -1 : x > y;
-}
-
-/* Copies the ratios of the recent samples, the newest first, and returns their number. */
-static guint
-recent_ratios (const PolPace *self, KnlTime now, double ratios[POL_PACE_MAX_SAMPLES])
-{
-  guint n = 0;
-
-  for (guint i = 1; i <= MIN (self->n_samples, POL_PACE_MAX_SAMPLES); i++)
-    {
-      const PolPaceSample *sample = &self->samples[(self->n_samples - i) % POL_PACE_MAX_SAMPLES];
-
-      if (now - sample->at > SAMPLE_TTL)
-        break;
-      ratios[n++] = sample->ratio;
-    }
-  return n;
-}
-
-/* The smallest of the newest samples if they are alike; 0: they aren't. */
-static double
-alike_ratio (const double *ratios, guint n)
-{
-  double min = ratios[0];
-  double max = ratios[0];
-
-  if (n < N_ALIKE)
-    return 0;
-  for (guint i = 1; i < N_ALIKE; i++)
-    {
-      min = MIN (min, ratios[i]);
-      max = MAX (max, ratios[i]);
-    }
-  return max <= MAX_SPREAD * min ? min : 0;
-}
-
-PolPaceEstimate
-pol_pace_measure (const PolPace *self, KnlTime now)
-{
-  double ratios[POL_PACE_MAX_SAMPLES] = { 0 };
-  guint n = recent_ratios (self, now, ratios);
-  double alike = alike_ratio (ratios, n);
-  PolPaceEstimate estimate = { .ratio = alike };
-
-  if (alike == 0)
-    {
-      qsort (ratios, n, sizeof *ratios, compare_ratios);
-      estimate.ratio = ratios[n < QUANTILE_SAMPLES ? 0 : 1];
-    }
-  if (alike == 0 && n < (estimate.ratio < POL_PACE_MIN_SLOW ? MIN_NORMAL_SAMPLES : MIN_SAMPLES))
-    return (PolPaceEstimate){ .ratio = 1 };
-  estimate.samples = n;
-  estimate.at = self->samples[(self->n_samples - 1) % POL_PACE_MAX_SAMPLES].at;
-  return estimate;
-}
-
 static double
 relative (double ratio, double reference)
 {
@@ -149,7 +66,7 @@
 pol_pace_set_reference (PolPace *self, const PolPaceReference *reference)
 {
   self->reference = reference->ratio;
-  self->is_unsure = reference->n < MIN_REFERENCE;
+  self->is_unsure = reference->n < POL_PACE_MIN_REFERENCE;
 }
 
 static void
@@ -227,7 +144,7 @@
 static gboolean
 is_recent (const PolPaceEstimate *estimate, KnlTime now)
 {
-  return now - estimate->at <= SAMPLE_TTL;
+  return now - estimate->at <= POL_PACE_SAMPLE_TTL;
 }
 
 static double
@@ -236,13 +153,13 @@
   return 1 + (ratio - 1) * exp2 (-(double)MAX (passed, 0) / (double)half);
 }
 
-/* What is left of an estimate: it falls back once it is older than SAMPLE_TTL. */
+/* What is left of an estimate: it falls back once it is older than POL_PACE_SAMPLE_TTL. */
 static PolPaceEstimate
 aged (const PolPaceEstimate *estimate, KnlTime now)
 {
   PolPaceEstimate left = *estimate;
 
-  left.ratio = fall_back (estimate->ratio, now - estimate->at - SAMPLE_TTL, FALL_TIME);
+  left.ratio = fall_back (estimate->ratio, now - estimate->at - POL_PACE_SAMPLE_TTL, FALL_TIME);
   return left;
 }
 
@@ -263,12 +180,12 @@
 confirming (const PolPace *self, KnlTime now)
 {
   double ratios[POL_PACE_MAX_SAMPLES];
-  guint n = recent_ratios (self, now, ratios);
+  guint n = pol_pace_recent_ratios (self, now, ratios);
   PolPaceEstimate estimate = { .at = now };
 
-  if (n == 0 || (self->own.samples > 0 && now - self->own.at <= SAMPLE_TTL))
+  if (n == 0 || (self->own.samples > 0 && now - self->own.at <= POL_PACE_SAMPLE_TTL))
     return estimate;
-  qsort (ratios, n, sizeof *ratios, compare_ratios);
+  qsort (ratios, n, sizeof *ratios, pol_pace_compare_ratios);
   estimate.ratio = relative (ratios[0], self->reference);
   estimate.samples = CONFIRMING_WEIGHT;
   return estimate;
@@ -344,7 +261,7 @@
     {
       const PolPaceEstimate *row = &evidence->rows[i];
 
-      if (row->ratio < POL_PACE_MIN_SLOW && row->samples >= MIN_NORMAL_SAMPLES)
+      if (row->ratio < POL_PACE_MIN_SLOW && row->samples >= POL_PACE_MIN_NORMAL_SAMPLES)
         return;
     }
   add_evidence (evidence, statement, recent, now);
@@ -365,8 +282,8 @@
 static int
 compare_estimates (const void *a, const void *b)
 {
-  return compare_ratios (&((const PolPaceEstimate *)a)->ratio,
-                         &((const PolPaceEstimate *)b)->ratio);
+  return pol_pace_compare_ratios (&((const PolPaceEstimate *)a)->ratio,
+                                  &((const PolPaceEstimate *)b)->ratio);
 }
 
 /* Median by number of samples, the lower one of two: a minority of reporters doesn't change it. */
@@ -454,7 +371,7 @@
 {
   guint n = self->n_samples;
 
-  if (n > 0 && now - self->samples[(n - 1) % POL_PACE_MAX_SAMPLES].at <= SAMPLE_TTL)
+  if (n > 0 && now - self->samples[(n - 1) % POL_PACE_MAX_SAMPLES].at <= POL_PACE_SAMPLE_TTL)
     return FALSE;
   if (self->combined >= 1 + MIN_EXCESS || has_effect (&self->own, now)
       || has_effect (&self->stated, now))
@@ -479,43 +396,6 @@
   return at;
 }
 
-double
-pol_pace_median_with_normal (double *ratios, guint n, guint n_normal)
-{
-  guint middle = (n + n_normal - 1) / 2;
-
-  if (n == 0 || middle < n_normal)
-    return 1;
-  qsort (ratios, n, sizeof *ratios, compare_ratios);
-  return MAX (ratios[middle - n_normal], 1);
-}
-
-double
-pol_pace_median (double *ratios, guint n)
-{
-  return pol_pace_median_with_normal (ratios, n, 0);
-}
-
-PolPaceReference
-pol_pace_reference (double *ratios, guint n)
-{
-  PolPaceReference reference = { .ratio = 1, .n = n };
-
-  if (n < MIN_REFERENCE)
-    return reference;
-  qsort (ratios, n, sizeof *ratios, compare_ratios);
-  reference.ratio = MAX (ratios[(n - 1) / (n < MIN_MEDIAN ? 4 : 2)], 1);
-  return reference;
-}
-
-double
-pol_pace_factor (double combined, double median)
-{
-  double factor = combined / median;
-
-  return factor < POL_PACE_MIN_SLOW ? 1 : MIN (factor, POL_PACE_MAX);
-}
-
 /* The estimate from samples while it is recent or newer than what the endpoint stated. */
 static const PolPaceEstimate *
 own_estimate (const PolPace *self, KnlTime now)
