serve: one function for a request's priority; reloaded settings shed load

Cause: the priority of a request was worked out in two places, and a reload of the settings that turns shedding on or off waited for the next configuration.

Change: sv_request_priority (); sv_core_set_bounds () updates the services that load is shed for.

--- a/serve/admission.c
+++ b/serve/admission.c
@@ -178,16 +178,18 @@
   return MAX (self->route->timeout - self->params.timeout, 0);
 }
 
-static guint
-priority_of (const SvRequest *self)
+guint
+sv_request_priority (const SvRequest *self)
 {
   if (self->workspace != NULL && self->workspace->priority >= 0)
     return (guint)self->workspace->priority;
   return self->route->priority;
 }
 
+/* Placement plans for the longest answer, as its memory must hold it; the load that callers offer
+ * depends on the usual ones. */
 static guint64
-expected_answer (const SvRequestParams *params, const SvEngineSpec *spec)
+usual_answer (const SvRequestParams *params, const SvEngineSpec *spec)
 {
   guint64 usual = spec->mean_answer_tokens > 0 ? (guint64)spec->mean_answer_tokens : G_MAXUINT64;
 
@@ -204,8 +206,8 @@
     .id = self->params.id,
     .workspace = self->workspace != NULL ? self->workspace->name : NULL,
     .prompt_tokens = self->params.prompt_tokens,
-    .answer_tokens = expected_answer (&self->params, &self->service->engine),
-    .priority = priority_of (self),
+    .answer_tokens = usual_answer (&self->params, &self->service->engine),
+    .priority = sv_request_priority (self),
     .objective = self->route->objective,
     .gap_objective = self->route->gap_objective,
     .waited = waited_of_caller (self),
--- a/serve/core.c
+++ b/serve/core.c
@@ -5,15 +5,6 @@
  * PolBudgetRule. */
 #define RETRIES_USED_FRACTION 0.75
 
-void
-sv_core_set_bounds (SvCore *self, const SvBounds *bounds)
-{
-  self->bounds = *bounds;
-  self->bounds.retries.used_fraction = RETRIES_USED_FRACTION;
-  self->bounds.retries.slack_after = bounds->retries.window;
-  sv_fleet_set_cold_bounds (self->parts.fleet, bounds);
-}
-
 static void
 on_reach_changed (gboolean is_lost, gpointer data)
 {
@@ -26,6 +17,73 @@
     link->klass->reach_changed (link, is_lost);
 }
 
+static guint
+n_instances (gpointer data)
+{
+  SvPeerLink *link = ((SvCore *)data)->parts.link;
+
+  return link->klass->n_instances (link);
+}
+
+static void
+update_overload (SvCore *self, const SvService *service)
+{
+  SvOverload *overload = g_hash_table_lookup (self->overloads, service->name);
+  SvOverloadParts parts = {
+    .kernel = self->parts.kernel,
+    .fleet = self->parts.fleet,
+    .offered = self->offered,
+    .metrics = self->parts.metrics,
+    .n_instances = n_instances,
+    .data = self,
+  };
+
+  if (overload != NULL)
+    sv_overload_set_spec (overload, &service->engine);
+  else
+    g_hash_table_insert (self->overloads, g_strdup (service->name),
+                         sv_overload_new (&parts, service->name, &service->engine));
+}
+
+static gboolean
+is_no_engine (gpointer name, gpointer overload, gpointer config)
+{
+  return !sv_service_is_engine (sv_config_service (config, name));
+}
+
+/* Saturation is measured for all services of engines, also those that no caller of this instance
+ * uses: peers count on its report that it is offered nothing. */
+static void
+update_overloads (SvCore *self)
+{
+  GHashTableIter iter;
+  gpointer service;
+
+  if (!self->bounds.sheds_load)
+    {
+      g_hash_table_remove_all (self->overloads);
+      return;
+    }
+  g_hash_table_foreach_remove (self->overloads, is_no_engine, self->config);
+  g_hash_table_iter_init (&iter, self->config->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    {
+      if (sv_service_is_engine (service))
+        update_overload (self, service);
+    }
+}
+
+void
+sv_core_set_bounds (SvCore *self, const SvBounds *bounds)
+{
+  self->bounds = *bounds;
+  self->bounds.retries.used_fraction = RETRIES_USED_FRACTION;
+  self->bounds.retries.slack_after = bounds->retries.window;
+  sv_fleet_set_cold_bounds (self->parts.fleet, bounds);
+  if (self->config != NULL)
+    update_overloads (self);
+}
+
 static SvPaceReports *
 new_pace_reports (const SvCore *self)
 {
@@ -99,62 +157,6 @@
   g_free (self);
 }
 
-static guint
-n_instances (gpointer data)
-{
-  SvPeerLink *link = ((SvCore *)data)->parts.link;
-
-  return link->klass->n_instances (link);
-}
-
-static void
-update_overload (SvCore *self, const SvService *service)
-{
-  SvOverload *overload = g_hash_table_lookup (self->overloads, service->name);
-  SvOverloadParts parts = {
-    .kernel = self->parts.kernel,
-    .fleet = self->parts.fleet,
-    .offered = self->offered,
-    .metrics = self->parts.metrics,
-    .n_instances = n_instances,
-    .data = self,
-  };
-
-  if (overload != NULL)
-    sv_overload_set_spec (overload, &service->engine);
-  else
-    g_hash_table_insert (self->overloads, g_strdup (service->name),
-                         sv_overload_new (&parts, service->name, &service->engine));
-}
-
-static gboolean
-is_no_engine (gpointer name, gpointer overload, gpointer config)
-{
-  return !sv_service_is_engine (sv_config_service (config, name));
-}
-
-/* Saturation is measured for all services of engines, also those that no caller of this instance
- * uses: peers count on its report that it is offered nothing. */
-static void
-update_overloads (SvCore *self)
-{
-  GHashTableIter iter;
-  gpointer service;
-
-  if (!self->bounds.sheds_load)
-    {
-      g_hash_table_remove_all (self->overloads);
-      return;
-    }
-  g_hash_table_foreach_remove (self->overloads, is_no_engine, self->config);
-  g_hash_table_iter_init (&iter, self->config->services);
-  while (g_hash_table_iter_next (&iter, NULL, &service))
-    {
-      if (sv_service_is_engine (service))
-        update_overload (self, service);
-    }
-}
-
 gboolean
 sv_core_set_config (SvCore *self, SvConfig *config)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -120,6 +120,9 @@
 
 /* admission.c */
 
+/** Its priority, 0 for the most urgent: that of its workspace, or else of its route. */
+guint sv_request_priority (const SvRequest *self);
+
 /** Runs all admission checks. FALSE: the request was refused and freed. */
 gboolean sv_request_admit (SvRequest *self);
 
@@ -146,6 +149,7 @@
 
 /** Why a request that doesn't wait any longer is refused; NULL: it is sent. */
 const char *sv_request_wait_refusal (const SvRequest *self);
+
 /* placement_check.c */
 
 /** Whether something has changed since the request was placed because of which it must not be sent
--- a/serve/send.c
+++ b/serve/send.c
@@ -204,10 +204,8 @@
 static guint
 urgency_of (const SvRequest *self)
 {
-  guint priority = self->route->priority;
+  guint priority = sv_request_priority (self);
 
-  if (self->workspace != NULL && self->workspace->priority >= 0)
-    priority = (guint)self->workspace->priority;
   if (is_late (self))
     return MIN (URGENCY_LATE + priority, URGENCY_MAX);
   return MIN (priority, URGENCY_ON_TIME_MAX);
