--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -65,6 +65,7 @@
   SvPlacement placement;
   SvReservation *reservation; /* NULL: none */
   KnlTime sent_at;
+  KnlTime writing_since; /* when its first event was received; 0: not yet */
   KnlTimerId watch_timer;
   KnlTimerId defer_timer;
   KnlTimerId migrate_timer; /* when it is to migrate */
--- /dev/null
+++ b/serve/parts.c
@@ -0,0 +1,35 @@
+#include "serve/parts.h"
+
+gboolean
+sv_parts_contain (const SvParts *self, guint64 id)
+{
+  for (guint i = 0; i < self->n; i++)
+    {
+      if (self->ids[i] == id)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+sv_parts_add (SvParts *self, guint64 id)
+{
+  if (self->n < SV_MAX_PARTS && !sv_parts_contain (self, id))
+    self->ids[self->n++] = id;
+}
+
+char *
+sv_part_format (guint64 id)
+{
+  return g_strdup_printf ("%08" G_GINT64_MODIFIER "x", id);
+}
+
+char *
+sv_parts_format (const SvParts *self)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < self->n; i++)
+    g_string_append_printf (text, "%s%08" G_GINT64_MODIFIER "x", i > 0 ? "," : "", self->ids[i]);
+  return g_string_free (text, FALSE);
+}
--- a/serve/send.c
+++ b/serve/send.c
@@ -449,6 +449,7 @@
   self->sends++;
   self->sent_at = sv_request_now (self);
   self->last_received_at = 0;
+  self->writing_since = 0;
   sv_events_reset (&self->events);
   self->pace = (SvPaceStream){ .n_events = 0 };
   if (sv_placement_needs_reservation (&self->placement))
