--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -7,7 +7,7 @@
 
 #include "http/message.h"
 #include "serve/fleet.h"
-#include "serve/parts.h"
+#include "serve/segments.h"
 
 /** Status of an answer by another endpoint than the intended one, at the same address. */
 #define SV_STATUS_MISDIRECTED 421
@@ -25,7 +25,7 @@
   guint64 answer_tokens;  /**< maximum number of tokens to generate */
   guint64 answer_hint;    /**< the caller's estimate of that number; 0: none */
   const char *last_event; /**< the stream resumes after this event; NULL: it starts anew */
-  SvParts parts;          /**< of its prompt; without the last one, which is the request's own */
+  SvSegments segments;    /**< of its prompt; without the last one, which is the request's own */
 } SvRequestParams;
 
 /** An endpoint that processes a part of the prompt. */
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -169,13 +169,13 @@
   KnlTime now = sv_request_now (self);
   SvCrash crash = { self->fingerprint, endpoint->key, now };
   g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", self->fingerprint);
-  g_autofree char *parts = sv_parts_format (&self->params.parts);
+  g_autofree char *segments = sv_segments_format (&self->params.segments);
 
   if (!sv_crashes_note_loss (core->crashes, &crash, SV_CRASH_OWN))
     return;
   cm_log (CM_LOG_NOTICE, "crash-suspected", "s", "request", self->params.id, "s", "fingerprint",
-          fingerprint, "s", "parts", parts, "s", "endpoint", endpoint->id, "s", "fault", fault, "i",
-          "since-sent-us", now - self->sent_at, "i", "writing-us",
+          fingerprint, "s", "segments", segments, "s", "endpoint", endpoint->id, "s", "fault",
+          fault, "i", "since-sent-us", now - self->sent_at, "i", "writing-us",
           self->writing_since > 0 ? now - self->writing_since : (gint64)-1, "i",
           "endpoint-silent-us",
           endpoint->last_seen_at > 0 ? now - endpoint->last_seen_at : (gint64)-1, "i", "crashes",
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -44,7 +44,7 @@
 log_end (const SvRequest *self, const SvOutcome *outcome, KnlTime now)
 {
   const SvCore *core = self->core;
-  g_autofree char *parts = sv_parts_format (&self->params.parts);
+  g_autofree char *segments = sv_segments_format (&self->params.segments);
 
   cm_log (CM_LOG_INFO, "request-ended", "s", "request", self->params.id, "s", "route",
           self->route != NULL ? self->route->name : NULL, "s", "workspace",
@@ -53,7 +53,7 @@
           self->placement.first != NULL ? self->placement.first->id : NULL, "i", "sends",
           (gint64)self->sends, "s", "passed-to", self->passed_to, "b", "passed-by-peer",
           self->is_passed, "s", "last-fault", self->last_fault, "i", "prompt-tokens",
-          (gint64)self->params.prompt_tokens, "s", "prompt-parts", parts, "i", "parts",
+          (gint64)self->params.prompt_tokens, "s", "segments", segments, "i", "parts",
           (gint64)self->placement.n_helpers + 1, "i", "expected-us",
           (gint64)self->placement.expected, "i", "first-us",
           self->first_sent_at > 0 ? self->first_sent_at - self->begun_at : (gint64)-1, "i",
--- a/serve/parts.c
+++ b/serve/segments.c
@@ -1,7 +1,7 @@
-#include "serve/parts.h"
+#include "serve/segments.h"
 
 gboolean
-sv_parts_contain (const SvParts *self, guint64 id)
+sv_segments_contain (const SvSegments *self, guint64 id)
 {
   for (guint i = 0; i < self->n; i++)
     {
@@ -12,20 +12,20 @@
 }
 
 void
-sv_parts_add (SvParts *self, guint64 id)
+sv_segments_add (SvSegments *self, guint64 id)
 {
-  if (self->n < SV_MAX_PARTS && !sv_parts_contain (self, id))
+  if (self->n < SV_MAX_SEGMENTS && !sv_segments_contain (self, id))
     self->ids[self->n++] = id;
 }
 
 char *
-sv_part_format (guint64 id)
+sv_segment_format (guint64 id)
 {
   return g_strdup_printf ("%08" G_GINT64_MODIFIER "x", id);
 }
 
 char *
-sv_parts_format (const SvParts *self)
+sv_segments_format (const SvSegments *self)
 {
   GString *text = g_string_new (NULL);
 
