--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -151,6 +151,7 @@
   };
   self->core = sv_core_new (&parts, &self->boot->bounds);
   sv_peers_set_crashes (self->peers, sv_core_crashes (self->core));
+  sv_peers_set_quarantine (self->peers, sv_core_quarantine (self->core));
   sv_peers_set_offered (self->peers, sv_core_offered (self->core));
   sv_fleet_on_replaced (self->fleet, on_endpoint_replaced, self);
 }
@@ -200,6 +201,7 @@
   if (self->peers != NULL)
     {
       sv_peers_set_crashes (self->peers, NULL);
+      sv_peers_set_quarantine (self->peers, NULL);
       sv_peers_set_offered (self->peers, NULL);
     }
   sv_core_free (self->core);
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -15,6 +15,7 @@
 #include "serve/dialect.h"
 #include "serve/fleet.h"
 #include "serve/offered.h"
+#include "serve/quarantine.h"
 #include "serve/router.h"
 
 typedef struct SvCore SvCore;
@@ -117,5 +118,8 @@
 /** Endpoints lost under requests, as far as this instance knows; owned by the core. */
 SvCrashes *sv_core_crashes (SvCore *core);
 
+/** Segments of prompts that crash endpoints; owned by the core. */
+SvQuarantine *sv_core_quarantine (SvCore *core);
+
 /** Load that callers offer, by service; owned by the core. */
 SvOffered *sv_core_offered (SvCore *core);
--- a/include/serve/crashes.h
+++ b/include/serve/crashes.h
@@ -51,6 +51,16 @@
 SvCrashes *sv_crashes_new (KnlKernel *kernel, SvFleet *fleet);
 void sv_crashes_free (SvCrashes *crashes);
 
+/** Whether the endpoint has been heard from after that loss, here or at a peer. One whose process
+ * was replaced, or whose row lapsed, is no longer in the fleet under this key. */
+gboolean sv_crash_is_survived (const SvFleet *fleet, guint64 endpoint, KnlTime lost_at);
+
+/** Whether the end of an endpoint has a known cause; `data` is as given. */
+typedef gboolean (*SvCrashExplainFunc) (guint64 endpoint, gpointer data);
+
+/** Sets by what losses are explained, which then don't count; NULL: by nothing. */
+void sv_crashes_set_explain (SvCrashes *crashes, SvCrashExplainFunc explain, gpointer data);
+
 /** Records a loss. FALSE: it was known, or comes before an answer to the request. */
 gboolean sv_crashes_note_loss (SvCrashes *crashes, const SvCrash *crash, SvCrashOrigin origin);
 
@@ -59,7 +69,8 @@
 gboolean
 sv_crashes_note_answer (SvCrashes *crashes, const SvAcquittal *acquittal, SvCrashOrigin origin);
 
-/** Number of endpoints that were lost under the request and not heard from since. */
+/** Number of endpoints that were lost under the request and not heard from since, for no other
+ * known cause. */
 guint sv_crashes_count (const SvCrashes *crashes, guint64 fingerprint);
 
 /** Whether the request has ended so many endpoints that it isn't run. */
--- a/include/serve/meters.h
+++ b/include/serve/meters.h
@@ -34,6 +34,9 @@
 /** Counts an endpoint that was lost under a request. */
 void sv_meters_note_crash (SvMeters *meters, const char *service);
 
+/** Sets the number of quarantined segments. */
+void sv_meters_set_quarantined (SvMeters *meters, guint n);
+
 /** Counts a request passed on, `direction` "to-peer" or "from-peer", by its result. */
 void sv_meters_note_pass (SvMeters *meters, const char *direction, const char *result);
 
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -42,6 +42,10 @@
  * outlive `peers`, or be set to NULL before they are freed. */
 void sv_peers_set_crashes (SvPeers *peers, SvCrashes *crashes);
 
+/** Sets the quarantined segments, and what is known of others, that are exchanged with other
+ * instances; NULL: none. They must outlive `peers`, or be set to NULL before they are freed. */
+void sv_peers_set_quarantine (SvPeers *peers, SvQuarantine *quarantine);
+
 /** Sets the offered load that is exchanged with other instances; NULL: none. It must outlive
  * `peers`, or be set to NULL before it is freed. */
 void sv_peers_set_offered (SvPeers *peers, SvOffered *offered);
--- /dev/null
+++ b/include/serve/quarantine.h
@@ -0,0 +1,137 @@
+#pragma once
+
+/**
+ * Segments of prompts that crash every endpoint that begins to answer a prompt with them.
+ *
+ * An endpoint that ends takes a dozen requests with it, of many callers and instances, and each
+ * request has several segments. Each instance records, for each segment, which endpoints were lost
+ * when they were about to answer a prompt with it, or had just begun to; all instances exchange
+ * these losses. A prompt with the segment that an endpoint survives clears its losses. What is left
+ * is weighed by PolBlame; then the segment is quarantined: prompts with it are refused.
+ *
+ * The quarantine is one for all instances: the first to decide tells the others, with the losses
+ * that show it. It stands for as long as nobody has heard from these endpoints. It ends with the
+ * first answer that an endpoint survives; one prompt at one instance is let through from time to
+ * time to find out.
+ *
+ * Segments are kept by service, since another service's engines may run other software.
+ */
+
+#include "policy/blame.h"
+#include "serve/crashes.h"
+#include "serve/segments.h"
+
+typedef struct SvQuarantine SvQuarantine;
+
+/** Losses that are kept, and told, of a quarantined segment. */
+#define SV_QUARANTINE_LOSSES 5
+
+/** How long after its first event an endpoint may still crash because of a prompt. */
+#define SV_CRASH_WINDOW (500 * KNL_MSEC)
+
+/** A prompt whose answer an endpoint was about to begin, or had just begun. */
+typedef struct
+{
+  guint64 request;  /**< its fingerprint */
+  guint64 endpoint; /**< key of the endpoint, see SvEndpoint */
+  guint32 service;  /**< hash of the service's name */
+  KnlTime at;       /**< when the endpoint was lost, or has begun, on this instance's clock */
+  SvSegments segments;
+} SvSegmentUse;
+
+/** An endpoint has survived answering a prompt. */
+typedef struct
+{
+  guint32 service;
+  KnlTime at; /**< when this showed, on this instance's clock */
+  SvSegments segments;
+} SvSegmentSurvival;
+
+/** A quarantined segment. */
+typedef struct
+{
+  guint32 service;
+  guint64 segment;
+  KnlTime since; /**< on this instance's clock */
+  guint n_losses;
+  PolBlameLoss losses[SV_QUARANTINE_LOSSES]; /**< that show it; `requests` aren't told to others */
+} SvQuarantined;
+
+SvQuarantine *sv_quarantine_new (KnlKernel *kernel, SvFleet *fleet);
+void sv_quarantine_free (SvQuarantine *quarantine);
+
+/** Sets by what this instance differs from others. */
+void sv_quarantine_set_instance (SvQuarantine *quarantine, guint32 instance);
+
+/** Hash of a service's name, as in SvSegmentUse. */
+guint32 sv_quarantine_service (const char *name);
+
+/** An endpoint was lost under the prompt. TRUE: there is something to be sent to others. */
+gboolean
+sv_quarantine_note_loss (SvQuarantine *quarantine, const SvSegmentUse *use, SvCrashOrigin origin);
+
+/** An endpoint has begun to answer the prompt. If it is heard from after SV_CRASH_WINDOW it has
+ * survived. TRUE: there is something to be sent to others. */
+gboolean sv_quarantine_note_begun (SvQuarantine *quarantine, const SvSegmentUse *use);
+
+/** The answer was cancelled: whether its endpoint survives it won't show. */
+void sv_quarantine_forget_begun (SvQuarantine *quarantine, guint64 request, guint64 endpoint);
+
+/** A segment has been quarantined, here or by another instance, or isn't any more. */
+typedef void (*SvQuarantineFunc) (gpointer data);
+
+/** Sets what is called at each change; NULL: nothing. It must not end requests. */
+void sv_quarantine_on_changed (SvQuarantine *quarantine, SvQuarantineFunc func, gpointer data);
+
+/** TRUE: that wasn't known, and is to be sent to others. */
+gboolean sv_quarantine_note_survival (SvQuarantine *quarantine,
+                                      const SvSegmentSurvival *survival,
+                                      SvCrashOrigin origin);
+
+/** Another instance has quarantined a segment. FALSE: that was known, or isn't accepted, as the
+ * endpoints or prompts with the segment have survived. */
+gboolean sv_quarantine_adopt (SvQuarantine *quarantine,
+                              const SvQuarantined *quarantined,
+                              SvCrashOrigin origin);
+
+/** The quarantined segment because of which a prompt is refused; NULL: it isn't. `n_instances`: of
+ * the system; about one of them lets a prompt through each time that a quarantine is to be put to
+ * the test, and `is_test` is set. */
+const SvQuarantined *sv_quarantine_check (SvQuarantine *quarantine,
+                                          guint32 service,
+                                          const SvSegments *segments,
+                                          guint n_instances,
+                                          gboolean *is_test);
+
+/** Whether the endpoint was lost under a prompt with a quarantined segment. */
+gboolean sv_quarantine_explains (const SvQuarantine *quarantine, guint64 endpoint);
+
+/** Number of quarantined segments. */
+guint sv_quarantine_n (const SvQuarantine *quarantine);
+
+/** Number of segments that losses are kept of. */
+guint sv_quarantine_n_suspects (const SvQuarantine *quarantine);
+
+/** Drops what has expired and notes answers that endpoints have survived. To be called several
+ * times a second. TRUE: there is something to be sent to others. */
+gboolean sv_quarantine_tick (SvQuarantine *quarantine);
+
+/** Marks all quarantined segments for being sent again. FALSE: there are none. */
+gboolean sv_quarantine_repeat (SvQuarantine *quarantine);
+
+/** What is to be sent to others. The segments of losses and survivals are in the rows. */
+typedef struct
+{
+  SvSegmentUse losses[6];
+  guint n_losses;
+  SvSegmentSurvival survivals[3];
+  guint n_survivals;
+  SvQuarantined entries[4];
+  guint n_entries;
+} SvQuarantineNews;
+
+/** Takes as much as fits of what the audience has not been sent; it then counts as sent. FALSE:
+ * there is nothing. */
+gboolean sv_quarantine_take_news (SvQuarantine *quarantine,
+                                  SvCrashAudience audience,
+                                  SvQuarantineNews *news);
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -26,6 +26,9 @@
 typedef struct Alderturn__EndpointCrash Alderturn__EndpointCrash;
 typedef struct Alderturn__AnsweredRequest Alderturn__AnsweredRequest;
 typedef struct Alderturn__OfferedLoad Alderturn__OfferedLoad;
+typedef struct Alderturn__SegmentLoss Alderturn__SegmentLoss;
+typedef struct Alderturn__SegmentSurvival Alderturn__SegmentSurvival;
+typedef struct Alderturn__QuarantinedSegment Alderturn__QuarantinedSegment;
 typedef struct Alderturn__Datagram Alderturn__Datagram;
 
 
@@ -350,6 +353,92 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * An endpoint was lost while it was about to answer a prompt, or had just begun to.
+ */
+struct  Alderturn__SegmentLoss
+{
+  ProtobufCMessage base;
+  /*
+   * fingerprint
+   */
+  uint64_t request;
+  /*
+   * hash of its id and start
+   */
+  uint64_t endpoint;
+  /*
+   * hash of its name
+   */
+  uint32_t service;
+  /*
+   * since it was lost
+   */
+  uint32_t age_ms;
+  /*
+   * ids of the prompt's shared segments
+   */
+  size_t n_segments;
+  uint64_t *segments;
+};
+#define ALDERTURN__SEGMENT_LOSS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__segment_loss__descriptor) \
+    , 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * An endpoint has survived answering a prompt with segments that endpoints had been lost under.
+ */
+struct  Alderturn__SegmentSurvival
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint32_t service;
+  /*
+   * since this showed
+   */
+  uint32_t age_ms;
+  size_t n_segments;
+  uint64_t *segments;
+};
+#define ALDERTURN__SEGMENT_SURVIVAL__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__segment_survival__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+/*
+ * Prompts with a segment are refused, as it crashes endpoints.
+ */
+struct  Alderturn__QuarantinedSegment
+{
+  ProtobufCMessage base;
+  uint64_t segment;
+  /*
+   * hash of its name
+   */
+  uint32_t service;
+  /*
+   * since that was decided
+   */
+  uint32_t age_ms;
+  /*
+   * that ended, which shows it
+   */
+  size_t n_endpoints;
+  uint64_t *endpoints;
+  /*
+   * age of each of these losses
+   */
+  size_t n_lost_ms;
+  uint32_t *lost_ms;
+};
+#define ALDERTURN__QUARANTINED_SEGMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__quarantined_segment__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL }
+
+
 struct  Alderturn__Datagram
 {
   ProtobufCMessage base;
@@ -440,10 +529,16 @@
   uint64_t evacuations;
   size_t n_offered;
   Alderturn__OfferedLoad **offered;
+  size_t n_segment_losses;
+  Alderturn__SegmentLoss **segment_losses;
+  size_t n_survivals;
+  Alderturn__SegmentSurvival **survivals;
+  size_t n_quarantined;
+  Alderturn__QuarantinedSegment **quarantined;
 };
 #define ALDERTURN__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__datagram__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Alderturn__EndpointLimit methods */
@@ -655,6 +750,63 @@
 void   alderturn__offered_load__free_unpacked
                      (Alderturn__OfferedLoad *message,
                       ProtobufCAllocator *allocator);
+/* Alderturn__SegmentLoss methods */
+void   alderturn__segment_loss__init
+                     (Alderturn__SegmentLoss         *message);
+size_t alderturn__segment_loss__get_packed_size
+                     (const Alderturn__SegmentLoss   *message);
+size_t alderturn__segment_loss__pack
+                     (const Alderturn__SegmentLoss   *message,
+                      uint8_t             *out);
+size_t alderturn__segment_loss__pack_to_buffer
+                     (const Alderturn__SegmentLoss   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__SegmentLoss *
+       alderturn__segment_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__segment_loss__free_unpacked
+                     (Alderturn__SegmentLoss *message,
+                      ProtobufCAllocator *allocator);
+/* Alderturn__SegmentSurvival methods */
+void   alderturn__segment_survival__init
+                     (Alderturn__SegmentSurvival         *message);
+size_t alderturn__segment_survival__get_packed_size
+                     (const Alderturn__SegmentSurvival   *message);
+size_t alderturn__segment_survival__pack
+                     (const Alderturn__SegmentSurvival   *message,
+                      uint8_t             *out);
+size_t alderturn__segment_survival__pack_to_buffer
+                     (const Alderturn__SegmentSurvival   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__SegmentSurvival *
+       alderturn__segment_survival__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__segment_survival__free_unpacked
+                     (Alderturn__SegmentSurvival *message,
+                      ProtobufCAllocator *allocator);
+/* Alderturn__QuarantinedSegment methods */
+void   alderturn__quarantined_segment__init
+                     (Alderturn__QuarantinedSegment         *message);
+size_t alderturn__quarantined_segment__get_packed_size
+                     (const Alderturn__QuarantinedSegment   *message);
+size_t alderturn__quarantined_segment__pack
+                     (const Alderturn__QuarantinedSegment   *message,
+                      uint8_t             *out);
+size_t alderturn__quarantined_segment__pack_to_buffer
+                     (const Alderturn__QuarantinedSegment   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__QuarantinedSegment *
+       alderturn__quarantined_segment__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__quarantined_segment__free_unpacked
+                     (Alderturn__QuarantinedSegment *message,
+                      ProtobufCAllocator *allocator);
 /* Alderturn__Datagram methods */
 void   alderturn__datagram__init
                      (Alderturn__Datagram         *message);
@@ -709,6 +861,15 @@
 typedef void (*Alderturn__OfferedLoad_Closure)
                  (const Alderturn__OfferedLoad *message,
                   void *closure_data);
+typedef void (*Alderturn__SegmentLoss_Closure)
+                 (const Alderturn__SegmentLoss *message,
+                  void *closure_data);
+typedef void (*Alderturn__SegmentSurvival_Closure)
+                 (const Alderturn__SegmentSurvival *message,
+                  void *closure_data);
+typedef void (*Alderturn__QuarantinedSegment_Closure)
+                 (const Alderturn__QuarantinedSegment *message,
+                  void *closure_data);
 typedef void (*Alderturn__Datagram_Closure)
                  (const Alderturn__Datagram *message,
                   void *closure_data);
@@ -729,6 +890,9 @@
 extern const ProtobufCMessageDescriptor alderturn__endpoint_crash__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__answered_request__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__offered_load__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__segment_loss__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__segment_survival__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__quarantined_segment__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__datagram__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -147,7 +147,7 @@
 
   self->deadline_timer = 0;
   if (self->exchange != NULL && self->last_received_at == 0)
-    sv_request_note_crash (self, "deadline");
+    sv_request_note_crash (self, "deadline", FALSE);
   if (self->runs > 0 || self->exchange != NULL || self->pass != NULL)
     sv_request_fail (self, 504, "deadline");
   else
@@ -238,6 +238,11 @@
       sv_request_refuse (self, 503, "service-not-declared");
       return FALSE;
     }
+  if (sv_request_is_quarantined (self))
+    {
+      sv_request_refuse (self, 503, "segment-quarantined");
+      return FALSE;
+    }
   if (is_admitted (self))
     return TRUE;
   self->is_overload = TRUE;
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -87,6 +87,7 @@
   if (self->exchange == NULL)
     return;
   ht_exchange_cancel (self->exchange);
+  sv_request_forget_begun (self);
   self->exchange = NULL;
   self->answer = NULL;
   sv_request_end_prefill (self);
@@ -162,7 +163,7 @@
  * answer of the endpoint to anyone tells them apart, see SvCrashes.
  */
 void
-sv_request_note_crash (SvRequest *self, const char *fault)
+sv_request_note_crash (SvRequest *self, const char *fault, gboolean ended)
 {
   SvCore *core = self->core;
   const SvEndpoint *endpoint = self->placement.first;
@@ -171,6 +172,8 @@
   g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", self->fingerprint);
   g_autofree char *segments = sv_segments_format (&self->params.segments);
 
+  if (ended)
+    sv_request_note_segments_lost (self);
   if (!sv_crashes_note_loss (core->crashes, &crash, SV_CRASH_OWN))
     return;
   cm_log (CM_LOG_NOTICE, "crash-suspected", "s", "request", self->params.id, "s", "fingerprint",
@@ -245,6 +248,7 @@
   PolRetry decision;
 
   log_loss (self, fault, ran);
+  self->is_test = FALSE;
   self->last_fault = fault;
   self->runs += ran;
   exclude (self, self->placement.first);
@@ -255,6 +259,8 @@
     sv_request_give_up (self, fault);
   else if (sv_crashes_is_refused (self->core->crashes, self->fingerprint))
     sv_request_give_up (self, "crashes-endpoints");
+  else if (sv_request_is_quarantined (self))
+    sv_request_give_up (self, "segment-quarantined");
   else if (!spend_retry (self, decision))
     sv_request_give_up (self, "no-retry-left");
   else
@@ -365,7 +371,7 @@
   if (!was_unread (self, exchange))
     {
       sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
-      sv_request_note_crash (self, "torn-stream");
+      sv_request_note_crash (self, "torn-stream", TRUE);
     }
   sv_request_handle_loss (self, "torn-stream", TRUE);
 }
@@ -401,6 +407,7 @@
   close_send (self, "answered");
   if (!streaming)
     {
+      sv_request_note_begun (self);
       note_answer (self);
       note_plain_pace (self);
       handle_complete_answer (self, answer);
@@ -433,7 +440,7 @@
   if (self->unreached)
     sv_reach_note_failure (sv_request_reach (self), endpoint);
   if (failure == HT_FAIL_CLOSED && !is_cut_off)
-    sv_request_note_crash (self, was_stale ? "stale-connection" : ht_failure_name (failure));
+    sv_request_note_crash (self, was_stale ? "stale-connection" : ht_failure_name (failure), TRUE);
   close_send (self, ht_failure_name (failure));
   if (was_stale)
     ht_client_close_idle (self->core->parts.client, endpoint->address);
--- a/serve/core.c
+++ b/serve/core.c
@@ -99,6 +99,12 @@
   return sv_pace_reports_new (&parts);
 }
 
+static gboolean
+is_crash_explained (guint64 endpoint, gpointer data)
+{
+  return sv_quarantine_explains (data, endpoint);
+}
+
 SvCore *
 sv_core_new (const SvCoreParts *parts, const SvBounds *bounds)
 {
@@ -111,6 +117,9 @@
   self->requests = g_hash_table_new (NULL, NULL);
   self->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   self->crashes = sv_crashes_new (parts->kernel, parts->fleet);
+  self->quarantine = sv_quarantine_new (parts->kernel, parts->fleet);
+  sv_quarantine_on_changed (self->quarantine, sv_core_note_quarantine, self);
+  sv_crashes_set_explain (self->crashes, is_crash_explained, self->quarantine);
   self->reach =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)sv_reach_free);
   self->meters = sv_meters_new (parts->metrics);
@@ -144,12 +153,14 @@
   if (self == NULL)
     return;
   sv_fleet_on_prefill (self->parts.fleet, NULL, NULL);
+  knl_timer_stop (self->parts.kernel, &self->quarantine_timer);
   end_requests (self, sv_request_note_disconnect);
   sv_pace_reports_free (self->pace_reports);
   g_hash_table_unref (self->overloads);
   sv_offered_free (self->offered);
   sv_meters_free (self->meters);
   sv_crashes_free (self->crashes);
+  sv_quarantine_free (self->quarantine);
   g_hash_table_unref (self->reach);
   g_hash_table_unref (self->budgets);
   g_hash_table_unref (self->requests);
@@ -331,7 +342,7 @@
     {
       SvRequest *request = g_ptr_array_index (lost, i);
 
-      sv_request_note_crash (request, "endpoint-restarted");
+      sv_request_note_crash (request, "endpoint-restarted", TRUE);
       sv_request_cancel_send (request);
       sv_request_handle_loss (request, "endpoint-restarted", TRUE);
     }
@@ -349,6 +360,12 @@
   return self->crashes;
 }
 
+SvQuarantine *
+sv_core_quarantine (SvCore *self)
+{
+  return self->quarantine;
+}
+
 SvOffered *
 sv_core_offered (SvCore *self)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -24,11 +24,13 @@
   GHashTable *requests; /* SvRequest */
   GHashTable *budgets;  /* service -> PolBudget */
   SvCrashes *crashes;
+  SvQuarantine *quarantine;
   GHashTable *reach; /* service -> SvReach */
   SvOffered *offered;
   GHashTable *overloads; /* service -> SvOverload; those whose endpoints are engines */
   guint n_lost;          /* services that this instance has lost its links to */
   guint n_passed; /* requests that peers passed on to this instance and that have not ended */
+  KnlTimerId quarantine_timer; /* when sends of quarantined prompts are cancelled; 0: none are */
   SvMeters *meters;
   SvPaceReports *pace_reports;
 };
@@ -54,6 +56,7 @@
   HtMessage *failure;
   gboolean unreached;     /* no connection to the endpoint of the last send was established */
   gboolean is_passed;     /* a peer passed it on to this instance */
+  gboolean is_test;       /* it has a quarantined segment and is let through to find out */
   gboolean is_overload;   /* it is refused because its service is overloaded */
   HtExchange *pass;       /* with the peer that it is passed on to; NULL: none */
   char *passed_to;        /* address of the last peer that it was passed on to; NULL: none */
@@ -127,6 +130,24 @@
 /** Runs all admission checks. FALSE: the request was refused and freed. */
 gboolean sv_request_admit (SvRequest *self);
 
+/* request_quarantine.c */
+
+/** Whether a segment of its prompt is quarantined; logs which. It isn't to be sent then. */
+gboolean sv_request_is_quarantined (SvRequest *self);
+
+/** Its endpoint was lost under it. */
+void sv_request_note_segments_lost (SvRequest *self);
+
+/** Its endpoint has begun to answer it. */
+void sv_request_note_begun (SvRequest *self);
+
+/** Its answer is cancelled. */
+void sv_request_forget_begun (SvRequest *self);
+
+/** SvQuarantineFunc: cancels sends of prompts that are quarantined now and whose answers haven't
+ * begun, after the caller of this function; `data` is the core. */
+void sv_core_note_quarantine (gpointer data);
+
 /* send.c */
 
 /** Sends the request to an endpoint, defers the send, or ends (and frees) the request. */
@@ -199,8 +220,9 @@
 /** Cancels the current send, its timers and its reservation; no-op if there is none. */
 void sv_request_cancel_send (SvRequest *self);
 
-/** Records that the endpoint may have crashed under the request, and tells the peers. */
-void sv_request_note_crash (SvRequest *self, const char *fault);
+/** Records that the endpoint may have crashed under the request, and tells the peers. `ended`: its
+ * connection has ended; otherwise it is only silent. */
+void sv_request_note_crash (SvRequest *self, const char *fault, gboolean ended);
 
 /** Handles a send that gave no usable answer: retries it, or ends the request. `ran`: it may have
  * run. */
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -40,6 +40,8 @@
   KnlKernel *kernel;
   SvFleet *fleet;
   GHashTable *records; /* &fingerprint -> Record */
+  SvCrashExplainFunc explain;
+  gpointer explain_data;
   /* Whether any may be unsent. Each announcement of loads asks for them: without this it would look
    * at all records, thousands after many endpoints have failed at once. */
   gboolean has_unsent_losses[SV_CRASHES_N_AUDIENCES];
@@ -99,14 +101,33 @@
   return record;
 }
 
-/* An endpoint whose process was replaced, or whose row lapsed, is no longer in the fleet under this
- * key. */
+void
+sv_crashes_set_explain (SvCrashes *self, SvCrashExplainFunc explain, gpointer data)
+{
+  self->explain = explain;
+  self->explain_data = data;
+}
+
+gboolean
+sv_crash_is_survived (const SvFleet *fleet, guint64 key, KnlTime lost_at)
+{
+  const SvEndpoint *endpoint = sv_fleet_by_key (fleet, key);
+
+  return endpoint != NULL && endpoint->last_seen_at > lost_at + SURVIVAL_MARGIN;
+}
+
 static gboolean
 has_survived (const SvCrashes *self, const Loss *loss)
 {
-  const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, loss->endpoint);
+  return sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at);
+}
 
-  return endpoint != NULL && endpoint->last_seen_at > loss->lost_at + SURVIVAL_MARGIN;
+static gboolean
+counts (const SvCrashes *self, const Loss *loss)
+{
+  if (has_survived (self, loss))
+    return FALSE;
+  return self->explain == NULL || !self->explain (loss->endpoint, self->explain_data);
 }
 
 static void
@@ -202,7 +223,7 @@
   guint n = 0;
 
   for (guint i = 0; record != NULL && i < record->n_losses; i++)
-    n += !has_survived (self, &record->losses[i]);
+    n += counts (self, &record->losses[i]);
   return n;
 }
 
--- a/serve/meters.c
+++ b/serve/meters.c
@@ -80,6 +80,12 @@
   .labels = { "service", "result" },
 };
 
+static const CmMetricDef quarantined_def = {
+  .name = "alderturn_quarantined_segments",
+  .help = "Segments of prompts that are quarantined, as they crash endpoints",
+  .type = CM_METRIC_GAUGE,
+};
+
 struct SvMeters
 {
   CmMetric *requests;
@@ -89,6 +95,7 @@
   CmMetric *limited;
   CmMetric *cold;
   CmMetric *crashes;
+  CmMetric *quarantined;
   CmMetric *passed;
   CmMetric *first_event_error;
   CmMetric *slow;
@@ -107,6 +114,7 @@
   self->limited = cm_metrics_add (metrics, &limited_def);
   self->cold = cm_metrics_add (metrics, &cold_def);
   self->crashes = cm_metrics_add (metrics, &crashes_def);
+  self->quarantined = cm_metrics_add (metrics, &quarantined_def);
   self->passed = cm_metrics_add (metrics, &passed_def);
   self->first_event_error = cm_metrics_add (metrics, &first_event_error_def);
   self->slow = cm_metrics_add (metrics, &slow_def);
@@ -158,6 +166,12 @@
   cm_series_add (cm_metric_series (self->crashes, service, NULL, NULL), 1);
 }
 
+void
+sv_meters_set_quarantined (SvMeters *self, guint n)
+{
+  cm_series_set (cm_metric_series (self->quarantined, NULL, NULL, NULL), n);
+}
+
 void
 sv_meters_note_pass (SvMeters *self, const char *direction, const char *result)
 {
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -154,6 +154,7 @@
   self->n_in_cell = sv_peers_n_in_zone (self, self->self.zone);
   sv_cells_note_changed (self);
   update_instance_counts (self);
+  sv_peers_tick_quarantine (self);
   if (self->n_heartbeats++ % HEARTBEATS_PER_FULL == 0)
     {
       sv_peers_send_full (self, NULL);
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -163,6 +163,7 @@
   SvPeerVersionsFunc on_versions;    /* NULL: none */
   gpointer on_confirmation_data;     /* passed to both */
   SvCrashes *crashes;                /* NULL: not exchanged */
+  SvQuarantine *quarantine;          /* NULL: not exchanged */
   SvOffered *offered;                /* NULL: not exchanged */
   KnlTimerId offered_timer;          /* next report of offered load; 0: none is due */
 };
@@ -335,6 +336,26 @@
                                Rows *rows,
                                SvCrashAudience audience);
 
+/* peers_quarantine.c */
+
+/** Sends the cell what is new of quarantined segments, as much as fits into a datagram. FALSE:
+ * there was nothing. */
+gboolean sv_peers_send_quarantine (SvPeers *self);
+
+/** The same to other cells, by the relay. */
+gboolean sv_relay_send_quarantine (SvPeers *self);
+
+/** Reviews the quarantined segments, and announces those that endpoints have survived. */
+void sv_peers_tick_quarantine (SvPeers *self);
+
+/** Announces all quarantined segments again. */
+void sv_peers_repeat_quarantine (SvPeers *self);
+
+/** Takes what a peer tells of quarantined segments. */
+void sv_peers_handle_quarantine (SvPeers *self,
+                                 const Alderturn__Datagram *datagram,
+                                 SvCrashOrigin origin);
+
 /** Announces again the crashes that may refuse a request: any datagram may be lost, and instances
  * start later. */
 void sv_peers_repeat_crashes (SvPeers *self);
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -337,6 +337,7 @@
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
   handle_crashes (self, peer, datagram, SV_CRASH_OF_CELL);
+  sv_peers_handle_quarantine (self, datagram, SV_CRASH_OF_CELL);
   sv_peers_handle_offered (self, &(SvOfferedSource){ .id = peer->id, .instances = 1 }, datagram);
   if (sv_peers_is_relay (self))
     sv_outbox_append (&self->cell_outbox, datagram, peer->id);
@@ -387,6 +388,7 @@
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
   handle_crashes (self, peer, datagram, SV_CRASH_OF_OTHER_CELL);
+  sv_peers_handle_quarantine (self, datagram, SV_CRASH_OF_OTHER_CELL);
   sv_peers_handle_offered (
       self, &(SvOfferedSource){ .id = cell->id, .is_cell = TRUE, .instances = cell->instances },
       datagram);
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -377,6 +377,8 @@
   self->change_timer = 0;
   while (send_changes (self))
     ;
+  while (sv_peers_send_quarantine (self))
+    ;
   sv_relay_announce (self);
 }
 
@@ -455,6 +457,8 @@
 
   if (self->crashes != NULL && sv_crashes_repeat (self->crashes, repeats_all))
     announce_within (self, LOAD_DELAY);
+  if (repeats_all)
+    sv_peers_repeat_quarantine (self);
 }
 
 static void
--- /dev/null
+++ b/serve/quarantine.c
@@ -0,0 +1,449 @@
+#include "serve/quarantine_internal.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Time after the last loss until a suspect is dropped. */
+#define SUSPECT_TTL (60 * KNL_SEC)
+
+/* Suspects that are kept. An outage of many endpoints makes thousands of them, nearly all with one
+ * loss each; made-up segments do the same. */
+#define MAX_SUSPECTS 4096
+
+/* Age from which a suspect with a single loss makes way for a new one. */
+#define LONE_LOSS_TTL (2 * KNL_SEC)
+
+/* Shortest time between two looks at all suspects for some to drop. */
+#define SWEEP_INTERVAL (200 * KNL_MSEC)
+
+/* Answers that have begun and may still crash their endpoints. */
+#define MAX_BEGUN 1024
+
+/* Age from which a loss counts. An endpoint that only closed a connection is heard from before. */
+#define SETTLE_TIME (250 * KNL_MSEC)
+
+static guint
+hash_key (gconstpointer key)
+{
+  const SegmentKey *self = key;
+
+  return (guint)(self->segment ^ (self->segment >> 32)) ^ self->service;
+}
+
+static gboolean
+equal_keys (gconstpointer a, gconstpointer b)
+{
+  const SegmentKey *left = a;
+  const SegmentKey *right = b;
+
+  return left->segment == right->segment && left->service == right->service;
+}
+
+SvQuarantine *
+sv_quarantine_new (KnlKernel *kernel, SvFleet *fleet)
+{
+  SvQuarantine *self = g_new0 (SvQuarantine, 1);
+
+  self->kernel = kernel;
+  self->fleet = fleet;
+  self->suspects = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
+  self->entries = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
+  self->begun = g_queue_new ();
+  for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
+    {
+      self->losses[i] = g_queue_new ();
+      self->survivals[i] = g_queue_new ();
+    }
+  return self;
+}
+
+void
+sv_quarantine_free (SvQuarantine *self)
+{
+  if (self == NULL)
+    return;
+  g_hash_table_unref (self->suspects);
+  g_hash_table_unref (self->entries);
+  g_queue_free_full (self->begun, g_free);
+  for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
+    {
+      g_queue_free_full (self->losses[i], g_free);
+      g_queue_free_full (self->survivals[i], g_free);
+    }
+  g_free (self);
+}
+
+void
+sv_quarantine_set_instance (SvQuarantine *self, guint32 instance)
+{
+  self->instance = instance;
+}
+
+void
+sv_quarantine_on_changed (SvQuarantine *self, SvQuarantineFunc func, gpointer data)
+{
+  self->on_changed = func;
+  self->on_changed_data = data;
+}
+
+guint32
+sv_quarantine_service (const char *name)
+{
+  return (guint32)XXH64 (name, strlen (name), 0);
+}
+
+static gboolean
+is_expired (gpointer key, gpointer value, gpointer data)
+{
+  return ((const Suspect *)value)->expires <= knl_kernel_now (data);
+}
+
+static gboolean
+has_lone_loss (gpointer key, gpointer value, gpointer data)
+{
+  const Suspect *suspect = value;
+
+  return suspect->n == 1 && suspect->losses[0].lost_at + LONE_LOSS_TTL <= knl_kernel_now (data);
+}
+
+Suspect *
+sv_quarantine_find_suspect (const SvQuarantine *self, const SegmentKey *key)
+{
+  Suspect *suspect = g_hash_table_lookup (self->suspects, key);
+
+  return suspect != NULL && !is_expired (NULL, suspect, self->kernel) ? suspect : NULL;
+}
+
+static void
+make_room (SvQuarantine *self)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  if (g_hash_table_size (self->suspects) < MAX_SUSPECTS || now < self->swept_at + SWEEP_INTERVAL)
+    return;
+  self->swept_at = now;
+  g_hash_table_foreach_remove (self->suspects, is_expired, self->kernel);
+  if (g_hash_table_size (self->suspects) >= MAX_SUSPECTS)
+    g_hash_table_foreach_remove (self->suspects, has_lone_loss, self->kernel);
+}
+
+Suspect *
+sv_quarantine_ensure_suspect (SvQuarantine *self, const SegmentKey *key)
+{
+  Suspect *suspect = sv_quarantine_find_suspect (self, key);
+
+  if (suspect != NULL)
+    return suspect;
+  make_room (self);
+  if (g_hash_table_size (self->suspects) >= MAX_SUSPECTS)
+    return NULL;
+  suspect = g_new0 (Suspect, 1);
+  suspect->key = *key;
+  g_hash_table_replace (self->suspects, &suspect->key, suspect);
+  return suspect;
+}
+
+static PolBlameLoss *
+find_loss (PolBlameLoss *losses, guint n, guint64 endpoint)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      if (losses[i].endpoint == endpoint)
+        return &losses[i];
+    }
+  return NULL;
+}
+
+static gboolean
+shares_moment (const Suspect *self, KnlTime at)
+{
+  for (guint i = 0; i < self->n; i++)
+    {
+      if (ABS (self->losses[i].lost_at - at) < POL_BLAME_MOMENT)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* A place for another loss, if need be that of the oldest; NULL: it would add nothing. */
+static PolBlameLoss *
+find_place (Suspect *self, KnlTime at)
+{
+  PolBlameLoss *oldest = &self->losses[0];
+
+  if (self->n < MAX_SUSPECT_LOSSES)
+    return &self->losses[self->n++];
+  if (shares_moment (self, at))
+    return NULL;
+  for (guint i = 1; i < self->n; i++)
+    {
+      if (self->losses[i].lost_at < oldest->lost_at)
+        oldest = &self->losses[i];
+    }
+  return oldest;
+}
+
+/* FALSE: it was known, or a prompt with the segment has been survived since. */
+static gboolean
+add_loss (Suspect *self, const SvSegmentUse *use)
+{
+  PolBlameLoss *loss = find_loss (self->losses, self->n, use->endpoint);
+
+  if (use->at <= self->survived_at)
+    return FALSE;
+  self->expires = MAX (self->expires, use->at + SUSPECT_TTL);
+  if (loss != NULL)
+    return pol_blame_add_request (loss, use->request);
+  loss = find_place (self, use->at);
+  if (loss == NULL)
+    return FALSE;
+  *loss = (PolBlameLoss){ .endpoint = use->endpoint, .lost_at = use->at };
+  return pol_blame_add_request (loss, use->request);
+}
+
+guint
+sv_quarantine_counted (const SvQuarantine *self,
+                       const Suspect *suspect,
+                       PolBlameLoss losses[MAX_SUSPECT_LOSSES])
+{
+  KnlTime newest = knl_kernel_now (self->kernel) - SETTLE_TIME;
+  guint n = 0;
+
+  for (guint i = 0; i < suspect->n; i++)
+    {
+      const PolBlameLoss *loss = &suspect->losses[i];
+
+      if (loss->lost_at <= newest
+          && !sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at)
+          && !sv_quarantine_explains (self, loss->endpoint))
+        losses[n++] = *loss;
+    }
+  return n;
+}
+
+static gboolean
+includes_endpoints (PolBlameLoss *all, guint n_all, const PolBlameLoss *losses, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      if (find_loss (all, n_all, losses[i].endpoint) == NULL)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Whether another segment may have caused the same losses. */
+static gboolean
+is_ambiguous (const SvQuarantine *self, const Suspect *suspect, const PolBlameLoss *losses, guint n)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Suspect *other = value;
+      PolBlameLoss others[MAX_SUSPECT_LOSSES];
+      guint n_others;
+
+      if (other == suspect || other->key.service != suspect->key.service || other->n < n)
+        continue;
+      n_others = sv_quarantine_counted (self, other, others);
+      if (includes_endpoints (others, n_others, losses, n))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+void
+sv_quarantine_decide (SvQuarantine *self, const SegmentKey *key)
+{
+  const Suspect *suspect = sv_quarantine_find_suspect (self, key);
+  PolBlameLoss losses[MAX_SUSPECT_LOSSES];
+  PolBlame blame;
+  guint n;
+
+  if (suspect == NULL || sv_quarantine_find_entry (self, key) != NULL)
+    return;
+  n = sv_quarantine_counted (self, suspect, losses);
+  blame = pol_blame_weigh (losses, n);
+  if (!pol_blame_is_shown (&blame, FALSE)
+      || !pol_blame_is_shown (&blame, is_ambiguous (self, suspect, losses, n)))
+    return;
+  sv_quarantine_begin (self, suspect, losses, n);
+}
+
+/* TRUE: it wasn't known. */
+static gboolean
+record_loss (SvQuarantine *self, const SvSegmentUse *use)
+{
+  gboolean is_new = FALSE;
+
+  for (guint i = 0; i < use->segments.n; i++)
+    {
+      SegmentKey key = { use->segments.ids[i], use->service };
+      Suspect *suspect = sv_quarantine_ensure_suspect (self, &key);
+
+      is_new |= suspect != NULL && add_loss (suspect, use);
+    }
+  return is_new;
+}
+
+/* Answers of the endpoint that were complete, or not lost yet, when it ended. */
+static void
+record_begun (SvQuarantine *self, guint64 endpoint, KnlTime lost_at)
+{
+  for (const GList *link = self->begun->head; link != NULL; link = link->next)
+    {
+      SvSegmentUse use = *(const SvSegmentUse *)link->data;
+
+      if (use.endpoint != endpoint || use.at + SV_CRASH_WINDOW <= lost_at)
+        continue;
+      use.at = lost_at;
+      if (record_loss (self, &use))
+        sv_quarantine_queue_loss (self, &use, SV_CRASH_OWN);
+    }
+}
+
+gboolean
+sv_quarantine_note_loss (SvQuarantine *self, const SvSegmentUse *use, SvCrashOrigin origin)
+{
+  if (use->at + SUSPECT_TTL <= knl_kernel_now (self->kernel))
+    return FALSE;
+  if (origin == SV_CRASH_OWN)
+    record_begun (self, use->endpoint, use->at);
+  if (use->segments.n == 0 || !record_loss (self, use))
+    return FALSE;
+  sv_quarantine_queue_loss (self, use, origin);
+  return TRUE;
+}
+
+void
+sv_quarantine_forget_begun (SvQuarantine *self, guint64 request, guint64 endpoint)
+{
+  for (GList *link = self->begun->head; link != NULL; link = link->next)
+    {
+      SvSegmentUse *use = link->data;
+
+      if (use->request != request || use->endpoint != endpoint)
+        continue;
+      g_free (use);
+      g_queue_delete_link (self->begun, link);
+      return;
+    }
+}
+
+/* TRUE: it had losses, or was quarantined. */
+static gboolean
+clear_suspect (SvQuarantine *self, const SegmentKey *key, KnlTime at)
+{
+  Suspect *suspect = sv_quarantine_find_suspect (self, key);
+  Entry *entry = sv_quarantine_find_entry (self, key);
+  guint kept = 0;
+  guint before;
+
+  if (entry != NULL && entry->told.since < at)
+    {
+      if (suspect == NULL)
+        suspect = sv_quarantine_ensure_suspect (self, key);
+      /* Instances that haven't heard of this yet still tell of the quarantine. */
+      if (suspect != NULL)
+        suspect->expires = at + ENTRY_TTL;
+      sv_quarantine_end (self, entry, "survived");
+    }
+  else
+    entry = NULL;
+  if (suspect == NULL || at <= suspect->survived_at)
+    return entry != NULL;
+  before = suspect->n;
+  for (guint i = 0; i < before; i++)
+    {
+      if (suspect->losses[i].lost_at > at)
+        suspect->losses[kept++] = suspect->losses[i];
+    }
+  suspect->n = kept;
+  suspect->survived_at = at;
+  return entry != NULL || kept < before;
+}
+
+gboolean
+sv_quarantine_note_survival (SvQuarantine *self,
+                             const SvSegmentSurvival *survival,
+                             SvCrashOrigin origin)
+{
+  gboolean cleared = FALSE;
+
+  for (guint i = 0; i < survival->segments.n; i++)
+    {
+      SegmentKey key = { survival->segments.ids[i], survival->service };
+
+      cleared |= clear_suspect (self, &key, survival->at);
+    }
+  if (cleared)
+    sv_quarantine_queue_survival (self, survival, origin);
+  return cleared;
+}
+
+/* TRUE: some segments were cleared. */
+static gboolean
+note_survivors (SvQuarantine *self)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+  gboolean cleared = FALSE;
+  SvSegmentUse *use;
+
+  while ((use = g_queue_peek_head (self->begun)) != NULL && use->at + SV_CRASH_WINDOW <= now)
+    {
+      const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, use->endpoint);
+      SvSegmentSurvival survival = { use->service, use->at + SV_CRASH_WINDOW, use->segments };
+
+      if (endpoint != NULL && endpoint->last_seen_at >= survival.at)
+        cleared |= sv_quarantine_note_survival (self, &survival, SV_CRASH_OWN);
+      g_free (g_queue_pop_head (self->begun));
+    }
+  return cleared;
+}
+
+gboolean
+sv_quarantine_note_begun (SvQuarantine *self, const SvSegmentUse *use)
+{
+  gboolean cleared = note_survivors (self);
+
+  if (use->segments.n == 0)
+    return cleared;
+  if (g_queue_get_length (self->begun) >= MAX_BEGUN)
+    g_free (g_queue_pop_head (self->begun));
+  g_queue_push_tail (self->begun, g_memdup2 (use, sizeof *use));
+  return cleared;
+}
+
+static void
+decide_all (SvQuarantine *self)
+{
+  g_autoptr (GList) suspects = g_hash_table_get_values (self->suspects);
+
+  for (GList *link = suspects; link != NULL; link = link->next)
+    {
+      const Suspect *suspect = link->data;
+
+      if (suspect->n > 1)
+        sv_quarantine_decide (self, &suspect->key);
+    }
+}
+
+gboolean
+sv_quarantine_tick (SvQuarantine *self)
+{
+  gboolean cleared = note_survivors (self);
+
+  g_hash_table_foreach_remove (self->suspects, is_expired, self->kernel);
+  sv_quarantine_review (self);
+  decide_all (self);
+  return cleared;
+}
+
+guint
+sv_quarantine_n_suspects (const SvQuarantine *self)
+{
+  return g_hash_table_size (self->suspects);
+}
--- /dev/null
+++ b/serve/quarantine_entries.c
@@ -0,0 +1,277 @@
+/** Quarantined segments: how long each stays so, and what is let through to find out. */
+
+#include <xxhash.h>
+
+#include "common/log.h"
+#include "serve/quarantine_internal.h"
+
+/* Age at which a quarantine is put to the test for the first time; then each time that its age has
+ * doubled. A wrong quarantine ends soon, and a right one costs few endpoints a day. */
+#define FIRST_TEST_AGE (60 * KNL_SEC)
+
+/* Losses that must be left of a quarantine; fewer show nothing. */
+#define MIN_LOSSES 3
+
+Entry *
+sv_quarantine_find_entry (const SvQuarantine *self, const SegmentKey *key)
+{
+  return g_hash_table_size (self->entries) > 0 ? g_hash_table_lookup (self->entries, key) : NULL;
+}
+
+static char *
+format_endpoints (const SvQuarantine *self, const SvQuarantined *quarantined)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < quarantined->n_losses; i++)
+    {
+      const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, quarantined->losses[i].endpoint);
+
+      g_string_append (text, i > 0 ? "," : "");
+      if (endpoint != NULL)
+        g_string_append (text, endpoint->id);
+      else
+        g_string_append_printf (text, "key-%016" G_GINT64_MODIFIER "x",
+                                quarantined->losses[i].endpoint);
+    }
+  return g_string_free (text, FALSE);
+}
+
+static char *
+format_requests (const SvQuarantined *quarantined)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < quarantined->n_losses; i++)
+    g_string_append_printf (text, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
+                            quarantined->losses[i].requests[0]);
+  return g_string_free (text, FALSE);
+}
+
+static void
+log_entry (const SvQuarantine *self, const char *event, const SvQuarantined *quarantined)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+  g_autofree char *segment = sv_segment_format (quarantined->segment);
+  g_autofree char *endpoints = format_endpoints (self, quarantined);
+  g_autofree char *requests = format_requests (quarantined);
+
+  cm_log (CM_LOG_WARNING, event, "s", "segment", segment, "s", "endpoints", endpoints, "s",
+          "fingerprints", requests, "i", "first-loss-us", now - quarantined->losses[0].lost_at, "i",
+          "age-us", now - quarantined->since, "i", "quarantined",
+          (gint64)g_hash_table_size (self->entries));
+}
+
+static void
+note_changed (SvQuarantine *self)
+{
+  if (self->on_changed != NULL)
+    self->on_changed (self->on_changed_data);
+}
+
+static Entry *
+add_entry (SvQuarantine *self, const SvQuarantined *quarantined, SvCrashOrigin origin)
+{
+  Entry *entry;
+
+  if (g_hash_table_size (self->entries) >= MAX_ENTRIES)
+    {
+      cm_log (CM_LOG_ERR, "quarantine-full", "i", "quarantined", (gint64)MAX_ENTRIES);
+      return NULL;
+    }
+  entry = g_new0 (Entry, 1);
+  entry->key = (SegmentKey){ quarantined->segment, quarantined->service };
+  entry->told = *quarantined;
+  for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
+    entry->unsent[i] = sv_quarantine_is_for (i, origin);
+  g_hash_table_replace (self->entries, &entry->key, entry);
+  note_changed (self);
+  return entry;
+}
+
+void
+sv_quarantine_begin (SvQuarantine *self, const Suspect *suspect, PolBlameLoss *losses, guint n)
+{
+  SvQuarantined quarantined = { .service = suspect->key.service,
+                                .segment = suspect->key.segment,
+                                .since = knl_kernel_now (self->kernel) };
+
+  for (guint i = 0; i < n && quarantined.n_losses < SV_QUARANTINE_LOSSES; i++)
+    {
+      if (i == 0 || losses[i].lost_at - losses[i - 1].lost_at >= POL_BLAME_MOMENT)
+        quarantined.losses[quarantined.n_losses++] = losses[i];
+    }
+  if (add_entry (self, &quarantined, SV_CRASH_OWN) != NULL)
+    log_entry (self, "segment-quarantined", &quarantined);
+}
+
+void
+sv_quarantine_end (SvQuarantine *self, Entry *entry, const char *reason)
+{
+  g_autofree char *segment = sv_segment_format (entry->key.segment);
+
+  cm_log (CM_LOG_WARNING, "quarantine-ended", "s", "segment", segment, "s", "reason", reason, "i",
+          "age-us", knl_kernel_now (self->kernel) - entry->told.since);
+  g_hash_table_remove (self->entries, &entry->key);
+  note_changed (self);
+}
+
+/* Whether enough of the endpoints haven't been heard from since. */
+static gboolean
+is_shown (const SvQuarantine *self, const SvQuarantined *quarantined)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < quarantined->n_losses; i++)
+    n += !sv_crash_is_survived (self->fleet, quarantined->losses[i].endpoint,
+                                quarantined->losses[i].lost_at);
+  return n >= MIN_LOSSES;
+}
+
+/* NULL: it stands. */
+static const char *
+end_reason (const SvQuarantine *self, const Entry *entry)
+{
+  if (entry->told.since + ENTRY_TTL <= knl_kernel_now (self->kernel))
+    return "expired";
+  return is_shown (self, &entry->told) ? NULL : "endpoints-answer";
+}
+
+void
+sv_quarantine_review (SvQuarantine *self)
+{
+  g_autoptr (GList) entries = g_hash_table_get_values (self->entries);
+
+  for (GList *link = entries; link != NULL; link = link->next)
+    {
+      const char *reason = end_reason (self, link->data);
+
+      if (reason != NULL)
+        sv_quarantine_end (self, link->data, reason);
+    }
+}
+
+gboolean
+sv_quarantine_adopt (SvQuarantine *self, const SvQuarantined *quarantined, SvCrashOrigin origin)
+{
+  SegmentKey key = { quarantined->segment, quarantined->service };
+  const Suspect *suspect = sv_quarantine_find_suspect (self, &key);
+
+  if (sv_quarantine_find_entry (self, &key) != NULL)
+    return FALSE;
+  if (quarantined->since + ENTRY_TTL <= knl_kernel_now (self->kernel)
+      || !is_shown (self, quarantined))
+    return FALSE;
+  if (suspect != NULL && suspect->survived_at >= quarantined->since)
+    {
+      /* Who tells of it has missed the word of that. */
+      SvSegmentSurvival survival = { quarantined->service,
+                                     suspect->survived_at,
+                                     { { quarantined->segment }, 1 } };
+
+      sv_quarantine_queue_survival (self, &survival, SV_CRASH_OWN);
+      return FALSE;
+    }
+  if (add_entry (self, quarantined, origin) == NULL)
+    return FALSE;
+  log_entry (self, "quarantine-adopted", quarantined);
+  return TRUE;
+}
+
+/* Number of intervals after which the quarantine was to be put to the test so far. */
+static guint
+count_tests (const SvQuarantine *self, const Entry *entry)
+{
+  KnlTime age = knl_kernel_now (self->kernel) - entry->told.since;
+  guint n = 0;
+
+  for (KnlTime due = FIRST_TEST_AGE; due <= age; due *= 2)
+    n++;
+  return n;
+}
+
+/* Each instance draws for itself, without asking others, so that a test doesn't depend on one that
+ * may be gone. About one of them draws a test. */
+static gboolean
+draws_test (const SvQuarantine *self, const Entry *entry, guint test, guint n_instances)
+{
+  guint64 draw[] = { entry->key.segment, self->instance, test };
+
+  return XXH64 (draw, sizeof draw, 0) <= G_MAXUINT64 / MAX (n_instances, 1);
+}
+
+static gboolean
+is_let_through (const SvQuarantine *self, Entry *entry, guint n_instances)
+{
+  guint tests = count_tests (self, entry);
+  g_autofree char *segment = NULL;
+
+  if (tests <= entry->tested)
+    return FALSE;
+  entry->tested = tests;
+  if (!draws_test (self, entry, tests, n_instances))
+    return FALSE;
+  segment = sv_segment_format (entry->key.segment);
+  cm_log (CM_LOG_NOTICE, "quarantine-tested", "s", "segment", segment, "i", "test", (gint64)tests,
+          "i", "instances", (gint64)n_instances);
+  return TRUE;
+}
+
+const SvQuarantined *
+sv_quarantine_check (SvQuarantine *self,
+                     guint32 service,
+                     const SvSegments *segments,
+                     guint n_instances,
+                     gboolean *is_test)
+{
+  for (guint i = 0; i < segments->n; i++)
+    {
+      SegmentKey key = { segments->ids[i], service };
+      Entry *entry;
+
+      sv_quarantine_decide (self, &key);
+      entry = sv_quarantine_find_entry (self, &key);
+      if (entry == NULL || end_reason (self, entry) != NULL)
+        continue;
+      if (!is_let_through (self, entry, n_instances))
+        return &entry->told;
+      *is_test = TRUE;
+    }
+  return NULL;
+}
+
+static gboolean
+has_loss_of (const PolBlameLoss *losses, guint n, guint64 endpoint)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      if (losses[i].endpoint == endpoint)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+gboolean
+sv_quarantine_explains (const SvQuarantine *self, guint64 endpoint)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Entry *entry = value;
+      const Suspect *suspect = sv_quarantine_find_suspect (self, &entry->key);
+
+      if (has_loss_of (entry->told.losses, entry->told.n_losses, endpoint)
+          || (suspect != NULL && has_loss_of (suspect->losses, suspect->n, endpoint)))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+guint
+sv_quarantine_n (const SvQuarantine *self)
+{
+  return g_hash_table_size (self->entries);
+}
--- /dev/null
+++ b/serve/quarantine_internal.h
@@ -0,0 +1,98 @@
+#pragma once
+
+/** Shared by the sources of the quarantine module only; not included elsewhere. */
+
+#include "serve/quarantine.h"
+
+/* Losses kept of a segment; more than are needed, as some may not count. */
+#define MAX_SUSPECT_LOSSES 12
+
+/* Quarantined segments. Each has crashed several endpoints, so that there are few. */
+#define MAX_ENTRIES 64
+
+/* A quarantine ends after this time, as the engines may have been replaced by then. */
+#define ENTRY_TTL (6 * 3600 * KNL_SEC)
+
+typedef struct
+{
+  guint64 segment;
+  guint32 service;
+} SegmentKey;
+
+/** A segment that endpoints were lost under. */
+typedef struct
+{
+  SegmentKey key;
+  KnlTime survived_at; /* losses before it don't count; 0: never */
+  KnlTime expires;
+  guint n;
+  PolBlameLoss losses[MAX_SUSPECT_LOSSES];
+} Suspect;
+
+typedef struct
+{
+  SegmentKey key;
+  SvQuarantined told;
+  guint tested; /* intervals after which this instance has let a prompt through */
+  gboolean unsent[SV_CRASHES_N_AUDIENCES];
+} Entry;
+
+struct SvQuarantine
+{
+  KnlKernel *kernel;
+  SvFleet *fleet;
+  guint32 instance;
+  SvQuarantineFunc on_changed;
+  gpointer on_changed_data;
+  GHashTable *suspects; /* SegmentKey -> Suspect */
+  KnlTime swept_at;     /* when suspects were last dropped to make room */
+  GHashTable *entries;  /* SegmentKey -> Entry */
+  GQueue *begun;        /* SvSegmentUse, the oldest first: answers that have begun, at `at` */
+  GQueue *losses[SV_CRASHES_N_AUDIENCES];    /* SvSegmentUse, to be sent */
+  GQueue *survivals[SV_CRASHES_N_AUDIENCES]; /* SvSegmentSurvival, to be sent */
+};
+
+/* quarantine.c */
+
+/** NULL: nothing is known of it. */
+Suspect *sv_quarantine_find_suspect (const SvQuarantine *self, const SegmentKey *key);
+
+/** The same, and creates it if need be; NULL: there are too many. */
+Suspect *sv_quarantine_ensure_suspect (SvQuarantine *self, const SegmentKey *key);
+
+/** Quarantines the segment if its losses show that it crashes endpoints. */
+void sv_quarantine_decide (SvQuarantine *self, const SegmentKey *key);
+
+/** The losses of the suspect that count. Returns their number. */
+guint sv_quarantine_counted (const SvQuarantine *self,
+                             const Suspect *suspect,
+                             PolBlameLoss losses[MAX_SUSPECT_LOSSES]);
+
+/* quarantine_entries.c */
+
+Entry *sv_quarantine_find_entry (const SvQuarantine *self, const SegmentKey *key);
+
+/** Quarantines the suspect for these losses. */
+void
+sv_quarantine_begin (SvQuarantine *self, const Suspect *suspect, PolBlameLoss *losses, guint n);
+
+/** Ends a quarantine, and logs why. */
+void sv_quarantine_end (SvQuarantine *self, Entry *entry, const char *reason);
+
+/** Ends those that are too old, or that the endpoints have contradicted. */
+void sv_quarantine_review (SvQuarantine *self);
+
+/* quarantine_news.c */
+
+void sv_quarantine_queue_loss (SvQuarantine *self, const SvSegmentUse *use, SvCrashOrigin origin);
+void sv_quarantine_queue_survival (SvQuarantine *self,
+                                   const SvSegmentSurvival *survival,
+                                   SvCrashOrigin origin);
+
+/** Whether the audience is to hear from this instance what it has from there. */
+static inline gboolean
+sv_quarantine_is_for (SvCrashAudience audience, SvCrashOrigin origin)
+{
+  return audience == SV_CRASHES_FOR_CELL ? origin == SV_CRASH_OWN
+                                         : origin != SV_CRASH_OF_OTHER_CELL;
+}
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -153,6 +153,8 @@
   self->cell_announced_at = knl_kernel_now (self->kernel);
   while (send_sums (self))
     ;
+  while (sv_relay_send_quarantine (self))
+    ;
 }
 
 /* Runs `func` at once, or CELL_INTERVAL after the last run at `last` (0: never), unless it is
--- a/serve/send.c
+++ b/serve/send.c
@@ -98,7 +98,7 @@
       return;
     }
   sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
-  sv_request_note_crash (self, "silent");
+  sv_request_note_crash (self, "silent", FALSE);
   sv_reach_note_failure (sv_request_reach (self), self->placement.first);
   sv_request_cancel_send (self);
   sv_request_handle_loss (self, "silent", TRUE);
@@ -416,6 +416,11 @@
       sv_request_give_up (self, "no-time-left");
       return;
     }
+  if (sv_request_is_quarantined (self))
+    {
+      sv_request_give_up (self, "segment-quarantined");
+      return;
+    }
   if (sv_request_pass (self))
     return;
   if (sv_core_has_stale_zones (self->core))
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -67,7 +67,7 @@
   SvRequest *self = data;
 
   if (self->writing_since == 0)
-    self->writing_since = sv_request_now (self);
+    sv_request_note_begun (self);
   note_prefill_complete (self);
   note_pace (self);
   /* A second run may repeat events that the first has already sent. */
--- a/tests/unit/peers_fixture.c
+++ b/tests/unit/peers_fixture.c
@@ -59,6 +59,8 @@
     }
   self->crashes[i] = sv_crashes_new (self->kernel, self->fleets[i]);
   sv_peers_set_crashes (self->peers[i], self->crashes[i]);
+  self->quarantines[i] = sv_quarantine_new (self->kernel, self->fleets[i]);
+  sv_peers_set_quarantine (self->peers[i], self->quarantines[i]);
   self->offered[i] = sv_offered_new (self->kernel);
   sv_peers_set_offered (self->peers[i], self->offered[i]);
 }
@@ -68,6 +70,7 @@
 {
   g_clear_pointer (&self->peers[i], sv_peers_free);
   g_clear_pointer (&self->crashes[i], sv_crashes_free);
+  g_clear_pointer (&self->quarantines[i], sv_quarantine_free);
   g_clear_pointer (&self->offered[i], sv_offered_free);
   g_clear_pointer (&self->fleets[i], sv_fleet_free);
 }
--- a/tests/unit/peers_fixture.h
+++ b/tests/unit/peers_fixture.h
@@ -26,6 +26,7 @@
   SvPeers *peers[MAX_PEERS];
   char *links[MAX_PEERS];
   SvCrashes *crashes[MAX_PEERS];
+  SvQuarantine *quarantines[MAX_PEERS];
   SvOffered *offered[MAX_PEERS];
   guint64 incarnation; /* of instances that are started */
 } PeersFixture;
--- /dev/null
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -0,0 +1,444 @@
+/** Tests of which segments of prompts are quarantined, and which are not. */
+
+#include "kernel/paused.h"
+#include "serve/quarantine.h"
+#include "suite.h"
+
+#define SERVICE     7
+#define N_ENDPOINTS 12
+
+/* Ids of segments. */
+#define DEADLY 0xdead
+#define OTHER  0xbad
+#define COMMON 0xaa
+
+/* Time between two crashes that have nothing to do with each other. */
+#define PAUSE (300 * KNL_MSEC)
+
+typedef struct
+{
+  KnlPausedClock *clock;
+  KnlKernel *kernel;
+  SvFleet *fleet;
+  SvQuarantine *quarantine;
+  guint64 next_request;
+} Fixture;
+
+static void
+fixture_open (Fixture *self)
+{
+  *self = (Fixture){ .clock = knl_paused_clock_new (), .next_request = 1000 };
+  knl_paused_clock_advance (self->clock, 100 * KNL_SEC);
+  self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
+  self->fleet = sv_fleet_new (self->kernel, KNL_SEC);
+  self->quarantine = sv_quarantine_new (self->kernel, self->fleet);
+  for (guint i = 0; i < N_ENDPOINTS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+      SvEndpointEntry entry = { .id = id, .service = "s", .zone = "a", .slots = 4 };
+
+      entry.address = "127.0.0.1:1";
+      sv_fleet_update (self->fleet, &entry);
+    }
+}
+
+static void
+fixture_close (Fixture *self)
+{
+  sv_quarantine_free (self->quarantine);
+  sv_fleet_free (self->fleet);
+  knl_kernel_free (self->kernel);
+  knl_paused_clock_free (self->clock);
+}
+
+static SvEndpoint *
+endpoint_at (const Fixture *self, guint i)
+{
+  return g_ptr_array_index (sv_fleet_all (self->fleet), i);
+}
+
+static void
+pass (Fixture *self, KnlTime time)
+{
+  knl_paused_clock_advance (self->clock, time);
+  sv_quarantine_tick (self->quarantine);
+}
+
+static SvSegmentUse
+use_at (const Fixture *self, guint endpoint, guint64 request, const guint64 *segments)
+{
+  SvSegmentUse use = { .request = request,
+                       .endpoint = endpoint_at (self, endpoint)->key,
+                       .service = SERVICE,
+                       .at = knl_kernel_now (self->kernel) };
+
+  for (guint i = 0; segments[i] != 0; i++)
+    sv_segments_add (&use.segments, segments[i]);
+  return use;
+}
+
+/* The endpoint ends while it is about to answer a request with these segments, up to a 0. */
+static void
+lose (Fixture *self, guint endpoint, guint64 request, const guint64 *segments)
+{
+  SvSegmentUse use = use_at (self, endpoint, request, segments);
+
+  sv_quarantine_note_loss (self->quarantine, &use, SV_CRASH_OWN);
+}
+
+/* The same under a request of its own. */
+static void
+crash (Fixture *self, guint endpoint, const guint64 *segments)
+{
+  lose (self, endpoint, self->next_request++, segments);
+}
+
+/* The endpoint answers a request with the segments, and goes on after that. */
+static void
+answer (Fixture *self, guint endpoint, const guint64 *segments)
+{
+  SvSegmentUse use = use_at (self, endpoint, self->next_request++, segments);
+
+  sv_quarantine_note_begun (self->quarantine, &use);
+  knl_paused_clock_advance (self->clock, SV_CRASH_WINDOW);
+  endpoint_at (self, endpoint)->last_seen_at = knl_kernel_now (self->kernel);
+  sv_quarantine_tick (self->quarantine);
+}
+
+static gboolean
+is_refused (Fixture *self, guint64 segment)
+{
+  SvSegments segments = { { segment }, 1 };
+  gboolean is_test = FALSE;
+
+  return sv_quarantine_check (self->quarantine, SERVICE, &segments, 1, &is_test) != NULL;
+}
+
+/* Guards against requests with the segment that go on ending endpoints after the third. */
+static void
+test_three_crashes_quarantine_a_segment (void)
+{
+  static const guint64 rows[][3] = { { 1, DEADLY }, { 2, DEADLY }, { 3, DEADLY } };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      CU_ASSERT_FALSE (is_refused (&fixture, DEADLY));
+      crash (&fixture, i, rows[i]);
+      pass (&fixture, PAUSE);
+    }
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  for (guint segment = 1; segment <= 3; segment++)
+    CU_ASSERT_FALSE (is_refused (&fixture, segment));
+  fixture_close (&fixture);
+}
+
+/* Guards against sound prompts that are refused since they share a segment with the crashing ones.
+ */
+static void
+test_shared_segments_are_not_blamed (void)
+{
+  static const guint64 bad[] = { COMMON, DEADLY, 0 };
+  static const guint64 good[] = { COMMON, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 4; i++)
+    {
+      crash (&fixture, i, bad);
+      answer (&fixture, N_ENDPOINTS - 1, good);
+      CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
+    }
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
+/* Guards against segments that are blamed for a rack or a zone that fails as a whole. */
+static void
+test_endpoints_that_end_together_convict_nothing (void)
+{
+  static const guint64 segments[] = { COMMON, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < N_ENDPOINTS; i++)
+    {
+      crash (&fixture, i, segments);
+      knl_paused_clock_advance (fixture.clock, 2 * KNL_MSEC);
+    }
+  pass (&fixture, PAUSE);
+  CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
+  fixture_close (&fixture);
+}
+
+/* Guards against a segment that is blamed for a single request that crashes endpoints by itself. */
+static void
+test_one_request_convicts_no_segment (void)
+{
+  static const guint64 segments[] = { COMMON, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 6; i++)
+    {
+      lose (&fixture, i, 77, segments);
+      if (i == 2)
+        crash (&fixture, i, segments);
+      pass (&fixture, PAUSE);
+    }
+  CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
+  fixture_close (&fixture);
+}
+
+/* Guards against bystanders that are blamed for crashes which a quarantined segment explains. */
+static void
+test_bystanders_of_crashes_are_not_blamed (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  static const guint64 bystander[] = { OTHER, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 6; i++)
+    {
+      crash (&fixture, i, bad);
+      if (i > 0)
+        crash (&fixture, i, bystander);
+      pass (&fixture, PAUSE);
+    }
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  CU_ASSERT_FALSE (is_refused (&fixture, OTHER));
+  fixture_close (&fixture);
+}
+
+/* Guards against segments that are blamed for closed or reset connections of endpoints that live.
+ */
+static void
+test_endpoints_that_are_heard_from_have_not_crashed (void)
+{
+  static const guint64 segments[] = { COMMON, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 6; i++)
+    {
+      crash (&fixture, i, segments);
+      knl_paused_clock_advance (fixture.clock, PAUSE);
+      endpoint_at (&fixture, i)->last_seen_at = knl_kernel_now (fixture.kernel);
+      sv_quarantine_tick (fixture.quarantine);
+    }
+  CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
+  fixture_close (&fixture);
+}
+
+/* Guards against a segment that is acquitted by the first events of an answer whose endpoint ends
+ * right after them. */
+static void
+test_begun_answers_acquit_only_if_survived (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    {
+      SvSegmentUse use = use_at (&fixture, i, fixture.next_request++, bad);
+      SvSegmentUse lost = { .endpoint = use.endpoint, .service = SERVICE };
+
+      sv_quarantine_note_begun (fixture.quarantine, &use);
+      endpoint_at (&fixture, i)->last_seen_at = use.at;
+      knl_paused_clock_advance (fixture.clock, SV_CRASH_WINDOW / 2);
+      lost.at = knl_kernel_now (fixture.kernel);
+      /* The answer was complete; what shows the end is another request. */
+      sv_quarantine_note_loss (fixture.quarantine, &lost, SV_CRASH_OWN);
+      pass (&fixture, SV_CRASH_WINDOW);
+    }
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
+/* Guards against a segment that is acquitted by an answer which its caller cancelled in time. */
+static void
+test_cancelled_answers_acquit_nothing (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+  SvSegmentUse use;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    {
+      crash (&fixture, i, bad);
+      pass (&fixture, PAUSE);
+    }
+  use = use_at (&fixture, 5, 500, bad);
+  sv_quarantine_note_begun (fixture.quarantine, &use);
+  sv_quarantine_forget_begun (fixture.quarantine, use.request, use.endpoint);
+  knl_paused_clock_advance (fixture.clock, SV_CRASH_WINDOW);
+  endpoint_at (&fixture, 5)->last_seen_at = knl_kernel_now (fixture.kernel);
+  sv_quarantine_tick (fixture.quarantine);
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
+/* Guards against a second segment that crashes endpoints and hides behind the first. */
+static void
+test_two_segments_at_once_are_both_found (void)
+{
+  static const guint64 first[] = { COMMON, DEADLY, 0 };
+  static const guint64 second[] = { COMMON, OTHER, 0 };
+  static const guint64 good[] = { COMMON, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 8; i++)
+    {
+      crash (&fixture, i, i % 2 == 0 ? first : second);
+      pass (&fixture, PAUSE);
+      if (i % 2 == 1)
+        answer (&fixture, N_ENDPOINTS - 1, good);
+    }
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  CU_ASSERT_TRUE (is_refused (&fixture, OTHER));
+  CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
+  fixture_close (&fixture);
+}
+
+/* Guards against a segment that is never quarantined since another one always comes with it. */
+static void
+test_segments_that_come_together_are_quarantined_later (void)
+{
+  static const guint64 both[] = { DEADLY, OTHER, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 5; i++)
+    {
+      CU_ASSERT_FALSE (is_refused (&fixture, DEADLY));
+      crash (&fixture, i, both);
+      pass (&fixture, PAUSE);
+    }
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
+/* Guards against a segment that is never quarantined, or memory without bound, as thousands of
+ * made-up segments were lost before. */
+static void
+test_made_up_segments_take_bounded_memory (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint64 i = 1; i <= 20000; i++)
+    {
+      guint64 made_up[] = { 0x10000 + i, 0 };
+
+      crash (&fixture, (guint)(i % N_ENDPOINTS), made_up);
+    }
+  CU_ASSERT_TRUE (sv_quarantine_n_suspects (fixture.quarantine) <= 4096);
+  pass (&fixture, 3 * KNL_SEC);
+  for (guint i = 0; i < 3; i++)
+    {
+      crash (&fixture, i, bad);
+      pass (&fixture, PAUSE);
+    }
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
+/* Guards against a quarantine that never ends: the engines run other software now. */
+static void
+test_a_survived_test_ends_the_quarantine (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+  guint let_through = 0;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    {
+      crash (&fixture, i, bad);
+      pass (&fixture, PAUSE);
+    }
+  for (guint s = 0; s < 300; s++)
+    {
+      let_through += !is_refused (&fixture, DEADLY);
+      pass (&fixture, KNL_SEC);
+    }
+  CU_ASSERT_TRUE (let_through >= 1 && let_through <= 3);
+  answer (&fixture, 5, bad);
+  CU_ASSERT_FALSE (is_refused (&fixture, DEADLY));
+  CU_ASSERT_EQUAL (sv_quarantine_n (fixture.quarantine), 0);
+  fixture_close (&fixture);
+}
+
+/* Guards against a quarantine by an instance that was cut off and took that for crashes. */
+static void
+test_quarantines_that_endpoints_contradict_end (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+  SvQuarantined told = { .service = SERVICE, .segment = OTHER, .n_losses = 3 };
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    {
+      crash (&fixture, i, bad);
+      pass (&fixture, PAUSE);
+      told.losses[i] = (PolBlameLoss){ .endpoint = endpoint_at (&fixture, i)->key,
+                                       .lost_at = knl_kernel_now (fixture.kernel) };
+    }
+  told.since = knl_kernel_now (fixture.kernel);
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  pass (&fixture, PAUSE);
+  endpoint_at (&fixture, 1)->last_seen_at = knl_kernel_now (fixture.kernel);
+  CU_ASSERT_FALSE (is_refused (&fixture, DEADLY));
+  CU_ASSERT_FALSE (sv_quarantine_adopt (fixture.quarantine, &told, SV_CRASH_OF_CELL));
+  fixture_close (&fixture);
+}
+
+/* Guards against prompts that are refused at one service for crashes at another. */
+static void
+test_services_are_kept_apart (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  SvSegments segments = { { DEADLY }, 1 };
+  gboolean is_test = FALSE;
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    {
+      crash (&fixture, i, bad);
+      pass (&fixture, PAUSE);
+    }
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  CU_ASSERT_PTR_NULL (
+      sv_quarantine_check (fixture.quarantine, SERVICE + 1, &segments, 1, &is_test));
+  fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "three crashes quarantine a segment", test_three_crashes_quarantine_a_segment },
+  { "shared segments are not blamed", test_shared_segments_are_not_blamed },
+  { "endpoints that end together convict nothing",
+    test_endpoints_that_end_together_convict_nothing },
+  { "one request convicts no segment", test_one_request_convicts_no_segment },
+  { "bystanders of crashes are not blamed", test_bystanders_of_crashes_are_not_blamed },
+  { "endpoints that are heard from have not crashed",
+    test_endpoints_that_are_heard_from_have_not_crashed },
+  { "begun answers acquit only if survived", test_begun_answers_acquit_only_if_survived },
+  { "cancelled answers acquit nothing", test_cancelled_answers_acquit_nothing },
+  { "two segments at once are both found", test_two_segments_at_once_are_both_found },
+  { "segments that come together are quarantined later",
+    test_segments_that_come_together_are_quarantined_later },
+  { "made-up segments take bounded memory", test_made_up_segments_take_bounded_memory },
+  { "a survived test ends the quarantine", test_a_survived_test_ends_the_quarantine },
+  { "quarantines that endpoints contradict end", test_quarantines_that_endpoints_contradict_end },
+  { "services are kept apart", test_services_are_kept_apart },
+};
+
+SUITE_MAIN ("sv_quarantine_rules", cases)
--- a/tests/unit/sv_quarantine_test.c
+++ b/tests/unit/sv_quarantine_test.c
@@ -40,19 +40,26 @@
   sv_core_confirm (fixture->core, knl_kernel_now (fixture->kernel));
 }
 
-/* Three endpoints end, each under another request, which share one segment. */
+static const char *const segments_of_crash[] = { "aa:40" DEADLY, "bb:40" DEADLY, "cc:40" DEADLY };
+
+/* Endpoints end, each under another request, which share one segment. */
 static void
-crash_three (SvFixture *fixture)
+crash_endpoints (SvFixture *fixture, guint n)
 {
-  static const char *const segments[] = { "aa:40" DEADLY, "bb:40" DEADLY, "cc:40" DEADLY };
-
-  for (guint i = 0; i < G_N_ELEMENTS (segments); i++)
+  for (guint i = 0; i < n; i++)
     {
       sv_fixture_add_endpoint (fixture, &crashes, 1);
-      request_prompt (fixture, "/once/1", segments[i]);
+      request_prompt (fixture, "/once/1", segments_of_crash[i]);
       sv_fixture_wait_for (fixture, "HTTP/1.1 502");
       remove_endpoint (fixture, i);
     }
+}
+
+/* After three crashes there is a fourth endpoint. */
+static void
+crash_three (SvFixture *fixture)
+{
+  crash_endpoints (fixture, 3);
   sv_fixture_add_endpoint (fixture, &good, 1);
 }
 
@@ -73,9 +80,60 @@
   sv_fixture_close (&fixture);
 }
 
+/* Guards against sound prompts that are refused with the crashing ones, whose caller and other
+ * segments they share. */
+static void
+test_prompts_without_the_segment_are_served (void)
+{
+  static const char *const sound[] = { "aa:40", "bb:40", "aa:40,cc:40", "ee:100" };
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  crash_three (&fixture);
+  for (guint i = 0; i < G_N_ELEMENTS (sound); i++)
+    {
+      request_prompt (&fixture, "/once/1", sound[i]);
+      sv_fixture_wait_for (&fixture, "good");
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 200"));
+    }
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[3]), G_N_ELEMENTS (sound));
+  sv_fixture_close (&fixture);
+}
+
+/* Guards against a prompt that still waits at its endpoint when its segment is quarantined, and
+ * that ends the endpoint although it could be taken back. */
+static void
+test_waiting_prompts_are_taken_back (void)
+{
+  static const ScriptedAnswer silent = { NULL, FALSE };
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  crash_endpoints (&fixture, 2);
+  sv_fixture_add_endpoint (&fixture, &crashes, 1);
+  request_prompt (&fixture, "/once/1", segments_of_crash[2]);
+  sv_fixture_wait_for (&fixture, "HTTP/1.1 502");
+  sv_fleet_remove (fixture.fleet, "i-2");
+  sv_fixture_add_endpoint (&fixture, &silent, 1);
+  request_prompt (&fixture, "/once/1", "ee:40" DEADLY);
+  sv_fixture_wait_requests (&fixture, 3, 1);
+  knl_paused_clock_advance (fixture.clock, 500 * KNL_MSEC);
+  sv_quarantine_tick (sv_core_quarantine (fixture.core));
+  knl_kernel_run_due (fixture.kernel);
+  sv_fixture_wait_for (&fixture, "HTTP/1.1 502");
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 502"));
+  while (scripted_endpoint_n_closed_by_peer (fixture.endpoints[3]) == 0)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "a segment that crashes endpoints is refused",
     test_a_segment_that_crashes_endpoints_is_refused },
+  { "prompts without the segment are served", test_prompts_without_the_segment_are_served },
+  { "waiting prompts are taken back", test_waiting_prompts_are_taken_back },
 };
 
 SUITE_MAIN ("sv_quarantine", cases)
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -502,6 +502,141 @@
   assert(message->base.descriptor == &alderturn__offered_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   alderturn__segment_loss__init
+                     (Alderturn__SegmentLoss         *message)
+{
+  static const Alderturn__SegmentLoss init_value = ALDERTURN__SEGMENT_LOSS__INIT;
+  *message = init_value;
+}
+size_t alderturn__segment_loss__get_packed_size
+                     (const Alderturn__SegmentLoss *message)
+{
+  assert(message->base.descriptor == &alderturn__segment_loss__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__segment_loss__pack
+                     (const Alderturn__SegmentLoss *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__segment_loss__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__segment_loss__pack_to_buffer
+                     (const Alderturn__SegmentLoss *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__segment_loss__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__SegmentLoss *
+       alderturn__segment_loss__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__SegmentLoss *)
+     protobuf_c_message_unpack (&alderturn__segment_loss__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__segment_loss__free_unpacked
+                     (Alderturn__SegmentLoss *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__segment_loss__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   alderturn__segment_survival__init
+                     (Alderturn__SegmentSurvival         *message)
+{
+  static const Alderturn__SegmentSurvival init_value = ALDERTURN__SEGMENT_SURVIVAL__INIT;
+  *message = init_value;
+}
+size_t alderturn__segment_survival__get_packed_size
+                     (const Alderturn__SegmentSurvival *message)
+{
+  assert(message->base.descriptor == &alderturn__segment_survival__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__segment_survival__pack
+                     (const Alderturn__SegmentSurvival *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__segment_survival__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__segment_survival__pack_to_buffer
+                     (const Alderturn__SegmentSurvival *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__segment_survival__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__SegmentSurvival *
+       alderturn__segment_survival__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__SegmentSurvival *)
+     protobuf_c_message_unpack (&alderturn__segment_survival__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__segment_survival__free_unpacked
+                     (Alderturn__SegmentSurvival *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__segment_survival__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   alderturn__quarantined_segment__init
+                     (Alderturn__QuarantinedSegment         *message)
+{
+  static const Alderturn__QuarantinedSegment init_value = ALDERTURN__QUARANTINED_SEGMENT__INIT;
+  *message = init_value;
+}
+size_t alderturn__quarantined_segment__get_packed_size
+                     (const Alderturn__QuarantinedSegment *message)
+{
+  assert(message->base.descriptor == &alderturn__quarantined_segment__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__quarantined_segment__pack
+                     (const Alderturn__QuarantinedSegment *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__quarantined_segment__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__quarantined_segment__pack_to_buffer
+                     (const Alderturn__QuarantinedSegment *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__quarantined_segment__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__QuarantinedSegment *
+       alderturn__quarantined_segment__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__QuarantinedSegment *)
+     protobuf_c_message_unpack (&alderturn__quarantined_segment__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__quarantined_segment__free_unpacked
+                     (Alderturn__QuarantinedSegment *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__quarantined_segment__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   alderturn__datagram__init
                      (Alderturn__Datagram         *message)
 {
@@ -1511,7 +1646,251 @@
   (ProtobufCMessageInit) alderturn__offered_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[26] =
+static const ProtobufCFieldDescriptor alderturn__segment_loss__field_descriptors[5] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__SegmentLoss, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__SegmentLoss, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__SegmentLoss, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__SegmentLoss, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "segments",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Alderturn__SegmentLoss, n_segments),
+    offsetof(Alderturn__SegmentLoss, segments),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__segment_loss__field_indices_by_name[] = {
+  3,   /* field[3] = age_ms */
+  1,   /* field[1] = endpoint */
+  0,   /* field[0] = request */
+  4,   /* field[4] = segments */
+  2,   /* field[2] = service */
+};
+static const ProtobufCIntRange alderturn__segment_loss__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor alderturn__segment_loss__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.SegmentLoss",
+  "SegmentLoss",
+  "Alderturn__SegmentLoss",
+  "alderturn",
+  sizeof(Alderturn__SegmentLoss),
+  5,
+  alderturn__segment_loss__field_descriptors,
+  alderturn__segment_loss__field_indices_by_name,
+  1,  alderturn__segment_loss__number_ranges,
+  (ProtobufCMessageInit) alderturn__segment_loss__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__segment_survival__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__SegmentSurvival, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__SegmentSurvival, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "segments",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Alderturn__SegmentSurvival, n_segments),
+    offsetof(Alderturn__SegmentSurvival, segments),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__segment_survival__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  2,   /* field[2] = segments */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange alderturn__segment_survival__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor alderturn__segment_survival__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.SegmentSurvival",
+  "SegmentSurvival",
+  "Alderturn__SegmentSurvival",
+  "alderturn",
+  sizeof(Alderturn__SegmentSurvival),
+  3,
+  alderturn__segment_survival__field_descriptors,
+  alderturn__segment_survival__field_indices_by_name,
+  1,  alderturn__segment_survival__number_ranges,
+  (ProtobufCMessageInit) alderturn__segment_survival__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__quarantined_segment__field_descriptors[5] =
+{
+  {
+    "segment",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__QuarantinedSegment, segment),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__QuarantinedSegment, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__QuarantinedSegment, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Alderturn__QuarantinedSegment, n_endpoints),
+    offsetof(Alderturn__QuarantinedSegment, endpoints),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost_ms",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Alderturn__QuarantinedSegment, n_lost_ms),
+    offsetof(Alderturn__QuarantinedSegment, lost_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__quarantined_segment__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  3,   /* field[3] = endpoints */
+  4,   /* field[4] = lost_ms */
+  0,   /* field[0] = segment */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange alderturn__quarantined_segment__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor alderturn__quarantined_segment__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.QuarantinedSegment",
+  "QuarantinedSegment",
+  "Alderturn__QuarantinedSegment",
+  "alderturn",
+  sizeof(Alderturn__QuarantinedSegment),
+  5,
+  alderturn__quarantined_segment__field_descriptors,
+  alderturn__quarantined_segment__field_indices_by_name,
+  1,  alderturn__quarantined_segment__number_ranges,
+  (ProtobufCMessageInit) alderturn__quarantined_segment__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[29] =
 {
   {
     "sender",
@@ -1825,6 +2204,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "segment_losses",
+    28,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Alderturn__Datagram, n_segment_losses),
+    offsetof(Alderturn__Datagram, segment_losses),
+    &alderturn__segment_loss__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "survivals",
+    29,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Alderturn__Datagram, n_survivals),
+    offsetof(Alderturn__Datagram, survivals),
+    &alderturn__segment_survival__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    30,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Alderturn__Datagram, n_quarantined),
+    offsetof(Alderturn__Datagram, quarantined),
+    &alderturn__quarantined_segment__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__datagram__field_indices_by_name[] = {
   23,   /* field[23] = answered */
@@ -1847,10 +2262,13 @@
   20,   /* field[20] = members */
   25,   /* field[25] = offered */
   13,   /* field[13] = passed */
+  28,   /* field[28] = quarantined */
   7,   /* field[7] = reads */
   3,   /* field[3] = ready */
+  26,   /* field[26] = segment_losses */
   0,   /* field[0] = sender */
   2,   /* field[2] = sequence */
+  27,   /* field[27] = survivals */
   14,   /* field[14] = to_relay */
   5,   /* field[5] = whole */
 };
@@ -1858,7 +2276,7 @@
 {
   { 1, 0 },
   { 10, 8 },
-  { 0, 26 }
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor alderturn__datagram__descriptor =
 {
@@ -1868,7 +2286,7 @@
   "Alderturn__Datagram",
   "alderturn",
   sizeof(Alderturn__Datagram),
-  26,
+  29,
   alderturn__datagram__field_descriptors,
   alderturn__datagram__field_indices_by_name,
   2,  alderturn__datagram__number_ranges,
