gateway: quarantined segments outlive a restart of all instances

Cause: what instances know of crashing segments is in memory. After all were killed at once the segment would end three more endpoints, and the one before that was no different: the same holds for each restart of all. Change: the relay keeps its cell's quarantined segments in the row of the cell, which each instance reads at its start anyway. A read and a write a cell for each change; no call otherwise. Measured: gw_members, 'quarantines outlive a restart of all', fails without the reading of the row and passes with it; it bounds the calls too.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -167,6 +167,17 @@
 /** Reads the cells' rows again, which the store may have lost, if this instance is a relay. */
 void gateway_reread_cells (Gateway *self);
 
+/* quarantine.c */
+
+/** Adopts the quarantined segments in the cell's row. */
+void gateway_adopt_quarantined (Gateway *self);
+
+/** Whether the cell's row has other quarantined segments than this instance. */
+gboolean gateway_is_quarantine_unwritten (const Gateway *self);
+
+/** Adds this instance's quarantined segments to a new row of the cell. */
+void gateway_encode_quarantined (const Gateway *self, json_t *row);
+
 /* era.c */
 
 void gateway_add_era_metric (Gateway *self);
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -194,9 +194,11 @@
   SvMember contacts[MAX_CONTACTS];
   guint n = sv_peers_contacts (self->peers, contacts, MAX_CONTACTS);
 
-  self->member_call =
-      pl_store_put (self->store, PL_CELL_TABLE, self->member.zone, pl_encode_contacts (contacts, n),
-                    self->cell_row_version, on_written, self);
+  json_t *row = pl_encode_contacts (contacts, n);
+
+  gateway_encode_quarantined (self, row);
+  self->member_call = pl_store_put (self->store, PL_CELL_TABLE, self->member.zone, row,
+                                    self->cell_row_version, on_written, self);
 }
 
 /* Returns the number of contacts to which the request was sent. */
@@ -290,6 +292,7 @@
       is_found |= keep_cell_row (self, &row);
       json_decref (row.value);
     }
+  gateway_adopt_quarantined (self);
   if (is_found)
     join (self);
   else
@@ -379,7 +382,7 @@
       json_decref (row.value);
     }
   join_silent_contacts (self);
-  if (is_outdated (self))
+  if (is_outdated (self) || gateway_is_quarantine_unwritten (self))
     write_contacts (self);
   else
     schedule (self, REVIEW_INTERVAL, review);
@@ -401,7 +404,8 @@
   self->member_timer = 0;
   if (!sv_peers_is_relay (self->peers))
     self->cells_read_at = 0;
-  else if (self->cells_read_at == 0 || now - self->cells_read_at >= CELLS_INTERVAL)
+  else if (self->cells_read_at == 0 || now - self->cells_read_at >= CELLS_INTERVAL
+           || gateway_is_quarantine_unwritten (self))
     {
       read_cells (self);
       return;
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -41,6 +41,13 @@
  * Returns their number; the strings are borrowed from `value`. */
 guint pl_decode_contacts (json_t *value, SvMember *members, guint max);
 
+/** Adds quarantined segments to a cell's row. */
+void pl_encode_quarantined (json_t *row, const SvQuarantined *quarantined, guint n);
+
+/** Reads at most `max` quarantined segments of a cell's row; those without all fields are left out.
+ * Returns their number; times are left 0. */
+guint pl_decode_quarantined (json_t *row, SvQuarantined *quarantined, guint max);
+
 /** Reads the row of an instance of an earlier release: its datagram address, zone, incarnation and
  * strength. Returns FALSE if the address or the zone is missing. The strings are borrowed from
  * `value`. */
--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -106,6 +106,9 @@
 /** Whether the endpoint was lost under a prompt with a quarantined segment. */
 gboolean sv_quarantine_explains (const SvQuarantine *quarantine, guint64 endpoint);
 
+/** Fills in the quarantined segments, the newest first. Returns their number, at most `max`. */
+guint sv_quarantine_list (const SvQuarantine *quarantine, SvQuarantined *list, guint max);
+
 /** Number of quarantined segments. */
 guint sv_quarantine_n (const SvQuarantine *quarantine);
 
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -270,6 +270,26 @@
   return FALSE;
 }
 
+static gint
+compare_ages (gconstpointer a, gconstpointer b)
+{
+  KnlTime left = ((const Entry *)a)->told.since;
+  KnlTime right = ((const Entry *)b)->told.since;
+
+  return (left < right) - (left > right);
+}
+
+guint
+sv_quarantine_list (const SvQuarantine *self, SvQuarantined *list, guint max)
+{
+  g_autoptr (GList) entries = g_list_sort (g_hash_table_get_values (self->entries), compare_ages);
+  guint n = 0;
+
+  for (const GList *link = entries; link != NULL && n < max; link = link->next)
+    list[n++] = ((const Entry *)link->data)->told;
+  return n;
+}
+
 guint
 sv_quarantine_n (const SvQuarantine *self)
 {
--- a/tests/unit/gw_members_test.c
+++ b/tests/unit/gw_members_test.c
@@ -286,6 +286,61 @@
   gf_fleet_close (&fleet);
 }
 
+#define SERVICE 7
+#define SEGMENT 0xdead
+
+/* Instance `i` has seen a segment crash three endpoints. */
+static void
+quarantine_segment (GfFleet *fleet, guint i)
+{
+  SvQuarantined quarantined = {
+    .service = SERVICE, .segment = SEGMENT, .since = knl_kernel_now (fleet->kernel), .n_losses = 3
+  };
+
+  for (guint j = 0; j < quarantined.n_losses; j++)
+    quarantined.losses[j] = (PolBlameLoss){ .endpoint = 100 + j, .lost_at = quarantined.since };
+  sv_quarantine_adopt (sv_core_quarantine (fleet->instances[i].gateway.core), &quarantined,
+                       SV_CRASH_OWN);
+}
+
+static guint
+count_quarantined (const GfFleet *fleet)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < fleet->size.n_instances; i++)
+    n += sv_quarantine_n (sv_core_quarantine (fleet->instances[i].gateway.core));
+  return n;
+}
+
+/* Guards against a segment that crashes further endpoints after all instances have been killed. */
+static void
+test_quarantines_outlive_a_restart_of_all (void)
+{
+  GfFleet fleet;
+  guint n = small.n_instances;
+  guint calls;
+
+  gf_fleet_open (&fleet, &small);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  calls = row_store_n_calls (fleet.store);
+  quarantine_segment (&fleet, 1);
+  gf_fleet_advance (&fleet, START_TIME);
+  CU_ASSERT_EQUAL (count_quarantined (&fleet), n);
+  calls = row_store_n_calls (fleet.store) - calls;
+  for (guint i = 0; i < n; i++)
+    gf_fleet_kill (&fleet, i);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  CU_ASSERT_EQUAL (count_quarantined (&fleet), n);
+  /* A read and a write by each relay, besides the feeds' questions. */
+  CU_ASSERT (calls <= 4 * ZONES * ZONES);
+  gf_fleet_close (&fleet);
+}
+
 static const SuiteCase cases[] = {
   { "calls of a first start grow with the instances alone", test_first_start },
   { "calls of a restart grow with the instances alone", test_restart_of_half },
@@ -296,6 +351,7 @@
   { "the cell is found with the configuration", test_cell_is_found_with_the_configuration },
   { "instances of an earlier release are discovered", test_earlier_release_is_discovered },
   { "frequent failures postpone nothing", test_frequent_failures_postpone_nothing },
+  { "quarantines outlive a restart of all", test_quarantines_outlive_a_restart_of_all },
 };
 
 SUITE_MAIN ("gw_members", cases)
