serve: only ended endpoints convict a segment, late signs of life acquit

A closed connection or a broken answer of an endpoint that then got no request, as it rested, counted as its end. And an answer acquitted its segments only if the endpoint was heard from within the same half second. Change: a loss counts once the endpoint has certainly ended: two requests were lost there at once, it refuses connections, or it isn't listed any more. An answer waits up to 10 s for a sign that its endpoint has survived it.

--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -6,8 +6,9 @@
  * An endpoint that ends takes a dozen requests with it, of many callers and instances, and each
  * request has several segments. Each instance records, for each segment, which endpoints were lost
  * when they were about to answer a prompt with it, or had just begun to; all instances exchange
- * these losses. A prompt with the segment that an endpoint survives clears its losses. What is left
- * is weighed by PolBlame; then the segment is quarantined: prompts with it are refused.
+ * these losses. They count once it is certain that the endpoint has ended. A prompt with the
+ * segment that an endpoint survives clears its losses. What is left is weighed by PolBlame; then
+ * the segment is quarantined: prompts with it are refused.
  *
  * The quarantine is one for all instances: the first to decide tells the others, with the losses
  * that show it. It stands for as long as nobody has heard from these endpoints. It ends with the
@@ -70,6 +71,14 @@
 gboolean
 sv_quarantine_note_loss (SvQuarantine *quarantine, const SvSegmentUse *use, SvCrashOrigin origin);
 
+/** Whatever request it is: the endpoint's connection ended while it ran the request. An endpoint
+ * that ends loses all its requests at once, one that closes a connection a single one. */
+void
+sv_quarantine_note_closed (SvQuarantine *quarantine, guint64 endpoint, guint64 request, KnlTime at);
+
+/** The endpoint accepts no connections, or another process has its address. */
+void sv_quarantine_note_refused (SvQuarantine *quarantine, guint64 endpoint);
+
 /** An endpoint has begun to answer the prompt. If it is heard from after SV_CRASH_WINDOW it has
  * survived. TRUE: there is something to be sent to others. */
 gboolean sv_quarantine_note_begun (SvQuarantine *quarantine, const SvSegmentUse *use);
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -438,7 +438,10 @@
     }
   self->unreached = failure == HT_FAIL_CONNECT;
   if (self->unreached)
-    sv_reach_note_failure (sv_request_reach (self), endpoint);
+    {
+      sv_reach_note_failure (sv_request_reach (self), endpoint);
+      sv_quarantine_note_refused (self->core->quarantine, endpoint->key);
+    }
   if (failure == HT_FAIL_CLOSED && !is_cut_off)
     sv_request_note_crash (self, was_stale ? "stale-connection" : ht_failure_name (failure), TRUE);
   close_send (self, ht_failure_name (failure));
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -309,6 +309,9 @@
       const Alderturn__EndpointCrash *row = datagram->crashes[i];
       SvCrash crash = { row->request, row->endpoint, now - (KnlTime)row->age_ms * KNL_MSEC };
 
+      if (self->quarantine != NULL)
+        sv_quarantine_note_closed (self->quarantine, crash.endpoint, crash.fingerprint,
+                                   crash.lost_at);
       if (sv_crashes_note_loss (self->crashes, &crash, origin))
         log_crash (self, &crash, peer);
     }
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -16,8 +16,10 @@
 /* Shortest time between two looks at all suspects for some to drop. */
 #define SWEEP_INTERVAL (200 * KNL_MSEC)
 
-/* Answers that have begun and may still crash their endpoints. */
+/* Answers that have begun and may still crash their endpoints, and how long each waits for a sign
+ * that its endpoint lives: one without requests isn't heard from. */
 #define MAX_BEGUN 1024
+#define BEGUN_TTL (10 * KNL_SEC)
 
 /* Age from which a loss counts. An endpoint that only closed a connection is heard from before. */
 #define SETTLE_TIME (250 * KNL_MSEC)
@@ -48,6 +50,7 @@
   self->fleet = fleet;
   self->suspects = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
   self->entries = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
+  self->ends = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   self->begun = g_queue_new ();
   for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
     {
@@ -64,6 +67,7 @@
     return;
   g_hash_table_unref (self->suspects);
   g_hash_table_unref (self->entries);
+  g_hash_table_unref (self->ends);
   g_queue_free_full (self->begun, g_free);
   for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
     {
@@ -213,7 +217,7 @@
     {
       const PolBlameLoss *loss = &suspect->losses[i];
 
-      if (loss->lost_at <= newest
+      if (loss->lost_at <= newest && sv_quarantine_has_ended (self, loss->endpoint)
           && !sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at)
           && !sv_quarantine_explains (self, loss->endpoint))
         losses[n++] = *loss;
@@ -310,6 +314,7 @@
 {
   if (use->at + SUSPECT_TTL <= knl_kernel_now (self->kernel))
     return FALSE;
+  sv_quarantine_note_closed (self, use->endpoint, use->request, use->at);
   if (origin == SV_CRASH_OWN)
     record_begun (self, use->endpoint, use->at);
   if (use->segments.n == 0 || !record_loss (self, use))
@@ -384,22 +389,39 @@
   return cleared;
 }
 
+/* Whether it has shown that the endpoint survives the answer, or never will. */
+static gboolean
+is_settled (const SvQuarantine *self, const SvSegmentUse *use, gboolean *survived)
+{
+  const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, use->endpoint);
+
+  *survived = endpoint != NULL && endpoint->last_seen_at >= use->at + SV_CRASH_WINDOW;
+  return *survived || endpoint == NULL || use->at + BEGUN_TTL <= knl_kernel_now (self->kernel);
+}
+
 /* TRUE: some segments were cleared. */
 static gboolean
 note_survivors (SvQuarantine *self)
 {
-  KnlTime now = knl_kernel_now (self->kernel);
+  KnlTime newest = knl_kernel_now (self->kernel) - SV_CRASH_WINDOW;
   gboolean cleared = FALSE;
-  SvSegmentUse *use;
+  GList *next;
 
-  while ((use = g_queue_peek_head (self->begun)) != NULL && use->at + SV_CRASH_WINDOW <= now)
+  for (GList *link = self->begun->head; link != NULL; link = next)
     {
-      const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, use->endpoint);
+      SvSegmentUse *use = link->data;
       SvSegmentSurvival survival = { use->service, use->at + SV_CRASH_WINDOW, use->segments };
+      gboolean survived;
 
-      if (endpoint != NULL && endpoint->last_seen_at >= survival.at)
+      next = link->next;
+      if (use->at > newest)
+        break;
+      if (!is_settled (self, use, &survived))
+        continue;
+      if (survived)
         cleared |= sv_quarantine_note_survival (self, &survival, SV_CRASH_OWN);
-      g_free (g_queue_pop_head (self->begun));
+      g_free (use);
+      g_queue_delete_link (self->begun, link);
     }
   return cleared;
 }
@@ -437,6 +459,7 @@
   gboolean cleared = note_survivors (self);
 
   g_hash_table_foreach_remove (self->suspects, is_expired, self->kernel);
+  sv_quarantine_drop_old_ends (self);
   sv_quarantine_review (self);
   decide_all (self);
   return cleared;
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -37,6 +37,15 @@
   gboolean unsent[SV_CRASHES_N_AUDIENCES];
 } Entry;
 
+/** What shows whether an endpoint has ended. */
+typedef struct
+{
+  guint64 endpoint;
+  guint64 request; /* that was lost there last */
+  KnlTime lost_at;
+  gboolean has_ended;
+} EndpointEnd;
+
 struct SvQuarantine
 {
   KnlKernel *kernel;
@@ -47,6 +56,7 @@
   GHashTable *suspects; /* SegmentKey -> Suspect */
   KnlTime swept_at;     /* when suspects were last dropped to make room */
   GHashTable *entries;  /* SegmentKey -> Entry */
+  GHashTable *ends;     /* key of an endpoint -> EndpointEnd */
   GQueue *begun;        /* SvSegmentUse, the oldest first: answers that have begun, at `at` */
   GQueue *losses[SV_CRASHES_N_AUDIENCES];    /* SvSegmentUse, to be sent */
   GQueue *survivals[SV_CRASHES_N_AUDIENCES]; /* SvSegmentSurvival, to be sent */
@@ -68,6 +78,14 @@
                              const Suspect *suspect,
                              PolBlameLoss losses[MAX_SUSPECT_LOSSES]);
 
+/* quarantine_ends.c */
+
+/** Whether it is certain that the endpoint has ended. */
+gboolean sv_quarantine_has_ended (const SvQuarantine *self, guint64 endpoint);
+
+/** Drops what is too old. */
+void sv_quarantine_drop_old_ends (SvQuarantine *self);
+
 /* quarantine_entries.c */
 
 Entry *sv_quarantine_find_entry (const SvQuarantine *self, const SegmentKey *key);
--- a/serve/request_quarantine.c
+++ b/serve/request_quarantine.c
@@ -35,7 +35,6 @@
 {
   SvSegmentUse use = use_of (self);
 
-  /* The endpoint was lost under other prompts, which this doesn't tell apart from it. */
   if (!was_to_begin (self))
     use.segments.n = 0;
   if (sv_quarantine_note_loss (self->core->quarantine, &use, SV_CRASH_OWN))
--- a/tests/unit/sv_quarantine_peers_test.c
+++ b/tests/unit/sv_quarantine_peers_test.c
@@ -48,6 +48,8 @@
                        .segments = { { DEADLY }, 1 } };
 
   sv_quarantine_note_loss (self->quarantines[i], &use, SV_CRASH_OWN);
+  for (guint j = 0; j < INSTANCES; j++)
+    sv_quarantine_note_closed (self->quarantines[j], use.endpoint, 1, use.at);
   announce (self, i);
 }
 
--- a/tests/unit/sv_quarantine_test.c
+++ b/tests/unit/sv_quarantine_test.c
@@ -115,6 +115,9 @@
   sv_fixture_add_endpoint (&fixture, &crashes, 1);
   request_prompt (&fixture, "/once/1", segments_of_crash[2]);
   sv_fixture_wait_for (&fixture, "HTTP/1.1 502");
+  sv_quarantine_note_refused (
+      sv_core_quarantine (fixture.core),
+      ((SvEndpoint *)g_ptr_array_index (sv_fleet_all (fixture.fleet), 0))->key);
   sv_fleet_remove (fixture.fleet, "i-2");
   sv_fixture_add_endpoint (&fixture, &silent, 1);
   request_prompt (&fixture, "/once/1", "ee:40" DEADLY);
