serve: another process at an endpoint's address isn't a sign of its life

Cause: an engine that has crashed is soon followed by another process at the same address, which answers 421. That counted as having heard from the crashed one, so that its losses counted for nothing: neither against a segment nor against a request. Change: such an answer says nothing of the endpoint's life; it shows that the endpoint has ended. Measured: 'the next process clears no loss' fails before and passes now.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -288,7 +288,9 @@
   if (self->reply.in_service >= 0)
     sv_endpoint_note_report (self->placement.first, (guint)self->reply.in_service,
                              self->last_received_at);
-  self->placement.first->last_seen_at = self->last_received_at;
+  /* Another process answers at the address of one that has ended. */
+  if (self->reply.status != SV_STATUS_MISDIRECTED)
+    self->placement.first->last_seen_at = self->last_received_at;
   if (sv_reply_note_signals (&self->reply, self->placement.first, self->last_received_at))
     link->klass->load_changed (link);
   if (sv_request_is_streaming (self) && self->fields == NULL)
@@ -325,7 +327,10 @@
   if (at_fault != endpoint)
     sv_endpoint_note_helper_rejection (at_fault, sv_request_now (self));
   else if (self->reply.status == SV_STATUS_MISDIRECTED)
-    sv_endpoint_note_loss (endpoint, sv_request_now (self));
+    {
+      sv_endpoint_note_loss (endpoint, sv_request_now (self));
+      sv_quarantine_note_refused (self->core->quarantine, endpoint->key);
+    }
   else
     sv_endpoint_note_error (endpoint, sv_request_now (self));
   if (at_fault != endpoint)
--- a/tests/unit/sv_quarantine_test.c
+++ b/tests/unit/sv_quarantine_test.c
@@ -132,10 +132,38 @@
   sv_fixture_close (&fixture);
 }
 
+/* Guards against an endpoint that counts as living since its next process answers at its address.
+ */
+static void
+test_the_next_process_clears_no_loss (void)
+{
+  static const ScriptedAnswer crashes_and_restarts[] = {
+    { NULL, TRUE },
+    { "HTTP/1.1 421 M\r\nX-Attempt-Id: %ID\r\nContent-Length: 0\r\n\r\n", FALSE },
+  };
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  crash_endpoints (&fixture, 2);
+  sv_fixture_add_endpoint (&fixture, crashes_and_restarts, 2);
+  request_prompt (&fixture, "/once/1", segments_of_crash[2]);
+  sv_fixture_wait_for (&fixture, "HTTP/1.1 502");
+  knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
+  request_prompt (&fixture, "/once/1", "aa:40");
+  sv_fixture_wait_for (&fixture, "HTTP/1.1 503");
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[2]), 2);
+  request_prompt (&fixture, "/once/1", "aa:40" DEADLY);
+  sv_fixture_wait_for (&fixture, "HTTP/1.1 503");
+  CU_ASSERT_EQUAL (sv_quarantine_n (sv_core_quarantine (fixture.core)), 1);
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "a segment that crashes endpoints is refused",
     test_a_segment_that_crashes_endpoints_is_refused },
   { "prompts without the segment are served", test_prompts_without_the_segment_are_served },
+  { "the next process clears no loss", test_the_next_process_clears_no_loss },
   { "waiting prompts are taken back", test_waiting_prompts_are_taken_back },
 };
 
