serve: segments with the same losses are told apart by all that is known

Cause: in the soak an instance that had been away knew three losses of a bystander's segment and not those of the segment at fault. It quarantined the bystander, the others adopted that, and the losses counted as explained from then on: seven endpoints ended and the segment at fault was never quarantined. Change: a quarantine isn't adopted, and ends, where another segment was at all of its losses and at more. The first test of a quarantine comes after 30 s in place of 60, at most four tests follow.

--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -8,7 +8,7 @@
 
 /* Age that segments in the row are taken to have. A quarantine that has just ended isn't begun
  * again by an instance which reads the row before that is written. */
-#define ROW_AGE (30 * KNL_SEC)
+#define ROW_AGE (10 * KNL_SEC)
 
 void
 gateway_adopt_quarantined (Gateway *self)
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -13,6 +13,9 @@
 /* Age from which a suspect with a single loss makes way for a new one. */
 #define LONE_LOSS_TTL (2 * KNL_SEC)
 
+/* Segments that are told apart when they have the same losses. */
+#define MAX_RIVALS 8
+
 /* Shortest time between two looks at all suspects for some to drop. */
 #define SWEEP_INTERVAL (200 * KNL_MSEC)
 
@@ -236,15 +239,20 @@
   return TRUE;
 }
 
-/* Whether another segment may have caused the same losses. */
-static gboolean
-is_ambiguous (const SvQuarantine *self, const Suspect *suspect, const PolBlameLoss *losses, guint n)
+/* Fills in the other segments that may have caused the same losses. Returns their number. */
+static guint
+find_rivals (const SvQuarantine *self,
+             const Suspect *suspect,
+             const PolBlameLoss *losses,
+             guint n,
+             SegmentKey rivals[MAX_RIVALS])
 {
   GHashTableIter iter;
   gpointer value;
+  guint found = 0;
 
   g_hash_table_iter_init (&iter, self->suspects);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  while (found < MAX_RIVALS && g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Suspect *other = value;
       PolBlameLoss others[MAX_SUSPECT_LOSSES];
@@ -254,9 +262,9 @@
         continue;
       n_others = sv_quarantine_counted (self, other, others);
       if (includes_endpoints (others, n_others, losses, n))
-        return TRUE;
+        rivals[found++] = other->key;
     }
-  return FALSE;
+  return found;
 }
 
 void
@@ -264,17 +272,24 @@
 {
   const Suspect *suspect = sv_quarantine_find_suspect (self, key);
   PolBlameLoss losses[MAX_SUSPECT_LOSSES];
+  SegmentKey rivals[MAX_RIVALS];
   PolBlame blame;
+  guint n_rivals;
   guint n;
 
   if (suspect == NULL || sv_quarantine_find_entry (self, key) != NULL)
     return;
   n = sv_quarantine_counted (self, suspect, losses);
   blame = pol_blame_weigh (losses, n);
-  if (!pol_blame_is_shown (&blame, FALSE)
-      || !pol_blame_is_shown (&blame, is_ambiguous (self, suspect, losses, n)))
+  if (!pol_blame_is_shown (&blame, FALSE))
+    return;
+  n_rivals = find_rivals (self, suspect, losses, n, rivals);
+  if (!pol_blame_is_shown (&blame, n_rivals > 0))
     return;
-  sv_quarantine_begin (self, suspect, losses, n);
+  sv_quarantine_begin (self, key, losses, n);
+  /* Which of them it is can't be told. */
+  for (guint i = 0; i < n_rivals; i++)
+    sv_quarantine_begin (self, &rivals[i], losses, n);
 }
 
 /* TRUE: it wasn't known. */
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -6,8 +6,10 @@
 #include "serve/quarantine_internal.h"
 
 /* Age at which a quarantine is put to the test for the first time; then each time that its age has
- * doubled. A wrong quarantine ends soon, and a right one costs few endpoints a day. */
-#define FIRST_TEST_AGE (60 * KNL_SEC)
+ * doubled, MAX_TESTS times. A wrong quarantine ends soon, and a right one costs few endpoints. */
+#define FIRST_TEST_AGE (30 * KNL_SEC)
+
+#define MAX_TESTS 4
 
 /* Losses that must be left of a quarantine; fewer show nothing. */
 #define MIN_LOSSES 3
@@ -90,10 +92,10 @@
 }
 
 void
-sv_quarantine_begin (SvQuarantine *self, const Suspect *suspect, PolBlameLoss *losses, guint n)
+sv_quarantine_begin (SvQuarantine *self, const SegmentKey *key, const PolBlameLoss *losses, guint n)
 {
-  SvQuarantined quarantined = { .service = suspect->key.service,
-                                .segment = suspect->key.segment,
+  SvQuarantined quarantined = { .service = key->service,
+                                .segment = key->segment,
                                 .since = knl_kernel_now (self->kernel) };
 
   for (guint i = 0; i < n && quarantined.n_losses < SV_QUARANTINE_LOSSES; i++)
@@ -128,6 +130,60 @@
   return n >= MIN_LOSSES;
 }
 
+static gboolean
+has_loss_of (const PolBlameLoss *losses, guint n, guint64 endpoint)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      if (losses[i].endpoint == endpoint)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+static gboolean
+has_lost (const SvQuarantine *self, const Entry *entry, guint64 endpoint)
+{
+  const Suspect *suspect = sv_quarantine_find_suspect (self, &entry->key);
+
+  return has_loss_of (entry->told.losses, entry->told.n_losses, endpoint)
+         || (suspect != NULL && has_loss_of (suspect->losses, suspect->n, endpoint));
+}
+
+/* Whether another segment was there at all of these losses, and at more. */
+static gboolean
+is_explained_by (const SvQuarantined *quarantined, guint n_losses, const Suspect *other)
+{
+  if (other->n <= n_losses || other->key.service != quarantined->service
+      || other->key.segment == quarantined->segment)
+    return FALSE;
+  for (guint i = 0; i < quarantined->n_losses; i++)
+    {
+      if (!has_loss_of (other->losses, other->n, quarantined->losses[i].endpoint))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* An instance that was away, or missed datagrams, may have decided without all losses. */
+static gboolean
+is_explained (const SvQuarantine *self, const SvQuarantined *quarantined)
+{
+  SegmentKey key = { quarantined->segment, quarantined->service };
+  const Suspect *suspect = sv_quarantine_find_suspect (self, &key);
+  guint n_losses = MAX (suspect != NULL ? suspect->n : 0, quarantined->n_losses);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (is_explained_by (quarantined, n_losses, value))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* NULL: it stands. */
 static const char *
 end_reason (const SvQuarantine *self, const Entry *entry)
@@ -144,10 +200,13 @@
 
   for (GList *link = entries; link != NULL; link = link->next)
     {
-      const char *reason = end_reason (self, link->data);
+      Entry *entry = link->data;
+      const char *reason = end_reason (self, entry);
 
+      if (reason == NULL && is_explained (self, &entry->told))
+        reason = "explained";
       if (reason != NULL)
-        sv_quarantine_end (self, link->data, reason);
+        sv_quarantine_end (self, entry, reason);
     }
 }
 
@@ -160,7 +219,7 @@
   if (sv_quarantine_find_entry (self, &key) != NULL)
     return FALSE;
   if (quarantined->since + ENTRY_TTL <= knl_kernel_now (self->kernel)
-      || !is_shown (self, quarantined))
+      || !is_shown (self, quarantined) || is_explained (self, quarantined))
     return FALSE;
   if (suspect != NULL && suspect->survived_at >= quarantined->since)
     {
@@ -185,7 +244,7 @@
   KnlTime age = knl_kernel_now (self->kernel) - entry->told.since;
   guint n = 0;
 
-  for (KnlTime due = FIRST_TEST_AGE; due <= age; due *= 2)
+  for (KnlTime due = FIRST_TEST_AGE; due <= age && n < MAX_TESTS; due *= 2)
     n++;
   return n;
 }
@@ -240,17 +299,6 @@
   return NULL;
 }
 
-static gboolean
-has_loss_of (const PolBlameLoss *losses, guint n, guint64 endpoint)
-{
-  for (guint i = 0; i < n; i++)
-    {
-      if (losses[i].endpoint == endpoint)
-        return TRUE;
-    }
-  return FALSE;
-}
-
 gboolean
 sv_quarantine_explains (const SvQuarantine *self, guint64 endpoint)
 {
@@ -260,11 +308,7 @@
   g_hash_table_iter_init (&iter, self->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const Entry *entry = value;
-      const Suspect *suspect = sv_quarantine_find_suspect (self, &entry->key);
-
-      if (has_loss_of (entry->told.losses, entry->told.n_losses, endpoint)
-          || (suspect != NULL && has_loss_of (suspect->losses, suspect->n, endpoint)))
+      if (has_lost (self, value, endpoint))
         return TRUE;
     }
   return FALSE;
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -90,9 +90,11 @@
 
 Entry *sv_quarantine_find_entry (const SvQuarantine *self, const SegmentKey *key);
 
-/** Quarantines the suspect for these losses. */
-void
-sv_quarantine_begin (SvQuarantine *self, const Suspect *suspect, PolBlameLoss *losses, guint n);
+/** Quarantines the segment for these losses, sorted by time. */
+void sv_quarantine_begin (SvQuarantine *self,
+                          const SegmentKey *key,
+                          const PolBlameLoss *losses,
+                          guint n);
 
 /** Ends a quarantine, and logs why. */
 void sv_quarantine_end (SvQuarantine *self, Entry *entry, const char *reason);
