tests: endpoints of the gateway soak crash on a segment of prompts

Cause: no soak had requests that crash endpoints. Change: half of the requests are prompts with shared segments; from a fifth of the run on a tenth of these have one that crashes the endpoint that answers it, amid the soak's restarts, cuts, evacuations and broken answers. An endpoint that has crashed comes back at its address under another id, and answers 421 to what is sent to the last one. Checked: no more than three prompts with the segment reach endpoints 3 s and later after the fifth crash. Wrong quarantines are printed.

--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -2,8 +2,8 @@
  * Runs real gateways under external faults: overlapping signals, a store that
  * refuses calls, drops them or doesn't answer, a proxy in front of an endpoint that
  * delays, closes and freezes connections, reloaded settings, withdrawn keys,
- * evacuated zones, cold endpoints. The guarantees are checked from the callers' and
- * the endpoints' side.
+ * evacuated zones, cold endpoints, prompts that crash endpoints. The guarantees are checked from
+ * the callers' and the endpoints' side.
  *
  * usage: gateway_soak FIRST COUNT SECONDS; runs the seeds FIRST to FIRST + COUNT - 1.
  * A seed that fails is printed with the violations.
@@ -139,6 +139,7 @@
 {
   Request *request = g_new0 (Request, 1);
   g_autofree char *key = NULL;
+  g_autofree char *prompt = NULL;
   g_autofree char *head = NULL;
   HtExchangeRequest exchange = { .connect_timeout = KNL_SEC, .max_idle = 2 * KNL_SEC };
 
@@ -150,11 +151,16 @@
   request->sent_at = gs_now (self);
   g_hash_table_insert (self->requests, request->id, request);
   key = request->key > 0 ? g_strdup_printf ("key-%u", request->key) : g_strdup ("key");
-  head = g_strdup_printf ("GET /%s/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n"
-                          "X-Deadline-Ms: 2000\r\nAuthorization: Bearer %s\r\n",
-                          request->is_at_most_once ? "once" : "again", request->id, key);
+  prompt = gs_prompt_fields (self, request);
+  head = g_strdup_printf ("POST /%s/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n"
+                          "X-Deadline-Ms: 2000\r\nAuthorization: Bearer %s\r\n%s"
+                          "Content-Length: %zu\r\n",
+                          request->is_at_most_once ? "once" : "again", request->id, key, prompt,
+                          strlen (request->id));
   exchange.address = request->gateway->callers;
   exchange.head = head;
+  exchange.body = request->id;
+  exchange.body_length = strlen (request->id);
   ht_client_send (self->client, &exchange, &caller_events, request);
   return request;
 }
@@ -351,7 +357,9 @@
   ht_client_free (self->client);
   for (guint i = 0; i < ENDPOINTS; i++)
     {
-      ht_server_free (self->endpoints[i].server);
+      knl_timer_stop (self->harness->kernel, &self->endpoints[i].restart_timer);
+      gs_end_endpoint (&self->endpoints[i]);
+      g_hash_table_unref (self->endpoints[i].works);
       g_array_unref (self->endpoints[i].arrivals);
       g_array_unref (self->endpoints[i].cold_arrivals);
     }
@@ -372,12 +380,14 @@
   KnlTime end;
   KnlTime limit_starts_at;
   KnlTime leaving_starts_at;
+  KnlTime deadly_starts_at;
   KnlTime next_fault;
 
   soak_open (&soak, seed);
   end = gs_now (&soak) + length;
   limit_starts_at = gs_now (&soak) + length / 3;
   leaving_starts_at = gs_now (&soak) + length / 2;
+  deadly_starts_at = gs_now (&soak) + length / 5;
   next_fault = gs_now (&soak) + FAULT_INTERVAL;
   while (gs_now (&soak) < end)
     {
@@ -392,6 +402,7 @@
       if (gs_now (&soak) > limit_starts_at && soak.endpoints[ENDPOINTS - 1].rate == 0)
         gs_advertise_limit (&soak);
       soak.endpoints[LEAVING_ENDPOINT].is_leaving = gs_now (&soak) > leaving_starts_at;
+      soak.sends_deadly = gs_now (&soak) > deadly_starts_at;
       if (gs_now (&soak) < next_fault)
         continue;
       gs_inject (&soak);
@@ -403,12 +414,13 @@
   hn_run_for (soak.harness, REQUEST_TIMEOUT + ANSWER_SLACK);
   check_all (&soak);
   check_settled (&soak);
+  gs_check_quarantined (&soak);
   printf ("seed %u: %u requests, %u answered, %u counted against a limit of %u, "
           "%u answers with Retry-After, %u evacuations, %u requests to cold endpoints, "
-          "%u violations\n",
+          "%u crashes, quarantined %u times and wrongly %u times, %u violations\n",
           seed, soak.next, soak.answered, soak.endpoints[ENDPOINTS - 1].arrivals->len,
           soak.endpoints[ENDPOINTS - 1].rate, soak.n_retry_after, soak.n_evacuations,
-          soak.n_cold_arrivals, soak.violations);
+          soak.n_cold_arrivals, soak.n_crashes, soak.n_quarantined, soak.n_wrong, soak.violations);
   if (soak.violations > 0)
     print_logs (&soak);
   CU_ASSERT_EQUAL (soak.violations, 0);
--- a/tests/soak/gateway_soak_endpoints.c
+++ b/tests/soak/gateway_soak_endpoints.c
@@ -35,12 +35,14 @@
   Endpoint *endpoint;
   Gateway *gateway;
   char *id;
+  gboolean is_deadly;
   KnlTimerId timer;
 } Work;
 
 static void
 work_free (Work *self)
 {
+  g_hash_table_remove (self->endpoint->works, self);
   knl_timer_stop (self->endpoint->soak->harness->kernel, &self->timer);
   g_free (self->id);
   g_free (self);
@@ -150,6 +152,11 @@
   double draw = g_rand_double (soak->rand);
 
   self->timer = 0;
+  if (self->is_deadly)
+    {
+      gs_crash_endpoint (self->endpoint);
+      return;
+    }
   ht_call_set_data (call, NULL);
   if (draw < 0.05)
     ht_call_abort (call);
@@ -160,6 +167,15 @@
   work_free (self);
 }
 
+/* Whether it is sent to an earlier process of the endpoint, at the same address. */
+static gboolean
+is_for_other (const Endpoint *self, const HtCall *call)
+{
+  g_autofree char *id = gs_endpoint_id (self);
+
+  return g_strcmp0 (ht_message_get (ht_call_request (call), "x-expect-instance"), id) != 0;
+}
+
 static void
 on_endpoint_request (HtCall *call, gpointer data)
 {
@@ -176,9 +192,17 @@
       ht_call_abort (call);
       return;
     }
+  if (is_for_other (endpoint, call))
+    {
+      g_autofree char *fields = g_strdup_printf ("X-Attempt-Id: %s\r\n", id);
+
+      ht_call_answer (call, 421, fields, NULL, 0);
+      return;
+    }
   count_arrival (endpoint, request->gateway);
   check_signals (endpoint, request);
   gs_check_rows (endpoint, request);
+  gs_check_deadly (endpoint, request);
   if (g_rand_double (self->rand) < 0.05)
     {
       refuse_request (endpoint, request->gateway, call, id);
@@ -191,6 +215,8 @@
   work->endpoint = endpoint;
   work->gateway = request->gateway;
   work->id = g_strdup (id);
+  work->is_deadly = request->is_deadly;
+  g_hash_table_add (endpoint->works, work);
   ht_call_set_data (call, work);
   work->timer = knl_timer_start (self->harness->kernel,
                                  g_rand_int_range (self->rand, 0, 40) * KNL_MSEC, on_worked, work);
@@ -206,8 +232,8 @@
 static const HtServerEvents endpoint_events = { .request = on_endpoint_request,
                                                 .disconnected = on_disconnected };
 
-void
-gs_start_endpoint (Soak *self, guint i)
+static HtServer *
+listen_at (Soak *self, const char *address, Endpoint *endpoint)
 {
   static const HtServerLimits limits = {
     .message = { 16384, 1 << 20 },
@@ -217,14 +243,46 @@
     .max_connections = 100,
     .max_unsent = HT_DEFAULT_MAX_UNSENT,
   };
+
+  return ht_server_new (self->harness->kernel, self->harness->base, address, &limits,
+                        &endpoint_events, endpoint);
+}
+
+void
+gs_end_endpoint (Endpoint *self)
+{
+  g_autoptr (GList) works = g_hash_table_get_keys (self->works);
+
+  for (GList *link = works; link != NULL; link = link->next)
+    work_free (link->data);
+  g_clear_pointer (&self->server, ht_server_free);
+}
+
+void
+gs_restart_endpoint (Soak *self, guint i)
+{
+  Endpoint *endpoint = &self->endpoints[i];
+
+  endpoint->server = listen_at (self, endpoint->own_address, endpoint);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (endpoint->server);
+  memset (endpoint->signals, 0, sizeof endpoint->signals);
+  g_array_set_size (endpoint->arrivals, 0);
+  endpoint->cold_until = 0;
+  gs_replace_endpoint_row (self, i);
+}
+
+void
+gs_start_endpoint (Soak *self, guint i)
+{
   const char *own = hn_address_new (self->harness);
   const char *listed = own;
 
   self->endpoints[i] = (Endpoint){ .soak = self,
                                    .arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)),
-                                   .cold_arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)) };
-  self->endpoints[i].server = ht_server_new (self->harness->kernel, self->harness->base, own,
-                                             &limits, &endpoint_events, &self->endpoints[i]);
+                                   .cold_arrivals = g_array_new (FALSE, FALSE, sizeof (KnlTime)),
+                                   .works = g_hash_table_new (NULL, NULL) };
+  self->endpoints[i].own_address = own;
+  self->endpoints[i].server = listen_at (self, own, &self->endpoints[i]);
   if (i == 0)
     {
       const char *arguments[] = { "--listen-address",
--- a/tests/soak/gateway_soak_internal.h
+++ b/tests/soak/gateway_soak_internal.h
@@ -22,6 +22,9 @@
 #define GS_COLD_OVERAGE 1.5
 #define GS_COLD_SLACK   5
 
+/** Id of the segment that crashes endpoints. */
+#define GS_DEADLY "0000dead"
+
 typedef struct Soak Soak;
 
 typedef struct
@@ -52,15 +55,19 @@
 {
   Soak *soak;
   HtServer *server;
+  GHashTable *works;  /* requests that it runs */
   guint rate;         /* advertised limit in requests a second; 0: none */
   KnlTime limited_at; /* when the limit was set */
   GArray *arrivals;   /* KnlTime, of requests that count against the limit */
   gboolean is_leaving;
-  const char *listed_address; /* in its row */
+  const char *own_address;
+  const char *listed_address; /* in its row; a proxy's, or its own */
   KnlTime cold_until;
   KnlTime cold_from;     /* when all instances know that it is cold */
   GArray *cold_arrivals; /* KnlTime, since then */
   KnlTime used_at;       /* last arrival of a request */
+  guint generation;      /* processes of it that have crashed */
+  KnlTimerId restart_timer;
   EndpointSignals signals[GATEWAYS];
 } Endpoint;
 
@@ -79,6 +86,7 @@
   Gateway *gateway;
   char *id;
   gboolean is_at_most_once; /* not idempotent */
+  gboolean is_deadly;       /* crashes the endpoint that answers it */
   guint key;                /* version whose key it carries; 0: the permanent key */
   KnlTime sent_at;
   KnlTime ended_at; /* 0: not yet */
@@ -113,7 +121,13 @@
   guint next;
   guint answered;
   guint n_retry_after; /* answers with Retry-After */
-  guint violations;    /* violations of the guarantees */
+  gboolean sends_deadly;
+  guint n_crashes;      /* endpoints that prompts have crashed */
+  KnlTime known_from;   /* when the gateways must know why; 0: it has crashed too few */
+  guint n_late_prompts; /* that reached endpoints after that */
+  guint n_quarantined;  /* decisions of gateways that quarantined the segment */
+  guint n_wrong;        /* those that quarantined another one */
+  guint violations;     /* violations of the guarantees */
 };
 
 static inline KnlTime
@@ -140,8 +154,35 @@
 /** Checks the arrivals at an endpoint against the rate limit that it advertises. */
 void gs_check_limit (Soak *self, const Endpoint *endpoint);
 
+/** Ends the endpoint's process with all that it runs. */
+void gs_end_endpoint (Endpoint *endpoint);
+
+/** Starts the next process of an endpoint that has crashed. */
+void gs_restart_endpoint (Soak *self, guint endpoint);
+
+/* gateway_soak_segments.c */
+
+/** Header fields of the prompt that the request is, by chance; empty: it is none. Free with g_free.
+ */
+char *gs_prompt_fields (Soak *self, Request *request);
+
+/** Ends the endpoint's process and all its connections. It comes back later, under another id. */
+void gs_crash_endpoint (Endpoint *endpoint);
+
+/** Checks the arrival of a prompt that crashes endpoints. */
+void gs_check_deadly (Endpoint *endpoint, const Request *request);
+
+/** Counts what the gateways have quarantined. */
+void gs_check_quarantined (Soak *self);
+
 /* gateway_soak_rows.c */
 
+/** The id under which the endpoint's present process is listed. Free with g_free. */
+char *gs_endpoint_id (const Endpoint *endpoint);
+
+/** Writes the endpoint's row in place of that of its last process. */
+void gs_replace_endpoint_row (Soak *self, guint endpoint);
+
 /** Writes all rows of the operator and the endpoints. */
 void gs_put_rows (Soak *self);
 
--- a/tests/soak/gateway_soak_rows.c
+++ b/tests/soak/gateway_soak_rows.c
@@ -43,12 +43,26 @@
   self->zones[i].written_at = gs_now (self);
 }
 
+static char *
+id_of_process (const Endpoint *self, guint generation)
+{
+  guint i = (guint)(self - self->soak->endpoints);
+
+  return generation > 0 ? g_strdup_printf ("i-%u-%u", i, generation) : g_strdup_printf ("i-%u", i);
+}
+
+char *
+gs_endpoint_id (const Endpoint *self)
+{
+  return id_of_process (self, self->generation);
+}
+
 static void
 put_endpoint (Soak *self, guint i)
 {
   const Endpoint *endpoint = &self->endpoints[i];
   KnlTime left = endpoint->cold_until - gs_now (self);
-  g_autofree char *id = g_strdup_printf ("i-%u", i);
+  g_autofree char *id = gs_endpoint_id (endpoint);
   g_autofree char *cold =
       left > 0 ? g_strdup_printf (",\"coldLeftMs\":%" G_GINT64_FORMAT, left / KNL_MSEC)
                : g_strdup ("");
@@ -60,11 +74,35 @@
   row_store_put_in (self->store, "servers", id, entry);
 }
 
+/* A store that was restored may have those of earlier processes again. */
+static void
+remove_old_rows (Soak *self, guint i)
+{
+  for (guint generation = 0; generation < self->endpoints[i].generation; generation++)
+    {
+      g_autofree char *id = id_of_process (&self->endpoints[i], generation);
+
+      if (row_store_has (self->store, "servers", id))
+        row_store_put_in (self->store, "servers", id, NULL);
+    }
+}
+
+void
+gs_replace_endpoint_row (Soak *self, guint i)
+{
+  self->endpoints[i].generation++;
+  remove_old_rows (self, i);
+  put_endpoint (self, i);
+}
+
 void
 gs_put_rows (Soak *self)
 {
   for (guint i = 0; i < ENDPOINTS; i++)
-    put_endpoint (self, i);
+    {
+      remove_old_rows (self, i);
+      put_endpoint (self, i);
+    }
   row_store_put_in (self->store, "op", "config", self->config);
   for (guint i = 0; i < ZONES; i++)
     put_zone (self, i);
@@ -161,7 +199,9 @@
     {
       Endpoint *endpoint = &self->endpoints[i];
 
-      if (gs_now (self) < endpoint->cold_from)
+      /* Where the endpoint has crashed, the store has the row of its last process again until then.
+       */
+      if (gs_now (self) < endpoint->cold_from || endpoint->generation > 0)
         endpoint->cold_from = MAX (endpoint->cold_from, rows_read_at);
     }
 }
