serve: endpoints that have advertised leaving aren't new when their row is back

What callers saw: a request sent to an endpoint that had said it leaves, and that may exit at any moment. That an endpoint has advertised leaving was kept with the endpoint. When its row was lost for longer than the leave grace (the store came back from an older copy) the endpoint was dropped, and the same row written again made a new one of it, to which each instance sent one request until it heard again that it leaves: three gateways, three requests. Measured: sv_leaving, 'a row that was lost and is back' fails before (two requests at the endpoint) and passes now.

--- a/serve/endpoint.c
+++ b/serve/endpoint.c
@@ -296,3 +296,12 @@
 {
   pol_health_note_loss (&self->health, &health_rule, now);
 }
+
+void
+sv_endpoint_begin_leaving (SvEndpoint *self, KnlTime now)
+{
+  if (self->state == SV_ENDPOINT_LEAVING)
+    return;
+  self->state = SV_ENDPOINT_LEAVING;
+  self->leaving_since = now;
+}
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "common/log.h"
+#include "serve/departed.h"
 #include "serve/fleet_internal.h"
 
 /* From PREFILL_SWEEP_THRESHOLD registered prefills on, those older than SV_PREFILL_TTL, whose end
@@ -41,6 +42,7 @@
   SvColdRules *cold_rules;
   guint64 seed; /* random, differs between instances */
   SvEvacuations *evacuations;
+  SvDeparted *departed;
   SvReplacedFunc on_replaced;
   gpointer on_replaced_data;
   SvFleetPrefillFunc on_prefill;
@@ -64,6 +66,7 @@
   self->known = self->reachable = 1;
   self->cold_rules = sv_cold_rules_new (knl_kernel_now (kernel));
   self->evacuations = sv_evacuations_new (kernel, &sv_fleet_zone_events, self);
+  self->departed = sv_departed_new (kernel);
   self->seed = g_rand_int (knl_kernel_rand (kernel));
   return self;
 }
@@ -76,6 +79,7 @@
   if (self->unlisted != NULL)
     g_hash_table_unref (self->unlisted);
   sv_evacuations_free (self->evacuations);
+  sv_departed_free (self->departed);
   g_hash_table_unref (self->prefills);
   g_ptr_array_unref (self->all);
   g_hash_table_unref (self->services);
@@ -127,6 +131,7 @@
   /* The key depends on the start, so that reports about an earlier start aren't applied to this
    * one. */
   endpoint->key = XXH64 (entry->id, strlen (entry->id), entry->start);
+  endpoint->advertised_leaving_at = sv_departed_time (self->departed, endpoint->key);
   sv_prefills_init (&endpoint->prefills);
   pol_limit_init (&endpoint->limit);
   pol_pace_init (&endpoint->pace);
@@ -208,7 +213,9 @@
   endpoint->is_unlisted = FALSE;
   /* The list may lag behind what the endpoint advertised, for as long as the store is unavailable.
    */
-  if (entry->draining || endpoint->advertised_leaving_at > 0)
+  if (endpoint->advertised_leaving_at > 0)
+    sv_endpoint_begin_leaving (endpoint, endpoint->advertised_leaving_at);
+  else if (entry->draining)
     sv_endpoint_begin_leaving (endpoint, knl_kernel_now (self->kernel) - self->list_lag);
   else
     endpoint->state = SV_ENDPOINT_READY;
@@ -240,8 +247,11 @@
     {
       SvEndpoint *endpoint = g_ptr_array_index (self->all, i - 1);
 
-      if (endpoint->is_unlisted && sv_endpoint_has_left (self, endpoint))
-        drop (self, endpoint);
+      if (!endpoint->is_unlisted || !sv_endpoint_has_left (self, endpoint))
+        continue;
+      if (endpoint->advertised_leaving_at > 0)
+        sv_departed_note (self->departed, endpoint->key, endpoint->advertised_leaving_at);
+      drop (self, endpoint);
     }
 }
 
@@ -471,15 +481,6 @@
   return self->all;
 }
 
-void
-sv_endpoint_begin_leaving (SvEndpoint *self, KnlTime now)
-{
-  if (self->state == SV_ENDPOINT_LEAVING)
-    return;
-  self->state = SV_ENDPOINT_LEAVING;
-  self->leaving_since = now;
-}
-
 gboolean
 sv_endpoint_has_left (const SvFleet *fleet, const SvEndpoint *self)
 {
--- a/tests/unit/sv_leaving_test.c
+++ b/tests/unit/sv_leaving_test.c
@@ -30,6 +30,8 @@
   LIST_NONE,
   LIST_READY,
   LIST_ANOTHER_START,
+  LIST_LOST_AND_BACK, /* the row was lost for longer than the grace */
+  LIST_LOST_AND_ANOTHER_START,
 } List;
 
 typedef struct
@@ -58,6 +60,14 @@
   sv_fleet_update (self->fleet, &entry);
 }
 
+static void
+lose_first (SvFixture *self)
+{
+  sv_fleet_remove (self->fleet, "i-0");
+  knl_paused_clock_advance (self->clock, PAST_GRACE);
+  sv_fleet_sweep (self->fleet);
+}
+
 static void
 check_row (const Row *row)
 {
@@ -71,8 +81,10 @@
     sv_fixture_add_endpoint (&fixture, &good, 1);
   sv_fixture_request (&fixture, "/again/1");
   sv_fixture_wait_for (&fixture, "\r\n\r\n");
+  if (row->list == LIST_LOST_AND_BACK || row->list == LIST_LOST_AND_ANOTHER_START)
+    lose_first (&fixture);
   if (row->list != LIST_NONE)
-    list_first (&fixture, row->list == LIST_READY ? 0 : 7);
+    list_first (&fixture, row->list == LIST_READY || row->list == LIST_LOST_AND_BACK ? 0 : 7);
   knl_paused_clock_advance (fixture.clock, row->after);
   sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
   sv_fixture_request (&fixture, "/once/2");
@@ -99,6 +111,9 @@
     { "an older list", &leaving, TRUE, 0, LIST_READY, 1, TRUE },
     { "an older list, after the grace", &leaving, FALSE, PAST_GRACE, LIST_READY, 1, FALSE },
     { "another start", &leaving, FALSE, PAST_GRACE, LIST_ANOTHER_START, 2, TRUE },
+    { "a row that was lost and is back", &leaving, FALSE, 0, LIST_LOST_AND_BACK, 1, FALSE },
+    { "a row that was lost, another start", &leaving, FALSE, 0, LIST_LOST_AND_ANOTHER_START, 2,
+      TRUE },
     { "an answer by another endpoint", &another_leaves, FALSE, PAST_GRACE, LIST_NONE, 2, TRUE },
   };
 
