tests: losses of one moment, and no decision before a loss has settled

Cause: taking out the guard of moments was noticed by no test, as a second guard (the losses told with a quarantine) hid it. Change: a table of moments, and a check right after the crash.

--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -182,6 +182,35 @@
   fixture_close (&fixture);
 }
 
+/* Guards against losses of one cause that count several times. */
+static void
+test_losses_of_one_moment_count_once (void)
+{
+  static const struct
+  {
+    KnlTime at[4];
+    guint moments;
+  } rows[] = {
+    { { 0, 1, 2, 3 }, 1 },
+    { { 0, POL_BLAME_MOMENT - 1, POL_BLAME_MOMENT, POL_BLAME_MOMENT + 1 }, 2 },
+    { { 3 * POL_BLAME_MOMENT, 0, POL_BLAME_MOMENT, 2 * POL_BLAME_MOMENT }, 4 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      PolBlameLoss losses[4];
+      PolBlame blame;
+
+      for (guint j = 0; j < G_N_ELEMENTS (losses); j++)
+        {
+          losses[j] = (PolBlameLoss){ .endpoint = j, .lost_at = rows[i].at[j] };
+          pol_blame_add_request (&losses[j], 100 + j);
+        }
+      blame = pol_blame_weigh (losses, G_N_ELEMENTS (losses));
+      CU_ASSERT_EQUAL (blame.moments, rows[i].moments);
+    }
+}
+
 /* Guards against a segment that is blamed for a single request that crashes endpoints by itself. */
 static void
 test_one_request_convicts_no_segment (void)
@@ -286,6 +315,7 @@
   for (guint i = 0; i < 6; i++)
     {
       crash (&fixture, i, segments);
+      CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
       knl_paused_clock_advance (fixture.clock, PAUSE);
       endpoint_at (&fixture, i)->last_seen_at = knl_kernel_now (fixture.kernel);
       sv_quarantine_tick (fixture.quarantine);
@@ -541,6 +571,7 @@
   { "shared segments are not blamed", test_shared_segments_are_not_blamed },
   { "endpoints that end together convict nothing",
     test_endpoints_that_end_together_convict_nothing },
+  { "losses of one moment count once", test_losses_of_one_moment_count_once },
   { "one request convicts no segment", test_one_request_convicts_no_segment },
   { "bystanders of crashes are not blamed", test_bystanders_of_crashes_are_not_blamed },
   { "a blamed bystander is let go", test_a_blamed_bystander_is_let_go },
