--- a/bench/gateway_cost.c
+++ b/bench/gateway_cost.c
@@ -1,5 +1,6 @@
 /** Measures the gateway's processor time for decoding a configuration of many routes, and for
- * unpacking the datagrams that instances send to each other. Prints JSON lines; the figures depend
+ * unpacking the datagrams that instances send to each other, and for segments of prompts that
+ * endpoints were lost under. Prints JSON lines; the figures depend
  * on the machine. */
 
 #include <stdlib.h>
@@ -7,7 +8,9 @@
 #include <time.h>
 
 #include "platform/config_decoder.h"
+#include "kernel/paused.h"
 #include "platform/store.h"
+#include "serve/quarantine.h"
 #include "tests/fakes/config_answer.h"
 #include "wire/datagram.pb-c.h"
 
@@ -133,15 +136,67 @@
            length, (cpu_us () - start) / (ROUNDS * 100));
 }
 
+/* An outage: each prompt has segments of its own, and the endpoints aren't listed any more. */
+static SvSegmentUse
+made_up_use (const KnlKernel *kernel, guint64 i)
+{
+  SvSegmentUse use = { .request = i, .endpoint = i % 1000, .service = 1 };
+
+  use.at = knl_kernel_now (kernel);
+  for (guint64 s = 0; s < 4; s++)
+    sv_segments_add (&use.segments, (i / 3) * 4 + s + 1);
+  return use;
+}
+
+/* `n_losses` losses of three to a segment, then a tick and a check of a prompt at that state. */
+static void
+measure_quarantine (guint n_losses)
+{
+  KnlPausedClock *clock = knl_paused_clock_new ();
+  KnlKernel *kernel = knl_kernel_new (knl_paused_clock_runtime (clock), 5);
+  SvFleet *fleet = sv_fleet_new (kernel, KNL_SEC);
+  SvQuarantine *quarantine = sv_quarantine_new (kernel, fleet);
+  SvSegments checked = { { 1, 2, 3, 4 }, 4 };
+  gboolean is_test = FALSE;
+  double start = cpu_us ();
+  double noted;
+  double ticked;
+
+  for (guint i = 0; i < n_losses; i++)
+    {
+      SvSegmentUse use;
+
+      knl_paused_clock_advance (clock, KNL_MSEC);
+      use = made_up_use (kernel, i);
+      sv_quarantine_note_loss (quarantine, &use, SV_CRASH_OF_CELL);
+    }
+  noted = cpu_us ();
+  sv_quarantine_tick (quarantine);
+  ticked = cpu_us ();
+  for (guint i = 0; i < ROUNDS; i++)
+    sv_quarantine_check (quarantine, 1, &checked, 100, &is_test);
+  g_print ("{\"what\":\"quarantine\",\"losses\":%u,\"suspects\":%u,\"loss-us\":%.2f,"
+           "\"tick-us\":%.0f,\"check-us\":%.2f}\n",
+           n_losses, sv_quarantine_n_suspects (quarantine), (noted - start) / n_losses,
+           ticked - noted, (cpu_us () - ticked) / ROUNDS);
+  sv_quarantine_free (quarantine);
+  sv_fleet_free (fleet);
+  knl_kernel_free (kernel);
+  knl_paused_clock_free (clock);
+}
+
 int
 main (void)
 {
   static const guint routes[] = { 100, 1400, 10000 };
   static const guint loads[] = { 0, 1, 4, 30 };
+  static const guint losses[] = { 30, 300, 3000, 30000 };
 
   for (guint i = 0; i < G_N_ELEMENTS (routes); i++)
     measure_config (routes[i]);
   for (guint i = 0; i < G_N_ELEMENTS (loads); i++)
     measure_datagram (loads[i]);
+  for (guint i = 0; i < G_N_ELEMENTS (losses); i++)
+    measure_quarantine (losses[i]);
   return EXIT_SUCCESS;
 }
--- a/serve/quarantine_ends.c
+++ b/serve/quarantine_ends.c
@@ -13,16 +13,27 @@
   return ((const EndpointEnd *)value)->lost_at + END_TTL <= knl_kernel_now (data);
 }
 
+void
+sv_endpoint_end_free (gpointer data)
+{
+  EndpointEnd *self = data;
+
+  g_free (self->id);
+  g_free (self);
+}
+
 /* NULL: there are too many. */
 static EndpointEnd *
 ensure_end (SvQuarantine *self, guint64 endpoint)
 {
+  const SvEndpoint *listed = sv_fleet_by_key (self->fleet, endpoint);
   EndpointEnd *end = g_hash_table_lookup (self->ends, &endpoint);
 
   if (end != NULL || g_hash_table_size (self->ends) >= MAX_ENDS)
     return end;
   end = g_new0 (EndpointEnd, 1);
   end->endpoint = endpoint;
+  end->id = listed != NULL ? g_strdup (listed->id) : NULL;
   g_hash_table_insert (self->ends, &end->endpoint, end);
   return end;
 }
@@ -57,6 +68,17 @@
   return (end != NULL && end->has_ended) || sv_fleet_by_key (self->fleet, endpoint) == NULL;
 }
 
+const char *
+sv_quarantine_endpoint_id (const SvQuarantine *self, guint64 endpoint)
+{
+  const SvEndpoint *listed = sv_fleet_by_key (self->fleet, endpoint);
+  const EndpointEnd *end = g_hash_table_lookup (self->ends, &endpoint);
+
+  if (listed != NULL)
+    return listed->id;
+  return end != NULL ? end->id : NULL;
+}
+
 void
 sv_quarantine_drop_old_ends (SvQuarantine *self)
 {
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -27,11 +27,11 @@
 
   for (guint i = 0; i < quarantined->n_losses; i++)
     {
-      const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, quarantined->losses[i].endpoint);
+      const char *id = sv_quarantine_endpoint_id (self, quarantined->losses[i].endpoint);
 
       g_string_append (text, i > 0 ? "," : "");
-      if (endpoint != NULL)
-        g_string_append (text, endpoint->id);
+      if (id != NULL)
+        g_string_append (text, id);
       else
         g_string_append_printf (text, "key-%016" G_GINT64_MODIFIER "x",
                                 quarantined->losses[i].endpoint);
@@ -39,15 +39,19 @@
   return g_string_free (text, FALSE);
 }
 
+/* NULL: they aren't known, as another instance has decided. */
 static char *
 format_requests (const SvQuarantined *quarantined)
 {
   GString *text = g_string_new (NULL);
 
   for (guint i = 0; i < quarantined->n_losses; i++)
-    g_string_append_printf (text, "%s%016" G_GINT64_MODIFIER "x", i > 0 ? "," : "",
-                            quarantined->losses[i].requests[0]);
-  return g_string_free (text, FALSE);
+    {
+      if (quarantined->losses[i].n_requests > 0)
+        g_string_append_printf (text, "%s%016" G_GINT64_MODIFIER "x", text->len > 0 ? "," : "",
+                                quarantined->losses[i].requests[0]);
+    }
+  return g_string_free (text, text->len == 0);
 }
 
 static void
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -41,6 +41,7 @@
 typedef struct
 {
   guint64 endpoint;
+  char *id;        /* of the endpoint, for the log; NULL: not known */
   guint64 request; /* that was lost there last */
   KnlTime lost_at;
   gboolean has_ended;
@@ -83,6 +84,11 @@
 /** Whether it is certain that the endpoint has ended. */
 gboolean sv_quarantine_has_ended (const SvQuarantine *self, guint64 endpoint);
 
+/** The endpoint's id, also of one that isn't listed any more; NULL: not known. */
+const char *sv_quarantine_endpoint_id (const SvQuarantine *self, guint64 endpoint);
+
+void sv_endpoint_end_free (gpointer end);
+
 /** Drops what is too old. */
 void sv_quarantine_drop_old_ends (SvQuarantine *self);
 
