serve: an error answer acquits no segment

Cause: found on reading. Any complete answer that isn't a stream counted as begun, also a 4xx, which an engine gives without writing on the prompt. Two such answers cleared two crashes. Change: only a success counts. Measured: 'error answers acquit nothing' failed before (the fourth endpoint got the prompt), passes now.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -412,7 +412,8 @@
   close_send (self, "answered");
   if (!streaming)
     {
-      sv_request_note_begun (self);
+      if (self->reply.status < 300)
+        sv_request_note_begun (self);
       note_answer (self);
       note_plain_pace (self);
       handle_complete_answer (self, answer);
--- a/tests/unit/sv_quarantine_test.c
+++ b/tests/unit/sv_quarantine_test.c
@@ -132,6 +132,40 @@
   sv_fixture_close (&fixture);
 }
 
+/* Guards against a segment that is acquitted by an endpoint which has refused the prompt. */
+static void
+test_error_answers_acquit_nothing (void)
+{
+  static const ScriptedAnswer rejects = { "HTTP/1.1 400 B\r\n" SIGNED
+                                          "Content-Length: 3\r\n\r\nbad",
+                                          FALSE };
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  crash_endpoints (&fixture, 2);
+  sv_fixture_add_endpoint (&fixture, &rejects, 1);
+  for (guint i = 0; i < 2; i++)
+    {
+      request_prompt (&fixture, "/once/1", "aa:40" DEADLY);
+      sv_fixture_wait_for (&fixture, "bad");
+      knl_paused_clock_advance (fixture.clock, KNL_SEC);
+    }
+  sv_fleet_remove (fixture.fleet, "i-2");
+  knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
+  sv_fleet_sweep (fixture.fleet);
+  sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+  sv_fixture_add_endpoint (&fixture, &crashes, 1);
+  request_prompt (&fixture, "/once/1", segments_of_crash[2]);
+  sv_fixture_wait_for (&fixture, "HTTP/1.1 502");
+  remove_endpoint (&fixture, 3);
+  sv_fixture_add_endpoint (&fixture, &good, 1);
+  request_prompt (&fixture, "/once/1", "aa:40" DEADLY);
+  sv_fixture_wait_for (&fixture, "HTTP/1.1");
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 503"));
+  sv_fixture_close (&fixture);
+}
+
 /* Guards against an endpoint that counts as living since its next process answers at its address.
  */
 static void
@@ -163,6 +197,7 @@
   { "a segment that crashes endpoints is refused",
     test_a_segment_that_crashes_endpoints_is_refused },
   { "prompts without the segment are served", test_prompts_without_the_segment_are_served },
+  { "error answers acquit nothing", test_error_answers_acquit_nothing },
   { "the next process clears no loss", test_the_next_process_clears_no_loss },
   { "waiting prompts are taken back", test_waiting_prompts_are_taken_back },
 };
