serve: an endpoint that had lived on may end later, and the other way round

Cause: found on reading. The first loss of an endpoint under a segment was kept, though the endpoint had been heard from since: its real end didn't count. And an endpoint that all of this instance's connections were cut to once counted as ended with each single closed connection from then on. Change: such a loss is replaced, and the end forgotten, when it is lost again. Measured: 'endpoints crash after a lost connection' and 'an endpoint that lives again has not ended' each fail without their half and pass now.

--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -192,16 +192,19 @@
 
 /* FALSE: it was known, or a prompt with the segment has been survived since. */
 static gboolean
-add_loss (Suspect *self, const SvSegmentUse *use)
+add_loss (Suspect *self, const SvSegmentUse *use, const SvFleet *fleet)
 {
   PolBlameLoss *loss = find_loss (self->losses, self->n, use->endpoint);
 
   if (use->at <= self->survived_at)
     return FALSE;
   self->expires = MAX (self->expires, use->at + SUSPECT_TTL);
-  if (loss != NULL)
+  /* An endpoint that had lived on is lost again. */
+  if (loss != NULL
+      && (use->at <= loss->lost_at || !sv_crash_is_survived (fleet, loss->endpoint, loss->lost_at)))
     return pol_blame_add_request (loss, use->request);
-  loss = find_place (self, use->at);
+  if (loss == NULL)
+    loss = find_place (self, use->at);
   if (loss == NULL)
     return FALSE;
   *loss = (PolBlameLoss){ .endpoint = use->endpoint, .lost_at = use->at };
@@ -303,7 +306,7 @@
       SegmentKey key = { use->segments.ids[i], use->service };
       Suspect *suspect = sv_quarantine_ensure_suspect (self, &key);
 
-      is_new |= suspect != NULL && add_loss (suspect, use);
+      is_new |= suspect != NULL && add_loss (suspect, use, self->fleet);
     }
   return is_new;
 }
--- a/serve/quarantine_ends.c
+++ b/serve/quarantine_ends.c
@@ -45,6 +45,9 @@
 
   if (end == NULL)
     return;
+  /* This instance may have lost its connections alone. */
+  if (end->has_ended && sv_crash_is_survived (self->fleet, endpoint, end->lost_at))
+    end->has_ended = FALSE;
   if (end->lost_at > 0 && end->request != request && ABS (at - end->lost_at) < POL_BLAME_MOMENT)
     end->has_ended = TRUE;
   end->request = request;
--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -346,6 +346,54 @@
   fixture_close (&fixture);
 }
 
+/* Guards against an endpoint that counts as ended by every closed connection, since an instance
+ * once lost all its connections to it. */
+static void
+test_an_endpoint_that_lives_again_has_not_ended (void)
+{
+  static const guint64 segments[] = { COMMON, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 4; i++)
+    lose (&fixture, i, 90 + i, segments);
+  knl_paused_clock_advance (fixture.clock, PAUSE);
+  for (guint i = 0; i < 4; i++)
+    endpoint_at (&fixture, i)->last_seen_at = knl_kernel_now (fixture.kernel);
+  for (guint i = 0; i < 4; i++)
+    {
+      pass (&fixture, PAUSE);
+      break_off (&fixture, i, fixture.next_request++, segments);
+    }
+  pass (&fixture, PAUSE);
+  CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
+  fixture_close (&fixture);
+}
+
+/* Guards against crashes that don't count, as the endpoints had lost a connection under the segment
+ * before. */
+static void
+test_endpoints_crash_after_a_lost_connection (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    break_off (&fixture, i, 90 + i, bad);
+  knl_paused_clock_advance (fixture.clock, PAUSE);
+  for (guint i = 0; i < 3; i++)
+    endpoint_at (&fixture, i)->last_seen_at = knl_kernel_now (fixture.kernel);
+  for (guint i = 0; i < 3; i++)
+    {
+      pass (&fixture, PAUSE);
+      crash (&fixture, i, bad);
+    }
+  pass (&fixture, PAUSE);
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
 /* Guards against answers that acquit nothing since their endpoint isn't heard from at once. */
 static void
 test_answers_acquit_when_the_endpoint_is_heard_from (void)
@@ -579,6 +627,8 @@
   { "endpoints that are heard from have not crashed",
     test_endpoints_that_are_heard_from_have_not_crashed },
   { "single lost answers convict nothing", test_single_lost_answers_convict_nothing },
+  { "an endpoint that lives again has not ended", test_an_endpoint_that_lives_again_has_not_ended },
+  { "endpoints crash after a lost connection", test_endpoints_crash_after_a_lost_connection },
   { "answers acquit when the endpoint is heard from",
     test_answers_acquit_when_the_endpoint_is_heard_from },
   { "begun answers acquit only if survived", test_begun_answers_acquit_only_if_survived },
