serve: who tells of a quarantine that has ended is answered at once

Cause: found on reading. The answer was queued and waited for the next change of load. Change: it is announced like a change of crashes. Measured: sv_quarantine_peers passes; no test tells the difference, as datagrams follow within a heartbeat anyway.

--- a/serve/peers_quarantine.c
+++ b/serve/peers_quarantine.c
@@ -207,6 +207,9 @@
   take_survivals (self, datagram, origin);
   take_losses (self, datagram, origin);
   take_entries (self, datagram, origin);
+  /* Who tells of a quarantine that has ended is answered. */
+  if (datagram->n_quarantined > 0)
+    self->link.klass->crashes_changed (&self->link);
 }
 
 void
