--- a/bench/gateway_cost.c
+++ b/bench/gateway_cost.c
@@ -138,7 +138,7 @@
 
 /* An outage: each prompt has segments of its own, and the endpoints aren't listed any more. */
 static SvSegmentUse
-made_up_use (const KnlKernel *kernel, guint64 i)
+made_up_use (KnlKernel *kernel, guint64 i)
 {
   SvSegmentUse use = { .request = i, .endpoint = i % 1000, .service = 1 };
 
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -11,7 +11,7 @@
 #define MAX_ENTRIES 64
 
 /* A quarantine ends after this time, as the engines may have been replaced by then. */
-#define ENTRY_TTL (6 * 3600 * KNL_SEC)
+#define ENTRY_TTL (21600 * KNL_SEC)
 
 typedef struct
 {
--- a/tests/soak/gateway_soak_endpoints.c
+++ b/tests/soak/gateway_soak_endpoints.c
@@ -169,7 +169,7 @@
 
 /* Whether it is sent to an earlier process of the endpoint, at the same address. */
 static gboolean
-is_for_other (const Endpoint *self, const HtCall *call)
+is_for_other (const Endpoint *self, HtCall *call)
 {
   g_autofree char *id = gs_endpoint_id (self);
 
--- a/tests/unit/sv_quarantine_peers_test.c
+++ b/tests/unit/sv_quarantine_peers_test.c
@@ -177,7 +177,7 @@
       SvSegmentSurvival survival = { SERVICE, use.at, { { 0 }, 0 } };
 
       for (guint64 s = 0; s < SV_MAX_SEGMENTS; s++)
-        sv_segments_add (&use.segments, G_MAXUINT64 - 100 * r - s);
+        sv_segments_add (&use.segments, G_MAXUINT64 - 100ULL * r - s);
       survival.segments = use.segments;
       sv_quarantine_note_loss (fixture.quarantines[0], &use, SV_CRASH_OWN);
       if (r < 10)
