serve: news of quarantines and other datagrams don't supersede each other

Cause: they were sent right behind the datagram with loads and crashes, with the next sequence number. Where the network lets one overtake the other, the receiver drops the one that comes late, with rows that are told once. Change: such news have no sequence number and are taken in any order; they are sets with ages. No unit test: the fixture's sockets keep order.

--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -351,6 +351,9 @@
 /** Announces all quarantined segments again. */
 void sv_peers_repeat_quarantine (SvPeers *self);
 
+/** Whether the datagram tells of quarantined segments, and of nothing else. */
+gboolean sv_peers_is_quarantine_news (const Alderturn__Datagram *datagram);
+
 /** Takes what a peer tells of quarantined segments. */
 void sv_peers_handle_quarantine (SvPeers *self,
                                  const Alderturn__Datagram *datagram,
--- a/serve/peers_quarantine.c
+++ b/serve/peers_quarantine.c
@@ -111,6 +111,16 @@
   return TRUE;
 }
 
+/* Without a sequence number: it may overtake, or be overtaken by, the datagram sent just before,
+ * and either would be dropped then. What it tells is the same in any order. */
+static void
+begin_news (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
+{
+  sv_peers_begin_datagram (self, datagram, rows);
+  self->sequence--;
+  datagram->sequence = 0;
+}
+
 gboolean
 sv_peers_send_quarantine (SvPeers *self)
 {
@@ -118,7 +128,7 @@
   NewsRows news;
   Rows rows;
 
-  sv_peers_begin_datagram (self, &datagram, &rows);
+  begin_news (self, &datagram, &rows);
   if (!fill_news (self, &datagram, &news, SV_CRASHES_FOR_CELL))
     return FALSE;
   sv_peers_send_to_cell (self, &datagram);
@@ -133,7 +143,7 @@
   NewsRows news;
   Rows rows;
 
-  sv_peers_begin_datagram (self, &datagram, &rows);
+  begin_news (self, &datagram, &rows);
   cell.id = self->cell;
   datagram.cell = &cell;
   if (!fill_news (self, &datagram, &news, SV_CRASHES_FOR_CELLS))
@@ -197,6 +207,13 @@
     }
 }
 
+gboolean
+sv_peers_is_quarantine_news (const Alderturn__Datagram *datagram)
+{
+  return datagram->sequence == 0
+         && datagram->n_segment_losses + datagram->n_survivals + datagram->n_quarantined > 0;
+}
+
 void
 sv_peers_handle_quarantine (SvPeers *self,
                             const Alderturn__Datagram *datagram,
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -320,8 +320,15 @@
 static void
 handle_datagram (SvPeers *self, const Alderturn__Datagram *datagram)
 {
-  Peer *peer = handle_sender (self, datagram);
+  Peer *peer;
 
+  if (sv_peers_is_quarantine_news (datagram))
+    {
+      sv_peers_handle_quarantine (self, datagram, SV_CRASH_OF_CELL);
+      sv_relay_announce (self);
+      return;
+    }
+  peer = handle_sender (self, datagram);
   if (peer == NULL)
     {
       if (datagram->from == NULL
@@ -340,7 +347,6 @@
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
   handle_crashes (self, peer, datagram, SV_CRASH_OF_CELL);
-  sv_peers_handle_quarantine (self, datagram, SV_CRASH_OF_CELL);
   sv_peers_handle_offered (self, &(SvOfferedSource){ .id = peer->id, .instances = 1 }, datagram);
   if (sv_peers_is_relay (self))
     sv_outbox_append (&self->cell_outbox, datagram, peer->id);
@@ -375,9 +381,16 @@
 void
 sv_peers_handle_cell (SvPeers *self, const Alderturn__Datagram *datagram)
 {
-  Peer *peer = handle_sender (self, datagram);
-  Cell *cell = peer != NULL ? sv_cells_of_zone (self, peer->zone) : NULL;
+  Peer *peer;
+  Cell *cell;
 
+  if (sv_peers_is_quarantine_news (datagram))
+    {
+      sv_peers_handle_quarantine (self, datagram, SV_CRASH_OF_OTHER_CELL);
+      return;
+    }
+  peer = handle_sender (self, datagram);
+  cell = peer != NULL ? sv_cells_of_zone (self, peer->zone) : NULL;
   if (cell == NULL || cell->id != datagram->cell->id || !accept_relay (self, peer, cell))
     return;
   cell->last_seen_at = knl_kernel_now (self->kernel);
@@ -391,7 +404,6 @@
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
   handle_crashes (self, peer, datagram, SV_CRASH_OF_OTHER_CELL);
-  sv_peers_handle_quarantine (self, datagram, SV_CRASH_OF_OTHER_CELL);
   sv_peers_handle_offered (
       self, &(SvOfferedSource){ .id = cell->id, .is_cell = TRUE, .instances = cell->instances },
       datagram);
