serve: quarantines are repeated from their own file

Change: the bound stands with the other shared ones, the check with what it is for. No behaviour. Measured: builds with -Werror and sanitizers; sv_quarantine_peers, sv_crash_peers, sv_peers, sv_cells, sv_confirm, gw_members, sv_offered_peers and sv_pass_peers pass.

--- a/serve/peers.c
+++ b/serve/peers.c
@@ -159,6 +159,7 @@
     {
       sv_peers_send_full (self, NULL);
       sv_peers_repeat_crashes (self);
+      sv_peers_repeat_quarantine (self);
     }
   else
     sv_peers_send_heartbeat (self);
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -28,6 +28,10 @@
 #define MAX_CRASH_ROWS    8
 #define MAX_ANSWERED_ROWS 4
 
+/* Instances of a cell that repeat what any instance has seen of crashes: the relay, and one that
+ * still knows when the relay has started again. */
+#define CRASH_REPEATERS 2
+
 /** Rows in a datagram that lists instances of the cell. */
 #define MAX_MEMBER_ROWS 12
 
@@ -348,7 +352,7 @@
 /** Reviews the quarantined segments, and announces those that endpoints have survived. */
 void sv_peers_tick_quarantine (SvPeers *self);
 
-/** Announces all quarantined segments again. */
+/** Announces all quarantined segments again, if this instance is one of CRASH_REPEATERS. */
 void sv_peers_repeat_quarantine (SvPeers *self);
 
 /** Whether the datagram tells of quarantined segments, and of nothing else. */
--- a/serve/peers_quarantine.c
+++ b/serve/peers_quarantine.c
@@ -239,7 +239,8 @@
 void
 sv_peers_repeat_quarantine (SvPeers *self)
 {
-  if (self->quarantine != NULL && sv_quarantine_repeat (self->quarantine))
+  if (self->quarantine != NULL && sv_cells_rank (self) < CRASH_REPEATERS
+      && sv_quarantine_repeat (self->quarantine))
     self->link.klass->crashes_changed (&self->link);
 }
 
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -12,10 +12,6 @@
 #define LOAD_DELAY    (5 * KNL_MSEC)
 #define PREFILL_DELAY (2 * KNL_MSEC)
 
-/* Instances of a cell that repeat what any instance has seen of crashes: the relay, and one that
- * still knows when the relay has started again. */
-#define CRASH_REPEATERS 2
-
 void
 sv_outbox_init (Outbox *self)
 {
@@ -457,8 +453,6 @@
 
   if (self->crashes != NULL && sv_crashes_repeat (self->crashes, repeats_all))
     announce_within (self, LOAD_DELAY);
-  if (repeats_all)
-    sv_peers_repeat_quarantine (self);
 }
 
 static void
