--- a/tests/unit/peers_fixture.c
+++ b/tests/unit/peers_fixture.c
@@ -31,13 +31,26 @@
   return g_strdup_printf ("%s:%u", ip, port++);
 }
 
+static KnlKernel *
+kernel_of (PeersFixture *self, guint i)
+{
+  return self->own_kernel[i] != NULL ? self->own_kernel[i] : self->kernel;
+}
+
+static struct event_base *
+base_of (PeersFixture *self, guint i)
+{
+  return self->own_base[i] != NULL ? self->own_base[i] : self->base;
+}
+
 void
 peers_fixture_start (PeersFixture *self, guint i)
 {
+  KnlKernel *kernel = kernel_of (self, i);
   g_autofree char *name = g_strdup_printf ("n%u", i);
   g_autofree char *callers = g_strdup_printf ("10.0.0.%u:80", i);
 
-  self->fleets[i] = sv_fleet_new (self->kernel, KNL_SEC);
+  self->fleets[i] = sv_fleet_new (kernel, KNL_SEC);
   for (guint j = 0; j < self->n_endpoints; j++)
     add_endpoint (self->fleets[i], j);
   while (self->peers[i] == NULL)
@@ -53,15 +66,15 @@
       if (self->links[i] == NULL)
         self->links[i] = new_address ();
       member.link_address = self->links[i];
-      self->peers[i] = sv_peers_new (self->kernel, self->base, self->fleets[i], &member);
+      self->peers[i] = sv_peers_new (kernel, base_of (self, i), self->fleets[i], &member);
       if (self->peers[i] == NULL)
         g_clear_pointer (&self->links[i], g_free);
     }
-  self->crashes[i] = sv_crashes_new (self->kernel, self->fleets[i]);
+  self->crashes[i] = sv_crashes_new (kernel, self->fleets[i]);
   sv_peers_set_crashes (self->peers[i], self->crashes[i]);
-  self->quarantines[i] = sv_quarantine_new (self->kernel, self->fleets[i]);
+  self->quarantines[i] = sv_quarantine_new (kernel, self->fleets[i]);
   sv_peers_set_quarantine (self->peers[i], self->quarantines[i]);
-  self->offered[i] = sv_offered_new (self->kernel);
+  self->offered[i] = sv_offered_new (kernel);
   sv_peers_set_offered (self->peers[i], self->offered[i]);
 }
 
@@ -103,6 +116,8 @@
   for (guint i = 0; i < self->n; i++)
     {
       peers_fixture_stop (self, i);
+      g_clear_pointer (&self->own_kernel[i], knl_kernel_free);
+      g_clear_pointer (&self->own_base[i], event_base_free);
       g_free (self->links[i]);
     }
   knl_kernel_free (self->kernel);
@@ -111,6 +126,17 @@
   event_base_free (self->base);
 }
 
+static void
+run_loops (PeersFixture *self)
+{
+  event_base_loop (self->base, EVLOOP_NONBLOCK);
+  for (guint i = 0; i < self->n; i++)
+    {
+      if (self->own_base[i] != NULL && !self->is_frozen[i])
+        event_base_loop (self->own_base[i], EVLOOP_NONBLOCK);
+    }
+}
+
 void
 peers_fixture_advance (PeersFixture *self, KnlTime time)
 {
@@ -120,10 +146,30 @@
     {
       knl_paused_clock_advance (self->clock, step);
       for (guint iteration = 0; iteration < 2 * self->n; iteration++)
-        event_base_loop (self->base, EVLOOP_NONBLOCK);
+        run_loops (self);
     }
 }
 
+void
+peers_fixture_separate (PeersFixture *self, guint i)
+{
+  peers_fixture_stop (self, i);
+  self->incarnation++;
+  self->own_base[i] = event_base_new ();
+  self->own_runtime[i] = knl_paused_clock_runtime (self->clock);
+  self->own_kernel[i] = knl_kernel_new (self->own_runtime[i], 5);
+  peers_fixture_start (self, i);
+}
+
+void
+peers_fixture_set_frozen (PeersFixture *self, guint i, gboolean is_frozen)
+{
+  self->is_frozen[i] = is_frozen;
+  if (!is_frozen)
+    event_base_loop (self->own_base[i], EVLOOP_NONBLOCK);
+  knl_paused_runtime_set_frozen (self->own_runtime[i], is_frozen);
+}
+
 void
 peers_fixture_discover (PeersFixture *self, guint i, guint j)
 {
--- a/tests/unit/peers_fixture.h
+++ b/tests/unit/peers_fixture.h
@@ -29,6 +29,11 @@
   SvQuarantine *quarantines[MAX_PEERS];
   SvOffered *offered[MAX_PEERS];
   guint64 incarnation; /* of instances that are started */
+  /* Of an instance that can be frozen; NULL: those above */
+  struct event_base *own_base[MAX_PEERS];
+  KnlRuntime *own_runtime[MAX_PEERS];
+  KnlKernel *own_kernel[MAX_PEERS];
+  gboolean is_frozen[MAX_PEERS];
 } PeersFixture;
 
 /** Starts `n` instances, each with `n_endpoints` endpoints. `zones` has `n` names and must outlive
@@ -42,6 +47,13 @@
 /** Stops the instance without notice to its peers. */
 void peers_fixture_stop (PeersFixture *self, guint i);
 
+/** Starts the instance again, with an event loop of its own, so that it can be frozen. */
+void peers_fixture_separate (PeersFixture *self, guint i);
+
+/** Pauses the process of a separate instance, as SIGSTOP does, or continues it: it then reads what
+ * has waited in its socket before its overdue timers run. */
+void peers_fixture_set_frozen (PeersFixture *self, guint i, gboolean is_frozen);
+
 /** Instance `i` discovers instance `j`, as from its row in the store. */
 void peers_fixture_discover (PeersFixture *self, guint i, guint j);
 
--- /dev/null
+++ b/tests/unit/sv_crash_start_test.c
@@ -0,0 +1,86 @@
+/** Crashes under a request that an instance which has just started is told of. */
+
+#include "peers_fixture.h"
+#include "suite.h"
+
+#define INSTANCES   4
+#define FINGERPRINT 77
+
+/* Time after which an instance that finds its peers may get the first request. */
+#define FIRST_REQUEST (50 * KNL_MSEC)
+
+static const char *const zones[INSTANCES] = { "a", "a", "a", "b" };
+
+static void
+fixture_open (PeersFixture *self)
+{
+  peers_fixture_open (self, zones, INSTANCES, 1);
+  peers_fixture_connect (self);
+}
+
+/* Instance `i` loses an endpoint under the request. */
+static void
+note_crash (PeersFixture *self, guint i, guint64 endpoint)
+{
+  SvPeerLink *link = sv_peers_link (self->peers[i]);
+  SvCrash crash = { FINGERPRINT, endpoint, knl_kernel_now (self->kernel) };
+
+  sv_crashes_note_loss (self->crashes[i], &crash, SV_CRASH_OWN);
+  link->klass->crashes_changed (link);
+  peers_fixture_advance (self, 200 * KNL_MSEC);
+}
+
+static void
+start (PeersFixture *self, guint i)
+{
+  self->incarnation++;
+  peers_fixture_start (self, i);
+}
+
+/* Guards against an instance that starts, is told of some crashes, and sends the request on before
+ * it hears of the last one, whose witness has been killed with it. */
+static void
+test_all_is_told_at_once (void)
+{
+  PeersFixture fixture;
+
+  fixture_open (&fixture);
+  note_crash (&fixture, 0, 1);
+  note_crash (&fixture, 0, 2);
+  note_crash (&fixture, 2, 3);
+  peers_fixture_advance (&fixture, PEERS_HEARTBEAT_INTERVAL);
+  peers_fixture_stop (&fixture, 2);
+  start (&fixture, 2);
+  peers_fixture_discover (&fixture, 2, 0);
+  peers_fixture_discover (&fixture, 2, 1);
+  peers_fixture_advance (&fixture, FIRST_REQUEST);
+  CU_ASSERT_TRUE (sv_crashes_is_refused (fixture.crashes[2], FINGERPRINT));
+  peers_fixture_close (&fixture);
+}
+
+/* Guards against crashes that are forgotten in an availability zone whose instances have all been
+ * killed, as other zones tell only what they have seen themselves. */
+static void
+test_a_zone_that_starts_again_is_told (void)
+{
+  PeersFixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 1; i <= 3; i++)
+    note_crash (&fixture, 3, i);
+  peers_fixture_advance (&fixture, PEERS_HEARTBEAT_INTERVAL);
+  peers_fixture_stop (&fixture, 3);
+  peers_fixture_advance (&fixture, KNL_SEC);
+  start (&fixture, 3);
+  peers_fixture_discover (&fixture, 3, 0);
+  peers_fixture_advance (&fixture, FIRST_REQUEST);
+  CU_ASSERT_TRUE (sv_crashes_is_refused (fixture.crashes[3], FINGERPRINT));
+  peers_fixture_close (&fixture);
+}
+
+static const SuiteCase cases[] = {
+  { "all is told at once", test_all_is_told_at_once },
+  { "a zone that starts again is told", test_a_zone_that_starts_again_is_told },
+};
+
+SUITE_MAIN ("sv_crash_start", cases)
