--- a/include/kernel/kernel.h
+++ b/include/kernel/kernel.h
@@ -100,6 +100,10 @@
 
 KnlTime knl_kernel_now (KnlKernel *kernel);
 
+/** Earliest time at which what a socket delivers now may have arrived: now, but for a while after
+ * the loop has stalled, as in a process that was paused, the start of the stall. */
+KnlTime knl_kernel_earliest_arrival (KnlKernel *kernel);
+
 /** The kernel's random number generator; owned by the kernel. */
 GRand *knl_kernel_rand (KnlKernel *kernel);
 
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -535,10 +535,14 @@
   Alderturn__SegmentSurvival **survivals;
   size_t n_quarantined;
   Alderturn__QuarantinedSegment **quarantined;
+  /*
+   * longest time that one of `passed` may have waited at the sender, rounded up
+   */
+  uint32_t held_ms;
 };
 #define ALDERTURN__DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__datagram__descriptor) \
-    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /* Alderturn__EndpointLimit methods */
--- a/kernel/kernel.c
+++ b/kernel/kernel.c
@@ -1,5 +1,13 @@
 #include "kernel/kernel.h"
 
+/* The loop has stalled if a timer is overdue, or a run took, by more than this. */
+#define STALL_THRESHOLD (150 * KNL_MSEC)
+
+/* After a stall, sockets may still hold what arrived during it for this long, or for the second
+ * time if further stalls follow. */
+#define SETTLE_TIME     (500 * KNL_MSEC)
+#define MAX_SETTLE_TIME (2 * KNL_SEC)
+
 typedef struct
 {
   KnlTime deadline;
@@ -40,6 +48,10 @@
   gpointer meter_data;
   guint64 last_id;
   gboolean running;
+  KnlTime last_run_at;   /* start of the last run of what was due */
+  KnlTime waiting_since; /* time from which sockets weren't read, as the loop had stalled */
+  KnlTime stalled_until; /* end of that stall */
+  KnlTime settled_at;    /* time from which nothing of it waits any more */
 };
 
 static gint
@@ -104,6 +116,7 @@
   g_queue_init (&kernel->mailbox);
   g_queue_init (&kernel->jobs);
   runtime->klass->attach (runtime, kernel);
+  kernel->last_run_at = knl_kernel_now (kernel);
   return kernel;
 }
 
@@ -282,18 +295,68 @@
     g_free (job);
 }
 
+static gboolean
+is_overdue (KnlKernel *kernel, KnlTime now)
+{
+  const Timer *timer = first_timer (kernel);
+
+  return timer != NULL && now - timer->deadline > STALL_THRESHOLD;
+}
+
+static void
+note_stall (KnlKernel *kernel, KnlTime now)
+{
+  if (now >= kernel->settled_at || now - kernel->stalled_until > MAX_SETTLE_TIME)
+    {
+      kernel->waiting_since = kernel->last_run_at;
+      kernel->stalled_until = now;
+    }
+  kernel->settled_at = now + SETTLE_TIME;
+}
+
+KnlTime
+knl_kernel_earliest_arrival (KnlKernel *kernel)
+{
+  KnlTime now = knl_kernel_now (kernel);
+
+  if (now < kernel->settled_at)
+    return kernel->waiting_since;
+  return is_overdue (kernel, now) ? kernel->last_run_at : now;
+}
+
+static void
+begin_run (KnlKernel *kernel)
+{
+  KnlTime now = knl_kernel_now (kernel);
+
+  if (is_overdue (kernel, now))
+    note_stall (kernel, now);
+  kernel->last_run_at = now;
+  kernel->running = TRUE;
+}
+
+static void
+end_run (KnlKernel *kernel)
+{
+  KnlTime now = knl_kernel_now (kernel);
+
+  if (now - kernel->last_run_at > STALL_THRESHOLD)
+    note_stall (kernel, now);
+  kernel->running = FALSE;
+}
+
 void
 knl_kernel_run_due (KnlKernel *kernel)
 {
   if (kernel->running)
     return;
-  kernel->running = TRUE;
+  begin_run (kernel);
   destroy_stopped_tasks (kernel);
   while (deliver_next (kernel) || fire_next (kernel))
     ;
   run_job (kernel);
   destroy_stopped_tasks (kernel);
-  kernel->running = FALSE;
+  end_run (kernel);
   update_wake (kernel);
 }
 
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -192,7 +192,7 @@
 note_survived (SvRequest *self)
 {
   SvCore *core = self->core;
-  SvAcquittal acquittal = { self->fingerprint, sv_request_now (self) };
+  SvAcquittal acquittal = { self->fingerprint, knl_kernel_earliest_arrival (core->parts.kernel) };
 
   if (sv_crashes_note_answer (core->crashes, &acquittal, SV_CRASH_OWN))
     core->parts.link->klass->crashes_changed (core->parts.link);
@@ -267,6 +267,27 @@
     sv_request_send (self);
 }
 
+/* The caller has left so much unread that the endpoint's answer wasn't read, and the endpoint is
+ * not at fault if it cut the answer off. */
+static gboolean
+was_unread (const SvRequest *self, const HtExchange *exchange)
+{
+  KnlTime resumed_at = ht_exchange_resumed_at (exchange);
+
+  return resumed_at > 0 && sv_request_now (self) - resumed_at < UNREAD_WINDOW;
+}
+
+void
+sv_request_note_alive (SvRequest *self)
+{
+  SvEndpoint *endpoint = self->placement.first;
+
+  endpoint->last_seen_at = self->last_received_at;
+  if (self->exchange != NULL && !was_unread (self, self->exchange))
+    endpoint->alive_at =
+        MAX (endpoint->alive_at, knl_kernel_earliest_arrival (self->core->parts.kernel));
+}
+
 static HtHeadVerdict
 on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
@@ -290,7 +311,7 @@
                              self->last_received_at);
   /* Another process answers at the address of one that has ended. */
   if (self->reply.status != SV_STATUS_MISDIRECTED)
-    self->placement.first->last_seen_at = self->last_received_at;
+    sv_request_note_alive (self);
   if (sv_reply_note_signals (&self->reply, self->placement.first, self->last_received_at))
     link->klass->load_changed (link);
   if (sv_request_is_streaming (self) && self->fields == NULL)
@@ -360,16 +381,6 @@
     sv_request_forward (self, answer);
 }
 
-/* The caller has left so much unread that the endpoint's answer wasn't read, and the endpoint is
- * not at fault if it cut the answer off. */
-static gboolean
-was_unread (const SvRequest *self, const HtExchange *exchange)
-{
-  KnlTime resumed_at = ht_exchange_resumed_at (exchange);
-
-  return resumed_at > 0 && sv_request_now (self) - resumed_at < UNREAD_WINDOW;
-}
-
 static void
 handle_torn_stream (SvRequest *self, const HtExchange *exchange)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -220,6 +220,9 @@
 /** Cancels the current send, its timers and its reservation; no-op if there is none. */
 void sv_request_cancel_send (SvRequest *self);
 
+/** Records that the endpoint has just been heard from. */
+void sv_request_note_alive (SvRequest *self);
+
 /** Records that the endpoint may have crashed under the request, and tells the peers. `ended`: its
  * connection has ended; otherwise it is only silent. */
 void sv_request_note_crash (SvRequest *self, const char *fault, gboolean ended);
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -113,7 +113,7 @@
 {
   const SvEndpoint *endpoint = sv_fleet_by_key (fleet, key);
 
-  return endpoint != NULL && endpoint->last_seen_at > lost_at + SURVIVAL_MARGIN;
+  return endpoint != NULL && endpoint->alive_at > lost_at + SURVIVAL_MARGIN;
 }
 
 static gboolean
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -140,6 +140,7 @@
   AlivePeers *alive;
   GHashTable *cells;    /* id -> Cell, other ones */
   SocketAddress source; /* of the datagram that is being handled */
+  KnlTime sent_at;      /* earliest time at which it may have been sent */
   GArray *newcomers;    /* guint32, ids of peers to be announced to the cell */
   KnlTimerId spread_timer;
   GHashTable *answered_unknown; /* ids of unknown senders answered since the last heartbeat */
@@ -157,6 +158,7 @@
   KnlTime described_at;      /* last description sent because of a change; 0: never */
   KnlTimerId describe_timer;
   GPtrArray *forward_queue; /* GBytes: datagrams of other cells, to be forwarded */
+  KnlTime forward_sent_at;  /* earliest time at which one of them may have been sent */
   KnlTime forwarded_at;     /* 0: never */
   KnlTimerId forward_timer;
   CmLogRateLimit unreadable; /* limits log lines about unreadable datagrams */
--- a/serve/peers_pace.c
+++ b/serve/peers_pace.c
@@ -170,7 +170,7 @@
     .is_cell = is_cell,
     .estimate = { .ratio = pace->percent / 100.0,
                   .samples = pace->samples,
-                  .at = now - (KnlTime)pace->age_ms * KNL_MSEC,
+                  .at = self->sent_at - (KnlTime)pace->age_ms * KNL_MSEC,
                   .is_stated = pace->stated },
   };
 
--- a/serve/peers_quarantine.c
+++ b/serve/peers_quarantine.c
@@ -26,6 +26,7 @@
   return (guint32)CLAMP ((knl_kernel_now (self->kernel) - since) / KNL_MSEC, 0, G_MAXUINT32);
 }
 
+/* The latest time that it may be. */
 static KnlTime
 time_of (const SvPeers *self, guint32 age)
 {
@@ -181,7 +182,8 @@
   for (gsize i = 0; i < datagram->n_survivals; i++)
     {
       const Alderturn__SegmentSurvival *row = datagram->survivals[i];
-      SvSegmentSurvival survival = { .service = row->service, .at = time_of (self, row->age_ms) };
+      SvSegmentSurvival survival = { .service = row->service,
+                                     .at = self->sent_at - (KnlTime)row->age_ms * KNL_MSEC };
 
       read_segments (&survival.segments, row->segments, row->n_segments);
       sv_quarantine_note_survival (self->quarantine, &survival, origin);
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -61,10 +61,12 @@
 static void
 update_last_seen (const SvPeers *self, SvEndpoint *endpoint, const Alderturn__EndpointLoad *row)
 {
-  KnlTime last_seen_at = knl_kernel_now (self->kernel) - (KnlTime)(row->silent_ms - 1) * KNL_MSEC;
+  KnlTime silent = (KnlTime)(row->silent_ms - 1) * KNL_MSEC;
 
-  if (row->silent_ms > 0)
-    endpoint->last_seen_at = MAX (endpoint->last_seen_at, last_seen_at);
+  if (row->silent_ms == 0)
+    return;
+  endpoint->last_seen_at = MAX (endpoint->last_seen_at, knl_kernel_now (self->kernel) - silent);
+  endpoint->alive_at = MAX (endpoint->alive_at, self->sent_at - silent);
 }
 
 /* A peer that loses requests at many endpoints at once is probably cut off or faulty itself. If its
@@ -136,7 +138,7 @@
               const Alderturn__EndpointLimit *limit,
               SvReportedSends reported)
 {
-  KnlTime advertised_at = knl_kernel_now (self->kernel) - (KnlTime)limit->age_ms * KNL_MSEC;
+  KnlTime advertised_at = self->sent_at - (KnlTime)limit->age_ms * KNL_MSEC;
   double before = endpoint->limit.rate;
 
   if (!isfinite (limit->rate))
@@ -300,7 +302,7 @@
   for (guint i = 0; i < datagram->n_answered && self->crashes != NULL; i++)
     {
       const Alderturn__AnsweredRequest *row = datagram->answered[i];
-      SvAcquittal acquittal = { row->request, now - (KnlTime)row->age_ms * KNL_MSEC };
+      SvAcquittal acquittal = { row->request, self->sent_at - (KnlTime)row->age_ms * KNL_MSEC };
 
       sv_crashes_note_answer (self->crashes, &acquittal, origin);
     }
@@ -444,6 +446,7 @@
       log_unreadable (self, length);
       return;
     }
+  self->sent_at = knl_kernel_earliest_arrival (self->kernel);
   dispatch_datagram (self, datagram, bytes, length);
   alderturn__datagram__free_unpacked (datagram, NULL);
 }
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -413,7 +413,7 @@
 {
   const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, use->endpoint);
 
-  *survived = endpoint != NULL && endpoint->last_seen_at >= use->at + SV_CRASH_WINDOW;
+  *survived = endpoint != NULL && endpoint->alive_at >= use->at + SV_CRASH_WINDOW;
   return *survived || endpoint == NULL || use->at + BEGUN_TTL <= knl_kernel_now (self->kernel);
 }
 
--- a/serve/relay.c
+++ b/serve/relay.c
@@ -295,6 +295,12 @@
   sv_relay_announce (self);
 }
 
+static guint32
+held_ms (const SvPeers *self, KnlTime sent_at)
+{
+  return (guint32)((knl_kernel_now (self->kernel) - sent_at) / KNL_MSEC + 1);
+}
+
 /* Forwards as many of the queued datagrams as fit into one; the others stay queued. */
 static void
 send_forwarded (SvPeers *self)
@@ -319,6 +325,7 @@
     }
   datagram.passed = forwarded;
   datagram.n_passed = n;
+  datagram.held_ms = held_ms (self, self->forward_sent_at);
   sv_peers_send_to_cell (self, &datagram);
   g_ptr_array_remove_range (self->forward_queue, 0, n);
 }
@@ -337,6 +344,8 @@
 static void
 forward_to_cell (SvPeers *self, const guint8 *bytes, gsize length)
 {
+  if (self->forward_queue->len == 0 || self->sent_at < self->forward_sent_at)
+    self->forward_sent_at = self->sent_at;
   g_ptr_array_add (self->forward_queue, g_bytes_new (bytes, length));
   run_rate_limited (self, &self->forward_timer, self->forwarded_at, on_forward_due);
 }
@@ -354,6 +363,7 @@
   datagram.passed = &forwarded;
   datagram.n_passed = 1;
   datagram.to_relay = TRUE;
+  datagram.held_ms = held_ms (self, self->sent_at);
   sv_peers_send (self, relay, &datagram);
 }
 
@@ -377,6 +387,7 @@
 void
 sv_relay_handle_forwarded (SvPeers *self, const Alderturn__Datagram *datagram)
 {
+  self->sent_at -= (KnlTime)datagram->held_ms * KNL_MSEC;
   for (guint i = 0; i < datagram->n_passed; i++)
     {
       const ProtobufCBinaryData *bytes = &datagram->passed[i];
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -84,7 +84,7 @@
 sv_request_handle_bytes (SvRequest *self, const char *bytes, gsize length)
 {
   self->last_received_at = knl_kernel_now (self->core->parts.kernel);
-  self->placement.first->last_seen_at = self->last_received_at;
+  sv_request_note_alive (self);
   sv_events_feed (&self->events, bytes, length, on_event, self);
 }
 
--- a/tests/unit/kernel_test.c
+++ b/tests/unit/kernel_test.c
@@ -223,6 +223,36 @@
   CU_ASSERT_STRING_EQUAL (text->str, ":take_time 5;");
 }
 
+static void
+do_nothing (gpointer data)
+{
+}
+
+/* Guards against what a paused process reads after its pause counting as just arrived. */
+static void
+test_earliest_arrival (void)
+{
+  g_autoptr (KnlPausedClock) clock = knl_paused_clock_new ();
+  KnlRuntime *runtime = knl_paused_clock_runtime (clock);
+  g_autoptr (KnlKernel) kernel = knl_kernel_new (runtime, 1);
+  KnlTime paused_at;
+
+  knl_timer_start (kernel, KNL_SEC, do_nothing, NULL);
+  knl_paused_clock_advance (clock, KNL_SEC);
+  paused_at = knl_kernel_now (kernel);
+  CU_ASSERT_EQUAL (knl_kernel_earliest_arrival (kernel), paused_at);
+  knl_timer_start (kernel, 100 * KNL_MSEC, do_nothing, NULL);
+  knl_paused_runtime_set_frozen (runtime, TRUE);
+  knl_paused_clock_advance (clock, 3 * KNL_SEC);
+  knl_paused_runtime_set_frozen (runtime, FALSE);
+  CU_ASSERT_EQUAL (knl_kernel_earliest_arrival (kernel), paused_at);
+  /* More may wait in the sockets than is read at once. */
+  knl_paused_clock_advance (clock, 100 * KNL_MSEC);
+  CU_ASSERT_EQUAL (knl_kernel_earliest_arrival (kernel), paused_at);
+  knl_paused_clock_advance (clock, KNL_SEC);
+  CU_ASSERT_EQUAL (knl_kernel_earliest_arrival (kernel), knl_kernel_now (kernel));
+}
+
 static const SuiteCase cases[] = {
   { "timers fire in order of deadline, then of start",
     test_timers_fire_in_order_of_deadline_then_start },
@@ -234,6 +264,7 @@
   { "jobs that are stopped", test_jobs_that_are_stopped },
   { "the meter reports the name and duration of a callback",
     test_meter_reports_names_and_durations },
+  { "earliest arrival", test_earliest_arrival },
 };
 
 SUITE_MAIN ("kernel", cases)
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -1890,7 +1890,7 @@
   (ProtobufCMessageInit) alderturn__quarantined_segment__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[29] =
+static const ProtobufCFieldDescriptor alderturn__datagram__field_descriptors[30] =
 {
   {
     "sender",
@@ -2240,6 +2240,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held_ms",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Datagram, held_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__datagram__field_indices_by_name[] = {
   23,   /* field[23] = answered */
@@ -2253,6 +2265,7 @@
   18,   /* field[18] = era */
   24,   /* field[24] = evacuations */
   4,   /* field[4] = from */
+  29,   /* field[29] = held_ms */
   1,   /* field[1] = incarnation */
   21,   /* field[21] = instances */
   19,   /* field[19] = introduce */
@@ -2276,7 +2289,7 @@
 {
   { 1, 0 },
   { 10, 8 },
-  { 0, 29 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor alderturn__datagram__descriptor =
 {
@@ -2286,7 +2299,7 @@
   "Alderturn__Datagram",
   "alderturn",
   sizeof(Alderturn__Datagram),
-  29,
+  30,
   alderturn__datagram__field_descriptors,
   alderturn__datagram__field_indices_by_name,
   2,  alderturn__datagram__number_ranges,
