--- a/include/policy/blame.h
+++ b/include/policy/blame.h
@@ -41,6 +41,9 @@
 /** Sorts the losses by time. */
 PolBlame pol_blame_weigh (PolBlameLoss *losses, guint n);
 
+/** The same for a request that was lost at all of them, whatever else they have in common. */
+gboolean pol_blame_is_shown_of_request (const PolBlame *blame);
+
 /** `is_ambiguous`: something else is common to the same losses, and may be what crashed the
  * endpoints instead. */
 gboolean pol_blame_is_shown (const PolBlame *blame, gboolean is_ambiguous);
--- a/include/serve/crashes.h
+++ b/include/serve/crashes.h
@@ -16,6 +16,7 @@
 #include "serve/fleet.h"
 
 typedef struct SvCrashes SvCrashes;
+typedef struct SvQuarantine SvQuarantine;
 
 /** An endpoint was lost under a request. */
 typedef struct
@@ -55,11 +56,9 @@
  * was replaced, or whose row lapsed, is no longer in the fleet under this key. */
 gboolean sv_crash_is_survived (const SvFleet *fleet, guint64 endpoint, KnlTime lost_at);
 
-/** Whether the end of an endpoint has a known cause; `data` is as given. */
-typedef gboolean (*SvCrashExplainFunc) (guint64 endpoint, gpointer data);
-
-/** Sets by what losses are explained, which then don't count; NULL: by nothing. */
-void sv_crashes_set_explain (SvCrashes *crashes, SvCrashExplainFunc explain, gpointer data);
+/** Sets where requests that crash endpoints are quarantined; losses that a quarantined segment
+ * explains don't count. NULL: nowhere. */
+void sv_crashes_set_quarantine (SvCrashes *crashes, SvQuarantine *quarantine);
 
 /** Records a loss. FALSE: it was known, or comes before an answer to the request. */
 gboolean sv_crashes_note_loss (SvCrashes *crashes, const SvCrash *crash, SvCrashOrigin origin);
@@ -73,15 +72,19 @@
  * known cause. */
 guint sv_crashes_count (const SvCrashes *crashes, guint64 fingerprint);
 
-/** Whether the request has ended so many endpoints that it isn't run. */
-gboolean sv_crashes_is_refused (const SvCrashes *crashes, guint64 fingerprint);
+/** Whether the request has ended so many endpoints that it isn't run. FALSE also if it is
+ * quarantined, see sv_quarantine_check(). */
+gboolean sv_crashes_is_refused (SvCrashes *crashes, guint64 fingerprint);
 
 /** Number of requests that records are kept of. */
 guint sv_crashes_n_requests (const SvCrashes *crashes);
 
-/** To be called regularly: drops expired records, and marks for sending again the losses of
- * requests that have two or more: this instance's own ones, or with `all` also those that others
- * have seen. FALSE: there are none. */
+/** To be called several times a second: drops expired records, and quarantines requests that are
+ * certain to have ended so many endpoints. TRUE: there is something to be sent to others. */
+gboolean sv_crashes_tick (SvCrashes *crashes);
+
+/** Marks for sending again the losses of requests that have two or more: this instance's own ones,
+ * or with `all` also those that others have seen. FALSE: there are none. */
 gboolean sv_crashes_repeat (SvCrashes *crashes, gboolean all);
 
 /** Fills in losses, or acquittals, that the audience has not been sent; they then count as sent.
--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -16,13 +16,20 @@
  * time to find out.
  *
  * Segments are kept by service, since another service's engines may run other software.
+ *
+ * A request that crashes endpoints by itself, whatever its segments, is quarantined in the same
+ * way; its losses are in SvCrashes.
  */
 
 #include "policy/blame.h"
 #include "serve/crashes.h"
 #include "serve/segments.h"
 
-typedef struct SvQuarantine SvQuarantine;
+/** In place of the hash of a service's name: a whole request is quarantined, by its fingerprint. */
+#define SV_QUARANTINE_REQUESTS 0
+
+/** A quarantine ends after this time, as the engines may have been replaced by then. */
+#define SV_QUARANTINE_TTL (21600 * KNL_SEC)
 
 /** Losses that are kept, and told, of a quarantined segment. */
 #define SV_QUARANTINE_LOSSES 5
@@ -48,16 +55,22 @@
   SvSegments segments;
 } SvSegmentSurvival;
 
-/** A quarantined segment. */
+/** A quarantined segment, or request. */
 typedef struct
 {
   guint32 service;
-  guint64 segment;
-  KnlTime since; /**< on this instance's clock */
+  guint64 segment; /**< or the request's fingerprint */
+  KnlTime since;   /**< on this instance's clock */
   guint n_losses;
   PolBlameLoss losses[SV_QUARANTINE_LOSSES]; /**< that show it; `requests` aren't told to others */
 } SvQuarantined;
 
+/** Name of the field of log lines that holds its id. */
+const char *sv_quarantined_field (const SvQuarantined *quarantined);
+
+/** Its id in log lines. Free with g_free. */
+char *sv_quarantined_format (const SvQuarantined *quarantined);
+
 SvQuarantine *sv_quarantine_new (KnlKernel *kernel, SvFleet *fleet);
 void sv_quarantine_free (SvQuarantine *quarantine);
 
@@ -103,6 +116,15 @@
                               const SvQuarantined *quarantined,
                               SvCrashOrigin origin);
 
+/** Quarantines the request if it is certain that these endpoints have ended, and no outage of many
+ * explains it. Sorts the losses. */
+void sv_quarantine_note_request (SvQuarantine *quarantine,
+                                 guint64 fingerprint,
+                                 PolBlameLoss *losses,
+                                 guint n);
+
+gboolean sv_quarantine_contains (const SvQuarantine *quarantine, guint32 service, guint64 segment);
+
 /** The quarantined segment because of which a prompt is refused; NULL: it isn't. `n_instances`: of
  * the system; about one of them lets a prompt through each time that a quarantine is to be put to
  * the test, and `is_test` is set. */
--- a/policy/blame.c
+++ b/policy/blame.c
@@ -85,6 +85,12 @@
   return blame;
 }
 
+gboolean
+pol_blame_is_shown_of_request (const PolBlame *blame)
+{
+  return blame->moments >= MIN_MOMENTS;
+}
+
 gboolean
 pol_blame_is_shown (const PolBlame *blame, gboolean is_ambiguous)
 {
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -222,6 +222,7 @@
 gboolean
 sv_request_admit (SvRequest *self)
 {
+  const char *quarantine;
   static gboolean (*const checks[]) (SvRequest *) = {
     check_config, check_required_fields, check_route,   check_key,
     check_zones,  check_drain,           check_crashes, check_passed,
@@ -238,9 +239,10 @@
       sv_request_refuse (self, 503, "service-not-declared");
       return FALSE;
     }
-  if (sv_request_is_quarantined (self))
+  quarantine = sv_request_quarantine_reason (self);
+  if (quarantine != NULL)
     {
-      sv_request_refuse (self, 503, "segment-quarantined");
+      sv_request_refuse (self, 503, quarantine);
       return FALSE;
     }
   if (is_admitted (self))
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -194,7 +194,10 @@
   SvCore *core = self->core;
   SvAcquittal acquittal = { self->fingerprint, knl_kernel_earliest_arrival (core->parts.kernel) };
 
-  if (sv_crashes_note_answer (core->crashes, &acquittal, SV_CRASH_OWN))
+  gboolean is_news = sv_request_note_survived (self, acquittal.answered_at);
+
+  is_news |= sv_crashes_note_answer (core->crashes, &acquittal, SV_CRASH_OWN);
+  if (is_news)
     core->parts.link->klass->crashes_changed (core->parts.link);
 }
 
@@ -245,6 +248,7 @@
     .non_idempotent = !sv_route_is_idempotent (self->route),
     .attempts = self->sends,
   };
+  const char *quarantine;
   PolRetry decision;
 
   log_loss (self, fault, ran);
@@ -259,8 +263,8 @@
     sv_request_give_up (self, fault);
   else if (sv_crashes_is_refused (self->core->crashes, self->fingerprint))
     sv_request_give_up (self, "crashes-endpoints");
-  else if (sv_request_is_quarantined (self))
-    sv_request_give_up (self, "segment-quarantined");
+  else if ((quarantine = sv_request_quarantine_reason (self)) != NULL)
+    sv_request_give_up (self, quarantine);
   else if (!spend_retry (self, decision))
     sv_request_give_up (self, "no-retry-left");
   else
--- a/serve/core.c
+++ b/serve/core.c
@@ -99,12 +99,6 @@
   return sv_pace_reports_new (&parts);
 }
 
-static gboolean
-is_crash_explained (guint64 endpoint, gpointer data)
-{
-  return sv_quarantine_explains (data, endpoint);
-}
-
 SvCore *
 sv_core_new (const SvCoreParts *parts, const SvBounds *bounds)
 {
@@ -119,7 +113,7 @@
   self->crashes = sv_crashes_new (parts->kernel, parts->fleet);
   self->quarantine = sv_quarantine_new (parts->kernel, parts->fleet);
   sv_quarantine_on_changed (self->quarantine, sv_core_note_quarantine, self);
-  sv_crashes_set_explain (self->crashes, is_crash_explained, self->quarantine);
+  sv_crashes_set_quarantine (self->crashes, self->quarantine);
   self->reach =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)sv_reach_free);
   self->meters = sv_meters_new (parts->metrics);
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -132,8 +132,12 @@
 
 /* request_quarantine.c */
 
-/** Whether a segment of its prompt is quarantined; logs which. It isn't to be sent then. */
-gboolean sv_request_is_quarantined (SvRequest *self);
+/** Why it isn't to be sent: it, or a segment of its prompt, is quarantined; logs which. NULL: it
+ * may be sent. */
+const char *sv_request_quarantine_reason (SvRequest *self);
+
+/** An endpoint has survived running the request. TRUE: there is something to be sent to others. */
+gboolean sv_request_note_survived (SvRequest *self, KnlTime at);
 
 /** Its endpoint was lost under it. */
 void sv_request_note_segments_lost (SvRequest *self);
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -1,10 +1,15 @@
 #include "serve/crashes.h"
 
+#include "serve/quarantine.h"
+
 /* A harmless request can lose its endpoint twice by coincidence. */
 #define MAX_CRASHES 2
 
-/* Time after the last loss until a request is forgotten. */
-#define RECORD_TTL (60 * KNL_SEC)
+/* Time for which a loss counts. By its end the row of an endpoint that has ended is gone, and the
+ * loss then counts for as long as a quarantine: a request that comes back rarely would be new each
+ * time. */
+#define LOSS_TTL       (60 * KNL_SEC)
+#define ENDED_LOSS_TTL SV_QUARANTINE_TTL
 
 /* An endpoint that is heard from later than this after the loss has survived it. Its last bytes may
  * be read, and reported by a peer, some time after it has ended. */
@@ -13,22 +18,25 @@
 /* Losses recorded of one request. More than are needed to refuse it, as some may not count. */
 #define MAX_LOSSES 6
 
-/* From this number of requests on, expired ones are removed before one is added; beyond twice it
- * none is added. */
+/* From this number of requests on, expired ones are removed before one is added, then those with a
+ * single loss that is older than LOSS_TTL; beyond twice it none is added. */
 #define SWEEP_THRESHOLD 4096
 
+/* Shortest time between two looks at all records for some to remove. */
+#define SWEEP_INTERVAL (200 * KNL_MSEC)
+
 typedef struct
 {
   guint64 endpoint;
   KnlTime lost_at;
   SvCrashOrigin origin;
+  gboolean is_survived; /* the endpoint was heard from since; it may have left later */
   gboolean unsent[SV_CRASHES_N_AUDIENCES];
 } Loss;
 
 typedef struct
 {
   guint64 fingerprint;
-  KnlTime expires;
   KnlTime answered_at; /* losses before it don't count; 0: never */
   gboolean acquittal_unsent[SV_CRASHES_N_AUDIENCES];
   guint n_losses;
@@ -39,9 +47,9 @@
 {
   KnlKernel *kernel;
   SvFleet *fleet;
-  GHashTable *records; /* &fingerprint -> Record */
-  SvCrashExplainFunc explain;
-  gpointer explain_data;
+  GHashTable *records;      /* &fingerprint -> Record */
+  KnlTime swept_at;         /* when records were last removed to make room */
+  SvQuarantine *quarantine; /* NULL: none */
   /* Whether any may be unsent. Each announcement of loads asks for them: without this it would look
    * at all records, thousands after many endpoints have failed at once. */
   gboolean has_unsent_losses[SV_CRASHES_N_AUDIENCES];
@@ -68,10 +76,64 @@
   g_free (self);
 }
 
+gboolean
+sv_crash_is_survived (const SvFleet *fleet, guint64 key, KnlTime lost_at)
+{
+  const SvEndpoint *endpoint = sv_fleet_by_key (fleet, key);
+
+  return endpoint != NULL && endpoint->alive_at > lost_at + SURVIVAL_MARGIN;
+}
+
+static gboolean
+has_survived (const SvCrashes *self, const Loss *loss)
+{
+  return loss->is_survived || sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at);
+}
+
+static gboolean
+is_loss_expired (const SvCrashes *self, const Loss *loss)
+{
+  KnlTime age = knl_kernel_now (self->kernel) - loss->lost_at;
+
+  if (age < LOSS_TTL)
+    return FALSE;
+  return age >= ENDED_LOSS_TTL || has_survived (self, loss)
+         || sv_fleet_by_key (self->fleet, loss->endpoint) != NULL;
+}
+
+static gboolean
+counts (const SvCrashes *self, const Loss *loss)
+{
+  if (has_survived (self, loss) || is_loss_expired (self, loss))
+    return FALSE;
+  return self->quarantine == NULL || !sv_quarantine_explains (self->quarantine, loss->endpoint);
+}
+
 static gboolean
 is_expired (gpointer key, gpointer value, gpointer data)
 {
-  return ((const Record *)value)->expires <= knl_kernel_now (data);
+  const SvCrashes *self = data;
+  const Record *record = value;
+
+  if (record->answered_at > 0 && record->answered_at + LOSS_TTL > knl_kernel_now (self->kernel))
+    return FALSE;
+  for (guint i = 0; i < record->n_losses; i++)
+    {
+      if (!is_loss_expired (self, &record->losses[i]))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* It may be a bystander's, and is the first to make way. */
+static gboolean
+has_old_lone_loss (gpointer key, gpointer value, gpointer data)
+{
+  const SvCrashes *self = data;
+  const Record *record = value;
+
+  return record->n_losses == 1
+         && record->losses[0].lost_at + LOSS_TTL <= knl_kernel_now (self->kernel);
 }
 
 /* NULL: there is none. */
@@ -80,7 +142,20 @@
 {
   Record *record = g_hash_table_lookup (self->records, &fingerprint);
 
-  return record != NULL && !is_expired (NULL, record, self->kernel) ? record : NULL;
+  return record != NULL && !is_expired (NULL, record, (gpointer)self) ? record : NULL;
+}
+
+static void
+make_room (SvCrashes *self)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+
+  if (g_hash_table_size (self->records) < SWEEP_THRESHOLD || now < self->swept_at + SWEEP_INTERVAL)
+    return;
+  self->swept_at = now;
+  g_hash_table_foreach_remove (self->records, is_expired, self);
+  if (g_hash_table_size (self->records) >= SWEEP_THRESHOLD)
+    g_hash_table_foreach_remove (self->records, has_old_lone_loss, self);
 }
 
 /* NULL: there are too many records. */
@@ -91,8 +166,7 @@
 
   if (record != NULL)
     return record;
-  if (g_hash_table_size (self->records) >= SWEEP_THRESHOLD)
-    g_hash_table_foreach_remove (self->records, is_expired, self->kernel);
+  make_room (self);
   if (g_hash_table_size (self->records) >= 2 * SWEEP_THRESHOLD)
     return NULL;
   record = g_new0 (Record, 1);
@@ -102,32 +176,9 @@
 }
 
 void
-sv_crashes_set_explain (SvCrashes *self, SvCrashExplainFunc explain, gpointer data)
-{
-  self->explain = explain;
-  self->explain_data = data;
-}
-
-gboolean
-sv_crash_is_survived (const SvFleet *fleet, guint64 key, KnlTime lost_at)
-{
-  const SvEndpoint *endpoint = sv_fleet_by_key (fleet, key);
-
-  return endpoint != NULL && endpoint->alive_at > lost_at + SURVIVAL_MARGIN;
-}
-
-static gboolean
-has_survived (const SvCrashes *self, const Loss *loss)
-{
-  return sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at);
-}
-
-static gboolean
-counts (const SvCrashes *self, const Loss *loss)
+sv_crashes_set_quarantine (SvCrashes *self, SvQuarantine *quarantine)
 {
-  if (has_survived (self, loss))
-    return FALSE;
-  return self->explain == NULL || !self->explain (loss->endpoint, self->explain_data);
+  self->quarantine = quarantine;
 }
 
 static void
@@ -156,7 +207,7 @@
     return &record->losses[record->n_losses++];
   for (guint i = 0; i < record->n_losses; i++)
     {
-      if (has_survived (self, &record->losses[i]))
+      if (has_survived (self, &record->losses[i]) || is_loss_expired (self, &record->losses[i]))
         return &record->losses[i];
     }
   return NULL;
@@ -168,7 +219,7 @@
   Record *record;
   Loss *loss;
 
-  if (crash->lost_at + RECORD_TTL <= knl_kernel_now (self->kernel))
+  if (crash->lost_at + LOSS_TTL <= knl_kernel_now (self->kernel))
     return FALSE;
   record = ensure_record (self, crash->fingerprint);
   if (record == NULL || (record->answered_at > 0 && crash->lost_at <= record->answered_at))
@@ -188,7 +239,6 @@
                   .origin = origin,
                   .unsent = { origin == SV_CRASH_OWN, origin != SV_CRASH_OF_OTHER_CELL } };
   note_unsent (self->has_unsent_losses, loss->unsent);
-  record->expires = MAX (record->expires, crash->lost_at + RECORD_TTL);
   return TRUE;
 }
 
@@ -209,7 +259,6 @@
     return FALSE;
   record->n_losses = kept;
   record->answered_at = acquittal->answered_at;
-  record->expires = MAX (record->expires, acquittal->answered_at + RECORD_TTL);
   record->acquittal_unsent[SV_CRASHES_FOR_CELL] = origin == SV_CRASH_OWN;
   record->acquittal_unsent[SV_CRASHES_FOR_CELLS] = origin != SV_CRASH_OF_OTHER_CELL;
   note_unsent (self->has_unsent_acquittals, record->acquittal_unsent);
@@ -227,22 +276,98 @@
   return n;
 }
 
+static gboolean
+is_quarantined (const SvCrashes *self, guint64 fingerprint)
+{
+  return self->quarantine != NULL
+         && sv_quarantine_contains (self->quarantine, SV_QUARANTINE_REQUESTS, fingerprint);
+}
+
+static void
+quarantine (SvCrashes *self, const Record *record)
+{
+  PolBlameLoss losses[MAX_LOSSES];
+  guint n = 0;
+
+  if (self->quarantine == NULL)
+    return;
+  for (guint i = 0; i < record->n_losses; i++)
+    {
+      const Loss *loss = &record->losses[i];
+
+      if (counts (self, loss))
+        losses[n++] = (PolBlameLoss){ .endpoint = loss->endpoint, .lost_at = loss->lost_at };
+    }
+  if (n > MAX_CRASHES)
+    sv_quarantine_note_request (self->quarantine, record->fingerprint, losses, n);
+}
+
+static gboolean
+has_recent_loss (const SvCrashes *self, const Record *record)
+{
+  KnlTime oldest = knl_kernel_now (self->kernel) - LOSS_TTL;
+
+  for (guint i = 0; i < record->n_losses; i++)
+    {
+      if (record->losses[i].lost_at > oldest)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 gboolean
-sv_crashes_is_refused (const SvCrashes *self, guint64 fingerprint)
+sv_crashes_is_refused (SvCrashes *self, guint64 fingerprint)
+{
+  const Record *record = find_record (self, fingerprint);
+
+  if (sv_crashes_count (self, fingerprint) <= MAX_CRASHES)
+    return FALSE;
+  quarantine (self, record);
+  return has_recent_loss (self, record) && !is_quarantined (self, fingerprint);
+}
+
+/* An endpoint that has lived on may leave later; this loss is no sign of an end then. */
+static void
+note_survivors (const SvCrashes *self, Record *record)
 {
-  return sv_crashes_count (self, fingerprint) > MAX_CRASHES;
+  for (guint i = 0; i < record->n_losses; i++)
+    record->losses[i].is_survived = has_survived (self, &record->losses[i]);
+}
+
+gboolean
+sv_crashes_tick (SvCrashes *self)
+{
+  GHashTableIter iter;
+  gpointer value;
+  gboolean is_changed = FALSE;
+
+  g_hash_table_foreach_remove (self->records, is_expired, self);
+  g_hash_table_iter_init (&iter, self->records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Record *record = value;
+
+      note_survivors (self, record);
+      if (record->n_losses <= MAX_CRASHES || is_quarantined (self, record->fingerprint))
+        continue;
+      quarantine (self, record);
+      is_changed |= is_quarantined (self, record->fingerprint);
+    }
+  return is_changed;
 }
 
 static gboolean
 repeat_losses (SvCrashes *self, Record *record, gboolean all)
 {
+  KnlTime oldest = knl_kernel_now (self->kernel) - LOSS_TTL;
   gboolean repeated = FALSE;
 
   for (guint i = 0; i < record->n_losses; i++)
     {
       Loss *loss = &record->losses[i];
 
-      if (has_survived (self, loss) || !(all || loss->origin == SV_CRASH_OWN))
+      if (has_survived (self, loss) || loss->lost_at <= oldest
+          || !(all || loss->origin == SV_CRASH_OWN))
         continue;
       loss->unsent[SV_CRASHES_FOR_CELL] = TRUE;
       loss->unsent[SV_CRASHES_FOR_CELLS] = loss->origin != SV_CRASH_OF_OTHER_CELL;
@@ -259,13 +384,13 @@
   gpointer value;
   gboolean repeated = FALSE;
 
-  g_hash_table_foreach_remove (self->records, is_expired, self->kernel);
   g_hash_table_iter_init (&iter, self->records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       Record *record = value;
 
-      if (sv_crashes_count (self, record->fingerprint) >= MAX_CRASHES)
+      if (!is_quarantined (self, record->fingerprint)
+          && sv_crashes_count (self, record->fingerprint) >= MAX_CRASHES)
         repeated |= repeat_losses (self, record, all);
     }
   return repeated;
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -351,7 +351,7 @@
 /** The same to other cells, by the relay. */
 gboolean sv_relay_send_quarantine (SvPeers *self);
 
-/** Reviews the quarantined segments, and announces those that endpoints have survived. */
+/** Reviews the quarantined segments and the records of crashes, and announces what has changed. */
 void sv_peers_tick_quarantine (SvPeers *self);
 
 /** Announces all quarantined segments again, if this instance is one of CRASH_REPEATERS. */
--- a/serve/peers_quarantine.c
+++ b/serve/peers_quarantine.c
@@ -234,7 +234,10 @@
 void
 sv_peers_tick_quarantine (SvPeers *self)
 {
-  if (self->quarantine != NULL && sv_quarantine_tick (self->quarantine))
+  gboolean is_news = self->quarantine != NULL && sv_quarantine_tick (self->quarantine);
+
+  is_news |= self->crashes != NULL && sv_crashes_tick (self->crashes);
+  if (is_news)
     self->link.klass->crashes_changed (&self->link);
 }
 
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -270,6 +270,26 @@
   return found;
 }
 
+void
+sv_quarantine_note_request (SvQuarantine *self, guint64 fingerprint, PolBlameLoss *losses, guint n)
+{
+  KnlTime newest = knl_kernel_now (self->kernel) - SETTLE_TIME;
+  SegmentKey key = { fingerprint, SV_QUARANTINE_REQUESTS };
+  PolBlame blame;
+  guint ended = 0;
+
+  if (sv_quarantine_find_entry (self, &key) != NULL)
+    return;
+  for (guint i = 0; i < n; i++)
+    {
+      if (losses[i].lost_at <= newest && sv_quarantine_has_ended (self, losses[i].endpoint))
+        losses[ended++] = losses[i];
+    }
+  blame = pol_blame_weigh (losses, ended);
+  if (pol_blame_is_shown_of_request (&blame))
+    sv_quarantine_begin (self, &key, losses, ended);
+}
+
 void
 sv_quarantine_decide (SvQuarantine *self, const SegmentKey *key)
 {
@@ -371,7 +391,7 @@
         suspect = sv_quarantine_ensure_suspect (self, key);
       /* Instances that haven't heard of this yet still tell of the quarantine. */
       if (suspect != NULL)
-        suspect->expires = at + ENTRY_TTL;
+        suspect->expires = at + SV_QUARANTINE_TTL;
       sv_quarantine_end (self, entry, "survived");
     }
   else
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -1,4 +1,5 @@
-/** Quarantined segments: how long each stays so, and what is let through to find out. */
+/** Quarantined segments and requests: how long each stays so, and what is let through to find out.
+ */
 
 #include <xxhash.h>
 
@@ -20,6 +21,28 @@
   return g_hash_table_size (self->entries) > 0 ? g_hash_table_lookup (self->entries, key) : NULL;
 }
 
+gboolean
+sv_quarantine_contains (const SvQuarantine *self, guint32 service, guint64 segment)
+{
+  SegmentKey key = { segment, service };
+
+  return sv_quarantine_find_entry (self, &key) != NULL;
+}
+
+const char *
+sv_quarantined_field (const SvQuarantined *self)
+{
+  return self->service == SV_QUARANTINE_REQUESTS ? "fingerprint" : "segment";
+}
+
+char *
+sv_quarantined_format (const SvQuarantined *self)
+{
+  return self->service == SV_QUARANTINE_REQUESTS
+             ? g_strdup_printf ("%016" G_GINT64_MODIFIER "x", self->segment)
+             : sv_segment_format (self->segment);
+}
+
 static char *
 format_endpoints (const SvQuarantine *self, const SvQuarantined *quarantined)
 {
@@ -58,14 +81,14 @@
 log_entry (const SvQuarantine *self, const char *event, const SvQuarantined *quarantined)
 {
   KnlTime now = knl_kernel_now (self->kernel);
-  g_autofree char *segment = sv_segment_format (quarantined->segment);
+  g_autofree char *id = sv_quarantined_format (quarantined);
   g_autofree char *endpoints = format_endpoints (self, quarantined);
   g_autofree char *requests = format_requests (quarantined);
 
-  cm_log (CM_LOG_WARNING, event, "s", "segment", segment, "s", "endpoints", endpoints, "s",
-          "fingerprints", requests, "i", "first-loss-us", now - quarantined->losses[0].lost_at, "i",
-          "age-us", now - quarantined->since, "i", "quarantined",
-          (gint64)g_hash_table_size (self->entries));
+  cm_log (CM_LOG_WARNING, event, "s", sv_quarantined_field (quarantined), id, "s", "endpoints",
+          endpoints, "s", "fingerprints", requests, "i", "first-loss-us",
+          now - quarantined->losses[0].lost_at, "i", "age-us", now - quarantined->since, "i",
+          "quarantined", (gint64)g_hash_table_size (self->entries));
 }
 
 static void
@@ -108,16 +131,19 @@
         quarantined.losses[quarantined.n_losses++] = losses[i];
     }
   if (add_entry (self, &quarantined, SV_CRASH_OWN) != NULL)
-    log_entry (self, "segment-quarantined", &quarantined);
+    log_entry (self,
+               key->service == SV_QUARANTINE_REQUESTS ? "fingerprint-quarantined"
+                                                      : "segment-quarantined",
+               &quarantined);
 }
 
 void
 sv_quarantine_end (SvQuarantine *self, Entry *entry, const char *reason)
 {
-  g_autofree char *segment = sv_segment_format (entry->key.segment);
+  g_autofree char *id = sv_quarantined_format (&entry->told);
 
-  cm_log (CM_LOG_WARNING, "quarantine-ended", "s", "segment", segment, "s", "reason", reason, "i",
-          "age-us", knl_kernel_now (self->kernel) - entry->told.since);
+  cm_log (CM_LOG_WARNING, "quarantine-ended", "s", sv_quarantined_field (&entry->told), id, "s",
+          "reason", reason, "i", "age-us", knl_kernel_now (self->kernel) - entry->told.since);
   g_hash_table_remove (self->entries, &entry->key);
   note_changed (self);
 }
@@ -192,7 +218,7 @@
 static const char *
 end_reason (const SvQuarantine *self, const Entry *entry)
 {
-  if (entry->told.since + ENTRY_TTL <= knl_kernel_now (self->kernel))
+  if (entry->told.since + SV_QUARANTINE_TTL <= knl_kernel_now (self->kernel))
     return "expired";
   return is_shown (self, &entry->told) ? NULL : "endpoints-answer";
 }
@@ -222,7 +248,7 @@
 
   if (sv_quarantine_find_entry (self, &key) != NULL)
     return FALSE;
-  if (quarantined->since + ENTRY_TTL <= knl_kernel_now (self->kernel)
+  if (quarantined->since + SV_QUARANTINE_TTL <= knl_kernel_now (self->kernel)
       || !is_shown (self, quarantined) || is_explained (self, quarantined))
     return FALSE;
   if (suspect != NULL && suspect->survived_at >= quarantined->since)
@@ -267,16 +293,16 @@
 is_let_through (const SvQuarantine *self, Entry *entry, guint n_instances)
 {
   guint tests = count_tests (self, entry);
-  g_autofree char *segment = NULL;
+  g_autofree char *id = NULL;
 
   if (tests <= entry->tested)
     return FALSE;
   entry->tested = tests;
   if (!draws_test (self, entry, tests, n_instances))
     return FALSE;
-  segment = sv_segment_format (entry->key.segment);
-  cm_log (CM_LOG_NOTICE, "quarantine-tested", "s", "segment", segment, "i", "test", (gint64)tests,
-          "i", "instances", (gint64)n_instances);
+  id = sv_quarantined_format (&entry->told);
+  cm_log (CM_LOG_NOTICE, "quarantine-tested", "s", sv_quarantined_field (&entry->told), id, "i",
+          "test", (gint64)tests, "i", "instances", (gint64)n_instances);
   return TRUE;
 }
 
@@ -312,7 +338,10 @@
   g_hash_table_iter_init (&iter, self->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (has_lost (self, value, endpoint))
+      const Entry *entry = value;
+
+      /* What a request's segments were lost at must still count for them. */
+      if (entry->key.service != SV_QUARANTINE_REQUESTS && has_lost (self, entry, endpoint))
         return TRUE;
     }
   return FALSE;
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -10,9 +10,6 @@
 /* Quarantined segments. Each has crashed several endpoints, so that there are few. */
 #define MAX_ENTRIES 64
 
-/* A quarantine ends after this time, as the engines may have been replaced by then. */
-#define ENTRY_TTL (21600 * KNL_SEC)
-
 typedef struct
 {
   guint64 segment;
--- a/serve/request_quarantine.c
+++ b/serve/request_quarantine.c
@@ -1,4 +1,5 @@
-/** What a request tells of the segments of its prompt, and whether they keep it from being sent. */
+/** What a request tells of the segments of its prompt, and whether these, or what itself has
+ * crashed, keep it from being sent. */
 
 #include "common/log.h"
 #include "serve/core_internal.h"
@@ -62,35 +63,56 @@
 static void
 log_refusal (const SvRequest *self, const SvQuarantined *quarantined)
 {
-  g_autofree char *segment = sv_segment_format (quarantined->segment);
+  g_autofree char *id = sv_quarantined_format (quarantined);
 
-  cm_log (CM_LOG_NOTICE, "request-quarantined", "s", "request", self->params.id, "s", "segment",
-          segment, "s", "service", self->service->name, "i", "endpoints",
-          (gint64)quarantined->n_losses, "i", "age-us", sv_request_now (self) - quarantined->since,
-          "i", "sends", (gint64)self->sends);
+  cm_log (CM_LOG_NOTICE, "request-quarantined", "s", "request", self->params.id, "s",
+          sv_quarantined_field (quarantined), id, "s", "service", self->service->name, "i",
+          "endpoints", (gint64)quarantined->n_losses, "i", "age-us",
+          sv_request_now (self) - quarantined->since, "i", "sends", (gint64)self->sends);
 }
 
-gboolean
-sv_request_is_quarantined (SvRequest *self)
+static const SvQuarantined *
+find_quarantined_part (SvRequest *self)
 {
   SvCore *core = self->core;
   const SvPeerLink *link = core->parts.link;
+  SvSegments whole = { { self->fingerprint }, 1 };
+  guint n_instances = link->klass->n_instances (link);
+  const SvQuarantined *quarantined = sv_quarantine_check (core->quarantine, SV_QUARANTINE_REQUESTS,
+                                                          &whole, n_instances, &self->is_test);
+
+  if (quarantined != NULL)
+    return quarantined;
+  return sv_quarantine_check (core->quarantine, sv_quarantine_service (self->service->name),
+                              &self->params.segments, n_instances, &self->is_test);
+}
+
+const char *
+sv_request_quarantine_reason (SvRequest *self)
+{
   const SvQuarantined *quarantined;
 
   if (self->is_test)
-    return FALSE;
-  quarantined =
-      sv_quarantine_check (core->quarantine, sv_quarantine_service (self->service->name),
-                           &self->params.segments, link->klass->n_instances (link), &self->is_test);
+    return NULL;
+  quarantined = find_quarantined_part (self);
   if (quarantined == NULL)
-    return FALSE;
+    return NULL;
   log_refusal (self, quarantined);
-  return TRUE;
+  return quarantined->service == SV_QUARANTINE_REQUESTS ? "crashes-endpoints"
+                                                        : "segment-quarantined";
+}
+
+gboolean
+sv_request_note_survived (SvRequest *self, KnlTime at)
+{
+  SvSegmentSurvival survival = { SV_QUARANTINE_REQUESTS, at, { { self->fingerprint }, 1 } };
+
+  return sv_quarantine_note_survival (self->core->quarantine, &survival, SV_CRASH_OWN);
 }
 
 /* A prompt whose answer hasn't begun can still be kept from crashing its endpoint. */
 static SvRequest *
-find_quarantined (SvCore *self)
+find_quarantined (SvCore *self, const char **reason)
 {
   GHashTableIter iter;
   gpointer key;
@@ -100,8 +122,10 @@
     {
       SvRequest *request = key;
 
-      if (request->exchange != NULL && request->writing_since == 0
-          && sv_request_is_quarantined (request))
+      if (request->exchange == NULL || request->writing_since > 0)
+        continue;
+      *reason = sv_request_quarantine_reason (request);
+      if (*reason != NULL)
         return request;
     }
   return NULL;
@@ -112,13 +136,14 @@
 {
   SvCore *self = data;
   SvRequest *request;
+  const char *reason;
 
   self->quarantine_timer = 0;
-  while ((request = find_quarantined (self)) != NULL)
+  while ((request = find_quarantined (self, &reason)) != NULL)
     {
       sv_request_cancel_send (request);
       request->runs++;
-      sv_request_give_up (request, "segment-quarantined");
+      sv_request_give_up (request, reason);
     }
 }
 
--- a/serve/send.c
+++ b/serve/send.c
@@ -416,9 +416,10 @@
       sv_request_give_up (self, "no-time-left");
       return;
     }
-  if (sv_request_is_quarantined (self))
+  refusal = sv_request_quarantine_reason (self);
+  if (refusal != NULL)
     {
-      sv_request_give_up (self, "segment-quarantined");
+      sv_request_give_up (self, refusal);
       return;
     }
   if (sv_request_pass (self))
--- a/tests/unit/peers_fixture.c
+++ b/tests/unit/peers_fixture.c
@@ -74,6 +74,7 @@
   sv_peers_set_crashes (self->peers[i], self->crashes[i]);
   self->quarantines[i] = sv_quarantine_new (kernel, self->fleets[i]);
   sv_peers_set_quarantine (self->peers[i], self->quarantines[i]);
+  sv_crashes_set_quarantine (self->crashes[i], self->quarantines[i]);
   self->offered[i] = sv_offered_new (kernel);
   sv_peers_set_offered (self->peers[i], self->offered[i]);
 }
