--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -335,6 +335,8 @@
 /** Adds as many of the updates in `outbox` as fit. Returns FALSE if there were none. */
 gboolean sv_peers_add_outbox (Alderturn__Datagram *datagram, Rows *rows, Outbox *outbox);
 
+/* peers_crashes.c */
+
 /** Adds as many of the crashes that the audience has not been sent as fit. FALSE: there were none.
  */
 gboolean sv_peers_add_crashes (SvPeers *self,
@@ -342,6 +344,16 @@
                                Rows *rows,
                                SvCrashAudience audience);
 
+/** Announces again the crashes that may refuse a request: any datagram may be lost, and instances
+ * start later. */
+void sv_peers_repeat_crashes (SvPeers *self);
+
+/** Takes what a peer tells of crashes. */
+void sv_peers_handle_crashes (SvPeers *self,
+                              const Peer *peer,
+                              const Alderturn__Datagram *datagram,
+                              SvCrashOrigin origin);
+
 /* peers_quarantine.c */
 
 /** Sends the cell what is new of quarantined segments, as much as fits into a datagram. FALSE:
@@ -365,10 +377,6 @@
                                  const Alderturn__Datagram *datagram,
                                  SvCrashOrigin origin);
 
-/** Announces again the crashes that may refuse a request: any datagram may be lost, and instances
- * start later. */
-void sv_peers_repeat_crashes (SvPeers *self);
-
 /** Removes from `outbox` the updates that the datagram contains. */
 void sv_outbox_remove_sent (Outbox *outbox, const Alderturn__Datagram *datagram);
 
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -279,46 +279,6 @@
   return peer;
 }
 
-static void
-log_crash (const SvPeers *self, const SvCrash *crash, const Peer *peer)
-{
-  const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, crash->endpoint);
-  g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", crash->fingerprint);
-
-  cm_log (CM_LOG_NOTICE, "crash-reported", "s", "fingerprint", fingerprint, "s", "endpoint",
-          endpoint != NULL ? endpoint->id : NULL, "s", "peer", peer->name, "i", "age-us",
-          knl_kernel_now (self->kernel) - crash->lost_at, "i", "crashes",
-          (gint64)sv_crashes_count (self->crashes, crash->fingerprint));
-}
-
-static void
-handle_crashes (SvPeers *self,
-                const Peer *peer,
-                const Alderturn__Datagram *datagram,
-                SvCrashOrigin origin)
-{
-  KnlTime now = knl_kernel_now (self->kernel);
-
-  for (guint i = 0; i < datagram->n_answered && self->crashes != NULL; i++)
-    {
-      const Alderturn__AnsweredRequest *row = datagram->answered[i];
-      SvAcquittal acquittal = { row->request, self->sent_at - (KnlTime)row->age_ms * KNL_MSEC };
-
-      sv_crashes_note_answer (self->crashes, &acquittal, origin);
-    }
-  for (guint i = 0; i < datagram->n_crashes && self->crashes != NULL; i++)
-    {
-      const Alderturn__EndpointCrash *row = datagram->crashes[i];
-      SvCrash crash = { row->request, row->endpoint, now - (KnlTime)row->age_ms * KNL_MSEC };
-
-      if (self->quarantine != NULL)
-        sv_quarantine_note_closed (self->quarantine, crash.endpoint, crash.fingerprint,
-                                   crash.lost_at);
-      if (sv_crashes_note_loss (self->crashes, &crash, origin))
-        log_crash (self, &crash, peer);
-    }
-}
-
 static void
 handle_datagram (SvPeers *self, const Alderturn__Datagram *datagram)
 {
@@ -348,7 +308,7 @@
   handle_loads (self, peer, datagram);
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
-  handle_crashes (self, peer, datagram, SV_CRASH_OF_CELL);
+  sv_peers_handle_crashes (self, peer, datagram, SV_CRASH_OF_CELL);
   sv_peers_handle_offered (self, &(SvOfferedSource){ .id = peer->id, .instances = 1 }, datagram);
   if (sv_peers_is_relay (self))
     sv_outbox_append (&self->cell_outbox, datagram, peer->id);
@@ -405,7 +365,7 @@
   handle_cell_loads (self, cell, datagram);
   handle_prefills (self, datagram);
   handle_health (self, peer, datagram);
-  handle_crashes (self, peer, datagram, SV_CRASH_OF_OTHER_CELL);
+  sv_peers_handle_crashes (self, peer, datagram, SV_CRASH_OF_OTHER_CELL);
   sv_peers_handle_offered (
       self, &(SvOfferedSource){ .id = cell->id, .is_cell = TRUE, .instances = cell->instances },
       datagram);
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -287,46 +287,6 @@
   return datagram->n_reads + datagram->n_lost + datagram->n_answering > 0;
 }
 
-static guint32
-age_ms (const SvPeers *self, KnlTime since)
-{
-  return (guint32)((knl_kernel_now (self->kernel) - since) / KNL_MSEC);
-}
-
-gboolean
-sv_peers_add_crashes (SvPeers *self,
-                      Alderturn__Datagram *datagram,
-                      Rows *rows,
-                      SvCrashAudience audience)
-{
-  SvCrash losses[MAX_CRASH_ROWS];
-  SvAcquittal acquittals[MAX_ANSWERED_ROWS];
-
-  if (self->crashes == NULL)
-    return FALSE;
-  datagram->n_crashes = sv_crashes_take_losses (self->crashes, audience, losses, MAX_CRASH_ROWS);
-  datagram->crashes = rows->crash_rows;
-  for (guint i = 0; i < datagram->n_crashes; i++)
-    {
-      alderturn__endpoint_crash__init (&rows->crashes[i]);
-      rows->crashes[i].request = losses[i].fingerprint;
-      rows->crashes[i].endpoint = losses[i].endpoint;
-      rows->crashes[i].age_ms = age_ms (self, losses[i].lost_at);
-      rows->crash_rows[i] = &rows->crashes[i];
-    }
-  datagram->n_answered =
-      sv_crashes_take_acquittals (self->crashes, audience, acquittals, MAX_ANSWERED_ROWS);
-  datagram->answered = rows->answered_rows;
-  for (guint i = 0; i < datagram->n_answered; i++)
-    {
-      alderturn__answered_request__init (&rows->answered[i]);
-      rows->answered[i].request = acquittals[i].fingerprint;
-      rows->answered[i].age_ms = age_ms (self, acquittals[i].answered_at);
-      rows->answered_rows[i] = &rows->answered[i];
-    }
-  return datagram->n_crashes + datagram->n_answered > 0;
-}
-
 void
 sv_outbox_remove_sent (Outbox *self, const Alderturn__Datagram *datagram)
 {
@@ -446,15 +406,6 @@
   announce_within ((SvPeers *)link, PREFILL_DELAY);
 }
 
-void
-sv_peers_repeat_crashes (SvPeers *self)
-{
-  gboolean repeats_all = sv_cells_rank (self) < CRASH_REPEATERS;
-
-  if (self->crashes != NULL && sv_crashes_repeat (self->crashes, repeats_all))
-    announce_within (self, LOAD_DELAY);
-}
-
 static void
 link_health_changed (SvPeerLink *link, const SvEndpoint *endpoint, gboolean lost)
 {
