--- a/bench/gateway_cost.c
+++ b/bench/gateway_cost.c
@@ -174,7 +174,7 @@
   sv_quarantine_tick (quarantine);
   ticked = cpu_us ();
   for (guint i = 0; i < ROUNDS; i++)
-    sv_quarantine_check (quarantine, 1, &checked, 100, &is_test);
+    sv_quarantine_check (quarantine, 1, &checked, &is_test);
   g_print ("{\"what\":\"quarantine\",\"losses\":%u,\"suspects\":%u,\"loss-us\":%.2f,"
            "\"tick-us\":%.0f,\"check-us\":%.2f}\n",
            n_losses, sv_quarantine_n_suspects (quarantine), (noted - start) / n_losses,
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -32,7 +32,7 @@
   for (guint i = 0; i < n; i++)
     {
       if (list[i].segment == wanted->segment && list[i].service == wanted->service)
-        return TRUE;
+        return list[i].tests >= wanted->tests;
     }
   return FALSE;
 }
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -41,6 +41,9 @@
   char *(*passing_address) (SvPeerLink *link, const char *avoid);
   /** Number of instances, including this one. */
   guint (*n_instances) (const SvPeerLink *link);
+  /** Whether this instance, of all that are alive, does something once for all of them. `seed`
+   * stands for what it is, and is the same at all instances. */
+  gboolean (*is_elected) (const SvPeerLink *link, guint64 seed);
 } SvPeerLinkClass;
 
 struct SvPeerLink
--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -12,8 +12,8 @@
  *
  * The quarantine is one for all instances: the first to decide tells the others, with the losses
  * that show it. It stands for as long as nobody has heard from these endpoints. It ends with the
- * first answer that an endpoint survives; one prompt at one instance is let through from time to
- * time to find out.
+ * first answer that an endpoint survives; to find out, a few prompts are let through, each at the
+ * one instance that is elected for it.
  *
  * Segments are kept by service, since another service's engines may run other software.
  *
@@ -61,6 +61,7 @@
   guint32 service;
   guint64 segment; /**< or the request's fingerprint */
   KnlTime since;   /**< on this instance's clock */
+  guint tests;     /**< prompts that instances have let through to find out */
   guint n_losses;
   PolBlameLoss losses[SV_QUARANTINE_LOSSES]; /**< that show it; `requests` aren't told to others */
 } SvQuarantined;
@@ -74,8 +75,12 @@
 SvQuarantine *sv_quarantine_new (KnlKernel *kernel, SvFleet *fleet);
 void sv_quarantine_free (SvQuarantine *quarantine);
 
-/** Sets by what this instance differs from others. */
-void sv_quarantine_set_instance (SvQuarantine *quarantine, guint32 instance);
+/** Whether this instance, of all, lets a prompt through to find out about the segment. `seed`: see
+ * SvPeerLinkClass. */
+typedef gboolean (*SvElectFunc) (guint64 seed, gpointer data);
+
+/** Sets what is asked before a prompt is let through; NULL: none is. */
+void sv_quarantine_set_election (SvQuarantine *quarantine, SvElectFunc is_elected, gpointer data);
 
 /** Hash of a service's name, as in SvSegmentUse. */
 guint32 sv_quarantine_service (const char *name);
@@ -125,13 +130,11 @@
 
 gboolean sv_quarantine_contains (const SvQuarantine *quarantine, guint32 service, guint64 segment);
 
-/** The quarantined segment because of which a prompt is refused; NULL: it isn't. `n_instances`: of
- * the system; about one of them lets a prompt through each time that a quarantine is to be put to
- * the test, and `is_test` is set. */
+/** The quarantined segment because of which a prompt is refused; NULL: it isn't. If the prompt is
+ * let through to put the quarantine to the test, `is_test` is set, and others are to be told. */
 const SvQuarantined *sv_quarantine_check (SvQuarantine *quarantine,
                                           guint32 service,
                                           const SvSegments *segments,
-                                          guint n_instances,
                                           gboolean *is_test);
 
 /** Whether the endpoint was lost under a prompt with a quarantined segment. */
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -433,10 +433,14 @@
    */
   size_t n_lost_ms;
   uint32_t *lost_ms;
+  /*
+   * prompts that instances have let through to find out
+   */
+  uint32_t tests;
 };
 #define ALDERTURN__QUARANTINED_SEGMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__quarantined_segment__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Alderturn__Datagram
--- a/serve/cells.c
+++ b/serve/cells.c
@@ -247,6 +247,46 @@
     }
 }
 
+static guint64
+weigh_candidate (guint64 seed, guint32 id)
+{
+  guint64 parts[] = { seed, id };
+
+  return XXH64 (parts, sizeof parts, 0);
+}
+
+static gboolean
+is_cell_elected (const SvPeers *self, guint64 seed)
+{
+  guint64 own = weigh_candidate (seed, self->cell);
+  GHashTableIter iter;
+  gpointer cell;
+
+  g_hash_table_iter_init (&iter, self->cells);
+  while (g_hash_table_iter_next (&iter, NULL, &cell))
+    {
+      if (sv_cell_is_alive (self, cell) && weigh_candidate (seed, ((const Cell *)cell)->id) > own)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+gboolean
+sv_cells_is_elected (const SvPeers *self, guint64 seed)
+{
+  guint64 own = weigh_candidate (seed, self->id);
+  const GPtrArray *alive = sv_cells_alive (self);
+
+  if (!is_cell_elected (self, seed))
+    return FALSE;
+  for (guint i = 0; i < alive->len; i++)
+    {
+      if (weigh_candidate (seed, ((const Peer *)g_ptr_array_index (alive, i))->id) > own)
+        return FALSE;
+    }
+  return TRUE;
+}
+
 /* Spreads the requests of the cell's instances evenly over the candidates. */
 static const char *
 choose_source (const SvPeers *self,
--- a/serve/core.c
+++ b/serve/core.c
@@ -99,6 +99,14 @@
   return sv_pace_reports_new (&parts);
 }
 
+static gboolean
+is_elected (guint64 seed, gpointer data)
+{
+  const SvPeerLink *link = ((SvCore *)data)->parts.link;
+
+  return link->klass->is_elected (link, seed);
+}
+
 SvCore *
 sv_core_new (const SvCoreParts *parts, const SvBounds *bounds)
 {
@@ -113,6 +121,7 @@
   self->crashes = sv_crashes_new (parts->kernel, parts->fleet);
   self->quarantine = sv_quarantine_new (parts->kernel, parts->fleet);
   sv_quarantine_on_changed (self->quarantine, sv_core_note_quarantine, self);
+  sv_quarantine_set_election (self->quarantine, is_elected, self);
   sv_crashes_set_quarantine (self->crashes, self->quarantine);
   self->reach =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)sv_reach_free);
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -412,6 +412,10 @@
 /** Number of alive peers of our cell that precede this instance in the choice of the relay. */
 guint sv_cells_rank (const SvPeers *self);
 
+/** See SvPeerLinkClass: of the cells that are alive one is elected, and of its instances one. Who
+ * can't hear the others may be elected beside them. */
+gboolean sv_cells_is_elected (const SvPeers *self, guint64 seed);
+
 /** The relay of our cell; NULL if it is this instance. */
 const Peer *sv_cells_relay (const SvPeers *self);
 
--- a/serve/peers_quarantine.c
+++ b/serve/peers_quarantine.c
@@ -87,6 +87,7 @@
       row->segment = entry->segment;
       row->service = entry->service;
       row->age_ms = age_ms (self, entry->since);
+      row->tests = entry->tests;
       for (guint j = 0; j < entry->n_losses; j++)
         {
           rows->endpoints[i][j] = entry->losses[j].endpoint;
@@ -198,7 +199,8 @@
       const Alderturn__QuarantinedSegment *row = datagram->quarantined[i];
       SvQuarantined entry = { .service = row->service,
                               .segment = row->segment,
-                              .since = time_of (self, row->age_ms) };
+                              .since = time_of (self, row->age_ms),
+                              .tests = row->tests };
 
       entry.n_losses =
           (guint)MIN (MIN (row->n_endpoints, row->n_lost_ms), G_N_ELEMENTS (entry.losses));
@@ -253,6 +255,4 @@
 sv_peers_set_quarantine (SvPeers *self, SvQuarantine *quarantine)
 {
   self->quarantine = quarantine;
-  if (quarantine != NULL)
-    sv_quarantine_set_instance (quarantine, self->id);
 }
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -436,6 +436,12 @@
   return MAX (sv_peers_n_known (self), sv_join_told_instances (self));
 }
 
+static gboolean
+link_is_elected (const SvPeerLink *link, guint64 seed)
+{
+  return sv_cells_is_elected ((const SvPeers *)link, seed);
+}
+
 const SvPeerLinkClass sv_peers_link_class = {
   .prefill_placed = link_prefill_placed,
   .prefill_ended = link_prefill_ended,
@@ -445,4 +451,5 @@
   .reach_changed = link_reach_changed,
   .passing_address = link_passing_address,
   .n_instances = link_n_instances,
+  .is_elected = link_is_elected,
 };
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -81,9 +81,10 @@
 }
 
 void
-sv_quarantine_set_instance (SvQuarantine *self, guint32 instance)
+sv_quarantine_set_election (SvQuarantine *self, SvElectFunc is_elected, gpointer data)
 {
-  self->instance = instance;
+  self->is_elected = is_elected;
+  self->election_data = data;
 }
 
 void
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -6,11 +6,15 @@
 #include "common/log.h"
 #include "serve/quarantine_internal.h"
 
-/* Age at which a quarantine is put to the test for the first time; then each time that its age has
- * doubled, MAX_TESTS times. A wrong quarantine ends soon, and a right one costs few endpoints. */
+/* Age at which a quarantine is put to the test for the first time; then when its age has doubled,
+ * MAX_TESTS times by all instances together. A wrong quarantine ends soon, and a right one costs no
+ * more endpoints than that. */
 #define FIRST_TEST_AGE (30 * KNL_SEC)
 
-#define MAX_TESTS 4
+#define MAX_TESTS 2
+
+/* Time for which one instance is elected to make the next test. */
+#define ELECTION_TERM (60 * KNL_SEC)
 
 /* Losses that must be left of a quarantine; fewer show nothing. */
 #define MIN_LOSSES 3
@@ -98,6 +102,13 @@
     self->on_changed (self->on_changed_data);
 }
 
+static void
+mark_unsent (Entry *entry, SvCrashOrigin origin)
+{
+  for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
+    entry->unsent[i] |= sv_quarantine_is_for (i, origin);
+}
+
 static Entry *
 add_entry (SvQuarantine *self, const SvQuarantined *quarantined, SvCrashOrigin origin)
 {
@@ -111,8 +122,7 @@
   entry = g_new0 (Entry, 1);
   entry->key = (SegmentKey){ quarantined->segment, quarantined->service };
   entry->told = *quarantined;
-  for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
-    entry->unsent[i] = sv_quarantine_is_for (i, origin);
+  mark_unsent (entry, origin);
   g_hash_table_replace (self->entries, &entry->key, entry);
   note_changed (self);
   return entry;
@@ -240,14 +250,26 @@
     }
 }
 
+/* TRUE: it has been tested since this instance was told of it. */
+static gboolean
+take_tests (Entry *entry, const SvQuarantined *quarantined, SvCrashOrigin origin)
+{
+  if (quarantined->tests <= entry->told.tests)
+    return FALSE;
+  entry->told.tests = quarantined->tests;
+  mark_unsent (entry, origin);
+  return TRUE;
+}
+
 gboolean
 sv_quarantine_adopt (SvQuarantine *self, const SvQuarantined *quarantined, SvCrashOrigin origin)
 {
   SegmentKey key = { quarantined->segment, quarantined->service };
   const Suspect *suspect = sv_quarantine_find_suspect (self, &key);
+  Entry *known = sv_quarantine_find_entry (self, &key);
 
-  if (sv_quarantine_find_entry (self, &key) != NULL)
-    return FALSE;
+  if (known != NULL)
+    return take_tests (known, quarantined, origin);
   if (quarantined->since + SV_QUARANTINE_TTL <= knl_kernel_now (self->kernel)
       || !is_shown (self, quarantined) || is_explained (self, quarantined))
     return FALSE;
@@ -267,9 +289,9 @@
   return TRUE;
 }
 
-/* Number of intervals after which the quarantine was to be put to the test so far. */
+/* Number of tests that are due at the quarantine's age. */
 static guint
-count_tests (const SvQuarantine *self, const Entry *entry)
+count_due_tests (const SvQuarantine *self, const Entry *entry)
 {
   KnlTime age = knl_kernel_now (self->kernel) - entry->told.since;
   guint n = 0;
@@ -279,30 +301,31 @@
   return n;
 }
 
-/* Each instance draws for itself, without asking others, so that a test doesn't depend on one that
- * may be gone. About one of them draws a test. */
+/* The instance that is elected may get no such prompt; another one is in the next term. */
 static gboolean
-draws_test (const SvQuarantine *self, const Entry *entry, guint test, guint n_instances)
+is_elected (const SvQuarantine *self, const Entry *entry)
 {
-  guint64 draw[] = { entry->key.segment, self->instance, test };
+  KnlTime age = knl_kernel_now (self->kernel) - entry->told.since;
+  guint64 parts[] = { entry->key.segment, entry->key.service, entry->told.tests,
+                      (guint64)(age / ELECTION_TERM) };
 
-  return XXH64 (draw, sizeof draw, 0) <= G_MAXUINT64 / MAX (n_instances, 1);
+  return self->is_elected != NULL
+         && self->is_elected (XXH64 (parts, sizeof parts, 0), self->election_data);
 }
 
 static gboolean
-is_let_through (const SvQuarantine *self, Entry *entry, guint n_instances)
+is_let_through (const SvQuarantine *self, Entry *entry)
 {
-  guint tests = count_tests (self, entry);
   g_autofree char *id = NULL;
 
-  if (tests <= entry->tested)
-    return FALSE;
-  entry->tested = tests;
-  if (!draws_test (self, entry, tests, n_instances))
+  if (entry->told.tests >= count_due_tests (self, entry) || !is_elected (self, entry))
     return FALSE;
+  entry->told.tests++;
+  mark_unsent (entry, SV_CRASH_OWN);
   id = sv_quarantined_format (&entry->told);
   cm_log (CM_LOG_NOTICE, "quarantine-tested", "s", sv_quarantined_field (&entry->told), id, "i",
-          "test", (gint64)tests, "i", "instances", (gint64)n_instances);
+          "test", (gint64)entry->told.tests, "i", "age-us",
+          knl_kernel_now (self->kernel) - entry->told.since);
   return TRUE;
 }
 
@@ -310,7 +333,6 @@
 sv_quarantine_check (SvQuarantine *self,
                      guint32 service,
                      const SvSegments *segments,
-                     guint n_instances,
                      gboolean *is_test)
 {
   for (guint i = 0; i < segments->n; i++)
@@ -322,7 +344,7 @@
       entry = sv_quarantine_find_entry (self, &key);
       if (entry == NULL || end_reason (self, entry) != NULL)
         continue;
-      if (!is_let_through (self, entry, n_instances))
+      if (!is_let_through (self, entry))
         return &entry->told;
       *is_test = TRUE;
     }
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -30,7 +30,6 @@
 {
   SegmentKey key;
   SvQuarantined told;
-  guint tested; /* intervals after which this instance has let a prompt through */
   gboolean unsent[SV_CRASHES_N_AUDIENCES];
 } Entry;
 
@@ -48,7 +47,8 @@
 {
   KnlKernel *kernel;
   SvFleet *fleet;
-  guint32 instance;
+  SvElectFunc is_elected; /* NULL: no test is made */
+  gpointer election_data;
   SvQuarantineFunc on_changed;
   gpointer on_changed_data;
   GHashTable *suspects; /* SegmentKey -> Suspect */
--- a/serve/request_quarantine.c
+++ b/serve/request_quarantine.c
@@ -75,16 +75,14 @@
 find_quarantined_part (SvRequest *self)
 {
   SvCore *core = self->core;
-  const SvPeerLink *link = core->parts.link;
   SvSegments whole = { { self->fingerprint }, 1 };
-  guint n_instances = link->klass->n_instances (link);
-  const SvQuarantined *quarantined = sv_quarantine_check (core->quarantine, SV_QUARANTINE_REQUESTS,
-                                                          &whole, n_instances, &self->is_test);
+  const SvQuarantined *quarantined =
+      sv_quarantine_check (core->quarantine, SV_QUARANTINE_REQUESTS, &whole, &self->is_test);
 
   if (quarantined != NULL)
     return quarantined;
   return sv_quarantine_check (core->quarantine, sv_quarantine_service (self->service->name),
-                              &self->params.segments, n_instances, &self->is_test);
+                              &self->params.segments, &self->is_test);
 }
 
 const char *
@@ -95,6 +93,8 @@
   if (self->is_test)
     return NULL;
   quarantined = find_quarantined_part (self);
+  if (self->is_test)
+    announce (self->core);
   if (quarantined == NULL)
     return NULL;
   log_refusal (self, quarantined);
--- a/tests/unit/sv_crash_return_test.c
+++ b/tests/unit/sv_crash_return_test.c
@@ -25,6 +25,16 @@
   sv_core_confirm (fixture->core, knl_kernel_now (fixture->kernel));
 }
 
+/* Sends the request on a new connection: an idle one is closed after a while. */
+static void
+request (SvFixture *fixture)
+{
+  g_clear_pointer (&fixture->caller, bufferevent_free);
+  fixture->ended = FALSE;
+  sv_fixture_request (fixture, "/once/crash");
+  sv_fixture_wait_for (fixture, "HTTP/1.1 ");
+}
+
 /* The endpoint's process is gone for good: its row is removed. */
 static void
 remove_endpoint (SvFixture *fixture, guint i)
@@ -43,8 +53,8 @@
   for (guint i = 0; i < 3; i++)
     {
       sv_fixture_add_endpoint (fixture, &crashes, 1);
-      sv_fixture_request (fixture, "/once/crash");
-      sv_fixture_wait_for (fixture, "HTTP/1.1 502");
+      request (fixture);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture->received->str, "HTTP/1.1 502"));
       remove_endpoint (fixture, i);
       pass (fixture, pause);
     }
@@ -75,8 +85,7 @@
       sv_fixture_use_config (&fixture, 1, "key");
       crash_three (&fixture, returns[i].pause);
       pass (&fixture, returns[i].away);
-      sv_fixture_request (&fixture, "/once/crash");
-      sv_fixture_wait_for (&fixture, "HTTP/1.1");
+      request (&fixture);
       CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 503"));
       CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[3]), 0);
       sv_fixture_close (&fixture);
--- a/tests/unit/sv_crash_rules_test.c
+++ b/tests/unit/sv_crash_rules_test.c
@@ -246,7 +246,7 @@
   fixture_open (&fixture);
   for (guint i = 0; i < 3; i++)
     crash (&fixture, i, REQUEST);
-  CU_ASSERT_PTR_NULL (sv_quarantine_check (fixture.quarantine, 7, &segments, 1, &is_test));
+  CU_ASSERT_PTR_NULL (sv_quarantine_check (fixture.quarantine, 7, &segments, &is_test));
   CU_ASSERT_FALSE (sv_quarantine_explains (fixture.quarantine, fixture.keys[0]));
   fixture_close (&fixture);
 }
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -58,6 +58,13 @@
   return 1;
 }
 
+/* There are others. */
+static gboolean
+link_is_elected (const SvPeerLink *link, guint64 seed)
+{
+  return FALSE;
+}
+
 static const SvPeerLinkClass link_class = {
   .prefill_placed = link_prefill_placed,
   .prefill_ended = link_prefill_ended,
@@ -67,6 +74,7 @@
   .reach_changed = link_reach_changed,
   .passing_address = link_passing_address,
   .n_instances = link_n_instances,
+  .is_elected = link_is_elected,
 };
 
 static SvPeerLink peer_link = { &link_class };
--- a/tests/unit/sv_pace_reports_test.c
+++ b/tests/unit/sv_pace_reports_test.c
@@ -240,9 +240,16 @@
   return n_instances;
 }
 
+static gboolean
+link_is_elected (const SvPeerLink *link, guint64 seed)
+{
+  return FALSE;
+}
+
 static const SvPeerLinkClass link_class = {
   .load_changed = link_load_changed,
   .n_instances = link_n_instances,
+  .is_elected = link_is_elected,
 };
 
 static SvPeerLink peer_link = { &link_class };
--- a/tests/unit/sv_quarantine_peers_test.c
+++ b/tests/unit/sv_quarantine_peers_test.c
@@ -71,8 +71,7 @@
   SvSegments segments = { { DEADLY }, 1 };
   gboolean is_test = FALSE;
 
-  return sv_quarantine_check (self->quarantines[i], SERVICE, &segments, INSTANCES, &is_test)
-         != NULL;
+  return sv_quarantine_check (self->quarantines[i], SERVICE, &segments, &is_test) != NULL;
 }
 
 /* Guards against a segment of which each instance knows one crash, and none refuses it. */
@@ -152,6 +151,68 @@
   peers_fixture_close (&fixture);
 }
 
+static gboolean
+is_elected (guint64 seed, gpointer data)
+{
+  const SvPeerLink *link = sv_peers_link (data);
+
+  return link->klass->is_elected (link, seed);
+}
+
+static void
+join_election (PeersFixture *self, guint i)
+{
+  sv_quarantine_set_election (self->quarantines[i], is_elected, self->peers[i]);
+}
+
+/* Asks each instance for the prompt once a second. Returns how many were let through. */
+static guint
+count_let_through (PeersFixture *self, guint seconds)
+{
+  guint n = 0;
+
+  for (guint s = 0; s < seconds; s++)
+    {
+      for (guint i = 0; i < INSTANCES; i++)
+        {
+          n += !is_refused (self, i);
+          announce (self, i);
+          peers_fixture_advance (self, PEERS_PROPAGATION_TIME);
+        }
+      peers_fixture_advance (self, 940 * KNL_MSEC);
+    }
+  return n;
+}
+
+/* Guards against instances of which each puts a quarantine to the test by itself, and against one
+ * that starts and makes all tests again: every one of them costs an endpoint. */
+static void
+test_tests_are_made_once_for_all (void)
+{
+  PeersFixture fixture;
+  guint n;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < INSTANCES; i++)
+    join_election (&fixture, i);
+  crash_three (&fixture);
+  n = count_let_through (&fixture, 40);
+  CU_ASSERT (n <= 1);
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      peers_fixture_stop (&fixture, i);
+      fixture.incarnation++;
+      peers_fixture_start (&fixture, i);
+      join_election (&fixture, i);
+      for (guint j = 0; j < INSTANCES; j++)
+        peers_fixture_discover (&fixture, i, j);
+      peers_fixture_advance (&fixture, 5 * PEERS_HEARTBEAT_INTERVAL);
+    }
+  n += count_let_through (&fixture, 200);
+  CU_ASSERT (n >= 1 && n <= 2);
+  peers_fixture_close (&fixture);
+}
+
 static void
 count_too_large (const char *line, gpointer data)
 {
@@ -196,6 +257,7 @@
   { "quarantines are repeated", test_quarantines_are_repeated },
   { "a survival ends the quarantine everywhere", test_a_survival_ends_the_quarantine_everywhere },
   { "survivals of others clear losses", test_survivals_of_others_clear_losses },
+  { "tests are made once for all", test_tests_are_made_once_for_all },
   { "the longest lists of segments fit", test_the_longest_lists_of_segments_fit },
 };
 
--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -24,6 +24,13 @@
   guint64 next_request;
 } Fixture;
 
+/* There is no other instance. */
+static gboolean
+is_elected (guint64 seed, gpointer data)
+{
+  return TRUE;
+}
+
 static void
 fixture_open (Fixture *self)
 {
@@ -32,6 +39,7 @@
   self->kernel = knl_kernel_new (knl_paused_clock_runtime (self->clock), 5);
   self->fleet = sv_fleet_new (self->kernel, KNL_SEC);
   self->quarantine = sv_quarantine_new (self->kernel, self->fleet);
+  sv_quarantine_set_election (self->quarantine, is_elected, NULL);
   for (guint i = 0; i < N_ENDPOINTS; i++)
     {
       g_autofree char *id = g_strdup_printf ("i-%u", i);
@@ -121,7 +129,7 @@
   SvSegments segments = { { segment }, 1 };
   gboolean is_test = FALSE;
 
-  return sv_quarantine_check (self->quarantine, SERVICE, &segments, 1, &is_test) != NULL;
+  return sv_quarantine_check (self->quarantine, SERVICE, &segments, &is_test) != NULL;
 }
 
 /* Guards against requests with the segment that go on ending endpoints after the third. */
@@ -609,8 +617,7 @@
       pass (&fixture, PAUSE);
     }
   CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
-  CU_ASSERT_PTR_NULL (
-      sv_quarantine_check (fixture.quarantine, SERVICE + 1, &segments, 1, &is_test));
+  CU_ASSERT_PTR_NULL (sv_quarantine_check (fixture.quarantine, SERVICE + 1, &segments, &is_test));
   fixture_close (&fixture);
 }
 
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -1800,7 +1800,7 @@
   (ProtobufCMessageInit) alderturn__segment_survival__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__quarantined_segment__field_descriptors[5] =
+static const ProtobufCFieldDescriptor alderturn__quarantined_segment__field_descriptors[6] =
 {
   {
     "segment",
@@ -1862,6 +1862,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tests",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__QuarantinedSegment, tests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__quarantined_segment__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
@@ -1869,11 +1881,12 @@
   4,   /* field[4] = lost_ms */
   0,   /* field[0] = segment */
   1,   /* field[1] = service */
+  5,   /* field[5] = tests */
 };
 static const ProtobufCIntRange alderturn__quarantined_segment__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor alderturn__quarantined_segment__descriptor =
 {
@@ -1883,7 +1896,7 @@
   "Alderturn__QuarantinedSegment",
   "alderturn",
   sizeof(Alderturn__QuarantinedSegment),
-  5,
+  6,
   alderturn__quarantined_segment__field_descriptors,
   alderturn__quarantined_segment__field_indices_by_name,
   1,  alderturn__quarantined_segment__number_ranges,
