--- a/include/serve/crashes.h
+++ b/include/serve/crashes.h
@@ -87,6 +87,10 @@
  * or with `all` also those that others have seen. FALSE: there are none. */
 gboolean sv_crashes_repeat (SvCrashes *crashes, gboolean all);
 
+/** Fills in the recent losses of requests that have two or more and aren't quarantined, whoever has
+ * seen them. Returns their number, at most `max`. */
+guint sv_crashes_list (const SvCrashes *crashes, SvCrash *losses, guint max);
+
 /** Fills in losses, or acquittals, that the audience has not been sent; they then count as sent.
  * Returns their number.
  */
--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -31,6 +31,10 @@
 /** A quarantine ends after this time, as the engines may have been replaced by then. */
 #define SV_QUARANTINE_TTL (21600 * KNL_SEC)
 
+/** Segments and requests that are quarantined at most. Each has crashed several endpoints, so that
+ * there are few. */
+#define SV_MAX_QUARANTINED 64
+
 /** Losses that are kept, and told, of a quarantined segment. */
 #define SV_QUARANTINE_LOSSES 5
 
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -396,6 +396,33 @@
   return repeated;
 }
 
+guint
+sv_crashes_list (const SvCrashes *self, SvCrash *losses, guint max)
+{
+  KnlTime oldest = knl_kernel_now (self->kernel) - LOSS_TTL;
+  GHashTableIter iter;
+  gpointer value;
+  guint n = 0;
+
+  g_hash_table_iter_init (&iter, self->records);
+  while (n < max && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Record *record = value;
+
+      if (record->n_losses < MAX_CRASHES || is_quarantined (self, record->fingerprint)
+          || sv_crashes_count (self, record->fingerprint) < MAX_CRASHES)
+        continue;
+      for (guint i = 0; i < record->n_losses && n < max; i++)
+        {
+          const Loss *loss = &record->losses[i];
+
+          if (counts (self, loss) && loss->lost_at > oldest)
+            losses[n++] = (SvCrash){ record->fingerprint, loss->endpoint, loss->lost_at };
+        }
+    }
+  return n;
+}
+
 guint
 sv_crashes_take_losses (SvCrashes *self,
                         SvCrashAudience audience,
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -348,6 +348,10 @@
  * start later. */
 void sv_peers_repeat_crashes (SvPeers *self);
 
+/** Tells a peer that has just been found, and may have just started, what is known of crashes: it
+ * takes requests from now on. */
+void sv_peers_send_known_crashes (SvPeers *self, const Peer *peer);
+
 /** Takes what a peer tells of crashes. */
 void sv_peers_handle_crashes (SvPeers *self,
                               const Peer *peer,
@@ -363,6 +367,9 @@
 /** The same to other cells, by the relay. */
 gboolean sv_relay_send_quarantine (SvPeers *self);
 
+/** Sends the peer all that is quarantined. */
+void sv_peers_send_known_quarantines (SvPeers *self, const Peer *peer);
+
 /** Reviews the quarantined segments and the records of crashes, and announces what has changed. */
 void sv_peers_tick_quarantine (SvPeers *self);
 
--- a/serve/peers_quarantine.c
+++ b/serve/peers_quarantine.c
@@ -154,6 +154,31 @@
   return TRUE;
 }
 
+void
+sv_peers_send_known_quarantines (SvPeers *self, const Peer *peer)
+{
+  SvQuarantined known[SV_MAX_QUARANTINED];
+  guint n = self->quarantine != NULL
+                ? sv_quarantine_list (self->quarantine, known, G_N_ELEMENTS (known))
+                : 0;
+  Alderturn__Cell cell = ALDERTURN__CELL__INIT;
+
+  cell.id = self->cell;
+  for (guint i = 0; i < n; i += MAX_ENTRY_ROWS)
+    {
+      Alderturn__Datagram datagram;
+      NewsRows news = { .news.n_entries = MIN (n - i, (guint)MAX_ENTRY_ROWS) };
+      Rows rows;
+
+      for (guint j = 0; j < news.news.n_entries; j++)
+        news.news.entries[j] = known[i + j];
+      begin_news (self, &datagram, &rows);
+      datagram.cell = peer->is_in_cell ? NULL : &cell;
+      add_entries (self, &datagram, &news);
+      sv_peers_send (self, peer, &datagram);
+    }
+}
+
 static void
 read_segments (SvSegments *segments, const guint64 *ids, gsize n)
 {
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -54,6 +54,7 @@
       sv_peers_send_full (self, peer);
       sv_relay_send_snapshot (self, peer);
     }
+  sv_peers_send_known_crashes (self, peer);
   return peer;
 }
 
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -114,9 +114,9 @@
 {
   Entry *entry;
 
-  if (g_hash_table_size (self->entries) >= MAX_ENTRIES)
+  if (g_hash_table_size (self->entries) >= SV_MAX_QUARANTINED)
     {
-      cm_log (CM_LOG_ERR, "quarantine-full", "i", "quarantined", (gint64)MAX_ENTRIES);
+      cm_log (CM_LOG_ERR, "quarantine-full", "i", "quarantined", (gint64)SV_MAX_QUARANTINED);
       return NULL;
     }
   entry = g_new0 (Entry, 1);
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -7,9 +7,6 @@
 /* Losses kept of a segment; more than are needed, as some may not count. */
 #define MAX_SUSPECT_LOSSES 12
 
-/* Quarantined segments. Each has crashed several endpoints, so that there are few. */
-#define MAX_ENTRIES 64
-
 typedef struct
 {
   guint64 segment;
