--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -187,7 +187,16 @@
   core->parts.link->klass->crashes_changed (core->parts.link);
 }
 
-/* An answer shows that the endpoint has run the request and survived it. */
+/* Whether the answer shows that the endpoint has run the request and survived it. One that fails,
+ * and an engine that rejects a prompt, may not have begun to. */
+static gboolean
+shows_survival (const SvRequest *self, const HtMessage *answer)
+{
+  if (sv_request_is_streaming (self) && sv_events_is_incomplete (&self->events))
+    return FALSE;
+  return answer->status < 300 || (answer->status < 500 && self->params.prompt_tokens == 0);
+}
+
 static void
 note_survived (SvRequest *self)
 {
@@ -417,7 +426,7 @@
       handle_rejection (self);
       return;
     }
-  if (!streaming || !sv_events_is_incomplete (&self->events))
+  if (shows_survival (self, answer))
     note_survived (self);
   if (answer->status >= 500)
     {
--- a/tests/unit/sv_crash_test.c
+++ b/tests/unit/sv_crash_test.c
@@ -123,6 +123,43 @@
   sv_fixture_close (&fixture);
 }
 
+/* Guards against a request whose crashes are cleared by endpoints that have refused it, or failed
+ * before they ran it; any other answer shows that the endpoint has survived the request. */
+static void
+test_error_answers_clear_nothing (void)
+{
+  static const struct
+  {
+    ScriptedAnswer answer;
+    gboolean is_cleared;
+  } rows[] = {
+    { { "HTTP/1.1 500 E\r\n" SIGNED "Content-Length: 4\r\n\r\nfail", FALSE }, FALSE },
+    { { "HTTP/1.1 504 T\r\n" SIGNED "Content-Length: 4\r\n\r\nfail", FALSE }, FALSE },
+    { { "HTTP/1.1 404 N\r\n" SIGNED "Content-Length: 4\r\n\r\nfail", FALSE }, TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      SvFixture fixture;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      for (guint j = 0; j < 4; j++)
+        {
+          sv_fixture_add_endpoint (&fixture, j == 2 ? &rows[i].answer : &crashes, 1);
+          sv_fixture_request (&fixture, "/once/1");
+          sv_fixture_wait_for (&fixture, j == 2 ? "fail" : "HTTP/1.1 502");
+          remove_endpoint (&fixture, j);
+        }
+      sv_fixture_add_endpoint (&fixture, &good, 1);
+      sv_fixture_request (&fixture, "/once/1");
+      sv_fixture_wait_for (&fixture, "HTTP/1.1");
+      CU_ASSERT_EQUAL (strstr (fixture.received->str, "HTTP/1.1 200") != NULL, rows[i].is_cleared);
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[4]), rows[i].is_cleared);
+      sv_fixture_close (&fixture);
+    }
+}
+
 /* Guards against a request that ends endpoints which then stay silent, as after a loss of power. */
 static void
 test_endpoints_that_go_dark_are_counted (void)
@@ -154,6 +191,7 @@
   { "no retry after the third crash", test_no_retry_after_the_third_crash },
   { "closed idle connections are no crashes", test_closed_idle_connections_are_no_crashes },
   { "an answer clears crashes", test_an_answer_clears_crashes },
+  { "error answers clear nothing", test_error_answers_clear_nothing },
   { "endpoints that go dark are counted", test_endpoints_that_go_dark_are_counted },
 };
 
