--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -207,7 +207,7 @@
     return &record->losses[record->n_losses++];
   for (guint i = 0; i < record->n_losses; i++)
     {
-      if (has_survived (self, &record->losses[i]) || is_loss_expired (self, &record->losses[i]))
+      if (!counts (self, &record->losses[i]))
         return &record->losses[i];
     }
   return NULL;
--- a/tests/unit/sv_crash_rules_test.c
+++ b/tests/unit/sv_crash_rules_test.c
@@ -251,6 +251,38 @@
   fixture_close (&fixture);
 }
 
+/* A segment is known to have ended three endpoints, from that one on. */
+static void
+quarantine_segment (Fixture *self, guint64 segment, guint first)
+{
+  SvQuarantined told = {
+    .service = 7, .segment = segment, .since = knl_kernel_now (self->kernel), .n_losses = 3
+  };
+
+  for (guint i = 0; i < told.n_losses; i++)
+    told.losses[i] = (PolBlameLoss){ .endpoint = self->keys[first + i], .lost_at = told.since };
+  CU_ASSERT_TRUE (sv_quarantine_adopt (self->quarantine, &told, SV_CRASH_OF_CELL));
+}
+
+/* Guards against a request of which no further loss is recorded, as it had been lost beside
+ * segments that explain so many ends. */
+static void
+test_explained_losses_leave_room (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 6; i++)
+    lose (&fixture, i, REQUEST);
+  quarantine_segment (&fixture, 1, 0);
+  quarantine_segment (&fixture, 2, 3);
+  CU_ASSERT_EQUAL (sv_crashes_count (fixture.crashes, REQUEST), 0);
+  for (guint i = 6; i < 9; i++)
+    crash (&fixture, i, REQUEST);
+  CU_ASSERT_TRUE (is_quarantined (&fixture, REQUEST));
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "rare requests are quarantined", test_rare_requests_are_quarantined },
   { "records are bounded", test_records_are_bounded },
@@ -259,6 +291,7 @@
   { "idle endpoints that leave have not crashed", test_idle_endpoints_that_leave_have_not_crashed },
   { "an outage quarantines no request", test_an_outage_quarantines_no_request },
   { "answered requests are not quarantined", test_answered_requests_are_not_quarantined },
+  { "explained losses leave room", test_explained_losses_leave_room },
   { "an answer ends the quarantine", test_an_answer_ends_the_quarantine },
   { "requests and segments are kept apart", test_requests_and_segments_are_kept_apart },
 };
