serve: endpoints that lived on and left later convict no segment

Cause: a loss didn't count while its endpoint was listed and heard from since. When that endpoint was then scaled in or replaced, its row was gone, which is taken for an end, and the loss counted: closed connections at four endpoints of a release quarantined a sound segment. Change: a loss is dropped once its endpoint has been heard from. Measured: sv_quarantine_rules, endpoints that leave later have not ended: fails before in its first row, passes; the other cases as before.

--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -19,11 +19,6 @@
 /* Shortest time between two looks at all suspects for some to drop. */
 #define SWEEP_INTERVAL (200 * KNL_MSEC)
 
-/* Answers that have begun and may still crash their endpoints, and how long each waits for a sign
- * that its endpoint lives: one without requests isn't heard from. */
-#define MAX_BEGUN 1024
-#define BEGUN_TTL (10 * KNL_SEC)
-
 /* Age from which a loss counts. An endpoint that only closed a connection is heard from before. */
 #define SETTLE_TIME (250 * KNL_MSEC)
 
@@ -362,21 +357,6 @@
   return TRUE;
 }
 
-void
-sv_quarantine_forget_begun (SvQuarantine *self, guint64 request, guint64 endpoint)
-{
-  for (GList *link = self->begun->head; link != NULL; link = link->next)
-    {
-      SvSegmentUse *use = link->data;
-
-      if (use->request != request || use->endpoint != endpoint)
-        continue;
-      g_free (use);
-      g_queue_delete_link (self->begun, link);
-      return;
-    }
-}
-
 /* TRUE: it had losses, or was quarantined. */
 static gboolean
 clear_suspect (SvQuarantine *self, const SegmentKey *key, KnlTime at)
@@ -428,54 +408,28 @@
   return cleared;
 }
 
-/* Whether it has shown that the endpoint survives the answer, or never will. */
-static gboolean
-is_settled (const SvQuarantine *self, const SvSegmentUse *use, gboolean *survived)
-{
-  const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, use->endpoint);
-
-  *survived = endpoint != NULL && endpoint->alive_at >= use->at + SV_CRASH_WINDOW;
-  return *survived || endpoint == NULL || use->at + BEGUN_TTL <= knl_kernel_now (self->kernel);
-}
-
-/* TRUE: some segments were cleared. */
-static gboolean
-note_survivors (SvQuarantine *self)
+/* An endpoint that has lived on may leave later; its loss is no sign of an end then. */
+static void
+drop_survived_losses (SvQuarantine *self)
 {
-  KnlTime newest = knl_kernel_now (self->kernel) - SV_CRASH_WINDOW;
-  gboolean cleared = FALSE;
-  GList *next;
+  GHashTableIter iter;
+  gpointer value;
 
-  for (GList *link = self->begun->head; link != NULL; link = next)
+  g_hash_table_iter_init (&iter, self->suspects);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      SvSegmentUse *use = link->data;
-      SvSegmentSurvival survival = { use->service, use->at + SV_CRASH_WINDOW, use->segments };
-      gboolean survived;
-
-      next = link->next;
-      if (use->at > newest)
-        break;
-      if (!is_settled (self, use, &survived))
-        continue;
-      if (survived)
-        cleared |= sv_quarantine_note_survival (self, &survival, SV_CRASH_OWN);
-      g_free (use);
-      g_queue_delete_link (self->begun, link);
-    }
-  return cleared;
-}
+      Suspect *suspect = value;
+      guint kept = 0;
 
-gboolean
-sv_quarantine_note_begun (SvQuarantine *self, const SvSegmentUse *use)
-{
-  gboolean cleared = note_survivors (self);
+      for (guint i = 0; i < suspect->n; i++)
+        {
+          const PolBlameLoss *loss = &suspect->losses[i];
 
-  if (use->segments.n == 0)
-    return cleared;
-  if (g_queue_get_length (self->begun) >= MAX_BEGUN)
-    g_free (g_queue_pop_head (self->begun));
-  g_queue_push_tail (self->begun, g_memdup2 (use, sizeof *use));
-  return cleared;
+          if (!sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at))
+            suspect->losses[kept++] = *loss;
+        }
+      suspect->n = kept;
+    }
 }
 
 static void
@@ -495,9 +449,10 @@
 gboolean
 sv_quarantine_tick (SvQuarantine *self)
 {
-  gboolean cleared = note_survivors (self);
+  gboolean cleared = sv_quarantine_note_survivors (self);
 
   g_hash_table_foreach_remove (self->suspects, is_expired, self->kernel);
+  drop_survived_losses (self);
   sv_quarantine_drop_old_ends (self);
   sv_quarantine_review (self);
   decide_all (self);
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -73,6 +73,11 @@
                              const Suspect *suspect,
                              PolBlameLoss losses[MAX_SUSPECT_LOSSES]);
 
+/* quarantine_begun.c */
+
+/** Clears the segments of answers that endpoints have survived. TRUE: there were some. */
+gboolean sv_quarantine_note_survivors (SvQuarantine *self);
+
 /* quarantine_ends.c */
 
 /** Whether it is certain that the endpoint has ended. */
--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -549,6 +549,43 @@
   fixture_close (&fixture);
 }
 
+/* The endpoint's process is gone for good: its row is removed. */
+static void
+remove_endpoint (Fixture *self, const char *id)
+{
+  sv_fleet_remove (self->fleet, id);
+  pass (self, 2 * KNL_SEC);
+  sv_fleet_sweep (self->fleet);
+}
+
+static const char *const removed_ids[] = { "i-0", "i-1", "i-2", "i-3" };
+
+/* Guards against a segment that is blamed for endpoints which lived on, or were idle, and were
+ * scaled in later. */
+static void
+test_endpoints_that_leave_later_have_not_ended (void)
+{
+  static const guint64 segments[] = { COMMON, 0 };
+
+  for (guint is_heard = 0; is_heard < 2; is_heard++)
+    {
+      Fixture fixture;
+
+      fixture_open (&fixture);
+      for (guint i = 0; i < 4; i++)
+        {
+          break_off (&fixture, 0, 100 + i, segments);
+          pass (&fixture, PAUSE);
+          if (is_heard)
+            endpoint_at (&fixture, 0)->alive_at = knl_kernel_now (fixture.kernel);
+          pass (&fixture, is_heard ? KNL_SEC : 61 * KNL_SEC);
+          remove_endpoint (&fixture, removed_ids[i]);
+        }
+      CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
+      fixture_close (&fixture);
+    }
+}
+
 /* Guards against a quarantine that never ends: the engines run other software now. */
 static void
 test_a_survived_test_ends_the_quarantine (void)
@@ -644,6 +681,7 @@
   { "segments that come together are quarantined later",
     test_segments_that_come_together_are_quarantined_later },
   { "made-up segments take bounded memory", test_made_up_segments_take_bounded_memory },
+  { "endpoints that leave later have not ended", test_endpoints_that_leave_later_have_not_ended },
   { "a survived test ends the quarantine", test_a_survived_test_ends_the_quarantine },
   { "quarantines that endpoints contradict end", test_quarantines_that_endpoints_contradict_end },
   { "services are kept apart", test_services_are_kept_apart },
