serve: losses of a segment count for longer once the endpoint has ended (BUDGET)

Cause: as with requests, a suspect was dropped 60 s after its last loss, so that a segment whose prompts come less than once a minute ended an endpoint each time. Change: losses of endpoints that have ended count for as long as a quarantine; those of endpoints still listed after 60 s never more. When there are too many suspects, those without a loss in the last 60 s make way after the lone ones. Measured: sv_quarantine_rules, rare segments are quarantined: fails before, passes; old suspects make way, and endpoints that were idle before they left convict nothing: pass.

--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -3,8 +3,10 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Time after the last loss until a suspect is dropped. */
-#define SUSPECT_TTL (60 * KNL_SEC)
+/* Time for which a loss counts. By its end the row of an endpoint that has ended is gone, and the
+ * loss then counts for as long as a quarantine. */
+#define LOSS_TTL       (60 * KNL_SEC)
+#define ENDED_LOSS_TTL SV_QUARANTINE_TTL
 
 /* Suspects that are kept. An outage of many endpoints makes thousands of them, nearly all with one
  * loss each; made-up segments do the same. */
@@ -98,7 +100,9 @@
 static gboolean
 is_expired (gpointer key, gpointer value, gpointer data)
 {
-  return ((const Suspect *)value)->expires <= knl_kernel_now (data);
+  const Suspect *suspect = value;
+
+  return suspect->n == 0 && suspect->expires <= knl_kernel_now (data);
 }
 
 static gboolean
@@ -109,6 +113,21 @@
   return suspect->n == 1 && suspect->losses[0].lost_at + LONE_LOSS_TTL <= knl_kernel_now (data);
 }
 
+/* Its losses count only with another one. */
+static gboolean
+has_no_recent_loss (gpointer key, gpointer value, gpointer data)
+{
+  const Suspect *suspect = value;
+  KnlTime oldest = knl_kernel_now (data) - LOSS_TTL;
+
+  for (guint i = 0; i < suspect->n; i++)
+    {
+      if (suspect->losses[i].lost_at > oldest)
+        return FALSE;
+    }
+  return suspect->n > 0;
+}
+
 Suspect *
 sv_quarantine_find_suspect (const SvQuarantine *self, const SegmentKey *key)
 {
@@ -128,6 +147,8 @@
   g_hash_table_foreach_remove (self->suspects, is_expired, self->kernel);
   if (g_hash_table_size (self->suspects) >= MAX_SUSPECTS)
     g_hash_table_foreach_remove (self->suspects, has_lone_loss, self->kernel);
+  if (g_hash_table_size (self->suspects) >= MAX_SUSPECTS)
+    g_hash_table_foreach_remove (self->suspects, has_no_recent_loss, self->kernel);
 }
 
 Suspect *
@@ -194,7 +215,7 @@
 
   if (use->at <= self->survived_at)
     return FALSE;
-  self->expires = MAX (self->expires, use->at + SUSPECT_TTL);
+  self->expires = MAX (self->expires, use->at + LOSS_TTL);
   /* An endpoint that had lived on is lost again. */
   if (loss != NULL
       && (use->at <= loss->lost_at || !sv_crash_is_survived (fleet, loss->endpoint, loss->lost_at)))
@@ -346,7 +367,7 @@
 gboolean
 sv_quarantine_note_loss (SvQuarantine *self, const SvSegmentUse *use, SvCrashOrigin origin)
 {
-  if (use->at + SUSPECT_TTL <= knl_kernel_now (self->kernel))
+  if (use->at + LOSS_TTL <= knl_kernel_now (self->kernel))
     return FALSE;
   sv_quarantine_note_closed (self, use->endpoint, use->request, use->at);
   if (origin == SV_CRASH_OWN)
@@ -408,9 +429,20 @@
   return cleared;
 }
 
-/* An endpoint that has lived on may leave later; its loss is no sign of an end then. */
+/* An endpoint that has lived on, or is still listed after LOSS_TTL, may leave later; its loss is no
+ * sign of an end then. */
+static gboolean
+is_to_be_dropped (const SvQuarantine *self, const PolBlameLoss *loss)
+{
+  KnlTime age = knl_kernel_now (self->kernel) - loss->lost_at;
+
+  if (sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at) || age >= ENDED_LOSS_TTL)
+    return TRUE;
+  return age >= LOSS_TTL && sv_fleet_by_key (self->fleet, loss->endpoint) != NULL;
+}
+
 static void
-drop_survived_losses (SvQuarantine *self)
+drop_losses (SvQuarantine *self)
 {
   GHashTableIter iter;
   gpointer value;
@@ -423,10 +455,8 @@
 
       for (guint i = 0; i < suspect->n; i++)
         {
-          const PolBlameLoss *loss = &suspect->losses[i];
-
-          if (!sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at))
-            suspect->losses[kept++] = *loss;
+          if (!is_to_be_dropped (self, &suspect->losses[i]))
+            suspect->losses[kept++] = suspect->losses[i];
         }
       suspect->n = kept;
     }
@@ -452,7 +482,7 @@
   gboolean cleared = sv_quarantine_note_survivors (self);
 
   g_hash_table_foreach_remove (self->suspects, is_expired, self->kernel);
-  drop_survived_losses (self);
+  drop_losses (self);
   sv_quarantine_drop_old_ends (self);
   sv_quarantine_review (self);
   decide_all (self);
--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -560,6 +560,25 @@
 
 static const char *const removed_ids[] = { "i-0", "i-1", "i-2", "i-3" };
 
+/* Guards against a segment whose prompts come too rarely for their losses to count together. */
+static void
+test_rare_segments_are_quarantined (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    {
+      crash (&fixture, 0, bad);
+      remove_endpoint (&fixture, removed_ids[i]);
+      for (guint minute = 0; minute < 30; minute++)
+        pass (&fixture, 60 * KNL_SEC);
+    }
+  CU_ASSERT_TRUE (sv_quarantine_contains (fixture.quarantine, SERVICE, DEADLY));
+  fixture_close (&fixture);
+}
+
 /* Guards against a segment that is blamed for endpoints which lived on, or were idle, and were
  * scaled in later. */
 static void
@@ -586,6 +605,35 @@
     }
 }
 
+/* Guards against an instance whose suspects an outage has filled, and which finds no other segment
+ * for hours. */
+static void
+test_old_suspects_make_way (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint64 i = 1; i <= 5000; i++)
+    {
+      guint64 rare[] = { 0x10000 + i, 0 };
+
+      crash (&fixture, 0, rare);
+      crash (&fixture, 1, rare);
+    }
+  remove_endpoint (&fixture, "i-0");
+  remove_endpoint (&fixture, "i-1");
+  pass (&fixture, 61 * KNL_SEC);
+  for (guint i = 2; i < 5; i++)
+    {
+      crash (&fixture, i, bad);
+      pass (&fixture, PAUSE);
+    }
+  CU_ASSERT_TRUE (sv_quarantine_n_suspects (fixture.quarantine) <= 4096);
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
 /* Guards against a quarantine that never ends: the engines run other software now. */
 static void
 test_a_survived_test_ends_the_quarantine (void)
@@ -681,7 +729,9 @@
   { "segments that come together are quarantined later",
     test_segments_that_come_together_are_quarantined_later },
   { "made-up segments take bounded memory", test_made_up_segments_take_bounded_memory },
+  { "rare segments are quarantined", test_rare_segments_are_quarantined },
   { "endpoints that leave later have not ended", test_endpoints_that_leave_later_have_not_ended },
+  { "old suspects make way", test_old_suspects_make_way },
   { "a survived test ends the quarantine", test_a_survived_test_ends_the_quarantine },
   { "quarantines that endpoints contradict end", test_quarantines_that_endpoints_contradict_end },
   { "services are kept apart", test_services_are_kept_apart },
