--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -65,6 +65,7 @@
   json_t *cell_row;         /* row of this instance's cell, as last read; NULL: none */
   guint64 cell_row_version; /* its version; 0: there is none */
   gboolean is_cell_unread;  /* the last read or write of the row failed, and is to be repeated */
+  guint n_quarantined;      /* when the cell's row was last reviewed for it */
   gboolean is_member;       /* the cell is found, or this instance is its first one */
   KnlTime join_started_at;
   KnlTime join_sent_at;    /* last request to be introduced */
@@ -164,6 +165,9 @@
 /** The store has answered a feed: a failed read of the cell's row is repeated at once. */
 void gateway_note_store_answered (Gateway *self);
 
+/** Reviews the cell's row now instead of at the end of the interval. */
+void gateway_review_soon (Gateway *self);
+
 /** Reads the cells' rows again, which the store may have lost, if this instance is a relay. */
 void gateway_reread_cells (Gateway *self);
 
@@ -172,6 +176,10 @@
 /** Adopts the quarantined segments in the cell's row. */
 void gateway_adopt_quarantined (Gateway *self);
 
+/** Has the cell's row written if the quarantined segments have changed: what isn't written is lost
+ * in a restart of all instances. */
+void gateway_note_quarantined (Gateway *self);
+
 /** Whether the cell's row has other quarantined segments than this instance. */
 gboolean gateway_is_quarantine_unwritten (const Gateway *self);
 
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -413,6 +413,16 @@
   schedule (self, REVIEW_INTERVAL, review);
 }
 
+void
+gateway_review_soon (Gateway *self)
+{
+  /* After a failure the next try waits. */
+  if (!self->is_member || self->member_call != NULL || self->poll_delay > 0)
+    return;
+  knl_timer_stop (self->process.kernel, &self->member_timer);
+  review (self);
+}
+
 void
 gateway_reread_cells (Gateway *self)
 {
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -26,6 +26,17 @@
     }
 }
 
+void
+gateway_note_quarantined (Gateway *self)
+{
+  guint n = sv_quarantine_n (sv_core_quarantine (self->core));
+
+  if (n == self->n_quarantined)
+    return;
+  self->n_quarantined = n;
+  gateway_review_soon (self);
+}
+
 static gboolean
 contains (const SvQuarantined *list, guint n, const SvQuarantined *wanted)
 {
--- a/tests/unit/gw_members_test.c
+++ b/tests/unit/gw_members_test.c
@@ -341,6 +341,29 @@
   gf_fleet_close (&fleet);
 }
 
+/* Guards against a segment or request that is forgotten since all instances are killed soon after
+ * it was quarantined. */
+static void
+test_quarantines_are_written_at_once (void)
+{
+  GfFleet fleet;
+  guint n = small.n_instances;
+
+  gf_fleet_open (&fleet, &small);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  quarantine_segment (&fleet, 1);
+  gf_fleet_advance (&fleet, 300 * KNL_MSEC);
+  for (guint i = 0; i < n; i++)
+    gf_fleet_kill (&fleet, i);
+  gf_fleet_start_all (&fleet, START_SPAN);
+  gf_fleet_settle (&fleet, START_TIME);
+  gf_fleet_advance (&fleet, START_TIME);
+  CU_ASSERT_EQUAL (count_quarantined (&fleet), n);
+  gf_fleet_close (&fleet);
+}
+
 static const SuiteCase cases[] = {
   { "calls of a first start grow with the instances alone", test_first_start },
   { "calls of a restart grow with the instances alone", test_restart_of_half },
@@ -352,6 +375,7 @@
   { "instances of an earlier release are discovered", test_earlier_release_is_discovered },
   { "frequent failures postpone nothing", test_frequent_failures_postpone_nothing },
   { "quarantines outlive a restart of all", test_quarantines_outlive_a_restart_of_all },
+  { "quarantines are written at once", test_quarantines_are_written_at_once },
 };
 
 SUITE_MAIN ("gw_members", cases)
