tests: the gateway soak repeats a request that crashes endpoints

Cause: the soak crashed endpoints by segments alone; nothing came back the same, no gateway was paused for longer than 0.3 s, and never all were killed. Change: one request is sent again every 150 ms and crashes who runs it. Once the gateways must know it, all but one are paused for 1.2 s; a second after that all are killed, if what they know must be written. From 3 s after a fault on, no more than three sends may reach endpoints. Draws of its own, so that seeds keep theirs.

--- a/tests/soak/gateway_soak.c
+++ b/tests/soak/gateway_soak.c
@@ -133,23 +133,51 @@
                                                 .done = on_done,
                                                 .failed = on_failed };
 
+static Request *
+add_request (Soak *self, Gateway *gateway)
+{
+  Request *request = g_new0 (Request, 1);
+
+  request->soak = self;
+  request->gateway = gateway;
+  request->id = g_strdup_printf ("r%u", self->next++);
+  request->sent_at = gs_now (self);
+  g_hash_table_insert (self->requests, request->id, request);
+  return request;
+}
+
+void
+gs_send_same_request (Soak *self, Gateway *gateway)
+{
+  Request *request = add_request (self, gateway);
+  g_autofree char *head =
+      g_strdup_printf ("POST /again/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n"
+                       "X-Deadline-Ms: 2000\r\nAuthorization: Bearer key\r\n"
+                       "Content-Length: 4\r\n",
+                       request->id);
+  HtExchangeRequest exchange = { .address = gateway->callers,
+                                 .head = head,
+                                 .body = "same",
+                                 .body_length = 4,
+                                 .connect_timeout = KNL_SEC,
+                                 .max_idle = 2 * KNL_SEC };
+
+  request->is_deadly = request->is_repeat = TRUE;
+  ht_client_send (self->client, &exchange, &caller_events, request);
+}
+
 /* `version`: that of the configuration whose key is used; 0: the permanent key. */
 static Request *
 send_to (Soak *self, Gateway *gateway, guint version)
 {
-  Request *request = g_new0 (Request, 1);
+  Request *request = add_request (self, gateway);
   g_autofree char *key = NULL;
   g_autofree char *prompt = NULL;
   g_autofree char *head = NULL;
   HtExchangeRequest exchange = { .connect_timeout = KNL_SEC, .max_idle = 2 * KNL_SEC };
 
-  request->soak = self;
-  request->gateway = gateway;
-  request->id = g_strdup_printf ("r%u", self->next++);
   request->is_at_most_once = g_rand_boolean (self->rand);
   request->key = version;
-  request->sent_at = gs_now (self);
-  g_hash_table_insert (self->requests, request->id, request);
   key = request->key > 0 ? g_strdup_printf ("key-%u", request->key) : g_strdup ("key");
   prompt = gs_prompt_fields (self, request);
   head = g_strdup_printf ("POST /%s/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\n"
@@ -324,6 +352,7 @@
   self->store = row_store_new (self->harness->kernel, self->harness->base);
   row_store_set_era (self->store, 0);
   self->versions = g_array_new (FALSE, FALSE, sizeof (guint64));
+  self->repeats.rand = g_rand_new_with_seed (seed);
   gs_put_config (self);
   for (guint i = 0; i < ENDPOINTS; i++)
     gs_start_endpoint (self, i);
@@ -370,6 +399,7 @@
   g_hash_table_unref (self->requests);
   g_array_unref (self->withdrawn_at);
   g_rand_free (self->rand);
+  g_rand_free (self->repeats.rand);
 }
 
 static void
@@ -403,6 +433,8 @@
         gs_advertise_limit (&soak);
       soak.endpoints[LEAVING_ENDPOINT].is_leaving = gs_now (&soak) > leaving_starts_at;
       soak.sends_deadly = gs_now (&soak) > deadly_starts_at;
+      gs_send_repeat (&soak);
+      gs_disturb_repeats (&soak);
       if (gs_now (&soak) < next_fault)
         continue;
       gs_inject (&soak);
@@ -410,17 +442,23 @@
       next_fault = gs_now (&soak) + FAULT_INTERVAL;
     }
   for (guint i = 0; i < GATEWAYS; i++)
-    gs_resume (&soak, &soak.gateways[i]);
+    {
+      soak.gateways[i].paused_until = 0;
+      gs_resume (&soak, &soak.gateways[i]);
+    }
   hn_run_for (soak.harness, REQUEST_TIMEOUT + ANSWER_SLACK);
   check_all (&soak);
   check_settled (&soak);
   gs_check_quarantined (&soak);
   printf ("seed %u: %u requests, %u answered, %u counted against a limit of %u, "
           "%u answers with Retry-After, %u evacuations, %u requests to cold endpoints, "
-          "%u crashes, quarantined %u times and wrongly %u times, %u violations\n",
+          "%u crashes, quarantined %u times and wrongly %u times, %u crashes by repeats%s, "
+          "%u violations\n",
           seed, soak.next, soak.answered, soak.endpoints[ENDPOINTS - 1].arrivals->len,
           soak.endpoints[ENDPOINTS - 1].rate, soak.n_retry_after, soak.n_evacuations,
-          soak.n_cold_arrivals, soak.n_crashes, soak.n_quarantined, soak.n_wrong, soak.violations);
+          soak.n_cold_arrivals, soak.n_crashes, soak.n_quarantined, soak.n_wrong,
+          soak.repeats.n_crashes, soak.repeats.was_killed ? " and a restart of all" : "",
+          soak.violations);
   if (soak.violations > 0)
     print_logs (&soak);
   CU_ASSERT_EQUAL (soak.violations, 0);
--- a/tests/soak/gateway_soak_endpoints.c
+++ b/tests/soak/gateway_soak_endpoints.c
@@ -36,6 +36,7 @@
   Gateway *gateway;
   char *id;
   gboolean is_deadly;
+  gboolean is_repeat;
   KnlTimerId timer;
 } Work;
 
@@ -154,7 +155,7 @@
   self->timer = 0;
   if (self->is_deadly)
     {
-      gs_crash_endpoint (self->endpoint);
+      gs_crash_endpoint (self->endpoint, self->is_repeat);
       return;
     }
   ht_call_set_data (call, NULL);
@@ -203,6 +204,7 @@
   check_signals (endpoint, request);
   gs_check_rows (endpoint, request);
   gs_check_deadly (endpoint, request);
+  gs_check_repeat (endpoint, request);
   if (g_rand_double (self->rand) < 0.05)
     {
       refuse_request (endpoint, request->gateway, call, id);
@@ -216,6 +218,7 @@
   work->gateway = request->gateway;
   work->id = g_strdup (id);
   work->is_deadly = request->is_deadly;
+  work->is_repeat = request->is_repeat;
   g_hash_table_add (endpoint->works, work);
   ht_call_set_data (call, work);
   work->timer = knl_timer_start (self->harness->kernel,
--- a/tests/soak/gateway_soak_faults.c
+++ b/tests/soak/gateway_soak_faults.c
@@ -20,6 +20,8 @@
 void
 gs_resume (Soak *self, Gateway *gateway)
 {
+  if (gs_now (self) < gateway->paused_until)
+    return;
   hn_signal (gateway->process, SIGCONT);
   if (gateway->is_paused)
     gateway->resumed_at = gs_now (self);
--- a/tests/soak/gateway_soak_internal.h
+++ b/tests/soak/gateway_soak_internal.h
@@ -40,6 +40,7 @@
                                   yet */
   gboolean is_paused;
   KnlTime paused_at;
+  KnlTime paused_until; /* it isn't resumed before */
   KnlTime resumed_at;
 } Gateway;
 
@@ -87,6 +88,7 @@
   char *id;
   gboolean is_at_most_once; /* not idempotent */
   gboolean is_deadly;       /* crashes the endpoint that answers it */
+  gboolean is_repeat;       /* the same, and others are equal to it but for the id */
   guint key;                /* version whose key it carries; 0: the permanent key */
   KnlTime sent_at;
   KnlTime ended_at; /* 0: not yet */
@@ -96,6 +98,18 @@
   KnlTime ran_at;
 } Request;
 
+/** The request that is sent again and again. */
+typedef struct
+{
+  GRand *rand;
+  KnlTime next_at;
+  guint n_crashes;
+  KnlTime known_from; /* when the gateways must know it; 0: it has crashed too few endpoints */
+  guint n_late;       /* sends that reached endpoints after that */
+  KnlTime paused_at;  /* when gateways were paused for it; 0: not yet */
+  gboolean was_killed;
+} Repeats;
+
 struct Soak
 {
   HnHarness *harness;
@@ -127,7 +141,8 @@
   guint n_late_prompts; /* that reached endpoints after that */
   guint n_quarantined;  /* decisions of gateways that quarantined the segment */
   guint n_wrong;        /* those that quarantined another one */
-  guint violations;     /* violations of the guarantees */
+  Repeats repeats;
+  guint violations; /* violations of the guarantees */
 };
 
 static inline KnlTime
@@ -144,6 +159,9 @@
 /** Writes a new version, whose key replaces that of the previous one. */
 void gs_put_config (Soak *self);
 
+/** Sends a request that differs from others sent so by its id alone. */
+void gs_send_same_request (Soak *self, Gateway *gateway);
+
 /* gateway_soak_endpoints.c */
 
 void gs_start_endpoint (Soak *self, guint endpoint);
@@ -166,8 +184,9 @@
  */
 char *gs_prompt_fields (Soak *self, Request *request);
 
-/** Ends the endpoint's process and all its connections. It comes back later, under another id. */
-void gs_crash_endpoint (Endpoint *endpoint);
+/** Ends the endpoint's process and all its connections, under a prompt that crashes it or the
+ * repeated request. It comes back later, under another id. */
+void gs_crash_endpoint (Endpoint *endpoint, gboolean is_repeat);
 
 /** Checks the arrival of a prompt that crashes endpoints. */
 void gs_check_deadly (Endpoint *endpoint, const Request *request);
@@ -175,6 +194,20 @@
 /** Counts what the gateways have quarantined. */
 void gs_check_quarantined (Soak *self);
 
+/* gateway_soak_repeats.c */
+
+/** Sends the repeated request if it is time. */
+void gs_send_repeat (Soak *self);
+
+/** The repeated request has crashed an endpoint. */
+void gs_note_repeat_crash (Soak *self);
+
+/** Checks the arrival of a repeated request. */
+void gs_check_repeat (Endpoint *endpoint, const Request *request);
+
+/** Pauses, and later kills, gateways once the repeated request is known. */
+void gs_disturb_repeats (Soak *self);
+
 /* gateway_soak_rows.c */
 
 /** The id under which the endpoint's present process is listed. Free with g_free. */
--- a/tests/soak/gateway_soak_segments.c
+++ b/tests/soak/gateway_soak_segments.c
@@ -47,12 +47,14 @@
 }
 
 void
-gs_crash_endpoint (Endpoint *self)
+gs_crash_endpoint (Endpoint *self, gboolean is_repeat)
 {
   Soak *soak = self->soak;
 
   gs_end_endpoint (self);
-  if (++soak->n_crashes == MAX_CRASHES)
+  if (is_repeat)
+    gs_note_repeat_crash (soak);
+  else if (++soak->n_crashes == MAX_CRASHES)
     soak->known_from = gs_now (soak) + KNOWN_WITHIN;
   self->restart_timer = knl_timer_start (
       soak->harness->kernel,
@@ -67,7 +69,7 @@
   Soak *soak = self->soak;
   const Gateway *gateway = request->gateway;
 
-  if (!request->is_deadly || self == soak->endpoints || soak->known_from == 0
+  if (!request->is_deadly || request->is_repeat || self == soak->endpoints || soak->known_from == 0
       || request->sent_at < soak->known_from || request->sent_at < soak->rows_read_at
       || request->sent_at < MAX (gateway->faulted_at, gateway->resumed_at) + KNOWN_WITHIN)
     return;
