serve: ends by a quarantined request count for no segment beside it

Segments were decided before requests. Change: losses at an endpoint that a quarantined request has ended count for a segment only if they happened under that request. Requests are decided first. A segment's quarantine ends when requests explain it. Measured: sv_crash_rules, segments beside a request are not blamed: fails before (the request isn't found either), passes; a segment that the request has itself is found with two further prompts.

--- a/include/policy/blame.h
+++ b/include/policy/blame.h
@@ -38,6 +38,8 @@
 /** Adds a request to those of the loss. FALSE: it was there, or there are too many. */
 gboolean pol_blame_add_request (PolBlameLoss *loss, guint64 request);
 
+gboolean pol_blame_has_request (const PolBlameLoss *loss, guint64 request);
+
 /** Sorts the losses by time. */
 PolBlame pol_blame_weigh (PolBlameLoss *losses, guint n);
 
--- a/policy/blame.c
+++ b/policy/blame.c
@@ -22,8 +22,8 @@
   return (left > right) - (left < right);
 }
 
-static gboolean
-has_request (const PolBlameLoss *loss, guint64 request)
+gboolean
+pol_blame_has_request (const PolBlameLoss *loss, guint64 request)
 {
   for (guint i = 0; i < loss->n_requests; i++)
     {
@@ -36,7 +36,7 @@
 gboolean
 pol_blame_add_request (PolBlameLoss *loss, guint64 request)
 {
-  if (loss->n_requests >= POL_BLAME_REQUESTS || has_request (loss, request))
+  if (loss->n_requests >= POL_BLAME_REQUESTS || pol_blame_has_request (loss, request))
     return FALSE;
   loss->requests[loss->n_requests++] = request;
   return TRUE;
@@ -51,7 +51,7 @@
 
   for (guint i = 0; i < n; i++)
     {
-      if (without != NULL && has_request (&losses[i], *without))
+      if (without != NULL && pol_blame_has_request (&losses[i], *without))
         continue;
       if (moments > 0 && losses[i].lost_at - last < POL_BLAME_MOMENT)
         continue;
--- a/serve/peers_quarantine.c
+++ b/serve/peers_quarantine.c
@@ -261,9 +261,10 @@
 void
 sv_peers_tick_quarantine (SvPeers *self)
 {
-  gboolean is_news = self->quarantine != NULL && sv_quarantine_tick (self->quarantine);
+  /* First: what a request explains counts for no segment. */
+  gboolean is_news = self->crashes != NULL && sv_crashes_tick (self->crashes);
 
-  is_news |= self->crashes != NULL && sv_crashes_tick (self->crashes);
+  is_news |= self->quarantine != NULL && sv_quarantine_tick (self->quarantine);
   if (is_news)
     self->link.klass->crashes_changed (&self->link);
 }
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -242,7 +242,8 @@
 
       if (loss->lost_at <= newest && sv_quarantine_has_ended (self, loss->endpoint)
           && !sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at)
-          && !sv_quarantine_explains (self, loss->endpoint))
+          && !sv_quarantine_explains (self, loss->endpoint)
+          && !sv_quarantine_is_by_request (self, loss))
         losses[n++] = *loss;
     }
   return n;
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -224,6 +224,38 @@
   return FALSE;
 }
 
+gboolean
+sv_quarantine_is_by_request (const SvQuarantine *self, const PolBlameLoss *loss)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Entry *entry = value;
+
+      if (entry->key.service == SV_QUARANTINE_REQUESTS
+          && has_loss_of (entry->told.losses, entry->told.n_losses, loss->endpoint)
+          && !pol_blame_has_request (loss, entry->key.segment))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Whether requests that were quarantined later explain it. Nothing is known of the losses if
+ * another instance has decided. */
+static gboolean
+is_by_requests (const SvQuarantine *self, const SvQuarantined *quarantined)
+{
+  guint n_left = quarantined->n_losses;
+
+  for (guint i = 0; i < quarantined->n_losses; i++)
+    n_left -= quarantined->losses[i].n_requests > 0
+              && sv_quarantine_is_by_request (self, &quarantined->losses[i]);
+  return n_left < MIN_LOSSES && quarantined->n_losses >= MIN_LOSSES;
+}
+
 /* NULL: it stands. */
 static const char *
 end_reason (const SvQuarantine *self, const Entry *entry)
@@ -243,7 +275,8 @@
       Entry *entry = link->data;
       const char *reason = end_reason (self, entry);
 
-      if (reason == NULL && is_explained (self, &entry->told))
+      if (reason == NULL
+          && (is_explained (self, &entry->told) || is_by_requests (self, &entry->told)))
         reason = "explained";
       if (reason != NULL)
         sv_quarantine_end (self, entry, reason);
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -101,6 +101,9 @@
                           const PolBlameLoss *losses,
                           guint n);
 
+/** Whether a quarantined request has ended the endpoint, and the loss didn't happen under that. */
+gboolean sv_quarantine_is_by_request (const SvQuarantine *self, const PolBlameLoss *loss);
+
 /** Ends a quarantine, and logs why. */
 void sv_quarantine_end (SvQuarantine *self, Entry *entry, const char *reason);
 
--- a/tests/unit/sv_crash_rules_test.c
+++ b/tests/unit/sv_crash_rules_test.c
@@ -62,8 +62,8 @@
     {
       knl_paused_clock_advance (self->clock, STEP);
       sv_fleet_sweep (self->fleet);
-      sv_quarantine_tick (self->quarantine);
       sv_crashes_tick (self->crashes);
+      sv_quarantine_tick (self->quarantine);
     }
 }
 
@@ -283,6 +283,61 @@
   fixture_close (&fixture);
 }
 
+/* The endpoint ends under the request, and under another one with the segment, which may be the
+ * same. */
+static void
+crash_beside_segment (Fixture *self, guint i, guint64 other, guint64 segment)
+{
+  SvSegmentUse use = { .request = other,
+                       .endpoint = self->keys[i],
+                       .service = 7,
+                       .at = knl_kernel_now (self->kernel),
+                       .segments = { { segment }, 1 } };
+
+  sv_quarantine_note_loss (self->quarantine, &use, SV_CRASH_OWN);
+  crash (self, i, REQUEST);
+}
+
+/* Guards against a shared segment that is quarantined for endpoints which a request has crashed
+ * beside prompts with it. */
+static void
+test_segments_beside_a_request_are_not_blamed (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    crash_beside_segment (&fixture, i, 1000 + i, 5);
+  CU_ASSERT_TRUE (is_quarantined (&fixture, REQUEST));
+  CU_ASSERT_FALSE (sv_quarantine_contains (fixture.quarantine, 7, 5));
+  fixture_close (&fixture);
+}
+
+/* Guards against a segment that crashes endpoints and isn't blamed, since a request with it that
+ * was repeated explains most of them. */
+static void
+test_segments_of_a_request_are_blamed (void)
+{
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    crash_beside_segment (&fixture, i, REQUEST, 5);
+  for (guint i = 3; i < 5; i++)
+    {
+      SvSegmentUse use = { .request = 1000 + i,
+                           .endpoint = fixture.keys[i],
+                           .service = 7,
+                           .at = knl_kernel_now (fixture.kernel),
+                           .segments = { { 5 }, 1 } };
+
+      sv_quarantine_note_loss (fixture.quarantine, &use, SV_CRASH_OWN);
+      remove_endpoint (&fixture, i);
+    }
+  CU_ASSERT_TRUE (sv_quarantine_contains (fixture.quarantine, 7, 5));
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "rare requests are quarantined", test_rare_requests_are_quarantined },
   { "records are bounded", test_records_are_bounded },
@@ -292,6 +347,8 @@
   { "an outage quarantines no request", test_an_outage_quarantines_no_request },
   { "answered requests are not quarantined", test_answered_requests_are_not_quarantined },
   { "explained losses leave room", test_explained_losses_leave_room },
+  { "segments beside a request are not blamed", test_segments_beside_a_request_are_not_blamed },
+  { "segments of a request are blamed", test_segments_of_a_request_are_blamed },
   { "an answer ends the quarantine", test_an_answer_ends_the_quarantine },
   { "requests and segments are kept apart", test_requests_and_segments_are_kept_apart },
 };
