serve: requests are decided before the segments that were lost beside them

Cause: a segment is decided when a prompt with it arrives, before the tick decides requests. Change: a decision about a segment lets requests be decided first, and weighs again. Measured: sv_crash_rules, requests are decided first: fails before, passes.

--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -114,6 +114,10 @@
 /** Sets what is called at each change; NULL: nothing. It must not end requests. */
 void sv_quarantine_on_changed (SvQuarantine *quarantine, SvQuarantineFunc func, gpointer data);
 
+/** Sets what is called before a segment is quarantined, so that requests which explain its losses
+ * are found first; NULL: nothing. */
+void sv_quarantine_before_decision (SvQuarantine *quarantine, SvQuarantineFunc func, gpointer data);
+
 /** TRUE: that wasn't known, and is to be sent to others. */
 gboolean sv_quarantine_note_survival (SvQuarantine *quarantine,
                                       const SvSegmentSurvival *survival,
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -175,12 +175,6 @@
   return record;
 }
 
-void
-sv_crashes_set_quarantine (SvCrashes *self, SvQuarantine *quarantine)
-{
-  self->quarantine = quarantine;
-}
-
 static void
 note_unsent (gboolean *has_unsent, const gboolean *unsent)
 {
@@ -334,26 +328,44 @@
     record->losses[i].is_survived = has_survived (self, &record->losses[i]);
 }
 
-gboolean
-sv_crashes_tick (SvCrashes *self)
+static void
+quarantine_all (gpointer data)
 {
+  SvCrashes *self = data;
   GHashTableIter iter;
   gpointer value;
-  gboolean is_changed = FALSE;
 
-  g_hash_table_foreach_remove (self->records, is_expired, self);
   g_hash_table_iter_init (&iter, self->records);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      Record *record = value;
+      const Record *record = value;
 
-      note_survivors (self, record);
-      if (record->n_losses <= MAX_CRASHES || is_quarantined (self, record->fingerprint))
-        continue;
-      quarantine (self, record);
-      is_changed |= is_quarantined (self, record->fingerprint);
+      if (record->n_losses > MAX_CRASHES && !is_quarantined (self, record->fingerprint))
+        quarantine (self, record);
     }
-  return is_changed;
+}
+
+void
+sv_crashes_set_quarantine (SvCrashes *self, SvQuarantine *quarantine)
+{
+  self->quarantine = quarantine;
+  if (quarantine != NULL)
+    sv_quarantine_before_decision (quarantine, quarantine_all, self);
+}
+
+gboolean
+sv_crashes_tick (SvCrashes *self)
+{
+  guint before = self->quarantine != NULL ? sv_quarantine_n (self->quarantine) : 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_foreach_remove (self->records, is_expired, self);
+  g_hash_table_iter_init (&iter, self->records);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    note_survivors (self, value);
+  quarantine_all (self);
+  return self->quarantine != NULL && sv_quarantine_n (self->quarantine) > before;
 }
 
 static gboolean
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -3,24 +3,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* Time for which a loss counts. By its end the row of an endpoint that has ended is gone, and the
- * loss then counts for as long as a quarantine. */
-#define LOSS_TTL       (60 * KNL_SEC)
-#define ENDED_LOSS_TTL SV_QUARANTINE_TTL
-
-/* Suspects that are kept. An outage of many endpoints makes thousands of them, nearly all with one
- * loss each; made-up segments do the same. */
-#define MAX_SUSPECTS 4096
-
-/* Age from which a suspect with a single loss makes way for a new one. */
-#define LONE_LOSS_TTL (2 * KNL_SEC)
-
 /* Segments that are told apart when they have the same losses. */
 #define MAX_RIVALS 8
 
-/* Shortest time between two looks at all suspects for some to drop. */
-#define SWEEP_INTERVAL (200 * KNL_MSEC)
-
 /* Age from which a loss counts. An endpoint that only closed a connection is heard from before. */
 #define SETTLE_TIME (250 * KNL_MSEC)
 
@@ -91,80 +76,17 @@
   self->on_changed_data = data;
 }
 
-guint32
-sv_quarantine_service (const char *name)
-{
-  return (guint32)XXH64 (name, strlen (name), 0);
-}
-
-static gboolean
-is_expired (gpointer key, gpointer value, gpointer data)
-{
-  const Suspect *suspect = value;
-
-  return suspect->n == 0 && suspect->expires <= knl_kernel_now (data);
-}
-
-static gboolean
-has_lone_loss (gpointer key, gpointer value, gpointer data)
-{
-  const Suspect *suspect = value;
-
-  return suspect->n == 1 && suspect->losses[0].lost_at + LONE_LOSS_TTL <= knl_kernel_now (data);
-}
-
-/* Its losses count only with another one. */
-static gboolean
-has_no_recent_loss (gpointer key, gpointer value, gpointer data)
-{
-  const Suspect *suspect = value;
-  KnlTime oldest = knl_kernel_now (data) - LOSS_TTL;
-
-  for (guint i = 0; i < suspect->n; i++)
-    {
-      if (suspect->losses[i].lost_at > oldest)
-        return FALSE;
-    }
-  return suspect->n > 0;
-}
-
-Suspect *
-sv_quarantine_find_suspect (const SvQuarantine *self, const SegmentKey *key)
-{
-  Suspect *suspect = g_hash_table_lookup (self->suspects, key);
-
-  return suspect != NULL && !is_expired (NULL, suspect, self->kernel) ? suspect : NULL;
-}
-
-static void
-make_room (SvQuarantine *self)
+void
+sv_quarantine_before_decision (SvQuarantine *self, SvQuarantineFunc func, gpointer data)
 {
-  KnlTime now = knl_kernel_now (self->kernel);
-
-  if (g_hash_table_size (self->suspects) < MAX_SUSPECTS || now < self->swept_at + SWEEP_INTERVAL)
-    return;
-  self->swept_at = now;
-  g_hash_table_foreach_remove (self->suspects, is_expired, self->kernel);
-  if (g_hash_table_size (self->suspects) >= MAX_SUSPECTS)
-    g_hash_table_foreach_remove (self->suspects, has_lone_loss, self->kernel);
-  if (g_hash_table_size (self->suspects) >= MAX_SUSPECTS)
-    g_hash_table_foreach_remove (self->suspects, has_no_recent_loss, self->kernel);
+  self->before_decision = func;
+  self->before_decision_data = data;
 }
 
-Suspect *
-sv_quarantine_ensure_suspect (SvQuarantine *self, const SegmentKey *key)
+guint32
+sv_quarantine_service (const char *name)
 {
-  Suspect *suspect = sv_quarantine_find_suspect (self, key);
-
-  if (suspect != NULL)
-    return suspect;
-  make_room (self);
-  if (g_hash_table_size (self->suspects) >= MAX_SUSPECTS)
-    return NULL;
-  suspect = g_new0 (Suspect, 1);
-  suspect->key = *key;
-  g_hash_table_replace (self->suspects, &suspect->key, suspect);
-  return suspect;
+  return (guint32)XXH64 (name, strlen (name), 0);
 }
 
 static PolBlameLoss *
@@ -215,7 +137,7 @@
 
   if (use->at <= self->survived_at)
     return FALSE;
-  self->expires = MAX (self->expires, use->at + LOSS_TTL);
+  self->expires = MAX (self->expires, use->at + SUSPECT_LOSS_TTL);
   /* An endpoint that had lived on is lost again. */
   if (loss != NULL
       && (use->at <= loss->lost_at || !sv_crash_is_survived (fleet, loss->endpoint, loss->lost_at)))
@@ -322,6 +244,12 @@
     return;
   n = sv_quarantine_counted (self, suspect, losses);
   blame = pol_blame_weigh (losses, n);
+  if (!pol_blame_is_shown (&blame, FALSE))
+    return;
+  if (self->before_decision != NULL)
+    self->before_decision (self->before_decision_data);
+  n = sv_quarantine_counted (self, suspect, losses);
+  blame = pol_blame_weigh (losses, n);
   if (!pol_blame_is_shown (&blame, FALSE))
     return;
   n_rivals = find_rivals (self, suspect, losses, n, rivals);
@@ -368,7 +296,7 @@
 gboolean
 sv_quarantine_note_loss (SvQuarantine *self, const SvSegmentUse *use, SvCrashOrigin origin)
 {
-  if (use->at + LOSS_TTL <= knl_kernel_now (self->kernel))
+  if (use->at + SUSPECT_LOSS_TTL <= knl_kernel_now (self->kernel))
     return FALSE;
   sv_quarantine_note_closed (self, use->endpoint, use->request, use->at);
   if (origin == SV_CRASH_OWN)
@@ -430,39 +358,6 @@
   return cleared;
 }
 
-/* An endpoint that has lived on, or is still listed after LOSS_TTL, may leave later; its loss is no
- * sign of an end then. */
-static gboolean
-is_to_be_dropped (const SvQuarantine *self, const PolBlameLoss *loss)
-{
-  KnlTime age = knl_kernel_now (self->kernel) - loss->lost_at;
-
-  if (sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at) || age >= ENDED_LOSS_TTL)
-    return TRUE;
-  return age >= LOSS_TTL && sv_fleet_by_key (self->fleet, loss->endpoint) != NULL;
-}
-
-static void
-drop_losses (SvQuarantine *self)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, self->suspects);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Suspect *suspect = value;
-      guint kept = 0;
-
-      for (guint i = 0; i < suspect->n; i++)
-        {
-          if (!is_to_be_dropped (self, &suspect->losses[i]))
-            suspect->losses[kept++] = suspect->losses[i];
-        }
-      suspect->n = kept;
-    }
-}
-
 static void
 decide_all (SvQuarantine *self)
 {
@@ -482,8 +377,7 @@
 {
   gboolean cleared = sv_quarantine_note_survivors (self);
 
-  g_hash_table_foreach_remove (self->suspects, is_expired, self->kernel);
-  drop_losses (self);
+  sv_quarantine_drop_old_suspects (self);
   sv_quarantine_drop_old_ends (self);
   sv_quarantine_review (self);
   decide_all (self);
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -4,6 +4,10 @@
 
 #include "serve/quarantine.h"
 
+/* Time for which a loss counts. By its end the row of an endpoint that has ended is gone, and the
+ * loss then counts for as long as a quarantine. */
+#define SUSPECT_LOSS_TTL (60 * KNL_SEC)
+
 /* Losses kept of a segment; more than are needed, as some may not count. */
 #define MAX_SUSPECT_LOSSES 12
 
@@ -48,6 +52,8 @@
   gpointer election_data;
   SvQuarantineFunc on_changed;
   gpointer on_changed_data;
+  SvQuarantineFunc before_decision; /* NULL: nothing */
+  gpointer before_decision_data;
   GHashTable *suspects; /* SegmentKey -> Suspect */
   KnlTime swept_at;     /* when suspects were last dropped to make room */
   GHashTable *entries;  /* SegmentKey -> Entry */
@@ -59,12 +65,6 @@
 
 /* quarantine.c */
 
-/** NULL: nothing is known of it. */
-Suspect *sv_quarantine_find_suspect (const SvQuarantine *self, const SegmentKey *key);
-
-/** The same, and creates it if need be; NULL: there are too many. */
-Suspect *sv_quarantine_ensure_suspect (SvQuarantine *self, const SegmentKey *key);
-
 /** Quarantines the segment if its losses show that it crashes endpoints. */
 void sv_quarantine_decide (SvQuarantine *self, const SegmentKey *key);
 
@@ -73,6 +73,17 @@
                              const Suspect *suspect,
                              PolBlameLoss losses[MAX_SUSPECT_LOSSES]);
 
+/* quarantine_suspects.c */
+
+/** NULL: nothing is known of it. */
+Suspect *sv_quarantine_find_suspect (const SvQuarantine *self, const SegmentKey *key);
+
+/** The same, and creates it if need be; NULL: there are too many. */
+Suspect *sv_quarantine_ensure_suspect (SvQuarantine *self, const SegmentKey *key);
+
+/** Drops suspects and losses that are too old, and losses at endpoints that have lived on. */
+void sv_quarantine_drop_old_suspects (SvQuarantine *self);
+
 /* quarantine_begun.c */
 
 /** Clears the segments of answers that endpoints have survived. TRUE: there were some. */
--- a/tests/unit/sv_crash_rules_test.c
+++ b/tests/unit/sv_crash_rules_test.c
@@ -283,10 +283,10 @@
   fixture_close (&fixture);
 }
 
-/* The endpoint ends under the request, and under another one with the segment, which may be the
- * same. */
+/* The endpoint closes its connections under the request, and under another one with the segment,
+ * which may be the same. */
 static void
-crash_beside_segment (Fixture *self, guint i, guint64 other, guint64 segment)
+crash_beside_segment_now (Fixture *self, guint i, guint64 other, guint64 segment)
 {
   SvSegmentUse use = { .request = other,
                        .endpoint = self->keys[i],
@@ -295,7 +295,15 @@
                        .segments = { { segment }, 1 } };
 
   sv_quarantine_note_loss (self->quarantine, &use, SV_CRASH_OWN);
-  crash (self, i, REQUEST);
+  lose (self, i, REQUEST);
+}
+
+/* The same, and the endpoint has ended. */
+static void
+crash_beside_segment (Fixture *self, guint i, guint64 other, guint64 segment)
+{
+  crash_beside_segment_now (self, i, other, segment);
+  remove_endpoint (self, i);
 }
 
 /* Guards against a shared segment that is quarantined for endpoints which a request has crashed
@@ -313,6 +321,28 @@
   fixture_close (&fixture);
 }
 
+/* Guards against the same by a prompt that arrives before the next tick, and has its segments
+ * decided on. */
+static void
+test_requests_are_decided_first (void)
+{
+  SvSegments segments = { { 5 }, 1 };
+  gboolean is_test = FALSE;
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 2; i++)
+    crash_beside_segment (&fixture, i, 1000 + i, 5);
+  knl_paused_clock_advance (fixture.clock, KNL_SEC);
+  sv_fleet_remove (fixture.fleet, "i-2");
+  crash_beside_segment_now (&fixture, 2, 1002, 5);
+  knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
+  sv_fleet_sweep (fixture.fleet);
+  CU_ASSERT_PTR_NULL (sv_quarantine_check (fixture.quarantine, 7, &segments, &is_test));
+  CU_ASSERT_TRUE (is_quarantined (&fixture, REQUEST));
+  fixture_close (&fixture);
+}
+
 /* Guards against a segment that crashes endpoints and isn't blamed, since a request with it that
  * was repeated explains most of them. */
 static void
@@ -348,6 +378,7 @@
   { "answered requests are not quarantined", test_answered_requests_are_not_quarantined },
   { "explained losses leave room", test_explained_losses_leave_room },
   { "segments beside a request are not blamed", test_segments_beside_a_request_are_not_blamed },
+  { "requests are decided first", test_requests_are_decided_first },
   { "segments of a request are blamed", test_segments_of_a_request_are_blamed },
   { "an answer ends the quarantine", test_an_answer_ends_the_quarantine },
   { "requests and segments are kept apart", test_requests_and_segments_are_kept_apart },
