tests: an answer that the soak aborts advertises nothing

Cause: the soak noted that an endpoint had told a gateway it is leaving before it drew whether the answer is aborted. Change: the signal is noted when an answer is sent. The check is as before.

--- a/tests/soak/gateway_soak_endpoints.c
+++ b/tests/soak/gateway_soak_endpoints.c
@@ -155,9 +155,8 @@
   Work *self = data;
   HtCall *call = self->call;
   Soak *soak = self->endpoint->soak;
-  g_autofree char *advertised_fields = signal_fields (self->endpoint, self->gateway);
-  g_autofree char *fields =
-      g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n%s", self->id, advertised_fields);
+  g_autofree char *advertised_fields = NULL;
+  g_autofree char *fields = NULL;
   double draw = g_rand_double (soak->rand);
 
   self->timer = 0;
@@ -168,8 +167,15 @@
     }
   ht_call_set_data (call, NULL);
   if (draw < 0.05)
-    ht_call_abort (call);
-  else if (draw < 0.10)
+    {
+      ht_call_abort (call);
+      work_free (self);
+      return;
+    }
+  advertised_fields = signal_fields (self->endpoint, self->gateway);
+  fields =
+      g_strdup_printf ("X-Attempt-Id: %s\r\nX-Server-Stamp: s\r\n%s", self->id, advertised_fields);
+  if (draw < 0.10)
     ht_call_answer (call, 500, fields, "failed", 6);
   else
     ht_call_answer (call, 200, fields, self->id, strlen (self->id));
--- a/tests/unit/sv_crash_return_test.c
+++ b/tests/unit/sv_crash_return_test.c
@@ -5,6 +5,8 @@
 #include "suite.h"
 #include "sv_fixture.h"
 
+#define MINUTE (60 * KNL_SEC)
+
 #define GOOD_BYTES "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood"
 
 static const ScriptedAnswer good = { GOOD_BYTES, FALSE };
@@ -67,7 +69,7 @@
   KnlTime pause; /* between two crashes */
   KnlTime away;  /* time after the last until the request comes back */
 } returns[] = {
-  { "minutes later", 0, 5 * 60 * KNL_SEC },
+  { "minutes later", 0, 5 * MINUTE },
   { "an hour later", 0, 3600 * KNL_SEC },
   { "rarely each time", 70 * KNL_SEC, 70 * KNL_SEC },
 };
--- a/tests/unit/sv_crash_rules_test.c
+++ b/tests/unit/sv_crash_rules_test.c
@@ -6,6 +6,7 @@
 
 #define N_ENDPOINTS 12
 #define REQUEST     77
+#define MINUTE      (60 * KNL_SEC)
 
 /* Interval at which peers call the ticks. */
 #define STEP (400 * KNL_MSEC)
@@ -111,7 +112,7 @@
   for (guint i = 0; i < 3; i++)
     {
       crash (&fixture, i, REQUEST);
-      pass (&fixture, 30 * 60 * KNL_SEC);
+      pass (&fixture, 30 * MINUTE);
     }
   CU_ASSERT_TRUE (is_quarantined (&fixture, REQUEST));
   fixture_close (&fixture);
@@ -207,7 +208,7 @@
       SvAcquittal acquittal = { .fingerprint = REQUEST };
 
       crash (&fixture, i, REQUEST);
-      pass (&fixture, 10 * 60 * KNL_SEC);
+      pass (&fixture, 10 * MINUTE);
       acquittal.answered_at = knl_kernel_now (fixture.kernel);
       if (i % 2 == 1)
         sv_crashes_note_answer (fixture.crashes, &acquittal, SV_CRASH_OWN);
