--- a/review/standins.py
+++ b/review/standins.py
@@ -309,12 +309,28 @@
             continue
 
 
+# Port of an instance's metrics, on its own address, as in the deploy file.
+METRICS_PORT = 9190
+
+
+def free_address():
+    """A loopback address that no other instance uses."""
+    while True:
+        ip = "127.%d.%d.%d" % tuple(random.randrange(1, 255) for _ in range(3))
+        try:
+            with socket.socket() as s:
+                s.bind((ip, METRICS_PORT))
+            return ip
+        except OSError:
+            continue
+
+
 class Gateway:
     """One instance, started with the command of the deploy file."""
 
     def __init__(self, folder, index, store, zone="zone-a", bounds=None, zones=("zone-a",)):
         self.name = "front-%s-%d" % (zone, index)
-        self.ip = "127.0.0.%d" % (10 + index)
+        self.ip = free_address()
         self.folder = folder
         ports = free_ports(self.ip, 3)
         first = free_range(self.ip, 16)
