--- a/review/standins.py
+++ b/review/standins.py
@@ -116,8 +116,21 @@
         self.version = 1
         self.changed = threading.Condition()
         self.is_down = False
+        self.era = None  # of a store that states it in its answers
         super().__init__(ip)
 
+    def copy(self):
+        """A copy from which the store can come back."""
+        with self.changed:
+            return dict(self.rows), self.version
+
+    def restore(self, copy):
+        """Comes back from a copy: what was written since is gone."""
+        with self.changed:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.era += 1
+            self.changed.notify_all()
+
     def put(self, table, key, value, part=""):
         """Writes a row as the operator or an endpoint does; None removes it. Returns the version."""
         with self.changed:
@@ -148,8 +161,11 @@
 
     def _feed(self, query):
         after = int(query.get("after", 0))
+        era = self.era
         until = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         while True:
+            if era != self.era or after > self.version:
+                return None
             found = sorted((v, w) for w, (_, v) in self.rows.items()
                            if w[0] == query["table"] and v > after)
             left = until - time.monotonic()
@@ -189,14 +205,17 @@
                     answer = self._get(query)
                 elif url.path == "/rows-feed":
                     answer = self._feed(query)
+                    if answer is None:
+                        status, answer = 410, {}
                 elif url.path == "/rows-tx":
                     status, answer = self._transaction(json.loads(body))
                 else:
                     status = 404
                 answer.update(ver=self.version, nowMs=int(time.monotonic() * 1000))
+                era = b"" if self.era is None else b"Store-Era: %d\r\n" % self.era
             text = json.dumps(answer).encode()
-            connection.sendall(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-                               b"Content-Length: %d\r\n\r\n" % (status, len(text)) + text)
+            connection.sendall(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n%s"
+                               b"Content-Length: %d\r\n\r\n" % (status, era, len(text)) + text)
 
 
 class Request:
