--- a/review/standins.py
+++ b/review/standins.py
@@ -517,10 +517,11 @@
 
     def run(self, func):
         status = 2
+        signal.signal(signal.SIGTERM, lambda number, frame: sys.exit("stopped"))
         try:
             status = 1 if func(self) else 0
-        except (Failure, OSError) as error:
-            self.note("couldn't run: %s", error)
+        except (Exception, SystemExit) as error:
+            self.note("couldn't run: %r", error)
         finally:
             for gateway in self.gateways:
                 gateway.stop()
