review: each case reads TROUBLE itself

Cause: the stand-ins that the scripts share read the variable, so the folder of a case didn't show how its disruption is left out.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,9 @@
 sys.path.insert(0, os.path.dirname(HERE))
 import standins  # noqa: E402
 
+# Whether the disruption is made; TROUBLE=0 in the environment does the same without it.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 ENDPOINTS = 12
 DEADLY_WORK_S = 0.3
 SOUND_WORK_S = 1.0
@@ -54,7 +57,7 @@
 
     def work(self, request):
         name = self.name
-        is_deadly = self.case.trouble and request.body == DEADLY_BODY
+        is_deadly = TROUBLE and request.body == DEADLY_BODY
         if is_deadly:
             self.case.arrivals.append((time.monotonic(), request.id, name))
         time.sleep(DEADLY_WORK_S if is_deadly else SOUND_WORK_S)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,6 +13,9 @@
 sys.path.insert(0, os.path.dirname(HERE))
 import standins  # noqa: E402
 
+# Whether the disruption is made; TROUBLE=0 in the environment does the same without it.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 GRACE_S = standins.BOUNDS["graceS"]
 WORK_S = 0.15
 DEADLINE_MS = 10000
@@ -92,19 +95,19 @@
         raise standins.Failure("requests before the signal were not answered")
     case.note("%d callers hold an open connection each", len(callers))
     origin = time.monotonic()
-    if case.trouble:
+    if TROUBLE:
         case.note("platform: SIGTERM")
         gateway.signal(standins.signal.SIGTERM)
     threads = [threading.Thread(target=caller.run, args=(origin,)) for caller in callers]
     for thread in threads:
         thread.start()
-    while case.trouble and gateway.process.poll() is None:
+    while TROUBLE and gateway.process.poll() is None:
         if time.monotonic() - origin > GRACE_S:
             case.note("platform: SIGKILL after graceS")
             gateway.process.kill()
             gateway.process.wait()
         time.sleep(0.005)
-    if case.trouble:
+    if TROUBLE:
         case.note("platform: the process ended %.3f s after the signal", time.monotonic() - origin)
     for thread in threads:
         thread.join()
--- a/review/entries/withdrawn_key.py
+++ b/review/entries/withdrawn_key.py
@@ -16,6 +16,9 @@
 sys.path.insert(0, os.path.dirname(HERE))
 import standins  # noqa: E402
 
+# Whether the disruption is made; TROUBLE=0 in the environment does the same without it.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
 REVOKE_S = standins.BOUNDS["revokeMs"] / 1000
 COPY_BEFORE_S = 0.3
 RESTORE_AFTER_S = 5.6
@@ -56,10 +59,10 @@
     store.is_down = True
     gateways[1].stop()
     time.sleep(AWAY_S)
-    if case.trouble:
+    if TROUBLE:
         store.restore(copy)
     store.is_down = False
-    case.note("store: back%s", " from a copy" if case.trouble else "")
+    case.note("store: back%s", " from a copy" if TROUBLE else "")
     gateways[1].start()
 
     def write_again():
--- a/review/standins.py
+++ b/review/standins.py
@@ -502,7 +502,6 @@
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.gateways = []
         self.lock = threading.Lock()
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
 
     def note(self, text, *values):
         line = "%8.3f %s" % (time.monotonic() - self.started, text % values if values else text)
