policy, serve: a quarantine keeps the losses that it was decided by

Cause: two counts of the same losses. The decision counts a loss that is 100 ms later than the last one that it counted; sv_quarantine_begin() kept a loss only if it was 100 ms later than the one before it, counted or not. Of a dense series it kept one, too few for the quarantine to stand, so that it ended at once ("endpoints-answer"), several times a second. Between its beginning and its end neither the quarantine nor the record of the request refused it: each left that to the other.

Change: pol_blame_pick_moments() picks the losses that pol_blame_weigh() counts, with the same code; segments and requests both use it. A quarantine that doesn't stand any more no longer keeps a request's own record from refusing it.

--- a/include/policy/blame.h
+++ b/include/policy/blame.h
@@ -43,9 +43,14 @@
 /** Sorts the losses by time. */
 PolBlame pol_blame_weigh (PolBlameLoss *losses, guint n);
 
-/** The same for a request that was lost at all of them, whatever else they have in common. */
+/** Fills in the first loss of each moment that pol_blame_weigh() counts, `max` at most; the losses
+ * are sorted by time. Returns their number. */
+guint pol_blame_pick_moments (const PolBlameLoss *losses, guint n, PolBlameLoss *picked, guint max);
+
+/** Whether the losses of one request show that it crashed the endpoints, whatever else they have in
+ * common. */
 gboolean pol_blame_is_shown_of_request (const PolBlame *blame);
 
-/** `is_ambiguous`: something else is common to the same losses, and may be what crashed the
- * endpoints instead. */
+/** Whether the losses show it of something that several requests have in common. `is_ambiguous`:
+ * something else is common to the same losses, and may be what crashed the endpoints instead. */
 gboolean pol_blame_is_shown (const PolBlame *blame, gboolean is_ambiguous);
--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -136,6 +136,7 @@
                                  PolBlameLoss *losses,
                                  guint n);
 
+/** Whether it is quarantined, and the endpoints that show it haven't been heard from since. */
 gboolean sv_quarantine_contains (const SvQuarantine *quarantine, guint32 service, guint64 segment);
 
 /** The quarantined segment because of which a prompt is refused; NULL: it isn't. If the prompt is
--- a/policy/blame.c
+++ b/policy/blame.c
@@ -42,25 +42,43 @@
   return TRUE;
 }
 
-/* `without`: leaves out the losses of that request; NULL: none. */
+/* The next loss that begins a moment; `n`: there is none. `last`: the one before it; `n`: none.
+ * `without`: leaves out the losses of that request; NULL: none. */
 static guint
-count_moments (const PolBlameLoss *losses, guint n, const guint64 *without)
+next_moment (const PolBlameLoss *losses, guint n, guint last, const guint64 *without)
 {
-  guint moments = 0;
-  KnlTime last = 0;
-
-  for (guint i = 0; i < n; i++)
+  for (guint i = last < n ? last + 1 : 0; i < n; i++)
     {
       if (without != NULL && pol_blame_has_request (&losses[i], *without))
         continue;
-      if (moments > 0 && losses[i].lost_at - last < POL_BLAME_MOMENT)
-        continue;
-      last = losses[i].lost_at;
-      moments++;
+      if (last == n || losses[i].lost_at - losses[last].lost_at >= POL_BLAME_MOMENT)
+        return i;
     }
+  return n;
+}
+
+static guint
+count_moments (const PolBlameLoss *losses, guint n, const guint64 *without)
+{
+  guint moments = 0;
+
+  for (guint i = next_moment (losses, n, n, without); i < n;
+       i = next_moment (losses, n, i, without))
+    moments++;
   return moments;
 }
 
+guint
+pol_blame_pick_moments (const PolBlameLoss *losses, guint n, PolBlameLoss *picked, guint max)
+{
+  guint n_picked = 0;
+
+  for (guint i = next_moment (losses, n, n, NULL); i < n && n_picked < max;
+       i = next_moment (losses, n, i, NULL))
+    picked[n_picked++] = losses[i];
+  return n_picked;
+}
+
 static guint
 count_others (const PolBlameLoss *losses, guint n, guint moments)
 {
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -25,14 +25,6 @@
   return g_hash_table_size (self->entries) > 0 ? g_hash_table_lookup (self->entries, key) : NULL;
 }
 
-gboolean
-sv_quarantine_contains (const SvQuarantine *self, guint32 service, guint64 segment)
-{
-  SegmentKey key = { segment, service };
-
-  return sv_quarantine_find_entry (self, &key) != NULL;
-}
-
 const char *
 sv_quarantined_field (const SvQuarantined *self)
 {
@@ -82,7 +74,10 @@
 }
 
 static void
-log_entry (const SvQuarantine *self, const char *event, const SvQuarantined *quarantined)
+log_entry (const SvQuarantine *self,
+           const char *event,
+           const SvQuarantined *quarantined,
+           guint n_weighed)
 {
   KnlTime now = knl_kernel_now (self->kernel);
   g_autofree char *id = sv_quarantined_format (quarantined);
@@ -90,9 +85,9 @@
   g_autofree char *requests = format_requests (quarantined);
 
   cm_log (CM_LOG_WARNING, event, "s", sv_quarantined_field (quarantined), id, "s", "endpoints",
-          endpoints, "s", "fingerprints", requests, "i", "first-loss-us",
-          now - quarantined->losses[0].lost_at, "i", "age-us", now - quarantined->since, "i",
-          "quarantined", (gint64)g_hash_table_size (self->entries));
+          endpoints, "s", "fingerprints", requests, "i", "losses-weighed", (gint64)n_weighed, "i",
+          "first-loss-us", now - quarantined->losses[0].lost_at, "i", "age-us",
+          now - quarantined->since, "i", "quarantined", (gint64)g_hash_table_size (self->entries));
 }
 
 static void
@@ -135,16 +130,13 @@
                                 .segment = key->segment,
                                 .since = knl_kernel_now (self->kernel) };
 
-  for (guint i = 0; i < n && quarantined.n_losses < SV_QUARANTINE_LOSSES; i++)
-    {
-      if (i == 0 || losses[i].lost_at - losses[i - 1].lost_at >= POL_BLAME_MOMENT)
-        quarantined.losses[quarantined.n_losses++] = losses[i];
-    }
+  quarantined.n_losses =
+      pol_blame_pick_moments (losses, n, quarantined.losses, SV_QUARANTINE_LOSSES);
   if (add_entry (self, &quarantined, SV_CRASH_OWN) != NULL)
     log_entry (self,
                key->service == SV_QUARANTINE_REQUESTS ? "fingerprint-quarantined"
                                                       : "segment-quarantined",
-               &quarantined);
+               &quarantined, n);
 }
 
 void
@@ -265,6 +257,15 @@
   return is_shown (self, &entry->told) ? NULL : "endpoints-answer";
 }
 
+gboolean
+sv_quarantine_contains (const SvQuarantine *self, guint32 service, guint64 segment)
+{
+  SegmentKey key = { segment, service };
+  const Entry *entry = sv_quarantine_find_entry (self, &key);
+
+  return entry != NULL && end_reason (self, entry) == NULL;
+}
+
 void
 sv_quarantine_review (SvQuarantine *self)
 {
@@ -318,7 +319,7 @@
     }
   if (add_entry (self, quarantined, origin) == NULL)
     return FALSE;
-  log_entry (self, "quarantine-adopted", quarantined);
+  log_entry (self, "quarantine-adopted", quarantined, quarantined->n_losses);
   return TRUE;
 }
 
--- a/tests/unit/sv_crash_rules_test.c
+++ b/tests/unit/sv_crash_rules_test.c
@@ -4,7 +4,7 @@
 #include "serve/quarantine.h"
 #include "suite.h"
 
-#define N_ENDPOINTS 12
+#define N_ENDPOINTS 96
 #define REQUEST     77
 #define MINUTE      (60 * KNL_SEC)
 
@@ -56,15 +56,21 @@
   knl_paused_clock_free (self->clock);
 }
 
+static void
+tick (Fixture *self)
+{
+  sv_fleet_sweep (self->fleet);
+  sv_crashes_tick (self->crashes);
+  sv_quarantine_tick (self->quarantine);
+}
+
 static void
 pass (Fixture *self, KnlTime time)
 {
   for (KnlTime passed = 0; passed < time; passed += STEP)
     {
       knl_paused_clock_advance (self->clock, STEP);
-      sv_fleet_sweep (self->fleet);
-      sv_crashes_tick (self->crashes);
-      sv_quarantine_tick (self->quarantine);
+      tick (self);
     }
 }
 
@@ -369,6 +375,163 @@
   fixture_close (&fixture);
 }
 
+/* How a request that crashes endpoints is sent: first several times in quick succession, then,
+ * from RETURN_TIME on, twice a second. */
+typedef struct
+{
+  KnlTime gap;  /* between the first sends */
+  KnlTime work; /* from a send to the end of its endpoint */
+  guint n_first;
+  guint max_attempts; /* of a send, including retries */
+} Succession;
+
+#define RETURN_TIME  (8 * KNL_SEC)
+#define RETURN_GAP   (500 * KNL_MSEC)
+#define WATCHED_TIME (240 * KNL_SEC)
+#define ROW_TTL      (3600 * KNL_MSEC)
+#define CONTACT_TIME (3 * KNL_SEC)
+#define MAX_LATE     3
+#define TIME_STEP    (10 * KNL_MSEC)
+
+/* An endpoint that the request is sent to, and ends. */
+typedef struct
+{
+  KnlTime ends_at;
+  guint attempts_left;
+  gboolean has_ended;
+  gboolean is_removed;
+} Victim;
+
+typedef struct
+{
+  Fixture fixture;
+  const Succession *row;
+  KnlTime begun_at;
+  Victim victims[N_ENDPOINTS]; /* by endpoint */
+  guint n_sent;
+  guint n_ended;
+  KnlTime third_at; /* when the third endpoint ended; 0: not yet */
+  guint n_late;     /* sends later than CONTACT_TIME after that */
+} Repetition;
+
+static gboolean
+elect_always (guint64 seed, gpointer data)
+{
+  return TRUE;
+}
+
+static gboolean
+is_refused (const Fixture *self)
+{
+  SvSegments whole = { { REQUEST }, 1 };
+  gboolean is_test = FALSE;
+
+  return sv_crashes_is_refused (self->crashes, REQUEST)
+         || sv_quarantine_check (self->quarantine, SV_QUARANTINE_REQUESTS, &whole, &is_test)
+                != NULL;
+}
+
+static void
+send_deadly (Repetition *self, guint attempts_left)
+{
+  KnlTime now = knl_kernel_now (self->fixture.kernel);
+
+  if (self->n_sent == N_ENDPOINTS || is_refused (&self->fixture))
+    return;
+  self->victims[self->n_sent++] = (Victim){ now + self->row->work, attempts_left, FALSE, FALSE };
+  self->n_late += self->third_at > 0 && now > self->third_at + CONTACT_TIME;
+}
+
+static void
+end_victim (Repetition *self, guint i)
+{
+  Victim *victim = &self->victims[i];
+
+  victim->has_ended = TRUE;
+  if (++self->n_ended == 3)
+    self->third_at = victim->ends_at;
+  lose (&self->fixture, i, REQUEST);
+  if (victim->attempts_left > 1)
+    send_deadly (self, victim->attempts_left - 1);
+}
+
+static void
+update_victims (Repetition *self)
+{
+  KnlTime now = knl_kernel_now (self->fixture.kernel);
+
+  for (guint i = 0; i < self->n_sent; i++)
+    {
+      Victim *victim = &self->victims[i];
+      g_autofree char *id = g_strdup_printf ("i-%u", i);
+
+      if (!victim->has_ended && victim->ends_at <= now)
+        end_victim (self, i);
+      if (victim->has_ended && !victim->is_removed && victim->ends_at + ROW_TTL <= now)
+        {
+          victim->is_removed = TRUE;
+          sv_fleet_remove (self->fixture.fleet, id);
+        }
+    }
+}
+
+static gboolean
+is_send_due (const Succession *row, KnlTime at)
+{
+  if (at >= RETURN_TIME)
+    return at % RETURN_GAP == 0;
+  return at % row->gap == 0 && at / row->gap < row->n_first;
+}
+
+/* Number of sends that are too late. */
+static guint
+repeat_deadly (const Succession *row)
+{
+  Repetition self = { .row = row };
+
+  fixture_open (&self.fixture);
+  sv_quarantine_set_election (self.fixture.quarantine, elect_always, NULL);
+  for (KnlTime at = 0; at < WATCHED_TIME; at += TIME_STEP)
+    {
+      update_victims (&self);
+      if (is_send_due (row, at))
+        send_deadly (&self, row->max_attempts);
+      if (at % STEP == 0)
+        tick (&self.fixture);
+      knl_paused_clock_advance (self.fixture.clock, TIME_STEP);
+    }
+  fixture_close (&self.fixture);
+  return self.n_late;
+}
+
+static void
+check_successions (const Succession *rows, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    {
+      guint n_late = repeat_deadly (&rows[i]);
+
+      if (n_late > MAX_LATE)
+        g_printerr ("row %u: %u late sends\n", i, n_late);
+      CU_ASSERT (n_late <= MAX_LATE);
+    }
+}
+
+static const Succession quick_successions[] = {
+  { 60 * KNL_MSEC, 300 * KNL_MSEC, 6, 2 },  { 80 * KNL_MSEC, 300 * KNL_MSEC, 6, 2 },
+  { 90 * KNL_MSEC, 300 * KNL_MSEC, 8, 2 },  { 90 * KNL_MSEC, 300 * KNL_MSEC, 12, 1 },
+  { 50 * KNL_MSEC, 2 * KNL_SEC, 12, 2 },    { 100 * KNL_MSEC, 300 * KNL_MSEC, 4, 2 },
+  { 140 * KNL_MSEC, 300 * KNL_MSEC, 6, 2 }, { 500 * KNL_MSEC, 2 * KNL_SEC, 6, 1 },
+};
+
+/* Guards against a request that crashes endpoints in quick succession, is quarantined by one count
+ * of its losses, and let go by another. */
+static void
+test_quick_successions_are_refused (void)
+{
+  check_successions (quick_successions, G_N_ELEMENTS (quick_successions));
+}
+
 static const SuiteCase cases[] = {
   { "rare requests are quarantined", test_rare_requests_are_quarantined },
   { "records are bounded", test_records_are_bounded },
@@ -383,6 +546,7 @@
   { "segments of a request are blamed", test_segments_of_a_request_are_blamed },
   { "an answer ends the quarantine", test_an_answer_ends_the_quarantine },
   { "requests and segments are kept apart", test_requests_and_segments_are_kept_apart },
+  { "quick successions are refused", test_quick_successions_are_refused },
 };
 
 SUITE_MAIN ("sv_crash_rules", cases)
--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -152,6 +152,34 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a segment that crashes endpoints in quick succession, is quarantined by one count
+ * of its losses, and let go by another. */
+static void
+test_quick_successions_quarantine_a_segment (void)
+{
+  static const KnlTime gaps[] = { 30 * KNL_MSEC, 60 * KNL_MSEC, 80 * KNL_MSEC, 90 * KNL_MSEC,
+                                  POL_BLAME_MOMENT };
+  static const guint64 segments[] = { DEADLY, 0 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (gaps); i++)
+    {
+      Fixture fixture;
+
+      fixture_open (&fixture);
+      for (guint j = 0; j < N_ENDPOINTS; j++)
+        {
+          crash (&fixture, j, segments);
+          knl_paused_clock_advance (fixture.clock, gaps[i]);
+        }
+      for (guint j = 0; j < 3; j++)
+        {
+          pass (&fixture, PAUSE);
+          CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+        }
+      fixture_close (&fixture);
+    }
+}
+
 /* Guards against sound prompts that are refused since they share a segment with the crashing ones.
  */
 static void
@@ -708,6 +736,7 @@
 
 static const SuiteCase cases[] = {
   { "three crashes quarantine a segment", test_three_crashes_quarantine_a_segment },
+  { "quick successions quarantine a segment", test_quick_successions_quarantine_a_segment },
   { "shared segments are not blamed", test_shared_segments_are_not_blamed },
   { "endpoints that end together convict nothing",
     test_endpoints_that_end_together_convict_nothing },
