serve: a full record of crashes takes new ones, and is tested once at a time

Cause, found by looking for other places that count the same losses: a record holds six losses and found no place for another one while all of them counted. The record then stayed as it was, at too few moments for a quarantine, and its last loss was never recent again. Besides, all instances let such a request through at the same time once its minute was over, so that one whose work takes seconds reached several endpoints; and what was let through then wasn't counted among the tests of its quarantine.

Change: a later loss takes the place of one that begins no moment, else of the oldest (only a later one, so that repeated losses can't displace each other). After the minute one elected instance lets the request through, once at a time, and any does after two. Losses that came of it count as tests of a quarantine that they lead to. Line crashes-tested tells of it.

The tests that spare the sound are unchanged but for the new argument.

--- a/include/serve/crashes.h
+++ b/include/serve/crashes.h
@@ -73,8 +73,8 @@
 guint sv_crashes_count (const SvCrashes *crashes, guint64 fingerprint);
 
 /** Whether the request has ended so many endpoints that it isn't run. FALSE also if it is
- * quarantined, see sv_quarantine_check(). */
-gboolean sv_crashes_is_refused (SvCrashes *crashes, guint64 fingerprint);
+ * quarantined, see sv_quarantine_check(). `is_test` is set if it is let through to find out. */
+gboolean sv_crashes_is_refused (SvCrashes *crashes, guint64 fingerprint, gboolean *is_test);
 
 /** Number of requests that records are kept of. */
 guint sv_crashes_n_requests (const SvCrashes *crashes);
--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -86,6 +86,9 @@
 /** Sets what is asked before a prompt is let through; NULL: none is. */
 void sv_quarantine_set_election (SvQuarantine *quarantine, SvElectFunc is_elected, gpointer data);
 
+/** Whether this instance is the one that is elected of all. TRUE also if there is no election. */
+gboolean sv_quarantine_is_elected (const SvQuarantine *quarantine, guint64 seed);
+
 /** Hash of a service's name, as in SvSegmentUse. */
 guint32 sv_quarantine_service (const char *name);
 
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -270,7 +270,7 @@
   decision = pol_retry_decide (&rule, &retry);
   if (decision == POL_RETRY_NEVER)
     sv_request_give_up (self, fault);
-  else if (sv_crashes_is_refused (self->core->crashes, self->fingerprint))
+  else if (sv_crashes_is_refused (self->core->crashes, self->fingerprint, &self->is_test))
     sv_request_give_up (self, "crashes-endpoints");
   else if ((quarantine = sv_request_quarantine_reason (self)) != NULL)
     sv_request_give_up (self, quarantine);
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -1,5 +1,6 @@
 #include "serve/crashes.h"
 
+#include "common/log.h"
 #include "serve/quarantine.h"
 
 /* A harmless request can lose its endpoint twice by coincidence. */
@@ -18,6 +19,9 @@
 /* Losses recorded of one request. More than are needed to refuse it, as some may not count. */
 #define MAX_LOSSES 6
 
+/* How long the outcome of a request that was let through to find out is waited for. */
+#define TEST_TIMEOUT (10 * KNL_SEC)
+
 /* From this number of requests on, expired ones are removed before one is added, then those with a
  * single loss that is older than LOSS_TTL; beyond twice it none is added. */
 #define SWEEP_THRESHOLD 4096
@@ -38,6 +42,7 @@
 {
   guint64 fingerprint;
   KnlTime answered_at; /* losses before it don't count; 0: never */
+  KnlTime tested_at;   /* when it was last let through to find out; 0: never */
   gboolean acquittal_unsent[SV_CRASHES_N_AUDIENCES];
   guint n_losses;
   Loss losses[MAX_LOSSES];
@@ -193,9 +198,32 @@
   return NULL;
 }
 
-/* A place for another loss, if need be that of one that doesn't count; NULL: there is none. */
+/* The loss of a full record that is missed least: one that begins no moment, else the oldest. */
+static Loss *
+find_spare (Record *record)
+{
+  PolBlameLoss losses[MAX_LOSSES];
+  PolBlameLoss picked[MAX_LOSSES];
+  guint n_picked;
+
+  for (guint i = 0; i < MAX_LOSSES; i++)
+    losses[i] = (PolBlameLoss){ .endpoint = record->losses[i].endpoint,
+                                .lost_at = record->losses[i].lost_at };
+  pol_blame_weigh (losses, MAX_LOSSES);
+  n_picked = pol_blame_pick_moments (losses, MAX_LOSSES, picked, MAX_LOSSES);
+  for (guint i = 1; i < n_picked; i++)
+    {
+      if (losses[i].endpoint != picked[i].endpoint)
+        return find_loss (record, losses[i].endpoint);
+    }
+  return find_loss (record, losses[n_picked < MAX_LOSSES ? n_picked : 0].endpoint);
+}
+
+/* A place for another loss, if need be that of one that doesn't count. A later loss than all others
+ * always gets one; a repeated one can't take a place again that it has lost. NULL: there is none.
+ */
 static Loss *
-find_place (const SvCrashes *self, Record *record)
+find_place (const SvCrashes *self, Record *record, KnlTime lost_at)
 {
   if (record->n_losses < MAX_LOSSES)
     return &record->losses[record->n_losses++];
@@ -204,7 +232,12 @@
       if (!counts (self, &record->losses[i]))
         return &record->losses[i];
     }
-  return NULL;
+  for (guint i = 0; i < record->n_losses; i++)
+    {
+      if (record->losses[i].lost_at >= lost_at)
+        return NULL;
+    }
+  return find_spare (record);
 }
 
 gboolean
@@ -225,7 +258,7 @@
   if (loss != NULL && crash->lost_at <= loss->lost_at)
     return FALSE;
   if (loss == NULL)
-    loss = find_place (self, record);
+    loss = find_place (self, record, crash->lost_at);
   if (loss == NULL)
     return FALSE;
   *loss = (Loss){ .endpoint = crash->endpoint,
@@ -296,28 +329,50 @@
     sv_quarantine_note_request (self->quarantine, record->fingerprint, losses, n);
 }
 
-static gboolean
-has_recent_loss (const SvCrashes *self, const Record *record)
+static KnlTime
+newest_loss (const Record *record)
 {
-  KnlTime oldest = knl_kernel_now (self->kernel) - LOSS_TTL;
+  KnlTime newest = 0;
 
   for (guint i = 0; i < record->n_losses; i++)
-    {
-      if (record->losses[i].lost_at > oldest)
-        return TRUE;
-    }
-  return FALSE;
+    newest = MAX (newest, record->losses[i].lost_at);
+  return newest;
+}
+
+/* Endpoints that ended all at one moment don't show that the request has crashed them. When it
+ * hasn't been sent for a while, it is let through again, once at a time: by one instance, and by
+ * any if that one didn't get it. */
+static gboolean
+is_let_through (SvCrashes *self, Record *record)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+  KnlTime since = now - newest_loss (record);
+  g_autofree char *id = NULL;
+
+  if (since < LOSS_TTL || (record->tested_at > 0 && now - record->tested_at < TEST_TIMEOUT))
+    return FALSE;
+  if (since < 2 * LOSS_TTL && self->quarantine != NULL
+      && !sv_quarantine_is_elected (self->quarantine, record->fingerprint))
+    return FALSE;
+  record->tested_at = now;
+  id = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", record->fingerprint);
+  cm_log (CM_LOG_NOTICE, "crashes-tested", "s", "fingerprint", id, "i", "crashes",
+          (gint64)sv_crashes_count (self, record->fingerprint), "i", "last-loss-us", since);
+  return TRUE;
 }
 
 gboolean
-sv_crashes_is_refused (SvCrashes *self, guint64 fingerprint)
+sv_crashes_is_refused (SvCrashes *self, guint64 fingerprint, gboolean *is_test)
 {
-  const Record *record = find_record (self, fingerprint);
+  Record *record = find_record (self, fingerprint);
 
   if (sv_crashes_count (self, fingerprint) <= MAX_CRASHES)
     return FALSE;
   quarantine (self, record);
-  return has_recent_loss (self, record) && !is_quarantined (self, fingerprint);
+  if (is_quarantined (self, fingerprint))
+    return FALSE;
+  *is_test = is_let_through (self, record);
+  return !*is_test;
 }
 
 /* An endpoint that has lived on may leave later; this loss is no sign of an end then. */
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -69,6 +69,12 @@
   self->election_data = data;
 }
 
+gboolean
+sv_quarantine_is_elected (const SvQuarantine *self, guint64 seed)
+{
+  return self->is_elected == NULL || self->is_elected (seed, self->election_data);
+}
+
 void
 sv_quarantine_on_changed (SvQuarantine *self, SvQuarantineFunc func, gpointer data)
 {
@@ -210,6 +216,17 @@
   return found;
 }
 
+/* Losses after the request had been refused for a while: it was let through to find out. */
+static guint
+count_late (const PolBlameLoss *losses, guint n)
+{
+  guint late = 0;
+
+  for (guint i = MIN_ENDS; i < n; i++)
+    late += losses[i].lost_at - losses[MIN_ENDS - 1].lost_at >= SUSPECT_LOSS_TTL;
+  return late;
+}
+
 void
 sv_quarantine_note_request (SvQuarantine *self, guint64 fingerprint, PolBlameLoss *losses, guint n)
 {
@@ -227,7 +244,7 @@
     }
   blame = pol_blame_weigh (losses, ended);
   if (pol_blame_is_shown_of_request (&blame))
-    sv_quarantine_begin (self, &key, losses, ended);
+    sv_quarantine_begin (self, &key, losses, ended, count_late (losses, ended));
 }
 
 void
@@ -255,10 +272,10 @@
   n_rivals = find_rivals (self, suspect, losses, n, rivals);
   if (!pol_blame_is_shown (&blame, n_rivals > 0))
     return;
-  sv_quarantine_begin (self, key, losses, n);
+  sv_quarantine_begin (self, key, losses, n, 0);
   /* Which of them it is can't be told. */
   for (guint i = 0; i < n_rivals; i++)
-    sv_quarantine_begin (self, &rivals[i], losses, n);
+    sv_quarantine_begin (self, &rivals[i], losses, n, 0);
 }
 
 /* TRUE: it wasn't known. */
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -16,9 +16,6 @@
 /* Time for which one instance is elected to make the next test. */
 #define ELECTION_TERM (60 * KNL_SEC)
 
-/* Losses that must be left of a quarantine; fewer show nothing. */
-#define MIN_LOSSES 3
-
 Entry *
 sv_quarantine_find_entry (const SvQuarantine *self, const SegmentKey *key)
 {
@@ -124,11 +121,16 @@
 }
 
 void
-sv_quarantine_begin (SvQuarantine *self, const SegmentKey *key, const PolBlameLoss *losses, guint n)
+sv_quarantine_begin (SvQuarantine *self,
+                     const SegmentKey *key,
+                     const PolBlameLoss *losses,
+                     guint n,
+                     guint tests)
 {
   SvQuarantined quarantined = { .service = key->service,
                                 .segment = key->segment,
-                                .since = knl_kernel_now (self->kernel) };
+                                .since = knl_kernel_now (self->kernel),
+                                .tests = tests };
 
   quarantined.n_losses =
       pol_blame_pick_moments (losses, n, quarantined.losses, SV_QUARANTINE_LOSSES);
@@ -159,7 +161,7 @@
   for (guint i = 0; i < quarantined->n_losses; i++)
     n += !sv_crash_is_survived (self->fleet, quarantined->losses[i].endpoint,
                                 quarantined->losses[i].lost_at);
-  return n >= MIN_LOSSES;
+  return n >= MIN_ENDS;
 }
 
 static gboolean
@@ -245,7 +247,7 @@
   for (guint i = 0; i < quarantined->n_losses; i++)
     n_left -= quarantined->losses[i].n_requests > 0
               && sv_quarantine_is_by_request (self, &quarantined->losses[i]);
-  return n_left < MIN_LOSSES && quarantined->n_losses >= MIN_LOSSES;
+  return n_left < MIN_ENDS && quarantined->n_losses >= MIN_ENDS;
 }
 
 /* NULL: it stands. */
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -8,6 +8,9 @@
  * loss then counts for as long as a quarantine. */
 #define SUSPECT_LOSS_TTL (60 * KNL_SEC)
 
+/* Ended endpoints that show something; fewer are a coincidence. */
+#define MIN_ENDS 3
+
 /* Losses kept of a segment; more than are needed, as some may not count. */
 #define MAX_SUSPECT_LOSSES 12
 
@@ -106,11 +109,13 @@
 
 Entry *sv_quarantine_find_entry (const SvQuarantine *self, const SegmentKey *key);
 
-/** Quarantines the segment for these losses, sorted by time. */
+/** Quarantines the segment for these losses, sorted by time. `tests`: how often it has been let
+ * through to find out already. */
 void sv_quarantine_begin (SvQuarantine *self,
                           const SegmentKey *key,
                           const PolBlameLoss *losses,
-                          guint n);
+                          guint n,
+                          guint tests);
 
 /** Whether a quarantined request has ended the endpoint, and the loss didn't happen under that. */
 gboolean sv_quarantine_is_by_request (const SvQuarantine *self, const PolBlameLoss *loss);
--- a/tests/unit/sv_crash_peers_test.c
+++ b/tests/unit/sv_crash_peers_test.c
@@ -39,6 +39,7 @@
 static void
 test_crashes_are_repeated (void)
 {
+  gboolean is_test = FALSE;
   PeersFixture fixture;
 
   fixture_open (&fixture);
@@ -50,7 +51,7 @@
   peers_fixture_start (&fixture, 2);
   peers_fixture_discover (&fixture, 2, 0);
   peers_fixture_advance (&fixture, 5 * PEERS_HEARTBEAT_INTERVAL);
-  CU_ASSERT_TRUE (sv_crashes_is_refused (fixture.crashes[2], FINGERPRINT));
+  CU_ASSERT_TRUE (sv_crashes_is_refused (fixture.crashes[2], FINGERPRINT, &is_test));
   peers_fixture_close (&fixture);
 }
 
@@ -58,6 +59,7 @@
 static void
 test_crashes_outlive_who_saw_them (void)
 {
+  gboolean is_test = FALSE;
   PeersFixture fixture;
 
   fixture_open (&fixture);
@@ -67,7 +69,7 @@
   restart (&fixture, 2);
   peers_fixture_discover (&fixture, 2, 0);
   peers_fixture_advance (&fixture, 5 * PEERS_HEARTBEAT_INTERVAL);
-  CU_ASSERT_TRUE (sv_crashes_is_refused (fixture.crashes[2], FINGERPRINT));
+  CU_ASSERT_TRUE (sv_crashes_is_refused (fixture.crashes[2], FINGERPRINT, &is_test));
   peers_fixture_close (&fixture);
 }
 
--- a/tests/unit/sv_crash_rules_test.c
+++ b/tests/unit/sv_crash_rules_test.c
@@ -107,6 +107,14 @@
   return sv_quarantine_contains (self->quarantine, SV_QUARANTINE_REQUESTS, request);
 }
 
+static gboolean
+is_refused_by_record (const Fixture *self)
+{
+  gboolean is_test = FALSE;
+
+  return sv_crashes_is_refused (self->crashes, REQUEST, &is_test);
+}
+
 /* Guards against a request that ends an endpoint each time it comes, and comes too rarely for its
  * losses to count together. */
 static void
@@ -160,7 +168,7 @@
       remove_endpoint (&fixture, i);
     }
   CU_ASSERT_FALSE (is_quarantined (&fixture, REQUEST));
-  CU_ASSERT_FALSE (sv_crashes_is_refused (fixture.crashes, REQUEST));
+  CU_ASSERT_FALSE (is_refused_by_record (&fixture));
   fixture_close (&fixture);
 }
 
@@ -178,7 +186,7 @@
   for (guint i = 0; i < 4; i++)
     remove_endpoint (&fixture, i);
   CU_ASSERT_FALSE (is_quarantined (&fixture, REQUEST));
-  CU_ASSERT_FALSE (sv_crashes_is_refused (fixture.crashes, REQUEST));
+  CU_ASSERT_FALSE (is_refused_by_record (&fixture));
   fixture_close (&fixture);
 }
 
@@ -196,7 +204,7 @@
     remove_endpoint (&fixture, i);
   pass (&fixture, 61 * KNL_SEC);
   CU_ASSERT_FALSE (is_quarantined (&fixture, REQUEST));
-  CU_ASSERT_FALSE (sv_crashes_is_refused (fixture.crashes, REQUEST));
+  CU_ASSERT_FALSE (is_refused_by_record (&fixture));
   pass (&fixture, SV_QUARANTINE_TTL);
   CU_ASSERT_EQUAL (sv_crashes_n_requests (fixture.crashes), 0);
   fixture_close (&fixture);
@@ -220,7 +228,7 @@
         sv_crashes_note_answer (fixture.crashes, &acquittal, SV_CRASH_OWN);
     }
   CU_ASSERT_FALSE (is_quarantined (&fixture, REQUEST));
-  CU_ASSERT_FALSE (sv_crashes_is_refused (fixture.crashes, REQUEST));
+  CU_ASSERT_FALSE (is_refused_by_record (&fixture));
   fixture_close (&fixture);
 }
 
@@ -426,7 +434,7 @@
   SvSegments whole = { { REQUEST }, 1 };
   gboolean is_test = FALSE;
 
-  return sv_crashes_is_refused (self->crashes, REQUEST)
+  return is_refused_by_record (self)
          || sv_quarantine_check (self->quarantine, SV_QUARANTINE_REQUESTS, &whole, &is_test)
                 != NULL;
 }
@@ -532,6 +540,21 @@
   check_successions (quick_successions, G_N_ELEMENTS (quick_successions));
 }
 
+static const Succession momentary_successions[] = {
+  { 10 * KNL_MSEC, 10 * KNL_MSEC, 6, 1 },  { 10 * KNL_MSEC, 300 * KNL_MSEC, 9, 1 },
+  { 10 * KNL_MSEC, 300 * KNL_MSEC, 6, 2 }, { 20 * KNL_MSEC, 2 * KNL_SEC, 5, 2 },
+  { 10 * KNL_MSEC, 3 * KNL_SEC, 9, 1 },    { 10 * KNL_MSEC, 10 * KNL_MSEC, 3, 1 },
+  { 90 * KNL_MSEC, 10 * KNL_MSEC, 8, 2 },  { 90 * KNL_MSEC, 10 * KNL_MSEC, 8, 1 },
+};
+
+/* Guards against a request that crashes many endpoints at too few moments to be quarantined, and of
+ * which no further crash is known once it has been refused for a while. */
+static void
+test_momentary_successions_are_refused (void)
+{
+  check_successions (momentary_successions, G_N_ELEMENTS (momentary_successions));
+}
+
 static const SuiteCase cases[] = {
   { "rare requests are quarantined", test_rare_requests_are_quarantined },
   { "records are bounded", test_records_are_bounded },
@@ -547,6 +570,7 @@
   { "an answer ends the quarantine", test_an_answer_ends_the_quarantine },
   { "requests and segments are kept apart", test_requests_and_segments_are_kept_apart },
   { "quick successions are refused", test_quick_successions_are_refused },
+  { "momentary successions are refused", test_momentary_successions_are_refused },
 };
 
 SUITE_MAIN ("sv_crash_rules", cases)
--- a/tests/unit/sv_crash_start_test.c
+++ b/tests/unit/sv_crash_start_test.c
@@ -34,7 +34,9 @@
 static gboolean
 is_refused (PeersFixture *self, guint i)
 {
-  return sv_crashes_is_refused (self->crashes[i], FINGERPRINT)
+  gboolean is_test = FALSE;
+
+  return sv_crashes_is_refused (self->crashes[i], FINGERPRINT, &is_test)
          || sv_quarantine_contains (self->quarantines[i], SV_QUARANTINE_REQUESTS, FINGERPRINT);
 }
 
