serve: what is told of crashes has a file of its own

Moved without a change of behaviour: the losses and acquittals that others are told of are in crashes_news.c, the types that both files need in crashes_internal.h.

--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -1,24 +1,10 @@
-#include "serve/crashes.h"
-
 #include "common/log.h"
-#include "serve/quarantine.h"
-
-/* A harmless request can lose its endpoint twice by coincidence. */
-#define MAX_CRASHES 2
-
-/* Time for which a loss counts. By its end the row of an endpoint that has ended is gone, and the
- * loss then counts for as long as a quarantine: a request that comes back rarely would be new each
- * time. */
-#define LOSS_TTL       (60 * KNL_SEC)
-#define ENDED_LOSS_TTL SV_QUARANTINE_TTL
+#include "serve/crashes_internal.h"
 
 /* An endpoint that is heard from later than this after the loss has survived it. Its last bytes may
  * be read, and reported by a peer, some time after it has ended. */
 #define SURVIVAL_MARGIN (200 * KNL_MSEC)
 
-/* Losses recorded of one request. More than are needed to refuse it, as some may not count. */
-#define MAX_LOSSES 6
-
 /* How long the outcome of a request that was let through to find out is waited for. */
 #define TEST_TIMEOUT (10 * KNL_SEC)
 
@@ -29,38 +15,6 @@
 /* Shortest time between two looks at all records for some to remove. */
 #define SWEEP_INTERVAL (200 * KNL_MSEC)
 
-typedef struct
-{
-  guint64 endpoint;
-  KnlTime lost_at;
-  SvCrashOrigin origin;
-  gboolean is_survived; /* the endpoint was heard from since; it may have left later */
-  gboolean unsent[SV_CRASHES_N_AUDIENCES];
-} Loss;
-
-typedef struct
-{
-  guint64 fingerprint;
-  KnlTime answered_at; /* losses before it don't count; 0: never */
-  KnlTime tested_at;   /* when it was last let through to find out; 0: never */
-  gboolean acquittal_unsent[SV_CRASHES_N_AUDIENCES];
-  guint n_losses;
-  Loss losses[MAX_LOSSES];
-} Record;
-
-struct SvCrashes
-{
-  KnlKernel *kernel;
-  SvFleet *fleet;
-  GHashTable *records;      /* &fingerprint -> Record */
-  KnlTime swept_at;         /* when records were last removed to make room */
-  SvQuarantine *quarantine; /* NULL: none */
-  /* Whether any may be unsent. Each announcement of loads asks for them: without this it would look
-   * at all records, thousands after many endpoints have failed at once. */
-  gboolean has_unsent_losses[SV_CRASHES_N_AUDIENCES];
-  gboolean has_unsent_acquittals[SV_CRASHES_N_AUDIENCES];
-};
-
 SvCrashes *
 sv_crashes_new (KnlKernel *kernel, SvFleet *fleet)
 {
@@ -89,8 +43,8 @@
   return endpoint != NULL && endpoint->alive_at > lost_at + SURVIVAL_MARGIN;
 }
 
-static gboolean
-has_survived (const SvCrashes *self, const Loss *loss)
+gboolean
+sv_crashes_has_survived (const SvCrashes *self, const Loss *loss)
 {
   return loss->is_survived || sv_crash_is_survived (self->fleet, loss->endpoint, loss->lost_at);
 }
@@ -102,14 +56,14 @@
 
   if (age < LOSS_TTL)
     return FALSE;
-  return age >= ENDED_LOSS_TTL || has_survived (self, loss)
+  return age >= ENDED_LOSS_TTL || sv_crashes_has_survived (self, loss)
          || sv_fleet_by_key (self->fleet, loss->endpoint) != NULL;
 }
 
-static gboolean
-counts (const SvCrashes *self, const Loss *loss)
+gboolean
+sv_crashes_counts (const SvCrashes *self, const Loss *loss)
 {
-  if (has_survived (self, loss) || is_loss_expired (self, loss))
+  if (sv_crashes_has_survived (self, loss) || is_loss_expired (self, loss))
     return FALSE;
   return self->quarantine == NULL || !sv_quarantine_explains (self->quarantine, loss->endpoint);
 }
@@ -180,8 +134,8 @@
   return record;
 }
 
-static void
-note_unsent (gboolean *has_unsent, const gboolean *unsent)
+void
+sv_crashes_note_unsent (gboolean *has_unsent, const gboolean *unsent)
 {
   for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
     has_unsent[i] |= unsent[i];
@@ -229,7 +183,7 @@
     return &record->losses[record->n_losses++];
   for (guint i = 0; i < record->n_losses; i++)
     {
-      if (!counts (self, &record->losses[i]))
+      if (!sv_crashes_counts (self, &record->losses[i]))
         return &record->losses[i];
     }
   for (guint i = 0; i < record->n_losses; i++)
@@ -253,7 +207,7 @@
     return FALSE;
   loss = find_loss (record, crash->endpoint);
   /* A known loss may have become one again: the endpoint survived the last time. */
-  if (loss != NULL && !has_survived (self, loss))
+  if (loss != NULL && !sv_crashes_has_survived (self, loss))
     return FALSE;
   if (loss != NULL && crash->lost_at <= loss->lost_at)
     return FALSE;
@@ -265,7 +219,7 @@
                   .lost_at = crash->lost_at,
                   .origin = origin,
                   .unsent = { origin == SV_CRASH_OWN, origin != SV_CRASH_OF_OTHER_CELL } };
-  note_unsent (self->has_unsent_losses, loss->unsent);
+  sv_crashes_note_unsent (self->has_unsent_losses, loss->unsent);
   return TRUE;
 }
 
@@ -288,7 +242,7 @@
   record->answered_at = acquittal->answered_at;
   record->acquittal_unsent[SV_CRASHES_FOR_CELL] = origin == SV_CRASH_OWN;
   record->acquittal_unsent[SV_CRASHES_FOR_CELLS] = origin != SV_CRASH_OF_OTHER_CELL;
-  note_unsent (self->has_unsent_acquittals, record->acquittal_unsent);
+  sv_crashes_note_unsent (self->has_unsent_acquittals, record->acquittal_unsent);
   return TRUE;
 }
 
@@ -299,12 +253,12 @@
   guint n = 0;
 
   for (guint i = 0; record != NULL && i < record->n_losses; i++)
-    n += counts (self, &record->losses[i]);
+    n += sv_crashes_counts (self, &record->losses[i]);
   return n;
 }
 
-static gboolean
-is_quarantined (const SvCrashes *self, guint64 fingerprint)
+gboolean
+sv_crashes_is_quarantined (const SvCrashes *self, guint64 fingerprint)
 {
   return self->quarantine != NULL
          && sv_quarantine_contains (self->quarantine, SV_QUARANTINE_REQUESTS, fingerprint);
@@ -322,7 +276,7 @@
     {
       const Loss *loss = &record->losses[i];
 
-      if (counts (self, loss))
+      if (sv_crashes_counts (self, loss))
         losses[n++] = (PolBlameLoss){ .endpoint = loss->endpoint, .lost_at = loss->lost_at };
     }
   if (n > MAX_CRASHES)
@@ -369,7 +323,7 @@
   if (sv_crashes_count (self, fingerprint) <= MAX_CRASHES)
     return FALSE;
   quarantine (self, record);
-  if (is_quarantined (self, fingerprint))
+  if (sv_crashes_is_quarantined (self, fingerprint))
     return FALSE;
   *is_test = is_let_through (self, record);
   return !*is_test;
@@ -380,7 +334,7 @@
 note_survivors (const SvCrashes *self, Record *record)
 {
   for (guint i = 0; i < record->n_losses; i++)
-    record->losses[i].is_survived = has_survived (self, &record->losses[i]);
+    record->losses[i].is_survived = sv_crashes_has_survived (self, &record->losses[i]);
 }
 
 static void
@@ -395,7 +349,7 @@
     {
       const Record *record = value;
 
-      if (record->n_losses > MAX_CRASHES && !is_quarantined (self, record->fingerprint))
+      if (record->n_losses > MAX_CRASHES && !sv_crashes_is_quarantined (self, record->fingerprint))
         quarantine (self, record);
     }
 }
@@ -423,130 +377,6 @@
   return self->quarantine != NULL && sv_quarantine_n (self->quarantine) > before;
 }
 
-static gboolean
-repeat_losses (SvCrashes *self, Record *record, gboolean all)
-{
-  KnlTime oldest = knl_kernel_now (self->kernel) - LOSS_TTL;
-  gboolean repeated = FALSE;
-
-  for (guint i = 0; i < record->n_losses; i++)
-    {
-      Loss *loss = &record->losses[i];
-
-      if (has_survived (self, loss) || loss->lost_at <= oldest
-          || !(all || loss->origin == SV_CRASH_OWN))
-        continue;
-      loss->unsent[SV_CRASHES_FOR_CELL] = TRUE;
-      loss->unsent[SV_CRASHES_FOR_CELLS] = loss->origin != SV_CRASH_OF_OTHER_CELL;
-      note_unsent (self->has_unsent_losses, loss->unsent);
-      repeated = TRUE;
-    }
-  return repeated;
-}
-
-gboolean
-sv_crashes_repeat (SvCrashes *self, gboolean all)
-{
-  GHashTableIter iter;
-  gpointer value;
-  gboolean repeated = FALSE;
-
-  g_hash_table_iter_init (&iter, self->records);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Record *record = value;
-
-      if (!is_quarantined (self, record->fingerprint)
-          && sv_crashes_count (self, record->fingerprint) >= MAX_CRASHES)
-        repeated |= repeat_losses (self, record, all);
-    }
-  return repeated;
-}
-
-guint
-sv_crashes_list (const SvCrashes *self, SvCrash *losses, guint max)
-{
-  KnlTime oldest = knl_kernel_now (self->kernel) - LOSS_TTL;
-  GHashTableIter iter;
-  gpointer value;
-  guint n = 0;
-
-  g_hash_table_iter_init (&iter, self->records);
-  while (n < max && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Record *record = value;
-
-      if (record->n_losses < MAX_CRASHES || is_quarantined (self, record->fingerprint)
-          || sv_crashes_count (self, record->fingerprint) < MAX_CRASHES)
-        continue;
-      for (guint i = 0; i < record->n_losses && n < max; i++)
-        {
-          const Loss *loss = &record->losses[i];
-
-          if (counts (self, loss) && loss->lost_at > oldest)
-            losses[n++] = (SvCrash){ record->fingerprint, loss->endpoint, loss->lost_at };
-        }
-    }
-  return n;
-}
-
-guint
-sv_crashes_take_losses (SvCrashes *self,
-                        SvCrashAudience audience,
-                        SvCrash *losses,
-                        guint max_losses)
-{
-  GHashTableIter iter;
-  gpointer value;
-  guint n = 0;
-
-  if (!self->has_unsent_losses[audience])
-    return 0;
-  g_hash_table_iter_init (&iter, self->records);
-  while (n < max_losses && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Record *record = value;
-
-      for (guint i = 0; i < record->n_losses && n < max_losses; i++)
-        {
-          Loss *loss = &record->losses[i];
-
-          if (!loss->unsent[audience])
-            continue;
-          loss->unsent[audience] = FALSE;
-          losses[n++] = (SvCrash){ record->fingerprint, loss->endpoint, loss->lost_at };
-        }
-    }
-  self->has_unsent_losses[audience] = n == max_losses;
-  return n;
-}
-
-guint
-sv_crashes_take_acquittals (SvCrashes *self,
-                            SvCrashAudience audience,
-                            SvAcquittal *acquittals,
-                            guint max_acquittals)
-{
-  GHashTableIter iter;
-  gpointer value;
-  guint n = 0;
-
-  if (!self->has_unsent_acquittals[audience])
-    return 0;
-  g_hash_table_iter_init (&iter, self->records);
-  while (n < max_acquittals && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Record *record = value;
-
-      if (!record->acquittal_unsent[audience])
-        continue;
-      record->acquittal_unsent[audience] = FALSE;
-      acquittals[n++] = (SvAcquittal){ record->fingerprint, record->answered_at };
-    }
-  self->has_unsent_acquittals[audience] = n == max_acquittals;
-  return n;
-}
-
 guint
 sv_crashes_n_requests (const SvCrashes *self)
 {
