tests: sv_pass frees its peer before the event base

sv_pass ended with SIGSEGV once, in a run of the whole suite, in "answers of a peer"; 480 further runs and 1,280 with sanitizers passed. Valgrind shows the cause in every run: fixture_close() freed the event base first and then the peer's listener, which removes its event from that base. Libevent isn't built with sanitizers, so they don't see it. The peer is freed first now; valgrind reports nothing any more, and all 37 assertions are as before.

--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -48,8 +48,9 @@
 static void
 fixture_close (Fixture *self)
 {
-  sv_fixture_close (&self->core);
+  sv_fixture_set_peer (NULL);
   scripted_endpoint_free (self->peer);
+  sv_fixture_close (&self->core);
 }
 
 /* Peers hear from all endpoints. */
