serve: a prompt is checked again once its memory is reserved

Cause, found by looking at all ways to an endpoint: what may crash endpoints was checked at the admission, and before a placement only by quarantines, not by the request's own record. While memory is reserved at other engines a prompt has no exchange, so that a new quarantine passes it over, and it was sent afterwards without a check.

Change: sv_request_crash_refusal() asks the record and the quarantines, and is asked wherever a request is about to be sent: after a wait, after a reservation, and before a retry.

sv_memory, "no crashing prompt is sent after waiting": before, the prompt reached the endpoint with either evidence (4 of 4 assertions failed); after, it gets 503.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -257,7 +257,7 @@
     .non_idempotent = !sv_route_is_idempotent (self->route),
     .attempts = self->sends,
   };
-  const char *quarantine;
+  const char *refusal;
   PolRetry decision;
 
   log_loss (self, fault, ran);
@@ -270,10 +270,8 @@
   decision = pol_retry_decide (&rule, &retry);
   if (decision == POL_RETRY_NEVER)
     sv_request_give_up (self, fault);
-  else if (sv_crashes_is_refused (self->core->crashes, self->fingerprint, &self->is_test))
-    sv_request_give_up (self, "crashes-endpoints");
-  else if ((quarantine = sv_request_quarantine_reason (self)) != NULL)
-    sv_request_give_up (self, quarantine);
+  else if ((refusal = sv_request_crash_refusal (self)) != NULL)
+    sv_request_give_up (self, refusal);
   else if (!spend_retry (self, decision))
     sv_request_give_up (self, "no-retry-left");
   else
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -56,7 +56,7 @@
   HtMessage *failure;
   gboolean unreached;     /* no connection to the endpoint of the last send was established */
   gboolean is_passed;     /* a peer passed it on to this instance */
-  gboolean is_test;       /* it has a quarantined segment and is let through to find out */
+  gboolean is_test;       /* it may crash endpoints, and is let through to find out */
   gboolean is_overload;   /* it is refused because its service is overloaded */
   HtExchange *pass;       /* with the peer that it is passed on to; NULL: none */
   char *passed_to;        /* address of the last peer that it was passed on to; NULL: none */
@@ -136,6 +136,9 @@
  * may be sent. */
 const char *sv_request_quarantine_reason (SvRequest *self);
 
+/** The same, also if it isn't quarantined, but its endpoints have ended under it too often. */
+const char *sv_request_crash_refusal (SvRequest *self);
+
 /** An endpoint has survived running the request. TRUE: there is something to be sent to others. */
 gboolean sv_request_note_survived (SvRequest *self, KnlTime at);
 
--- a/serve/request_quarantine.c
+++ b/serve/request_quarantine.c
@@ -102,6 +102,15 @@
                                                         : "segment-quarantined";
 }
 
+const char *
+sv_request_crash_refusal (SvRequest *self)
+{
+  if (!self->is_test
+      && sv_crashes_is_refused (self->core->crashes, self->fingerprint, &self->is_test))
+    return "crashes-endpoints";
+  return sv_request_quarantine_reason (self);
+}
+
 gboolean
 sv_request_note_survived (SvRequest *self, KnlTime at)
 {
--- a/serve/send.c
+++ b/serve/send.c
@@ -323,6 +323,22 @@
   sv_request_send (self);
 }
 
+/* While memory was reserved, it may have shown that the prompt crashes endpoints. */
+static void
+send_reserved (SvRequest *self)
+{
+  const char *refusal = sv_request_crash_refusal (self);
+
+  if (refusal == NULL)
+    {
+      send_now (self);
+      return;
+    }
+  sv_request_cancel_send (self);
+  self->sends--;
+  sv_request_give_up (self, refusal);
+}
+
 static void
 on_reserved (gboolean ready, gpointer data)
 {
@@ -335,7 +351,7 @@
     }
   if (ready)
     {
-      send_now (self);
+      send_reserved (self);
       return;
     }
   self->reservation = NULL;
@@ -416,7 +432,7 @@
       sv_request_give_up (self, "no-time-left");
       return;
     }
-  refusal = sv_request_quarantine_reason (self);
+  refusal = sv_request_crash_refusal (self);
   if (refusal != NULL)
     {
       sv_request_give_up (self, refusal);
--- a/tests/unit/sv_memory_test.c
+++ b/tests/unit/sv_memory_test.c
@@ -1,7 +1,9 @@
 /** Memory reserved at engines for a prompt that one of them doesn't begin. */
 
 #include <string.h>
+#include <xxhash.h>
 
+#include "serve/quarantine.h"
 #include "suite.h"
 #include "sv_fixture.h"
 
@@ -101,9 +103,77 @@
   sv_fixture_close (&fixture);
 }
 
+#define TARGET  "/long/1"
+#define BODY    "hi"
+#define SEGMENT 0xdead
+
+/* The request is known to have crashed three endpoints just now. */
+static void
+note_crashes (SvFixture *fixture)
+{
+  guint64 fingerprint = XXH64 (TARGET, strlen (TARGET), 0);
+
+  fingerprint = XXH64 ("key", strlen ("key"), fingerprint);
+  fingerprint = XXH64 (BODY, strlen (BODY), fingerprint);
+  for (guint64 i = 1; i <= 3; i++)
+    {
+      SvCrash crash = { fingerprint, i, knl_kernel_now (fixture->kernel) };
+
+      CU_ASSERT_TRUE (
+          sv_crashes_note_loss (sv_core_crashes (fixture->core), &crash, SV_CRASH_OF_CELL));
+    }
+}
+
+/* A peer has quarantined the prompt's segment, for the ends of three endpoints. */
+static void
+quarantine_segment (SvFixture *fixture)
+{
+  SvQuarantined told = { .service = sv_quarantine_service ("s"),
+                         .segment = SEGMENT,
+                         .since = knl_kernel_now (fixture->kernel),
+                         .n_losses = 3 };
+
+  for (guint i = 0; i < told.n_losses; i++)
+    told.losses[i] = (PolBlameLoss){ .endpoint = i + 1, .lost_at = told.since };
+  CU_ASSERT_TRUE (
+      sv_quarantine_adopt (sv_core_quarantine (fixture->core), &told, SV_CRASH_OF_CELL));
+}
+
+static void (*const evidences[]) (SvFixture *fixture) = { note_crashes, quarantine_segment };
+
+/* Guards against a prompt that is sent, as memory has been reserved for it, though its request or a
+ * segment has been found meanwhile to crash endpoints. */
+static void
+test_no_crashing_prompt_after_waiting (void)
+{
+  static const ScriptedAnswer accepted[] = { { ACCEPTED, FALSE } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (evidences); i++)
+    {
+      SvFixture fixture;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_engines (&fixture, 1, &sv_fixture_small_engine);
+      for (guint j = 0; j < N_ENDPOINTS; j++)
+        sv_fixture_add_endpoint (&fixture, accepted, 1);
+      sv_fixture_send (&fixture,
+                       "POST " TARGET " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
+                       "X-Deadline-Ms: 15000\r\nX-Token-Counts: 120000,100\r\n"
+                       "X-Prompt-Prefix: dead:100,1000:60\r\nAuthorization: Bearer key\r\n"
+                       "Content-Length: 2\r\n\r\n" BODY);
+      sv_fixture_wait_requests (&fixture, HOLDER, 1);
+      evidences[i](&fixture);
+      sv_fixture_wait_for (&fixture, "HTTP/1.1 ");
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 503"));
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[RUNNER]), 0);
+      sv_fixture_close (&fixture);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "memory is not held for a prompt that waits", test_memory_is_not_held_for_a_prompt_that_waits },
   { "no prompt is sent before the Retry-After has passed", test_no_prompt_after_retry_after },
+  { "no crashing prompt is sent after waiting", test_no_crashing_prompt_after_waiting },
 };
 
 SUITE_MAIN ("sv_memory", cases)
