gateway: the loop ends when the last answers have been written

What callers saw (LOST): of the requests that were at an endpoint when a stopped instance exited, none got a byte of an answer, though they had run.

Cause: the last check of a drain answers unfinished requests with 504 and ended the event loop in the same callback. An answer is only queued then; it is written when the loop next polls the socket, and event_base_loopexit() without a time ends it before that. gateway_close() then closed the connections.

Change: gateway/drain.c has the end of an instance. Each way out goes through it: at the end of the grace period, and after 6.5 s when nothing is left. "stopped" has unsent-bytes.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -75,7 +75,9 @@
   KnlTimerId reread_timer; /* reads the cells' rows again */
   KnlTimerId tick_timer;
   KnlTime drain_since; /* 0: not draining */
-  gint64 boot_mtime;   /* modification time of the settings file, in seconds */
+  KnlTimerId flush_timer;
+  gboolean has_ended; /* the event loop is to end */
+  gint64 boot_mtime;  /* modification time of the settings file, in seconds */
   struct event *reload_signal;
   GHashTable *callback_series; /* callback name -> CmSeries */
   KnlTime callback_time_limit; /* callbacks that take longer are logged */
@@ -92,15 +94,24 @@
 /** Starts to find other instances and to follow the store. */
 void gateway_start (Gateway *self);
 
-/** Stops to accept new callers, and ends the event loop when the remaining requests have ended. */
-void gateway_drain (Gateway *self);
-
 /** Frees all parts except `boot` and `process`. */
 void gateway_close (Gateway *self);
 
 /** Whether this instance should receive new callers. */
 gboolean gateway_is_ready (const Gateway *self);
 
+/* drain.c */
+
+/** Begins the end: other instances get the new callers. The event loop ends when the remaining
+ * requests have ended and their answers are written, or shortly before the grace period is over. */
+void gateway_drain (Gateway *self);
+
+/** To be called several times a second while draining. */
+void gateway_review_drain (Gateway *self);
+
+/** Answer bytes not written yet, over all servers. */
+gsize gateway_unsent_bytes (const Gateway *self);
+
 /* servers.c */
 
 void gateway_add_unsent_metric (Gateway *self);
--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -1,23 +1,11 @@
-/** One instance: its parts, its readiness, and the end of its life. */
-
-#include <stdlib.h>
+/** One instance: its parts and its readiness. */
 
 #include "common/log.h"
 #include "gateway.h"
 
-/* Interval between checks of readiness, removed endpoints, the settings file and the drain's end.
- */
+/* Interval between checks of readiness, removed endpoints, the settings file and the drain. */
 #define TICK_INTERVAL (250 * KNL_MSEC)
 
-/* After the signal to stop, callers may arrive for as long as they keep old answers of the
- * directory: three times their time to live. */
-#define MIN_DRAIN_PERIOD (6500 * KNL_MSEC)
-
-/* Time before the end of the grace period at which unfinished requests are ended with an error, and
- * at which the process exits at the latest. */
-#define DRAIN_ANSWER_MARGIN (900 * KNL_MSEC)
-#define DRAIN_EXIT_MARGIN   (300 * KNL_MSEC)
-
 /* Limits for one answer of an endpoint or the store. */
 #define MAX_ANSWER_HEAD_BYTES 32768
 #define MAX_ANSWER_BODY_BYTES ((gsize)64 << 20)
@@ -28,32 +16,6 @@
 /* Idle connections to endpoints and the store are closed after this at the latest. */
 #define IDLE_TIMEOUT (20 * KNL_SEC)
 
-static void
-stop (Gateway *self)
-{
-  event_base_loopexit (self->process.base, NULL);
-}
-
-static gboolean
-is_drained (const Gateway *self)
-{
-  KnlTime since = knl_kernel_now (self->process.kernel) - self->drain_since;
-
-  if (since > self->boot->bounds.grace - DRAIN_EXIT_MARGIN)
-    return TRUE;
-  return since > MIN_DRAIN_PERIOD && ht_server_n_busy (self->caller_server) == 0
-         && (self->passing_server == NULL || ht_server_n_busy (self->passing_server) == 0);
-}
-
-static void
-end_overdue_requests (Gateway *self)
-{
-  KnlTime since = knl_kernel_now (self->process.kernel) - self->drain_since;
-
-  if (since > self->boot->bounds.grace - DRAIN_ANSWER_MARGIN)
-    sv_core_end_requests (self->core);
-}
-
 /* An instance that is cut off from the store alone depends on its peers' confirmations: if they
  * stop, it has to refuse all requests. It serves the callers that arrive, but isn't ready, so that
  * the directory lists other instances. */
@@ -74,11 +36,7 @@
   if (self->drain_since == 0)
     gateway_reload (self, FALSE);
   else
-    {
-      end_overdue_requests (self);
-      if (is_drained (self))
-        stop (self);
-    }
+    gateway_review_drain (self);
   self->tick_timer = knl_timer_start (self->process.kernel, TICK_INTERVAL, on_tick, self);
 }
 
@@ -176,26 +134,12 @@
   on_tick (self);
 }
 
-void
-gateway_drain (Gateway *self)
-{
-  if (self->drain_since != 0)
-    return;
-  self->drain_since = knl_kernel_now (self->process.kernel);
-  cm_log (CM_LOG_NOTICE, "stopping", "i", "requests", (gint64)sv_core_n_requests (self->core));
-  sv_core_drain (self->core);
-  sv_peers_leave (self->peers);
-  sv_peers_set_ready (self->peers, FALSE);
-  ht_server_drain (self->caller_server);
-  if (self->passing_server != NULL)
-    ht_server_drain (self->passing_server);
-}
-
 /* Frees users of an object before the object. */
 void
 gateway_close (Gateway *self)
 {
   knl_timer_stop (self->process.kernel, &self->tick_timer);
+  knl_timer_stop (self->process.kernel, &self->flush_timer);
   gateway_stop_watching_era (self);
   gateway_stop_following (self);
   gateway_stop_membership (self);
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -31,7 +31,8 @@
   cm_log (CM_LOG_NOTICE, "started", "s", "address", self->boot->callers_address, "s", "zone",
           self->boot->zone);
   event_base_dispatch (self->process.base);
-  cm_log (CM_LOG_NOTICE, "stopped", "i", "requests", (gint64)sv_core_n_requests (self->core));
+  cm_log (CM_LOG_NOTICE, "stopped", "i", "requests", (gint64)sv_core_n_requests (self->core), "i",
+          "unsent-bytes", (gint64)gateway_unsent_bytes (self));
 }
 
 static int
--- a/http/server.c
+++ b/http/server.c
@@ -145,6 +145,11 @@
       set_reading (self, TRUE);
       return;
     }
+  if (self->server->ignores_input && self->call == NULL)
+    {
+      set_reading (self, FALSE);
+      return;
+    }
   if (self->call != NULL || length == 0 || ht_connection_unsent (self) > MAX_READ_AHEAD_BYTES)
     {
       set_reading (self, length < MAX_READ_AHEAD_BYTES);
@@ -372,6 +377,24 @@
   self->draining = TRUE;
 }
 
+void
+ht_server_stop_reading (HtServer *self)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  self->ignores_input = TRUE;
+  ht_server_stop_listening (self);
+  g_hash_table_iter_init (&iter, self->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      Connection *connection = key;
+
+      if (connection->call == NULL && !connection->closing)
+        set_reading (connection, FALSE);
+    }
+}
+
 void
 ht_server_stop_listening (HtServer *self)
 {
--- a/http/server_internal.h
+++ b/http/server_internal.h
@@ -52,6 +52,7 @@
   GHashTable *connections; /* set of Connection */
   KnlTimerId sweep_timer;
   gboolean draining;
+  gboolean ignores_input; /* no further request is read */
 };
 
 /* call.c */
--- a/include/http/server.h
+++ b/include/http/server.h
@@ -70,6 +70,10 @@
 /** Closes the listener: no new connections are accepted. */
 void ht_server_stop_listening (HtServer *server);
 
+/** Accepts no new connections, and leaves requests unread that haven't been received in whole.
+ * Those that are being answered go on. */
+void ht_server_stop_reading (HtServer *server);
+
 /** The port that the server listens on. */
 guint16 ht_server_port (const HtServer *server);
 
--- a/tests/fakes/gateway_fleet.c
+++ b/tests/fakes/gateway_fleet.c
@@ -154,12 +154,35 @@
   instance->is_running = TRUE;
 }
 
+void
+gf_fleet_kill (GfFleet *self, guint i)
+{
+  GfInstance *instance = &self->instances[i];
+
+  gateway_close (&instance->gateway);
+  knl_kernel_free (instance->gateway.process.kernel);
+  pl_boot_free (instance->gateway.boot);
+  instance->is_running = FALSE;
+}
+
+/* Ends the instances whose event loop ends: it doesn't begin another iteration. */
+static void
+end_stopped (GfFleet *self)
+{
+  for (guint i = 0; i < self->size.n_instances; i++)
+    {
+      if (self->instances[i].is_running && self->instances[i].gateway.has_ended)
+        gf_fleet_kill (self, i);
+    }
+}
+
 void
 gf_fleet_advance (GfFleet *self, KnlTime time)
 {
   for (KnlTime passed = 0; passed < time; passed += STEP)
     {
       knl_paused_clock_advance (self->clock, STEP);
+      end_stopped (self);
       for (guint round = 0; round < ROUNDS_PER_STEP; round++)
         event_base_loop (self->base, EVLOOP_NONBLOCK);
     }
@@ -183,17 +206,6 @@
     }
 }
 
-void
-gf_fleet_kill (GfFleet *self, guint i)
-{
-  GfInstance *instance = &self->instances[i];
-
-  gateway_close (&instance->gateway);
-  knl_kernel_free (instance->gateway.process.kernel);
-  pl_boot_free (instance->gateway.boot);
-  instance->is_running = FALSE;
-}
-
 void
 gf_fleet_close (GfFleet *self)
 {
--- a/tests/faults/gateway_test.c
+++ b/tests/faults/gateway_test.c
@@ -224,6 +224,87 @@
   fixture_close (&fixture);
 }
 
+/* When requests begin to be sent after the signal, and the interval between them. */
+#define LATE_TIME     (5500 * KNL_MSEC)
+#define LATE_INTERVAL (25 * KNL_MSEC)
+#define N_LATE        100
+
+/* A connection may close without an answer this soon after the request's last byte: they cross. */
+#define CROSSING_TIME (200 * KNL_MSEC)
+
+typedef struct
+{
+  KnlKernel *kernel;
+  KnlTime sent_at;
+  gboolean is_answered;
+  gboolean is_lost;
+} Late;
+
+static void
+on_late_done (HtExchange *exchange, HtMessage *answer, gpointer data)
+{
+  ((Late *)data)->is_answered = TRUE;
+}
+
+static void
+on_late_failed (HtExchange *exchange, HtFailure failure, gpointer data)
+{
+  Late *self = data;
+
+  self->is_lost =
+      failure != HT_FAIL_CONNECT && knl_kernel_now (self->kernel) - self->sent_at > CROSSING_TIME;
+}
+
+static const HtExchangeEvents late_events = { .head = on_head,
+                                              .done = on_late_done,
+                                              .failed = on_late_failed };
+
+static void
+send_late (Fixture *self, Late *late)
+{
+  HtExchangeRequest request = { .address = self->callers,
+                                .head = REQUEST_HEAD,
+                                .connect_timeout = 5 * KNL_SEC };
+
+  *late =
+      (Late){ .kernel = self->harness->kernel, .sent_at = knl_kernel_now (self->harness->kernel) };
+  ht_client_send (self->client, &request, &late_events, late);
+  hn_run_for (self->harness, LATE_INTERVAL);
+}
+
+/* Guards against requests that an endpoint works on when the process exits, and whose callers get
+ * no answer, as it is queued when the event loop ends. */
+static void
+test_requests_at_the_exit_are_answered (void)
+{
+  static const ScriptedAnswer silence = { NULL, FALSE };
+  g_autofree Late *late = g_new0 (Late, N_LATE);
+  guint n_answered = 0;
+  guint n_lost = 0;
+  Fixture fixture;
+
+  fixture_open (&fixture);
+  scripted_endpoint_free (fixture.endpoint);
+  fixture.endpoint = scripted_endpoint_new (fixture.harness->base, &silence, 1);
+  fill_store (&fixture);
+  CU_ASSERT_TRUE (hn_await_status (fixture.harness, fixture.ready, "/ready", 200));
+  await_event (&fixture, "endpoint-listed");
+  hn_signal (fixture.process, SIGTERM);
+  hn_run_for (fixture.harness, LATE_TIME);
+  for (guint i = 0; i < N_LATE; i++)
+    send_late (&fixture, &late[i]);
+  CU_ASSERT_EQUAL (hn_await_exit (fixture.process, HN_TIMEOUT), 0);
+  hn_run_for (fixture.harness, LATE_INTERVAL);
+  for (guint i = 0; i < N_LATE; i++)
+    {
+      n_answered += late[i].is_answered;
+      n_lost += late[i].is_lost;
+    }
+  CU_ASSERT (n_answered > N_LATE / 2);
+  CU_ASSERT_EQUAL (n_lost, 0);
+  fixture_close (&fixture);
+}
+
 /* Shorter than the interval at which relays read the rows of cells, and notice that their own is
  * missing. */
 #define REGISTER_TIMEOUT (15 * KNL_SEC)
@@ -260,6 +341,7 @@
 static const SuiteCase cases[] = {
   { "settings are read again", test_settings_are_reloaded },
   { "stopping", test_stopping },
+  { "requests at the exit are answered", test_requests_at_the_exit_are_answered },
   { "a lost row is written again", test_a_lost_row_is_written_again },
 };
 
