gateway: a stopping instance refuses what can't end any more

What callers saw: a request that came in the last second of a drain was sent to an endpoint, ran there, and was answered 504 a moment later: its caller can't know whether it ran, and can't repeat it if it is unsafe.

Cause: requests were admitted until the loop ended, also after the time at which all unfinished ones are ended.

--- a/gateway/drain.c
+++ b/gateway/drain.c
@@ -8,9 +8,10 @@
  * directory: three times their time to live. */
 #define MIN_DRAIN_PERIOD (6500 * KNL_MSEC)
 
-/* Times before the end of the grace period, at which the platform kills the process: unfinished
- * requests are ended with an error; nothing more is read; the process exits, even if callers
- * haven't read their answers. */
+/* Times before the end of the grace period, at which the platform kills the process. New requests
+ * are refused, so that those which run have time to end; what still runs then is answered with an
+ * error; nothing more is read; the process exits, even if callers haven't read their answers. */
+#define DRAIN_REFUSE_MARGIN (1500 * KNL_MSEC)
 #define DRAIN_ANSWER_MARGIN (900 * KNL_MSEC)
 #define DRAIN_CLOSE_MARGIN  (300 * KNL_MSEC)
 #define DRAIN_EXIT_MARGIN   (100 * KNL_MSEC)
@@ -99,6 +100,8 @@
 void
 gateway_review_drain (Gateway *self)
 {
+  if (drained_for (self) > MIN_DRAIN_PERIOD || is_due (self, DRAIN_REFUSE_MARGIN))
+    sv_core_stop_admitting (self->core);
   if (is_due (self, DRAIN_ANSWER_MARGIN))
     sv_core_end_requests (self->core);
   if (is_due (self, DRAIN_CLOSE_MARGIN)
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -105,6 +105,9 @@
  * end within it. */
 void sv_core_drain (SvCore *core);
 
+/** From now on all new requests are refused as not run: they would not end in the grace period. */
+void sv_core_stop_admitting (SvCore *core);
+
 /** The process is about to exit: answers or aborts every request that has not ended. */
 void sv_core_end_requests (SvCore *core);
 
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -107,6 +107,11 @@
   const SvCore *core = self->core;
   KnlTime since = core->drain_since;
 
+  if (core->admits_none)
+    {
+      sv_request_refuse (self, 503, "stopping");
+      return FALSE;
+    }
   if (since == 0 || self->route->kind != SV_STREAM)
     return TRUE;
   if (knl_kernel_now (core->parts.kernel) - since
--- a/serve/core.c
+++ b/serve/core.c
@@ -263,6 +263,12 @@
     self->drain_since = knl_kernel_now (self->parts.kernel);
 }
 
+void
+sv_core_stop_admitting (SvCore *self)
+{
+  self->admits_none = TRUE;
+}
+
 /*
  * Without an answer from here, the connection of a prompt that is still queued, or
  * runs longer than the grace, would just be closed when the process exits, and its
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -21,6 +21,7 @@
   SvStaleSinceFunc stale_since; /* NULL: staleness isn't checked */
   gpointer stale_since_data;
   KnlTime drain_since;  /* 0: not draining */
+  gboolean admits_none; /* new requests are refused */
   GHashTable *requests; /* SvRequest */
   GHashTable *budgets;  /* service -> PolBudget */
   SvCrashes *crashes;
--- a/tests/unit/gw_drain_test.c
+++ b/tests/unit/gw_drain_test.c
@@ -264,8 +264,33 @@
     }
 }
 
+/* Guards against requests that are sent to endpoints shortly before the exit, when they can't end
+ * any more: they run, and their callers are told that it may be so in place of where to go. */
+static void
+test_requests_that_can_not_end_are_refused (void)
+{
+  static const Row rows[] = {
+    { 8 * KNL_SEC, 150 * KNL_MSEC, 4 },
+    { 8 * KNL_SEC, 300 * KNL_MSEC, 4 },
+    { 5 * KNL_SEC, 300 * KNL_MSEC, 4 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      Fixture fixture;
+
+      fixture_open (&fixture, &rows[i]);
+      drain (&fixture);
+      CU_ASSERT_EQUAL (fixture.n_stopped, 0);
+      CU_ASSERT (fixture.n_refused > 0);
+      CU_ASSERT_EQUAL (fixture.n_lost, 0);
+      fixture_close (&fixture);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "no answer is lost at the exit", test_no_answer_is_lost_at_the_exit },
+  { "requests that can not end are refused", test_requests_that_can_not_end_are_refused },
 };
 
 SUITE_MAIN ("gw_drain", cases)
