gateway: a drained instance stays while callers still send requests

What callers saw: once new requests are refused at once late in a drain, nothing is in flight at most checks, so that the instance took itself for idle and exited up to a second before the end of its grace period.

Cause: idle meant that no request is in flight at the moment of the check.

Change: it means also that none has come for half a second. The end of the grace period bounds it as before.

--- a/gateway/drain.c
+++ b/gateway/drain.c
@@ -16,6 +16,9 @@
 #define DRAIN_CLOSE_MARGIN  (300 * KNL_MSEC)
 #define DRAIN_EXIT_MARGIN   (100 * KNL_MSEC)
 
+/* Time without requests after which a drained process exits before the grace period is over. */
+#define QUIET_PERIOD (500 * KNL_MSEC)
+
 /* Interval between checks whether all answers have been written. */
 #define FLUSH_INTERVAL (10 * KNL_MSEC)
 
@@ -56,10 +59,13 @@
   return drained_for (self) > self->boot->bounds.grace - margin;
 }
 
+/* A caller that goes on using its connection is told where to go only while the process runs. */
 static gboolean
 is_idle (const Gateway *self)
 {
-  return ht_server_n_busy (self->caller_server) == 0
+  KnlTime quiet = knl_kernel_now (self->process.kernel) - sv_core_last_request_at (self->core);
+
+  return quiet >= QUIET_PERIOD && ht_server_n_busy (self->caller_server) == 0
          && (self->passing_server == NULL || ht_server_n_busy (self->passing_server) == 0);
 }
 
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -108,6 +108,9 @@
 /** From now on all new requests are refused as not run: they would not end in the grace period. */
 void sv_core_stop_admitting (SvCore *core);
 
+/** When a request was last received; 0: never. */
+KnlTime sv_core_last_request_at (const SvCore *core);
+
 /** The process is about to exit: answers or aborts every request that has not ended. */
 void sv_core_end_requests (SvCore *core);
 
--- a/serve/core.c
+++ b/serve/core.c
@@ -223,6 +223,7 @@
   request->call = call;
   request->is_passed = is_passed;
   self->n_passed += is_passed;
+  self->last_request_at = knl_kernel_now (self->parts.kernel);
   ht_call_set_data (call, request);
   g_hash_table_add (self->requests, request);
   init_request (request);
@@ -269,6 +270,12 @@
   self->admits_none = TRUE;
 }
 
+KnlTime
+sv_core_last_request_at (const SvCore *self)
+{
+  return self->last_request_at;
+}
+
 /*
  * Without an answer from here, the connection of a prompt that is still queued, or
  * runs longer than the grace, would just be closed when the process exits, and its
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -20,10 +20,11 @@
   KnlTime confirmed_at;         /* -KNL_NEVER: never */
   SvStaleSinceFunc stale_since; /* NULL: staleness isn't checked */
   gpointer stale_since_data;
-  KnlTime drain_since;  /* 0: not draining */
-  gboolean admits_none; /* new requests are refused */
-  GHashTable *requests; /* SvRequest */
-  GHashTable *budgets;  /* service -> PolBudget */
+  KnlTime drain_since;     /* 0: not draining */
+  gboolean admits_none;    /* new requests are refused */
+  KnlTime last_request_at; /* when a request was last received; 0: never */
+  GHashTable *requests;    /* SvRequest */
+  GHashTable *budgets;     /* service -> PolBudget */
   SvCrashes *crashes;
   SvQuarantine *quarantine;
   GHashTable *reach; /* service -> SvReach */
--- a/tests/unit/gw_drain_test.c
+++ b/tests/unit/gw_drain_test.c
@@ -288,9 +288,29 @@
     }
 }
 
+/* Guards against an instance that exits before its grace period is over while callers still use
+ * their connections, which then close under their requests. */
+static void
+test_callers_that_still_send_are_answered (void)
+{
+  static const Row row = { 8 * KNL_SEC, 0, 4 };
+  Fixture fixture;
+
+  fixture_open (&fixture, &row);
+  CU_ASSERT (drain (&fixture) > row.grace - KNL_SEC / 2);
+  CU_ASSERT (fixture.n_refused > 50);
+  fixture_close (&fixture);
+  fixture_open (&fixture, &row);
+  gateway_drain (&fixture.fleet.instances[0].gateway);
+  gf_fleet_advance (&fixture.fleet, row.grace - KNL_SEC);
+  CU_ASSERT_FALSE (fixture.fleet.instances[0].is_running);
+  fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "no answer is lost at the exit", test_no_answer_is_lost_at_the_exit },
   { "requests that can not end are refused", test_requests_that_can_not_end_are_refused },
+  { "callers that still send are answered", test_callers_that_still_send_are_answered },
 };
 
 SUITE_MAIN ("gw_drain", cases)
