http: an answer to another request is never taken for this one's

Found while testing endpoints that send bytes without end.

Cause: skip_answer() cleared the mark of a skipped answer before it found that no further one could follow, so that process_input() took the skipped answer, which was whole, for the awaited one.

Change: the mark stays, and the exchange fails (bad-answer); the request is tried elsewhere or answered 502, as for other unreadable answers.

--- a/http/client.c
+++ b/http/client.c
@@ -231,13 +231,13 @@
 }
 
 /* The answer to another request has ended; the next message on the connection may answer this one.
- * Returns FALSE if the connection should be closed. */
+ * FALSE: none can, or too many came. */
 static gboolean
 skip_answer (Connection *self)
 {
-  self->exchange->skipping = FALSE;
   if (++self->exchange->skipped > MAX_SKIPPED || !ht_reader_message (self->reader)->keep_alive)
     return FALSE;
+  self->exchange->skipping = FALSE;
   ht_reader_begin (self->reader, FALSE);
   return TRUE;
 }
@@ -300,8 +300,8 @@
       evbuffer_drain (input, consumed);
       if (self->cancelled)
         break;
-      if (status == HT_READ_COMPLETE && self->exchange->skipping && skip_answer (self))
-        continue;
+      if (status == HT_READ_COMPLETE && self->exchange->skipping)
+        status = skip_answer (self) ? HT_READ_MORE : HT_READ_BAD;
       if (status != HT_READ_MORE)
         break;
     }
