http: interim answers without end are given up

What callers would see: a request whose endpoint sends interim (1xx) answers without end waits until its deadline, or for the silence timeout if it may be sent again, while the instance parses all that comes.

Cause: each interim answer began a new message for the reader, whose limits count a message's bytes only.

--- a/http/reader.c
+++ b/http/reader.c
@@ -15,6 +15,8 @@
   GString *value;
   gsize head_bytes;
   gsize body_bytes;
+  gsize message_bytes; /* received of this message */
+  gsize interim_bytes; /* received of interim responses before it */
   gboolean no_body;
   gsize line_bytes;        /* in the current line of the head, without the line ending */
   char last_byte;          /* most recent byte of the head */
@@ -268,8 +270,8 @@
   self->limits = *limits;
 }
 
-void
-ht_reader_begin (HtReader *self, gboolean no_body)
+static void
+begin_message (HtReader *self, gboolean no_body)
 {
   http_parser_init (&self->parser, self->reads_responses ? HTTP_RESPONSE : HTTP_REQUEST);
   self->parser.data = self;
@@ -277,7 +279,7 @@
   self->message = ht_message_new ();
   g_string_truncate (self->name, 0);
   g_string_truncate (self->value, 0);
-  self->head_bytes = self->body_bytes = 0;
+  self->head_bytes = self->body_bytes = self->message_bytes = 0;
   self->no_body = no_body;
   self->begun = self->head_done = self->complete = FALSE;
   self->has_value = self->until_close = FALSE;
@@ -288,6 +290,13 @@
   self->refusal = HT_READ_MORE;
 }
 
+void
+ht_reader_begin (HtReader *self, gboolean no_body)
+{
+  begin_message (self, no_body);
+  self->interim_bytes = 0;
+}
+
 static HtReadStatus
 end_status (HtReader *self, gboolean failed)
 {
@@ -314,13 +323,17 @@
       return HT_READ_BAD;
     }
   *consumed = http_parser_execute (&self->parser, &callbacks, bytes, length);
+  self->message_bytes += *consumed;
   status = end_status (self, HTTP_PARSER_ERRNO (&self->parser) != HPE_OK);
   /* Interim (1xx) responses are dropped; the answer is the next message on the stream. */
   if (status == HT_READ_COMPLETE && self->reads_responses && self->message->status < 200)
     {
       gsize more = 0;
 
-      ht_reader_begin (self, self->no_body);
+      self->interim_bytes += self->message_bytes;
+      if (self->interim_bytes > self->limits.max_head_bytes)
+        return HT_READ_HEAD_LARGE;
+      begin_message (self, self->no_body);
       status = ht_reader_feed (self, bytes + *consumed, length - *consumed, &more);
       *consumed += more;
     }
--- a/include/http/reader.h
+++ b/include/http/reader.h
@@ -17,7 +17,7 @@
   HT_READ_MORE,       /**< the message isn't complete; all bytes were consumed */
   HT_READ_COMPLETE,   /**< the message is complete; bytes after it weren't consumed */
   HT_READ_BAD,        /**< not a valid HTTP message */
-  HT_READ_HEAD_LARGE, /**< the head exceeds its limit */
+  HT_READ_HEAD_LARGE, /**< the head exceeds its limit, or the interim responses before it do */
   HT_READ_BODY_LARGE, /**< the body exceeds its limit */
 } HtReadStatus;
 
--- a/tests/unit/sv_endless_test.c
+++ b/tests/unit/sv_endless_test.c
@@ -12,6 +12,7 @@
 
 #define GOOD_BYTES "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood"
 #define HEAD       "HTTP/1.1 200 OK\r\n" SIGNED
+#define CHUNKED    HEAD "Transfer-Encoding: chunked\r\n\r\n"
 
 /* Bytes that are written at a time, and after which the endpoint gives up: no answer is so long. */
 #define PIECE_BYTES 16384
@@ -27,6 +28,17 @@
   const char *filler; /* repeated without end */
 } Stream;
 
+static const Stream heads[] = {
+  { "no HTTP", "", "x" },
+  { "blank lines", "", "\r\n" },
+  { "a status line", "HTTP/1.1 200 ", "O" },
+  { "a field", "HTTP/1.1 200 OK\r\nX-A: ", "a" },
+  { "a field's name", "HTTP/1.1 200 OK\r\n", "a" },
+  { "fields", "HTTP/1.1 200 OK\r\n", "X-A: a\r\n" },
+  { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  { "interim answers with fields", "", "HTTP/1.1 103 Early\r\nX-A: a\r\n\r\n" },
+};
+
 static const Stream others[] = {
   { "answers to others", "",
     "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 1\r\n\r\na" },
@@ -38,6 +50,16 @@
     "1\r\na\r\n0\r\n\r\n" },
 };
 
+static const Stream bodies[] = {
+  { "without a length", HEAD "\r\n", "x" },
+  { "in chunks", CHUNKED, "5\r\nxxxxx\r\n" },
+  { "an extension of a chunk", CHUNKED "5;a=", "b" },
+  { "a chunk's size", CHUNKED, "0" },
+  { "trailers", CHUNKED "0\r\n", "X-A: a\r\n" },
+  { "of an answer to another request", "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\n\r\n", "x" },
+  { "of an unsigned answer", "HTTP/1.1 200 OK\r\nX-Attempt-Id: %ID\r\n\r\n", "x" },
+};
+
 /* An endpoint that answers each request with a stream of bytes. */
 typedef struct
 {
@@ -204,8 +226,27 @@
     }
 }
 
+/* Guards against a caller that waits for as long as its endpoint sends a head, or a body, that
+ * doesn't end, and against memory or time that such bytes take without a bound. */
+static void
+test_endless_answers_are_given_up (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      check (&heads[i], "/again/1", &good, "good");
+      check (&heads[i], "/once/1", &good, "HTTP/1.1 502");
+      check (&heads[i], "/stream/1", &rest_of_stream, "id: 3");
+    }
+  for (guint i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      check (&bodies[i], "/again/1", &good, "good");
+      check (&bodies[i], "/once/1", &good, "HTTP/1.1 502");
+    }
+}
+
 static const SuiteCase cases[] = {
   { "answers to others are not delivered", test_answers_to_others_are_not_delivered },
+  { "endless answers are given up", test_endless_answers_are_given_up },
 };
 
 SUITE_MAIN ("sv_endless", cases)
