serve: a stream of bytes that are no events is given up

What callers would see: an instance that stands still, and a stream that never reaches its next event, while an endpoint sends bytes without an event's end.

Cause: the bytes of an incomplete event were kept without a bound but that of the whole answer (64 MB), in no sum of held bytes, and looked through from the start with each piece that came: some 130 GB of comparisons until the answer was too long. They also counted as signs of life, so that the silence timeout never ended such a stream, and blocks of lines without any field were passed on as events and acquitted the prompt's segments.

Change: an event stream must have an event with data or an id in each 256 kB; an endpoint whose stream hasn't is left as one that broke off ("no-events"), and the stream resumes elsewhere. The end of an event is looked for in new bytes only. Blocks without a field of event streams are dropped; comments and other fields are passed on as before.

--- a/serve/events.c
+++ b/serve/events.c
@@ -5,7 +5,7 @@
 void
 sv_events_init (SvEvents *self)
 {
-  self->text = g_string_new (NULL);
+  *self = (SvEvents){ .text = g_string_new (NULL) };
 }
 
 void
@@ -20,28 +20,70 @@
 sv_events_reset (SvEvents *self)
 {
   g_string_truncate (self->text, 0);
+  self->scanned = self->line_bytes = self->since_event = 0;
 }
 
-/* Length of the first event with the empty line that ends it; 0: the event is incomplete. */
+/* End of the first block of lines, after the empty line that ends it; 0: the block is incomplete.
+ * Goes on where it stopped when there were fewer bytes. */
 static gsize
-event_length (const char *text, gsize length)
+find_end (SvEvents *self, gsize begin)
 {
-  gsize line = 0; /* bytes in the current line, without its line end */
-
-  for (gsize i = 0; i < length; i++)
+  for (; self->scanned < self->text->len; self->scanned++)
     {
-      if (text[i] == '\n')
-        {
-          if (line == 0 && i > 0)
-            return i + 1;
-          line = 0;
-        }
-      else if (text[i] != '\r')
-        line++;
+      char byte = self->text->str[self->scanned];
+
+      if (byte == '\n' && self->line_bytes == 0 && self->scanned > begin)
+        return ++self->scanned;
+      if (byte == '\n')
+        self->line_bytes = 0;
+      else if (byte != '\r')
+        self->line_bytes++;
     }
   return 0;
 }
 
+static gboolean
+is_field (const char *line, gsize length, const char *name)
+{
+  return length == strlen (name) && strncmp (line, name, length) == 0;
+}
+
+typedef enum
+{
+  BLOCK_EVENT,   /* has data or an id */
+  BLOCK_NOTE,    /* has other fields, or a comment */
+  BLOCK_NO_EVENT /* has none: it isn't of an event stream */
+} BlockKind;
+
+static BlockKind
+kind_of_line (const char *line)
+{
+  gsize name = strcspn (line, ":\r\n");
+
+  if (is_field (line, name, "data") || is_field (line, name, "id"))
+    return BLOCK_EVENT;
+  if (line[0] == ':' || is_field (line, name, "event") || is_field (line, name, "retry"))
+    return BLOCK_NOTE;
+  return BLOCK_NO_EVENT;
+}
+
+static BlockKind
+kind_of_block (const char *text, gsize length)
+{
+  BlockKind kind = BLOCK_NO_EVENT;
+
+  for (const char *line = text; line < text + length;)
+    {
+      const char *end = memchr (line, '\n', (gsize)(text + length - line));
+
+      if (end == NULL)
+        break;
+      kind = MIN (kind, kind_of_line (line));
+      line = end + 1;
+    }
+  return kind;
+}
+
 static gint64
 event_id (const char *text, gsize length)
 {
@@ -69,25 +111,37 @@
   return id;
 }
 
-void
+static void
+take_block (SvEvents *self, gsize begin, gsize end, SvEventFunc func, gpointer data)
+{
+  const char *text = self->text->str + begin;
+  BlockKind kind = kind_of_block (text, end - begin);
+  SvEvent event = {
+    .bytes = text,
+    .length = end - begin,
+    .id = event_id (text, end - begin),
+  };
+
+  self->since_event = kind == BLOCK_EVENT ? 0 : self->since_event + (end - begin);
+  if (kind != BLOCK_NO_EVENT)
+    func (&event, data);
+}
+
+gboolean
 sv_events_feed (SvEvents *self, const char *bytes, gsize length, SvEventFunc func, gpointer data)
 {
   gsize done = 0;
-  gsize event;
+  gsize end;
 
   g_string_append_len (self->text, bytes, (gssize)length);
-  while ((event = event_length (self->text->str + done, self->text->len - done)) > 0)
+  while ((end = find_end (self, done)) > 0)
     {
-      SvEvent complete = {
-        .bytes = self->text->str + done,
-        .length = event,
-        .id = event_id (self->text->str + done, event),
-      };
-
-      done += event;
-      func (&complete, data);
+      take_block (self, done, end, func, data);
+      done = end;
     }
   g_string_erase (self->text, 0, (gssize)done);
+  self->scanned -= done;
+  return self->since_event + self->text->len <= SV_MAX_BYTES_WITHOUT_EVENT;
 }
 
 gboolean
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -80,12 +80,22 @@
     self->last_event = event->id;
 }
 
+/* The endpoint sends bytes that are no events; they may have no end. */
+static void
+give_up_stream (SvRequest *self)
+{
+  sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
+  sv_request_cancel_send (self);
+  sv_request_handle_loss (self, "no-events", TRUE);
+}
+
 void
 sv_request_handle_bytes (SvRequest *self, const char *bytes, gsize length)
 {
   self->last_received_at = knl_kernel_now (self->core->parts.kernel);
   sv_request_note_alive (self);
-  sv_events_feed (&self->events, bytes, length, on_event, self);
+  if (!sv_events_feed (&self->events, bytes, length, on_event, self))
+    give_up_stream (self);
 }
 
 void
--- a/tests/unit/sv_endless_test.c
+++ b/tests/unit/sv_endless_test.c
@@ -13,6 +13,7 @@
 #define GOOD_BYTES "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood"
 #define HEAD       "HTTP/1.1 200 OK\r\n" SIGNED
 #define CHUNKED    HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define EVENTS     "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 
 /* Bytes that are written at a time, and after which the endpoint gives up: no answer is so long. */
 #define PIECE_BYTES 16384
@@ -60,6 +61,18 @@
   { "of an unsigned answer", "HTTP/1.1 200 OK\r\nX-Attempt-Id: %ID\r\n\r\n", "x" },
 };
 
+static const Stream streams[] = {
+  { "no line end", HEAD "\r\n", "x" },    { "a line of an event", HEAD "\r\ndata: ", "x" },
+  { "lines", HEAD "\r\n", "xxxx\n" },     { "lines of an event", HEAD "\r\n", "data: x\n" },
+  { "empty lines", HEAD "\r\n", "\n" },   { "blocks of lines", HEAD "\r\n", "xxxx\n\n" },
+  { "comments", HEAD "\r\n", ": x\n\n" },
+};
+
+static const Stream begun_streams[] = {
+  { "no line end after events", HEAD "\r\n" EVENTS, "x" },
+  { "blocks of lines after events", HEAD "\r\n" EVENTS, "xxxx\n\n" },
+};
+
 /* An endpoint that answers each request with a stream of bytes. */
 typedef struct
 {
@@ -244,9 +257,21 @@
     }
 }
 
+/* Guards against a stream that never reaches its next event, as its endpoint sends other bytes: the
+ * rest comes from another endpoint. */
+static void
+test_endless_streams_are_given_up (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (streams); i++)
+    check (&streams[i], "/stream/1", &rest_of_stream, "id: 3");
+  for (guint i = 0; i < G_N_ELEMENTS (begun_streams); i++)
+    check (&begun_streams[i], "/stream/1", &rest_of_stream, "id: 3");
+}
+
 static const SuiteCase cases[] = {
   { "answers to others are not delivered", test_answers_to_others_are_not_delivered },
   { "endless answers are given up", test_endless_answers_are_given_up },
+  { "endless streams are given up", test_endless_streams_are_given_up },
 };
 
 SUITE_MAIN ("sv_endless", cases)
