entry: requests at the limit of a drain end with an error

Found by looking at every way out of a process for the cause of the gateway's lost answers: the end of the loop in the callback that gives up. The entry's other way out already waited until all answers were written; the controller's waits for what it relays, and closes links whose entries ask another one.

Change: en_core_end_requests() refuses new requests and ends all others as draining (not run) or cut (unknown); the process then waits a second at most until that is written.

en_core, "requests at the limit of a drain are answered": with an empty function four assertions failed; none after.

--- a/entry/drain.c
+++ b/entry/drain.c
@@ -60,7 +60,7 @@
 {
   EnCore *core = data;
 
-  core->drain_timer = 0;
+  knl_timer_stop (core->kernel, &core->drain_timer);
   core->drain = EN_DRAIN_REFUSING;
   core->refusing_since = knl_kernel_now (core->kernel);
   cm_log (CM_LOG_NOTICE, "drain-refusing", "i", "in_flight",
@@ -93,6 +93,36 @@
     start_leaving (core);
 }
 
+static void
+end_unfinished (EnCore *core, EnRequest *request)
+{
+  EnOutcome outcome = en_core_outcome_if_ended (request);
+  EnError error = {
+    .code = outcome == EN_OUTCOME_NOT_RUN ? EN_ERROR_DRAINING : EN_ERROR_CUT,
+    .outcome = outcome,
+    .message = "the entry is ending",
+  };
+
+  en_core_end_error (core, request, &error);
+}
+
+void
+en_core_end_requests (EnCore *core)
+{
+  GHashTableIter iter;
+  gpointer request;
+
+  if (core->drain == EN_DRAIN_LEAVING)
+    on_lists_expired (core);
+  for (;;)
+    {
+      g_hash_table_iter_init (&iter, core->requests);
+      if (!g_hash_table_iter_next (&iter, NULL, &request))
+        return;
+      end_unfinished (core, request);
+    }
+}
+
 void
 en_core_check_declared_state (EnCore *core)
 {
--- a/entry/main.c
+++ b/entry/main.c
@@ -18,6 +18,9 @@
 #define FLUSH_INTERVAL (50 * KNL_MSEC)
 #define FLUSH_TIMEOUT  (10 * KNL_SEC)
 
+/* The same for the errors that end what is left at the limit of a drain. */
+#define LIMIT_FLUSH_TIMEOUT (1 * KNL_SEC)
+
 typedef struct
 {
   EntrySettings settings;
@@ -69,7 +72,9 @@
   program->drain_timer = 0;
   program->cut_short = TRUE;
   cm_log (CM_LOG_ERR, "drain-limit-passed");
-  stop (program);
+  en_core_end_requests (program->core);
+  program->flush_until = knl_kernel_now (program->process.kernel) + LIMIT_FLUSH_TIMEOUT;
+  knl_timer_start (program->process.kernel, FLUSH_INTERVAL, on_flush_due, program);
 }
 
 static void
--- a/include/entry/core.h
+++ b/include/entry/core.h
@@ -69,6 +69,10 @@
 /** Whether the token belongs to a workspace. */
 gboolean en_core_has_token (const EnCore *core, const char *token);
 
+/** Of a drain that takes too long: refuses new requests, and ends all others with an error that
+ * says whether they may have run. */
+void en_core_end_requests (EnCore *core);
+
 /** Whether it has a configuration and a full list of members, and isn't draining. */
 gboolean en_core_is_ready (const EnCore *core);
 
--- a/tests/unit/en_core_test.c
+++ b/tests/unit/en_core_test.c
@@ -368,10 +368,34 @@
   g_free (id);
 }
 
+/* Guards against callers that get no answer as their entry's drain has reached its limit. */
+static void
+test_requests_at_the_limit_of_a_drain_are_answered (void)
+{
+  g_autoptr (EnFixture) fixture = en_fixture_new (NULL);
+  guint drained = 0;
+  g_auto (EnTestCaller) late = en_test_caller_make (fixture->kernel);
+
+  en_fixture_submit (fixture, &fixture->caller, "long stream", 5000, LIMIT);
+  en_fixture_advance (fixture, KNL_SEC);
+  en_core_drain (fixture->core, on_drained, &drained);
+  en_fixture_advance (fixture, KNL_SEC);
+  en_core_end_requests (fixture->core);
+  CU_ASSERT_EQUAL (fixture->caller.code, EN_ERROR_CUT);
+  CU_ASSERT_EQUAL (fixture->caller.outcome, EN_OUTCOME_UNKNOWN);
+  en_fixture_submit (fixture, &late, "late", 5, LIMIT);
+  CU_ASSERT_EQUAL (late.code, EN_ERROR_DRAINING);
+  CU_ASSERT_EQUAL (late.outcome, EN_OUTCOME_NOT_RUN);
+  en_fixture_advance (fixture, 5 * KNL_SEC);
+  CU_ASSERT_EQUAL (drained, 1);
+}
+
 static const SuiteCase cases[] = {
   { "what is refused, and as what", test_refusals },
   { "a leaving engine gets no new work", test_a_leaving_engine_gets_no_new_work },
   { "a drain cuts off nothing", test_drain_cuts_off_nothing },
+  { "requests at the limit of a drain are answered",
+    test_requests_at_the_limit_of_a_drain_are_answered },
   { "a declared drain, and its end", test_declared_drain },
   { "prompts above one engine's memory", test_prompts_above_one_engine },
   { "prompts that part of an engine can hold", test_prompts_that_part_of_an_engine_can_hold },
