serve: bytes that are no event don't keep a silent stream

What callers would see: a stream stands still until its deadline while its endpoint sends a byte now and then that never becomes an event.

Cause: any byte of a stream moved the time from which its silence is measured. Too few come to reach the bound on bytes without an event.

Bytes still show that the endpoint's process lives, and so that it hasn't crashed.

sv_endless, "dripping streams are given up", a byte each 100 ms after two events: before, neither stream had been given up after 3 s; after, both go on at the next endpoint, as after a silence of 1 s.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -293,7 +293,7 @@
 {
   SvEndpoint *endpoint = self->placement.first;
 
-  endpoint->last_seen_at = self->last_received_at;
+  endpoint->last_seen_at = MAX (endpoint->last_seen_at, self->last_received_at);
   if (self->exchange != NULL && !was_unread (self, self->exchange))
     endpoint->alive_at =
         MAX (endpoint->alive_at, knl_kernel_earliest_arrival (self->core->parts.kernel));
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -85,7 +85,7 @@
   SvEvents events;
   gint64 last_event;        /* id of the last event forwarded; -1: none */
   KnlTime first_sent_at;    /* when the first event or the answer was sent; 0: not yet */
-  KnlTime last_received_at; /* when bytes were last received from the endpoint */
+  KnlTime last_received_at; /* when the endpoint last sent a head or an event; 0: never */
   KnlTime last_event_at;    /* when the last event was sent; 0: none was */
   KnlTime longest_gap;
   SvPaceStream pace; /* of the current send */
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -66,6 +66,7 @@
 {
   SvRequest *self = data;
 
+  self->last_received_at = sv_request_now (self);
   if (self->writing_since == 0)
     sv_request_note_begun (self);
   note_prefill_complete (self);
@@ -92,7 +93,6 @@
 void
 sv_request_handle_bytes (SvRequest *self, const char *bytes, gsize length)
 {
-  self->last_received_at = knl_kernel_now (self->core->parts.kernel);
   sv_request_note_alive (self);
   if (!sv_events_feed (&self->events, bytes, length, on_event, self))
     give_up_stream (self);
--- a/tests/unit/sv_endless_test.c
+++ b/tests/unit/sv_endless_test.c
@@ -19,6 +19,11 @@
 #define PIECE_BYTES 16384
 #define MAX_BYTES   ((gsize)256 << 20)
 
+/* Interval between bytes of an endpoint that drips, and time by which it is given up: three times
+ * the silence that is borne within a stream. */
+#define DRIP_INTERVAL (100 * KNL_MSEC)
+#define DRIP_TIME     (3 * KNL_SEC)
+
 static const ScriptedAnswer good = { GOOD_BYTES, FALSE };
 static const ScriptedAnswer rest_of_stream = { HEAD "\r\nid: 3\ndata: c\n\n", TRUE };
 
@@ -77,6 +82,7 @@
 typedef struct
 {
   const Stream *stream;
+  gboolean drips; /* sends one byte only when it is told to */
   struct evconnlistener *listener;
   struct bufferevent *link; /* NULL: none, or closed */
   GString *piece;
@@ -97,7 +103,7 @@
 {
   Endless *self = data;
 
-  if (self->has_answered && self->n_written < MAX_BYTES)
+  if (self->has_answered && !self->drips && self->n_written < MAX_BYTES)
     write_piece (self);
 }
 
@@ -122,7 +128,8 @@
   request[(gsize)(id - request) + strcspn (id, "\r")] = '\0';
   g_string_replace (prefix, "%ID", id, 0);
   bufferevent_write (link, prefix->str, prefix->len);
-  write_piece (self);
+  if (!self->drips)
+    write_piece (self);
   g_string_free (prefix, TRUE);
 }
 
@@ -268,10 +275,42 @@
     check (&begun_streams[i], "/stream/1", &rest_of_stream, "id: 3");
 }
 
+/* Guards against a stream whose endpoint shows with each byte that it lives, but sends no event. */
+static void
+test_dripping_streams_are_given_up (void)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (begun_streams); i++)
+    {
+      SvFixture fixture;
+      Endless endless;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      endless_open (&endless, &fixture, &begun_streams[i]);
+      endless.drips = TRUE;
+      sv_fixture_request (&fixture, "/stream/1");
+      sv_fixture_wait_for (&fixture, "id: 2");
+      sv_fixture_add_endpoint (&fixture, &rest_of_stream, 1);
+      for (guint j = 0; endless.link != NULL && j < DRIP_TIME / DRIP_INTERVAL; j++)
+        {
+          bufferevent_write (endless.link, &endless.piece->str[j], 1);
+          knl_paused_clock_advance (fixture.clock, DRIP_INTERVAL);
+          sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+          for (guint k = 0; k < 5; k++)
+            event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+        }
+      CU_ASSERT_EQUAL (endless.n_closed, 1);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "id: 3"));
+      endless_close (&endless);
+      sv_fixture_close (&fixture);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "answers to others are not delivered", test_answers_to_others_are_not_delivered },
   { "endless answers are given up", test_endless_answers_are_given_up },
   { "endless streams are given up", test_endless_streams_are_given_up },
+  { "dripping streams are given up", test_dripping_streams_are_given_up },
 };
 
 SUITE_MAIN ("sv_endless", cases)
