serve: an endpoint whose answer is ended for its length is left for a while

What callers would see: while one of three endpoints answers with bodies that don't end, 502 for most of what it gets, for as long as that lasts, and a processor core spent on reading them.

Cause: several such bodies together reach the bound on held bytes before any of them is too long by itself. The exchange that held the most is ended then as one of a slow reader, which says nothing of its endpoint, so that it got the next request at once.

Change: if what was ended is an answer of more than 4 MiB, more than a caller may leave unread, its endpoint counts as lost, here and at peers, and backs off as after any loss.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -404,10 +404,16 @@
 }
 
 /* The exchange held the most when the unsent bytes of this instance reached their bound. Another
- * send would make it hold as much again. */
+ * send would make it hold as much again. An answer that is longer than a caller may leave unread is
+ * one without an end, or as bad: its endpoint gets no more requests for a while. */
 static void
 handle_ended_exchange (SvRequest *self)
 {
+  if (self->answer != NULL && self->answer->body->len > HT_DEFAULT_MAX_UNSENT)
+    {
+      sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
+      announce_loss (self);
+    }
   close_send (self, ht_failure_name (HT_FAIL_UNSENT));
   self->runs++;
   sv_request_give_up (self, "unsent-bytes");
--- a/tests/unit/sv_endless_test.c
+++ b/tests/unit/sv_endless_test.c
@@ -306,11 +306,38 @@
     }
 }
 
+/* Guards against an endpoint that gets one request after another although each of its answers has
+ * had to be ended to keep the memory that is held below its bound. */
+static void
+test_endpoints_of_endless_bodies_are_left (void)
+{
+  const SvEndpoint *endpoint;
+  SvFixture fixture;
+  Endless endless;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_bound_unsent (&fixture, 2 * HT_DEFAULT_MAX_UNSENT);
+  sv_fixture_use_config (&fixture, 1, "key");
+  endless_open (&endless, &fixture, &bodies[0]);
+  sv_fixture_request (&fixture, "/once/1");
+  sv_fixture_wait_for (&fixture, "HTTP/1.1 502");
+  CU_ASSERT (endless.n_written < MAX_BYTES);
+  endpoint = g_ptr_array_index (sv_fleet_all (fixture.fleet), 0);
+  CU_ASSERT_EQUAL (endpoint->health.losses, 1);
+  sv_fixture_add_endpoint (&fixture, &good, 1);
+  sv_fixture_request (&fixture, "/once/2");
+  sv_fixture_wait_for (&fixture, "HTTP/1.1 ");
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[0]), 1);
+  endless_close (&endless);
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "answers to others are not delivered", test_answers_to_others_are_not_delivered },
   { "endless answers are given up", test_endless_answers_are_given_up },
   { "endless streams are given up", test_endless_streams_are_given_up },
   { "dripping streams are given up", test_dripping_streams_are_given_up },
+  { "endpoints of endless bodies are left", test_endpoints_of_endless_bodies_are_left },
 };
 
 SUITE_MAIN ("sv_endless", cases)
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -242,6 +242,13 @@
   open_fixture (self, FALSE);
 }
 
+void
+sv_fixture_bound_unsent (SvFixture *self, gsize bound)
+{
+  self->unsent = ht_unsent_new (self->kernel, bound);
+  ht_client_count_unsent (self->client, self->unsent);
+}
+
 void
 sv_fixture_use_config (SvFixture *self, guint64 version, const char *key)
 {
@@ -275,6 +282,7 @@
   sv_core_free (self->core);
   ht_server_free (self->front);
   ht_client_free (self->client);
+  ht_unsent_free (self->unsent);
   for (guint i = 0; i < self->n_endpoints; i++)
     scripted_endpoint_free (self->endpoints[i]);
   sv_fleet_free (self->fleet);
--- a/tests/unit/sv_fixture.h
+++ b/tests/unit/sv_fixture.h
@@ -21,6 +21,7 @@
   KnlPausedClock *clock;
   KnlKernel *kernel;
   HtClient *client;
+  HtUnsent *unsent; /* NULL: no bound */
   SvDialect *dialect;
   SvFleet *fleet;
   CmMetrics *metrics;
@@ -43,6 +44,9 @@
 void sv_fixture_open_without_shedding (SvFixture *self);
 void sv_fixture_close (SvFixture *self);
 
+/** Bounds the bytes that are held of endpoints' answers. */
+void sv_fixture_bound_unsent (SvFixture *self, gsize bound);
+
 /** Sets a configuration with the routes /once/, /once-of-two/, /again/, /stream/ and /long/ of the
  * host "h"; `key` is its only API key. */
 void sv_fixture_use_config (SvFixture *self, guint64 version, const char *key);
