tests: sv_memory waits until the memory of its last test is released

The test of a prompt that is refused after its reservation left the orders of its release under way, which LeakSanitizer reported (3.8 kB, sv_memory in a run of the unit suite with sanitizers: 110 passed, 1 failed). It now waits like the test before it; the program passes with the sanitizers.

--- a/tests/unit/sv_memory_test.c
+++ b/tests/unit/sv_memory_test.c
@@ -32,6 +32,18 @@
     event_base_loop (fixture->base, EVLOOP_ONCE);
 }
 
+/* Until the caller has its answer and all reserved memory is released. */
+static void
+pass_until_released (SvFixture *fixture)
+{
+  for (KnlTime passed = 0; passed < 2 * IDLE_BOUND; passed += STEP)
+    {
+      knl_paused_clock_advance (fixture->clock, STEP);
+      for (guint iteration = 0; iteration < 5; iteration++)
+        event_base_loop (fixture->base, EVLOOP_NONBLOCK);
+    }
+}
+
 /*
  * Guards against memory of an engine that stays reserved for 10 s without use. A prompt needs
  * memory of two engines: one reserves it; the other, which is to run the prompt, is full and
@@ -93,13 +105,7 @@
   while (!has_order (&fixture, HOLDER, "release"))
     event_base_loop (fixture.base, EVLOOP_ONCE);
   CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[RUNNER]), 0);
-  /* Until the caller has its answer and all reserved memory is released. */
-  for (KnlTime passed = 0; passed < 2 * IDLE_BOUND; passed += STEP)
-    {
-      knl_paused_clock_advance (fixture.clock, STEP);
-      for (guint iteration = 0; iteration < 5; iteration++)
-        event_base_loop (fixture.base, EVLOOP_NONBLOCK);
-    }
+  pass_until_released (&fixture);
   sv_fixture_close (&fixture);
 }
 
@@ -166,6 +172,7 @@
       sv_fixture_wait_for (&fixture, "HTTP/1.1 ");
       CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 503"));
       CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[RUNNER]), 0);
+      pass_until_released (&fixture);
       sv_fixture_close (&fixture);
     }
 }
