serve: only losses that count delay a crashing request's next test

Found on reading: the minute in which a request that has lost three endpoints is refused ran anew with each loss, also of an endpoint that had lived on, so that a sound request was refused for longer. The time is that of the newest loss that counts now. sv_crash_rules and the other tests of crashes pass as before (sv_crash_rules 42 of 42 assertions).

--- a/http/client.c
+++ b/http/client.c
@@ -231,7 +231,7 @@
 }
 
 /* The answer to another request has ended; the next message on the connection may answer this one.
- * FALSE: none can, or too many came. */
+ * FALSE: none can, or too many others came before it. */
 static gboolean
 skip_answer (Connection *self)
 {
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -284,12 +284,15 @@
 }
 
 static KnlTime
-newest_loss (const Record *record)
+newest_counted_loss (const SvCrashes *self, const Record *record)
 {
   KnlTime newest = 0;
 
   for (guint i = 0; i < record->n_losses; i++)
-    newest = MAX (newest, record->losses[i].lost_at);
+    {
+      if (sv_crashes_counts (self, &record->losses[i]))
+        newest = MAX (newest, record->losses[i].lost_at);
+    }
   return newest;
 }
 
@@ -300,7 +303,7 @@
 is_let_through (SvCrashes *self, Record *record)
 {
   KnlTime now = knl_kernel_now (self->kernel);
-  KnlTime since = now - newest_loss (record);
+  KnlTime since = now - newest_counted_loss (self, record);
   g_autofree char *id = NULL;
 
   if (since < LOSS_TTL || (record->tested_at > 0 && now - record->tested_at < TEST_TIMEOUT))
