--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -343,10 +343,11 @@
 
 /* Handles an answer in which the endpoint promises that the request has not run. */
 static void
-handle_rejection (SvRequest *self)
+handle_rejection (SvRequest *self, const HtExchange *exchange)
 {
   SvEndpoint *endpoint = self->placement.first;
   SvEndpoint *at_fault = endpoint;
+  gboolean is_reused = ht_exchange_is_reused (exchange);
 
   for (guint i = 0; self->reply.at_fault != NULL && i < self->placement.n_helpers; i++)
     {
@@ -355,7 +356,8 @@
     }
   close_send (self, "rejected");
   cm_log (CM_LOG_INFO, "send-rejected", "s", "request", self->params.id, "s", "endpoint",
-          endpoint->id, "s", "at-fault", at_fault->id, "i", "status", (gint64)self->reply.status);
+          endpoint->id, "s", "at-fault", at_fault->id, "i", "status", (gint64)self->reply.status,
+          "b", "names-request", self->reply.id != NULL, "b", "reused", is_reused);
   if (at_fault != endpoint)
     sv_endpoint_note_helper_rejection (at_fault, sv_request_now (self));
   else if (self->reply.status == SV_STATUS_MISDIRECTED)
@@ -427,7 +429,7 @@
 
   if (self->reply.not_run)
     {
-      handle_rejection (self);
+      handle_rejection (self, exchange);
       return;
     }
   if (shows_survival (self, answer))
