policy, serve, http, entry: what proves that a request has not run is decided in one place (TWICE)

What callers saw: a request that may run once ran twice.

Cause: a send counted as not run wherever some part took it for that. An answer's promise (X-Not-Run, 421) was believed for whatever request waited on the connection, also if it named none: an extra answer that comes late, as the next request does, sent that request to a second endpoint while the first ran it. In the same way its signs of leaving, limits and losses were believed, and a signed 200 went to the next caller. A peer's 503 was its refusal whenever it had no signature, also if it handed over what an endpoint had said.

Change: policy/proof.c has the ends of a send and the owners of an answer, and what each proves; links to endpoints, to peers, orders, pace calls and alderturn-entry ask it. An answer belongs to a request if it names it, or if it is the first one on a connection that has carried no other. One that names none is skipped, as one that names another; only an idempotent request that such an answer may be about is given up and tried again, as one that may have run. Whether bytes have left is counted at the connection's output, a closed connection writes nothing more, and a request whose bytes haven't left when its connection ends counts as not run however it ended.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "common/retry.h"
+#include "entry/retry.h"
 
 #define CONNECT_TIMEOUT (1 * KNL_SEC)
 #define SILENCE_TIMEOUT (2 * KNL_SEC)
@@ -322,21 +323,19 @@
 on_failed (EpStream *stream, const EpFailure *failure, gpointer data)
 {
   EnAttempt *self = data;
-  EnLoss loss = { .leaving = failure->leaving, .detail = failure->detail };
+  EnLoss loss = { .kind = pol_end_loss (en_end_of (failure->kind)),
+                  .leaving = failure->leaving,
+                  .detail = failure->detail };
   gboolean first = !self->sent;
 
   enter_callback (self);
   self->stream = NULL;
   if (failure->kind != EP_NOT_SENT)
     self->sent = TRUE;
-  if (failure->kind == EP_FAILED)
+  if (loss.kind == POL_LOSS_FAILED)
+    report_loss (self, &loss);
+  else if (first && loss.kind == POL_LOSS_NOT_RUN)
     {
-      loss.kind = POL_LOSS_FAILED;
-      report_loss (self, &loss);
-    }
-  else if (first && (failure->kind == EP_NOT_SENT || failure->kind == EP_REFUSED))
-    {
-      loss.kind = POL_LOSS_NOT_RUN;
       loss.refused = failure->kind == EP_REFUSED;
       report_loss (self, &loss);
     }
--- a/entry/plain.c
+++ b/entry/plain.c
@@ -69,13 +69,6 @@
   request->retry_timer = knl_timer_start (core->kernel, delay, on_retry_due, request);
 }
 
-static PolLoss
-loss_of (const EpFailure *failure)
-{
-  return failure->kind == EP_NOT_SENT || failure->kind == EP_REFUSED ? POL_LOSS_NOT_RUN
-                                                                     : POL_LOSS_UNKNOWN;
-}
-
 static void
 handle_failure (EnCore *core, EnRequest *request, const EpFailure *failure)
 {
@@ -84,7 +77,7 @@
                         .limit = MAX_RETRY_DELAY,
                         .retries = request->attempts };
   PolRetryCase retry = {
-    .kind = loss_of (failure),
+    .kind = pol_end_loss (en_end_of (failure->kind)),
     .accepted = TRUE,
     .non_idempotent = request->non_idempotent,
     .attempts = request->attempts,
--- a/entry/retry.c
+++ b/entry/retry.c
@@ -5,6 +5,24 @@
 /* Attempts that ran nothing are cheap; each of the others may have cost an engine's time. */
 const PolRetryRule en_retry_rule = { .not_run_attempts = 8, .run_attempts = 3 };
 
+PolEnd
+en_end_of (EpFailureKind kind)
+{
+  switch (kind)
+    {
+    case EP_NOT_SENT:
+      return POL_END_UNSENT;
+    case EP_REFUSED:
+      return POL_END_PROMISED;
+    case EP_FAILED:
+      return POL_END_FAILED;
+    case EP_CUT:
+    case EP_MALFORMED:
+      break;
+    }
+  return POL_END_LOST;
+}
+
 EnError
 en_retry_error (const PolRetryCase *retry, const char *detail)
 {
--- a/http/client.c
+++ b/http/client.c
@@ -27,6 +27,7 @@
   const HtExchangeEvents *events;
   gpointer data;
   gboolean reused;
+  guint64 sent_before; /* bytes that the connection had sent before this request */
   gboolean skipping;
   guint skipped;
 };
@@ -51,7 +52,8 @@
   HtProbe *probe;       /* NULL: none */
   KnlTimerId timer;     /* connect timeout, or end of the idle time */
   KnlTime idle_since;
-  gsize first_request_bytes; /* bytes of the first request, which the connection was opened for */
+  guint64 n_sent; /* bytes of requests that have left this process */
+  struct evbuffer_cb_entry *output_watch;
   gboolean connected;
   gboolean close_after;  /* close the connection after this exchange */
   gboolean in_callbacks; /* an exchange callback is running: don't free the connection */
@@ -92,6 +94,10 @@
   knl_timer_stop (self->client->kernel, &self->timer);
   stop_forwarding (self);
   ht_holder_leave (&self->holder);
+  evbuffer_remove_cb_entry (bufferevent_get_output (self->stream), self->output_watch);
+  /* The stream outlives a callback of it that is pending, and must not write meanwhile: what hasn't
+   * left by now never does. */
+  bufferevent_disable (self->stream, EV_READ | EV_WRITE);
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
   g_free (self->exchange);
@@ -156,7 +162,13 @@
 static gboolean
 has_sent (const Connection *self)
 {
-  return evbuffer_get_length (bufferevent_get_output (self->stream)) < self->first_request_bytes;
+  return self->exchange != NULL && self->n_sent > self->exchange->sent_before;
+}
+
+static void
+on_output (struct evbuffer *buffer, const struct evbuffer_cb_info *info, void *data)
+{
+  ((Connection *)data)->n_sent += info->n_deleted;
 }
 
 static void
@@ -165,7 +177,7 @@
   Connection *self = data;
 
   self->timer = 0;
-  if (self->exchange != NULL && has_sent (self))
+  if (has_sent (self))
     return;
   fail (self, HT_FAIL_CONNECT);
 }
@@ -445,6 +457,8 @@
   connection->reader = ht_reader_new (TRUE, &self->limits, &reader_events, connection);
   bufferevent_setcb (connection->stream, on_readable, NULL, on_event, connection);
   connection->source.set_paused = set_paused;
+  connection->output_watch =
+      evbuffer_add_cb (bufferevent_get_output (connection->stream), on_output, connection);
   ht_holder_join (&connection->holder, self->unsent, &holder_class,
                   bufferevent_get_output (connection->stream));
   g_hash_table_add (self->connections, connection);
@@ -491,6 +505,7 @@
   if (connection == NULL)
     connection = connect_to (self, request->address, request->connect_timeout);
   exchange->connection = connection;
+  exchange->sent_before = connection->n_sent;
   exchange->events = events;
   exchange->data = data;
   connection->exchange = exchange;
@@ -500,9 +515,6 @@
   bufferevent_write (connection->stream, "\r\n", 2);
   if (request->body_length > 0)
     bufferevent_write (connection->stream, request->body, request->body_length);
-  if (!exchange->reused)
-    connection->first_request_bytes =
-        evbuffer_get_length (bufferevent_get_output (connection->stream));
   if (request->forward_to != NULL)
     ht_flow_connect (ht_call_flow (request->forward_to), &connection->source);
   return exchange;
@@ -545,6 +557,18 @@
   return self->reused;
 }
 
+gboolean
+ht_exchange_has_sent (const HtExchange *self)
+{
+  return has_sent (self->connection);
+}
+
+gboolean
+ht_exchange_awaits_first_answer (const HtExchange *self)
+{
+  return !self->reused && self->skipped == 0;
+}
+
 KnlTime
 ht_exchange_resumed_at (const HtExchange *self)
 {
--- a/include/http/client.h
+++ b/include/http/client.h
@@ -99,6 +99,14 @@
 /** Whether the request was sent on a connection that an earlier exchange had used. */
 gboolean ht_exchange_is_reused (const HtExchange *exchange);
 
+/** Whether a byte of the request has left this process. Once the exchange has ended none leaves any
+ * more. */
+gboolean ht_exchange_has_sent (const HtExchange *exchange);
+
+/** Whether the next answer is the first one on its connection, which has carried no other request.
+ */
+gboolean ht_exchange_awaits_first_answer (const HtExchange *exchange);
+
 /** When the answer was read again after it had not been read because of `forward_to`; now while it
  * isn't read; 0: it has always been read. */
 KnlTime ht_exchange_resumed_at (const HtExchange *exchange);
--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -55,7 +55,7 @@
   guint status;
   const char *id;       /**< id of the request that it answers; NULL: not stated */
   gboolean is_signed;   /**< the answer has the endpoint's signature */
-  gboolean not_run;     /**< the endpoint promises that the request has not run and never will */
+  gboolean not_run;     /**< the answer promises that its request has not run and never will */
   gboolean is_encoded;  /**< the body has a content encoding */
   gint in_service;      /**< running and queued requests at the endpoint; -1: not stated */
   const char *at_fault; /**< address of the endpoint that caused the failure; NULL: not stated */
@@ -81,6 +81,14 @@
   KnlTime hold;   /**< lease: the endpoint releases it after this time */
 } SvReserve;
 
+/** What a refusal by this instance states besides its status. */
+typedef struct
+{
+  KnlTime retry_after; /**< 0: none */
+  gboolean is_to_peer; /**< the promise that the request has not run is spelled out: a peer can't
+                            tell this instance's own status from one of an endpoint */
+} SvRefusal;
+
 typedef struct
 {
   void (*read_request) (SvDialect *dialect, const HtMessage *request, SvRequestParams *params);
@@ -92,10 +100,10 @@
   void (*read_reply) (SvDialect *dialect, const HtMessage *answer, SvReply *reply);
   /** Header fields of the endpoint's answer that are forwarded. */
   GString *(*write_reply) (SvDialect *dialect, const HtMessage *answer);
-  /** Header fields of a refusal by this instance: the attempt's id and Retry-After (0: none). */
+  /** Header fields of an answer by this instance: the attempt's id, and what the refusal states. */
   GString *(*write_refusal) (SvDialect *dialect,
                              const SvRequestParams *params,
-                             KnlTime retry_after);
+                             const SvRefusal *refusal);
   /** Returns the body of a reservation order; sets `head` to its start line and header fields. Both
    * are owned by the caller. */
   GString *(*write_reserve) (SvDialect *dialect,
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -153,7 +153,7 @@
   self->deadline_timer = 0;
   if (self->exchange != NULL && self->last_received_at == 0)
     sv_request_note_crash (self, "deadline", FALSE);
-  if (self->runs > 0 || self->exchange != NULL || self->pass != NULL)
+  if (sv_request_may_have_run (self))
     sv_request_fail (self, 504, "deadline");
   else
     sv_request_refuse (self, 503, "deadline-before-run");
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -141,7 +141,7 @@
 }
 
 static void
-log_loss (const SvRequest *self, const char *fault, gboolean ran)
+log_loss (const SvRequest *self, const char *fault, PolEnd end)
 {
   SvEndpoint *endpoint = self->placement.first;
   KnlTime now = sv_request_now (self);
@@ -149,10 +149,10 @@
 
   cm_log (CM_LOG_INFO, "send-failed", "s", "request", self->params.id, "s", "endpoint",
           endpoint->id, "s", "address", endpoint->address, "s", "fault", fault, "b", "may-have-run",
-          ran, "i", "endpoint-losses", (gint64)endpoint->health.losses, "i", "since-sent-us",
-          now - self->sent_at, "i", "sends", (gint64)self->sends, "i", "endpoint-calls",
-          (gint64)load.calls, "i", "endpoint-tokens", (gint64)load.tokens, "i", "prefill-us",
-          sv_endpoint_prefill_left (endpoint, now), "i", "silent-us",
+          pol_end_may_have_run (end), "i", "endpoint-losses", (gint64)endpoint->health.losses, "i",
+          "since-sent-us", now - self->sent_at, "i", "sends", (gint64)self->sends, "i",
+          "endpoint-calls", (gint64)load.calls, "i", "endpoint-tokens", (gint64)load.tokens, "i",
+          "prefill-us", sv_endpoint_prefill_left (endpoint, now), "i", "silent-us",
           endpoint->last_seen_at > 0 ? now - endpoint->last_seen_at : (gint64)-1, "b", "begun",
           self->first_sent_at > 0);
 }
@@ -243,7 +243,7 @@
 }
 
 void
-sv_request_handle_loss (SvRequest *self, const char *fault, gboolean ran)
+sv_request_handle_loss (SvRequest *self, const char *fault, PolEnd end)
 {
   /* The retry budget counts all sends that arrive at endpoints, whether they run or not. */
   PolRetryRule rule = {
@@ -252,18 +252,18 @@
     .budgets_not_run = TRUE,
   };
   PolRetryCase retry = {
-    .kind = ran ? POL_LOSS_UNKNOWN : POL_LOSS_NOT_RUN,
-    .accepted = ran,
+    .kind = pol_end_loss (end),
+    .accepted = pol_end_may_have_run (end),
     .non_idempotent = !sv_route_is_idempotent (self->route),
     .attempts = self->sends,
   };
   const char *refusal;
   PolRetry decision;
 
-  log_loss (self, fault, ran);
+  log_loss (self, fault, end);
   self->is_test = FALSE;
   self->last_fault = fault;
-  self->runs += ran;
+  self->runs += pol_end_may_have_run (end);
   exclude (self, self->placement.first);
   retry.costly = self->runs;
   retry.may_have_run = self->runs > 0;
@@ -305,11 +305,11 @@
   SvRequest *self = data;
   SvDialect *dialect = self->core->parts.dialect;
   SvPeerLink *link = self->core->parts.link;
+  HtHeadVerdict verdict = sv_request_read_head (self, exchange, answer);
   gboolean succeeded;
 
-  dialect->klass->read_reply (dialect, answer, &self->reply);
-  if (self->reply.id != NULL && g_strcmp0 (self->reply.id, self->params.id) != 0)
-    return HT_HEAD_SKIP;
+  if (verdict != HT_HEAD_ACCEPT)
+    return verdict;
   succeeded = self->reply.status < 300;
   if (succeeded && (!self->reply.is_signed || self->reply.is_encoded))
     return HT_HEAD_REFUSE;
@@ -369,7 +369,7 @@
     sv_endpoint_note_error (endpoint, sv_request_now (self));
   if (at_fault != endpoint)
     exclude (self, at_fault);
-  sv_request_handle_loss (self, "rejected", FALSE);
+  sv_request_handle_loss (self, "rejected", POL_END_PROMISED);
 }
 
 /* Handles an error answer of the endpoint; it is kept and forwarded if no retry gives a better
@@ -381,7 +381,7 @@
   sv_endpoint_note_error (self->placement.first, sv_request_now (self));
   ht_message_free (self->failure);
   self->failure = ht_message_copy (answer);
-  sv_request_handle_loss (self, "endpoint-error", TRUE);
+  sv_request_handle_loss (self, "endpoint-error", POL_END_FAILED);
 }
 
 /* A resumed stream whose second endpoint sends an answer that isn't a stream can't continue. */
@@ -402,7 +402,7 @@
       sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
       sv_request_note_crash (self, "torn-stream", TRUE);
     }
-  sv_request_handle_loss (self, "torn-stream", TRUE);
+  sv_request_handle_loss (self, "torn-stream", POL_END_LOST);
 }
 
 /* The exchange held the most when the unsent bytes of this instance reached their bound. Another
@@ -458,6 +458,15 @@
   sv_request_end_stream (self);
 }
 
+/* The endpoint isn't blamed: it may have said nothing about this request. */
+static void
+handle_doubtful_answer (SvRequest *self)
+{
+  self->is_doubtful = FALSE;
+  close_send (self, "doubtful");
+  sv_request_handle_loss (self, "doubtful-answer", POL_END_LOST);
+}
+
 static void
 on_failed (HtExchange *exchange, HtFailure failure, gpointer data)
 {
@@ -466,12 +475,18 @@
   gboolean was_stale =
       ht_exchange_is_reused (exchange) && self->answer == NULL && failure == HT_FAIL_CLOSED;
   gboolean is_cut_off = failure == HT_FAIL_CLOSED && was_unread (self, exchange);
+  PolEnd end = pol_end_of_withdrawn (ht_exchange_has_sent (exchange));
 
   if (failure == HT_FAIL_UNSENT)
     {
       handle_ended_exchange (self);
       return;
     }
+  if (self->is_doubtful)
+    {
+      handle_doubtful_answer (self);
+      return;
+    }
   self->unreached = failure == HT_FAIL_CONNECT;
   if (self->unreached)
     {
@@ -488,8 +503,7 @@
       sv_endpoint_note_loss (endpoint, sv_request_now (self));
       announce_loss (self);
     }
-  sv_request_handle_loss (self, was_stale ? "stale-connection" : ht_failure_name (failure),
-                          failure != HT_FAIL_CONNECT);
+  sv_request_handle_loss (self, was_stale ? "stale-connection" : ht_failure_name (failure), end);
 }
 
 const HtExchangeEvents sv_request_events = {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -2,6 +2,7 @@
 
 /** Declarations shared by the core's own sources; not to be included by anything else. */
 
+#include "policy/proof.h"
 #include "serve/core.h"
 #include "serve/events.h"
 #include "serve/meters.h"
@@ -75,7 +76,8 @@
   KnlTimerId defer_timer;
   KnlTimerId migrate_timer; /* when it is to migrate */
   KnlTimerId hold_timer;    /* limits how long reserved memory may stay unused */
-  HtMessage *answer;        /* set once its head was received; owned by the exchange */
+  gboolean is_doubtful; /* it is given up: an answer that may be to it says that it hasn't run */
+  HtMessage *answer;    /* set once its head was received; owned by the exchange */
   SvReply reply;
   SvPrefill prefill;      /* prefill of its prompt, as registered at its endpoints */
   gboolean is_prefilling; /* `prefill` is still registered */
@@ -236,9 +238,17 @@
  * connection has ended; otherwise it is only silent. */
 void sv_request_note_crash (SvRequest *self, const char *fault, gboolean ended);
 
-/** Handles a send that gave no usable answer: retries it, or ends the request. `ran`: it may have
- * run. */
-void sv_request_handle_loss (SvRequest *self, const char *fault, gboolean ran);
+/** Handles a send that gave no usable answer: retries it, or ends the request. */
+void sv_request_handle_loss (SvRequest *self, const char *fault, PolEnd end);
+
+/* not_run.c */
+
+/** Reads the head of an answer on its connection into `reply`, if it is to this request. */
+HtHeadVerdict
+sv_request_read_head (SvRequest *self, const HtExchange *exchange, const HtMessage *answer);
+
+/** Whether any send of it, also one that goes on, may have run or may still run. */
+gboolean sv_request_may_have_run (const SvRequest *self);
 
 /* stream.c */
 
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -115,10 +115,10 @@
 }
 
 static void
-send_own_answer (SvRequest *self, guint status, KnlTime retry_after)
+send_own_answer (SvRequest *self, guint status, const SvRefusal *refusal)
 {
   SvDialect *dialect = self->core->parts.dialect;
-  GString *fields = dialect->klass->write_refusal (dialect, &self->params, retry_after);
+  GString *fields = dialect->klass->write_refusal (dialect, &self->params, refusal);
 
   ht_call_answer (self->call, status, fields->str, NULL, 0);
   g_string_free (fields, TRUE);
@@ -148,32 +148,34 @@
 sv_request_refuse (SvRequest *self, guint status, const char *reason)
 {
   SvOutcome outcome = { .status = status, .reason = reason };
+  SvRefusal refusal = { .retry_after = retry_after_of (self), .is_to_peer = self->is_passed };
 
   note_end (self, &outcome);
-  send_own_answer (self, status, retry_after_of (self));
+  send_own_answer (self, status, &refusal);
   request_free (self);
 }
 
 void
 sv_request_fail (SvRequest *self, guint status, const char *reason)
 {
+  static const SvRefusal no_promise = { 0 };
   SvOutcome outcome = { .status = status, .reason = reason };
 
   note_end (self, &outcome);
   if (ht_call_has_begun (self->call))
     ht_call_abort (self->call);
   else
-    send_own_answer (self, status, 0);
+    send_own_answer (self, status, &no_promise);
   request_free (self);
 }
 
 void
 sv_request_stop (SvRequest *self)
 {
-  if (self->runs == 0 && self->exchange == NULL && self->pass == NULL)
-    sv_request_refuse (self, 503, "stopped");
-  else
+  if (sv_request_may_have_run (self))
     sv_request_fail (self, 504, "stopped");
+  else
+    sv_request_refuse (self, 503, "stopped");
 }
 
 static const char *
--- a/serve/move.c
+++ b/serve/move.c
@@ -66,7 +66,7 @@
           self->placement.first->id, "s", "to", placement.first->id, "i", "gap-us", gap, "i",
           "expected-gap-us", expected_gap (self), "i", "expected-us", placement.expected);
   sv_request_cancel_send (self);
-  sv_request_handle_loss (self, "made-way", TRUE);
+  sv_request_handle_loss (self, "made-way", POL_END_LOST);
 }
 
 static gboolean
--- a/serve/pace_reports.c
+++ b/serve/pace_reports.c
@@ -1,6 +1,7 @@
 #include "serve/pace_reports.h"
 
 #include "common/log.h"
+#include "policy/proof.h"
 #include "serve/pace.h"
 
 /* A prompt is late from this multiple of the expected time on, and by at least MIN_LATENESS:
@@ -153,7 +154,12 @@
 static HtHeadVerdict
 on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
-  return HT_HEAD_ACCEPT;
+  const Call *self = data;
+  SvDialect *dialect = self->reports->parts.dialect;
+  SvReply reply;
+
+  dialect->klass->read_reply (dialect, answer, &reply);
+  return pol_answer_owner (reply.id, NULL, TRUE) == POL_ANSWER_OWN ? HT_HEAD_ACCEPT : HT_HEAD_SKIP;
 }
 
 static void
--- a/serve/pass.c
+++ b/serve/pass.c
@@ -45,10 +45,10 @@
 {
   SvRequest *self = data;
   SvDialect *dialect = self->core->parts.dialect;
+  HtHeadVerdict verdict = sv_request_read_head (self, exchange, answer);
 
-  dialect->klass->read_reply (dialect, answer, &self->reply);
-  if (self->reply.id != NULL && g_strcmp0 (self->reply.id, self->params.id) != 0)
-    return HT_HEAD_SKIP;
+  if (verdict != HT_HEAD_ACCEPT)
+    return verdict;
   self->answer = answer;
   if (sv_request_is_streaming (self))
     self->fields = dialect->klass->write_reply (dialect, answer);
@@ -78,11 +78,13 @@
   ht_call_send (self->call, bytes, length);
 }
 
-/* A peer that is itself full, stopping or cut off has not run the request. */
+/* A peer that is itself full, stopping or cut off has not run the request, and says so. Its status
+ * alone may be that of an endpoint which has. */
 static gboolean
 is_refusal (const SvRequest *self)
 {
-  return self->reply.status == 503 && !self->reply.is_signed;
+  return self->reply.status == 503 && !self->reply.is_signed && self->reply.not_run
+         && self->reply.id != NULL;
 }
 
 static void
@@ -109,7 +111,7 @@
   end_pass (self, ht_failure_name (failure));
   self->last_fault = "peer-lost";
   log_pass (self, "pass-failed", ht_failure_name (failure));
-  if (failure == HT_FAIL_CONNECT)
+  if (!ht_exchange_has_sent (exchange))
     {
       sv_request_send (self);
       return;
--- a/serve/request_quarantine.c
+++ b/serve/request_quarantine.c
@@ -150,8 +150,8 @@
   self->quarantine_timer = 0;
   while ((request = find_quarantined (self, &reason)) != NULL)
     {
+      request->runs += ht_exchange_has_sent (request->exchange);
       sv_request_cancel_send (request);
-      request->runs++;
       sv_request_give_up (request, reason);
     }
 }
--- a/serve/reservation.c
+++ b/serve/reservation.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "policy/proof.h"
 
 /* An order without an answer after this time counts as lost. */
 #define ORDER_TIMEOUT (800 * KNL_MSEC)
@@ -137,6 +138,8 @@
   SvReply reply;
 
   parts->dialect->klass->read_reply (parts->dialect, answer, &reply);
+  if (pol_answer_owner (reply.id, NULL, TRUE) != POL_ANSWER_OWN)
+    return HT_HEAD_SKIP;
   sv_reply_note_signals (&reply, self->endpoint, knl_kernel_now (parts->kernel));
   return HT_HEAD_ACCEPT;
 }
--- a/serve/send.c
+++ b/serve/send.c
@@ -101,7 +101,7 @@
   sv_request_note_crash (self, "silent", FALSE);
   sv_reach_note_failure (sv_request_reach (self), self->placement.first);
   sv_request_cancel_send (self);
-  sv_request_handle_loss (self, "silent", TRUE);
+  sv_request_handle_loss (self, "silent", POL_END_LOST);
 }
 
 static guint64
@@ -356,7 +356,7 @@
     }
   self->reservation = NULL;
   knl_timer_stop (self->core->parts.kernel, &self->hold_timer);
-  sv_request_handle_loss (self, "no-memory", FALSE);
+  sv_request_handle_loss (self, "no-memory", POL_END_UNSENT);
 }
 
 /*
@@ -368,13 +368,14 @@
 on_hold_due (gpointer data)
 {
   SvRequest *self = data;
-  gboolean was_sent = self->exchange != NULL;
+  PolEnd end =
+      pol_end_of_withdrawn (self->exchange != NULL && ht_exchange_has_sent (self->exchange));
 
   self->hold_timer = 0;
   if (self->first_sent_at > 0)
     return;
   sv_request_cancel_send (self);
-  sv_request_handle_loss (self, "memory-unused", was_sent);
+  sv_request_handle_loss (self, "memory-unused", end);
 }
 
 static void
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -87,7 +87,7 @@
 {
   sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
   sv_request_cancel_send (self);
-  sv_request_handle_loss (self, "no-events", TRUE);
+  sv_request_handle_loss (self, "no-events", POL_END_LOST);
 }
 
 void
--- a/tests/unit/pol_test.c
+++ b/tests/unit/pol_test.c
@@ -6,6 +6,7 @@
 #include "policy/health.h"
 #include "policy/limit.h"
 #include "policy/plain.h"
+#include "policy/proof.h"
 #include "policy/retry.h"
 #include "policy/suspects.h"
 #include "suite.h"
@@ -324,6 +325,53 @@
     }
 }
 
+/* Guards against an end of a send that counts as not run without proof. */
+static void
+test_what_ends_prove (void)
+{
+  static const struct
+  {
+    PolEnd end;
+    PolLoss loss;
+    gboolean may_have_run;
+  } rows[] = {
+    { POL_END_UNSENT, POL_LOSS_NOT_RUN, FALSE },
+    { POL_END_PROMISED, POL_LOSS_NOT_RUN, FALSE },
+    { POL_END_FAILED, POL_LOSS_FAILED, TRUE },
+    { POL_END_LOST, POL_LOSS_UNKNOWN, TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      CU_ASSERT_EQUAL (pol_end_loss (rows[i].end), rows[i].loss);
+      CU_ASSERT_EQUAL (pol_end_may_have_run (rows[i].end), rows[i].may_have_run);
+    }
+  CU_ASSERT_EQUAL (pol_end_of_withdrawn (TRUE), POL_END_LOST);
+  CU_ASSERT_EQUAL (pol_end_of_withdrawn (FALSE), POL_END_UNSENT);
+}
+
+/* Guards against an answer that is taken for this request's and may be to another one. */
+static void
+test_whose_answer_it_is (void)
+{
+  static const struct
+  {
+    const char *named;
+    const char *request;
+    gboolean is_first;
+    PolAnswerOwner owner;
+  } rows[] = {
+    { "a", "a", TRUE, POL_ANSWER_OWN },    { "a", "a", FALSE, POL_ANSWER_OWN },
+    { "b", "a", TRUE, POL_ANSWER_OTHER },  { "", "a", TRUE, POL_ANSWER_OTHER },
+    { NULL, "a", TRUE, POL_ANSWER_OWN },   { NULL, "a", FALSE, POL_ANSWER_UNNAMED },
+    { "a", NULL, TRUE, POL_ANSWER_OTHER }, { NULL, NULL, TRUE, POL_ANSWER_OWN },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    CU_ASSERT_EQUAL (pol_answer_owner (rows[i].named, rows[i].request, rows[i].is_first),
+                     rows[i].owner);
+}
+
 static const SuiteCase cases[] = {
   { "the retry budget is shared", test_budget_is_shared },
   { "the budget is not spent twice by a restart", test_budget_is_not_spent_twice_by_a_restart },
@@ -335,6 +383,8 @@
   { "the choice among plain endpoints", test_plain_choice },
   { "limits of endpoints", test_limits },
   { "the newest advertised limit", test_newest_advertised_limit },
+  { "what ends prove", test_what_ends_prove },
+  { "whose answer it is", test_whose_answer_it_is },
 };
 
 SUITE_MAIN ("pol", cases)
--- a/tests/unit/sv_not_run_test.c
+++ b/tests/unit/sv_not_run_test.c
@@ -122,7 +122,8 @@
   wait_for_answer (&fixture);
   sent = scripted_endpoint_n_requests (fixture.endpoints[1]);
   if (strstr (fixture.received->str, row->wanted) == NULL || sent != row->elsewhere)
-    fprintf (stderr, "%s, %s: %u sent elsewhere, got %s\n", path, row->name, sent, fixture.received->str);
+    fprintf (stderr, "%s, %s: %u sent elsewhere, got %s\n", path, row->name, sent,
+             fixture.received->str);
   CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, row->wanted));
   CU_ASSERT_PTR_NULL (strstr (fixture.received->str, "foreign"));
   CU_ASSERT_EQUAL (sent, row->elsewhere);
@@ -147,15 +148,24 @@
     check_end (&on_new_connections[i], "/once-of-two/1", FALSE);
 }
 
-/* Guards against another caller's answer, and against a second send while the first is answered. */
+/* Guards against another caller's answer, against a request that waits in vain for an answer after
+ * the promise, and against one that is sent again although its answer is to come. */
 static void
-test_unnamed_answers_are_skipped_for_idempotent_requests (void)
+test_unnamed_answers_to_idempotent_requests (void)
 {
-  for (guint i = 0; i < G_N_ELEMENTS (on_kept_connections); i++)
-    {
-      if (strcmp (on_kept_connections[i].wanted, "good") == 0)
-        check_end (&on_kept_connections[i], "/again/1", TRUE);
-    }
+  static const Row rows[] = {
+    { "unnamed 503 with the promise", { UNAVAILABLE PROMISE EMPTY }, "elsewhere", 1 },
+    { "unnamed 421", { MISDIRECTED EMPTY }, "elsewhere", 1 },
+    { "unnamed 429 with the promise", { TOO_MANY PROMISE EMPTY GOOD }, "elsewhere", 1 },
+    { "unnamed 400 with the promise", { BAD_REQUEST PROMISE EMPTY }, "elsewhere", 1 },
+    { "unnamed 503 without the promise", { UNAVAILABLE EMPTY GOOD }, "good", 0 },
+    { "unnamed 500", { "HTTP/1.1 500 E\r\n" EMPTY GOOD }, "good", 0 },
+    { "unnamed 200", { FOREIGN GOOD }, "good", 0 },
+    { "own 503 with the promise", { UNAVAILABLE OWN PROMISE EMPTY }, "elsewhere", 1 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    check_end (&rows[i], "/again/1", TRUE);
 }
 
 /* Guards against an endpoint that is left, or limited, on the word of an answer that may be to
@@ -186,14 +196,68 @@
   sv_fixture_close (&fixture);
 }
 
+static HtHeadVerdict
+on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
+{
+  return HT_HEAD_ACCEPT;
+}
+
+static void
+on_done (HtExchange *exchange, HtMessage *answer, gpointer data)
+{
+  *(gboolean *)data = TRUE;
+}
+
+static void
+on_failed (HtExchange *exchange, HtFailure failure, gpointer data)
+{
+  *(gboolean *)data = TRUE;
+}
+
+/* Guards against a request that counts as unsent, or as withdrawn before it left, and reaches its
+ * endpoint. */
+static void
+test_what_counts_as_unsent_never_leaves (void)
+{
+  static const ScriptedAnswer script[] = { { GOOD, FALSE }, { NULL, FALSE } };
+  static const HtExchangeEvents events = { .head = on_head, .done = on_done, .failed = on_failed };
+  HtExchangeRequest request = { .head = "GET / HTTP/1.1\r\nX-Attempt-Id: a\r\n",
+                                .connect_timeout = KNL_SEC,
+                                .max_idle = KNL_SEC };
+  gboolean ended = FALSE;
+  HtExchange *exchange;
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_add_endpoint (&fixture, script, 2);
+  request.address = scripted_endpoint_address (fixture.endpoints[0]);
+  exchange = ht_client_send (fixture.client, &request, &events, &ended);
+  CU_ASSERT_FALSE (ht_exchange_has_sent (exchange));
+  ht_exchange_cancel (exchange);
+  for (guint i = 0; i < 10; i++)
+    event_base_loop (fixture.base, EVLOOP_NONBLOCK);
+  CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[0]), 0);
+  ht_client_send (fixture.client, &request, &events, &ended);
+  while (!ended)
+    event_base_loop (fixture.base, EVLOOP_ONCE);
+  /* The same on a connection that has sent a request before. */
+  exchange = ht_client_send (fixture.client, &request, &events, &ended);
+  CU_ASSERT_TRUE (ht_exchange_is_reused (exchange));
+  CU_ASSERT_FALSE (ht_exchange_has_sent (exchange));
+  sv_fixture_wait_requests (&fixture, 0, 2);
+  CU_ASSERT_TRUE (ht_exchange_has_sent (exchange));
+  ht_exchange_cancel (exchange);
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "unnamed answers prove nothing on kept connections",
     test_unnamed_answers_prove_nothing_on_kept_connections },
   { "ends on new connections", test_ends_on_new_connections },
-  { "unnamed answers are skipped for idempotent requests",
-    test_unnamed_answers_are_skipped_for_idempotent_requests },
+  { "unnamed answers to idempotent requests", test_unnamed_answers_to_idempotent_requests },
   { "unnamed answers tell nothing of the endpoint",
     test_unnamed_answers_tell_nothing_of_the_endpoint },
+  { "what counts as unsent never leaves", test_what_counts_as_unsent_never_leaves },
 };
 
 SUITE_MAIN ("sv_not_run", cases)
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -170,6 +170,69 @@
     }
 }
 
+/* Guards against a request that a second peer runs once more, because what an endpoint said after
+ * it had run was taken for the first peer's refusal. */
+static void
+test_only_refusals_of_a_peer_are_passed_on (void)
+{
+  static const struct
+  {
+    ScriptedAnswer answer;
+    guint passed_on;
+  } rows[] = {
+    { { "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %ID\r\nX-Not-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n",
+        FALSE },
+      1 },
+    { { "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %ID\r\nContent-Length: 0\r\n\r\n",
+        FALSE },
+      0 },
+    { { "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", FALSE },
+      0 },
+    { { "HTTP/1.1 503 Service Unavailable\r\n" SIGNED "Content-Length: 0\r\n\r\n", FALSE }, 0 },
+    { { NULL, TRUE }, 0 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      ScriptedEndpoint *second;
+      Fixture fixture;
+
+      fixture_open (&fixture, &rows[i].answer, 1);
+      second = scripted_endpoint_new (fixture.core.base, &good, 1);
+      lose_links (&fixture);
+      sv_fixture_request (&fixture.core, "/once/1");
+      while (scripted_endpoint_n_requests (fixture.peer) == 0)
+        event_base_loop (fixture.core.base, EVLOOP_ONCE);
+      sv_fixture_set_peer (scripted_endpoint_address (second));
+      advance (&fixture, 200 * KNL_MSEC);
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 1);
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (second), rows[i].passed_on);
+      CU_ASSERT_EQUAL (strstr (fixture.core.received->str, "good") != NULL, rows[i].passed_on > 0);
+      scripted_endpoint_free (second);
+      fixture_close (&fixture);
+    }
+}
+
+/* Guards against a peer that can't tell this instance's refusal from an endpoint's status. */
+static void
+test_refusals_to_a_peer_say_that_nothing_ran (void)
+{
+  SvFixture fixture;
+
+  for (guint passed = 0; passed < 2; passed++)
+    {
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      fixture.is_passed = passed;
+      sv_fixture_request (&fixture, "/once/1");
+      sv_fixture_wait_for (&fixture, "\r\n\r\n");
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 503"));
+      CU_ASSERT_EQUAL (strstr (fixture.received->str, "X-Not-Run: 1") != NULL, passed);
+      sv_fixture_close (&fixture);
+    }
+}
+
 /* Guards against work for callers that have left: the peer is told by the end of its connection. */
 static void
 test_disconnected_callers_are_cancelled_at_the_peer (void)
@@ -271,6 +334,8 @@
   { "callers are served through a peer", test_callers_are_served_through_a_peer },
   { "requests are passed on unchanged", test_requests_are_passed_on_unchanged },
   { "answers of a peer", test_answers_of_a_peer },
+  { "only refusals of a peer are passed on", test_only_refusals_of_a_peer_are_passed_on },
+  { "refusals to a peer say that nothing ran", test_refusals_to_a_peer_say_that_nothing_ran },
   { "disconnected callers are cancelled at the peer",
     test_disconnected_callers_are_cancelled_at_the_peer },
   { "links are regained", test_links_are_regained },
