serve: an endpoint's 503 without a promise isn't one to callers (REFUSED)

What callers saw: of requests that may run once, some that had run were answered 503, 429 or 408, which callers take for not run and repeat.

Cause: an endpoint's own status was forwarded as it is. A failure of our own bears no signature, so that no endpoint is credited with another status than it gave.

Change: for requests that may run once, 408, 421, 429 and 503 of an endpoint that hasn't promised are answered 502. Idempotent requests get the endpoint's status unchanged, as before.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -214,7 +214,7 @@
 sv_request_give_up (SvRequest *self, const char *reason)
 {
   if (self->failure != NULL && !ht_call_has_begun (self->call))
-    sv_request_forward (self, self->failure);
+    sv_request_forward_endpoint (self, self->failure);
   else if (self->runs > 0)
     sv_request_fail (self, 502, reason);
   else
@@ -391,7 +391,7 @@
   if (ht_call_has_begun (self->call))
     sv_request_fail (self, 502, "stream-not-resumed");
   else
-    sv_request_forward (self, answer);
+    sv_request_forward_endpoint (self, answer);
 }
 
 static void
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -247,6 +247,10 @@
 HtHeadVerdict
 sv_request_read_head (SvRequest *self, const HtExchange *exchange, const HtMessage *answer);
 
+/** Forwards an endpoint's own answer. If its status would promise callers that the request has not
+ * run, which the endpoint hasn't promised, and it must not run twice, they get an error instead. */
+void sv_request_forward_endpoint (SvRequest *self, const HtMessage *answer);
+
 /** Whether any send of it, also one that goes on, may have run or may still run. */
 gboolean sv_request_may_have_run (const SvRequest *self);
 
--- a/serve/not_run.c
+++ b/serve/not_run.c
@@ -34,6 +34,15 @@
   return self->is_doubtful ? HT_HEAD_REFUSE : HT_HEAD_SKIP;
 }
 
+void
+sv_request_forward_endpoint (SvRequest *self, const HtMessage *answer)
+{
+  if (sv_route_is_idempotent (self->route) || !pol_status_promises_not_run (answer->status))
+    sv_request_forward (self, answer);
+  else
+    sv_request_fail (self, 502, "endpoint-failed");
+}
+
 gboolean
 sv_request_may_have_run (const SvRequest *self)
 {
--- a/serve/pass.c
+++ b/serve/pass.c
@@ -87,6 +87,15 @@
          && self->reply.id != NULL;
 }
 
+static void
+forward (SvRequest *self, const HtMessage *answer)
+{
+  if (self->reply.is_signed)
+    sv_request_forward_endpoint (self, answer);
+  else
+    sv_request_forward (self, answer);
+}
+
 static void
 on_done (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
@@ -100,7 +109,7 @@
       sv_request_complete_stream (self);
     }
   else if (!is_refusal (self) || !sv_request_pass (self))
-    sv_request_forward (self, answer);
+    forward (self, answer);
 }
 
 static void
