--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -74,7 +74,8 @@
 log_entry (const SvQuarantine *self,
            const char *event,
            const SvQuarantined *quarantined,
-           guint n_weighed)
+           guint n_weighed,
+           const char *told_by)
 {
   KnlTime now = knl_kernel_now (self->kernel);
   g_autofree char *id = sv_quarantined_format (quarantined);
@@ -84,7 +85,8 @@
   cm_log (CM_LOG_WARNING, event, "s", sv_quarantined_field (quarantined), id, "s", "endpoints",
           endpoints, "s", "fingerprints", requests, "i", "losses-weighed", (gint64)n_weighed, "i",
           "first-loss-us", now - quarantined->losses[0].lost_at, "i", "age-us",
-          now - quarantined->since, "i", "quarantined", (gint64)g_hash_table_size (self->entries));
+          now - quarantined->since, "i", "tests", (gint64)quarantined->tests, "s", "told-by",
+          told_by, "i", "quarantined", (gint64)g_hash_table_size (self->entries));
 }
 
 static void
@@ -138,7 +140,7 @@
     log_entry (self,
                key->service == SV_QUARANTINE_REQUESTS ? "fingerprint-quarantined"
                                                       : "segment-quarantined",
-               &quarantined, n);
+               &quarantined, n, NULL);
 }
 
 void
@@ -147,7 +149,8 @@
   g_autofree char *id = sv_quarantined_format (&entry->told);
 
   cm_log (CM_LOG_WARNING, "quarantine-ended", "s", sv_quarantined_field (&entry->told), id, "s",
-          "reason", reason, "i", "age-us", knl_kernel_now (self->kernel) - entry->told.since);
+          "reason", reason, "i", "age-us", knl_kernel_now (self->kernel) - entry->told.since, "i",
+          "tests", (gint64)entry->told.tests, "i", "losses", (gint64)entry->told.n_losses);
   g_hash_table_remove (self->entries, &entry->key);
   note_changed (self);
 }
@@ -297,6 +300,13 @@
   return TRUE;
 }
 
+/* Who has told of an adopted quarantine, for the log. */
+static const char *const tellers[] = {
+  [SV_CRASH_OWN] = "row",
+  [SV_CRASH_OF_CELL] = "peer",
+  [SV_CRASH_OF_OTHER_CELL] = "other-cell",
+};
+
 gboolean
 sv_quarantine_adopt (SvQuarantine *self, const SvQuarantined *quarantined, SvCrashOrigin origin)
 {
@@ -321,7 +331,7 @@
     }
   if (add_entry (self, quarantined, origin) == NULL)
     return FALSE;
-  log_entry (self, "quarantine-adopted", quarantined, quarantined->n_losses);
+  log_entry (self, "quarantine-adopted", quarantined, quarantined->n_losses, tellers[origin]);
   return TRUE;
 }
 
