--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -66,6 +66,8 @@
   guint64 cell_row_version; /* its version; 0: there is none */
   gboolean is_cell_unread;  /* the last read or write of the row failed, and is to be repeated */
   guint n_quarantined;      /* when the cell's row was last reviewed for it */
+  PlCall *claim_call;       /* counts a test of a quarantine; NULL: none is asked for */
+  PlTestCount claim;        /* that test */
   gboolean is_member;       /* the cell is found, or this instance is its first one */
   KnlTime join_started_at;
   KnlTime join_sent_at;    /* last request to be introduced */
@@ -197,6 +199,12 @@
 /** Adds this instance's quarantined segments to a new row of the cell. */
 void gateway_encode_quarantined (const Gateway *self, json_t *row);
 
+/* quarantine_tests.c */
+
+/** From now on tests of quarantines are counted in the store before they are made. */
+void gateway_start_quarantine_tests (Gateway *self);
+void gateway_stop_quarantine_tests (Gateway *self);
+
 /* era.c */
 
 void gateway_add_era_metric (Gateway *self);
--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -112,6 +112,7 @@
   sv_peers_set_crashes (self->peers, sv_core_crashes (self->core));
   sv_peers_set_quarantine (self->peers, sv_core_quarantine (self->core));
   sv_peers_set_offered (self->peers, sv_core_offered (self->core));
+  gateway_start_quarantine_tests (self);
   sv_fleet_on_replaced (self->fleet, on_endpoint_replaced, self);
 }
 
@@ -143,6 +144,7 @@
   gateway_stop_watching_era (self);
   gateway_stop_following (self);
   gateway_stop_membership (self);
+  gateway_stop_quarantine_tests (self);
   if (self->peers != NULL)
     {
       sv_peers_set_crashes (self->peers, NULL);
--- a/include/platform/answer.h
+++ b/include/platform/answer.h
@@ -24,6 +24,7 @@
 {
   GPtrArray *rows;     /**< PlAnswerRow; rows without a key are left out */
   guint64 version;     /**< the table's version that the answer covers; 0: not given */
+  gint64 now_ms;       /**< the store's steady clock when it answered; 0: not given */
   gboolean more_pages; /**< the list continues after the last row */
 };
 
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -48,6 +48,25 @@
  * Returns their number; times are left 0. */
 guint pl_decode_quarantined (json_t *row, SvQuarantined *quarantined, guint max);
 
+/** Row with the tests of quarantines that all instances have made. */
+#define PL_TEST_TABLE "quarantine-tests"
+#define PL_TEST_KEY   "counts"
+
+/** Tests of a quarantined segment or request. */
+typedef struct
+{
+  guint32 service; /**< as in SvQuarantined */
+  guint64 segment;
+  guint tests;
+  gint64 first_ms; /**< when the first was counted, on the store's clock */
+} PlTestCount;
+
+/** Value of that row. */
+json_t *pl_encode_tests (const PlTestCount *counts, guint n);
+
+/** Reads at most `max` counts; those without all fields are left out. Returns their number. */
+guint pl_decode_tests (json_t *row, PlTestCount *counts, guint max);
+
 /** Reads the row of an instance of an earlier release: its datagram address, zone, incarnation and
  * strength. Returns FALSE if the address or the zone is missing. The strings are borrowed from
  * `value`. */
--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -13,7 +13,7 @@
  * The quarantine is one for all instances: the first to decide tells the others, with the losses
  * that show it. It stands for as long as nobody has heard from these endpoints. It ends with the
  * first answer that an endpoint survives; to find out, a few prompts are let through, each at the
- * one instance that is elected for it.
+ * one instance that is elected for it, once it is counted where all instances count.
  *
  * Segments are kept by service, since another service's engines may run other software.
  *
@@ -31,6 +31,10 @@
 /** A quarantine ends after this time, as the engines may have been replaced by then. */
 #define SV_QUARANTINE_TTL (21600 * KNL_SEC)
 
+/** Prompts that all instances together let through at most to find out about a segment or request
+ * within SV_QUARANTINE_TTL, however often its quarantine ends and begins again. */
+#define SV_MAX_TESTS 2
+
 /** Segments and requests that are quarantined at most. Each has crashed several endpoints, so that
  * there are few. */
 #define SV_MAX_QUARANTINED 64
@@ -89,6 +93,25 @@
 /** Whether this instance is the one that is elected of all. TRUE also if there is no election. */
 gboolean sv_quarantine_is_elected (const SvQuarantine *quarantine, guint64 seed);
 
+/** Asks for the right to let one prompt through. It must be counted where all instances count, as
+ * this one may hear no others, and may end before it has told of the test. The answer is given to
+ * sv_quarantine_note_claim(), later or never. `tests`: those that this instance knows of. */
+typedef void (*SvClaimFunc) (guint32 service, guint64 segment, guint tests, gpointer data);
+
+/** Sets who counts tests; NULL: nobody, each instance counts those that it is told of. */
+void sv_quarantine_set_claims (SvQuarantine *quarantine, SvClaimFunc claim, gpointer data);
+
+/** `tests`: those that have been counted, the one that is granted included. */
+void sv_quarantine_note_claim (SvQuarantine *quarantine,
+                               guint32 service,
+                               guint64 segment,
+                               guint tests,
+                               gboolean is_granted);
+
+/** Takes the right to let a prompt through, or asks for it. FALSE: it isn't there. */
+gboolean
+sv_quarantine_take_test (SvQuarantine *quarantine, guint32 service, guint64 segment, guint tests);
+
 /** Hash of a service's name, as in SvSegmentUse. */
 guint32 sv_quarantine_service (const char *name);
 
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -311,6 +311,10 @@
   if (since < 2 * LOSS_TTL && self->quarantine != NULL
       && !sv_quarantine_is_elected (self->quarantine, record->fingerprint))
     return FALSE;
+  if (self->quarantine != NULL
+      && !sv_quarantine_take_test (self->quarantine, SV_QUARANTINE_REQUESTS, record->fingerprint,
+                                   0))
+    return FALSE;
   record->tested_at = now;
   id = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", record->fingerprint);
   cm_log (CM_LOG_NOTICE, "crashes-tested", "s", "fingerprint", id, "i", "crashes",
--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -36,6 +36,7 @@
   self->suspects = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
   self->entries = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
   self->ends = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, sv_endpoint_end_free);
+  self->claims = g_hash_table_new_full (hash_key, equal_keys, NULL, g_free);
   self->begun = g_queue_new ();
   for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
     {
@@ -53,6 +54,7 @@
   g_hash_table_unref (self->suspects);
   g_hash_table_unref (self->entries);
   g_hash_table_unref (self->ends);
+  g_hash_table_unref (self->claims);
   g_queue_free_full (self->begun, g_free);
   for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
     {
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -1,21 +1,8 @@
-/** Quarantined segments and requests: how long each stays so, and what is let through to find out.
- */
-
-#include <xxhash.h>
+/** Quarantined segments and requests, and how long each stays so. */
 
 #include "common/log.h"
 #include "serve/quarantine_internal.h"
 
-/* Age at which a quarantine is put to the test for the first time; then when its age has doubled,
- * MAX_TESTS times by all instances together. A wrong quarantine ends soon, and a right one costs no
- * more endpoints than that. */
-#define FIRST_TEST_AGE (30 * KNL_SEC)
-
-#define MAX_TESTS 2
-
-/* Time for which one instance is elected to make the next test. */
-#define ELECTION_TERM (60 * KNL_SEC)
-
 Entry *
 sv_quarantine_find_entry (const SvQuarantine *self, const SegmentKey *key)
 {
@@ -96,8 +83,8 @@
     self->on_changed (self->on_changed_data);
 }
 
-static void
-mark_unsent (Entry *entry, SvCrashOrigin origin)
+void
+sv_quarantine_mark_unsent (Entry *entry, SvCrashOrigin origin)
 {
   for (guint i = 0; i < SV_CRASHES_N_AUDIENCES; i++)
     entry->unsent[i] |= sv_quarantine_is_for (i, origin);
@@ -116,7 +103,7 @@
   entry = g_new0 (Entry, 1);
   entry->key = (SegmentKey){ quarantined->segment, quarantined->service };
   entry->told = *quarantined;
-  mark_unsent (entry, origin);
+  sv_quarantine_mark_unsent (entry, origin);
   g_hash_table_replace (self->entries, &entry->key, entry);
   note_changed (self);
   return entry;
@@ -296,7 +283,7 @@
   if (quarantined->tests <= entry->told.tests)
     return FALSE;
   entry->told.tests = quarantined->tests;
-  mark_unsent (entry, origin);
+  sv_quarantine_mark_unsent (entry, origin);
   return TRUE;
 }
 
@@ -335,46 +322,6 @@
   return TRUE;
 }
 
-/* Number of tests that are due at the quarantine's age. */
-static guint
-count_due_tests (const SvQuarantine *self, const Entry *entry)
-{
-  KnlTime age = knl_kernel_now (self->kernel) - entry->told.since;
-  guint n = 0;
-
-  for (KnlTime due = FIRST_TEST_AGE; due <= age && n < MAX_TESTS; due *= 2)
-    n++;
-  return n;
-}
-
-/* The instance that is elected may get no such prompt; another one is in the next term. */
-static gboolean
-is_elected (const SvQuarantine *self, const Entry *entry)
-{
-  KnlTime age = knl_kernel_now (self->kernel) - entry->told.since;
-  guint64 parts[] = { entry->key.segment, entry->key.service, entry->told.tests,
-                      (guint64)(age / ELECTION_TERM) };
-
-  return self->is_elected != NULL
-         && self->is_elected (XXH64 (parts, sizeof parts, 0), self->election_data);
-}
-
-static gboolean
-is_let_through (const SvQuarantine *self, Entry *entry)
-{
-  g_autofree char *id = NULL;
-
-  if (entry->told.tests >= count_due_tests (self, entry) || !is_elected (self, entry))
-    return FALSE;
-  entry->told.tests++;
-  mark_unsent (entry, SV_CRASH_OWN);
-  id = sv_quarantined_format (&entry->told);
-  cm_log (CM_LOG_NOTICE, "quarantine-tested", "s", sv_quarantined_field (&entry->told), id, "i",
-          "test", (gint64)entry->told.tests, "i", "age-us",
-          knl_kernel_now (self->kernel) - entry->told.since);
-  return TRUE;
-}
-
 const SvQuarantined *
 sv_quarantine_check (SvQuarantine *self,
                      guint32 service,
@@ -390,7 +337,7 @@
       entry = sv_quarantine_find_entry (self, &key);
       if (entry == NULL || end_reason (self, entry) != NULL)
         continue;
-      if (!is_let_through (self, entry))
+      if (!sv_quarantine_is_let_through (self, entry))
         return &entry->told;
       *is_test = TRUE;
     }
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -60,8 +60,11 @@
   GHashTable *suspects; /* SegmentKey -> Suspect */
   KnlTime swept_at;     /* when suspects were last dropped to make room */
   GHashTable *entries;  /* SegmentKey -> Entry */
-  GHashTable *ends;     /* key of an endpoint -> EndpointEnd */
-  GQueue *begun;        /* SvSegmentUse, the oldest first: answers that have begun, at `at` */
+  SvClaimFunc claim;    /* NULL: tests are counted here alone */
+  gpointer claim_data;
+  GHashTable *claims; /* SegmentKey -> Claim, of quarantine_tests.c */
+  GHashTable *ends;   /* key of an endpoint -> EndpointEnd */
+  GQueue *begun;      /* SvSegmentUse, the oldest first: answers that have begun, at `at` */
   GQueue *losses[SV_CRASHES_N_AUDIENCES];    /* SvSegmentUse, to be sent */
   GQueue *survivals[SV_CRASHES_N_AUDIENCES]; /* SvSegmentSurvival, to be sent */
 };
@@ -126,6 +129,14 @@
 /** Ends those that are too old, or that the endpoints have contradicted. */
 void sv_quarantine_review (SvQuarantine *self);
 
+/** Has the entry told to others again, as `origin` has changed it. */
+void sv_quarantine_mark_unsent (Entry *entry, SvCrashOrigin origin);
+
+/* quarantine_tests.c */
+
+/** Whether a prompt of the entry is let through to find out about it. */
+gboolean sv_quarantine_is_let_through (SvQuarantine *self, Entry *entry);
+
 /* quarantine_news.c */
 
 void sv_quarantine_queue_loss (SvQuarantine *self, const SvSegmentUse *use, SvCrashOrigin origin);
--- a/tests/fakes/row_store.c
+++ b/tests/fakes/row_store.c
@@ -104,8 +104,9 @@
 static void
 answer (RowStore *self, HtCall *call, json_t *rows, gboolean more)
 {
-  json_t *body = json_pack ("{s:o, s:b, s:I}", "rows", rows, "morePages", more, "ver",
-                            (json_int_t)self->version);
+  json_t *body = json_pack ("{s:o, s:b, s:I, s:I}", "rows", rows, "morePages", more, "ver",
+                            (json_int_t)self->version, "nowMs",
+                            (json_int_t)(knl_kernel_now (self->kernel) / KNL_MSEC));
   char *text = json_dumps (body, JSON_COMPACT);
 
   answer_text (self, call, 200, text);
--- a/tests/fuzz/targets.c
+++ b/tests/fuzz/targets.c
@@ -127,6 +127,8 @@
   json_t *value = read_json (bytes, length);
   SvEndpointEntry entry;
   SvMember members[2];
+  SvQuarantined quarantined[2];
+  PlTestCount counts[2];
 
   if (pl_decode_endpoint ("i-1", value, &entry))
     sv_fleet_update (fleet, &entry);
@@ -134,6 +136,8 @@
     sv_fleet_remove (fleet, "i-1");
   pl_decode_member (value, &members[0]);
   pl_decode_contacts (value, members, G_N_ELEMENTS (members));
+  pl_decode_quarantined (value, quarantined, G_N_ELEMENTS (quarantined));
+  pl_decode_tests (value, counts, G_N_ELEMENTS (counts));
   json_decref (value);
 }
 
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -622,6 +622,43 @@
     }
 }
 
+/* Guards against a count of tests that is read as another, or that another writer's bytes become
+ * one.
+ */
+static void
+test_counts_of_tests (void)
+{
+  static const PlTestCount written[] = { { 7, G_MAXUINT64, 2, 5 },
+                                         { G_MAXUINT32, 1, 0, G_MAXINT64 } };
+  static const char *const unreadable[] = {
+    "{}",
+    "{\"counts\":7}",
+    "{\"counts\":[7,[],{}]}",
+    "{\"counts\":[{\"segment\":\"x\",\"service\":\"1\",\"tests\":1,\"firstMs\":1}]}",
+    "{\"counts\":[{\"segment\":\"1\",\"service\":\"1\",\"tests\":\"1\",\"firstMs\":1}]}",
+    "{\"counts\":[{\"segment\":\"1\",\"service\":\"1\",\"tests\":1}]}",
+  };
+  json_t *row = pl_encode_tests (written, G_N_ELEMENTS (written));
+  PlTestCount read[4];
+
+  CU_ASSERT_EQUAL (pl_decode_tests (row, read, G_N_ELEMENTS (read)), G_N_ELEMENTS (written));
+  for (guint i = 0; i < G_N_ELEMENTS (written); i++)
+    {
+      CU_ASSERT_EQUAL (read[i].service, written[i].service);
+      CU_ASSERT_EQUAL (read[i].segment, written[i].segment);
+      CU_ASSERT_EQUAL (read[i].tests, written[i].tests);
+      CU_ASSERT_EQUAL (read[i].first_ms, written[i].first_ms);
+    }
+  CU_ASSERT_EQUAL (pl_decode_tests (row, read, 1), 1);
+  json_decref (row);
+  for (guint i = 0; i < G_N_ELEMENTS (unreadable); i++)
+    {
+      row = json_loads (unreadable[i], 0, NULL);
+      CU_ASSERT_EQUAL (pl_decode_tests (row, read, G_N_ELEMENTS (read)), 0);
+      json_decref (row);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "keys of evacuated zones", test_evacuation_keys },
   { "a configuration in pieces", test_config_in_pieces },
@@ -639,6 +676,7 @@
   { "limits advertised in answers", test_limits },
   { "the signal that an endpoint leaves", test_leaving_signal },
   { "delays in Retry-After", test_retry_after_delays },
+  { "counts of tests", test_counts_of_tests },
 };
 
 SUITE_MAIN ("pl_decode", cases)
