--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -70,7 +70,8 @@
   PlTestCount claim;        /* that test */
   gboolean is_member;       /* the cell is found, or this instance is its first one */
   KnlTime join_started_at;
-  KnlTime join_sent_at;    /* last request to be introduced */
+  KnlTime join_sent_at;        /* last request to be introduced */
+  KnlTime contacts_written_at; /* last write of the cell's row; 0: none */
   KnlTime cells_read_at;   /* last read of the rows of all cells, as relay; 0: none as this relay */
   guint64 era;             /* newest era seen of the store; 0: none */
   CmSeries *era_series;    /* counts eras after the first */
@@ -186,8 +187,9 @@
 
 /* quarantine.c */
 
-/** Adopts the quarantined segments in the cell's row. */
-void gateway_adopt_quarantined (Gateway *self);
+/** Adopts the quarantined segments in a cell's row; `is_start`: also those whose time isn't known.
+ */
+void gateway_adopt_quarantined (Gateway *self, json_t *row, gboolean is_start);
 
 /** Has the cell's row written if the quarantined segments have changed: what isn't written is lost
  * in a restart of all instances. */
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -37,6 +37,10 @@
 #define REVIEW_INTERVAL (1 * KNL_SEC)
 #define CELLS_INTERVAL  (20 * KNL_SEC)
 
+/* The latter while this instance hears too few others, which can tell it of their verdicts only
+ * through the store. */
+#define PARTED_CELLS_INTERVAL (1 * KNL_SEC)
+
 static void read_cell (gpointer data);
 static void read_cells (Gateway *self);
 static void review (gpointer data);
@@ -188,14 +192,23 @@
     }
 }
 
-static void
-write_contacts (Gateway *self)
+/* Who stands in for the relay leaves its contacts as they are. */
+static json_t *
+new_row (const Gateway *self)
 {
   SvMember contacts[MAX_CONTACTS];
-  guint n = sv_peers_contacts (self->peers, contacts, MAX_CONTACTS);
 
-  json_t *row = pl_encode_contacts (contacts, n);
+  if (self->cell_row != NULL && self->is_member && !sv_peers_is_relay (self->peers))
+    return json_deep_copy (self->cell_row);
+  return pl_encode_contacts (contacts, sv_peers_contacts (self->peers, contacts, MAX_CONTACTS));
+}
+
+static void
+write_contacts (Gateway *self)
+{
+  json_t *row = new_row (self);
 
+  self->contacts_written_at = knl_kernel_now (self->process.kernel);
   gateway_encode_quarantined (self, row);
   self->member_call = pl_store_put (self->store, PL_CELL_TABLE, self->member.zone, row,
                                     self->cell_row_version, on_written, self);
@@ -292,7 +305,7 @@
       is_found |= keep_cell_row (self, &row);
       json_decref (row.value);
     }
-  gateway_adopt_quarantined (self);
+  gateway_adopt_quarantined (self, self->cell_row, TRUE);
   if (is_found)
     join (self);
   else
@@ -358,6 +371,18 @@
     sv_peers_discover (self->peers, &contacts[i]);
 }
 
+/* Instances of a cell that don't hear each other would replace each other's contacts in turn. */
+static gboolean
+may_replace_contacts (const Gateway *self)
+{
+  KnlTime now = knl_kernel_now (self->process.kernel);
+
+  if (!sv_peers_is_relay (self->peers) || !is_outdated (self))
+    return FALSE;
+  return !sv_peers_is_parted (self->peers) || self->contacts_written_at == 0
+         || now - self->contacts_written_at >= CELLS_INTERVAL;
+}
+
 static void
 on_cells (PlStatus status, PlAnswer **answer, gpointer data)
 {
@@ -379,10 +404,11 @@
       pl_row_decode (g_ptr_array_index ((*answer)->rows, i), &row);
       if (!keep_cell_row (self, &row))
         discover_other_cell (self, &row);
+      gateway_adopt_quarantined (self, row.value, FALSE);
       json_decref (row.value);
     }
   join_silent_contacts (self);
-  if (is_outdated (self) || gateway_is_quarantine_unwritten (self))
+  if (gateway_is_quarantine_unwritten (self) || may_replace_contacts (self))
     write_contacts (self);
   else
     schedule (self, REVIEW_INTERVAL, review);
@@ -394,17 +420,19 @@
   self->member_call = pl_store_get (self->store, PL_CELL_TABLE, NULL, on_cells, self);
 }
 
-/* The relay reads the rows of all cells when it becomes relay, and then periodically. */
+/* The relay, or who stands in for it, reads the rows of all cells at once, and then periodically.
+ */
 static void
 review (gpointer data)
 {
   Gateway *self = data;
   KnlTime now = knl_kernel_now (self->process.kernel);
+  KnlTime interval = sv_peers_is_parted (self->peers) ? PARTED_CELLS_INTERVAL : CELLS_INTERVAL;
 
   self->member_timer = 0;
-  if (!sv_peers_is_relay (self->peers))
+  if (!sv_peers_is_relay (self->peers) && !sv_peers_is_substitute (self->peers))
     self->cells_read_at = 0;
-  else if (self->cells_read_at == 0 || now - self->cells_read_at >= CELLS_INTERVAL
+  else if (self->cells_read_at == 0 || now - self->cells_read_at >= interval
            || gateway_is_quarantine_unwritten (self))
     {
       read_cells (self);
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -1,28 +1,52 @@
-/** Quarantined segments in the row of the cell, so that they outlive a restart of all instances:
- * each would have to crash several endpoints again. */
+/** Quarantined segments in the rows of the cells, so that they outlive a restart of all instances,
+ * and reach those that hear no others: each would have to crash several endpoints again. */
 
 #include "gateway.h"
 
 /* Quarantined segments in a cell's row. */
-#define MAX_WRITTEN 16
+#define MAX_WRITTEN SV_MAX_QUARANTINED
 
-/* Age that segments in the row are taken to have. A quarantine that has just ended isn't begun
- * again by an instance which reads the row before that is written. */
+/* Age that a segment in the row is taken to have whose time isn't known, at the start. A quarantine
+ * that has just ended isn't begun again by an instance which reads the row before that is written.
+ */
 #define ROW_AGE (10 * KNL_SEC)
 
+/* FALSE: the row is of an earlier release, or the store's clock isn't known. */
+static gboolean
+read_since (const Gateway *self, SvQuarantined *quarantined)
+{
+  KnlTime offset;
+
+  if (quarantined->since <= 0 || !pl_store_clock_offset (self->store, &offset))
+    return FALSE;
+  quarantined->since = MIN (quarantined->since - offset, knl_kernel_now (self->process.kernel));
+  return TRUE;
+}
+
+static void
+adopt (Gateway *self, SvQuarantined *quarantined)
+{
+  for (guint i = 0; i < quarantined->n_losses; i++)
+    quarantined->losses[i].lost_at = quarantined->since;
+  sv_quarantine_adopt (sv_core_quarantine (self->core), quarantined, SV_CRASH_OWN);
+}
+
 void
-gateway_adopt_quarantined (Gateway *self)
+gateway_adopt_quarantined (Gateway *self, json_t *row, gboolean is_start)
 {
-  KnlTime since = knl_kernel_now (self->process.kernel) - ROW_AGE;
   SvQuarantined quarantined[MAX_WRITTEN];
-  guint n = pl_decode_quarantined (self->cell_row, quarantined, MAX_WRITTEN);
+  guint n = pl_decode_quarantined (row, quarantined, MAX_WRITTEN);
 
   for (guint i = 0; i < n; i++)
     {
-      quarantined[i].since = since;
-      for (guint j = 0; j < quarantined[i].n_losses; j++)
-        quarantined[i].losses[j].lost_at = since;
-      sv_quarantine_adopt (sv_core_quarantine (self->core), &quarantined[i], SV_CRASH_OWN);
+      gboolean is_known = read_since (self, &quarantined[i]);
+
+      /* Of one that has ended here a row without times would begin it again. */
+      if (!is_known && !is_start)
+        continue;
+      if (!is_known)
+        quarantined[i].since = knl_kernel_now (self->process.kernel) - ROW_AGE;
+      adopt (self, &quarantined[i]);
     }
 }
 
@@ -70,7 +94,10 @@
 gateway_encode_quarantined (const Gateway *self, json_t *row)
 {
   SvQuarantined known[MAX_WRITTEN];
+  guint n = sv_quarantine_list (sv_core_quarantine (self->core), known, MAX_WRITTEN);
+  KnlTime offset;
 
-  pl_encode_quarantined (row, known,
-                         sv_quarantine_list (sv_core_quarantine (self->core), known, MAX_WRITTEN));
+  for (guint i = 0; i < n; i++)
+    known[i].since = pl_store_clock_offset (self->store, &offset) ? known[i].since + offset : 0;
+  pl_encode_quarantined (row, known, n);
 }
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -41,11 +41,11 @@
  * Returns their number; the strings are borrowed from `value`. */
 guint pl_decode_contacts (json_t *value, SvMember *members, guint max);
 
-/** Adds quarantined segments to a cell's row. */
+/** Adds quarantined segments to a cell's row; `since` is on the store's clock, 0: not known. */
 void pl_encode_quarantined (json_t *row, const SvQuarantined *quarantined, guint n);
 
 /** Reads at most `max` quarantined segments of a cell's row; those without all fields are left out.
- * Returns their number; times are left 0. */
+ * Returns their number; `since` is on the store's clock, 0: not given; the losses' times are 0. */
 guint pl_decode_quarantined (json_t *row, SvQuarantined *quarantined, guint max);
 
 /** Row with the tests of quarantines that all instances have made. */
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -54,6 +54,9 @@
  * answers. */
 PlStore *pl_store_new_peer (KnlKernel *kernel, HtClient *client, const char *address);
 
+/** The store's clock less this instance's, by its last answer that states it. FALSE: none has. */
+gboolean pl_store_clock_offset (const PlStore *store, KnlTime *offset);
+
 void pl_store_on_era (PlStore *store, PlEraFunc func, gpointer data);
 
 /** The newest known era; 0: none. Once an era is known, calls whose answers state an earlier era or
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -125,5 +125,13 @@
 /** Number of live peers in all cells. */
 guint sv_peers_n_alive (const SvPeers *peers);
 
+/** Whether this instance hears so few of the others that it may be cut off from them: it and those
+ * that it hears are at most half of all. */
+gboolean sv_peers_is_parted (const SvPeers *peers);
+
+/** Whether it stands in for the relay of its cell, which may hear nobody: it is parted, and one of
+ * the first instances of its cell. */
+gboolean sv_peers_is_substitute (const SvPeers *peers);
+
 /** Number of live peers in our own cell. */
 guint sv_peers_n_alive_in_cell (const SvPeers *peers);
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -20,6 +20,9 @@
 /* Consecutive heartbeats that may be lost before a peer counts as dead. */
 #define MAX_MISSED_HEARTBEATS 3
 
+/* Instances of a cell that stand in for its relay. */
+#define MAX_SUBSTITUTES 3
+
 /* A peer that was silent for this long is removed; its row in the store adds it again. */
 #define PEER_TTL (30 * KNL_SEC)
 
@@ -439,6 +442,19 @@
   return sv_cells_alive (self)->len;
 }
 
+gboolean
+sv_peers_is_parted (const SvPeers *self)
+{
+  return 2 * (1 + sv_peers_n_alive (self)) <= sv_peers_n_known (self)
+         && sv_peers_n_known (self) > 1;
+}
+
+gboolean
+sv_peers_is_substitute (const SvPeers *self)
+{
+  return sv_peers_is_parted (self) && sv_cells_rank (self) < MAX_SUBSTITUTES;
+}
+
 guint
 sv_peers_n_alive (const SvPeers *self)
 {
