--- a/serve/quarantine.c
+++ b/serve/quarantine.c
@@ -312,16 +312,30 @@
     }
 }
 
+/* Signs of life after this loss may be those of the endpoint's next process, which has the same key
+ * until its row is read. They show no more that answers begun before were survived. */
+static gboolean
+note_own_loss (SvQuarantine *self, const SvSegmentUse *use)
+{
+  gboolean cleared = sv_quarantine_note_survivors (self);
+
+  record_begun (self, use->endpoint, use->at);
+  sv_quarantine_forget_begun_at (self, use->endpoint);
+  return cleared;
+}
+
 gboolean
 sv_quarantine_note_loss (SvQuarantine *self, const SvSegmentUse *use, SvCrashOrigin origin)
 {
+  gboolean cleared = FALSE;
+
   if (use->at + SUSPECT_LOSS_TTL <= knl_kernel_now (self->kernel))
     return FALSE;
   sv_quarantine_note_closed (self, use->endpoint, use->request, use->at);
   if (origin == SV_CRASH_OWN)
-    record_begun (self, use->endpoint, use->at);
+    cleared = note_own_loss (self, use);
   if (use->segments.n == 0 || !record_loss (self, use))
-    return FALSE;
+    return cleared;
   sv_quarantine_queue_loss (self, use, origin);
   return TRUE;
 }
--- a/serve/quarantine_begun.c
+++ b/serve/quarantine_begun.c
@@ -22,6 +22,23 @@
     }
 }
 
+void
+sv_quarantine_forget_begun_at (SvQuarantine *self, guint64 endpoint)
+{
+  GList *next;
+
+  for (GList *link = self->begun->head; link != NULL; link = next)
+    {
+      SvSegmentUse *use = link->data;
+
+      next = link->next;
+      if (use->endpoint != endpoint)
+        continue;
+      g_free (use);
+      g_queue_delete_link (self->begun, link);
+    }
+}
+
 /* Whether it has shown that the endpoint survives the answer, or never will. */
 static gboolean
 is_settled (const SvQuarantine *self, const SvSegmentUse *use, gboolean *survived)
--- a/serve/quarantine_internal.h
+++ b/serve/quarantine_internal.h
@@ -95,6 +95,9 @@
 /** Clears the segments of answers that endpoints have survived. TRUE: there were some. */
 gboolean sv_quarantine_note_survivors (SvQuarantine *self);
 
+/** Whether the endpoint survives the answers that it has begun won't show. */
+void sv_quarantine_forget_begun_at (SvQuarantine *self, guint64 endpoint);
+
 /* quarantine_ends.c */
 
 /** Whether it is certain that the endpoint has ended. */
--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -714,6 +714,65 @@
   fixture_close (&fixture);
 }
 
+static void
+crash_three (Fixture *self, const guint64 *segments)
+{
+  for (guint i = 0; i < 3; i++)
+    {
+      crash (self, i, segments);
+      pass (self, PAUSE);
+    }
+}
+
+/* Guards against a quarantine that is ended by the next process of an endpoint which has crashed:
+ * it answers under the same key until its row is read. */
+static void
+test_the_next_process_acquits_nothing (void)
+{
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+  SvSegmentUse use;
+
+  fixture_open (&fixture);
+  crash_three (&fixture, bad);
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  use = use_at (&fixture, 4, 500, bad);
+  sv_quarantine_note_begun (fixture.quarantine, &use);
+  pass (&fixture, SV_CRASH_WINDOW / 2);
+  lose (&fixture, 4, 500, bad);
+  pass (&fixture, KNL_SEC);
+  endpoint_at (&fixture, 4)->alive_at = knl_kernel_now (fixture.kernel);
+  pass (&fixture, PAUSE);
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
+/* Guards against answers that were survived before their endpoint ended, and acquit nothing. */
+static void
+test_answers_survived_before_the_end_acquit (void)
+{
+  static const guint64 common[] = { COMMON, 0 };
+  static const guint64 bad[] = { DEADLY, 0 };
+  Fixture fixture;
+  SvSegmentUse use;
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 2; i++)
+    {
+      crash (&fixture, i, common);
+      pass (&fixture, PAUSE);
+    }
+  use = use_at (&fixture, 4, 500, common);
+  sv_quarantine_note_begun (fixture.quarantine, &use);
+  knl_paused_clock_advance (fixture.clock, 2 * SV_CRASH_WINDOW);
+  endpoint_at (&fixture, 4)->alive_at = knl_kernel_now (fixture.kernel);
+  lose (&fixture, 4, 600, bad);
+  crash (&fixture, 5, common);
+  pass (&fixture, PAUSE);
+  CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
+  fixture_close (&fixture);
+}
+
 /* Guards against prompts that are refused at one service for crashes at another. */
 static void
 test_services_are_kept_apart (void)
@@ -763,6 +822,8 @@
   { "old suspects make way", test_old_suspects_make_way },
   { "a survived test ends the quarantine", test_a_survived_test_ends_the_quarantine },
   { "quarantines that endpoints contradict end", test_quarantines_that_endpoints_contradict_end },
+  { "the next process acquits nothing", test_the_next_process_acquits_nothing },
+  { "answers survived before the end acquit", test_answers_survived_before_the_end_acquit },
   { "services are kept apart", test_services_are_kept_apart },
 };
 
