--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -189,9 +189,10 @@
   return TRUE;
 }
 
-/* An instance that was away, or missed datagrams, may have decided without all losses. */
+/* An instance that was away, or missed datagrams, may have decided without all losses.
+ * `is_standing`: only what is quarantined itself explains it, so that one of the two is refused. */
 static gboolean
-is_explained (const SvQuarantine *self, const SvQuarantined *quarantined)
+is_explained (const SvQuarantine *self, const SvQuarantined *quarantined, gboolean is_standing)
 {
   SegmentKey key = { quarantined->segment, quarantined->service };
   const Suspect *suspect = sv_quarantine_find_suspect (self, &key);
@@ -202,7 +203,11 @@
   g_hash_table_iter_init (&iter, self->suspects);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      if (is_explained_by (quarantined, n_losses, value))
+      const Suspect *other = value;
+
+      if (is_explained_by (quarantined, n_losses, other)
+          && (!is_standing
+              || sv_quarantine_contains (self, other->key.service, other->key.segment)))
         return TRUE;
     }
   return FALSE;
@@ -269,7 +274,7 @@
       const char *reason = end_reason (self, entry);
 
       if (reason == NULL
-          && (is_explained (self, &entry->told) || is_by_requests (self, &entry->told)))
+          && (is_explained (self, &entry->told, TRUE) || is_by_requests (self, &entry->told)))
         reason = "explained";
       if (reason != NULL)
         sv_quarantine_end (self, entry, reason);
@@ -304,7 +309,7 @@
   if (known != NULL)
     return take_tests (known, quarantined, origin);
   if (quarantined->since + SV_QUARANTINE_TTL <= knl_kernel_now (self->kernel)
-      || !is_shown (self, quarantined) || is_explained (self, quarantined))
+      || !is_shown (self, quarantined) || is_explained (self, quarantined, FALSE))
     return FALSE;
   if (suspect != NULL && suspect->survived_at >= quarantined->since)
     {
--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -773,6 +773,30 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a quarantine that ends since another segment may explain it, while that one isn't
+ * refused either. */
+static void
+test_only_a_verdict_explains_another (void)
+{
+  static const guint64 other[] = { OTHER, 0 };
+  Fixture fixture;
+  SvQuarantined told = { .service = SERVICE, .segment = DEADLY, .n_losses = 3 };
+
+  fixture_open (&fixture);
+  for (guint i = 0; i < 3; i++)
+    told.losses[i] = (PolBlameLoss){ .endpoint = endpoint_at (&fixture, i)->key,
+                                     .lost_at = knl_kernel_now (fixture.kernel) };
+  told.since = knl_kernel_now (fixture.kernel);
+  CU_ASSERT_TRUE (sv_quarantine_adopt (fixture.quarantine, &told, SV_CRASH_OF_CELL));
+  /* Closed connections, of endpoints that aren't known to have ended. */
+  for (guint i = 0; i < 4; i++)
+    break_off (&fixture, i, 700 + i, other);
+  pass (&fixture, PAUSE);
+  CU_ASSERT_FALSE (is_refused (&fixture, OTHER));
+  CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
+  fixture_close (&fixture);
+}
+
 /* Guards against prompts that are refused at one service for crashes at another. */
 static void
 test_services_are_kept_apart (void)
@@ -824,6 +848,7 @@
   { "quarantines that endpoints contradict end", test_quarantines_that_endpoints_contradict_end },
   { "the next process acquits nothing", test_the_next_process_acquits_nothing },
   { "answers survived before the end acquit", test_answers_survived_before_the_end_acquit },
+  { "only a verdict explains another", test_only_a_verdict_explains_another },
   { "services are kept apart", test_services_are_kept_apart },
 };
 
