serve: what a request tells of crashes is in one file

Change: sv_request_note_crash and what follows an answer that shows survival move to request_quarantine.c, unchanged.

Measured: unit tests with sanitizers: 113 passed, 0 failed.

--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -157,59 +157,6 @@
           self->first_sent_at > 0);
 }
 
-/*
- * What shows here is only that the connection ended, or that nothing comes any more. A kept
- * connection that closes may have been idle for too long, or the endpoint may have crashed; an
- * answer of the endpoint to anyone tells them apart, see SvCrashes.
- */
-void
-sv_request_note_crash (SvRequest *self, const char *fault, gboolean ended)
-{
-  SvCore *core = self->core;
-  const SvEndpoint *endpoint = self->placement.first;
-  KnlTime now = sv_request_now (self);
-  SvCrash crash = { self->fingerprint, endpoint->key, now };
-  g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", self->fingerprint);
-  g_autofree char *segments = sv_segments_format (&self->params.segments);
-
-  if (ended)
-    sv_request_note_segments_lost (self);
-  if (!sv_crashes_note_loss (core->crashes, &crash, SV_CRASH_OWN))
-    return;
-  cm_log (CM_LOG_NOTICE, "crash-suspected", "s", "request", self->params.id, "s", "fingerprint",
-          fingerprint, "s", "segments", segments, "s", "endpoint", endpoint->id, "s", "fault",
-          fault, "i", "since-sent-us", now - self->sent_at, "i", "writing-us",
-          self->writing_since > 0 ? now - self->writing_since : (gint64)-1, "i",
-          "endpoint-silent-us",
-          endpoint->last_seen_at > 0 ? now - endpoint->last_seen_at : (gint64)-1, "i", "crashes",
-          (gint64)sv_crashes_count (core->crashes, self->fingerprint));
-  sv_meters_note_crash (core->meters, self->service->name);
-  core->parts.link->klass->crashes_changed (core->parts.link);
-}
-
-/* Whether the answer shows that the endpoint has run the request and survived it. One that fails,
- * and an engine that rejects a prompt, may not have begun to. */
-static gboolean
-shows_survival (const SvRequest *self, const HtMessage *answer)
-{
-  if (sv_request_is_streaming (self) && sv_events_is_incomplete (&self->events))
-    return FALSE;
-  return answer->status < 300 || (answer->status < 500 && self->params.prompt_tokens == 0);
-}
-
-static void
-note_survived (SvRequest *self)
-{
-  SvCore *core = self->core;
-  SvAcquittal acquittal = { self->fingerprint, knl_kernel_earliest_arrival (core->parts.kernel) };
-
-  gboolean is_news = sv_request_note_survived (self, acquittal.answered_at);
-
-  is_news |= sv_crashes_note_answer (core->crashes, &acquittal, SV_CRASH_OWN);
-  if (is_news)
-    core->parts.link->klass->crashes_changed (core->parts.link);
-}
-
 void
 sv_request_give_up (SvRequest *self, const char *reason)
 {
@@ -432,8 +379,7 @@
       handle_rejection (self, exchange);
       return;
     }
-  if (shows_survival (self, answer))
-    note_survived (self);
+  sv_request_note_answered (self, answer);
   if (answer->status >= 500)
     {
       handle_error_answer (self, answer);
--- a/serve/core.c
+++ b/serve/core.c
@@ -358,7 +358,7 @@
     {
       SvRequest *request = g_ptr_array_index (lost, i);
 
-      sv_request_note_crash (request, "endpoint-restarted", POL_END_LOST);
+      sv_request_note_crash (request, "endpoint-restarted", TRUE);
       sv_request_cancel_send (request);
       sv_request_handle_loss (request, "endpoint-restarted", POL_END_LOST);
     }
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -143,11 +143,12 @@
 /** The same, also if it isn't quarantined, but its endpoints have ended under it too often. */
 const char *sv_request_crash_refusal (SvRequest *self);
 
-/** An endpoint has survived running the request. TRUE: there is something to be sent to others. */
-gboolean sv_request_note_survived (SvRequest *self, KnlTime at);
+/** Records that the endpoint may have crashed under the request, and tells the peers. `ended`: its
+ * connection has ended; otherwise it is only silent. */
+void sv_request_note_crash (SvRequest *self, const char *fault, gboolean ended);
 
-/** Its endpoint was lost under it. */
-void sv_request_note_segments_lost (SvRequest *self);
+/** Records an answer, which may show that its endpoint has survived running the request. */
+void sv_request_note_answered (SvRequest *self, const HtMessage *answer);
 
 /** Its endpoint has begun to answer it. */
 void sv_request_note_begun (SvRequest *self);
@@ -234,10 +235,6 @@
 /** Records that the endpoint has just been heard from. */
 void sv_request_note_alive (SvRequest *self);
 
-/** Records that the endpoint may have crashed under the request, and tells the peers. `ended`: its
- * connection has ended; otherwise it is only silent. */
-void sv_request_note_crash (SvRequest *self, const char *fault, gboolean ended);
-
 /** Handles a send that gave no usable answer: retries it, or ends the request. */
 void sv_request_handle_loss (SvRequest *self, const char *fault, PolEnd end);
 
--- a/serve/request_quarantine.c
+++ b/serve/request_quarantine.c
@@ -1,5 +1,5 @@
-/** What a request tells of the segments of its prompt, and whether these, or what itself has
- * crashed, keep it from being sent. */
+/** What a request tells of crashes: of itself, and of the segments of its prompt; and whether these
+ * keep it from being sent. */
 
 #include "common/log.h"
 #include "serve/core_internal.h"
@@ -31,8 +31,8 @@
   return self->writing_since == 0 || sv_request_now (self) - self->writing_since < SV_CRASH_WINDOW;
 }
 
-void
-sv_request_note_segments_lost (SvRequest *self)
+static void
+note_segments_lost (SvRequest *self)
 {
   SvSegmentUse use = use_of (self);
 
@@ -111,14 +111,69 @@
   return sv_request_quarantine_reason (self);
 }
 
-gboolean
-sv_request_note_survived (SvRequest *self, KnlTime at)
+/*
+ * What shows here is only that the connection ended, or that nothing comes any more. A kept
+ * connection that closes may have been idle for too long, or the endpoint may have crashed; an
+ * answer of the endpoint to anyone tells them apart, see SvCrashes.
+ */
+void
+sv_request_note_crash (SvRequest *self, const char *fault, gboolean ended)
+{
+  SvCore *core = self->core;
+  const SvEndpoint *endpoint = self->placement.first;
+  KnlTime now = sv_request_now (self);
+  SvCrash crash = { self->fingerprint, endpoint->key, now };
+  g_autofree char *fingerprint = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", self->fingerprint);
+  g_autofree char *segments = sv_segments_format (&self->params.segments);
+
+  if (ended)
+    note_segments_lost (self);
+  if (!sv_crashes_note_loss (core->crashes, &crash, SV_CRASH_OWN))
+    return;
+  cm_log (CM_LOG_NOTICE, "crash-suspected", "s", "request", self->params.id, "s", "fingerprint",
+          fingerprint, "s", "segments", segments, "s", "endpoint", endpoint->id, "s", "fault",
+          fault, "i", "since-sent-us", now - self->sent_at, "i", "writing-us",
+          self->writing_since > 0 ? now - self->writing_since : (gint64)-1, "i",
+          "endpoint-silent-us",
+          endpoint->last_seen_at > 0 ? now - endpoint->last_seen_at : (gint64)-1, "i", "crashes",
+          (gint64)sv_crashes_count (core->crashes, self->fingerprint));
+  sv_meters_note_crash (core->meters, self->service->name);
+  announce (core);
+}
+
+/* Whether the answer shows that the endpoint has run the request and survived it. One that fails,
+ * and an engine that rejects a prompt, may not have begun to. */
+static gboolean
+shows_survival (const SvRequest *self, const HtMessage *answer)
+{
+  if (sv_request_is_streaming (self) && sv_events_is_incomplete (&self->events))
+    return FALSE;
+  return answer->status < 300 || (answer->status < 500 && self->params.prompt_tokens == 0);
+}
+
+static gboolean
+note_survived (SvRequest *self, KnlTime at)
 {
   SvSegmentSurvival survival = { SV_QUARANTINE_REQUESTS, at, { { self->fingerprint }, 1 } };
 
   return sv_quarantine_note_survival (self->core->quarantine, &survival, SV_CRASH_OWN);
 }
 
+void
+sv_request_note_answered (SvRequest *self, const HtMessage *answer)
+{
+  SvCore *core = self->core;
+  SvAcquittal acquittal = { self->fingerprint, knl_kernel_earliest_arrival (core->parts.kernel) };
+  gboolean is_news;
+
+  if (!shows_survival (self, answer))
+    return;
+  is_news = note_survived (self, acquittal.answered_at);
+  is_news |= sv_crashes_note_answer (core->crashes, &acquittal, SV_CRASH_OWN);
+  if (is_news)
+    announce (core);
+}
+
 /* A prompt whose answer hasn't begun can still be kept from crashing its endpoint. */
 static SvRequest *
 find_quarantined (SvCore *self, const char **reason)
