http: a peer that doesn't read isn't taken for a broken link (LOST)

What callers saw: who read nothing for 4 s lost the rest of an answer that had been written to the socket whole.

Cause: the kernel's timeout for unacknowledged bytes (TCP_USER_TIMEOUT, 2 s) counts from when the window was closed, although the peer acknowledges each probe. Callers got more time only while the process itself still held bytes; the kernel's send buffer takes answers of some hundred kilobytes.

Change: what is in flight, what waits, and when the peer last acknowledged is read from the kernel (TCP_INFO) each 250 ms for connections with undelivered bytes, and the timeout is set so that 2 s are left after the last acknowledgement. The same for requests of over 16 KB to endpoints and peers; those to the store are smaller. Only where a bound on the sum of unsent bytes ends slow readers, as before; idle limits and deadlines hold as before. Where the kernel doesn't say, the rule of before holds (10 s while the process holds bytes).

--- a/http/call.c
+++ b/http/call.c
@@ -66,6 +66,7 @@
   Connection *self = call->connection;
   g_autofree char *head = NULL;
 
+  self->is_undelivered = TRUE;
   if (self->server->draining)
     call->keep_alive = FALSE;
   head = g_strdup_printf ("HTTP/1.1 %u %s\r\n%s%s%s\r\n", status,
--- a/http/client.c
+++ b/http/client.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http/delivery.h"
 #include "http/flow_internal.h"
 #include "http/socket.h"
 
@@ -16,6 +17,11 @@
 /* Idle time where the peer advertises none. */
 #define DEFAULT_IDLE_TIMEOUT (1500 * KNL_MSEC)
 
+/* Requests with more bytes may not fit into the receive buffer of a peer that doesn't read.
+ * Interval between looks at whether such a peer is alive. */
+#define LARGE_REQUEST_BYTES ((gsize)16 << 10)
+#define DELIVERY_INTERVAL   (250 * KNL_MSEC)
+
 /* Answers to other requests that are skipped on one connection before the exchange fails. */
 #define MAX_SKIPPED 2
 
@@ -54,6 +60,8 @@
   KnlTime idle_since;
   guint64 n_sent; /* bytes of requests that have left this process */
   struct evbuffer_cb_entry *output_watch;
+  KnlTimerId delivery_timer; /* when its request's delivery is looked at; 0: it isn't */
+  guint timeout_ms;          /* that the kernel was told last */
   gboolean connected;
   gboolean close_after;  /* close the connection after this exchange */
   gboolean in_callbacks; /* an exchange callback is running: don't free the connection */
@@ -92,6 +100,7 @@
 connection_free (Connection *self)
 {
   knl_timer_stop (self->client->kernel, &self->timer);
+  knl_timer_stop (self->client->kernel, &self->delivery_timer);
   stop_forwarding (self);
   ht_holder_leave (&self->holder);
   evbuffer_remove_cb_entry (bufferevent_get_output (self->stream), self->output_watch);
@@ -442,6 +451,43 @@
   self->resumed_at = knl_kernel_now (self->client->kernel);
 }
 
+static void on_delivery_due (gpointer data);
+
+static void
+watch_delivery (Connection *self)
+{
+  if (self->delivery_timer == 0)
+    self->delivery_timer =
+        knl_timer_start (self->client->kernel, DELIVERY_INTERVAL, on_delivery_due, self);
+}
+
+/* A peer that is alive, but doesn't read, isn't taken for a broken link; a request's own limits end
+ * it. */
+static void
+on_delivery_due (gpointer data)
+{
+  Connection *self = data;
+  evutil_socket_t fd = bufferevent_getfd (self->stream);
+  HtDelivery delivery;
+  guint timeout_ms;
+
+  self->delivery_timer = 0;
+  if (!self->connected)
+    {
+      watch_delivery (self);
+      return;
+    }
+  if (!ht_delivery_read (fd, &delivery))
+    return;
+  timeout_ms = ht_delivery_timeout_ms (&delivery);
+  if (timeout_ms != self->timeout_ms)
+    ht_delivery_set_timeout (fd, timeout_ms);
+  self->timeout_ms = timeout_ms;
+  if (!ht_delivery_is_complete (&delivery)
+      || evbuffer_get_length (bufferevent_get_output (self->stream)) > 0)
+    watch_delivery (self);
+}
+
 static Connection *
 connect_to (HtClient *self, const char *address, KnlTime timeout)
 {
@@ -452,6 +498,7 @@
 
   connection->client = self;
   connection->address = g_strdup (address);
+  connection->timeout_ms = HT_UNACKNOWLEDGED_TIMEOUT_MS;
   connection->stream =
       bufferevent_socket_new (self->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   connection->reader = ht_reader_new (TRUE, &self->limits, &reader_events, connection);
@@ -515,6 +562,8 @@
   bufferevent_write (connection->stream, "\r\n", 2);
   if (request->body_length > 0)
     bufferevent_write (connection->stream, request->body, request->body_length);
+  if (request->body_length > LARGE_REQUEST_BYTES && ht_unsent_is_bounded (self->unsent))
+    watch_delivery (connection);
   if (request->forward_to != NULL)
     ht_flow_connect (ht_call_flow (request->forward_to), &connection->source);
   return exchange;
--- a/http/server.c
+++ b/http/server.c
@@ -8,6 +8,7 @@
 
 #include "common/settings.h"
 #include "common/socket.h"
+#include "http/delivery.h"
 #include "http/server_internal.h"
 #include "http/socket.h"
 
@@ -234,6 +235,7 @@
   connection = g_new0 (Connection, 1);
   connection->server = self;
   connection->since = knl_kernel_now (self->kernel);
+  connection->timeout_ms = HT_UNACKNOWLEDGED_TIMEOUT_MS;
   connection->stream = bufferevent_socket_new (self->base, fd, BEV_OPT_CLOSE_ON_FREE);
   connection->reader = ht_reader_new (FALSE, &self->limits.message, &reader_events, connection);
   bufferevent_setcb (connection->stream, on_readable, on_written, on_event, connection);
@@ -244,13 +246,11 @@
   g_hash_table_add (self->connections, connection);
 }
 
-/* A connection whose caller is alive, but doesn't read, isn't to be taken for a broken one; only
- * where a bound on the sum ends such callers. */
+/* Where the kernel doesn't say whether the caller is alive. */
 static void
 update_is_behind (Connection *self)
 {
-  gboolean is_behind =
-      ht_unsent_is_bounded (self->server->unsent) && ht_connection_unsent (self) > 0;
+  gboolean is_behind = ht_connection_unsent (self) > 0;
 
   if (is_behind == self->is_behind)
     return;
@@ -258,6 +258,31 @@
   ht_socket_tolerate_slow_reader (bufferevent_getfd (self->stream), is_behind);
 }
 
+/* A connection whose caller is alive, but doesn't read, isn't to be taken for a broken one; only
+ * where a bound on the sum ends such callers. The kernel holds answers of some hundred kilobytes.
+ */
+static void
+update_timeout (Connection *self)
+{
+  evutil_socket_t fd = bufferevent_getfd (self->stream);
+  HtDelivery delivery;
+  guint timeout_ms;
+
+  if (!ht_unsent_is_bounded (self->server->unsent) || (self->call == NULL && !self->is_undelivered))
+    return;
+  if (!ht_delivery_read (fd, &delivery))
+    {
+      update_is_behind (self);
+      return;
+    }
+  self->is_undelivered = !ht_delivery_is_complete (&delivery) || ht_connection_unsent (self) > 0;
+  timeout_ms = ht_delivery_timeout_ms (&delivery);
+  if (timeout_ms == self->timeout_ms)
+    return;
+  self->timeout_ms = timeout_ms;
+  ht_delivery_set_timeout (fd, timeout_ms);
+}
+
 static gboolean
 is_overdue (Connection *self, KnlTime now)
 {
@@ -292,7 +317,7 @@
   g_hash_table_iter_init (&iter, self->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      update_is_behind (key);
+      update_timeout (key);
       if (is_overdue (key, now))
         g_ptr_array_add (overdue, key);
     }
--- a/http/server_internal.h
+++ b/http/server_internal.h
@@ -36,6 +36,9 @@
   gboolean closing;     /* waits only until the answer is sent and the caller has closed its side */
   gboolean half_closed; /* everything is sent, and the sending side is shut down */
   gboolean expect_handled; /* the Expect field of this request has been handled */
+  gboolean is_undelivered; /* the last sweep found bytes that weren't acknowledged, or some were
+                              written since */
+  guint timeout_ms;        /* that the kernel was told last */
   gboolean is_behind;      /* the last sweep found unsent answer bytes */
   gsize unsent;            /* unsent answer bytes at the last sweep */
 };
--- a/http/socket.c
+++ b/http/socket.c
@@ -5,9 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-/* A connection fails when data stays unacknowledged for this many milliseconds; that tolerates two
- * consecutive lost packets. */
-#define UNACKNOWLEDGED_TIMEOUT_MS 2000
+#include "http/delivery.h"
 
 /* The same while a caller is known to read slowly. Endpoints cut off answers that stay unread for
  * some seconds, so more time would not help a stream. */
@@ -30,7 +28,7 @@
     int value;
   } options[] = {
     { IPPROTO_TCP, TCP_NODELAY, 1 },
-    { IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS },
+    { IPPROTO_TCP, TCP_USER_TIMEOUT, HT_UNACKNOWLEDGED_TIMEOUT_MS },
     { SOL_SOCKET, SO_KEEPALIVE, 1 },
     { IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S },
     { IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S },
@@ -45,9 +43,7 @@
 void
 ht_socket_tolerate_slow_reader (evutil_socket_t fd, gboolean tolerates)
 {
-  const int timeout = tolerates ? SLOW_READER_TIMEOUT_MS : UNACKNOWLEDGED_TIMEOUT_MS;
-
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+  ht_delivery_set_timeout (fd, tolerates ? SLOW_READER_TIMEOUT_MS : HT_UNACKNOWLEDGED_TIMEOUT_MS);
 }
 
 char *
--- a/include/http/socket.h
+++ b/include/http/socket.h
@@ -16,8 +16,8 @@
  */
 void ht_socket_tune (evutil_socket_t fd);
 
-/** Sets whether a peer that acknowledges but doesn't read is given more time: the kernel counts a
- * window that stays closed as data that stays unacknowledged. */
+/** Sets whether a peer that may not read is given more time, where the kernel doesn't say whether
+ * it acknowledges: see HtDelivery. */
 void ht_socket_tolerate_slow_reader (evutil_socket_t fd, gboolean tolerates);
 
 /** The remote address, "IP:PORT"; NULL if there is none any more. Free with g_free. */
--- a/tests/unit/gw_quarantine_test.c
+++ b/tests/unit/gw_quarantine_test.c
@@ -92,7 +92,7 @@
   evutil_parse_sockaddr_port (address, (struct sockaddr *)&wanted, &length);
   for (int fd = 3; fd < MAX_FILES; fd++)
     {
-      struct sockaddr_in bound;
+      struct sockaddr_in bound = { 0 };
       socklen_t bound_length = sizeof bound;
       socklen_t type_length = sizeof (int);
       int type = 0;
--- a/tests/unit/ht_unsent_test.c
+++ b/tests/unit/ht_unsent_test.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http/delivery.h"
 #include "relay_fixture.h"
 #include "suite.h"
 
@@ -155,27 +156,49 @@
     }
 }
 
-/* TCP_USER_TIMEOUT of the server's side of a caller's connection, in ms; -1: it isn't open. */
+/* The server's side of a caller's connection; -1: it isn't open. */
 static int
-user_timeout_of (const RelayCaller *caller)
+server_side_of (const RelayCaller *caller)
 {
   struct sockaddr_in own = { 0 };
   struct sockaddr_in peer = { 0 };
   socklen_t length = sizeof own;
-  int timeout = -1;
 
   getsockname (bufferevent_getfd (caller->stream), (struct sockaddr *)&own, &length);
   for (int fd = 0; fd < RELAY_MAX_FD; fd++)
     {
       length = sizeof peer;
-      if (getpeername (fd, (struct sockaddr *)&peer, &length) != 0 || peer.sin_port != own.sin_port)
-        continue;
-      length = sizeof timeout;
-      getsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &length);
+      if (getpeername (fd, (struct sockaddr *)&peer, &length) == 0 && peer.sin_port == own.sin_port)
+        return fd;
     }
+  return -1;
+}
+
+/* Its TCP_USER_TIMEOUT, in ms. */
+static int
+user_timeout_of (const RelayCaller *caller)
+{
+  int timeout = -1;
+  socklen_t length = sizeof timeout;
+
+  getsockopt (server_side_of (caller), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, &length);
   return timeout;
 }
 
+/* The caller's kernel has acknowledged a probe of the closed window, which needs no turn of the
+ * loop.
+ */
+static void
+wait_for_probe (const RelayCaller *caller)
+{
+  HtDelivery delivery = { 0 };
+  int fd = server_side_of (caller);
+
+  while (delivery.waiting == 0 || delivery.in_flight > 0
+         || delivery.since_ack_ms >= delivery.since_sent_ms)
+    g_assert_true (ht_delivery_read (fd, &delivery));
+}
+
 /* Guards against a caller that pauses for 2 s and is cut off by the kernel, which takes a closed
  * window for a broken connection; and, where no bound on the sum ends such callers, against one
  * that is kept for longer. */
@@ -185,8 +208,8 @@
   static const struct
   {
     gsize bound;
-    int factor; /* of the normal time */
-  } rows[] = { { 64 * MB, 5 }, { 0, 1 } };
+    gboolean gets_more;
+  } rows[] = { { 64 * MB, TRUE }, { 0, FALSE } };
 
   for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
     {
@@ -200,9 +223,10 @@
       while (ht_server_unsent (fixture.front) == 0)
         relay_fixture_turn (&fixture, 1);
       normal = user_timeout_of (caller);
-      CU_ASSERT (normal > 0);
+      CU_ASSERT_EQUAL (normal, HT_UNACKNOWLEDGED_TIMEOUT_MS);
+      wait_for_probe (caller);
       knl_paused_clock_advance (fixture.clock, SWEEP);
-      CU_ASSERT_EQUAL (user_timeout_of (caller), rows[i].factor * normal);
+      CU_ASSERT_EQUAL (user_timeout_of (caller) > normal, rows[i].gets_more);
       relay_caller_set_reading (caller, TRUE);
       relay_caller_wait (caller);
       CU_ASSERT_TRUE (caller->complete);
