--- a/http/server.c
+++ b/http/server.c
@@ -19,6 +19,10 @@
  * close its side. */
 #define CLOSE_TIMEOUT (2 * KNL_SEC)
 
+/* Bytes that a caller must read between two checks of an answer that it has left too much of: half
+ * a megabyte a second, at which the rest may take longer than callers wait. */
+#define MIN_READ_PER_SWEEP ((gsize)128 << 10)
+
 #define CONTINUE_ANSWER "HTTP/1.1 100 Continue\r\n\r\n"
 
 static const HtReaderEvents reader_events = { 0 };
@@ -283,15 +287,27 @@
   ht_delivery_set_timeout (fd, timeout_ms);
 }
 
+/* An answer that is written whole may be longer than what a caller may leave unread. Its caller has
+ * to read it steadily. */
+static gboolean
+has_too_much_unread (const Connection *self, gsize unsent)
+{
+  gsize max_unsent = self->server->limits.max_unsent;
+
+  return unsent > max_unsent && self->unsent > max_unsent
+         && self->unsent < unsent + MIN_READ_PER_SWEEP;
+}
+
 static gboolean
 is_overdue (Connection *self, KnlTime now)
 {
   const HtServerLimits *limits = &self->server->limits;
   gsize unsent = ht_connection_unsent (self);
   gboolean makes_progress = unsent < self->unsent;
+  gboolean is_unread = has_too_much_unread (self, unsent);
 
   self->unsent = unsent;
-  if (unsent > limits->max_unsent)
+  if (is_unread)
     return TRUE;
   if (self->call != NULL)
     return FALSE;
--- a/include/http/server.h
+++ b/include/http/server.h
@@ -42,7 +42,8 @@
   KnlTime request_timeout; /**< from the first byte of a request to its last */
   KnlTime idle_timeout;    /**< of a connection without a request */
   guint max_connections;
-  gsize max_unsent; /**< a connection with more unsent answer bytes is closed */
+  gsize max_unsent; /**< a connection with more unsent answer bytes is closed, unless they become
+                       steadily fewer */
 } HtServerLimits;
 
 /** Listens on `address` ("IP:PORT"). Returns NULL, with errno set, if that fails. */
--- a/tests/unit/ht_unsent_test.c
+++ b/tests/unit/ht_unsent_test.c
@@ -441,6 +441,63 @@
   relay_fixture_close (&fixture);
 }
 
+/* A caller of an answer of 12 MB, which the server holds. */
+static RelayCaller *
+call_for_large_answer (RelayFixture *fixture, gsize bound)
+{
+  RelayCaller *caller;
+
+  relay_fixture_open (fixture, bound);
+  caller = relay_fixture_call (fixture, "/whole/12000000", "1.1", 0);
+  while (ht_server_unsent (fixture->front) < 8 * MB)
+    relay_fixture_turn (fixture, 1);
+  return caller;
+}
+
+/* Guards against a large answer that is cut off while its caller reads it steadily. */
+static void
+test_large_answers_are_read_steadily (void)
+{
+  static const gsize bounds[] = { 0, 64 * MB };
+  const gsize read_per_sweep = MB / 2;
+
+  for (guint i = 0; i < G_N_ELEMENTS (bounds); i++)
+    {
+      RelayFixture fixture;
+      RelayCaller *caller = call_for_large_answer (&fixture, bounds[i]);
+
+      while (!caller->complete && !caller->has_ended)
+        {
+          gsize before = ht_server_unsent (fixture.front);
+
+          knl_paused_clock_advance (fixture.clock, SWEEP);
+          relay_caller_set_reading (caller, TRUE);
+          while (!caller->complete && !caller->has_ended && before > 0
+                 && ht_server_unsent (fixture.front) + read_per_sweep > before)
+            relay_fixture_turn (&fixture, 1);
+          relay_caller_set_reading (caller, before == 0);
+          relay_fixture_turn (&fixture, 1);
+        }
+      CU_ASSERT_TRUE (caller->complete);
+      CU_ASSERT_EQUAL (caller->length, 12000000);
+      CU_ASSERT_FALSE (caller->differs);
+      relay_fixture_close (&fixture);
+    }
+}
+
+/* Guards against memory that is held for a caller which doesn't read a large answer, or hardly. */
+static void
+test_large_answers_that_are_not_read_are_ended (void)
+{
+  RelayFixture fixture;
+
+  call_for_large_answer (&fixture, 0);
+  knl_paused_clock_advance (fixture.clock, 3 * SWEEP);
+  CU_ASSERT_EQUAL (ht_server_unsent (fixture.front), 0);
+  CU_ASSERT_EQUAL (ht_server_n_connections (fixture.front), 0);
+  relay_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "which connection is ended", test_choice },
   { "bytes held for a while decide", test_old_bytes_decide },
@@ -452,6 +509,8 @@
   { "collected answers count", test_collected_answers_count },
   { "a slow endpoint gets every byte", test_slow_endpoint_gets_every_byte },
   { "request bodies count", test_request_bodies_count },
+  { "large answers are read steadily", test_large_answers_are_read_steadily },
+  { "large answers that are not read are ended", test_large_answers_that_are_not_read_are_ended },
 };
 
 SUITE_MAIN ("ht_unsent", cases)
