platform, serve, common: texts of others can't change an order, a head or a log line

What could be seen: a caller whose attempt id holds quotes, commas or backslashes changes the order that reserves its memory, or the list of endpoints that hold it; an entry of another writer whose id or address holds line ends adds header fields to requests; a request whose id is no UTF-8 leaves no log line.

Cause: the order's JSON, the reservation's id and header fields were put together by hand; a log line that can't be encoded was dropped without a word.

--- a/common/log.c
+++ b/common/log.c
@@ -83,13 +83,18 @@
 static json_t *
 read_value (char type, va_list *args)
 {
+  g_autofree char *valid = NULL;
   const char *text;
 
   switch (type)
     {
     case 's':
       text = va_arg (*args, const char *);
-      return text != NULL ? json_stringn_nocheck (text, strlen (text)) : NULL;
+      if (text == NULL)
+        return NULL;
+      /* Callers choose some values; a line with bytes that are no UTF-8 would be lost. */
+      valid = g_utf8_make_valid (text, -1);
+      return json_string_nocheck (valid);
     case 'i':
       return json_integer (va_arg (*args, gint64));
     case 'f':
--- a/serve/reservation.c
+++ b/serve/reservation.c
@@ -1,6 +1,7 @@
 #include "serve/reservation.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "common/log.h"
 #include "policy/proof.h"
@@ -18,6 +19,9 @@
  * expired. */
 #define RELEASE_RETRY_DELAY (400 * KNL_MSEC)
 
+/* Longest name that is part of a reservation's id as it is. */
+#define MAX_NAME_BYTES 64
+
 typedef enum
 {
   ORDER_PENDING,
@@ -236,6 +240,17 @@
     release_all (self);
 }
 
+/* Names of requests are the callers'; a reservation's id stands in orders, and in lists of header
+ * fields. Free with g_free. */
+static char *
+make_plain (const char *name)
+{
+  if (strlen (name) <= MAX_NAME_BYTES
+      && strspn (name, G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "-_") == strlen (name))
+    return g_strdup (name);
+  return g_strdup_printf ("%016" G_GINT64_MODIFIER "x", (guint64)XXH64 (name, strlen (name), 0));
+}
+
 SvReservation *
 sv_reservation_new (const SvReservationParts *parts,
                     const char *name,
@@ -246,6 +261,7 @@
                     gpointer data)
 {
   SvReservation *self = g_new0 (SvReservation, 1);
+  g_autofree char *plain_name = make_plain (name);
 
   self->parts = *parts;
   self->func = func;
@@ -260,7 +276,7 @@
       order->endpoint = sv_endpoint_ref (endpoints[i]);
       order->load.tokens = tokens[i];
       order->id =
-          g_strdup_printf ("%s.%u.%x", name, i, g_rand_int (knl_kernel_rand (parts->kernel)));
+          g_strdup_printf ("%s.%u.%x", plain_name, i, g_rand_int (knl_kernel_rand (parts->kernel)));
       sv_endpoint_charge (order->endpoint, &order->load, 1);
       send_order (order, tokens[i]);
     }
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -659,6 +659,111 @@
     }
 }
 
+static const char *const odd_texts[] = {
+  "plain",
+  "a\"b",
+  "a\\b",
+  "a\r\nX-Odd: 1",
+  "a\nX-Odd: 1",
+  "a\rb",
+  "a\tb",
+  "\xff\xfe",
+  "\",\"tokens\":1,\"a\":\"",
+  "",
+};
+
+/* Guards against an id that a caller or another writer has chosen, and that changes the order in
+ * whose body it stands. */
+static void
+test_orders_with_odd_ids (void)
+{
+  SvDialect *dialect = pl_dialect_new ();
+  SvEndpoint endpoint = { .id = (char *)"i-1", .address = (char *)"1.2.3.4:5" };
+
+  for (guint i = 0; i < 2 * G_N_ELEMENTS (odd_texts); i++)
+    {
+      const char *id = odd_texts[i / 2];
+      SvReserve reserve = { .id = id, .tokens = i % 2 == 0 ? 7 : 0, .hold = KNL_SEC };
+      char *head = NULL;
+      GString *body = dialect->klass->write_reserve (dialect, &endpoint, &reserve, &head);
+      json_t *order = json_loadb (body->str, body->len, 0, NULL);
+
+      CU_ASSERT_PTR_NOT_NULL_FATAL (order);
+      CU_ASSERT_EQUAL (json_object_size (order), i % 2 == 0 ? 4 : 2);
+      CU_ASSERT_EQUAL (json_integer_value (json_object_get (order, "tokens")),
+                       (json_int_t)reserve.tokens);
+      if (g_utf8_validate (id, -1, NULL))
+        CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (order, "id")), id);
+      json_decref (order);
+      g_string_free (body, TRUE);
+      g_free (head);
+    }
+  pl_dialect_free (dialect);
+}
+
+/* Guards against a text of another writer that adds a header field, or ends the head. */
+static void
+test_header_fields_with_odd_texts (void)
+{
+  SvDialect *dialect = pl_dialect_new ();
+  g_autoptr (HtMessage) request = ht_message_new ();
+
+  g_strlcpy (request->method, "POST", sizeof request->method);
+  request->target = g_strdup ("/a");
+  for (guint i = 0; i < G_N_ELEMENTS (odd_texts); i++)
+    {
+      SvEndpoint endpoint = { .id = (char *)odd_texts[i], .address = (char *)"1.2.3.4:5" };
+      SvRequestParams params = { .id = odd_texts[i] };
+      SvRefusal refusal = { 0 };
+      SvForward forward = { .request = request,
+                            .params = &params,
+                            .endpoint = &endpoint,
+                            .workspace = odd_texts[i],
+                            .last_event = odd_texts[i] };
+      GString *heads[] = { dialect->klass->write_forward (dialect, &forward),
+                           dialect->klass->write_refusal (dialect, &params, &refusal),
+                           dialect->klass->write_pace_call (dialect, &endpoint) };
+
+      for (guint j = 0; j < G_N_ELEMENTS (heads); j++)
+        {
+          CU_ASSERT_PTR_NULL (strstr (heads[j]->str, "\nX-Odd"));
+          CU_ASSERT_PTR_NULL (strstr (heads[j]->str, "\rb"));
+          g_string_free (heads[j], TRUE);
+        }
+    }
+  pl_dialect_free (dialect);
+}
+
+/* Guards against endpoints whose id or address can't stand in a header field. */
+static void
+test_endpoints_with_odd_names (void)
+{
+  static const struct
+  {
+    const char *id;
+    const char *address;
+    gboolean is_entry;
+  } rows[] = {
+    { "i-1", "1.2.3.4:5", TRUE },         { "i-1\r\nX-Odd: 1", "1.2.3.4:5", FALSE },
+    { "i 1", "1.2.3.4:5", FALSE },        { "", "1.2.3.4:5", FALSE },
+    { "i-\xc3\xa9", "1.2.3.4:5", FALSE }, { "i-1", "1.2.3.4:5\\r\\nX-Odd: 1", FALSE },
+    { "i-1", "1.2.3.4:5x", FALSE },       { "i-1", "1.2.3.4:5,6.7.8.9:1", FALSE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"state\":\"ready\",\"slots\":6}",
+          rows[i].address);
+      json_t *value = json_loads (text, 0, NULL);
+      SvEndpointEntry entry;
+
+      CU_ASSERT_PTR_NOT_NULL (value);
+      CU_ASSERT_EQUAL (pl_decode_endpoint (rows[i].id, value, &entry), rows[i].is_entry);
+      json_decref (value);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "keys of evacuated zones", test_evacuation_keys },
   { "a configuration in pieces", test_config_in_pieces },
@@ -677,6 +782,9 @@
   { "the signal that an endpoint leaves", test_leaving_signal },
   { "delays in Retry-After", test_retry_after_delays },
   { "counts of tests", test_counts_of_tests },
+  { "orders with odd ids", test_orders_with_odd_ids },
+  { "header fields with odd texts", test_header_fields_with_odd_texts },
+  { "endpoints with odd names", test_endpoints_with_odd_names },
 };
 
 SUITE_MAIN ("pl_decode", cases)
--- a/tests/unit/sv_reservation_test.c
+++ b/tests/unit/sv_reservation_test.c
@@ -98,14 +98,20 @@
 }
 
 static SvReservation *
-reserve (Fixture *self)
+reserve_for (Fixture *self, const char *request)
 {
   static const guint64 tokens[2] = { 1000, 2000 };
   SvReservationParts parts = {
     .kernel = self->kernel, .client = self->client, .dialect = self->dialect, .hold = HOLD
   };
 
-  return sv_reservation_new (&parts, "r1", self->endpoints, tokens, 2, on_verdict, self);
+  return sv_reservation_new (&parts, request, self->endpoints, tokens, 2, on_verdict, self);
+}
+
+static SvReservation *
+reserve (Fixture *self)
+{
+  return reserve_for (self, "r1");
 }
 
 /* Runs until the engine has received `n_orders` orders. The clock advances by `step` in each
@@ -301,11 +307,39 @@
   fixture_close (&fixture);
 }
 
+/* Guards against a caller whose request's id adds an endpoint to the list of those that hold
+ * memory.
+ */
+static void
+test_ids_are_plain (void)
+{
+  static const ScriptedAnswer accepted[] = { { ACCEPTED, FALSE } };
+  static const ScriptedAnswer *const scripts[2] = { accepted, accepted };
+  static const char *const names[] = { "r1", "a,1.2.3.4:5/x", "a b", "a\"b", "a/b", "\xff", "" };
+  Fixture fixture;
+
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      SvReservation *reservation;
+      const char *id;
+
+      fixture_open (&fixture, scripts, 1);
+      reservation = reserve_for (&fixture, names[i]);
+      run_until_verdict (&fixture);
+      id = sv_reservation_id (reservation, fixture.endpoints[0]);
+      CU_ASSERT_EQUAL (strspn (id, G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "-_."), strlen (id));
+      sv_reservation_release (reservation);
+      knl_paused_clock_advance (fixture.clock, 2 * HOLD);
+      fixture_close (&fixture);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "a refusal releases all parts", test_refusal_releases_all_parts },
   { "an order without answer is a short lease", test_order_without_answer_is_a_short_lease },
   { "held memory is renewed", test_held_memory_is_renewed },
   { "a lease is not renewed after a restart", test_lease_is_not_renewed_after_restart },
+  { "ids are plain", test_ids_are_plain },
   { "limits in answers to orders", test_limits_in_answers_to_orders },
 };
 
