http: a head in small pieces isn't counted too long

What callers saw: a head within maxHeaderBytes that comes in many small pieces could be refused with 431.

Cause: the four bytes between a field's name and its end were added for each piece of the value.

Change: once for each field.

Measured: ht_reader, 'the limit of a head in pieces' (heads of 6 lengths, in pieces of 1 to 7 bytes and whole): 29 of 48 differed before, none after.

--- a/http/reader.c
+++ b/http/reader.c
@@ -147,6 +147,9 @@
   return count_head_bytes (self, length);
 }
 
+/* The colon and space behind a field's name, and the end of its line. */
+#define FIELD_SEPARATOR_BYTES 4
+
 static int
 on_value (http_parser *parser, const char *at, size_t length)
 {
@@ -154,9 +157,12 @@
 
   if (self->head_done)
     return 0;
+  /* The value may come in several pieces. */
+  if (!self->has_value && count_head_bytes (self, FIELD_SEPARATOR_BYTES) != 0)
+    return 1;
   self->has_value = TRUE;
   g_string_append_len (self->value, at, (gssize)length);
-  return count_head_bytes (self, length + 4);
+  return count_head_bytes (self, length);
 }
 
 static gboolean
--- a/tests/unit/ht_reader_test.c
+++ b/tests/unit/ht_reader_test.c
@@ -124,6 +124,39 @@
   ht_reader_free (reader);
 }
 
+/* Guards against a head within the limit that is refused because it comes in many pieces, and one
+ * over it that passes because it does. */
+static void
+test_head_limit_in_pieces (void)
+{
+  static const guint lengths[] = { 100, 370, 379, 380, 381, 500 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (lengths); i++)
+    {
+      g_autofree char *filler = g_strnfill (lengths[i], 'x');
+      g_autofree char *text =
+          g_strdup_printf ("GET /a HTTP/1.1\r\nHost: h\r\nA: %s\r\n\r\n", filler);
+      HtReadStatus whole = HT_READ_MORE;
+
+      for (gsize piece = strlen (text); piece > 0; piece = piece > 7 ? 7 : piece - 1)
+        {
+          HtReader *reader = ht_reader_new (FALSE, &limits, &no_events, NULL);
+          HtReadStatus status = HT_READ_MORE;
+
+          for (gsize at = 0; at < strlen (text) && status == HT_READ_MORE; at += piece)
+            {
+              gsize consumed;
+
+              status =
+                  ht_reader_feed (reader, text + at, MIN (piece, strlen (text) - at), &consumed);
+            }
+          whole = piece == strlen (text) ? status : whole;
+          CU_ASSERT_EQUAL (status, whole);
+          ht_reader_free (reader);
+        }
+    }
+}
+
 /* A response without a length is complete when its connection ends; one with a length isn't. */
 static void
 test_end_of_stream (void)
@@ -173,8 +206,11 @@
 }
 
 static const SuiteCase cases[] = {
-  { "requests, in any pieces", test_requests },    { "responses, in any pieces", test_responses },
-  { "the head has a limit", test_head_limit },     { "the end of the stream", test_end_of_stream },
+  { "requests, in any pieces", test_requests },
+  { "responses, in any pieces", test_responses },
+  { "the head has a limit", test_head_limit },
+  { "the limit of a head in pieces", test_head_limit_in_pieces },
+  { "the end of the stream", test_end_of_stream },
   { "fields of one connection", test_hop_by_hop },
 };
 
