serve, platform: who passes a request on notes that its endpoint leaves (DRAIN)

What could be seen: an instance that has lost its endpoints hands its callers an answer with Server-Leaving, which a peer had got, and later sends to that endpoint itself.

Cause: the answer didn't say whose it is, so that the instance that passed the request on couldn't note its signals.

Change: an answer that is handed to a peer names its endpoint (X-Instance-Id, an endpoint's own word elsewhere); the peer applies its signals and doesn't hand the field on to callers.

--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -53,11 +53,13 @@
 typedef struct
 {
   guint status;
-  const char *id;       /**< id of the request that it answers; NULL: not stated */
-  gboolean is_signed;   /**< the answer has the endpoint's signature */
-  gboolean not_run;     /**< the answer promises that its request has not run and never will */
-  gboolean is_encoded;  /**< the body has a content encoding */
-  gint in_service;      /**< running and queued requests at the endpoint; -1: not stated */
+  const char *id; /**< id of the request that it answers; NULL: not stated */
+  const char
+      *endpoint;       /**< id of the endpoint, if a peer hands over its answer; NULL: not stated */
+  gboolean is_signed;  /**< the answer has the endpoint's signature */
+  gboolean not_run;    /**< the answer promises that its request has not run and never will */
+  gboolean is_encoded; /**< the body has a content encoding */
+  gint in_service;     /**< running and queued requests at the endpoint; -1: not stated */
   const char *at_fault; /**< address of the endpoint that caused the failure; NULL: not stated */
   KnlTime retry_after;  /**< Retry-After: time until this instance may send again; 0: none */
   gboolean is_leaving;  /**< the endpoint advertises that it is about to exit */
@@ -98,8 +100,9 @@
    * `left`: time until the deadline, 0: none. */
   GString *(*write_pass) (SvDialect *dialect, const HtMessage *request, KnlTime left);
   void (*read_reply) (SvDialect *dialect, const HtMessage *answer, SvReply *reply);
-  /** Header fields of the endpoint's answer that are forwarded. */
-  GString *(*write_reply) (SvDialect *dialect, const HtMessage *answer);
+  /** Header fields of the endpoint's answer that are forwarded. `endpoint`: its id, for a peer that
+   * is handed the answer; NULL: the answer is for a caller. */
+  GString *(*write_reply) (SvDialect *dialect, const HtMessage *answer, const char *endpoint);
   /** Header fields of an answer by this instance: the attempt's id, and what the refusal states. */
   GString *(*write_refusal) (SvDialect *dialect,
                              const SvRequestParams *params,
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -167,6 +167,9 @@
 
 SvEndpoint *sv_fleet_by_key (const SvFleet *fleet, guint64 key);
 
+/** NULL: it isn't listed. */
+SvEndpoint *sv_fleet_by_id (const SvFleet *fleet, const char *id);
+
 /** Sets how many instances exist and how many of them this one receives messages from, itself
  * included in both; its share of an endpoint's limit follows from them. */
 void sv_fleet_set_instances (SvFleet *fleet, guint known, guint reachable);
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -273,7 +273,8 @@
   if (sv_reply_note_signals (&self->reply, self->placement.first, self->last_received_at))
     link->klass->load_changed (link);
   if (sv_request_is_streaming (self) && self->fields == NULL)
-    self->fields = dialect->klass->write_reply (dialect, answer);
+    self->fields =
+        dialect->klass->write_reply (dialect, answer, sv_request_told_endpoint (self, answer));
   return HT_HEAD_ACCEPT;
 }
 
@@ -328,6 +329,8 @@
   sv_endpoint_note_error (self->placement.first, sv_request_now (self));
   ht_message_free (self->failure);
   self->failure = ht_message_copy (answer);
+  sv_endpoint_unref (self->failed_at);
+  self->failed_at = sv_endpoint_ref (self->placement.first);
   sv_request_handle_loss (self, "endpoint-error", POL_END_FAILED);
 }
 
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -57,6 +57,7 @@
   GPtrArray *excluded; /* SvEndpoint that failed this request; holds references */
   /* an endpoint's error answer, owned; forwarded if no later attempt gives a better one */
   HtMessage *failure;
+  SvEndpoint *failed_at;  /* whose answer that is; NULL: there is none */
   gboolean unreached;     /* no connection to the endpoint of the last send was established */
   gboolean is_passed;     /* a peer passed it on to this instance */
   gboolean is_test;       /* it may crash endpoints, and is let through to find out */
@@ -248,6 +249,11 @@
  * run, which the endpoint hasn't promised, and it must not run twice, they get an error instead. */
 void sv_request_forward_endpoint (SvRequest *self, const HtMessage *answer);
 
+/** The endpoint's id, where a peer passed the request on and is told whose answer it gets; else
+ * NULL.
+ */
+const char *sv_request_told_endpoint (const SvRequest *self, const HtMessage *answer);
+
 /** Whether any send of it, also one that goes on, may have run or may still run. */
 gboolean sv_request_may_have_run (const SvRequest *self);
 
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -100,6 +100,7 @@
     g_string_free (self->fields, TRUE);
   sv_placement_clear (&self->placement);
   ht_message_free (self->failure);
+  sv_endpoint_unref (self->failed_at);
   sv_config_unref (self->config);
   g_free (self->passed_to);
   g_free (self);
@@ -190,7 +191,8 @@
 sv_request_forward (SvRequest *self, const HtMessage *answer)
 {
   SvDialect *dialect = self->core->parts.dialect;
-  GString *fields = dialect->klass->write_reply (dialect, answer);
+  GString *fields =
+      dialect->klass->write_reply (dialect, answer, sv_request_told_endpoint (self, answer));
   SvOutcome outcome = {
     .status = answer->status,
     .reason = forward_reason (self, answer),
--- a/serve/fleet.c
+++ b/serve/fleet.c
@@ -333,6 +333,12 @@
   return g_hash_table_lookup (self->services, service);
 }
 
+SvEndpoint *
+sv_fleet_by_id (const SvFleet *self, const char *id)
+{
+  return g_hash_table_lookup (self->by_id, id);
+}
+
 SvEndpoint *
 sv_fleet_by_key (const SvFleet *self, guint64 key)
 {
--- a/serve/not_run.c
+++ b/serve/not_run.c
@@ -43,6 +43,14 @@
     sv_request_fail (self, 502, "endpoint-failed");
 }
 
+const char *
+sv_request_told_endpoint (const SvRequest *self, const HtMessage *answer)
+{
+  const SvEndpoint *endpoint = answer == self->failure ? self->failed_at : self->placement.first;
+
+  return self->is_passed && endpoint != NULL ? endpoint->id : NULL;
+}
+
 gboolean
 sv_request_may_have_run (const SvRequest *self)
 {
--- a/serve/pass.c
+++ b/serve/pass.c
@@ -40,6 +40,18 @@
   sv_meters_note_pass (self->core->meters, "to-peer", result);
 }
 
+/* This instance hands the endpoint's word on to its caller, and has to keep to it, too. */
+static void
+note_signals (const SvRequest *self)
+{
+  SvEndpoint *endpoint = self->reply.endpoint != NULL
+                             ? sv_fleet_by_id (self->core->parts.fleet, self->reply.endpoint)
+                             : NULL;
+
+  if (endpoint != NULL && sv_reply_note_signals (&self->reply, endpoint, sv_request_now (self)))
+    self->core->parts.link->klass->load_changed (self->core->parts.link);
+}
+
 static HtHeadVerdict
 on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
@@ -50,8 +62,9 @@
   if (verdict != HT_HEAD_ACCEPT)
     return verdict;
   self->answer = answer;
+  note_signals (self);
   if (sv_request_is_streaming (self))
-    self->fields = dialect->klass->write_reply (dialect, answer);
+    self->fields = dialect->klass->write_reply (dialect, answer, NULL);
   return HT_HEAD_ACCEPT;
 }
 
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -233,6 +233,62 @@
     }
 }
 
+/* Guards against an instance that has passed on the word that an endpoint leaves, and goes on
+ * sending to that endpoint: its peer had got the answer. */
+static void
+test_leaving_endpoints_of_a_peer_are_noted (void)
+{
+  static const ScriptedAnswer leaving = { "HTTP/1.1 200 OK\r\n" SIGNED "X-Instance-Id: u-1\r\n"
+                                          "Server-Leaving: 1\r\nContent-Length: 4\r\n\r\ngood",
+                                          FALSE };
+  static const char *const paths[] = { "/once/1", "/stream/1" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      Fixture fixture;
+
+      fixture_open (&fixture, &leaving, 1);
+      lose_links (&fixture);
+      sv_fixture_request (&fixture.core, paths[i]);
+      advance (&fixture, 200 * KNL_MSEC);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "good"));
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "Server-Leaving"));
+      CU_ASSERT_PTR_NULL (strstr (fixture.core.received->str, "X-Instance-Id"));
+      for (guint j = 0; j < 4; j++)
+        {
+          const SvEndpoint *endpoint = g_ptr_array_index (sv_fleet_all (fixture.core.fleet), j);
+
+          CU_ASSERT_EQUAL (endpoint->advertised_leaving_at > 0, strcmp (endpoint->id, "u-1") == 0);
+        }
+      fixture_close (&fixture);
+    }
+}
+
+/* Guards against a peer that can't tell which endpoint's answer it hands over. */
+static void
+test_answers_to_a_peer_name_their_endpoint (void)
+{
+  static const ScriptedAnswer stream = { "HTTP/1.1 200 OK\r\n" SIGNED
+                                         "Content-Length: 15\r\n\r\nid: 0\ndata: x\n\n",
+                                         FALSE };
+  static const char *const paths[] = { "/once/1", "/stream/1" };
+
+  for (guint i = 0; i < 2 * G_N_ELEMENTS (paths); i++)
+    {
+      SvFixture fixture;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      sv_fixture_add_endpoint (&fixture, i / 2 == 0 ? &good : &stream, 1);
+      fixture.is_passed = i % 2;
+      sv_fixture_request (&fixture, paths[i / 2]);
+      sv_fixture_wait_for (&fixture, "\r\n\r\n");
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 200"));
+      CU_ASSERT_EQUAL (strstr (fixture.received->str, "X-Instance-Id: i-0") != NULL, i % 2);
+      sv_fixture_close (&fixture);
+    }
+}
+
 /* Guards against work for callers that have left: the peer is told by the end of its connection. */
 static void
 test_disconnected_callers_are_cancelled_at_the_peer (void)
@@ -336,6 +392,8 @@
   { "answers of a peer", test_answers_of_a_peer },
   { "only refusals of a peer are passed on", test_only_refusals_of_a_peer_are_passed_on },
   { "refusals to a peer say that nothing ran", test_refusals_to_a_peer_say_that_nothing_ran },
+  { "leaving endpoints of a peer are noted", test_leaving_endpoints_of_a_peer_are_noted },
+  { "answers to a peer name their endpoint", test_answers_to_a_peer_name_their_endpoint },
   { "disconnected callers are cancelled at the peer",
     test_disconnected_callers_are_cancelled_at_the_peer },
   { "links are regained", test_links_are_regained },
