http, gateway: bodies beyond a part of the memory are refused before they are read

What could be seen: 100 callers that send 4 MB each at once take 530 to 690 MB where the platform allows 260; 31 of them got 502.

Cause: each connection holds the body of its request, and nothing bounded their sum.

Change: servers of callers and peers count the bodies that are being read or belong to requests in flight, by their length as soon as the head says it. Beyond a quarter of the memory a request is refused with 503 and Retry-After, before its body is read. Logged as body-refused (rate-limited), with two metrics.

Measured: ht_bodies passes; without the bound all twelve bodies of its second case are held.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -22,6 +22,9 @@
   KnlProcess process;
   CmMetrics *metrics;
   HtUnsent *unsent; /* of callers, peers and endpoints */
+  HtBodies *bodies; /* of callers and peers */
+  CmSeries *bodies_series;
+  CmSeries *bodies_refused_series;
   CmSeries *unsent_series;
   HtClient *endpoints_client;
   HtClient *store_client;
@@ -117,7 +120,7 @@
 
 /* servers.c */
 
-void gateway_add_unsent_metric (Gateway *self);
+void gateway_add_memory_metrics (Gateway *self);
 
 /** Opens the listening sockets. Returns FALSE, and logs the failure, if one can't be opened. */
 gboolean gateway_open_servers (Gateway *self);
--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -13,6 +13,10 @@
 /* Part of the instance's memory that may hold bytes for slow readers. */
 #define UNSENT_MEMORY_DIVISOR 4
 
+/* Part of it that may hold bodies of requests. They are held once more while they are sent, among
+ * the unsent bytes. */
+#define BODIES_MEMORY_DIVISOR 4
+
 /* Idle connections to endpoints and the store are closed after this at the latest. */
 #define IDLE_TIMEOUT (20 * KNL_SEC)
 
@@ -62,6 +66,7 @@
   self->endpoints_client =
       ht_client_new (self->process.kernel, self->process.base, &limits, IDLE_TIMEOUT);
   ht_client_count_unsent (self->endpoints_client, self->unsent);
+  self->bodies = ht_bodies_new (self->boot->memory / BODIES_MEMORY_DIVISOR);
   self->store_client =
       ht_client_new (self->process.kernel, self->process.base, &limits, IDLE_TIMEOUT);
   self->store = pl_store_new (self->process.kernel, self->store_client, self->boot->store_address);
@@ -97,7 +102,7 @@
 
   self->metrics = cm_metrics_new ();
   gateway_add_era_metric (self);
-  gateway_add_unsent_metric (self);
+  gateway_add_memory_metrics (self);
   self->dialect = pl_dialect_new ();
   parts = (SvCoreParts){
     .kernel = self->process.kernel,
@@ -159,6 +164,7 @@
   ht_client_free (self->endpoints_client);
   ht_client_free (self->store_client);
   ht_unsent_free (self->unsent);
+  ht_bodies_free (self->bodies);
   pl_dialect_free (self->dialect);
   cm_metrics_free (self->metrics);
 }
--- a/gateway/servers.c
+++ b/gateway/servers.c
@@ -90,11 +90,30 @@
   .type = CM_METRIC_GAUGE,
 };
 
+static const CmMetricDef bodies_metric = {
+  .name = "alderturn_request_body_bytes",
+  .help = "Bytes of request bodies that are being read or belong to requests in flight",
+  .type = CM_METRIC_GAUGE,
+};
+
+static const CmMetricDef bodies_refused_metric = {
+  .name = "alderturn_request_bodies_refused",
+  .help = "Requests refused since the start, as there was no room for their bodies",
+  .type = CM_METRIC_GAUGE,
+};
+
+static CmSeries *
+add_series (Gateway *self, const CmMetricDef *def)
+{
+  return cm_metric_series (cm_metrics_add (self->metrics, def), NULL, NULL, NULL);
+}
+
 void
-gateway_add_unsent_metric (Gateway *self)
+gateway_add_memory_metrics (Gateway *self)
 {
-  self->unsent_series =
-      cm_metric_series (cm_metrics_add (self->metrics, &unsent_metric), NULL, NULL, NULL);
+  self->bodies_series = add_series (self, &bodies_metric);
+  self->bodies_refused_series = add_series (self, &bodies_refused_metric);
+  self->unsent_series = add_series (self, &unsent_metric);
 }
 
 static void
@@ -105,6 +124,8 @@
 
   gateway_update_evacuation_gauges (self);
   cm_series_set (self->unsent_series, (double)ht_unsent_bytes (self->unsent));
+  cm_series_set (self->bodies_series, (double)ht_bodies_bytes (self->bodies));
+  cm_series_set (self->bodies_refused_series, (double)ht_bodies_n_refused (self->bodies));
   text = cm_metrics_render (self->metrics);
   ht_call_answer (call, 200, "Content-Type: text/plain; version=0.0.4\r\n", text->str, text->len);
   g_string_free (text, TRUE);
@@ -161,6 +182,8 @@
     cm_log (CM_LOG_ERR, "listen-failed", "s", "address", address, "s", "error", strerror (errno));
   else
     ht_server_count_unsent (server, self->unsent);
+  if (server != NULL && (events == &caller_events || events == &passing_events))
+    ht_server_count_bodies (server, self->bodies);
   return server;
 }
 
--- a/http/call.c
+++ b/http/call.c
@@ -52,9 +52,18 @@
   bufferevent_write (self->stream, text, length);
 }
 
+void
+ht_connection_release_body (Connection *self)
+{
+  if (self->server->bodies != NULL)
+    ht_bodies_change (self->server->bodies, self->body, 0);
+  self->body = 0;
+}
+
 void
 ht_call_free (HtCall *call)
 {
+  ht_connection_release_body (call->connection);
   ht_flow_disconnect (&call->flow);
   ht_message_free (call->request);
   g_free (call);
--- a/http/server.c
+++ b/http/server.c
@@ -23,6 +23,9 @@
  * a megabyte a second, at which the rest may take longer than callers wait. */
 #define MIN_READ_PER_SWEEP ((gsize)128 << 10)
 
+/* Of a refusal for lack of room: bodies are read and answered within about a second. */
+#define RETRY_AFTER_BODIES "Retry-After: 1\r\n"
+
 #define CONTINUE_ANSWER "HTTP/1.1 100 Continue\r\n\r\n"
 
 static const HtReaderEvents reader_events = { 0 };
@@ -32,6 +35,7 @@
 {
   if (self->call != NULL)
     ht_call_free (self->call);
+  ht_connection_release_body (self);
   ht_holder_leave (&self->holder);
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
@@ -79,10 +83,12 @@
                       ? server->events->refusal (status, fields, server->data)
                       : g_string_new (NULL);
   g_autofree char *head = g_strdup_printf (
-      "HTTP/1.1 %u %s\r\n%sContent-Length: %" G_GSIZE_FORMAT "\r\nConnection: close\r\n\r\n",
-      status, http_status_str ((enum http_status)status), fields->str, body->len);
+      "HTTP/1.1 %u %s\r\n%s%sContent-Length: %" G_GSIZE_FORMAT "\r\nConnection: close\r\n\r\n",
+      status, http_status_str ((enum http_status)status), fields->str,
+      status == 503 ? RETRY_AFTER_BODIES : "", body->len);
 
   self->reading = FALSE;
+  ht_connection_release_body (self);
   ht_connection_write (self, head, strlen (head));
   ht_connection_write (self, body->str, body->len);
   g_string_free (body, TRUE);
@@ -123,6 +129,39 @@
     send_refusal (self, 417);
 }
 
+/* Bytes of the body that the request being read will hold, as far as its head says so. */
+static gsize
+wanted_body (const Connection *self)
+{
+  const HtMessage *message = ht_reader_message (self->reader);
+  const char *length = ht_message_get (message, "content-length");
+
+  return MAX (message->body->len,
+              length != NULL ? (gsize)g_ascii_strtoull (length, NULL, 10) : (gsize)0);
+}
+
+/* FALSE: there is no room for the body. */
+static gboolean
+hold_body (Connection *self)
+{
+  HtServer *server = self->server;
+  gsize wanted;
+
+  if (server->bodies == NULL || !ht_reader_has_head (self->reader))
+    return TRUE;
+  wanted = wanted_body (self);
+  if (ht_bodies_change (server->bodies, self->body, wanted))
+    {
+      self->body = wanted;
+      return TRUE;
+    }
+  if (cm_log_rate_limit_allows (&server->bodies_log_limit, knl_kernel_now (server->kernel)))
+    cm_log (CM_LOG_NOTICE, "body-refused", "i", "bytes", (gint64)wanted, "i", "held",
+            (gint64)ht_bodies_bytes (server->bodies), "i", "so-far",
+            (gint64)ht_bodies_n_refused (server->bodies));
+  return FALSE;
+}
+
 /* A bufferevent whose input has reached its high watermark and isn't consumed calls back again and
  * again, so it isn't read until the input can be processed. */
 static void
@@ -169,6 +208,11 @@
   status =
       ht_reader_feed (self->reader, (const char *)evbuffer_pullup (input, -1), length, &consumed);
   evbuffer_drain (input, consumed);
+  if ((status == HT_READ_MORE || status == HT_READ_COMPLETE) && !hold_body (self))
+    {
+      send_refusal (self, 503);
+      return;
+    }
   switch (status)
     {
     case HT_READ_MORE:
@@ -412,6 +456,12 @@
   self->unsent = unsent;
 }
 
+void
+ht_server_count_bodies (HtServer *self, HtBodies *bodies)
+{
+  self->bodies = bodies;
+}
+
 void
 ht_server_drain (HtServer *self)
 {
--- a/http/server_internal.h
+++ b/http/server_internal.h
@@ -2,6 +2,7 @@
 
 /** Connections and calls of a server; included by server.c and call.c only. */
 
+#include "common/log.h"
 #include "http/flow_internal.h"
 #include "http/server.h"
 
@@ -30,6 +31,7 @@
   struct bufferevent *stream;
   HtReader *reader;
   HtCall *call;         /* the request being answered */
+  gsize body;           /* bytes of a request's body that are counted */
   KnlTime since;        /* start of the current timeout: connection accepted, first byte of
                            a request, end of an answer, or last progress in sending */
   gboolean reading;     /* part of a request has been received */
@@ -50,6 +52,8 @@
   struct evconnlistener *listener;
   HtServerLimits limits;
   HtUnsent *unsent; /* NULL: its connections aren't counted */
+  HtBodies *bodies; /* NULL: bodies aren't counted */
+  CmLogRateLimit bodies_log_limit;
   const HtServerEvents *events;
   gpointer data;
   GHashTable *connections; /* set of Connection */
@@ -60,10 +64,14 @@
 
 /* call.c */
 
+/** Frees its request, too, whose body isn't counted any more. */
 void ht_call_free (HtCall *call);
 
 void ht_connection_write (Connection *self, const char *text, gsize length);
 
+/** The connection holds no request body any more. */
+void ht_connection_release_body (Connection *self);
+
 /** Answer bytes not sent yet. */
 gsize ht_connection_unsent (const Connection *self);
 
--- a/include/http/server.h
+++ b/include/http/server.h
@@ -10,6 +10,7 @@
 
 #include <event2/event.h>
 
+#include "http/bodies.h"
 #include "http/message.h"
 #include "http/reader.h"
 #include "http/unsent.h"
@@ -64,6 +65,10 @@
  * connection that is ended to keep the sum below its bound counts as disconnected. */
 void ht_server_count_unsent (HtServer *server, HtUnsent *unsent);
 
+/** Counts the request bodies that the server holds; one that doesn't fit is refused with 503 before
+ * it is read. NULL: doesn't count. */
+void ht_server_count_bodies (HtServer *server, HtBodies *bodies);
+
 /** From now on each answer closes its connection. Idle connections stay open: closing them could
  * cross requests that are already in transit. */
 void ht_server_drain (HtServer *server);
