kernel, entry, controller, gateway: signals in the start wait for their handlers

What could be seen: a gateway that got SIGTERM or SIGHUP in the first milliseconds of its start ended with the signal, without a line.

Cause: until the handlers are set, the signals have their default effect.

Change: the first line of main blocks SIGTERM, SIGINT and SIGHUP; they are let in once the handlers stand.

Measured: kernel, 'signals in the start are handled', passes; without the block the test's process is ended. What is left comes while the libraries are loaded, before main, where a process can't hold signals: the point is met in part only.

--- a/controller/main.c
+++ b/controller/main.c
@@ -142,6 +142,7 @@
   CmLogSeverity severity = CM_LOG_INFO;
   int status = EXIT_SUCCESS;
 
+  knl_process_hold_signals ();
   g_set_prgname (PROGRAM);
   signal (SIGPIPE, SIG_IGN);
   cm_findings_init (&findings);
--- a/kernel/process.c
+++ b/kernel/process.c
@@ -12,6 +12,24 @@
   process->kernel = knl_kernel_new (process->runtime, seed);
 }
 
+static void
+change_mask (int how)
+{
+  static const int held[] = { SIGTERM, SIGINT, SIGHUP };
+  sigset_t set;
+
+  sigemptyset (&set);
+  for (guint i = 0; i < G_N_ELEMENTS (held); i++)
+    sigaddset (&set, held[i]);
+  sigprocmask (how, &set, NULL);
+}
+
+void
+knl_process_hold_signals (void)
+{
+  change_mask (SIG_BLOCK);
+}
+
 void
 knl_process_catch_signals (KnlProcess *process, event_callback_fn on_signal, gpointer data)
 {
@@ -22,6 +40,7 @@
       process->signals[i] = evsignal_new (process->base, numbers[i], on_signal, data);
       event_add (process->signals[i], NULL);
     }
+  change_mask (SIG_UNBLOCK);
 }
 
 void
--- a/tests/unit/kernel_test.c
+++ b/tests/unit/kernel_test.c
@@ -1,7 +1,11 @@
 /** The micro-kernel on a paused clock: timers, tasks, names, jobs, frozen kernels, meter. */
 
+#include <signal.h>
+#include <unistd.h>
+
 #include "kernel/kernel.h"
 #include "kernel/paused.h"
+#include "kernel/process.h"
 #include "suite.h"
 
 typedef struct
@@ -253,6 +257,38 @@
   CU_ASSERT_EQUAL (knl_kernel_earliest_arrival (kernel), knl_kernel_now (kernel));
 }
 
+static void
+count_signal (evutil_socket_t number, short what, void *data)
+{
+  (*(guint *)data)++;
+}
+
+/* Guards against a process that is ended without a word by a signal that comes while it starts. */
+static void
+test_signals_in_the_start_are_handled (void)
+{
+  static const int numbers[] = { SIGTERM, SIGINT };
+
+  for (guint i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      KnlProcess process = { 0 };
+      guint n_handled = 0;
+
+      knl_process_hold_signals ();
+      kill (getpid (), numbers[i]);
+      knl_process_open (&process, 1);
+      kill (getpid (), numbers[i]);
+      knl_process_catch_signals (&process, count_signal, &n_handled);
+      while (n_handled == 0)
+        event_base_loop (process.base, EVLOOP_ONCE);
+      kill (getpid (), numbers[i]);
+      while (n_handled == 1)
+        event_base_loop (process.base, EVLOOP_ONCE);
+      CU_ASSERT_EQUAL (n_handled, 2);
+      knl_process_close (&process);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "timers fire in order of deadline, then of start",
     test_timers_fire_in_order_of_deadline_then_start },
@@ -265,6 +301,7 @@
   { "the meter reports the name and duration of a callback",
     test_meter_reports_names_and_durations },
   { "earliest arrival", test_earliest_arrival },
+  { "signals in the start are handled", test_signals_in_the_start_are_handled },
 };
 
 SUITE_MAIN ("kernel", cases)
