http: slow readers keep their time where the kernel says nothing of them

What could be seen: where the kernel's word on a connection is empty, a caller that pauses while the process holds bytes for it got 2 s in place of 10.

Cause: an answer of the kernel that nothing is left to deliver was believed also while the process held bytes that the kernel didn't take.

Change: such an answer counts as none; the rule of before holds (10 s while the process holds bytes), in the same function as the others, which replaces ht_socket_tolerate_slow_reader().

--- a/http/delivery.c
+++ b/http/delivery.c
@@ -20,6 +20,14 @@
   return HT_UNACKNOWLEDGED_TIMEOUT_MS + self->since_sent_ms - self->since_ack_ms;
 }
 
+guint
+ht_delivery_known_timeout_ms (const HtDelivery *self, gsize unsent)
+{
+  if (self != NULL && (unsent == 0 || !ht_delivery_is_complete (self)))
+    return ht_delivery_timeout_ms (self);
+  return unsent > 0 ? HT_SLOW_READER_TIMEOUT_MS : HT_UNACKNOWLEDGED_TIMEOUT_MS;
+}
+
 gboolean
 ht_delivery_read (evutil_socket_t fd, HtDelivery *delivery)
 {
--- a/http/server.c
+++ b/http/server.c
@@ -294,18 +294,6 @@
   g_hash_table_add (self->connections, connection);
 }
 
-/* Where the kernel doesn't say whether the caller is alive. */
-static void
-update_is_behind (Connection *self)
-{
-  gboolean is_behind = ht_connection_unsent (self) > 0;
-
-  if (is_behind == self->is_behind)
-    return;
-  self->is_behind = is_behind;
-  ht_socket_tolerate_slow_reader (bufferevent_getfd (self->stream), is_behind);
-}
-
 /* A connection whose caller is alive, but doesn't read, isn't to be taken for a broken one; only
  * where a bound on the sum ends such callers. The kernel holds answers of some hundred kilobytes.
  */
@@ -313,18 +301,16 @@
 update_timeout (Connection *self)
 {
   evutil_socket_t fd = bufferevent_getfd (self->stream);
+  gsize unsent = ht_connection_unsent (self);
   HtDelivery delivery;
+  gboolean is_told;
   guint timeout_ms;
 
   if (!ht_unsent_is_bounded (self->server->unsent) || (self->call == NULL && !self->is_undelivered))
     return;
-  if (!ht_delivery_read (fd, &delivery))
-    {
-      update_is_behind (self);
-      return;
-    }
-  self->is_undelivered = !ht_delivery_is_complete (&delivery) || ht_connection_unsent (self) > 0;
-  timeout_ms = ht_delivery_timeout_ms (&delivery);
+  is_told = ht_delivery_read (fd, &delivery);
+  self->is_undelivered = unsent > 0 || (is_told && !ht_delivery_is_complete (&delivery));
+  timeout_ms = ht_delivery_known_timeout_ms (is_told ? &delivery : NULL, unsent);
   if (timeout_ms == self->timeout_ms)
     return;
   self->timeout_ms = timeout_ms;
--- a/http/server_internal.h
+++ b/http/server_internal.h
@@ -41,7 +41,6 @@
   gboolean is_undelivered; /* the last sweep found bytes that weren't acknowledged, or some were
                               written since */
   guint timeout_ms;        /* that the kernel was told last */
-  gboolean is_behind;      /* the last sweep found unsent answer bytes */
   gsize unsent;            /* unsent answer bytes at the last sweep */
 };
 
--- a/http/socket.c
+++ b/http/socket.c
@@ -7,10 +7,6 @@
 
 #include "http/delivery.h"
 
-/* The same while a caller is known to read slowly. Endpoints cut off answers that stay unread for
- * some seconds, so more time would not help a stream. */
-#define SLOW_READER_TIMEOUT_MS 10000
-
 /* Connections without traffic are probed after KEEPALIVE_IDLE_S seconds, then twice at an interval
  * of one second. A connection that has become silent, such as a long wait for changes in the
  * store, is detected within three seconds. */
@@ -40,12 +36,6 @@
     setsockopt (fd, options[i].level, options[i].name, &options[i].value, sizeof options[i].value);
 }
 
-void
-ht_socket_tolerate_slow_reader (evutil_socket_t fd, gboolean tolerates)
-{
-  ht_delivery_set_timeout (fd, tolerates ? SLOW_READER_TIMEOUT_MS : HT_UNACKNOWLEDGED_TIMEOUT_MS);
-}
-
 char *
 ht_socket_peer (evutil_socket_t fd)
 {
--- a/include/http/delivery.h
+++ b/include/http/delivery.h
@@ -18,6 +18,11 @@
  * packets. */
 #define HT_UNACKNOWLEDGED_TIMEOUT_MS 2000
 
+/** The same while the process holds bytes for a peer of which the kernel doesn't say whether it is
+ * alive. Endpoints cut off answers that stay unread for some seconds, so more time would not help a
+ * stream. */
+#define HT_SLOW_READER_TIMEOUT_MS 10000
+
 /** Whether all bytes are sent, and acknowledged. */
 gboolean ht_delivery_is_complete (const HtDelivery *delivery);
 
@@ -28,6 +33,11 @@
  */
 guint ht_delivery_timeout_ms (const HtDelivery *delivery);
 
+/** The same, also where the kernel doesn't say (`delivery` is NULL), or says of a connection for
+ * which the process holds `unsent` bytes, since it takes no more, that nothing is left to deliver.
+ */
+guint ht_delivery_known_timeout_ms (const HtDelivery *delivery, gsize unsent);
+
 /** FALSE: the kernel doesn't say. */
 gboolean ht_delivery_read (evutil_socket_t fd, HtDelivery *delivery);
 
--- a/include/http/socket.h
+++ b/include/http/socket.h
@@ -16,9 +16,5 @@
  */
 void ht_socket_tune (evutil_socket_t fd);
 
-/** Sets whether a peer that may not read is given more time, where the kernel doesn't say whether
- * it acknowledges: see HtDelivery. */
-void ht_socket_tolerate_slow_reader (evutil_socket_t fd, gboolean tolerates);
-
 /** The remote address, "IP:PORT"; NULL if there is none any more. Free with g_free. */
 char *ht_socket_peer (evutil_socket_t fd);
--- a/tests/unit/ht_delivery_test.c
+++ b/tests/unit/ht_delivery_test.c
@@ -39,6 +39,31 @@
     }
 }
 
+/* Guards against a slow reader that is cut off where the kernel says nothing, or nothing that can
+ * be true, and against a broken link that is borne for longer where it does. */
+static void
+test_what_the_kernel_does_not_say (void)
+{
+  static const HtDelivery nothing = { 0 };
+  static const HtDelivery in_flight = { .in_flight = 1 };
+  static const HtDelivery closed = { 0, 80000, 1500, 100 };
+  static const struct
+  {
+    const HtDelivery *delivery;
+    gsize unsent;
+    guint timeout_ms;
+  } rows[] = {
+    { NULL, 0, USUAL },           { NULL, 1, HT_SLOW_READER_TIMEOUT_MS },
+    { &nothing, 0, USUAL },       { &nothing, 1, HT_SLOW_READER_TIMEOUT_MS },
+    { &in_flight, 0, USUAL },     { &in_flight, 1, USUAL },
+    { &closed, 0, USUAL + 1400 }, { &closed, 1, USUAL + 1400 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    CU_ASSERT_EQUAL (ht_delivery_known_timeout_ms (rows[i].delivery, rows[i].unsent),
+                     rows[i].timeout_ms);
+}
+
 /* Guards against a watch on a connection that goes on when nothing is left to deliver. */
 static void
 test_what_is_complete (void)
@@ -54,6 +79,7 @@
 
 static const SuiteCase cases[] = {
   { "only a live peer gets more time", test_only_a_live_peer_gets_more_time },
+  { "what the kernel does not say", test_what_the_kernel_does_not_say },
   { "what is complete", test_what_is_complete },
 };
 
