http: without a known memory no body is refused

What callers would see: an instance whose settings name no memory refuses each request whose body comes while another is held.

Cause: the bound of the bodies is a quarter of the memory, and 0 where none is named; unlike the sum of unsent bytes the sum of bodies took 0 for a bound.

Change: 0 is no bound.

--- a/http/bodies.c
+++ b/http/bodies.c
@@ -27,7 +27,7 @@
 {
   gsize others = self->bytes - before;
 
-  if (after > before && others > 0 && others + after > self->bound)
+  if (self->bound > 0 && after > before && others > 0 && others + after > self->bound)
     {
       self->n_refused++;
       return FALSE;
--- a/include/http/bodies.h
+++ b/include/http/bodies.h
@@ -7,7 +7,7 @@
 
 typedef struct HtBodies HtBodies;
 
-/** `bound` in bytes. Must outlive the servers that use it. */
+/** `bound` in bytes; 0: none. Must outlive the servers that use it. */
 HtBodies *ht_bodies_new (gsize bound);
 
 /** NULL is allowed. */
--- a/tests/unit/ht_bodies_test.c
+++ b/tests/unit/ht_bodies_test.c
@@ -33,6 +33,18 @@
   ht_bodies_free (bodies);
 }
 
+/* Guards against an instance without a known memory that reads one body at a time. */
+static void
+test_no_bound_refuses_nothing (void)
+{
+  HtBodies *bodies = ht_bodies_new (0);
+
+  CU_ASSERT_TRUE (ht_bodies_change (bodies, 0, 3));
+  CU_ASSERT_TRUE (ht_bodies_change (bodies, 0, 3));
+  CU_ASSERT_EQUAL (ht_bodies_bytes (bodies), 6);
+  ht_bodies_free (bodies);
+}
+
 /* Guards against an instance that runs out of memory when many callers send large bodies at once,
  * and against one that refuses small requests, or any later, since large ones are held. */
 static void
@@ -81,6 +93,7 @@
 
 static const SuiteCase cases[] = {
   { "the sum keeps below its bound", test_the_sum_keeps_below_its_bound },
+  { "no bound refuses nothing", test_no_bound_refuses_nothing },
   { "bodies beyond the bound are refused", test_bodies_beyond_the_bound_are_refused },
 };
 
