--- a/tests/fakes/scripted_endpoint.c
+++ b/tests/fakes/scripted_endpoint.c
@@ -15,6 +15,7 @@
   ScriptedEndpoint *endpoint;
   struct bufferevent *stream;
   HtReader *reader;
+  GString *late; /* of the answer before */
   gboolean closes;
 } Link;
 
@@ -41,20 +42,31 @@
 
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
+  g_string_free (self->late, TRUE);
   g_free (self);
 }
 
+static void
+append_answer (const ScriptedEndpoint *self, const char *template, GString *bytes)
+{
+  const char *id = ht_message_get (self->newest, "x-attempt-id");
+
+  g_string_append (bytes, template != NULL ? template : "");
+  g_string_replace (bytes, "%ID", id != NULL ? id : "", 0);
+}
+
 static void
 answer (Link *self)
 {
   ScriptedEndpoint *endpoint = self->endpoint;
   const ScriptedAnswer *row = &endpoint->script[MIN (endpoint->n_requests, endpoint->n_script) - 1];
-  const char *id = ht_message_get (endpoint->newest, "x-attempt-id");
-  GString *bytes = g_string_new (row->bytes != NULL ? row->bytes : "");
+  GString *bytes = g_string_new (self->late->str);
 
-  g_string_replace (bytes, "%ID", id != NULL ? id : "", 0);
+  append_answer (endpoint, row->bytes, bytes);
   bufferevent_write (self->stream, bytes->str, bytes->len);
   g_string_free (bytes, TRUE);
+  g_string_truncate (self->late, 0);
+  append_answer (endpoint, row->late, self->late);
   self->closes = row->closes;
   if (row->closes && evbuffer_get_length (bufferevent_get_output (self->stream)) == 0)
     g_hash_table_remove (endpoint->links, self);
@@ -113,6 +125,7 @@
   link->endpoint = self;
   link->stream = bufferevent_socket_new (self->base, fd, BEV_OPT_CLOSE_ON_FREE);
   link->reader = ht_reader_new (FALSE, &limits, &no_events, NULL);
+  link->late = g_string_new (NULL);
   bufferevent_setcb (link->stream, on_readable, on_written, on_event, link);
   bufferevent_enable (link->stream, EV_READ | EV_WRITE);
   g_hash_table_add (self->links, link);
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -17,6 +17,9 @@
   const char *bytes;
   /** The connection is closed afterwards. */
   gboolean closes;
+  /** A second answer, sent when the next request arrives on the connection, before the answer to
+   * that; %ID as above. NULL: none. */
+  const char *late;
 } ScriptedAnswer;
 
 /** Answers from `script` of `n` rows, which must outlive the endpoint; the last row is repeated for
--- a/tests/unit/sv_not_run_test.c
+++ b/tests/unit/sv_not_run_test.c
@@ -196,6 +196,60 @@
   sv_fixture_close (&fixture);
 }
 
+/* The rows of an endpoint's last two processes, which have one address. */
+static void
+add_restarted_endpoint (SvFixture *fixture, const ScriptedAnswer *script, guint n)
+{
+  SvEndpointEntry next = { .id = "i-next", .service = "s", .zone = "a", .slots = 4 };
+
+  sv_fixture_add_endpoint (fixture, script, n);
+  next.address = scripted_endpoint_address (fixture->endpoints[0]);
+  sv_fleet_update (fixture->fleet, &next);
+}
+
+/* Guards against a second answer to an earlier send, which names the request, and is taken for the
+ * answer to its next send to that address. */
+static void
+test_late_answers_to_an_earlier_send_prove_nothing (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *path;
+    const char *answer; /* to the first send, and once more to the next on its connection */
+  } rows[] = {
+    { "421", "/once-of-two/1", MISDIRECTED OWN EMPTY },
+    { "503 with the promise", "/once-of-two/1", UNAVAILABLE OWN PROMISE EMPTY },
+    { "429 with the promise", "/once-of-two/1", TOO_MANY OWN PROMISE EMPTY },
+    { "421, may run again", "/again/1", MISDIRECTED OWN EMPTY },
+    { "503 with the promise, may run again", "/again/1", UNAVAILABLE OWN PROMISE EMPTY },
+    { "500, may run again", "/again/1", "HTTP/1.1 500 E\r\n" SIGNED EMPTY },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      const ScriptedAnswer script[] = { { GOOD },
+                                        { rows[i].answer, .late = rows[i].answer },
+                                        { GOOD } };
+      SvFixture fixture;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      add_restarted_endpoint (&fixture, script, 3);
+      sv_fixture_request (&fixture, "/again/first");
+      wait_for_answer (&fixture);
+      sv_fixture_add_endpoint (&fixture, &elsewhere, 1);
+      sv_fixture_request (&fixture, rows[i].path);
+      wait_for_answer (&fixture);
+      if (strstr (fixture.received->str, "good") == NULL)
+        fprintf (stderr, "%s: got %s\n", rows[i].name, fixture.received->str);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "good"));
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[0]), 3);
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[1]), 0);
+      sv_fixture_close (&fixture);
+    }
+}
+
 static HtHeadVerdict
 on_head (HtExchange *exchange, HtMessage *answer, gpointer data)
 {
@@ -257,6 +311,8 @@
   { "unnamed answers to idempotent requests", test_unnamed_answers_to_idempotent_requests },
   { "unnamed answers tell nothing of the endpoint",
     test_unnamed_answers_tell_nothing_of_the_endpoint },
+  { "late answers to an earlier send prove nothing",
+    test_late_answers_to_an_earlier_send_prove_nothing },
   { "what counts as unsent never leaves", test_what_counts_as_unsent_never_leaves },
 };
 
