--- a/include/policy/proof.h
+++ b/include/policy/proof.h
@@ -36,7 +36,8 @@
 
 /** `named`: id of the request that the answer names, NULL: none; `request`: id of the one that
  * waits, NULL: it has none; `is_first`: it is the first answer on a connection that has carried no
- * other request. */
+ * other request. A name tells requests apart, not the sends of one request: no connection may carry
+ * the same request twice. */
 PolAnswerOwner pol_answer_owner (const char *named, const char *request, gboolean is_first);
 
 /** Whether callers take an HTTP status for the promise that the request has not run. */
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -257,6 +257,11 @@
 /** Whether any send of it, also one that goes on, may have run or may still run. */
 gboolean sv_request_may_have_run (const SvRequest *self);
 
+/** Whether an earlier send of it went to `address`. An answer names its request, not the send that
+ * it is to: on a connection that has carried the request before, a second answer to that send would
+ * be taken for the answer to this one. */
+gboolean sv_request_was_sent_to (const SvRequest *self, const char *address);
+
 /* stream.c */
 
 /** Whether the answer being received is forwarded event by event. */
--- a/serve/not_run.c
+++ b/serve/not_run.c
@@ -1,6 +1,8 @@
 /** What is known of whether a request has run: which answers are to it, what callers may be told.
  */
 
+#include <string.h>
+
 #include "common/log.h"
 #include "serve/core_internal.h"
 
@@ -57,3 +59,16 @@
   return self->runs > 0 || (self->exchange != NULL && ht_exchange_has_sent (self->exchange))
          || (self->pass != NULL && ht_exchange_has_sent (self->pass));
 }
+
+gboolean
+sv_request_was_sent_to (const SvRequest *self, const char *address)
+{
+  for (guint i = 0; i < self->excluded->len; i++)
+    {
+      const SvEndpoint *tried = g_ptr_array_index (self->excluded, i);
+
+      if (strcmp (tried->address, address) == 0)
+        return TRUE;
+    }
+  return FALSE;
+}
--- a/serve/send.c
+++ b/serve/send.c
@@ -243,6 +243,14 @@
   return head;
 }
 
+static KnlTime
+max_reuse_idle (const SvRequest *self)
+{
+  if (sv_request_was_sent_to (self, self->placement.first->address))
+    return 0;
+  return sv_route_is_idempotent (self->route) ? MAX_REUSE_IDLE : MAX_REUSE_IDLE_ONCE;
+}
+
 static void
 start_exchange (SvRequest *self, const GString *head)
 {
@@ -254,7 +262,7 @@
     .body_length = request->body->len,
     .is_head = g_strcmp0 (request->method, "HEAD") == 0,
     .connect_timeout = CONNECT_TIMEOUT,
-    .max_idle = sv_route_is_idempotent (self->route) ? MAX_REUSE_IDLE : MAX_REUSE_IDLE_ONCE,
+    .max_idle = max_reuse_idle (self),
     .forward_to = self->call,
   };
 
