--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -170,6 +170,30 @@
     }
 }
 
+/* Guards against a part of a peer's head that passes for a whole answer. */
+static void
+test_torn_heads_of_a_peer (void)
+{
+  static const char *const paths[] = { "/once/1", "/again/1", "/stream/1" };
+  static const char head[] = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+
+  for (gsize length = 1; length < strlen (head); length++)
+    {
+      g_autofree char *torn = g_strndup (head, length);
+      const ScriptedAnswer script = { torn, TRUE };
+      Fixture fixture;
+
+      fixture_open (&fixture, &script, 1);
+      lose_links (&fixture);
+      sv_fixture_request (&fixture.core, paths[length % G_N_ELEMENTS (paths)]);
+      advance (&fixture, 200 * KNL_MSEC);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "HTTP/1.1 502"));
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 1);
+      fixture_close (&fixture);
+    }
+}
+
 /* Guards against a request that a second peer runs once more, because what an endpoint said after
  * it had run was taken for the first peer's refusal. */
 static void
@@ -390,6 +414,7 @@
   { "callers are served through a peer", test_callers_are_served_through_a_peer },
   { "requests are passed on unchanged", test_requests_are_passed_on_unchanged },
   { "answers of a peer", test_answers_of_a_peer },
+  { "torn heads of a peer", test_torn_heads_of_a_peer },
   { "only refusals of a peer are passed on", test_only_refusals_of_a_peer_are_passed_on },
   { "refusals to a peer say that nothing ran", test_refusals_to_a_peer_say_that_nothing_ran },
   { "leaving endpoints of a peer are noted", test_leaving_endpoints_of_a_peer_are_noted },
