--- a/http/message.c
+++ b/http/message.c
@@ -22,6 +22,7 @@
   copy->target = g_strdup (self->target);
   copy->status = self->status;
   copy->keep_alive = self->keep_alive;
+  copy->ends_by_close = self->ends_by_close;
   copy->supports_chunked = self->supports_chunked;
   g_string_append_len (copy->text, self->text->str, (gssize)self->text->len);
   g_array_append_vals (copy->fields, self->fields->data, self->fields->len);
--- a/http/reader.c
+++ b/http/reader.c
@@ -201,6 +201,7 @@
   self->until_close = self->reads_responses && !self->no_body && message->status >= 200
                       && message->status != 204 && message->status != 304
                       && parser->content_length == G_MAXUINT64 && (parser->flags & F_CHUNKED) == 0;
+  message->ends_by_close = self->until_close;
   if (self->events->head != NULL && !(self->reads_responses && message->status < 200)
       && !self->events->head (message, self->data))
     return -refuse (self, HT_READ_BAD);
--- a/include/http/message.h
+++ b/include/http/message.h
@@ -21,6 +21,7 @@
   char *target;    /**< of requests only: path and query as received */
   guint status;    /**< of responses only */
   gboolean keep_alive;
+  gboolean ends_by_close;    /**< of answers: nothing but the end of the connection ends the body */
   gboolean supports_chunked; /**< of requests only: the caller's HTTP version allows chunked
                                 answers */
   GString *text;             /**< all names and values, each ended by a NUL */
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -398,7 +398,7 @@
       handle_complete_answer (self, answer);
       return;
     }
-  if (sv_events_is_incomplete (&self->events))
+  if (sv_request_is_stream_torn (self, answer))
     {
       handle_torn_stream (self, exchange);
       return;
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -267,6 +267,10 @@
 /** Whether the answer being received is forwarded event by event. */
 gboolean sv_request_is_streaming (const SvRequest *self);
 
+/** Whether its stream, which has ended, was broken off: inside an event, or before any event where
+ * only the end of the connection says that it is complete. */
+gboolean sv_request_is_stream_torn (const SvRequest *self, const HtMessage *answer);
+
 void sv_request_handle_bytes (SvRequest *self, const char *bytes, gsize length);
 
 /** Ends the request: the endpoint's stream is complete. */
--- a/serve/request_quarantine.c
+++ b/serve/request_quarantine.c
@@ -146,7 +146,7 @@
 static gboolean
 shows_survival (const SvRequest *self, const HtMessage *answer)
 {
-  if (sv_request_is_streaming (self) && sv_events_is_incomplete (&self->events))
+  if (sv_request_is_streaming (self) && sv_request_is_stream_torn (self, answer))
     return FALSE;
   return answer->status < 300 || (answer->status < 500 && self->params.prompt_tokens == 0);
 }
--- a/serve/stream.c
+++ b/serve/stream.c
@@ -9,6 +9,13 @@
          && !self->reply.not_run;
 }
 
+gboolean
+sv_request_is_stream_torn (const SvRequest *self, const HtMessage *answer)
+{
+  return sv_events_is_incomplete (&self->events)
+         || (answer->ends_by_close && self->writing_since == 0);
+}
+
 /* A part at a slow endpoint may be what the first event waited for. */
 static void
 ask_if_late (const SvRequest *self, KnlTime waited)
