--- a/tests/unit/sv_quarantine_test.c
+++ b/tests/unit/sv_quarantine_test.c
@@ -193,10 +193,67 @@
   sv_fixture_close (&fixture);
 }
 
+/* Three endpoints end under prompts with the deadly segment, and start again at once under their
+ * ids; their rows aren't read anew. */
+static void
+crash_restarting_endpoints (SvFixture *fixture)
+{
+  static const ScriptedAnswer crashes_once[] = { { NULL, TRUE }, { GOOD_BYTES, FALSE } };
+
+  for (guint i = 0; i < 3; i++)
+    sv_fixture_add_endpoint (fixture, crashes_once, 2);
+  for (guint i = 0; i < 3; i++)
+    {
+      request_prompt (fixture, "/once/1", segments_of_crash[i]);
+      sv_fixture_wait_for (fixture, "HTTP/1.1 502");
+      knl_paused_clock_advance (fixture->clock, 120 * KNL_MSEC);
+    }
+  for (guint i = 0; i < 3; i++)
+    {
+      const SvEndpoint *endpoint = g_ptr_array_index (sv_fleet_all (fixture->fleet), i);
+
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture->endpoints[i]), 1);
+      sv_quarantine_note_refused (sv_core_quarantine (fixture->core), endpoint->key);
+    }
+  knl_paused_clock_advance (fixture->clock, 2 * KNL_SEC);
+  sv_core_confirm (fixture->core, knl_kernel_now (fixture->kernel));
+}
+
+/* Sends a prompt with the deadly segment, and returns whether it was refused. */
+static gboolean
+is_deadly_refused (SvFixture *fixture)
+{
+  sv_quarantine_tick (sv_core_quarantine (fixture->core));
+  request_prompt (fixture, "/once/1", "ee:40" DEADLY);
+  sv_fixture_wait_for (fixture, "HTTP/1.1");
+  return strstr (fixture->received->str, "HTTP/1.1 503") != NULL;
+}
+
+/* Guards against a quarantine that ends on the word of a crashed endpoint's next process, whose row
+ * has not been read. */
+static void
+test_the_next_process_ends_no_quarantine (void)
+{
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  crash_restarting_endpoints (&fixture);
+  CU_ASSERT_TRUE (is_deadly_refused (&fixture));
+  request_prompt (&fixture, "/once/1", "aa:40");
+  sv_fixture_wait_for (&fixture, "good");
+  knl_paused_clock_advance (fixture.clock, KNL_SEC);
+  sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+  CU_ASSERT_TRUE (is_deadly_refused (&fixture));
+  CU_ASSERT_EQUAL (sv_quarantine_n (sv_core_quarantine (fixture.core)), 1);
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "a segment that crashes endpoints is refused",
     test_a_segment_that_crashes_endpoints_is_refused },
   { "prompts without the segment are served", test_prompts_without_the_segment_are_served },
+  { "the next process ends no quarantine", test_the_next_process_ends_no_quarantine },
   { "error answers acquit nothing", test_error_answers_acquit_nothing },
   { "the next process clears no loss", test_the_next_process_clears_no_loss },
   { "waiting prompts are taken back", test_waiting_prompts_are_taken_back },
