--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -403,6 +403,9 @@
   Gateway *self = data;
 
   self->endpoints_last_seen_at = knl_kernel_now (self->process.kernel);
+  /* The age of what a peer has read isn't known. */
+  if (self->peer_store == NULL)
+    sv_core_note_listed (self->core, at);
   announce_versions (self);
   pl_mirror_notify (self->mirror);
 }
--- a/http/client.c
+++ b/http/client.c
@@ -63,6 +63,7 @@
   KnlTimerId delivery_timer; /* when its request's delivery is looked at; 0: it isn't */
   guint timeout_ms;          /* that the kernel was told last */
   gboolean connected;
+  KnlTime connected_at;
   gboolean close_after;  /* close the connection after this exchange */
   gboolean in_callbacks; /* an exchange callback is running: don't free the connection */
   gboolean cancelled;    /* the exchange was cancelled by that callback */
@@ -377,6 +378,7 @@
   if ((what & BEV_EVENT_CONNECTED) != 0)
     {
       self->connected = TRUE;
+      self->connected_at = knl_kernel_now (self->client->kernel);
       knl_timer_stop (self->client->kernel, &self->timer);
       if (self->probe != NULL)
         end_probe (self, TRUE);
@@ -606,6 +608,12 @@
   return self->reused;
 }
 
+KnlTime
+ht_exchange_connected_at (const HtExchange *self)
+{
+  return self->connection->connected ? self->connection->connected_at : KNL_NEVER;
+}
+
 gboolean
 ht_exchange_has_sent (const HtExchange *self)
 {
--- a/include/http/client.h
+++ b/include/http/client.h
@@ -99,6 +99,10 @@
 /** Whether the request was sent on a connection that an earlier exchange had used. */
 gboolean ht_exchange_is_reused (const HtExchange *exchange);
 
+/** When the exchange's connection was established, as far as this process has noticed; KNL_NEVER:
+ * not yet. */
+KnlTime ht_exchange_connected_at (const HtExchange *exchange);
+
 /** Whether a byte of the request has left this process. Once the exchange has ended none leaves any
  * more. */
 gboolean ht_exchange_has_sent (const HtExchange *exchange);
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -118,6 +118,9 @@
  * draining. */
 gboolean sv_core_is_ready (const SvCore *core);
 
+/** The list of endpoints, as last applied, was current at `at`. */
+void sv_core_note_listed (SvCore *core, KnlTime at);
+
 /** Number of requests that have not ended. */
 guint sv_core_n_requests (const SvCore *core);
 
--- a/include/serve/crashes.h
+++ b/include/serve/crashes.h
@@ -56,6 +56,10 @@
  * was replaced, or whose row lapsed, is no longer in the fleet under this key. */
 gboolean sv_crash_is_survived (const SvFleet *fleet, guint64 endpoint, KnlTime lost_at);
 
+/** Whether it is also certain that this was the process which the loss was of, and not its next one
+ * under the same id. What stands isn't ended by less. */
+gboolean sv_crash_is_refuted (const SvFleet *fleet, guint64 endpoint, KnlTime lost_at);
+
 /** Sets where requests that crash endpoints are quarantined; losses that a quarantined segment
  * explains don't count. NULL: nowhere. */
 void sv_crashes_set_quarantine (SvCrashes *crashes, SvQuarantine *quarantine);
--- a/include/serve/fleet.h
+++ b/include/serve/fleet.h
@@ -17,6 +17,7 @@
 #include "serve/evacuations.h"
 #include "serve/position.h"
 #include "serve/prefills.h"
+#include "serve/signs.h"
 
 typedef struct SvFleet SvFleet;
 
@@ -84,8 +85,7 @@
   guint reported_calls; /**< running and queued requests, by its own last report */
   KnlTime reported_at;  /**< when it reported them */
   KnlTime last_seen_at; /**< last bytes of any answer, to this instance or a peer; 0: none yet */
-  KnlTime alive_at;     /**< the same, but not later than it has certainly sent some: they may have
-                           waited     to be read */
+  SvSigns signs;        /**< of life */
   KnlTime answered_at;  /**< last complete answer to this instance; 0: none yet */
   PolHealth health;     /**< by this instance's own requests there */
   PolSharedHealth shared_health; /**< by losses reported by all instances */
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -242,8 +242,9 @@
 
   endpoint->last_seen_at = MAX (endpoint->last_seen_at, self->last_received_at);
   if (self->exchange != NULL && !was_unread (self, self->exchange))
-    endpoint->alive_at =
-        MAX (endpoint->alive_at, knl_kernel_earliest_arrival (self->core->parts.kernel));
+    sv_signs_note_bytes (&endpoint->signs, ht_exchange_connected_at (self->exchange),
+                         knl_kernel_earliest_arrival (self->core->parts.kernel),
+                         self->core->listed_at);
 }
 
 static HtHeadVerdict
--- a/serve/core.c
+++ b/serve/core.c
@@ -364,6 +364,17 @@
     }
 }
 
+void
+sv_core_note_listed (SvCore *self, KnlTime at)
+{
+  const GPtrArray *endpoints = sv_fleet_all (self->parts.fleet);
+
+  self->listed_at = MAX (self->listed_at, at);
+  for (guint i = 0; i < endpoints->len; i++)
+    sv_signs_note_listed (&((SvEndpoint *)g_ptr_array_index (endpoints, i))->signs,
+                          self->listed_at);
+}
+
 guint
 sv_core_n_requests (const SvCore *self)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -22,6 +22,7 @@
   SvStaleSinceFunc stale_since; /* NULL: staleness isn't checked */
   gpointer stale_since_data;
   KnlTime drain_since;     /* 0: not draining */
+  KnlTime listed_at;       /* time as of which the list of endpoints is known; 0: never */
   gboolean admits_none;    /* new requests are refused */
   KnlTime last_request_at; /* when a request was last received; 0: never */
   GHashTable *requests;    /* SvRequest */
--- a/serve/crashes.c
+++ b/serve/crashes.c
@@ -40,7 +40,16 @@
 {
   const SvEndpoint *endpoint = sv_fleet_by_key (fleet, key);
 
-  return endpoint != NULL && endpoint->alive_at > lost_at + SURVIVAL_MARGIN;
+  return endpoint != NULL && sv_signs_show_life (&endpoint->signs, lost_at + SURVIVAL_MARGIN + 1);
+}
+
+gboolean
+sv_crash_is_refuted (const SvFleet *fleet, guint64 key, KnlTime lost_at)
+{
+  const SvEndpoint *endpoint = sv_fleet_by_key (fleet, key);
+
+  return endpoint != NULL
+         && sv_signs_prove_life (&endpoint->signs, lost_at, lost_at + SURVIVAL_MARGIN + 1);
 }
 
 gboolean
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -67,7 +67,7 @@
   if (row->silent_ms == 0)
     return;
   endpoint->last_seen_at = MAX (endpoint->last_seen_at, knl_kernel_now (self->kernel) - silent);
-  endpoint->alive_at = MAX (endpoint->alive_at, self->sent_at - silent);
+  sv_signs_note_told (&endpoint->signs, self->sent_at - silent);
 }
 
 /* A peer that loses requests at many endpoints at once is probably cut off or faulty itself. If its
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -78,8 +78,8 @@
   row->medium = load->decoding_streams[SV_GAP_MEDIUM];
   row->loose = load->decoding_streams[SV_GAP_LOOSE];
   row->tokens = load->tokens;
-  if (endpoint->alive_at > 0)
-    row->silent_ms = (guint32)MIN ((now - endpoint->alive_at) / KNL_MSEC + 1, G_MAXUINT32);
+  if (endpoint->signs.heard_at > 0)
+    row->silent_ms = (guint32)MIN ((now - endpoint->signs.heard_at) / KNL_MSEC + 1, G_MAXUINT32);
 }
 
 void
--- a/serve/quarantine_begun.c
+++ b/serve/quarantine_begun.c
@@ -45,7 +45,8 @@
 {
   const SvEndpoint *endpoint = sv_fleet_by_key (self->fleet, use->endpoint);
 
-  *survived = endpoint != NULL && endpoint->alive_at >= use->at + SV_CRASH_WINDOW;
+  *survived = endpoint != NULL
+              && sv_signs_prove_life (&endpoint->signs, use->at, use->at + SV_CRASH_WINDOW);
   return *survived || endpoint == NULL || use->at + BEGUN_TTL <= knl_kernel_now (self->kernel);
 }
 
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -142,15 +142,15 @@
   note_changed (self);
 }
 
-/* Whether enough of the endpoints haven't been heard from since. */
+/* Whether enough of the endpoints haven't been shown to live since. */
 static gboolean
 is_shown (const SvQuarantine *self, const SvQuarantined *quarantined)
 {
   guint n = 0;
 
   for (guint i = 0; i < quarantined->n_losses; i++)
-    n += !sv_crash_is_survived (self->fleet, quarantined->losses[i].endpoint,
-                                quarantined->losses[i].lost_at);
+    n += !sv_crash_is_refuted (self->fleet, quarantined->losses[i].endpoint,
+                               quarantined->losses[i].lost_at);
   return n >= MIN_ENDS;
 }
 
--- a/tests/unit/sv_crash_paused_test.c
+++ b/tests/unit/sv_crash_paused_test.c
@@ -37,7 +37,7 @@
 static void
 hear_from_endpoint (PeersFixture *self, guint i)
 {
-  peers_fixture_endpoint (self, i)->alive_at = knl_kernel_now (self->kernel);
+  sv_signs_note_told (&peers_fixture_endpoint (self, i)->signs, knl_kernel_now (self->kernel));
   peers_fixture_call (self, i, 1);
   peers_fixture_advance (self, PEERS_PROPAGATION_TIME);
 }
--- a/tests/unit/sv_crash_peers_test.c
+++ b/tests/unit/sv_crash_peers_test.c
@@ -139,7 +139,7 @@
   peers_fixture_advance (&fixture, KNL_SEC);
   CU_ASSERT_EQUAL (sv_crashes_count (fixture.crashes[0], FINGERPRINT), 1);
   endpoint = peers_fixture_endpoint (&fixture, 2);
-  endpoint->alive_at = knl_kernel_now (fixture.kernel);
+  sv_signs_note_told (&endpoint->signs, knl_kernel_now (fixture.kernel));
   peers_fixture_call (&fixture, 2, 1);
   peers_fixture_advance (&fixture, PEERS_PROPAGATION_TIME);
   CU_ASSERT_EQUAL (sv_crashes_count (fixture.crashes[0], FINGERPRINT), 0);
--- a/tests/unit/sv_crash_rules_test.c
+++ b/tests/unit/sv_crash_rules_test.c
@@ -163,7 +163,8 @@
     {
       lose (&fixture, i, REQUEST);
       pass (&fixture, KNL_SEC);
-      sv_fleet_by_key (fixture.fleet, fixture.keys[i])->alive_at = knl_kernel_now (fixture.kernel);
+      sv_fleet_by_key (fixture.fleet, fixture.keys[i])->signs.proven_at =
+          knl_kernel_now (fixture.kernel);
       pass (&fixture, KNL_SEC);
       remove_endpoint (&fixture, i);
     }
--- a/tests/unit/sv_quarantine_rules_test.c
+++ b/tests/unit/sv_quarantine_rules_test.c
@@ -119,7 +119,7 @@
 
   sv_quarantine_note_begun (self->quarantine, &use);
   knl_paused_clock_advance (self->clock, SV_CRASH_WINDOW);
-  endpoint_at (self, endpoint)->alive_at = knl_kernel_now (self->kernel);
+  endpoint_at (self, endpoint)->signs.proven_at = knl_kernel_now (self->kernel);
   sv_quarantine_tick (self->quarantine);
 }
 
@@ -353,7 +353,7 @@
       crash (&fixture, i, segments);
       CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
       knl_paused_clock_advance (fixture.clock, PAUSE);
-      endpoint_at (&fixture, i)->alive_at = knl_kernel_now (fixture.kernel);
+      endpoint_at (&fixture, i)->signs.proven_at = knl_kernel_now (fixture.kernel);
       sv_quarantine_tick (fixture.quarantine);
     }
   CU_ASSERT_FALSE (is_refused (&fixture, COMMON));
@@ -395,7 +395,7 @@
     lose (&fixture, i, 90 + i, segments);
   knl_paused_clock_advance (fixture.clock, PAUSE);
   for (guint i = 0; i < 4; i++)
-    endpoint_at (&fixture, i)->alive_at = knl_kernel_now (fixture.kernel);
+    endpoint_at (&fixture, i)->signs.proven_at = knl_kernel_now (fixture.kernel);
   for (guint i = 0; i < 4; i++)
     {
       pass (&fixture, PAUSE);
@@ -419,7 +419,7 @@
     break_off (&fixture, i, 90 + i, bad);
   knl_paused_clock_advance (fixture.clock, PAUSE);
   for (guint i = 0; i < 3; i++)
-    endpoint_at (&fixture, i)->alive_at = knl_kernel_now (fixture.kernel);
+    endpoint_at (&fixture, i)->signs.proven_at = knl_kernel_now (fixture.kernel);
   for (guint i = 0; i < 3; i++)
     {
       pass (&fixture, PAUSE);
@@ -446,12 +446,12 @@
       crash (&fixture, i, segments);
       pass (&fixture, KNL_SEC);
     }
-  endpoint_at (&fixture, 7)->alive_at = knl_kernel_now (fixture.kernel);
+  endpoint_at (&fixture, 7)->signs.proven_at = knl_kernel_now (fixture.kernel);
   pass (&fixture, PAUSE);
   use = use_at (&fixture, 8, 501, segments);
   sv_quarantine_note_begun (fixture.quarantine, &use);
   pass (&fixture, 2 * KNL_SEC);
-  endpoint_at (&fixture, 8)->alive_at = knl_kernel_now (fixture.kernel);
+  endpoint_at (&fixture, 8)->signs.proven_at = knl_kernel_now (fixture.kernel);
   pass (&fixture, PAUSE);
   crash (&fixture, 2, segments);
   pass (&fixture, PAUSE);
@@ -474,7 +474,7 @@
       SvSegmentUse lost = { .endpoint = use.endpoint, .service = SERVICE };
 
       sv_quarantine_note_begun (fixture.quarantine, &use);
-      endpoint_at (&fixture, i)->alive_at = use.at;
+      endpoint_at (&fixture, i)->signs.proven_at = use.at;
       knl_paused_clock_advance (fixture.clock, SV_CRASH_WINDOW / 2);
       lost.at = knl_kernel_now (fixture.kernel);
       /* The answer was complete; what shows the end is other requests. */
@@ -504,7 +504,7 @@
   sv_quarantine_note_begun (fixture.quarantine, &use);
   sv_quarantine_forget_begun (fixture.quarantine, use.request, use.endpoint);
   knl_paused_clock_advance (fixture.clock, SV_CRASH_WINDOW);
-  endpoint_at (&fixture, 5)->alive_at = knl_kernel_now (fixture.kernel);
+  endpoint_at (&fixture, 5)->signs.proven_at = knl_kernel_now (fixture.kernel);
   sv_quarantine_tick (fixture.quarantine);
   CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
   fixture_close (&fixture);
@@ -624,7 +624,7 @@
           break_off (&fixture, 0, 100 + i, segments);
           pass (&fixture, PAUSE);
           if (is_heard)
-            endpoint_at (&fixture, 0)->alive_at = knl_kernel_now (fixture.kernel);
+            endpoint_at (&fixture, 0)->signs.proven_at = knl_kernel_now (fixture.kernel);
           pass (&fixture, is_heard ? KNL_SEC : 61 * KNL_SEC);
           remove_endpoint (&fixture, removed_ids[i]);
         }
@@ -708,7 +708,7 @@
   told.since = knl_kernel_now (fixture.kernel);
   CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
   pass (&fixture, PAUSE);
-  endpoint_at (&fixture, 1)->alive_at = knl_kernel_now (fixture.kernel);
+  endpoint_at (&fixture, 1)->signs.proven_at = knl_kernel_now (fixture.kernel);
   CU_ASSERT_FALSE (is_refused (&fixture, DEADLY));
   CU_ASSERT_FALSE (sv_quarantine_adopt (fixture.quarantine, &told, SV_CRASH_OF_CELL));
   fixture_close (&fixture);
@@ -741,7 +741,7 @@
   pass (&fixture, SV_CRASH_WINDOW / 2);
   lose (&fixture, 4, 500, bad);
   pass (&fixture, KNL_SEC);
-  endpoint_at (&fixture, 4)->alive_at = knl_kernel_now (fixture.kernel);
+  endpoint_at (&fixture, 4)->signs.proven_at = knl_kernel_now (fixture.kernel);
   pass (&fixture, PAUSE);
   CU_ASSERT_TRUE (is_refused (&fixture, DEADLY));
   fixture_close (&fixture);
@@ -765,7 +765,7 @@
   use = use_at (&fixture, 4, 500, common);
   sv_quarantine_note_begun (fixture.quarantine, &use);
   knl_paused_clock_advance (fixture.clock, 2 * SV_CRASH_WINDOW);
-  endpoint_at (&fixture, 4)->alive_at = knl_kernel_now (fixture.kernel);
+  endpoint_at (&fixture, 4)->signs.proven_at = knl_kernel_now (fixture.kernel);
   lose (&fixture, 4, 600, bad);
   crash (&fixture, 5, common);
   pass (&fixture, PAUSE);
--- a/tests/unit/sv_quarantine_test.c
+++ b/tests/unit/sv_quarantine_test.c
@@ -249,11 +249,36 @@
   sv_fixture_close (&fixture);
 }
 
+/* Guards against sound prompts that stay refused after endpoints which had only lost connections:
+ * the list shows later that they haven't started again. */
+static void
+test_an_endpoint_that_has_lived_on_ends_a_quarantine (void)
+{
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  crash_restarting_endpoints (&fixture);
+  CU_ASSERT_TRUE (is_deadly_refused (&fixture));
+  request_prompt (&fixture, "/once/1", "aa:40");
+  sv_fixture_wait_for (&fixture, "good");
+  sv_core_note_listed (fixture.core, knl_kernel_now (fixture.kernel));
+  CU_ASSERT_TRUE (is_deadly_refused (&fixture));
+  knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
+  sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+  sv_core_note_listed (fixture.core, knl_kernel_now (fixture.kernel));
+  CU_ASSERT_FALSE (is_deadly_refused (&fixture));
+  CU_ASSERT_EQUAL (sv_quarantine_n (sv_core_quarantine (fixture.core)), 0);
+  sv_fixture_close (&fixture);
+}
+
 static const SuiteCase cases[] = {
   { "a segment that crashes endpoints is refused",
     test_a_segment_that_crashes_endpoints_is_refused },
   { "prompts without the segment are served", test_prompts_without_the_segment_are_served },
   { "the next process ends no quarantine", test_the_next_process_ends_no_quarantine },
+  { "an endpoint that has lived on ends a quarantine",
+    test_an_endpoint_that_has_lived_on_ends_a_quarantine },
   { "error answers acquit nothing", test_error_answers_acquit_nothing },
   { "the next process clears no loss", test_the_next_process_clears_no_loss },
   { "waiting prompts are taken back", test_waiting_prompts_are_taken_back },
