serve, docs: request-sent says that an earlier send went to the same address (TWICE)

The log couldn't tell an answer to an earlier send from one to this send: both name the request. request-sent has sent-before-to where the request has been sent to that address, so that a rejection right after it can be questioned.

--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -11,7 +11,7 @@
  * the segment is quarantined: prompts with it are refused.
  *
  * The quarantine is one for all instances: the first to decide tells the others, with the losses
- * that show it. It stands for as long as nobody has heard from these endpoints. It ends with the
+ * that show it. It stands for as long as nothing proves that these processes live. It ends with the
  * first answer that an endpoint survives; to find out, a few prompts are let through, each at the
  * one instance that is elected for it, once it is counted where all instances count.
  *
@@ -162,7 +162,7 @@
                                  PolBlameLoss *losses,
                                  guint n);
 
-/** Whether it is quarantined, and the endpoints that show it haven't been heard from since. */
+/** Whether it is quarantined, and the endpoints that show it haven't been proven to live since. */
 gboolean sv_quarantine_contains (const SvQuarantine *quarantine, guint32 service, guint64 segment);
 
 /** The quarantined segment because of which a prompt is refused; NULL: it isn't. If the prompt is
--- a/serve/send.c
+++ b/serve/send.c
@@ -289,7 +289,8 @@
           self->sent_at - self->begun_at, "i", "part-us", placement->part, "i", "expected-us",
           placement->expected, "i", "backlog-us", placement->backlog, "i", "endpoint-calls",
           (gint64)load.calls, "i", "endpoint-tokens", (gint64)load.tokens, "s", "endpoint-limit",
-          limit, "b", "reserved", self->reservation != NULL);
+          limit, "b", "reserved", self->reservation != NULL, "s", "sent-before-to",
+          sv_request_was_sent_to (self, endpoint->address) ? endpoint->address : NULL);
 }
 
 /* Sends the request, which is placed and has its memory reserved. */
