--- a/tests/unit/sv_quarantine_test.c
+++ b/tests/unit/sv_quarantine_test.c
@@ -1,6 +1,7 @@
 /** Tests of segments of prompts that crash the endpoints that answer them. */
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "suite.h"
 #include "sv_fixture.h"
@@ -272,6 +273,71 @@
   sv_fixture_close (&fixture);
 }
 
+/* The fingerprint of a request for "/once/1" with this body. */
+static guint64
+fingerprint_of (const char *body)
+{
+  guint64 fingerprint = XXH64 ("/once/1", strlen ("/once/1"), 0);
+
+  fingerprint = XXH64 ("key", strlen ("key"), fingerprint);
+  return XXH64 (body, strlen (body), fingerprint);
+}
+
+/* A peer tells that endpoints which aren't known here have ended under the deadly segment at
+ * different moments, and, all at one moment, under the request with this body. */
+static void
+tell_of_crashes (SvFixture *fixture, const char *body)
+{
+  KnlTime now = knl_kernel_now (fixture->kernel);
+  SvQuarantined quarantined = {
+    .service = sv_quarantine_service ("s"), .segment = 0xdead, .since = now, .n_losses = 3
+  };
+
+  for (guint i = 0; i < 3; i++)
+    {
+      SvCrash crash = { fingerprint_of (body), 2000 + i, now };
+
+      quarantined.losses[i] = (PolBlameLoss){ .endpoint = 1000 + i, .lost_at = now - i * KNL_SEC };
+      sv_crashes_note_loss (sv_core_crashes (fixture->core), &crash, SV_CRASH_OF_CELL);
+    }
+  CU_ASSERT_TRUE (
+      sv_quarantine_adopt (sv_core_quarantine (fixture->core), &quarantined, SV_CRASH_OF_CELL));
+}
+
+/* Guards against a quarantined segment that reaches endpoints twice more with each of its requests,
+ * as a test of the request isn't counted as one of the segment. */
+static void
+test_a_test_of_a_request_is_none_of_its_segments (void)
+{
+  static const struct
+  {
+    const char *segments;
+    gboolean is_refused;
+  } rows[] = { { "ee:40" DEADLY ",1f:60", TRUE }, { "ee:40,1f:60", FALSE } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      g_autofree char *request = g_strdup_printf (
+          "POST /once/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: 4000\r\n"
+          "X-Token-Counts: 200,10\r\nX-Prompt-Prefix: %s\r\n"
+          "Authorization: Bearer key\r\nContent-Length: 4\r\n\r\nsame",
+          rows[i].segments);
+      SvFixture fixture;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      sv_fixture_add_endpoint (&fixture, &good, 1);
+      tell_of_crashes (&fixture, "same");
+      knl_paused_clock_advance (fixture.clock, 180 * KNL_SEC);
+      sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
+      sv_fixture_send (&fixture, request);
+      sv_fixture_wait_for (&fixture, "HTTP/1.1");
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[0]), !rows[i].is_refused);
+      CU_ASSERT_EQUAL (strstr (fixture.received->str, "HTTP/1.1 503") != NULL, rows[i].is_refused);
+      sv_fixture_close (&fixture);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "a segment that crashes endpoints is refused",
     test_a_segment_that_crashes_endpoints_is_refused },
@@ -279,6 +345,8 @@
   { "the next process ends no quarantine", test_the_next_process_ends_no_quarantine },
   { "an endpoint that has lived on ends a quarantine",
     test_an_endpoint_that_has_lived_on_ends_a_quarantine },
+  { "a test of a request is none of its segments",
+    test_a_test_of_a_request_is_none_of_its_segments },
   { "error answers acquit nothing", test_error_answers_acquit_nothing },
   { "the next process clears no loss", test_the_next_process_clears_no_loss },
   { "waiting prompts are taken back", test_waiting_prompts_are_taken_back },
