serve: a test of a request's own crashes doesn't pass by a quarantined segment (BUDGET)

A request that has lost endpoints all at one moment isn't quarantined; it is let through now and then to find out. One flag of the request meant that and a test of a quarantine, so such a request also passed by the verdict on a segment of its prompt, at each instance that knew its crashes but not their segment's, and twice for each request: a part that crashes engines reached them more often than its own two tests allow.

A request's own test has a flag of its own, and its segments are checked all the same.

sv_quarantine, a test of a request is none of its segments: 2 of 30 assertions failed before, none now; the row without the segment is let through before and after.

--- a/serve/admission.c
+++ b/serve/admission.c
@@ -130,7 +130,7 @@
   if (self->params.key != NULL)
     seed = XXH64 (self->params.key, strlen (self->params.key), seed);
   self->fingerprint = XXH64 (request->body->str, request->body->len, seed);
-  if (!sv_crashes_is_refused (self->core->crashes, self->fingerprint, &self->is_test))
+  if (!sv_crashes_is_refused (self->core->crashes, self->fingerprint, &self->is_crash_test))
     return TRUE;
   sv_request_refuse (self, 503, "crashes-endpoints");
   return FALSE;
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -208,7 +208,7 @@
   PolRetry decision;
 
   log_loss (self, fault, end);
-  self->is_test = FALSE;
+  self->is_test = self->is_crash_test = FALSE;
   self->last_fault = fault;
   self->runs += pol_end_may_have_run (end);
   exclude (self, self->placement.first);
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -61,7 +61,8 @@
   SvEndpoint *failed_at;  /* whose answer that is; NULL: there is none */
   gboolean unreached;     /* no connection to the endpoint of the last send was established */
   gboolean is_passed;     /* a peer passed it on to this instance */
-  gboolean is_test;       /* it may crash endpoints, and is let through to find out */
+  gboolean is_test;       /* of a quarantine: it is let through to find out whether that is right */
+  gboolean is_crash_test; /* the same of its own crashes, which no quarantine was decided by */
   gboolean is_overload;   /* it is refused because its service is overloaded */
   HtExchange *pass;       /* with the peer that it is passed on to; NULL: none */
   char *passed_to;        /* address of the last peer that it was passed on to; NULL: none */
--- a/serve/request_quarantine.c
+++ b/serve/request_quarantine.c
@@ -105,8 +105,8 @@
 const char *
 sv_request_crash_refusal (SvRequest *self)
 {
-  if (!self->is_test
-      && sv_crashes_is_refused (self->core->crashes, self->fingerprint, &self->is_test))
+  if (!self->is_test && !self->is_crash_test
+      && sv_crashes_is_refused (self->core->crashes, self->fingerprint, &self->is_crash_test))
     return "crashes-endpoints";
   return sv_request_quarantine_reason (self);
 }
