Revert "trial: serve: an instance that starts asks peers before it relies on the store"

It makes a restart of all instances slower than gw_members allows, and that bound comes from what callers need. gw_restore stays, listed as red.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -145,9 +145,9 @@
   pl_mirror_notify (self->mirror);
   pl_feed_set_wait (self->config_feed, config_wait (self));
   /* Data from a peer may be old; sv_confirm finds out its age. */
-  if (self->peer_store == NULL)
-    sv_confirm_note_store (self->confirm, at);
-  else
+  if (self->peer_store == NULL && !sv_confirm_store_lost_config (self->confirm, at))
+    sv_core_confirm (self->core, at);
+  else if (self->peer_store != NULL)
     sv_confirm_note_config (self->confirm);
   sv_peers_set_ready (self->peers, gateway_is_ready (self));
 }
@@ -209,10 +209,7 @@
 static void
 confirm_note_confirmed (KnlTime at, gpointer data)
 {
-  Gateway *self = data;
-
-  sv_core_confirm (self->core, at);
-  sv_peers_set_ready (self->peers, gateway_is_ready (self));
+  sv_core_confirm (((Gateway *)data)->core, at);
 }
 
 static void
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -59,10 +59,6 @@
  * queried at once. */
 void sv_confirm_note_config (SvConfirm *confirm);
 
-/** The store has answered that the configuration in use is the newest, for the time `at`. It counts
- * as confirmed unless a peer has told of a newer one; after the start, peers are asked first. */
-void sv_confirm_note_store (SvConfirm *confirm, KnlTime at);
-
 /** Whether the store, in an answer for the time `at`, lacks a configuration that a peer had
  * reported before and whose version is higher than that in use. The store has then lost it, and
  * possibly the withdrawal of a key with it; the operator writes it again. */
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -34,17 +34,6 @@
  * this, it has missed the update. */
 #define MAX_UPDATE_DELAY (300 * KNL_MSEC)
 
-/* How long an instance that has started waits for a peer to confirm a configuration, before it
- * relies on the store alone, which may have come back from an older copy. Peers of its cell answer
- * within milliseconds, and other cells become known within half a second; instances that have all
- * been restarted have nothing to confirm. */
-#define START_TIMEOUT (750 * KNL_MSEC)
-
-/* Interval at which it looks for further peers until then, and after which it asks those that it
- * knows again: a datagram may be lost. */
-#define START_INTERVAL    (25 * KNL_MSEC)
-#define START_RETRY_DELAY (200 * KNL_MSEC)
-
 /* A position that peers reported and that this instance hasn't reached. */
 typedef struct
 {
@@ -72,11 +61,6 @@
   guint64 proven_evacuations; /* newest row of evacuated zones that was applied there by then */
   KnlTime proven_at;
   SvPendingConfigs pending_configs;
-  gboolean has_started; /* a peer has confirmed its configuration, or none did in time */
-  KnlTime store_at;     /* for which the store has confirmed the first configuration; 0: none */
-  KnlTimerId start_timer;
-  KnlTime start_begun_at; /* of the first answer of the store */
-  guint n_asked;          /* peers that were asked last */
 };
 
 gboolean
@@ -108,29 +92,19 @@
 }
 
 static void
-query_peers (SvConfirm *self, const GPtrArray *peers)
+query_peer (SvConfirm *self, gboolean is_urgent)
 {
+  const Peer *peer = choose_follower (self, is_urgent);
   GRand *rand = knl_kernel_rand (self->kernel);
   Alderturn__Confirmation request = ALDERTURN__CONFIRMATION__INIT;
 
+  if (peer == NULL)
+    return;
   /* Never repeated, so that an answer can't be mistaken for that to a later request. */
   self->stamp = ((guint64)g_rand_int (rand) << 32 | g_rand_int (rand)) | 1;
   self->requested_at = knl_kernel_now (self->kernel);
   request.stamp = self->stamp;
-  for (guint i = 0; i < peers->len; i++)
-    sv_peers_send_confirmation (self->peers, g_ptr_array_index (peers, i), &request);
-}
-
-static void
-query_peer (SvConfirm *self, gboolean is_urgent)
-{
-  const Peer *peer = choose_follower (self, is_urgent);
-  g_autoptr (GPtrArray) chosen = g_ptr_array_new ();
-
-  if (peer == NULL)
-    return;
-  g_ptr_array_add (chosen, (gpointer)peer);
-  query_peers (self, chosen);
+  sv_peers_send_confirmation (self->peers, peer, &request);
 }
 
 /* Sets the time of the next query of the store, at random for all but the first queriers. */
@@ -318,68 +292,6 @@
   return behind && is_feed_silent (self, self->events->config_last_seen_at (self->data));
 }
 
-/* A configuration that is older than a peer's isn't confirmed even if the store, asked before the
- * peer told of it, had no newer one: it may have lost it, and be asked again. */
-static void
-confirm_first (SvConfirm *self)
-{
-  KnlTime at = self->store_at;
-
-  if (!self->has_started || at == 0 || sv_confirm_stale_since (self) != KNL_NEVER)
-    return;
-  self->store_at = 0;
-  self->events->confirm (at, self->data);
-}
-
-static void
-end_start (SvConfirm *self)
-{
-  self->has_started = TRUE;
-  knl_timer_stop (self->kernel, &self->start_timer);
-  confirm_first (self);
-}
-
-/* Asks several peers at once; the first answer counts. Instances of other cells become known a
- * little later than those of this one. */
-static void
-on_start_due (gpointer data)
-{
-  SvConfirm *self = data;
-  KnlTime now = knl_kernel_now (self->kernel);
-  g_autoptr (GPtrArray) found = sv_cells_followers (self->peers);
-
-  self->start_timer = 0;
-  if (now - self->start_begun_at >= START_TIMEOUT)
-    {
-      end_start (self);
-      return;
-    }
-  sv_cells_add_relays (self->peers, found);
-  if (found->len > self->n_asked || now - self->requested_at >= START_RETRY_DELAY)
-    query_peers (self, found);
-  self->n_asked = found->len;
-  self->start_timer = knl_timer_start (self->kernel, START_INTERVAL, on_start_due, self);
-}
-
-void
-sv_confirm_note_store (SvConfirm *self, KnlTime at)
-{
-  if (self->max_staleness == KNL_NEVER)
-    self->has_started = TRUE;
-  if (!self->has_started && self->start_timer == 0)
-    {
-      self->start_begun_at = knl_kernel_now (self->kernel);
-      on_start_due (self);
-    }
-  if (self->events->confirmed_at (self->data) == -KNL_NEVER)
-    {
-      self->store_at = at;
-      confirm_first (self);
-    }
-  else if (!sv_confirm_store_lost_config (self, at))
-    self->events->confirm (at, self->data);
-}
-
 static void
 note_config_reported (SvConfirm *self, guint64 version)
 {
@@ -420,8 +332,6 @@
     return;
   self->stamp = 0;
   note_config_reported (self, reported->version);
-  if (!self->has_started)
-    end_start (self);
   if (sv_position_compare ((SvPosition){ reported->era, reported->endpoints },
                            self->events->endpoints_known (self->data))
           == SV_POSITION_NEWER
@@ -489,7 +399,6 @@
   if (self == NULL)
     return;
   knl_timer_stop (self->kernel, &self->timer);
-  knl_timer_stop (self->kernel, &self->start_timer);
   sv_peers_on_confirmation (self->peers, NULL, NULL, NULL);
   g_free (self);
 }
