--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -21,8 +21,6 @@
  * happen just when lists must be read again. */
 #define CONFIG_READS_FRACTION 0.5
 
-#define ENDPOINTS_WAIT (8 * KNL_SEC)
-
 /* Delays that coalesce consecutive changes into one answer: when the whole system starts, endpoints
  * register one by one, and each registration would cost a call of each instance. The delay is
  * shorter for the configuration, since callers wait for it, whereas a leaving endpoint may still be
@@ -460,7 +458,7 @@
     .max_coalesce_delay =
         (KnlTime)(CONFIG_COALESCE_FRACTION * (double)self->boot->bounds.new_config),
   };
-  static const PlFeedPace endpoints_pace = { .wait = ENDPOINTS_WAIT,
+  static const PlFeedPace endpoints_pace = { .wait = GATEWAY_ENDPOINTS_WAIT,
                                              .coalesce_delay = ENDPOINTS_COALESCE_DELAY };
 
   self->config_feed = pl_feed_new (store, PL_CONFIG_TABLE, &config_pace, &config_events, self);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -15,6 +15,9 @@
 #include "serve/core.h"
 #include "serve/peers.h"
 
+/** How long the store holds an answer about endpoints back when nothing changes. */
+#define GATEWAY_ENDPOINTS_WAIT (8 * KNL_SEC)
+
 typedef struct
 {
   const char *boot_path;
@@ -68,6 +71,7 @@
   json_t *cell_row;         /* row of this instance's cell, as last read; NULL: none */
   guint64 cell_row_version; /* its version; 0: there is none */
   gboolean is_cell_unread;  /* the last read or write of the row failed, and is to be repeated */
+  gboolean has_doubt;       /* a quarantine stands only for want of proof */
   guint n_quarantined;      /* when the cell's row was last reviewed for it */
   PlCall *claim_call;       /* counts a test of a quarantine; NULL: none is asked for */
   PlTestCount claim;        /* that test */
@@ -198,6 +202,10 @@
  * in a restart of all instances. */
 void gateway_note_quarantined (Gateway *self);
 
+/** Confirms the list of endpoints more often while a quarantine stands only for want of proof that
+ * its endpoints live. */
+void gateway_note_doubt (Gateway *self);
+
 /** Whether the cell's row has other quarantined segments than this instance. */
 gboolean gateway_is_quarantine_unwritten (const Gateway *self);
 
--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -37,6 +37,7 @@
   sv_peers_set_ready (self->peers, gateway_is_ready (self));
   sv_fleet_sweep (self->fleet);
   gateway_note_quarantined (self);
+  gateway_note_doubt (self);
   if (self->drain_since == 0)
     gateway_reload (self, FALSE);
   else
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -11,6 +11,10 @@
  */
 #define ROW_AGE (10 * KNL_SEC)
 
+/* Wait for changes of the list of endpoints while signs of life need proof by it. An answer without
+ * changes confirms the list as of more than a second before. */
+#define ENDPOINTS_WAIT_IN_DOUBT (3 * KNL_SEC)
+
 /* FALSE: the row is of an earlier release, or the store's clock isn't known. */
 static gboolean
 read_since (const Gateway *self, SvQuarantined *quarantined)
@@ -61,6 +65,20 @@
   gateway_review_soon (self);
 }
 
+void
+gateway_note_doubt (Gateway *self)
+{
+  gboolean has_doubt = sv_quarantine_has_doubt (sv_core_quarantine (self->core));
+
+  if (has_doubt == self->has_doubt || self->endpoints_feed == NULL)
+    return;
+  self->has_doubt = has_doubt;
+  pl_feed_set_wait (self->endpoints_feed,
+                    has_doubt ? ENDPOINTS_WAIT_IN_DOUBT : GATEWAY_ENDPOINTS_WAIT);
+  if (has_doubt)
+    pl_feed_poll_now (self->endpoints_feed);
+}
+
 static gboolean
 contains (const SvQuarantined *list, guint n, const SvQuarantined *wanted)
 {
--- a/include/serve/quarantine.h
+++ b/include/serve/quarantine.h
@@ -162,6 +162,10 @@
                                  PolBlameLoss *losses,
                                  guint n);
 
+/** Whether a quarantine stands only for want of proof that its endpoints live: a newer list of
+ * endpoints would give it. */
+gboolean sv_quarantine_has_doubt (const SvQuarantine *quarantine);
+
 /** Whether it is quarantined, and the endpoints that show it haven't been proven to live since. */
 gboolean sv_quarantine_contains (const SvQuarantine *quarantine, guint32 service, guint64 segment);
 
--- a/include/serve/signs.h
+++ b/include/serve/signs.h
@@ -25,6 +25,9 @@
 /** Another instance heard from it at `at`. */
 void sv_signs_note_told (SvSigns *self, KnlTime at);
 
+/** Another instance has proof that the process which its row is about was alive at `at`. */
+void sv_signs_note_proof (SvSigns *self, KnlTime at);
+
 /** Its row was current at `listed_at`. */
 void sv_signs_note_listed (SvSigns *self, KnlTime listed_at);
 
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -120,10 +120,14 @@
   uint32_t cell;
   Alderturn__EndpointLimit *limit;
   Alderturn__EndpointPace *pace;
+  /*
+   * since the process that its row is about was certainly alive, and 1; 0: not known
+   */
+  uint32_t proven_ms;
 };
 #define ALDERTURN__ENDPOINT_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__endpoint_load__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, 0 }
 
 
 /*
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -68,6 +68,9 @@
     return;
   endpoint->last_seen_at = MAX (endpoint->last_seen_at, knl_kernel_now (self->kernel) - silent);
   sv_signs_note_told (&endpoint->signs, self->sent_at - silent);
+  if (row->proven_ms > 0)
+    sv_signs_note_proof (&endpoint->signs,
+                         self->sent_at - (KnlTime)(row->proven_ms - 1) * KNL_MSEC);
 }
 
 /* A peer that loses requests at many endpoints at once is probably cut off or faulty itself. If its
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -80,6 +80,8 @@
   row->tokens = load->tokens;
   if (endpoint->signs.heard_at > 0)
     row->silent_ms = (guint32)MIN ((now - endpoint->signs.heard_at) / KNL_MSEC + 1, G_MAXUINT32);
+  if (endpoint->signs.proven_at > 0)
+    row->proven_ms = (guint32)MIN ((now - endpoint->signs.proven_at) / KNL_MSEC + 1, G_MAXUINT32);
 }
 
 void
--- a/serve/quarantine_entries.c
+++ b/serve/quarantine_entries.c
@@ -142,6 +142,33 @@
   note_changed (self);
 }
 
+/* Whether it stands only for want of proof that endpoints live which have been heard from. */
+static gboolean
+is_doubtful (const SvQuarantine *self, const SvQuarantined *quarantined)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < quarantined->n_losses; i++)
+    n += !sv_crash_is_survived (self->fleet, quarantined->losses[i].endpoint,
+                                quarantined->losses[i].lost_at);
+  return n < MIN_ENDS;
+}
+
+gboolean
+sv_quarantine_has_doubt (const SvQuarantine *self)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      if (is_doubtful (self, &((const Entry *)value)->told))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Whether enough of the endpoints haven't been shown to live since. */
 static gboolean
 is_shown (const SvQuarantine *self, const SvQuarantined *quarantined)
--- a/serve/signs.c
+++ b/serve/signs.c
@@ -55,6 +55,12 @@
   note_heard (self, at);
 }
 
+void
+sv_signs_note_proof (SvSigns *self, KnlTime at)
+{
+  prove (self, at);
+}
+
 void
 sv_signs_note_listed (SvSigns *self, KnlTime listed_at)
 {
--- a/tests/unit/sv_crash_peers_test.c
+++ b/tests/unit/sv_crash_peers_test.c
@@ -146,6 +146,32 @@
   peers_fixture_close (&fixture);
 }
 
+/* Guards against a verdict that stands for hours at instances which read the list of endpoints from
+ * a peer, and never have proof of their own that an endpoint has lived on. */
+static void
+test_proof_of_life_is_told (void)
+{
+  PeersFixture fixture;
+  SvSigns *signs;
+  KnlTime now;
+
+  fixture_open (&fixture);
+  now = knl_kernel_now (fixture.kernel);
+  signs = &peers_fixture_endpoint (&fixture, 2)->signs;
+  sv_signs_note_bytes (signs, now, now, 0);
+  peers_fixture_call (&fixture, 2, 1);
+  peers_fixture_advance (&fixture, PEERS_PROPAGATION_TIME);
+  CU_ASSERT_FALSE (sv_signs_prove_life (&peers_fixture_endpoint (&fixture, 0)->signs, now - KNL_SEC,
+                                        now - KNL_MSEC));
+  sv_signs_note_listed (signs, now + 2 * KNL_SEC);
+  peers_fixture_call (&fixture, 2, 1);
+  peers_fixture_advance (&fixture, PEERS_PROPAGATION_TIME);
+  for (guint i = 0; i < INSTANCES; i++)
+    CU_ASSERT_TRUE (sv_signs_prove_life (&peers_fixture_endpoint (&fixture, i)->signs,
+                                         now - KNL_SEC, now - 2 * KNL_MSEC));
+  peers_fixture_close (&fixture);
+}
+
 /* Guards against more losses than fit into one datagram, of which the rest is never sent. */
 static void
 test_many_losses_are_all_told (void)
@@ -216,6 +242,7 @@
   { "crashes of all instances count together", test_crashes_of_all_instances_count_together },
   { "one crash seen by all counts once", test_one_crash_seen_by_all_counts_once },
   { "an answer clears crashes everywhere", test_an_answer_clears_crashes_everywhere },
+  { "proof of life is told", test_proof_of_life_is_told },
   { "endpoints that answer a peer have not crashed",
     test_endpoints_that_answer_a_peer_have_not_crashed },
   { "many losses are all told", test_many_losses_are_all_told },
--- a/tests/unit/sv_limit_kept_test.c
+++ b/tests/unit/sv_limit_kept_test.c
@@ -290,7 +290,7 @@
     {
       SvEndpoint *endpoint = g_ptr_array_index (sv_fleet_all (cluster.peers.fleets[0]), i);
 
-      endpoint->signs.heard_at = 1;
+      endpoint->signs.heard_at = endpoint->signs.proven_at = 1;
       sv_endpoint_note_limit (endpoint, RATE, 1);
       endpoint->limit.advertised_at = -G_MAXINT32 * KNL_MSEC;
       endpoint->sent = G_MAXUINT32 / 2;
--- a/tests/unit/sv_quarantine_test.c
+++ b/tests/unit/sv_quarantine_test.c
@@ -263,8 +263,11 @@
   CU_ASSERT_TRUE (is_deadly_refused (&fixture));
   request_prompt (&fixture, "/once/1", "aa:40");
   sv_fixture_wait_for (&fixture, "good");
+  knl_paused_clock_advance (fixture.clock, KNL_SEC);
+  sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
   sv_core_note_listed (fixture.core, knl_kernel_now (fixture.kernel));
   CU_ASSERT_TRUE (is_deadly_refused (&fixture));
+  CU_ASSERT_TRUE (sv_quarantine_has_doubt (sv_core_quarantine (fixture.core)));
   knl_paused_clock_advance (fixture.clock, 2 * KNL_SEC);
   sv_core_confirm (fixture.core, knl_kernel_now (fixture.kernel));
   sv_core_note_listed (fixture.core, knl_kernel_now (fixture.kernel));
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -823,7 +823,7 @@
   (ProtobufCMessageInit) alderturn__endpoint_pace__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__endpoint_load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor alderturn__endpoint_load__field_descriptors[11] =
 {
   {
     "endpoint",
@@ -945,6 +945,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "proven_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__EndpointLoad, proven_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__endpoint_load__field_indices_by_name[] = {
   1,   /* field[1] = calls */
@@ -954,6 +966,7 @@
   4,   /* field[4] = loose */
   3,   /* field[3] = medium */
   9,   /* field[9] = pace */
+  10,   /* field[10] = proven_ms */
   6,   /* field[6] = silent_ms */
   2,   /* field[2] = tight */
   5,   /* field[5] = tokens */
@@ -961,7 +974,7 @@
 static const ProtobufCIntRange alderturn__endpoint_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor alderturn__endpoint_load__descriptor =
 {
@@ -971,7 +984,7 @@
   "Alderturn__EndpointLoad",
   "alderturn",
   sizeof(Alderturn__EndpointLoad),
-  10,
+  11,
   alderturn__endpoint_load__field_descriptors,
   alderturn__endpoint_load__field_indices_by_name,
   1,  alderturn__endpoint_load__number_ranges,
