--- a/tests/fakes/row_store.c
+++ b/tests/fakes/row_store.c
@@ -38,6 +38,9 @@
   GPtrArray *rows; /* Row, by version */
   GPtrArray *log;  /* Row, all writes of this era and those restored into it */
   gint64 era;      /* negative: not stated */
+  GPtrArray *raw;  /* Row whose JSON is its whole text in answers */
+  char *apart;     /* table whose lists have a mode of their own; NULL: none */
+  RowStoreMode apart_mode;
   GPtrArray *waiting;
   guint64 version;
   guint64 history_from;
@@ -101,15 +104,54 @@
   ht_call_answer (call, status, fields->str, text, strlen (text));
 }
 
+/* The texts of the raw rows of the table after `after`, each with a comma behind it. */
+static GString *
+raw_rows_after (const RowStore *self, const char *table, guint64 after)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < self->raw->len; i++)
+    {
+      const Row *row = g_ptr_array_index (self->raw, i);
+
+      if (row->version > after && g_strcmp0 (row->table, table) == 0)
+        g_string_append_printf (text, "%s,", row->json);
+    }
+  return text;
+}
+
+static const char *
+begin_of_rows (const char *answer)
+{
+  return strstr (answer, "\"rows\":[") + strlen ("\"rows\":[");
+}
+
+/* Puts the raw rows before the others. */
+static char *
+insert_raw (const RowStore *self, const char *table, guint64 after, const char *answer)
+{
+  GString *raw = raw_rows_after (self, table, after);
+  const char *rest = begin_of_rows (answer);
+  char *text;
+
+  if (*rest == ']' && raw->len > 0)
+    g_string_truncate (raw, raw->len - 1);
+  text = g_strdup_printf ("%.*s%s%s", (int)(rest - answer), answer, raw->str, rest);
+  g_string_free (raw, TRUE);
+  return text;
+}
+
 static void
-answer (RowStore *self, HtCall *call, json_t *rows, gboolean more)
+answer (RowStore *self, HtCall *call, const char *table, guint64 after, json_t *rows, gboolean more)
 {
+  g_autofree char *with_raw = NULL;
   json_t *body = json_pack ("{s:o, s:b, s:I, s:I}", "rows", rows, "morePages", more, "ver",
                             (json_int_t)self->version, "nowMs",
                             (json_int_t)(knl_kernel_now (self->kernel) / KNL_MSEC));
   char *text = json_dumps (body, JSON_COMPACT);
 
-  answer_text (self, call, 200, text);
+  with_raw = insert_raw (self, table, after, text);
+  answer_text (self, call, 200, with_raw);
   free (text);
   json_decref (body);
 }
@@ -129,7 +171,8 @@
 {
   RowStore *store = self->store;
 
-  answer (store, self->call, rows_after (store, self->table, self->after, TRUE), FALSE);
+  answer (store, self->call, self->table, self->after,
+          rows_after (store, self->table, self->after, TRUE), FALSE);
   g_ptr_array_remove (store->waiting, self);
 }
 
@@ -149,6 +192,13 @@
     {
       const Row *row = g_ptr_array_index (self->rows, i);
 
+      if (is_in_table (row, waiting->table) && row->version > waiting->after)
+        return TRUE;
+    }
+  for (guint i = 0; i < self->raw->len; i++)
+    {
+      const Row *row = g_ptr_array_index (self->raw, i);
+
       if (is_in_table (row, waiting->table) && row->version > waiting->after)
         return TRUE;
     }
@@ -312,11 +362,23 @@
   if (page > 0)
     rows = page_of (rows, from, page);
   /* Each page begins with the last row of the one before; `morePages` is set while rows follow. */
-  answer (self, call, rows,
+  answer (self, call, table, 0, rows,
           page > 0 && json_array_size (rows) == page && before > page
               && !ends_at_last_row (self, table, rows));
 }
 
+static RowStoreMode
+mode_of (const Door *door, HtCall *call)
+{
+  const RowStore *store = door->store;
+  g_autofree char *table = ht_message_query (ht_call_request (call), "table");
+  gboolean is_list = g_str_has_prefix (ht_call_request (call)->target, "/rows-get");
+
+  if (door->mode == ROW_STORE_SERVES && is_list && g_strcmp0 (table, store->apart) == 0)
+    return store->apart_mode;
+  return door->mode;
+}
+
 static void
 on_request (HtCall *call, gpointer data)
 {
@@ -324,7 +386,7 @@
   RowStore *self = door->store;
 
   self->n_calls++;
-  switch (door->mode)
+  switch (mode_of (door, call))
     {
     case ROW_STORE_REFUSES:
       answer_text (self, call, 503, "");
@@ -388,6 +450,7 @@
   self->kernel = kernel;
   self->rows = g_ptr_array_new_with_free_func (row_free);
   self->log = g_ptr_array_new_with_free_func (row_free);
+  self->raw = g_ptr_array_new_with_free_func (row_free);
   self->waiting = g_ptr_array_new_with_free_func (waiting_free);
   self->version = 1;
   self->era = -1;
@@ -407,6 +470,8 @@
     }
   g_ptr_array_unref (self->rows);
   g_ptr_array_unref (self->log);
+  g_ptr_array_unref (self->raw);
+  g_free (self->apart);
   g_free (self);
 }
 
@@ -437,6 +502,18 @@
   return self;
 }
 
+static void
+answer_table (RowStore *self, const Row *row)
+{
+  for (guint i = self->waiting->len; i > 0; i--)
+    {
+      Waiting *waiting = g_ptr_array_index (self->waiting, i - 1);
+
+      if (is_in_table (row, waiting->table))
+        answer_waiting (waiting);
+    }
+}
+
 void
 row_store_put_in (RowStore *self, const char *table, const char *key, const char *json)
 {
@@ -454,13 +531,25 @@
     }
   g_ptr_array_add (self->rows, row);
   g_ptr_array_add (self->log, row_new (table, key, json, row->version));
-  for (guint i = self->waiting->len; i > 0; i--)
-    {
-      Waiting *waiting = g_ptr_array_index (self->waiting, i - 1);
+  answer_table (self, row);
+}
 
-      if (is_in_table (row, waiting->table))
-        answer_waiting (waiting);
-    }
+void
+row_store_put_raw (RowStore *self, const char *table, const char *text)
+{
+  g_autofree char *version = g_strdup_printf ("%" G_GUINT64_FORMAT, ++self->version);
+  g_auto (GStrv) parts = g_strsplit (text, "%V", -1);
+  g_autofree char *filled = g_strjoinv (version, parts);
+  Row *row = row_new (table, "", filled, self->version);
+
+  g_ptr_array_add (self->raw, row);
+  answer_table (self, row);
+}
+
+void
+row_store_drop_raw (RowStore *self)
+{
+  g_ptr_array_set_size (self->raw, 0);
 }
 
 gboolean
@@ -542,6 +631,14 @@
   self->doors[door].mode = mode;
 }
 
+void
+row_store_set_table_mode (RowStore *self, const char *table, RowStoreMode mode)
+{
+  g_free (self->apart);
+  self->apart = g_strdup (table);
+  self->apart_mode = mode;
+}
+
 void
 row_store_truncate_history (RowStore *self)
 {
--- a/tests/fakes/row_store.h
+++ b/tests/fakes/row_store.h
@@ -37,6 +37,11 @@
 /** The same, in every table. */
 void row_store_put (RowStore *store, const char *key, const char *json);
 
+/** Adds a row whose text in answers is `text`, with its version in place of "%V"; it isn't checked.
+ * It stays until row_store_drop_raw(). */
+void row_store_put_raw (RowStore *store, const char *table, const char *text);
+void row_store_drop_raw (RowStore *store);
+
 gboolean row_store_has (const RowStore *store, const char *table, const char *key);
 
 /** Value of the row with this key in any table; NULL: no such row, or it was removed. */
@@ -57,6 +62,9 @@
 void row_store_set_mode (RowStore *store, RowStoreMode mode);
 void row_store_set_door_mode (RowStore *store, guint door, RowStoreMode mode);
 
+/** Mode of the lists of one table, for clients whose door serves; NULL: of no table. */
+void row_store_set_table_mode (RowStore *store, const char *table, RowStoreMode mode);
+
 /** Requests for changes from before now are answered with 410 from now on. */
 void row_store_truncate_history (RowStore *store);
 
