policy: a process has no slack until a window after its start (BUDGET)

What callers saw: endpoints got more requests again than the bound allows while instances were restarted in series.

Cause: an allowance for a window was counted by each process, and begun anew with it. From one second after its start a process had a third of its instance's share of the slack, whatever the processes before it had spent in the same window. One restart fitted into the quarter that is left unused; several in ten seconds didn't.

Change: the slack is allowed once a whole window has passed, so that what earlier processes spent has left it. Retries by the ratio count from the start, as each is earned by a request of the same process: over any number of lives they add up to the ratio of all requests.

--- a/include/policy/budget.h
+++ b/include/policy/budget.h
@@ -27,8 +27,8 @@
    */
   double used_fraction;
   /**
-   * Time after `begun_at` from which all of the slack is allowed; 0: at once. After a restart an
-   * instance doesn't know what it spent before, and may not know all other instances yet.
+   * Time after `begun_at` from which the slack is allowed; 0: at once. With a whole window, what
+   * earlier processes of the instance spent has left the window by then.
    */
   KnlTime slack_after;
 } PolBudgetRule;
--- a/policy/budget.c
+++ b/policy/budget.c
@@ -2,15 +2,6 @@
 
 #include <string.h>
 
-/* Time from the start until the number of instances is known: they are listed in the store, which
- * is read within some hundred milliseconds. */
-#define DISCOVERY_WINDOW (1 * KNL_SEC)
-
-/* Fraction of the slack that is allowed until `slack_after`, because restarted instances may spend
- * it a second time: a rule uses three quarters of the bound, and a third of that is the remaining
- * quarter. */
-#define EARLY_SLACK_FRACTION (1.0 / 3)
-
 static void
 advance (PolBudget *self, const PolBudgetRule *rule, KnlTime now)
 {
@@ -48,20 +39,16 @@
 }
 
 /*
- * Many instances that are killed at once restart with empty counts, and each
- * knows only some of the others, so that it computes too large a share. With all
- * of the slack they would spend it a second time: the endpoints would get twice
- * the bound while they are still full of abandoned requests.
+ * What earlier processes of this instance spent isn't known here. Any slack that
+ * each process may use at once is spent as many times as the instance is restarted
+ * within a window; retries that requests of this process allow are not.
  */
 static double
 allowed_slack (const PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
 {
-  double share = rule->slack / (double)MAX (instances, 1);
-  KnlTime age = now - self->begun_at;
-
-  if (age >= rule->slack_after)
-    return share;
-  return age < DISCOVERY_WINDOW ? 0 : EARLY_SLACK_FRACTION * share;
+  if (now - self->begun_at < rule->slack_after)
+    return 0;
+  return rule->slack / (double)MAX (instances, 1);
 }
 
 gboolean
--- a/tests/unit/pol_test.c
+++ b/tests/unit/pol_test.c
@@ -80,6 +80,38 @@
   CU_ASSERT (retries >= 2);
 }
 
+/* Guards against slack that each process of a series spends anew: what all processes of an instance
+ * spend in any window is bounded by its share. */
+static void
+test_lives_share_the_slack (void)
+{
+  static const PolBudgetRule rule = { .ratio = 0.2,
+                                      .slack = 100,
+                                      .window = 10 * KNL_SEC,
+                                      .used_fraction = 0.75,
+                                      .slack_after = 10 * KNL_SEC };
+  static const guint instances = 9;
+  static const KnlTime lives[] = { 300 * KNL_MSEC, 1100 * KNL_MSEC, 1400 * KNL_MSEC, 2 * KNL_SEC,
+                                   4 * KNL_SEC,    9 * KNL_SEC,     11 * KNL_SEC };
+
+  for (guint i = 0; i < G_N_ELEMENTS (lives); i++)
+    {
+      PolBudget budget = { .begun_at = -20 * KNL_SEC };
+      guint retries = 0;
+
+      /* The first process spends its share just before it ends. */
+      for (KnlTime now = 5 * KNL_SEC; now < 15 * KNL_SEC; now += 100 * KNL_MSEC)
+        {
+          if (now >= 6 * KNL_SEC && (now - 6 * KNL_SEC) % lives[i] == 0)
+            budget = (PolBudget){ .begun_at = now };
+          while (pol_budget_spend (&budget, &rule, instances, now))
+            retries++;
+        }
+      CU_ASSERT (retries * instances <= 100);
+      CU_ASSERT (retries >= 5);
+    }
+}
+
 /*
  * Guards against retries that multiply the load during a fault: every request fails and is retried
  * up to its limit of attempts, unless retries are bounded over all requests together.
@@ -375,6 +407,7 @@
 static const SuiteCase cases[] = {
   { "the retry budget is shared", test_budget_is_shared },
   { "the budget is not spent twice by a restart", test_budget_is_not_spent_twice_by_a_restart },
+  { "lives share the slack", test_lives_share_the_slack },
   { "retries are limited under load", test_retries_are_limited_under_load },
   { "a request that crashes three is refused", test_suspects_are_refused_after_three },
   { "suspects by own counts and by totals", test_suspects_by_own_counts_and_totals },
