entry: a process has no slack until a window after its start (BUDGET)

An entry could send 20 requests of a service again at once after each start, so that a series of restarts had 20 for each process in ten seconds.

Change: the slack is allowed after a window, as for gateways; what the ratio earns counts from the start.

Evidence: en_faults 'an entry starts without slack' fails before (a prompt whose engine crashes is run twice), passes after; all en_ and ct_ tests pass.

--- a/entry/core.c
+++ b/entry/core.c
@@ -62,6 +62,7 @@
   EnCore *core = g_new0 (EnCore, 1);
 
   core->kernel = parts->kernel;
+  core->begun_at = knl_kernel_now (parts->kernel);
   core->client = parts->client;
   core->uplink = parts->uplink;
   core->config = parts->config;
--- a/entry/core_internal.h
+++ b/entry/core_internal.h
@@ -54,6 +54,7 @@
   GHashTable *tokens;      /* workspace token -> workspace name */
   GHashTable *in_flight;   /* workspace name -> count */
   GHashTable *budgets;     /* service name -> PolBudget */
+  KnlTime begun_at;        /* when this process began to count for them */
   GHashTable *polls;       /* endpoint name -> Poll */
   GHashTable *cache_polls; /* endpoint name -> CachePoll */
   guint next_cache_poll;
--- a/entry/submit.c
+++ b/entry/submit.c
@@ -20,10 +20,12 @@
 #define WAIT_FACTOR           1.25
 
 /* Retries of a service at one entry: a tenth of its load, plus a fixed number for low load. */
+#define RETRY_WINDOW (10 * KNL_SEC)
 const PolBudgetRule en_retry_budget = { .ratio = 0.1,
                                         .slack = 20,
-                                        .window = 10 * KNL_SEC,
-                                        .used_fraction = 1 };
+                                        .window = RETRY_WINDOW,
+                                        .used_fraction = 1,
+                                        .slack_after = RETRY_WINDOW };
 
 /* Prefix blocks that are looked up in engines' caches; covers the first million tokens. */
 #define MAX_BLOCKS 256
@@ -317,6 +319,7 @@
   if (budget == NULL)
     {
       budget = g_new0 (PolBudget, 1);
+      budget->begun_at = core->begun_at;
       g_hash_table_insert (core->budgets, g_strdup (service), budget);
     }
   pol_budget_note_request (budget, &en_retry_budget, knl_kernel_now (core->kernel));
--- a/tests/unit/en_faults_test.c
+++ b/tests/unit/en_faults_test.c
@@ -86,6 +86,23 @@
     }
 }
 
+/* Guards against entries that are restarted again and again, each process of which would send what
+ * its engines lose again by an allowance of its own. */
+static void
+test_an_entry_starts_without_slack (void)
+{
+  g_autoptr (EnFixture) fixture = en_fixture_new_at_start ();
+
+  en_fixture_submit (fixture, &fixture->caller, PROMPT, TOKENS, LIMIT);
+  while (fixture->caller.tokens < 3)
+    en_fixture_advance (fixture, 10 * KNL_MSEC);
+  fk_fleet_crash (fixture->fleet, en_fixture_engine ((guint)en_fixture_busy_engine (fixture)));
+  CU_ASSERT_TRUE (en_fixture_wait (fixture, &fixture->caller, LIMIT + MARGIN));
+  CU_ASSERT_FALSE (en_test_caller_has_answer (&fixture->caller, PROMPT, TOKENS));
+  CU_ASSERT_EQUAL (fixture->caller.ended, 1);
+  CU_ASSERT_EQUAL (en_fixture_runs (fixture), 1);
+}
+
 typedef enum
 {
   LOSS_CRASH,
@@ -260,6 +277,7 @@
 
 static const SuiteCase cases[] = {
   { "an answer is complete and the caller's own despite connection faults", test_faults },
+  { "an entry starts without slack", test_an_entry_starts_without_slack },
   { "a stream continues correctly after its engine is lost", test_engine_lost_in_the_stream },
   { "no caller waits past its limit", test_limits },
   { "memory comes back when cancels are lost", test_lost_cancels },
--- a/tests/unit/en_fixture.c
+++ b/tests/unit/en_fixture.c
@@ -1,3 +1,4 @@
+#include "entry/core_internal.h"
 #include "tests/unit/en_fixture.h"
 
 #include <string.h>
@@ -137,8 +138,8 @@
                      ALDERTURN__MEMBER_STATE__MEMBER_STATE_LIVE, 0);
 }
 
-EnFixture *
-en_fixture_new (const SdEngineSettings *settings)
+static EnFixture *
+fixture_new (const SdEngineSettings *settings, KnlTime age)
 {
   EnFixture *self = g_new0 (EnFixture, 1);
   EnCoreSettings core = {
@@ -170,12 +171,25 @@
                          .uplink = &self->uplink.base,
                          .config = self->config };
   self->core = en_core_new (&parts, &core);
+  en_fixture_advance (self, age);
   self->caller = en_test_caller_make (self->kernel);
   declare_all (self);
   en_fixture_advance (self, KNL_SEC);
   return self;
 }
 
+EnFixture *
+en_fixture_new (const SdEngineSettings *settings)
+{
+  return fixture_new (settings, en_retry_budget.window);
+}
+
+EnFixture *
+en_fixture_new_at_start (void)
+{
+  return fixture_new (NULL, 0);
+}
+
 void
 en_fixture_free (EnFixture *self)
 {
