serve, gateway: a share of the retry budget needs the number of instances (BUDGET)

What callers saw: right after a restart of all, instances sent requests again as if each had the whole budget.

Cause: the slack is divided by the instances that are known, and one that had just started knew itself. Its age ran from the start of the process, so that with the rows of the cells unread, or when the store was back after an outage, it was old enough for its part before it had found anybody. The number could also fall while others only started anew: a relay describes its cell by what it knows.

Change: an instance has a share since it has read the rows of all cells, or a peer that has told it the number. Relays tell it with each heartbeat, and only if they know it.

--- a/gateway/members.c
+++ b/gateway/members.c
@@ -407,6 +407,7 @@
       gateway_adopt_quarantined (self, row.value, FALSE);
       json_decref (row.value);
     }
+  sv_peers_note_counted (self->peers);
   join_silent_contacts (self);
   if (gateway_is_quarantine_unwritten (self) || may_replace_contacts (self))
     write_contacts (self);
--- a/include/serve/core.h
+++ b/include/serve/core.h
@@ -21,6 +21,13 @@
 typedef struct SvCore SvCore;
 typedef struct SvPeerLink SvPeerLink;
 
+/** An equal part of an allowance that all instances have together. */
+typedef struct
+{
+  guint instances;     /**< the most that were known lately, including this one */
+  KnlTime known_since; /**< since when their number is known; KNL_NEVER: it isn't */
+} SvShare;
+
 /** How this instance announces its state to other instances. */
 typedef struct
 {
@@ -41,6 +48,8 @@
   char *(*passing_address) (SvPeerLink *link, const char *avoid);
   /** Number of instances, including this one. */
   guint (*n_instances) (const SvPeerLink *link);
+  /** This instance's share of what all instances together may do. */
+  SvShare (*share) (const SvPeerLink *link);
   /** Whether this instance, of all that are alive, does something once for all of them. `seed`
    * stands for what it is, and is the same at all instances. */
   gboolean (*is_elected) (const SvPeerLink *link, guint64 seed);
--- a/include/serve/peers.h
+++ b/include/serve/peers.h
@@ -125,6 +125,10 @@
 /** Number of live peers in all cells. */
 guint sv_peers_n_alive (const SvPeers *peers);
 
+/** This instance has read the rows of all cells, and with them how many instances there are. Until
+ * it has, or a peer that has told it, it has no part in allowances that all share. */
+void sv_peers_note_counted (SvPeers *peers);
+
 /** Whether this instance hears so few of the others that it may be cut off from them: it and those
  * that it hears are at most half of all. */
 gboolean sv_peers_is_parted (const SvPeers *peers);
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -168,7 +168,7 @@
   const char *service = sv_route_service (self->route, point);
 
   self->service = sv_config_service (self->config, service);
-  pol_budget_note_request (sv_core_budget (core, service), &core->bounds.retries, now);
+  sv_core_note_request (core, service);
   if (self->deadline != KNL_NEVER)
     self->deadline_timer =
         knl_timer_start (core->parts.kernel, self->deadline - now, on_deadline, self);
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -171,22 +171,13 @@
 gboolean
 sv_request_has_retry_left (SvRequest *self)
 {
-  SvCore *core = self->core;
-  SvPeerLink *link = core->parts.link;
-
-  return pol_budget_allows (sv_core_budget (core, self->service->name), &core->bounds.retries,
-                            link->klass->n_instances (link), sv_request_now (self));
+  return sv_core_has_retry_left (self->core, self->service->name);
 }
 
 static gboolean
 spend_retry (SvRequest *self, PolRetry decision)
 {
-  SvCore *core = self->core;
-  SvPeerLink *link = core->parts.link;
-
-  return decision == POL_RETRY_BUDGET
-         && pol_budget_spend (sv_core_budget (core, self->service->name), &core->bounds.retries,
-                              link->klass->n_instances (link), sv_request_now (self));
+  return decision == POL_RETRY_BUDGET && sv_core_spend_retry (self->core, self->service->name);
 }
 
 void
--- a/serve/core.c
+++ b/serve/core.c
@@ -413,16 +413,53 @@
   return reach;
 }
 
-PolBudget *
-sv_core_budget (SvCore *self, const char *service)
+static PolBudget *
+budget_of (SvCore *self, const char *service)
 {
   PolBudget *budget = g_hash_table_lookup (self->budgets, service);
 
   if (budget == NULL)
     {
       budget = g_new0 (PolBudget, 1);
-      budget->begun_at = self->begun_at;
       g_hash_table_insert (self->budgets, g_strdup (service), budget);
     }
   return budget;
 }
+
+void
+sv_core_note_request (SvCore *self, const char *service)
+{
+  pol_budget_note_request (budget_of (self, service), &self->bounds.retries,
+                           knl_kernel_now (self->parts.kernel));
+}
+
+/* The budget begins once the number of instances is known, and not before this process. */
+static SvShare
+share_budget (const SvCore *self, PolBudget *budget)
+{
+  SvPeerLink *link = self->parts.link;
+  SvShare share = link->klass->share (link);
+
+  budget->begun_at = MAX (self->begun_at, share.known_since);
+  return share;
+}
+
+gboolean
+sv_core_has_retry_left (SvCore *self, const char *service)
+{
+  PolBudget *budget = budget_of (self, service);
+  SvShare share = share_budget (self, budget);
+
+  return pol_budget_allows (budget, &self->bounds.retries, share.instances,
+                            knl_kernel_now (self->parts.kernel));
+}
+
+gboolean
+sv_core_spend_retry (SvCore *self, const char *service)
+{
+  PolBudget *budget = budget_of (self, service);
+  SvShare share = share_budget (self, budget);
+
+  return pol_budget_spend (budget, &self->bounds.retries, share.instances,
+                           knl_kernel_now (self->parts.kernel));
+}
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -303,4 +303,11 @@
 /** Time since the configuration was last confirmed to be the newest; KNL_NEVER: it never was. */
 KnlTime sv_core_config_age (const SvCore *core);
 
-PolBudget *sv_core_budget (SvCore *core, const char *service);
+/** Counts a caller's request for the service, for its retry budget. */
+void sv_core_note_request (SvCore *core, const char *service);
+
+/** Whether the service's retry budget allows this instance another retry. */
+gboolean sv_core_has_retry_left (SvCore *core, const char *service);
+
+/** Spends a retry; FALSE: none is left. */
+gboolean sv_core_spend_retry (SvCore *core, const char *service);
--- a/serve/join.c
+++ b/serve/join.c
@@ -35,7 +35,7 @@
 begin_members (SvPeers *self, Alderturn__Datagram *datagram, Rows *rows)
 {
   sv_peers_begin_datagram (self, datagram, rows);
-  datagram->instances = sv_peers_n_known (self);
+  datagram->instances = sv_count_told (self);
 }
 
 /* Tells a newcomer the strongest instances, which relay and follow the store. All others introduce
@@ -104,6 +104,7 @@
     {
       self->told_instances = datagram->instances;
       self->told_at = knl_kernel_now (self->kernel);
+      sv_peers_note_counted (self);
     }
   for (guint i = 0; i < datagram->n_members; i++)
     {
@@ -135,6 +136,7 @@
 
   if (!sv_peers_is_relay (self))
     return;
+  datagram->instances = sv_count_told (self);
   for (guint i = 0; i < MIN (alive->len, MAX_MEMBER_ROWS); i++)
     add_member (datagram, members, g_ptr_array_index (alive, self->next_member++ % alive->len));
 }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -137,6 +137,7 @@
 static void
 update_instance_counts (SvPeers *self)
 {
+  sv_count_update (self);
   sv_fleet_set_instances (self->fleet, self->link.klass->n_instances (&self->link),
                           1 + sv_peers_n_alive (self));
   sv_peers_update_members (self);
@@ -287,6 +288,7 @@
   sv_outbox_init (&self->outbox);
   sv_outbox_init (&self->cell_outbox);
   sv_join_init (self);
+  sv_count_init (self);
   if (!open_socket (self, base))
     {
       sv_peers_free (self);
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -117,6 +117,15 @@
                                     SvPosition evacuations,
                                     gpointer data);
 
+/** How many instances share an allowance. */
+typedef struct
+{
+  KnlTime known_since; /* KNL_NEVER: the number isn't known */
+  guint most;          /* in the period that began at `begun_at` */
+  guint most_before;   /* in the period before it */
+  KnlTime begun_at;
+} InstanceCount;
+
 struct SvPeers
 {
   SvPeerLink link;
@@ -147,6 +156,7 @@
   guint next_member;            /* index of the first instance that the relay lists next */
   guint told_instances;         /* number of all instances that a peer told; 0: none */
   KnlTime told_at;
+  InstanceCount count;
   Outbox outbox;        /* updates of this instance, for our cell */
   Outbox cell_outbox;   /* updates of our whole cell, for other cells; filled by the relay only */
   guint n_in_cell;      /* peers of our cell, alive or not, at the last heartbeat */
@@ -234,6 +244,21 @@
 /** Fills in the versions that this instance has. */
 void sv_peers_fill_versions (const SvPeers *self, Alderturn__Datagram *datagram);
 
+/* peers_count.c */
+
+void sv_count_init (SvPeers *self);
+
+/** Notes the number of instances that are known now. To be called with each heartbeat. */
+void sv_count_update (SvPeers *self);
+
+/** The most instances that were known within the last period. */
+guint sv_count_most (const SvPeers *self);
+
+/** The number for others to rely on; 0: it isn't known. */
+guint sv_count_told (const SvPeers *self);
+
+SvShare sv_count_share (const SvPeers *self);
+
 /* peers_members.c */
 
 /** Tells the fleet which instances are alive. */
--- a/serve/peers_tell.c
+++ b/serve/peers_tell.c
@@ -438,6 +438,12 @@
   return MAX (sv_peers_n_known (self), sv_join_told_instances (self));
 }
 
+static SvShare
+link_share (const SvPeerLink *link)
+{
+  return sv_count_share ((const SvPeers *)link);
+}
+
 static gboolean
 link_is_elected (const SvPeerLink *link, guint64 seed)
 {
@@ -453,5 +459,6 @@
   .reach_changed = link_reach_changed,
   .passing_address = link_passing_address,
   .n_instances = link_n_instances,
+  .share = link_share,
   .is_elected = link_is_elected,
 };
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -58,6 +58,12 @@
   return 1;
 }
 
+static SvShare
+link_share (const SvPeerLink *link)
+{
+  return (SvShare){ .instances = 1 };
+}
+
 /* There are others. */
 static gboolean
 link_is_elected (const SvPeerLink *link, guint64 seed)
@@ -74,6 +80,7 @@
   .reach_changed = link_reach_changed,
   .passing_address = link_passing_address,
   .n_instances = link_n_instances,
+  .share = link_share,
   .is_elected = link_is_elected,
 };
 
