policy, serve, entry: processes that start share what settled ones leave (BUDGET)

Cause: also without any slack of its own, a new process sent again what its requests earned by the ratio, while its predecessor had spent what was earned in the window before: both in one window. With much traffic that alone is more than the bound.

Change: a settled process uses three quarters of the bound (0.75 as before at gateways, 1 before at entries). One that began, or came to know the number of instances, less than a window ago uses a fifth of it (entries a quarter): for each of its requests, and of its share of the slack as much as its age is of the window. So all processes of an instance together stay within the bound in any window, however many they are, and an instance that restarts isn't left without any slack.

The three scenarios with endpoints that reject a fifth measure what one restart costs.

--- a/entry/submit.c
+++ b/entry/submit.c
@@ -24,8 +24,9 @@
 const PolBudgetRule en_retry_budget = { .ratio = 0.1,
                                         .slack = 20,
                                         .window = RETRY_WINDOW,
-                                        .used_fraction = 1,
-                                        .slack_after = RETRY_WINDOW };
+                                        .used_fraction = 0.75,
+                                        .settle_time = RETRY_WINDOW,
+                                        .settling_fraction = 0.25 };
 
 /* Prefix blocks that are looked up in engines' caches; covers the first million tokens. */
 #define MAX_BLOCKS 256
--- a/include/policy/budget.h
+++ b/include/policy/budget.h
@@ -27,10 +27,12 @@
    */
   double used_fraction;
   /**
-   * Time after `begun_at` from which the slack is allowed; 0: at once. With a whole window, what
-   * earlier processes of the instance spent has left the window by then.
+   * Time after `begun_at` for which this process uses `settling_fraction` instead; 0: none. After a
+   * whole window, what earlier processes of the instance spent has left the window.
    */
-  KnlTime slack_after;
+  KnlTime settle_time;
+  /** Also for any number of processes in one window: their slack grows with their age. */
+  double settling_fraction;
 } PolBudgetRule;
 
 typedef struct
--- a/policy/budget.c
+++ b/policy/budget.c
@@ -39,27 +39,35 @@
 }
 
 /*
- * What earlier processes of this instance spent isn't known here. Any slack that
- * each process may use at once is spent as many times as the instance is restarted
- * within a window; retries that requests of this process allow are not.
+ * What earlier processes of this instance spent isn't known here, and may be all
+ * that a settled one uses. What is left of the bound is for the processes that
+ * start within a window. It must not depend on their number: each retry is earned
+ * by a request, or by time, of this process.
  */
 static double
-allowed_slack (const PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
+allowed_settling (const PolBudgetRule *rule, double earned, double share, KnlTime age)
 {
-  if (now - self->begun_at < rule->slack_after)
-    return 0;
-  return rule->slack / (double)MAX (instances, 1);
+  return rule->settling_fraction
+         * (earned + share * (double)MAX (age, 0) / (double)rule->settle_time);
+}
+
+static double
+allowed_retries (const PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
+{
+  double earned = rule->ratio * sum_of (self->requests);
+  double share = rule->slack / (double)MAX (instances, 1);
+  KnlTime age = now - self->begun_at;
+
+  if (age < rule->settle_time)
+    return allowed_settling (rule, earned, share, age);
+  return rule->used_fraction * (earned + share);
 }
 
 gboolean
 pol_budget_allows (PolBudget *self, const PolBudgetRule *rule, guint instances, KnlTime now)
 {
-  double allowed;
-
   advance (self, rule, now);
-  allowed = rule->used_fraction
-            * (rule->ratio * sum_of (self->requests) + allowed_slack (self, rule, instances, now));
-  return sum_of (self->retries) + 1 <= allowed;
+  return sum_of (self->retries) + 1 <= allowed_retries (self, rule, instances, now);
 }
 
 gboolean
--- a/serve/core.c
+++ b/serve/core.c
@@ -1,9 +1,10 @@
 #include "common/log.h"
 #include "serve/core_internal.h"
 
-/* Fraction of this instance's share of a service's retry budget that it spends; see
- * PolBudgetRule. */
-#define RETRIES_USED_FRACTION 0.75
+/* Fractions of this instance's share of a service's retry budget that it spends; see PolBudgetRule.
+ * Together they leave a margin for requests that arrive after the window that they were sent in. */
+#define RETRIES_USED_FRACTION     0.75
+#define RETRIES_SETTLING_FRACTION 0.2
 
 static void
 on_reach_changed (gboolean is_lost, gpointer data)
@@ -78,7 +79,8 @@
 {
   self->bounds = *bounds;
   self->bounds.retries.used_fraction = RETRIES_USED_FRACTION;
-  self->bounds.retries.slack_after = bounds->retries.window;
+  self->bounds.retries.settle_time = bounds->retries.window;
+  self->bounds.retries.settling_fraction = RETRIES_SETTLING_FRACTION;
   sv_fleet_set_cold_bounds (self->parts.fleet, bounds);
   if (self->config != NULL)
     update_overloads (self);
--- a/tests/fakes/repeat_counts.c
+++ b/tests/fakes/repeat_counts.c
@@ -2,9 +2,8 @@
 
 #include "http/server.h"
 
-/* Fraction of the requests that are answered in spite of the mode, so that endpoints stay in use.
- */
-#define ANSWERED_FRACTION 0.1
+/* Fraction of the requests that are answered in spite of the mode: endpoints stay in use. */
+#define DEFAULT_ANSWERED 0.1
 
 struct RepeatCounts
 {
@@ -13,6 +12,7 @@
   GRand *rand;
   GPtrArray *servers;
   RepeatMode mode;
+  double answered;      /* fraction of the requests that are answered in spite of the mode */
   GHashTable *arrivals; /* id of a request -> number of its arrivals */
   GArray *requests;     /* KnlTime */
   GArray *repeats;      /* KnlTime */
@@ -31,7 +31,7 @@
   g_hash_table_insert (self->arrivals, g_strdup (id), GUINT_TO_POINTER (arrivals));
   if (arrivals > 1)
     g_array_append_val (self->repeats, now);
-  if (self->mode == REPEAT_ANSWERS || g_rand_double (self->rand) < ANSWERED_FRACTION)
+  if (self->mode == REPEAT_ANSWERS || g_rand_double (self->rand) < self->answered)
     ht_call_answer (call, 200, answered, "good", 4);
   else if (self->mode == REPEAT_REJECTS)
     ht_call_answer (call, 503, rejected, NULL, 0);
@@ -53,6 +53,7 @@
 
   self->kernel = kernel;
   self->base = base;
+  self->answered = DEFAULT_ANSWERED;
   self->rand = g_rand_new_with_seed (seed);
   self->servers = g_ptr_array_new_with_free_func ((GDestroyNotify)ht_server_free);
   self->arrivals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -97,6 +98,12 @@
   self->mode = mode;
 }
 
+void
+repeat_counts_set_answered (RepeatCounts *self, double fraction)
+{
+  self->answered = fraction;
+}
+
 void
 repeat_counts_note_request (RepeatCounts *self)
 {
--- a/tests/fakes/repeat_counts.h
+++ b/tests/fakes/repeat_counts.h
@@ -44,6 +44,9 @@
 
 void repeat_counts_set_mode (RepeatCounts *counts, RepeatMode mode);
 
+/** Fraction of the requests that are answered in spite of the mode. */
+void repeat_counts_set_answered (RepeatCounts *counts, double fraction);
+
 /** A caller sends a request. */
 void repeat_counts_note_request (RepeatCounts *counts);
 
--- a/tests/soak/retry_soak.c
+++ b/tests/soak/retry_soak.c
@@ -75,7 +75,8 @@
   KnlTime interval;
   RepeatMode endpoints;
   Outage outage;
-  double load; /* multiple of the usual traffic */
+  double load;     /* multiple of the usual traffic */
+  double answered; /* fraction of the requests that endpoints answer all the same; 0: a tenth */
 } Scenario;
 
 static const Scenario scenarios[] = {
@@ -93,6 +94,13 @@
   { "all killed, rejects, more load", KILL, GATEWAYS, 1900 * KNL_MSEC, REPEAT_REJECTS, NOTHING, 3 },
   { "all killed, cells away, rejects", KILL, GATEWAYS, 9 * KNL_SEC, REPEAT_REJECTS, CELLS, 1 },
   { "all killed, cells away, loses", KILL, GATEWAYS, 9 * KNL_SEC, REPEAT_LOSES, CELLS, 1 },
+  { "all killed once, rejects, more load", KILL, GATEWAYS, 60 * KNL_SEC, REPEAT_REJECTS, NOTHING,
+    3 },
+  { "one killed once, some rejects", KILL, 1, 60 * KNL_SEC, REPEAT_REJECTS, NOTHING, 1, 0.8 },
+  { "one terminated once, some rejects", TERMINATE, 1, 60 * KNL_SEC, REPEAT_REJECTS, NOTHING, 1,
+    0.8 },
+  { "all killed once, some rejects", KILL, GATEWAYS, 60 * KNL_SEC, REPEAT_REJECTS, NOTHING, 1,
+    0.8 },
 };
 
 typedef struct
@@ -442,7 +450,11 @@
 {
   self->are_failing = TRUE;
   for (guint i = 0; i < SERVICES; i++)
-    repeat_counts_set_mode (self->counts[i], self->scenario->endpoints);
+    {
+      repeat_counts_set_mode (self->counts[i], self->scenario->endpoints);
+      if (self->scenario->answered > 0)
+        repeat_counts_set_answered (self->counts[i], self->scenario->answered);
+    }
 }
 
 static void
--- a/tests/unit/en_fixture.h
+++ b/tests/unit/en_fixture.h
@@ -43,8 +43,8 @@
   EnTestCaller caller; /**< the first caller; en_test_caller_make() makes more */
 } EnFixture;
 
-/** `settings` NULL: engines with default settings. Credits are granted from the start. The entry has
- * run for so long that it has slack in its retry budgets. */
+/** `settings` NULL: engines with default settings. Credits are granted from the start. The entry
+ * has run for so long that it has slack in its retry budgets. */
 EnFixture *en_fixture_new (const SdEngineSettings *settings);
 
 /** The same with an entry that has just started. */
--- a/tests/unit/pol_test.c
+++ b/tests/unit/pol_test.c
@@ -54,7 +54,8 @@
                                       .slack = 258,
                                       .window = 10 * KNL_SEC,
                                       .used_fraction = 0.75,
-                                      .slack_after = 10 * KNL_SEC };
+                                      .settle_time = 10 * KNL_SEC,
+                                      .settling_fraction = 0.2 };
   static const guint instances = 91;
   PolBudget before = { 0 };
   PolBudget after = { .begun_at = 25 * KNL_SEC };
@@ -80,34 +81,40 @@
   CU_ASSERT (retries >= 2);
 }
 
-/* Guards against slack that each process of a series spends anew: what all processes of an instance
- * spend in any window is bounded by its share. */
+/* Guards against an allowance that each process of a series spends anew: what all processes of an
+ * instance spend in any window is within its part of the bound, at each load. */
 static void
-test_lives_share_the_slack (void)
+test_lives_share_the_budget (void)
 {
   static const PolBudgetRule rule = { .ratio = 0.2,
                                       .slack = 100,
                                       .window = 10 * KNL_SEC,
                                       .used_fraction = 0.75,
-                                      .slack_after = 10 * KNL_SEC };
+                                      .settle_time = 10 * KNL_SEC,
+                                      .settling_fraction = 0.2 };
   static const guint instances = 9;
   static const KnlTime lives[] = { 300 * KNL_MSEC, 1100 * KNL_MSEC, 1400 * KNL_MSEC, 2 * KNL_SEC,
                                    4 * KNL_SEC,    9 * KNL_SEC,     11 * KNL_SEC };
+  static const guint loads[] = { 0, 1, 5, 50 }; /* requests in each step of 100 ms */
 
-  for (guint i = 0; i < G_N_ELEMENTS (lives); i++)
+  for (guint i = 0; i < G_N_ELEMENTS (lives) * G_N_ELEMENTS (loads); i++)
     {
-      PolBudget budget = { .begun_at = -20 * KNL_SEC };
+      KnlTime life = lives[i / G_N_ELEMENTS (loads)];
+      guint load = loads[i % G_N_ELEMENTS (loads)];
+      PolBudget budget = { 0 };
       guint retries = 0;
 
-      /* The first process spends its share just before it ends. */
-      for (KnlTime now = 5 * KNL_SEC; now < 15 * KNL_SEC; now += 100 * KNL_MSEC)
+      /* Nothing is sent again until just before the first process ends; then all that may be. */
+      for (KnlTime now = 10 * KNL_SEC; now < 30 * KNL_SEC; now += 100 * KNL_MSEC)
         {
-          if (now >= 6 * KNL_SEC && (now - 6 * KNL_SEC) % lives[i] == 0)
+          if (now >= 21 * KNL_SEC && (now - 21 * KNL_SEC) % life == 0)
             budget = (PolBudget){ .begun_at = now };
-          while (pol_budget_spend (&budget, &rule, instances, now))
+          for (guint j = 0; j < load; j++)
+            pol_budget_note_request (&budget, &rule, now);
+          while (now >= 20 * KNL_SEC && pol_budget_spend (&budget, &rule, instances, now))
             retries++;
         }
-      CU_ASSERT (retries * instances <= 100);
+      CU_ASSERT (retries <= 0.2 * load * 100 + 100.0 / instances);
       CU_ASSERT (retries >= 5);
     }
 }
@@ -407,7 +414,7 @@
 static const SuiteCase cases[] = {
   { "the retry budget is shared", test_budget_is_shared },
   { "the budget is not spent twice by a restart", test_budget_is_not_spent_twice_by_a_restart },
-  { "lives share the slack", test_lives_share_the_slack },
+  { "lives share the budget", test_lives_share_the_budget },
   { "retries are limited under load", test_retries_are_limited_under_load },
   { "a request that crashes three is refused", test_suspects_are_refused_after_three },
   { "suspects by own counts and by totals", test_suspects_by_own_counts_and_totals },
