--- a/gateway/members.c
+++ b/gateway/members.c
@@ -127,7 +127,7 @@
     on_settled (self);
 }
 
-static void read_earlier_release (Gateway *self, const char *from);
+static void read_earlier_release (Gateway *self, GBytes *from);
 
 /* Instances of an earlier release don't read the cells' rows: they are discovered by theirs, and
  * learn of this instance from its introduction. */
@@ -155,16 +155,14 @@
   /* A page begins with the last row of the one before. */
   if (status == PL_OK && *answer != NULL && (*answer)->more_pages && (*answer)->rows->len > 1)
     {
-      const GPtrArray *rows = (*answer)->rows;
-
-      read_earlier_release (self, ((PlAnswerRow *)g_ptr_array_index (rows, rows->len - 1))->key);
+      read_earlier_release (self, (*answer)->last_key);
       return;
     }
   on_joined (self);
 }
 
 static void
-read_earlier_release (Gateway *self, const char *from)
+read_earlier_release (Gateway *self, GBytes *from)
 {
   self->member_call = pl_store_get (self->store, PL_MEMBER_TABLE, from, on_earlier_release, self);
 }
--- a/include/platform/answer.h
+++ b/include/platform/answer.h
@@ -22,7 +22,10 @@
 
 struct PlAnswer
 {
-  GPtrArray *rows;     /**< PlAnswerRow; rows without a key are left out */
+  GPtrArray *rows;     /**< PlAnswerRow; those that no store writes are left out */
+  guint n_dropped;     /**< rows that are left out */
+  char *dropped_key;   /**< key of the last of these, as far as it is text; NULL: none */
+  GBytes *last_key;    /**< of the last row of all, where a list continues; NULL: none */
   guint64 version;     /**< the table's version that the answer covers; 0: not given */
   gint64 now_ms;       /**< the store's steady clock when it answered; 0: not given */
   gboolean more_pages; /**< the list continues after the last row */
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -66,7 +66,7 @@
 
 /** Reads a page of the rows of a table, beginning at the key `from` (may be NULL). */
 PlCall *
-pl_store_get (PlStore *store, const char *table, const char *from, PlCallFunc func, gpointer data);
+pl_store_get (PlStore *store, const char *table, GBytes *from, PlCallFunc func, gpointer data);
 
 /** Reads one row. The answer has the row with the next higher key instead if there is no such row,
  * or no row. */
