--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -64,6 +64,7 @@
   SvPosition endpoints_revision;       /* newest row received from the endpoint table */
   KnlTime endpoints_last_seen_at;      /* when the endpoint feed was last answered */
   CmLogRateLimit unreadable_log_limit; /* endpoint rows that can't be decoded */
+  CmLogRateLimit contacts_log_limit;   /* the same of cells */
   CmLogRateLimit evacuation_log_limit; /* evacuation rows whose key names no zone */
   PlCall *member_call;
   KnlTimerId member_timer;
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -262,15 +262,18 @@
     schedule (self, JOIN_CHECK_INTERVAL, on_join_check);
 }
 
-/* Keeps the row if it is that of this instance's cell. */
+/* Keeps the row if it is that of this instance's cell. Of one that can't be read the version is
+ * kept, with which it is written anew. */
 static gboolean
 keep_cell_row (Gateway *self, const PlRow *row)
 {
-  if (strcmp (row->key, self->member.zone) != 0 || row->value == NULL)
+  if (strcmp (row->key, self->member.zone) != 0 || row->removed)
+    return FALSE;
+  self->cell_row_version = row->version;
+  if (row->value == NULL)
     return FALSE;
   json_decref (self->cell_row);
   self->cell_row = json_incref (row->value);
-  self->cell_row_version = row->version;
   return TRUE;
 }
 
@@ -363,8 +366,11 @@
   SvMember contacts[MAX_CONTACTS];
   guint n = row->value != NULL ? pl_decode_contacts (row->value, contacts, MAX_CONTACTS) : 0;
 
-  if (n == 0)
-    cm_log (CM_LOG_WARNING, "contacts-unreadable", "s", "key", row->key);
+  if (n == 0
+      && cm_log_rate_limit_allows (&self->contacts_log_limit,
+                                   knl_kernel_now (self->process.kernel)))
+    cm_log (CM_LOG_WARNING, "contacts-unreadable", "s", "key", row->key, "i", "row-version",
+            (gint64)row->version, "i", "so-far", self->contacts_log_limit.count);
   for (guint i = 0; i < n; i++)
     sv_peers_discover (self->peers, &contacts[i]);
 }
