gateway: counts of tests from the future become old (BUDGET)

Cause: a count of tests whose first time lies ahead of the store's clock, as another writer may leave it, never became old, and kept its segment from being tested.

Change: such a time counts as now. Found on reading; no test of its own beyond the range of the time in pl_decode.

--- a/gateway/quarantine_tests.c
+++ b/gateway/quarantine_tests.c
@@ -30,6 +30,8 @@
 
   for (guint i = 0; i < n; i++)
     {
+      /* One of the future would never become old. */
+      counts[i].first_ms = MIN (counts[i].first_ms, answer->now_ms);
       if (!is_old (&counts[i], answer->now_ms))
         counts[kept++] = counts[i];
     }
