serve, platform: requests that are passed on count once for retries (BUDGET)

Cause: a request that an instance without links to endpoints passed on was counted as a request by it and by the peer, and earned retries at both. When that peer refused it after endpoints had rejected it, a second peer's first send was an arrival beyond the first, and nobody's retry.

Change: only the instance that a caller sent it to counts it. A peer that refuses says whether endpoints have got the request (alderturn-was-sent, read in the adapter); then passing it on again needs a retry of the first instance. A peer of an earlier release doesn't say it, and is taken as before.

Evidence: sv_pass 'a second peer needs a retry' and 'passed requests earn no retries' fail without the two changes of serve/pass.c and serve/admission.c, and pass with them.

--- a/include/serve/dialect.h
+++ b/include/serve/dialect.h
@@ -58,6 +58,7 @@
       *endpoint;       /**< id of the endpoint, if a peer hands over its answer; NULL: not stated */
   gboolean is_signed;  /**< the answer has the endpoint's signature */
   gboolean not_run;    /**< the answer promises that its request has not run and never will */
+  gboolean was_sent;   /**< a peer that refuses it had sent it to endpoints */
   gboolean is_encoded; /**< the body has a content encoding */
   gint in_service;     /**< running and queued requests at the endpoint; -1: not stated */
   const char *at_fault; /**< address of the endpoint that caused the failure; NULL: not stated */
@@ -89,6 +90,7 @@
   KnlTime retry_after; /**< 0: none */
   gboolean is_to_peer; /**< the promise that the request has not run is spelled out: a peer can't
                             tell this instance's own status from one of an endpoint */
+  gboolean was_sent;   /**< stated to a peer: endpoints have got the request, and rejected it */
 } SvRefusal;
 
 typedef struct
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -168,7 +168,9 @@
   const char *service = sv_route_service (self->route, point);
 
   self->service = sv_config_service (self->config, service);
-  sv_core_note_request (core, service);
+  /* The peer that passes it on has counted it, and has a part of the retry budget for it. */
+  if (!self->is_passed)
+    sv_core_note_request (core, service);
   if (self->deadline != KNL_NEVER)
     self->deadline_timer =
         knl_timer_start (core->parts.kernel, self->deadline - now, on_deadline, self);
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -149,7 +149,9 @@
 sv_request_refuse (SvRequest *self, guint status, const char *reason)
 {
   SvOutcome outcome = { .status = status, .reason = reason };
-  SvRefusal refusal = { .retry_after = retry_after_of (self), .is_to_peer = self->is_passed };
+  SvRefusal refusal = { .retry_after = retry_after_of (self),
+                        .is_to_peer = self->is_passed,
+                        .was_sent = self->sends > 0 };
 
   note_end (self, &outcome);
   send_own_answer (self, status, &refusal);
--- a/serve/pass.c
+++ b/serve/pass.c
@@ -100,6 +100,15 @@
          && self->reply.id != NULL;
 }
 
+/* What the next peer sends first is a retry if endpoints of this one have got the request. */
+static gboolean
+pass_again (SvRequest *self)
+{
+  if (self->reply.was_sent && !sv_core_spend_retry (self->core, self->service->name))
+    return FALSE;
+  return sv_request_pass (self);
+}
+
 static void
 forward (SvRequest *self, const HtMessage *answer)
 {
@@ -121,7 +130,7 @@
       begin_answer (self);
       sv_request_complete_stream (self);
     }
-  else if (!is_refusal (self) || !sv_request_pass (self))
+  else if (!is_refusal (self) || !pass_again (self))
     forward (self, answer);
 }
 
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "serve/core_internal.h"
 #include "suite.h"
 #include "sv_fixture.h"
 
@@ -238,6 +239,79 @@
     }
 }
 
+/* Guards against requests that a second peer sends to endpoints again, as what those of the first
+ * have rejected is no retry of anybody's. */
+static void
+test_a_second_peer_needs_a_retry (void)
+{
+  static const struct
+  {
+    ScriptedAnswer answer;
+    guint passed_on;
+  } rows[] = {
+    { { "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %ID\r\nX-Not-Run: 1\r\n"
+        "Content-Length: 0\r\n\r\n",
+        FALSE },
+      1 },
+    { { "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %ID\r\nX-Not-Run: 1\r\n"
+        "Alderturn-Was-Sent: 1\r\nContent-Length: 0\r\n\r\n",
+        FALSE },
+      0 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      ScriptedEndpoint *second;
+      Fixture fixture;
+
+      fixture_open (&fixture, &rows[i].answer, 1);
+      second = scripted_endpoint_new (fixture.core.base, &good, 1);
+      lose_links (&fixture);
+      fixture.core.core->bounds.retries.slack = 0;
+      sv_fixture_request (&fixture.core, "/once/1");
+      while (scripted_endpoint_n_requests (fixture.peer) == 0)
+        event_base_loop (fixture.core.base, EVLOOP_ONCE);
+      sv_fixture_set_peer (scripted_endpoint_address (second));
+      advance (&fixture, 200 * KNL_MSEC);
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (second), rows[i].passed_on);
+      scripted_endpoint_free (second);
+      fixture_close (&fixture);
+    }
+}
+
+#define PASSED 20
+
+/* Guards against requests that earn retries twice: at the instance that passes them on, and at the
+ * one that takes them. The latter says whether endpoints have got them. */
+static void
+test_passed_requests_earn_no_retries (void)
+{
+  static const ScriptedAnswer rejects = { "HTTP/1.1 503 Service Unavailable\r\n"
+                                          "X-Attempt-Id: %ID\r\nX-Not-Run: 1\r\n"
+                                          "Content-Length: 0\r\n\r\n",
+                                          FALSE };
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  for (guint i = 0; i < 3; i++)
+    sv_fixture_add_endpoint (&fixture, &rejects, 1);
+  fixture.core->bounds.retries.slack = 0;
+  fixture.is_passed = TRUE;
+  for (guint i = 0; i < PASSED; i++)
+    {
+      guint sent = sv_fixture_all_requests (&fixture);
+
+      sv_fixture_request (&fixture, "/again/1");
+      sv_fixture_wait_for (&fixture, "\r\n\r\n");
+      CU_ASSERT_EQUAL (strstr (fixture.received->str, "alderturn-was-sent: 1") != NULL,
+                       sv_fixture_all_requests (&fixture) > sent);
+    }
+  CU_ASSERT (sv_fixture_all_requests (&fixture) > 0);
+  CU_ASSERT (sv_fixture_all_requests (&fixture) <= PASSED);
+  sv_fixture_close (&fixture);
+}
+
 /* Guards against a peer that can't tell this instance's refusal from an endpoint's status. */
 static void
 test_refusals_to_a_peer_say_that_nothing_ran (void)
@@ -416,6 +490,8 @@
   { "answers of a peer", test_answers_of_a_peer },
   { "torn heads of a peer", test_torn_heads_of_a_peer },
   { "only refusals of a peer are passed on", test_only_refusals_of_a_peer_are_passed_on },
+  { "a second peer needs a retry", test_a_second_peer_needs_a_retry },
+  { "passed requests earn no retries", test_passed_requests_earn_no_retries },
   { "refusals to a peer say that nothing ran", test_refusals_to_a_peer_say_that_nothing_ran },
   { "leaving endpoints of a peer are noted", test_leaving_endpoints_of_a_peer_are_noted },
   { "answers to a peer name their endpoint", test_answers_to_a_peer_name_their_endpoint },
