serve: cold endpoints get nothing from instances that know no others (BUDGET)

Which instances send to a cold endpoint, and how much, follows from how many there are; one that had found nobody took itself for the only one, and sent all that the endpoint takes. Limits of endpoints are divided by the same number, which fell as soon as a relay that had just started described its cell by what it knew.

Change: an instance that doesn't know how many others there are sends nothing to cold endpoints, and shares of limits and of cold endpoints use the largest number of the last 30 s. A peer's number is bounded before it is added up. The tests' instances have counted the others.

--- a/include/serve/cold.h
+++ b/include/serve/cold.h
@@ -25,6 +25,7 @@
   const SvCellSize *cells; /**< other cells that are heard */
   guint n_cells;
   guint known;            /**< instances that exist, this one included */
+  gboolean is_counted;    /**< their number is known, and not only those that were found so far */
   KnlTime detection_time; /**< after which all of its cell have noticed that a peer has ended */
 } SvMembers;
 
--- a/serve/endpoint_cold.c
+++ b/serve/endpoint_cold.c
@@ -32,7 +32,7 @@
   double slack;
   GHashTable *specs;    /* service -> SvColdSpec, of services with a rate only */
   GHashTable *restored; /* zone -> RestoredZone */
-  gboolean has_members;
+  gboolean has_members; /* and their number is known */
   guint32 id;
   guint known;
   guint known_in_cell;
@@ -80,7 +80,7 @@
 {
   SvCellSize own = { .id = members->cell, .instances = 1 + members->n_peers };
 
-  self->has_members = TRUE;
+  self->has_members = members->is_counted;
   self->id = members->id;
   self->known = MAX (members->known, 1);
   self->known_in_cell = members->known_in_cell;
--- a/serve/join.c
+++ b/serve/join.c
@@ -102,7 +102,7 @@
 {
   if (datagram->instances > 0)
     {
-      self->told_instances = datagram->instances;
+      self->told_instances = MIN (datagram->instances, MAX_INSTANCES);
       self->told_at = knl_kernel_now (self->kernel);
       sv_peers_note_counted (self);
     }
--- a/serve/peers.c
+++ b/serve/peers.c
@@ -138,8 +138,7 @@
 update_instance_counts (SvPeers *self)
 {
   sv_count_update (self);
-  sv_fleet_set_instances (self->fleet, self->link.klass->n_instances (&self->link),
-                          1 + sv_peers_n_alive (self));
+  sv_fleet_set_instances (self->fleet, sv_count_most (self), 1 + sv_peers_n_alive (self));
   sv_peers_update_members (self);
 }
 
--- a/serve/peers_count.c
+++ b/serve/peers_count.c
@@ -9,13 +9,10 @@
  * used their parts until then. Longer than the window of any allowance. */
 #define COUNT_PERIOD (30 * KNL_SEC)
 
-/* Numbers above this are taken for an error. */
-#define MAX_INSTANCES 100000U
-
 static guint
 known_now (const SvPeers *self)
 {
-  return MIN (MAX (sv_peers_n_known (self), sv_join_told_instances (self)), MAX_INSTANCES);
+  return MAX (sv_peers_n_known (self), sv_join_told_instances (self));
 }
 
 void
--- a/serve/peers_internal.h
+++ b/serve/peers_internal.h
@@ -117,6 +117,9 @@
                                     SvPosition evacuations,
                                     gpointer data);
 
+/** Numbers of instances above this, as a peer states them, are taken for an error. */
+#define MAX_INSTANCES 100000U
+
 /** How many instances share an allowance. */
 typedef struct
 {
--- a/serve/peers_members.c
+++ b/serve/peers_members.c
@@ -45,7 +45,8 @@
     .known_in_cell = 1 + sv_peers_n_in_zone (self, self->self.zone),
     .cells = (const SvCellSize *)cells->data,
     .n_cells = cells->len,
-    .known = self->link.klass->n_instances (&self->link),
+    .known = sv_count_most (self),
+    .is_counted = self->count.known_since != KNL_NEVER,
     .detection_time = sv_peers_detection_time (self),
   };
 
--- a/serve/peers_take.c
+++ b/serve/peers_take.c
@@ -362,7 +362,7 @@
   cell->last_seen_at = knl_kernel_now (self->kernel);
   if (datagram->cell->described)
     {
-      cell->instances = datagram->cell->instances;
+      cell->instances = MIN (datagram->cell->instances, MAX_INSTANCES);
       cell->heard = datagram->cell->heard > 0 ? datagram->cell->heard : cell->instances;
       replace_ready (cell, datagram->cell);
     }
--- a/tests/unit/gw_cold_test.c
+++ b/tests/unit/gw_cold_test.c
@@ -182,9 +182,28 @@
   run_close (&run);
 }
 
+/* Guards against instances that each send all that a cold endpoint takes, as none has found the
+ * others: the rows by which they do can't be read. */
+static void
+test_instances_that_find_nobody_send_nothing (void)
+{
+  Run run;
+
+  run_open (&run);
+  row_store_set_table_mode (run.fleet.store, PL_CELL_TABLE, ROW_STORE_REFUSES);
+  for (guint i = 0; i < size.n_instances; i++)
+    gf_fleet_kill (&run.fleet, i);
+  gf_fleet_start_all (&run.fleet, 0);
+  gf_fleet_advance (&run.fleet, START_TIME);
+  run_until (&run, COLD_TIME - ROW_INTERVAL);
+  check (&run, 0);
+  run_close (&run);
+}
+
 static const SuiteCase cases[] = {
   { "a zone comes back cold", test_a_zone_comes_back_cold },
   { "instances restart while endpoints are cold", test_instances_restart_while_endpoints_are_cold },
+  { "instances that find nobody send nothing", test_instances_that_find_nobody_send_nothing },
 };
 
 SUITE_MAIN ("gw_cold", cases)
--- a/tests/unit/sv_cold_core_test.c
+++ b/tests/unit/sv_cold_core_test.c
@@ -35,7 +35,8 @@
   sv_fixture_use_config (self, 1, "key");
   sv_fixture_add_endpoint (self, script, n);
   use_rate (self, config, 0.5);
-  sv_fleet_set_members (self->fleet, &(SvMembers){ .id = 1, .cell = 1, .known = 1 });
+  sv_fleet_set_members (self->fleet,
+                        &(SvMembers){ .id = 1, .cell = 1, .known = 1, .is_counted = TRUE });
 }
 
 /* Guards against an endpoint that becomes cold while it serves and is sent requests as before, also
@@ -128,6 +129,7 @@
   sv_fleet_set_members (fixture.fleet,
                         &(SvMembers){ .id = 1,
                                       .cell = 1,
+                                      .is_counted = TRUE,
                                       .cells = &(SvCellSize){ .id = 2, .instances = 83 },
                                       .n_cells = 1,
                                       .known = 84 });
--- a/tests/unit/sv_cold_peers_test.c
+++ b/tests/unit/sv_cold_peers_test.c
@@ -35,6 +35,14 @@
   sv_fleet_set_cold_config (self->peers.fleets[i], self->config);
 }
 
+/* Each has read how many instances there are. */
+static void
+note_counted (Cluster *self, guint n)
+{
+  for (guint i = 0; i < n; i++)
+    sv_peers_note_counted (self->peers.peers[i]);
+}
+
 static void
 cluster_open (Cluster *self)
 {
@@ -42,6 +50,7 @@
   sv_config_add_service (self->config, "s")->cold =
       (SvColdSpec){ .duration = COLD_TIME, .rate = RATE };
   peers_fixture_open (&self->peers, zones, INSTANCES, ENDPOINTS);
+  note_counted (self, INSTANCES);
   peers_fixture_connect (&self->peers);
   peers_fixture_advance (&self->peers, 3 * PEERS_HEARTBEAT_INTERVAL);
   for (guint i = 0; i < ENDPOINTS; i++)
@@ -319,6 +328,7 @@
       run (&cluster, 700 * KNL_MSEC);
       peers_fixture_stop (&cluster.peers, i);
       peers_fixture_start (&cluster.peers, i);
+      sv_peers_note_counted (cluster.peers.peers[i]);
       set_rules (&cluster, i);
       learn_cold (&cluster, i);
       for (guint j = 0; j < INSTANCES; j++)
@@ -430,6 +440,7 @@
       sv_config_add_service (cluster.config, "s")->cold =
           (SvColdSpec){ .duration = COLD_TIME, .rate = RATE };
       peers_fixture_open (&cluster.peers, zones, 1, 1);
+      note_counted (&cluster, 1);
       set_rules (&cluster, 0);
       peers_fixture_advance (&cluster.peers, 2 * KNL_SEC);
       describe_cell (cluster.peers.links[0], rows[i].heard);
--- a/tests/unit/sv_cold_test.c
+++ b/tests/unit/sv_cold_test.c
@@ -30,7 +30,8 @@
 static void
 set_members (SvFleet *fleet, guint known)
 {
-  sv_fleet_set_members (fleet, &(SvMembers){ .id = 1, .cell = 1, .known = known });
+  sv_fleet_set_members (fleet,
+                        &(SvMembers){ .id = 1, .cell = 1, .known = known, .is_counted = TRUE });
 }
 
 /* A fleet whose instance is the only one, and has been running for a while. */
