policy, serve: waits and refusals follow from time, work and room

What callers saw: with all slots taken for 1.6 s, a caller that waits 7 s was refused after 0.25 s where its route's objective was 0.3 s, after 0.96 s where it was 1 s, and served where it was 3 s. One whose route would have waited longer than it does, as after a refusal, was refused beside a free slot, waited for 0.3 of its time, and went behind all others at the endpoint, whatever its priority.

Cause: serve/defer.c ended waits at the objective, at 0.3 of the caller's time or at three objectives, asked for a second slot where the timeout was shorter than the route's, and knew nothing of room to come, of rank or of who else waits; urgencies put such callers behind all others.

Change: one decision (policy/wait.h) from the time that the caller has, the work that is left, the room that there is and that is expected, and the rank. A caller leaves a stream that is silent for too long; that is decoded with the route and is part of its time. What waits is queued at the instance (serve/queue.h): rank, then the one that is nearest to not being servable; short prompts never behind long ones. Room to come follows from the engine time of those before it and the rate at which the lane gets engine time. Who can't be served in time is refused at once. A long prompt may delay one running stream, not three; one that the service's memory can't hold is refused at once instead of after the objective.

Evidence: sv_wait plays two callers alike in time and work on six routes that differ in timeout and objective; on the code before 84 of its 144 assertions fail, now none. pol_wait has the properties as tables; sv_queue plays a burst of callers that return: no rank 0 is lost at 1.5 and 2.5 times the room, and under 5 in 100 of the slots are free beside callers.

Tests replaced: sv_defer's rows on first tries and returns asserted the fault; sv_room has its rows on slots, memory, backlog and streams, pol_wait those on time. sv_core's priorities get the urgencies of rank and time.

--- a/include/serve/config.h
+++ b/include/serve/config.h
@@ -77,11 +77,13 @@
   char *host;
   char *prefix; /**< begins and ends with a slash */
   SvRouteKind kind;
-  gboolean resumable;    /**< a broken stream may resume at another endpoint */
-  gboolean is_public;    /**< needs no key */
-  KnlTime timeout;       /**< longest time from the request to the end of its answer; 0: none */
-  KnlTime objective;     /**< time to the answer, or to a stream's first event, for full credit */
-  KnlTime gap_objective; /**< streams: longest gap between events for full credit; 0: none */
+  gboolean resumable; /**< a broken stream may resume at another endpoint */
+  gboolean is_public; /**< needs no key */
+  KnlTime timeout;    /**< longest time from the request to the end of its answer; 0: none */
+  KnlTime objective;  /**< time within which callers want the answer, or a stream's first event */
+  KnlTime gap_objective; /**< streams: longest gap between events that callers tolerate; 0: none */
+  KnlTime max_silence;   /**< streams: callers leave after a gap this long, before the first event
+                              too; 0: they wait */
   guint max_attempts;    /**< sends of one request that may run */
   guint priority;        /**< 0: most urgent */
   GArray *splits;        /**< SvSplit, at least one */
--- a/include/serve/engine_model.h
+++ b/include/serve/engine_model.h
@@ -20,6 +20,13 @@
  * `context_tokens` of context in total. */
 double sv_model_pass_ms (const SvEngineSpec *spec, guint n_streams, double context_tokens);
 
+/** Time in ms from the first event of an answer to its last, in passes of `pass_ms`. */
+double sv_model_answer_ms (const SvEngineSpec *spec, double answer_tokens, double pass_ms);
+
+/** Time in ms that a request of usual size stays at an engine whose slots are all taken; 0: the
+ * service declares no usual size. */
+double sv_model_turnover_ms (const SvEngineSpec *spec);
+
 /** Engine time in ms that a request takes: its prefill, and its part of the passes that generate
  * its answer, at an engine whose slots all run requests like it. */
 double sv_model_request_ms (const SvEngineSpec *spec, double prompt_tokens, double answer_tokens);
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -14,13 +14,14 @@
 {
   const SvConfig *config;
   const SvService *service;
-  const char *zone;          /**< of this instance */
-  guint64 prompt_tokens;     /**< 0: a plain request */
-  guint64 answer_tokens;     /**< expected length of the answer */
-  KnlTime objective_left;    /**< time left to meet the objective for the first event */
-  KnlTime gap_objective;     /**< longest gap between events that meets the objective */
-  guint64 seed;              /**< of the request; decides between endpoints of similar cost */
-  const GPtrArray *excluded; /**< SvEndpoint: those that failed this request; may be NULL */
+  const char *zone;            /**< of this instance */
+  guint64 prompt_tokens;       /**< 0: a plain request */
+  guint64 answer_tokens;       /**< length of the answer that there must be memory for */
+  guint64 usual_answer_tokens; /**< expected length of the answer */
+  KnlTime objective_left;      /**< time left to meet the objective for the first event */
+  KnlTime gap_objective;       /**< longest gap between events that meets the objective */
+  guint64 seed;                /**< of the request; decides between endpoints of similar cost */
+  const GPtrArray *excluded;   /**< SvEndpoint: those that failed this request; may be NULL */
 } SvDemand;
 
 typedef struct
@@ -30,15 +31,18 @@
   guint64 holds[SV_MAX_HELPERS]; /**< tokens of context that each helper reserves; 0: none */
   gboolean is_prompt;            /**< placed by the engine model */
   gboolean is_split;             /**< a long prompt, whose prefill may be split */
-  guint free_slots;              /**< short prompts: of the best endpoint */
+  guint free_slots;              /**< prompts: of the endpoint that runs it */
   gboolean is_full;              /**< short prompts: even the best endpoint has no free slot */
   gboolean lacks_memory;         /**< the chosen endpoints together lack free memory for it */
+  gboolean exceeds_memory;       /**< as many as may hold it lack the memory even without others */
   guint n_helpers;
   KnlTime part;    /**< prefill time of the part of each endpoint */
   KnlTime prefill; /**< time that each is busy with its part, including the passes that it shares */
   KnlTime expected; /**< time to the first event */
+  KnlTime rest;     /**< from there to the end of an answer of expected length */
   KnlTime backlog;  /**< prefill time already queued, at the chosen endpoint with the most of it */
   double late_streams; /**< split prompts: number of running streams that its prefill makes late */
+  double engines;      /**< engine time a second of all endpoints that it may be sent to */
   SvLoad load;         /**< that the request adds to the first endpoint */
   gboolean is_evacuated; /**< no endpoint was found, and only evacuated zones have any left */
   KnlTime limit_wait;    /**< no endpoint was found because of rate limits: time until one of them
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -195,9 +195,11 @@
 
 /* Placement plans for the longest answer, as its memory must hold it; the load that callers offer
  * depends on the usual ones. */
-static guint64
-usual_answer (const SvRequestParams *params, const SvEngineSpec *spec)
+guint64
+sv_request_usual_answer (const SvRequest *self)
 {
+  const SvRequestParams *params = &self->params;
+  const SvEngineSpec *spec = &self->service->engine;
   guint64 usual = spec->mean_answer_tokens > 0 ? (guint64)spec->mean_answer_tokens : G_MAXUINT64;
 
   return MIN (params->answer_hint > 0 ? params->answer_hint : usual, params->answer_tokens);
@@ -213,7 +215,7 @@
     .id = self->params.id,
     .workspace = self->workspace != NULL ? self->workspace->name : NULL,
     .prompt_tokens = self->params.prompt_tokens,
-    .answer_tokens = usual_answer (&self->params, &self->service->engine),
+    .answer_tokens = sv_request_usual_answer (self),
     .priority = sv_request_priority (self),
     .objective = self->route->objective,
     .gap_objective = self->route->gap_objective,
--- a/serve/attempt.c
+++ b/serve/attempt.c
@@ -26,6 +26,8 @@
   SvPeerLink *link = self->core->parts.link;
 
   sv_endpoint_charge (self->placement.first, &self->placement.load, sign);
+  if (sign < 0 && self->placement.is_prompt)
+    sv_queue_wake (sv_core_queue (self->core, self->service));
   link->klass->load_changed (link);
 }
 
@@ -81,7 +83,7 @@
 sv_request_cancel_send (SvRequest *self)
 {
   knl_timer_stop (self->core->parts.kernel, &self->watch_timer);
-  knl_timer_stop (self->core->parts.kernel, &self->defer_timer);
+  sv_request_leave_queue (self);
   knl_timer_stop (self->core->parts.kernel, &self->migrate_timer);
   drop_reservation (self);
   if (self->exchange == NULL)
--- a/serve/candidates.c
+++ b/serve/candidates.c
@@ -12,9 +12,6 @@
  * decides how many endpoints get this role. */
 #define DECODE_MEMORY_FRACTION 0.8
 
-/* Usable fraction of an endpoint's memory; the lengths of contexts are known only roughly. */
-#define USABLE_MEMORY_FRACTION 0.9
-
 /* Endpoints are chosen as helpers in order of their prefill backlog plus, for each decoding stream,
  * this time by the stream's gap class. */
 static const double stream_cost_ms[SV_N_GAP_CLASSES] = { 40, 10, 3 };
@@ -266,12 +263,12 @@
   guint64 need = choice->demand->prompt_tokens + choice->demand->answer_tokens;
 
   return (double)(candidate->load.tokens + need)
-         <= USABLE_MEMORY_FRACTION * (double)choice->spec->memory_tokens;
+         <= SV_USABLE_MEMORY_FRACTION * (double)choice->spec->memory_tokens;
 }
 
 double
 sv_candidate_free_tokens (const SvChoice *choice, const SvCandidate *candidate)
 {
-  return USABLE_MEMORY_FRACTION * (double)choice->spec->memory_tokens
+  return SV_USABLE_MEMORY_FRACTION * (double)choice->spec->memory_tokens
          - (double)candidate->load.tokens;
 }
--- a/serve/core.c
+++ b/serve/core.c
@@ -120,6 +120,8 @@
   self->confirmed_at = -KNL_NEVER;
   self->requests = g_hash_table_new (NULL, NULL);
   self->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  self->queues =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)sv_queue_free);
   self->crashes = sv_crashes_new (parts->kernel, parts->fleet);
   self->quarantine = sv_quarantine_new (parts->kernel, parts->fleet);
   sv_quarantine_on_changed (self->quarantine, sv_core_note_quarantine, self);
@@ -167,6 +169,7 @@
   sv_crashes_free (self->crashes);
   sv_quarantine_free (self->quarantine);
   g_hash_table_unref (self->reach);
+  g_hash_table_unref (self->queues);
   g_hash_table_unref (self->budgets);
   g_hash_table_unref (self->requests);
   sv_config_unref (self->config);
@@ -415,6 +418,19 @@
   return reach;
 }
 
+SvQueue *
+sv_core_queue (SvCore *self, const SvService *service)
+{
+  SvQueue *queue = g_hash_table_lookup (self->queues, service->name);
+
+  if (queue == NULL)
+    {
+      queue = sv_queue_new (self->parts.kernel, sv_request_on_turn);
+      g_hash_table_insert (self->queues, g_strdup (service->name), queue);
+    }
+  return queue;
+}
+
 static PolBudget *
 budget_of (SvCore *self, const char *service)
 {
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -9,6 +9,7 @@
 #include "serve/overload.h"
 #include "serve/pace.h"
 #include "serve/pace_reports.h"
+#include "serve/queue.h"
 #include "serve/reach.h"
 #include "serve/reservation.h"
 
@@ -27,6 +28,7 @@
   KnlTime last_request_at; /* when a request was last received; 0: never */
   GHashTable *requests;    /* SvRequest */
   GHashTable *budgets;     /* service -> PolBudget */
+  GHashTable *queues;      /* service -> SvQueue */
   SvCrashes *crashes;
   SvQuarantine *quarantine;
   GHashTable *reach; /* service -> SvReach */
@@ -64,6 +66,9 @@
   gboolean is_test;       /* of a quarantine: it is let through to find out whether that is right */
   gboolean is_crash_test; /* the same of its own crashes, which no quarantine was decided by */
   gboolean is_overload;   /* it is refused because its service is overloaded */
+  gboolean is_over_share; /* its workspace has had its share of the service */
+  gboolean lacks_room;    /* it is refused because there won't be room for it in time */
+  SvWaiter waiter;        /* its place among those that wait for room */
   HtExchange *pass;       /* with the peer that it is passed on to; NULL: none */
   char *passed_to;        /* address of the last peer that it was passed on to; NULL: none */
   guint passes;           /* peers that it was passed on to */
@@ -76,7 +81,6 @@
   KnlTime sent_at;
   KnlTime writing_since; /* when its first event was received; 0: not yet */
   KnlTimerId watch_timer;
-  KnlTimerId defer_timer;
   KnlTimerId migrate_timer; /* when it is to migrate */
   KnlTimerId hold_timer;    /* limits how long reserved memory may stay unused */
   gboolean is_doubtful; /* it is given up: an answer that may be to it says that it hasn't run */
@@ -134,6 +138,9 @@
 /** Its priority, 0 for the most urgent: that of its workspace, or else of its route. */
 guint sv_request_priority (const SvRequest *self);
 
+/** Expected length of its answer, tokens. */
+guint64 sv_request_usual_answer (const SvRequest *self);
+
 /** Runs all admission checks. FALSE: the request was refused and freed. */
 gboolean sv_request_admit (SvRequest *self);
 
@@ -165,9 +172,16 @@
 
 /* send.c */
 
-/** Sends the request to an endpoint, defers the send, or ends (and frees) the request. */
+/** Sends the request to an endpoint, lets it wait for room, or ends (and frees) the request. */
 void sv_request_send (SvRequest *self);
 
+/** Places the request, if it may be sent at all. FALSE: it is passed on to a peer, or has ended and
+ * is freed. */
+gboolean sv_request_prepare (SvRequest *self);
+
+/** Sends the request as it is placed. */
+void sv_request_dispatch (SvRequest *self);
+
 /** To be called after a sample of its endpoint's pace: updates the service's endpoints, and
  * announces what has changed. */
 void sv_request_note_pace (SvRequest *self);
@@ -176,16 +190,27 @@
  * endpoint has capacity for it. */
 gboolean sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement);
 
-/** Whether its caller hasn't been refused before, as far as its remaining time tells. */
-gboolean sv_request_is_first_try (const SvRequest *self);
-
 /* wait.c */
 
-/** Starts a timer to place the request again. FALSE: it isn't to wait. */
-gboolean sv_request_defer (SvRequest *self);
+/** After it was placed: decides whether it is sent now. FALSE: it waits for room, or was refused and
+ * is freed. */
+gboolean sv_request_take_turn (SvRequest *self);
+
+/** SvTurnFunc of a request that waits. */
+gboolean sv_request_on_turn (SvWaiter *waiter, KnlTime ahead, gboolean may_send);
 
-/** Why a request that doesn't wait any longer is refused; NULL: it is sent. */
-const char *sv_request_wait_refusal (const SvRequest *self);
+/** No-op if it doesn't wait. */
+void sv_request_leave_queue (SvRequest *self);
+
+/** How much longer its caller waits for the next event, or for the first; KNL_NEVER: without limit.
+ */
+KnlTime sv_request_event_left (const SvRequest *self);
+
+/** Its urgency at endpoints. */
+guint sv_request_urgency (const SvRequest *self);
+
+/** Age of what is known of the load of its endpoint; -1: it hasn't been heard from. */
+KnlTime sv_request_room_age (const SvRequest *self);
 
 /* placement_check.c */
 
@@ -303,6 +328,9 @@
 /** Time since the configuration was last confirmed to be the newest; KNL_NEVER: it never was. */
 KnlTime sv_core_config_age (const SvCore *core);
 
+/** The requests that wait for room at the service's endpoints. */
+SvQueue *sv_core_queue (SvCore *core, const SvService *service);
+
 /** Counts a caller's request for the service, for its retry budget. */
 void sv_core_note_request (SvCore *core, const char *service);
 
--- a/serve/engine_model.c
+++ b/serve/engine_model.c
@@ -1,5 +1,7 @@
 #include "serve/engine_model.h"
 
+#include <math.h>
+
 double
 sv_model_prefill_ms (const SvEngineSpec *spec, double tokens)
 {
@@ -27,3 +29,22 @@
   return sv_model_prefill_ms (spec, prompt_tokens)
          + passes * sv_model_pass_ms (spec, slots, slots * context) / slots;
 }
+
+double
+sv_model_answer_ms (const SvEngineSpec *spec, double answer_tokens, double pass_ms)
+{
+  double events = ceil (answer_tokens / MAX (spec->stride, 1));
+
+  return MAX (events - 1, 0) * pass_ms;
+}
+
+double
+sv_model_turnover_ms (const SvEngineSpec *spec)
+{
+  guint slots = MAX (spec->slots, 1);
+  double context = spec->mean_prompt_tokens + spec->mean_answer_tokens / 2;
+
+  return sv_model_prefill_ms (spec, spec->mean_prompt_tokens)
+         + spec->mean_answer_tokens / MAX (spec->stride, 1)
+               * sv_model_pass_ms (spec, slots, slots * context);
+}
--- a/serve/place_long.c
+++ b/serve/place_long.c
@@ -292,6 +292,18 @@
   placement->lacks_memory = remaining > 0;
 }
 
+/* Whether the prompt needs more memory than the endpoints that may hold it have when they are
+ * empty; one endpoint at least is packed with short streams. */
+static gboolean
+exceeds_memory (const SvChoice *choice)
+{
+  guint n_helpers = MIN (MAX (choice->candidates->len, 2) - 2, SV_MAX_HELPERS);
+  double parts = FIRST_HOLD_FRACTION + n_helpers * HELPER_HOLD_FRACTION;
+  double need = (double)(choice->demand->prompt_tokens + choice->demand->answer_tokens);
+
+  return need > parts * SV_USABLE_MEMORY_FRACTION * (double)choice->spec->memory_tokens;
+}
+
 /* Mean duration of a pass without prefill by the declared figures, in ms, 0 for idle endpoints.
  * Prefill takes place within passes, whose decoding takes time too. */
 static double
@@ -318,6 +330,7 @@
   for (guint i = 1; i < width.n; i++)
     placement->helpers[placement->n_helpers++] = sv_candidate_at (choice, i)->endpoint;
   spread_memory (choice, placement);
+  placement->exceeds_memory = placement->lacks_memory && exceeds_memory (choice);
   for (guint i = 0; i < width.n; i++)
     placement->backlog =
         MAX (placement->backlog, (KnlTime)(sv_candidate_at (choice, i)->prefill_left * KNL_MSEC));
--- a/serve/place_short.c
+++ b/serve/place_short.c
@@ -180,7 +180,6 @@
   first = sv_candidate_at (choice, 0);
   placement->first = first->endpoint;
   placement->is_full = is_full (choice, first);
-  placement->free_slots = choice->spec->slots - MIN (first->load.calls, choice->spec->slots);
   /* MAX evaluates its arguments twice. */
   wait = add_packed_helpers (choice, parts, placement);
   before = MAX (time_before_part (first), wait);
--- a/serve/router.c
+++ b/serve/router.c
@@ -41,6 +41,22 @@
     }
 }
 
+/* Adds what follows from the endpoint that was chosen, which is the first candidate. */
+static void
+note_chosen (const SvChoice *choice, SvPlacement *placement)
+{
+  const SvCandidate *first = sv_candidate_at (choice, 0);
+  guint streams = sv_load_decoding_streams (&first->load) + 1;
+  double tokens = (double)(first->load.tokens + choice->demand->prompt_tokens);
+  double pass = first->pace * sv_model_pass_ms (choice->spec, streams, tokens);
+  double answer = (double)choice->demand->usual_answer_tokens;
+
+  placement->free_slots = choice->spec->slots - MIN (first->load.calls, choice->spec->slots);
+  placement->rest = (KnlTime)(sv_model_answer_ms (choice->spec, answer, pass) * KNL_MSEC);
+  for (guint i = 0; i < choice->candidates->len; i++)
+    placement->engines += 1 / sv_candidate_at (choice, i)->pace;
+}
+
 /* Time until a rate limit allows a request; 0: limits aren't the reason for the missing placement.
  * Endpoints that are down aren't waited for. One that only this request excludes counts, since it
  * accepts the request when the caller sends it again. */
@@ -116,6 +132,7 @@
     sv_place_long (&choice, placement);
   else
     sv_place_short (&choice, placement);
+  note_chosen (&choice, placement);
   return TRUE;
 }
 
--- a/serve/router_internal.h
+++ b/serve/router_internal.h
@@ -8,6 +8,9 @@
  * pass by less than its own length. */
 #define SV_SPLIT_MS 60.0
 
+/* Usable fraction of an endpoint's memory; the lengths of contexts are known only roughly. */
+#define SV_USABLE_MEMORY_FRACTION 0.9
+
 /* Slots of an endpoint that packing leaves free for requests that other instances send at the same
  * time. */
 #define SV_PACK_SPARE_SLOTS 3
--- a/serve/send.c
+++ b/serve/send.c
@@ -15,16 +15,6 @@
 #define MAX_REUSE_IDLE      (8 * KNL_SEC)
 #define MAX_REUSE_IDLE_ONCE (1 * KNL_SEC)
 
-/* A request whose caller waits for at least this fraction of the route's timeout counts as its
- * first try; a caller that was refused returns with less time left. */
-#define FIRST_TRY_FRACTION 0.95
-
-/* Urgencies at endpoints, from 0 (first) to 9 (last): 0 to 4 for requests that can meet their
- * objective, 5 to 9 for late ones. */
-#define URGENCY_ON_TIME_MAX 4
-#define URGENCY_LATE        5
-#define URGENCY_MAX         9
-
 /* A request with less time than this to its deadline isn't sent. */
 #define MIN_TIME_LEFT (5 * KNL_MSEC)
 
@@ -145,6 +135,7 @@
     .zone = core->parts.zone,
     .prompt_tokens = self->params.prompt_tokens,
     .answer_tokens = expected_answer (self),
+    .usual_answer_tokens = sv_request_usual_answer (self),
     .objective_left = MAX (self->begun_at + self->route->objective - now, 0),
     .gap_objective = self->route->gap_objective,
     .seed = XXH64 (self->params.id, strlen (self->params.id), self->sends),
@@ -177,40 +168,6 @@
   return find_placement (self, excluded, placement) && !placement->is_full;
 }
 
-/* A caller that was refused before returns with less time than the route allows. */
-gboolean
-sv_request_is_first_try (const SvRequest *self)
-{
-  return self->runs == 0 && self->params.last_event == NULL
-         && self->params.timeout >= (KnlTime)(FIRST_TRY_FRACTION * (double)self->route->timeout);
-}
-
-/* Its first event has not been sent and is expected to miss the objective. */
-static gboolean
-is_late (const SvRequest *self)
-{
-  KnlTime waited = sv_request_now (self) - self->begun_at;
-
-  return self->first_sent_at == 0
-         && (!sv_request_is_first_try (self)
-             || waited + self->placement.expected > self->route->objective);
-}
-
-/*
- * Engines admit the most urgent first. Late requests go behind all others, as they
- * have missed their objective anyway; within each group the configured priorities
- * decide.
- */
-static guint
-urgency_of (const SvRequest *self)
-{
-  guint priority = sv_request_priority (self);
-
-  if (is_late (self))
-    return MIN (URGENCY_LATE + priority, URGENCY_MAX);
-  return MIN (priority, URGENCY_ON_TIME_MAX);
-}
-
 static GString *
 write_head (SvRequest *self, const char *last_event)
 {
@@ -224,7 +181,7 @@
     .workspace = self->workspace != NULL ? self->workspace->name : NULL,
     .left = self->deadline != KNL_NEVER ? self->deadline - sv_request_now (self) : 0,
     .last_event = last_event,
-    .urgency = urgency_of (self),
+    .urgency = sv_request_urgency (self),
     .helpers = helpers,
     .n_helpers = self->placement.n_helpers,
   };
@@ -287,7 +244,10 @@
           endpoint->id, "s", "helpers", helpers->str, "i", "send", (gint64)self->sends, "i",
           "prompt-tokens", (gint64)self->params.prompt_tokens, "i", "waited-us",
           self->sent_at - self->begun_at, "i", "part-us", placement->part, "i", "expected-us",
-          placement->expected, "i", "backlog-us", placement->backlog, "i", "endpoint-calls",
+          placement->expected, "i", "rest-us", placement->rest, "i", "left-us",
+          self->deadline != KNL_NEVER ? self->deadline - self->sent_at : (KnlTime)-1, "i",
+          "free-slots", (gint64)placement->free_slots, "i", "room-age-us",
+          sv_request_room_age (self), "i", "backlog-us", placement->backlog, "i", "endpoint-calls",
           (gint64)load.calls, "i", "endpoint-tokens", (gint64)load.tokens, "s", "endpoint-limit",
           limit, "b", "reserved", self->reservation != NULL, "s", "sent-before-to",
           sv_request_was_sent_to (self, endpoint->address) ? endpoint->address : NULL);
@@ -415,15 +375,6 @@
       sv_reservation_new (&parts, self->params.id, endpoints, tokens, n, on_reserved, self);
 }
 
-/* A long prompt whose deadline comes before its prefill can end isn't sent: the prefill would take
- * seconds for nothing, at the cost of other requests. */
-static gboolean
-will_miss_deadline (const SvRequest *self)
-{
-  return self->placement.is_split && self->deadline != KNL_NEVER
-         && self->deadline - sv_request_now (self) < self->placement.expected;
-}
-
 static const char *
 unplaced_reason (const SvPlacement *placement)
 {
@@ -432,52 +383,41 @@
   return placement->limit_wait > 0 ? "endpoints-limited" : "no-endpoint";
 }
 
-void
-sv_request_send (SvRequest *self)
+gboolean
+sv_request_prepare (SvRequest *self)
 {
   const char *refusal;
 
   if (self->deadline != KNL_NEVER && self->deadline - sv_request_now (self) < MIN_TIME_LEFT)
     {
       sv_request_give_up (self, "no-time-left");
-      return;
+      return FALSE;
     }
   refusal = sv_request_crash_refusal (self);
   if (refusal != NULL)
     {
       sv_request_give_up (self, refusal);
-      return;
+      return FALSE;
     }
   if (sv_request_pass (self))
-    return;
-  if (sv_core_has_stale_zones (self->core))
-    {
-      sv_request_give_up (self, "zones-not-confirmed");
-      return;
-    }
-  if (!place (self))
-    {
-      sv_request_give_up (self, unplaced_reason (&self->placement));
-      return;
-    }
-  if (will_miss_deadline (self))
     {
-      sv_request_give_up (self, "too-little-time");
-      return;
+      sv_request_leave_queue (self);
+      return FALSE;
     }
-  if (sv_request_defer (self))
-    return;
-  refusal = sv_request_wait_refusal (self);
-  if (refusal != NULL)
-    {
-      sv_request_give_up (self, refusal);
-      return;
-    }
-  if (self->placement.lacks_memory)
+  if (sv_core_has_stale_zones (self->core))
     {
-      sv_request_give_up (self, "no-memory");
-      return;
+      sv_request_give_up (self, "zones-not-confirmed");
+      return FALSE;
     }
+  if (place (self))
+    return TRUE;
+  sv_request_give_up (self, unplaced_reason (&self->placement));
+  return FALSE;
+}
+
+void
+sv_request_dispatch (SvRequest *self)
+{
   self->sends++;
   self->sent_at = sv_request_now (self);
   self->last_received_at = 0;
@@ -489,3 +429,10 @@
   else
     send_now (self);
 }
+
+void
+sv_request_send (SvRequest *self)
+{
+  if (sv_request_prepare (self) && sv_request_take_turn (self))
+    sv_request_dispatch (self);
+}
--- a/serve/wait.c
+++ b/serve/wait.c
@@ -1,56 +1,254 @@
-/** Requests that are placed but wait here before they are sent, see serve/defer.h. */
+/** Requests for engines wait here until there is room for them, or are refused if there will be
+ * none in time; see policy/wait.h and serve/queue.h. */
 
+#include "common/log.h"
 #include "serve/core_internal.h"
-#include "serve/defer.h"
+#include "serve/engine_model.h"
+#include "serve/room.h"
 
-/* Prompts deferred at all instances wait for the same engines, and would be sent at the same
- * moment. A random delay of up to this fraction of the objective spreads them; a placement by one
- * instance is known to the others after about 5 ms. */
-#define DEFER_JITTER_FRACTION 0.025
+typedef enum
+{
+  TURN_SEND,
+  TURN_STAY,
+  TURN_ENDED, /* it was refused, and is freed */
+} Turn;
+
+static KnlTime
+until (KnlTime end, KnlTime now)
+{
+  return end == KNL_NEVER ? KNL_NEVER : end - now;
+}
 
-static SvDeferCase
-defer_case (const SvRequest *self)
+KnlTime
+sv_request_event_left (const SvRequest *self)
 {
   KnlTime now = sv_request_now (self);
+  KnlTime left = until (self->deadline, now);
+  KnlTime since = MAX (self->begun_at, self->last_event_at);
+
+  if (self->route->max_silence == 0)
+    return left;
+  return MIN (left, since + self->route->max_silence - now);
+}
+
+/* A stream that goes on elsewhere has had its room, but needs memory anew. */
+static gboolean
+needs_room (const SvRequest *self)
+{
+  gboolean has_run = self->runs > 0 || self->params.last_event != NULL;
 
-  return (SvDeferCase){
-    .placement = &self->placement,
-    .objective = self->route->objective,
-    .waited = now - self->begun_at,
-    .left = self->deadline != KNL_NEVER ? self->deadline - now : KNL_NEVER,
-    .is_first_try = sv_request_is_first_try (self),
-    .has_run = self->runs > 0 || self->params.last_event != NULL,
+  return self->placement.is_prompt && (!has_run || self->placement.lacks_memory);
+}
+
+static SvLane
+lane_of (const SvRequest *self)
+{
+  return self->placement.is_split ? SV_LANE_LONG : SV_LANE_SHORT;
+}
+
+static KnlTime
+room_in (const SvRequest *self, KnlTime ahead)
+{
+  SvQueue *queue = sv_core_queue (self->core, self->service);
+  KnlTime own = self->placement.is_split ? self->placement.backlog : 0;
+
+  if (self->placement.exceeds_memory)
+    return KNL_NEVER;
+  if (sv_room_lack (&self->placement) != NULL)
+    own = MAX (own, sv_queue_time_for (queue, &self->waiter, self->waiter.work));
+  return own + sv_queue_time_for (queue, &self->waiter, ahead);
+}
+
+static PolWaitCase
+wait_case (const SvRequest *self)
+{
+  return (PolWaitCase){
+    .event_left = sv_request_event_left (self),
+    .left = until (self->deadline, sv_request_now (self)),
+    .first = self->placement.expected,
+    .rest = self->placement.rest,
   };
 }
 
+guint
+sv_request_urgency (const SvRequest *self)
+{
+  PolWaitCase due = wait_case (self);
+
+  return pol_wait_urgency (&due, sv_request_priority (self));
+}
+
+KnlTime
+sv_request_room_age (const SvRequest *self)
+{
+  const SvEndpoint *endpoint = self->placement.first;
+
+  return endpoint->last_seen_at > 0 ? sv_request_now (self) - endpoint->last_seen_at : -1;
+}
+
+static gint64
+or_none (KnlTime time)
+{
+  return time == KNL_NEVER ? -1 : time;
+}
+
+/* The inputs of a decision to let it wait or refuse it. */
 static void
-on_defer_due (gpointer data)
+log_decision (const SvRequest *self, const char *event, const char *reason, const PolWaitCase *due)
 {
-  SvRequest *self = data;
+  const SvPlacement *placement = &self->placement;
 
-  self->defer_timer = 0;
-  sv_request_send (self);
+  cm_log (CM_LOG_INFO, event, "s", "request", self->params.id, "s", "reason", reason, "i",
+          "priority", (gint64)self->waiter.key.rank, "b", "over-share",
+          self->waiter.key.is_over_share, "i", "waited-us", sv_request_now (self) - self->begun_at,
+          "i", "left-us", or_none (due->left), "i", "event-left-us", or_none (due->event_left), "i",
+          "expected-us", due->first, "i", "rest-us", due->rest, "i", "room-in-us", due->room_in,
+          "i", "room-age-us", sv_request_room_age (self), "i", "free-slots",
+          (gint64)placement->free_slots, "b", "lacks-memory", placement->lacks_memory, "i",
+          "backlog-us", placement->backlog, "f", "late-streams", placement->late_streams, "i",
+          "waiting",
+          (gint64)sv_queue_length (sv_core_queue (self->core, self->service), lane_of (self)));
+}
+
+/* What it waits for; there may be room that one before it waits for. */
+static const char *
+missing_room (const SvPlacement *placement)
+{
+  const char *lack = sv_room_lack (placement);
+
+  return lack != NULL ? lack : "endpoints-full";
+}
+
+static void
+refuse (SvRequest *self, const char *reason, const PolWaitCase *due)
+{
+  sv_request_leave_queue (self);
+  log_decision (self, "request-refused", reason, due);
+  sv_request_give_up (self, reason);
+}
+
+/* `ahead` and `may_send` as of SvTurnFunc. */
+static Turn
+take_turn (SvRequest *self, KnlTime ahead, gboolean may_send)
+{
+  PolWaitCase due = wait_case (self);
+
+  due.has_room = may_send && sv_room_is_free (&self->placement, pol_wait_longest (&due));
+  due.room_in = room_in (self, ahead);
+  switch (pol_wait_decide (&due))
+    {
+    case POL_WAIT_SEND:
+      sv_queue_note_sent (sv_core_queue (self->core, self->service), &self->waiter);
+      sv_request_leave_queue (self);
+      return TURN_SEND;
+    case POL_WAIT_NO_TIME:
+      refuse (self, "too-little-time", &due);
+      return TURN_ENDED;
+    case POL_WAIT_NO_ROOM:
+      self->lacks_room = TRUE;
+      refuse (self, missing_room (&self->placement), &due);
+      return TURN_ENDED;
+    case POL_WAIT_STAY:
+      break;
+    }
+  if (self->waiter.place == NULL)
+    log_decision (self, "request-waits", missing_room (&self->placement), &due);
+  return TURN_STAY;
 }
 
 gboolean
-sv_request_defer (SvRequest *self)
+sv_request_on_turn (SvWaiter *waiter, KnlTime ahead, gboolean may_send)
 {
-  KnlKernel *kernel = self->core->parts.kernel;
-  SvDeferCase due = defer_case (self);
-  KnlTime wait = sv_defer_decide (&due);
+  SvRequest *self = waiter->request;
 
-  if (wait == 0)
+  if (may_send && !sv_request_prepare (self))
     return FALSE;
-  wait += (KnlTime)(DEFER_JITTER_FRACTION * (double)self->route->objective
-                    * g_rand_double (knl_kernel_rand (kernel)));
-  self->defer_timer = knl_timer_start (kernel, wait, on_defer_due, self);
-  return TRUE;
+  switch (take_turn (self, ahead, may_send))
+    {
+    case TURN_SEND:
+      sv_request_dispatch (self);
+      return FALSE;
+    case TURN_STAY:
+      return TRUE;
+    default:
+      return FALSE;
+    }
+}
+
+static KnlTime
+work_of (const SvRequest *self)
+{
+  const SvRequestParams *params = &self->params;
+
+  return (KnlTime)(sv_model_request_ms (&self->service->engine, (double)params->prompt_tokens,
+                                        (double)sv_request_usual_answer (self))
+                   * KNL_MSEC);
+}
+
+/* Callers choose instances at random, so that each may expect an equal part of the engines' time.
+ */
+static void
+update_capacity (const SvRequest *self, SvQueue *queue)
+{
+  SvPeerLink *link = self->core->parts.link;
+  double turnover = sv_model_turnover_ms (&self->service->engine) * KNL_MSEC;
+  SvCapacity capacity = {
+    .engines = self->placement.engines / MAX (link->klass->n_instances (link), 1),
+    .turnover = MAX ((KnlTime)turnover, KNL_MSEC),
+  };
+
+  sv_queue_set_capacity (queue, &capacity);
 }
 
-const char *
-sv_request_wait_refusal (const SvRequest *self)
+static void
+init_waiter (SvRequest *self, SvQueue *queue)
 {
-  SvDeferCase due = defer_case (self);
+  PolWaitCase due = wait_case (self);
+  KnlTime longest = pol_wait_longest (&due);
 
-  return sv_defer_refusal (&due);
+  self->waiter = (SvWaiter){
+    .key = { .rank = sv_request_priority (self),
+             .is_over_share = self->is_over_share,
+             .latest = longest == KNL_NEVER ? KNL_NEVER : sv_request_now (self) + longest,
+             .number = sv_queue_next_number (queue) },
+    .lane = lane_of (self),
+    .work = work_of (self),
+    .request = self,
+  };
+}
+
+gboolean
+sv_request_take_turn (SvRequest *self)
+{
+  SvQueue *queue;
+
+  if (!needs_room (self))
+    return TRUE;
+  queue = sv_core_queue (self->core, self->service);
+  update_capacity (self, queue);
+  init_waiter (self, queue);
+  sv_queue_note_arrival (queue, &self->waiter);
+  if (sv_queue_has_before (queue, self->waiter.lane, &self->waiter.key))
+    {
+      sv_queue_push (queue, &self->waiter);
+      sv_queue_look (queue, self->waiter.lane);
+      return FALSE;
+    }
+  switch (take_turn (self, 0, TRUE))
+    {
+    case TURN_SEND:
+      return TRUE;
+    case TURN_STAY:
+      sv_queue_push (queue, &self->waiter);
+      return FALSE;
+    default:
+      return FALSE;
+    }
+}
+
+void
+sv_request_leave_queue (SvRequest *self)
+{
+  if (self->waiter.place != NULL)
+    sv_queue_remove (sv_core_queue (self->core, self->service), &self->waiter);
 }
