serve: shares of an overloaded service don't depend on the objective

Cause: the classes that capacity is divided into began with whether the objective can still be met, with a wait that was guessed from a deadline shorter than the route's timeout.

Change: classes are priority and length.

--- a/include/serve/offered.h
+++ b/include/serve/offered.h
@@ -25,12 +25,11 @@
 /** Priorities that are told apart; less urgent ones count as the last. */
 #define SV_OFFERED_PRIORITIES 5
 
-#define SV_OFFERED_CLASSES (2 * SV_OFFERED_PRIORITIES * SV_N_PREFILL_LENGTHS)
+#define SV_OFFERED_CLASSES (SV_OFFERED_PRIORITIES * SV_N_PREFILL_LENGTHS)
 
 typedef struct
 {
-  gboolean is_late; /**< it can't meet its objective any more */
-  guint priority;   /**< 0: most urgent */
+  guint priority; /**< 0: most urgent */
   SvPrefillLength length;
 } SvOfferedClass;
 
--- a/include/serve/overload.h
+++ b/include/serve/overload.h
@@ -36,9 +36,7 @@
   guint64 prompt_tokens;
   guint64 answer_tokens; /**< expected length of the answer */
   guint priority;
-  KnlTime objective;     /**< for the first event; 0: none */
   KnlTime gap_objective; /**< longest gap between events of a stream; 0: none */
-  KnlTime waited;        /**< since the caller's first attempt */
   gboolean is_exempt;    /**< it is counted, but always admitted */
 } SvOverloadRequest;
 
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -176,15 +176,6 @@
         knl_timer_start (core->parts.kernel, self->deadline - now, on_deadline, self);
 }
 
-/* What has passed since the caller's first attempt: it waits for the route's timeout in all. */
-static KnlTime
-waited_of_caller (const SvRequest *self)
-{
-  if (self->params.timeout <= 0 || self->route->timeout <= 0)
-    return 0;
-  return MAX (self->route->timeout - self->params.timeout, 0);
-}
-
 guint
 sv_request_priority (const SvRequest *self)
 {
@@ -217,9 +208,7 @@
     .prompt_tokens = self->params.prompt_tokens,
     .answer_tokens = sv_request_usual_answer (self),
     .priority = sv_request_priority (self),
-    .objective = self->route->objective,
     .gap_objective = self->route->gap_objective,
-    .waited = waited_of_caller (self),
     .is_exempt = self->is_passed || self->params.last_event != NULL,
   };
 
--- a/serve/offered_class.c
+++ b/serve/offered_class.c
@@ -7,19 +7,17 @@
 sv_offered_class_index (const SvOfferedClass *class)
 {
   guint priority = MIN (class->priority, SV_OFFERED_PRIORITIES - 1);
-  guint rank = (class->is_late ? SV_OFFERED_PRIORITIES : 0) + priority;
 
-  return rank * SV_N_PREFILL_LENGTHS + class->length;
+  return priority * SV_N_PREFILL_LENGTHS + class->length;
 }
 
 char *
 sv_offered_class_name (guint index)
 {
   static const char *const lengths[SV_N_PREFILL_LENGTHS] = { "short", "medium", "long" };
-  guint rank = index / SV_N_PREFILL_LENGTHS;
 
-  return g_strdup_printf ("%s-%u-%s", rank < SV_OFFERED_PRIORITIES ? "on-time" : "late",
-                          rank % SV_OFFERED_PRIORITIES, lengths[index % SV_N_PREFILL_LENGTHS]);
+  return g_strdup_printf ("priority-%u-%s", index / SV_N_PREFILL_LENGTHS,
+                          lengths[index % SV_N_PREFILL_LENGTHS]);
 }
 
 guint32
--- a/serve/overload.c
+++ b/serve/overload.c
@@ -262,10 +262,7 @@
 class_of (const SvOverload *self, const SvOverloadRequest *request)
 {
   double prefill_ms = sv_model_prefill_ms (&self->spec, (double)request->prompt_tokens);
-  /* The shortest time to a first event, at as many endpoints as a prompt may be split over. */
-  KnlTime shortest = (KnlTime)(prefill_ms / (SV_MAX_HELPERS + 1) * KNL_MSEC);
   SvOfferedClass class = {
-    .is_late = request->objective > 0 && request->waited + shortest > request->objective,
     .priority = request->priority,
     .length = length_of (request, prefill_ms),
   };
