serve: Retry-After says when there will be room

What callers saw: refused while endpoints were full, they were told to come back after 0.16 to 0.32 of the time that they had, whatever there was to do before them; the one with most time came back last, and all that were refused together within the same span.

Cause: serve/finish.c took Retry-After from shares of the caller's time.

Change: it is when the request's work would have its turn, after those that wait and those that were told to come back before it, at the rate that the lane gets; at most a third of the caller's time, which is as long as callers follow it. Where nothing is known of room, it stays a short random delay, no longer cut at a fifth of the time.

Tests: sv_wait gets callers alike in time and work on six routes: all are refused at once, with the same Retry-After, the time that the engine takes for one of them.

--- a/serve/finish.c
+++ b/serve/finish.c
@@ -3,18 +3,12 @@
 #include "common/log.h"
 #include "serve/core_internal.h"
 
-/* Shortest Retry-After of a refusal. A random factor of 1 to 2 keeps callers that were refused
- * together from returning together. */
-#define RETRY_AFTER_MIN (150 * KNL_MSEC)
+/* Retry-After of a refusal that says nothing of room: another instance may serve the caller now. A
+ * random factor of 1 to 2 keeps callers that were refused together from returning together. */
+#define RETRY_AFTER_OTHER (150 * KNL_MSEC)
 
-/* The same where the endpoints are full or evacuated, as a fraction of the caller's remaining time:
- * a burst lasts for seconds, and a caller that returns during it would be refused again. With the
- * random factor it stays below a third of that time, which is the most that callers honour. */
-#define RETRY_AFTER_FULL_FRACTION 0.16
-
-/* Largest Retry-After in other cases, as a fraction of the caller's remaining time: the rest is
- * needed for its second try. */
-#define RETRY_AFTER_MAX_FRACTION 0.2
+/* Callers wait for at most this part of their remaining time before they return. */
+#define MAX_HONOURED_DIVISOR 3
 
 /* Classes of requests with prompts in the metrics, by the least number of prompt tokens. */
 static const struct
@@ -125,24 +119,34 @@
   g_string_free (fields, TRUE);
 }
 
+/* Longest Retry-After that the caller follows; KNL_NEVER: not known, as its deadline isn't. */
+static KnlTime
+max_honoured (const SvRequest *self)
+{
+  KnlTime left = self->deadline - sv_request_now (self);
+
+  if (self->deadline == KNL_NEVER || self->deadline <= 0)
+    return KNL_NEVER;
+  return MAX (left, 0) / MAX_HONOURED_DIVISOR;
+}
+
+/* When there will be room for it, as far as that is known. */
 static KnlTime
 retry_after_of (const SvRequest *self)
 {
   KnlKernel *kernel = self->core->parts.kernel;
   KnlTime delay =
-      (KnlTime)((double)RETRY_AFTER_MIN * g_rand_double_range (knl_kernel_rand (kernel), 1, 2));
-  KnlTime left = self->deadline - knl_kernel_now (kernel);
+      (KnlTime)((double)RETRY_AFTER_OTHER * g_rand_double_range (knl_kernel_rand (kernel), 1, 2));
+  KnlTime longest = max_honoured (self);
 
   if (self->placement.limit_wait > 0)
     return self->placement.limit_wait + delay;
-  if ((self->placement.is_full || self->placement.lacks_memory || self->placement.is_evacuated
-       || self->is_overload)
-      && self->deadline != KNL_NEVER)
-    return (KnlTime)(RETRY_AFTER_FULL_FRACTION * (double)MAX (left, 0)
-                     * g_rand_double_range (knl_kernel_rand (kernel), 1, 2));
-  if (self->deadline != KNL_NEVER && self->deadline > 0)
-    delay = MIN (delay, (KnlTime)(RETRY_AFTER_MAX_FRACTION * (double)MAX (left, 0)));
-  return delay;
+  if (self->lacks_room)
+    return sv_queue_return_time (sv_core_queue (self->core, self->service), &self->waiter, longest);
+  /* Only the operator knows when an evacuation ends. */
+  if ((self->placement.is_evacuated || self->is_overload) && longest != KNL_NEVER)
+    return longest;
+  return MIN (delay, longest);
 }
 
 void
--- a/tests/unit/sv_admission_test.c
+++ b/tests/unit/sv_admission_test.c
@@ -123,7 +123,7 @@
       CU_ASSERT_PTR_NULL (strstr (self.core.received->str, "X-Server-Stamp"));
       after = strstr (self.core.received->str, "Retry-After: ");
       seconds = after != NULL ? atof (after + strlen ("Retry-After: ")) : 0;
-      CU_ASSERT (seconds >= 0.16 * 5 && seconds <= 0.32 * 5 + 0.001);
+      CU_ASSERT_DOUBLE_EQUAL (seconds, 5.0 / 3, 0.001);
     }
   CU_ASSERT (refused > REQUESTS / 5 && refused < REQUESTS);
   CU_ASSERT_EQUAL (sv_fixture_all_requests (&self.core), served);
--- a/tests/unit/sv_wait_test.c
+++ b/tests/unit/sv_wait_test.c
@@ -44,9 +44,10 @@
 
 typedef struct
 {
-  KnlTime sent_at; /* from the request; -1: never */
-  char urgency[8]; /* at the engine */
-  double retry_after;
+  KnlTime sent_at;    /* from the request; -1: never */
+  char urgency[8];    /* at the engine */
+  double retry_after; /* seconds; -1: none */
+  KnlTime refused_at;
 } Outcome;
 
 static void
@@ -131,6 +132,7 @@
         }
       knl_paused_clock_advance (self.clock, STEP);
     }
+  outcome->refused_at = knl_kernel_now (self.kernel) - begun_at;
   note_answer (&self, outcome);
   sv_fixture_close (&self);
 }
@@ -180,8 +182,41 @@
     }
 }
 
+/* Guards against callers that are told to come back after a part of their time, whenever there will
+ * be room, or that are refused after a wait that was known to be in vain. */
+static void
+test_retry_after_says_when_there_is_room (void)
+{
+  static const struct
+  {
+    Row row;
+    double seconds;
+  } rows[] = {
+    /* Two slots' worth of work take the engine 35 ms: 10 ms to read, and a quarter of two passes.
+     */
+    { { 200, 180, 4, MAX_TIME }, 0.035 },
+    { { 200, 150, 4, MAX_TIME }, 0.035 },
+    /* A caller follows it for a third of its time at most. */
+    { { 2000, 320, 4, MAX_TIME }, 0.320 / 3 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      for (guint j = 0; j < G_N_ELEMENTS (routes); j++)
+        {
+          Outcome outcome;
+
+          play (&rows[i].row, &routes[j], &outcome);
+          CU_ASSERT_EQUAL (outcome.sent_at, -1);
+          CU_ASSERT_EQUAL (outcome.refused_at, 0);
+          CU_ASSERT_DOUBLE_EQUAL (outcome.retry_after, rows[i].seconds, 0.001);
+        }
+    }
+}
+
 static const SuiteCase cases[] = {
   { "only the caller's time counts", test_only_the_callers_time_counts },
+  { "Retry-After says when there is room", test_retry_after_says_when_there_is_room },
 };
 
 SUITE_MAIN ("sv_wait", cases)
