serve: an overloaded service refuses nobody beside room

What callers saw: under load shedding, requests were refused with a probability of their class and workspace for 2 s after 0.8 of the slots had been taken, whatever was free by then.

Cause: the plan of shares decided on admission. It is made of what callers offer, in which each return of a refused caller counts anew, so that refusals also bred refusals.

Change: the plan only decides on order: within a rank, requests beyond their workspace's share go after those within it. Who is refused follows from time and room, as everywhere. The log line 'overloaded' is now 'over-share'; the reason 'overloaded' is gone.

--- a/include/policy/admission.h
+++ b/include/policy/admission.h
@@ -35,5 +35,5 @@
                          PolOfferedRow *rows,
                          guint n_rows);
 
-/** Fraction of its requests, 0 to 1, that a workspace with this load in the class may have run. */
+/** Fraction of its requests, 0 to 1, that are within the share of a workspace with this load. */
 double pol_admission_fraction (const PolAdmissionClass *class, guint64 load);
--- a/include/serve/overload.h
+++ b/include/serve/overload.h
@@ -1,12 +1,14 @@
 #pragma once
 
 /**
- * Admission while a service of model engines is overloaded.
+ * Shares of workspaces while a service of model engines is overloaded.
  *
  * Saturation is measured every 100 ms from loads that all instances know alike, and adjusts the
  * planned utilisation of the engines. While the service was saturated within the last 2 s and more
- * is offered than planned, a request is admitted with the probability that the plan gives to its
- * class and workspace (see policy/admission.h). At all other times every request is admitted.
+ * is offered than planned, each class and workspace has a share of it (see policy/admission.h); of
+ * its requests, as many are within it, and the others go after those of the same rank that are. At
+ * all other times every request is within its share. None is refused for it: that follows from time
+ * and room alone, see policy/wait.h.
  */
 
 #include "common/metrics.h"
@@ -28,7 +30,7 @@
   gpointer data;
 } SvOverloadParts;
 
-/** A request to be admitted. */
+/** A request whose workspace may have had its share. */
 typedef struct
 {
   const char *id;
@@ -37,7 +39,7 @@
   guint64 answer_tokens; /**< expected length of the answer */
   guint priority;
   KnlTime gap_objective; /**< longest gap between events of a stream; 0: none */
-  gboolean is_exempt;    /**< it is counted, but always admitted */
+  gboolean is_exempt;    /**< it is counted, but always within the share */
 } SvOverloadRequest;
 
 /** The parts must outlive it. */
@@ -48,10 +50,11 @@
 /** Sets new figures for the service's engines. */
 void sv_overload_set_spec (SvOverload *overload, const SvEngineSpec *spec);
 
-/** Counts the request as offered, and decides whether it is admitted; a refusal is logged. */
-gboolean sv_overload_admit (SvOverload *overload, const SvOverloadRequest *request);
+/** Counts the request as offered, and decides whether it is within its share; if not, it is logged.
+ */
+gboolean sv_overload_is_in_share (SvOverload *overload, const SvOverloadRequest *request);
 
-/** Whether the service was saturated recently, so that requests may be refused. */
+/** Whether the service was saturated recently, so that shares are in force. */
 gboolean sv_overload_is_saturated (const SvOverload *overload);
 
 /** Planned utilisation of the engines. */
--- a/serve/admission.c
+++ b/serve/admission.c
@@ -196,10 +196,10 @@
   return MIN (params->answer_hint > 0 ? params->answer_hint : usual, params->answer_tokens);
 }
 
-/* Requests that a peer passed on were admitted there, and streams that resume were admitted when
+/* Requests that a peer passed on have had their place there, and streams that resume had it when
  * they began. */
 static gboolean
-is_admitted (SvRequest *self)
+is_over_share (SvRequest *self)
 {
   SvOverload *overload = g_hash_table_lookup (self->core->overloads, self->service->name);
   SvOverloadRequest request = {
@@ -213,8 +213,8 @@
   };
 
   if (overload == NULL || request.prompt_tokens == 0)
-    return TRUE;
-  return sv_overload_admit (overload, &request);
+    return FALSE;
+  return !sv_overload_is_in_share (overload, &request);
 }
 
 gboolean
@@ -243,9 +243,6 @@
       sv_request_refuse (self, 503, quarantine);
       return FALSE;
     }
-  if (is_admitted (self))
-    return TRUE;
-  self->is_overload = TRUE;
-  sv_request_refuse (self, 503, "overloaded");
-  return FALSE;
+  self->is_over_share = is_over_share (self);
+  return TRUE;
 }
--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -65,7 +65,6 @@
   gboolean is_passed;     /* a peer passed it on to this instance */
   gboolean is_test;       /* of a quarantine: it is let through to find out whether that is right */
   gboolean is_crash_test; /* the same of its own crashes, which no quarantine was decided by */
-  gboolean is_overload;   /* it is refused because its service is overloaded */
   gboolean is_over_share; /* its workspace has had its share of the service */
   gboolean lacks_room;    /* it is refused because there won't be room for it in time */
   SvWaiter waiter;        /* its place among those that wait for room */
--- a/serve/finish.c
+++ b/serve/finish.c
@@ -144,7 +144,7 @@
   if (self->lacks_room)
     return sv_queue_return_time (sv_core_queue (self->core, self->service), &self->waiter, longest);
   /* Only the operator knows when an evacuation ends. */
-  if ((self->placement.is_evacuated || self->is_overload) && longest != KNL_NEVER)
+  if (self->placement.is_evacuated && longest != KNL_NEVER)
     return longest;
   return MIN (delay, longest);
 }
--- a/serve/overload.c
+++ b/serve/overload.c
@@ -15,29 +15,31 @@
  * that first events are late. Prefill is no measure: long prompts wait for it at the instance. */
 #define SATURATED_SLOTS 0.8
 
-/* Requests may be refused for this long after the last saturation. */
-#define REFUSING_TIME (2 * KNL_SEC)
+/* Shares are in force for this long after the last saturation. */
+#define SHARING_TIME (2 * KNL_SEC)
 
 /* Planned utilisation: its bounds, and its change in each interval. It falls faster than it rises,
  * so that queues at the engines are short-lived. From its minimum it rises above SATURATED_SLOTS
- * within REFUSING_TIME, so that refusals don't lapse while a surge goes on. */
+ * within SHARING_TIME, so that shares don't lapse while a surge goes on. */
 #define MIN_UTILISATION 0.5
 #define MAX_UTILISATION 1.0
 #define FALL_FACTOR     0.95
 #define RISE            0.02
 
-/* Nothing is refused until this fraction of the instances has reported what they are offered:
+/* There are no shares until this fraction of the instances has reported what they are offered:
  * scaled to all instances, uneven arrivals at a few of them would pass for overload. */
 #define MIN_HEARD_FRACTION 0.5
 
-/* Minimum that each class gets of what it offers, so that none starves. */
+/* Minimum that each class gets of what it offers, so that long prompts keep a share beside a surge
+ * of short ones. It decides only on the order within a rank. */
 #define MIN_CLASS_FRACTION 0.2
 
 /* Prompts with a longer prefill, in ms, are long. */
 #define MEDIUM_PREFILL_MS 1000.0
 
-/* Distinguishes the hash that decides on admission from the one that selects a route's service. */
-#define ADMISSION_SEED 1
+/* Distinguishes the hash that selects the requests within a share from the one that selects a
+ * route's service. */
+#define SHARE_SEED 1
 
 struct SvOverload
 {
@@ -48,7 +50,7 @@
   double utilisation;
   KnlTime saturated_at; /* -KNL_NEVER: never */
   KnlTimerId timer;
-  CmLogRateLimit refusals; /* limits log lines about refused requests */
+  CmLogRateLimit over_share; /* limits log lines about requests beyond a share */
   CmSeries *offered_gauge;
   CmSeries *planned_gauge;
   CmSeries *admitted_gauge;
@@ -122,7 +124,7 @@
 sv_overload_is_saturated (const SvOverload *self)
 {
   return self->saturated_at != -KNL_NEVER
-         && knl_kernel_now (self->parts.kernel) - self->saturated_at < REFUSING_TIME;
+         && knl_kernel_now (self->parts.kernel) - self->saturated_at < SHARING_TIME;
 }
 
 static guint64
@@ -286,7 +288,7 @@
 }
 
 static double
-admitted_fraction (const SvOverload *self, guint class, guint32 workspace)
+share_of (const SvOverload *self, guint class, guint32 workspace)
 {
   if (!self->is_planned || !sv_overload_is_saturated (self))
     return 1;
@@ -294,43 +296,42 @@
 }
 
 static void
-log_refusal (SvOverload *self, const SvOverloadRequest *request, guint class, double fraction)
+log_over_share (SvOverload *self, const SvOverloadRequest *request, guint class, double fraction)
 {
   KnlTime now = knl_kernel_now (self->parts.kernel);
   g_autofree char *name = NULL;
   guint32 workspace = sv_offered_workspace_id (request->workspace);
 
-  if (!cm_log_rate_limit_allows (&self->refusals, now))
+  if (!cm_log_rate_limit_allows (&self->over_share, now))
     return;
   name = sv_offered_class_name (class);
-  cm_log (CM_LOG_NOTICE, "overloaded", "s", "request", request->id, "s", "service", self->service,
-          "s", "class", name, "s", "workspace", request->workspace, "f", "admitted-fraction",
-          fraction, "f", "workspace-load",
-          (double)load_of_workspace (self, class, workspace) / KNL_SEC, "f", "class-offered",
-          (double)self->classes[class].offered / KNL_SEC, "f", "class-planned",
+  cm_log (CM_LOG_NOTICE, "over-share", "s", "request", request->id, "s", "service", self->service,
+          "s", "class", name, "s", "workspace", request->workspace, "f", "share", fraction, "f",
+          "workspace-load", (double)load_of_workspace (self, class, workspace) / KNL_SEC, "f",
+          "class-offered", (double)self->classes[class].offered / KNL_SEC, "f", "class-planned",
           (double)self->classes[class].capacity / KNL_SEC, "f", "offered",
           (double)self->offered / KNL_SEC, "f", "planned", (double)self->capacity / KNL_SEC, "i",
           "instances-heard", (gint64)self->heard, "i", "age-us", self->age + now - self->planned_at,
-          "i", "so-far", self->refusals.count);
+          "i", "so-far", self->over_share.count);
 }
 
 gboolean
-sv_overload_admit (SvOverload *self, const SvOverloadRequest *request)
+sv_overload_is_in_share (SvOverload *self, const SvOverloadRequest *request)
 {
   guint class = class_of (self, request);
   guint32 workspace = sv_offered_workspace_id (request->workspace);
   double cost_ms = sv_model_request_ms (&self->spec, (double)request->prompt_tokens,
                                         (double)request->answer_tokens);
-  guint64 hash = XXH64 (request->id, strlen (request->id), ADMISSION_SEED);
+  guint64 hash = XXH64 (request->id, strlen (request->id), SHARE_SEED);
   double fraction;
 
   sv_offered_note_request (self->parts.offered, self->id, class, workspace,
                            (guint64)(cost_ms * KNL_MSEC));
   if (request->is_exempt)
     return TRUE;
-  fraction = admitted_fraction (self, class, workspace);
+  fraction = share_of (self, class, workspace);
   if ((double)(hash >> 11) / 0x1p53 < fraction)
     return TRUE;
-  log_refusal (self, request, class, fraction);
+  log_over_share (self, request, class, fraction);
   return FALSE;
 }
