serve: silent endpoints are left by the time that callers have

What callers saw: a request at an endpoint that had lost power was sent to another one after 2.5 times its objective, or twice the sum of objective and expected time: with 7 s left sooner or later by the objective alone, and with a long one too late for a second endpoint.

Cause: serve/send.c took the timeouts from shares of the objective.

Change: half of the time that the caller has for what comes next, before the first event as between events, so that another endpoint has the other half; not before twice the expected time of a prompt's first event. The watch is a file of its own.

--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -189,6 +189,11 @@
  * endpoint has capacity for it. */
 gboolean sv_request_try_place (SvRequest *self, SvEndpoint *endpoint, SvPlacement *placement);
 
+/* watch.c */
+
+/** Watches for the silence of its endpoint, which has just been sent the request. */
+void sv_request_watch (SvRequest *self);
+
 /* wait.c */
 
 /** After it was placed: decides whether it is sent now. FALSE: it waits for room, or was refused and
--- a/serve/send.c
+++ b/serve/send.c
@@ -18,82 +18,6 @@
 /* A request with less time than this to its deadline isn't sent. */
 #define MIN_TIME_LEFT (5 * KNL_MSEC)
 
-/* An endpoint is considered lost when an idempotent request there is silent for too long: without
- * an answer for SILENCE_OBJECTIVE_FACTOR times its objective (for prompts, SILENCE_EXPECTED_FACTOR
- * times the objective and the expected time), or, once its stream has begun, without an event for
- * SILENCE_GAP_FACTOR times its gap objective. Each has a minimum. */
-#define SILENCE_OBJECTIVE_FACTOR 2.5
-#define SILENCE_EXPECTED_FACTOR  2.0
-#define SILENCE_GAP_FACTOR       4.0
-#define SILENCE_MIN              (250 * KNL_MSEC)
-#define SILENCE_GAP_MIN          (1 * KNL_SEC)
-
-/* Delay until the next check of a silent endpoint when no retry was left. By then a slice of the
- * budget's window of ten seconds has passed, or the stream may have continued. */
-#define WATCH_RETRY_DELAY (500 * KNL_MSEC)
-
-/* An endpoint that answered any request within SILENCE_ALIVE_WINDOW is alive, and may have the
- * silent request in its queue; that request then gets up to SILENCE_QUEUED_FACTOR times the silence
- * timeout. */
-#define SILENCE_ALIVE_WINDOW  (600 * KNL_MSEC)
-#define SILENCE_QUEUED_FACTOR 4
-
-/* How long the endpoint may be silent. */
-static KnlTime
-silence_timeout (const SvRequest *self)
-{
-  double objective = (double)self->route->objective;
-
-  if (self->first_sent_at > 0)
-    return MAX ((KnlTime)(SILENCE_GAP_FACTOR * (double)self->route->gap_objective),
-                SILENCE_GAP_MIN);
-  if (self->params.prompt_tokens > 0)
-    return MAX ((KnlTime)(SILENCE_EXPECTED_FACTOR * (objective + (double)self->placement.expected)),
-                SILENCE_MIN);
-  return MAX ((KnlTime)(SILENCE_OBJECTIVE_FACTOR * objective), SILENCE_MIN);
-}
-
-/*
- * An endpoint that has lost power or its network sends nothing, and its connection
- * stays open; without this the request would wait until its deadline. Only
- * idempotent requests are withdrawn from a silent endpoint.
- */
-static void
-on_watch (gpointer data)
-{
-  SvRequest *self = data;
-  /* While its answer isn't read, because the caller doesn't read, an endpoint seems silent. */
-  KnlTime read_since = MAX (self->sent_at, ht_exchange_resumed_at (self->exchange));
-  KnlTime since = MAX (read_since, self->last_received_at);
-  KnlTime left = since + silence_timeout (self) - sv_request_now (self);
-
-  /* Prefills known to be running there explain a gap, and so does a queue: an endpoint that answers
-   * other requests is alive. */
-  left += sv_endpoint_prefill_left (self->placement.first, sv_request_now (self));
-  if (left <= 0 && sv_request_now (self) - since < SILENCE_QUEUED_FACTOR * silence_timeout (self))
-    left = self->placement.first->last_seen_at + SILENCE_ALIVE_WINDOW - sv_request_now (self);
-  self->watch_timer = 0;
-  if (left > 0)
-    {
-      self->watch_timer = knl_timer_start (self->core->parts.kernel, left, on_watch, self);
-      return;
-    }
-  if (self->runs + 1 >= self->route->max_attempts)
-    return;
-  /* The endpoint may just be slow: its work isn't discarded unless the request can be retried. */
-  if (!sv_request_has_retry_left (self) || sv_core_has_stale_zones (self->core))
-    {
-      self->watch_timer =
-          knl_timer_start (self->core->parts.kernel, WATCH_RETRY_DELAY, on_watch, self);
-      return;
-    }
-  sv_endpoint_note_loss (self->placement.first, sv_request_now (self));
-  sv_request_note_crash (self, "silent", FALSE);
-  sv_reach_note_failure (sv_request_reach (self), self->placement.first);
-  sv_request_cancel_send (self);
-  sv_request_handle_loss (self, "silent", POL_END_LOST);
-}
-
 static guint64
 expected_answer (const SvRequest *self)
 {
@@ -279,8 +203,7 @@
   start_exchange (self, head);
   g_string_free (head, TRUE);
   if (sv_route_is_idempotent (self->route))
-    self->watch_timer =
-        knl_timer_start (self->core->parts.kernel, silence_timeout (self), on_watch, self);
+    sv_request_watch (self);
 }
 
 /* Places the request anew, without counting this send. */
--- a/tests/unit/sv_wait_test.c
+++ b/tests/unit/sv_wait_test.c
@@ -213,9 +213,66 @@
     }
 }
 
+/* When the request has been sent twice, from the first time on. */
+static KnlTime
+time_of_second_send (const Row *row, const Route *route)
+{
+  g_autofree char *request =
+      g_strdup_printf ("POST /p/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: %u\r\n"
+                       "X-Token-Counts: %u,100\r\nContent-Length: 2\r\n\r\nhi",
+                       row->left_ms, row->tokens);
+  static const ScriptedAnswer silent = { NULL, FALSE };
+  KnlTime time = 0;
+  SvFixture self;
+
+  sv_fixture_open_without_shedding (&self);
+  use_config (&self, route);
+  sv_fixture_add_endpoint (&self, &silent, 1);
+  sv_fixture_add_endpoint (&self, &silent, 1);
+  sv_fixture_send (&self, request);
+  while (sv_fixture_all_requests (&self) == 0)
+    event_base_loop (self.base, EVLOOP_ONCE);
+  for (; time < MAX_TIME && sv_fixture_all_requests (&self) < 2; time += STEP)
+    {
+      knl_paused_clock_advance (self.clock, STEP);
+      for (guint i = 0; i < 5; i++)
+        event_base_loop (self.base, EVLOOP_NONBLOCK);
+    }
+  sv_fixture_close (&self);
+  return time;
+}
+
+/* Guards against endpoints that are given up sooner, or later, for the objective: half of its time
+ * is left to the caller for another one. */
+static void
+test_silent_endpoints_are_left_in_time (void)
+{
+  static const struct
+  {
+    Row row;
+    KnlTime left_after;
+  } rows[] = {
+    { { 200, 4000 }, 2 * KNL_SEC },
+    { { 200, 1000 }, 500 * KNL_MSEC },
+    { { 200, 400 }, 250 * KNL_MSEC },
+    { { 20000, 6000 }, 3 * KNL_SEC },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      for (guint j = 0; j < G_N_ELEMENTS (routes); j++)
+        {
+          KnlTime time = time_of_second_send (&rows[i].row, &routes[j]);
+
+          CU_ASSERT (time >= rows[i].left_after && time <= rows[i].left_after + 3 * STEP);
+        }
+    }
+}
+
 static const SuiteCase cases[] = {
   { "only the caller's time counts", test_only_the_callers_time_counts },
   { "Retry-After says when there is room", test_retry_after_says_when_there_is_room },
+  { "silent endpoints are left in time", test_silent_endpoints_are_left_in_time },
 };
 
 SUITE_MAIN ("sv_wait", cases)
