serve: prompts are placed by the time that callers have, not by the objective

What callers saw: which endpoint got a short prompt, and over how many a long one was split, changed in steps at the objective: once it was missed, nothing was done against an even later first event, and a large request might delay more streams than a small one, as it counts for more.

Cause: costs of placement were shares of what was left of the objective, and weight_of() weighed requests by 10 tokens in for a token out.

Change: an endpoint that isn't packed costs the pause that the stream tolerates, which a long prompt read beside it may cost; cold endpoints come after all others that have a slot; waiting costs by the part of the caller's time that it takes; requests have no weight.

--- a/include/serve/queue.h
+++ b/include/serve/queue.h
@@ -53,6 +53,9 @@
   KnlTime turnover; /**< time of an answer: in it the load of the engines is renewed */
 } SvCapacity;
 
+/** Time from one look at the lane to the next. */
+KnlTime sv_queue_look_delay (SvLane lane, GRand *rand);
+
 SvQueue *sv_queue_new (KnlKernel *kernel, SvTurnFunc func);
 void sv_queue_free (SvQueue *queue);
 
--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -18,8 +18,8 @@
   guint64 prompt_tokens;       /**< 0: a plain request */
   guint64 answer_tokens;       /**< length of the answer that there must be memory for */
   guint64 usual_answer_tokens; /**< expected length of the answer */
-  KnlTime objective_left;      /**< time left to meet the objective for the first event */
-  KnlTime gap_objective;       /**< longest gap between events that meets the objective */
+  KnlTime event_left;          /**< how much longer its caller waits for the first event */
+  KnlTime gap_objective;       /**< longest gap between events that its caller tolerates */
   guint64 seed;                /**< of the request; decides between endpoints of similar cost */
   const GPtrArray *excluded;   /**< SvEndpoint: those that failed this request; may be NULL */
 } SvDemand;
--- a/serve/place_long.c
+++ b/serve/place_long.c
@@ -42,11 +42,8 @@
 /* A gap begins to count as late at this fraction of a stream's gap objective, and fully at 1. */
 #define GAP_LATE_START 0.85
 
-/* A first event begins to count as late at this fraction of its objective, and fully at 1. */
-#define FIRST_EVENT_LATE_START 0.5
-
-/* Cost of waiting as long as the objective, in late streams. Also decides between widths that are
- * otherwise equal. */
+/* Cost of waiting as long as its caller does, in late streams: their callers are served all the
+ * same, but this one isn't. Also decides between widths that are otherwise equal. */
 #define WAIT_COST 10.0
 
 /* Position of the candidate's role in the order of helpers. Slow ones come after all others that
@@ -101,17 +98,6 @@
   return late;
 }
 
-/* Weight of a request relative to one of usual size. */
-static double
-weight_of (const SvChoice *choice)
-{
-  const SvDemand *demand = choice->demand;
-  double usual = choice->spec->mean_prompt_tokens + 10 * choice->spec->mean_answer_tokens;
-  double size = (double)demand->prompt_tokens + 10 * (double)demand->answer_tokens;
-
-  return usual <= 0 ? 1 : size / usual;
-}
-
 /* A number of parts into which a prefill may be split, with its consequences. */
 typedef struct
 {
@@ -126,24 +112,22 @@
 cost_of_width (const SvChoice *choice, Width *width)
 {
   double part = choice->prefill_ms / width->n;
-  double objective = (double)MAX (choice->demand->objective_left, KNL_MSEC) / KNL_MSEC;
+  double event_left = (double)MAX (choice->demand->event_left, KNL_MSEC) / KNL_MSEC;
   double finish = 0;
-  double late = 0;
+  double slowed = 0;
 
   for (guint i = 0; i < width->n; i++)
     {
       const SvCandidate *candidate = sv_candidate_at (choice, i);
       double pass_ms = candidate->prefill_left + part * candidate->pace + candidate->pass;
-      double late_here = late_streams (choice, candidate, pass_ms);
 
       finish = MAX (finish, pass_ms);
-      width->late_streams += late_here;
-      late += late_here;
-      late += sv_load_decoding_streams (&candidate->load) * (part * candidate->pace / SLOWDOWN_MS);
+      width->late_streams += late_streams (choice, candidate, pass_ms);
+      slowed +=
+          sv_load_decoding_streams (&candidate->load) * (part * candidate->pace / SLOWDOWN_MS);
     }
   width->expected = finish;
-  return late + weight_of (choice) * ramp (finish, FIRST_EVENT_LATE_START * objective, objective)
-         + WAIT_COST * finish / objective;
+  return width->late_streams + slowed + WAIT_COST * finish / event_left;
 }
 
 /*
--- a/serve/place_short.c
+++ b/serve/place_short.c
@@ -9,14 +9,6 @@
  * one endpoint and share a pass that is too long for all of them. */
 #define EXTRA_PASSES 0.5
 
-/* Fraction of the objective for the first event that is added to the cost of an endpoint that isn't
- * packed. */
-#define UNPACKED_COST_FRACTION 0.5
-
-/* Fraction of the objective that is added to the cost of a cold endpoint: it runs slower at first
- * than its load says. */
-#define COLD_COST_FRACTION 0.5
-
 /* Cost in ms of a slow endpoint whose streams miss their gap objective: more than any queue. */
 #define MISSED_GAP_COST 20000.0
 
@@ -26,31 +18,34 @@
 #define TRIED_INTERVAL      (10 * KNL_SEC)
 #define TRIED_SLOW_INTERVAL (3 * KNL_SEC)
 
-/* Cost of a candidate in ms: the time to the first event, plus penalties. */
+/* Cost of a candidate in ms: the time to the first event, plus penalties. At an endpoint that isn't
+ * packed a long prompt may be read beside the stream, which pauses for as long as it tolerates
+ * then.
+ */
 static double
 cost_of_packing (const SvChoice *choice, const SvCandidate *candidate)
 {
   double cost = candidate->prefill_left + choice->prefill_ms * candidate->pace + candidate->pass;
-  double objective = (double)choice->demand->objective_left / KNL_MSEC;
 
   if (candidate->load.calls + SV_PACK_SPARE_SLOTS > choice->spec->slots
       || !sv_candidate_has_memory (choice, candidate))
     cost += candidate->pass * (1 + candidate->load.calls);
   if (candidate->role != SV_ROLE_PACKED)
-    cost += UNPACKED_COST_FRACTION * objective;
-  if (candidate->is_cold)
-    cost += COLD_COST_FRACTION * objective;
+    cost += (double)choice->demand->gap_objective / KNL_MSEC;
   if (sv_candidate_misses_gap (choice, candidate))
     cost += MISSED_GAP_COST;
   return cost;
 }
 
+/* Cold endpoints come last: they run slower at first than their load says. */
 static int
 compare_for_packing (gconstpointer a, gconstpointer b)
 {
   const SvCandidate *x = a;
   const SvCandidate *y = b;
 
+  if (x->is_cold != y->is_cold)
+    return x->is_cold ? 1 : -1;
   return x->order < y->order ? -1 : x->order > y->order;
 }
 
@@ -130,7 +125,7 @@
 
   return candidate->load.calls == 0 && candidate->prefill_left <= 0 && candidate->can_help
          && choice->now - pol_pace_newest (pace) > interval
-         && first * KNL_MSEC < (double)choice->demand->objective_left
+         && first * KNL_MSEC < (double)choice->demand->event_left
          && !sv_candidate_misses_gap (choice, candidate);
 }
 
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -163,14 +163,19 @@
   self->timer = knl_timer_start (kernel, delay, on_look_due, self);
 }
 
+KnlTime
+sv_queue_look_delay (SvLane lane, GRand *rand)
+{
+  return looks[lane].delay + g_rand_int_range (rand, 0, (gint32)looks[lane].spread);
+}
+
 static void
 schedule (Lane *self)
 {
   GRand *rand = knl_kernel_rand (self->queue->kernel);
 
   if (self->timer == 0 && !is_empty (self))
-    look_after (self, looks[self->index].delay
-                          + g_rand_int_range (rand, 0, (gint32)looks[self->index].spread));
+    look_after (self, sv_queue_look_delay (self->index, rand));
 }
 
 gboolean
--- a/serve/send.c
+++ b/serve/send.c
@@ -60,7 +60,7 @@
     .prompt_tokens = self->params.prompt_tokens,
     .answer_tokens = expected_answer (self),
     .usual_answer_tokens = sv_request_usual_answer (self),
-    .objective_left = MAX (self->begun_at + self->route->objective - now, 0),
+    .event_left = sv_request_event_left (self),
     .gap_objective = self->route->gap_objective,
     .seed = XXH64 (self->params.id, strlen (self->params.id), self->sends),
     .excluded = excluded,
