serve: streams that have paused once still make way

What callers saw: a stream that had paused for longer than it tolerates once stayed at an engine where a long prompt was about to be read, and paused again.

Cause: serve/move.c held that such a stream has nothing to gain.

Change: the condition is gone; retry budget and attempts bound migrations as before. It has no test of its own: the scripted endpoints can't pause within an answer.

--- a/serve/move.c
+++ b/serve/move.c
@@ -13,7 +13,8 @@
  * and would choose the same target; the choice of one is known to the others after some 5 ms. */
 #define MIGRATION_JITTER (30 * KNL_MSEC)
 
-/* A gap counts as late from this fraction of the stream's gap objective. */
+/* A gap is expected to exceed what callers tolerate from this fraction of it on: expectations may
+ * be short by the rest. */
 #define LATE_FRACTION 0.9
 
 /* Gap expected at the current engine: its prefill backlog, the new part included, and a pass. */
@@ -36,14 +37,12 @@
   return (KnlTime)(LATE_FRACTION * (double)self->route->gap_objective);
 }
 
-/* A stream that has already missed its gap objective has nothing to gain. */
 static gboolean
 can_migrate (const SvRequest *self)
 {
   return self->exchange != NULL && self->last_event_at > 0 && self->route->resumable
          && !sv_core_has_stale_zones (self->core)
          && sv_gap_class_of (self->route->gap_objective) == SV_GAP_TIGHT
-         && self->longest_gap <= self->route->gap_objective
          && self->runs + 1 < self->route->max_attempts && sv_service_is_engine (self->service)
          && expected_gap (self) > max_gap (self);
 }
