--- a/serve/core_internal.h
+++ b/serve/core_internal.h
@@ -196,8 +196,8 @@
 
 /* wait.c */
 
-/** After it was placed: decides whether it is sent now. FALSE: it waits for room, or was refused and
- * is freed. */
+/** After it was placed: decides whether it is sent now. FALSE: it waits for room, or was refused
+ * and is freed. */
 gboolean sv_request_take_turn (SvRequest *self);
 
 /** SvTurnFunc of a request that waits. */
