serve: widths of long prompts weigh the delays of all callers alike

What callers saw: with waiting weighed by the part of the caller's time, a long prompt was read by one engine for up to 9 s, so that no stream paused, and prompts after it waited for that engine or were refused, as their own first event was expected later than they could wait.

Cause: one late stream cost as much as a tenth of all the time of the prompt's caller.

Change: a width costs what it delays: the first event, the streams at its engines by the parts, and their gaps as far as they exceed what they tolerate. An engine more is used only if the first event comes sooner by it. What a prompt takes once its engines have room is noted beside what it takes now.

Tests: sv_pace's digest of placements changes with them.

--- a/include/serve/router.h
+++ b/include/serve/router.h
@@ -39,6 +39,7 @@
   KnlTime part;    /**< prefill time of the part of each endpoint */
   KnlTime prefill; /**< time that each is busy with its part, including the passes that it shares */
   KnlTime expected; /**< time to the first event */
+  KnlTime shortest; /**< the same if it is sent once the endpoints have room */
   KnlTime rest;     /**< from there to the end of an answer of expected length */
   KnlTime backlog;  /**< prefill time already queued, at the chosen endpoint with the most of it */
   double late_streams; /**< split prompts: number of running streams that its prefill makes late */
--- a/serve/place_long.c
+++ b/serve/place_long.c
@@ -35,17 +35,9 @@
 #define HELPER_HOLD_FRACTION 0.6
 #define MIN_HOLD_TOKENS      4000.0
 
-/* Prefill time in ms that costs as much as one late stream for each stream of the endpoint: the
- * stream ends that much later and keeps its memory until then. */
-#define SLOWDOWN_MS 600.0
-
 /* A gap begins to count as late at this fraction of a stream's gap objective, and fully at 1. */
 #define GAP_LATE_START 0.85
 
-/* Cost of waiting as long as its caller does, in late streams: their callers are served all the
- * same, but this one isn't. Also decides between widths that are otherwise equal. */
-#define WAIT_COST 10.0
-
 /* Position of the candidate's role in the order of helpers. Slow ones come after all others that
  * aren't packed: a prompt waits for its slowest part. */
 static double
@@ -78,56 +70,67 @@
   return CLAMP ((value - from) / (to - from), 0, 1);
 }
 
-/* Number of streams that a pass of `pass_ms` ms makes late; streams that are only close to their
- * gap objective count in part. On a packed endpoint, streams that are expected to arrive until then
- * count too. */
+/* Streams with gaps of the class at the candidate; on a packed endpoint those that are expected to
+ * arrive until the prompt is read, too. */
 static double
-late_streams (const SvChoice *choice, const SvCandidate *candidate, double pass_ms)
+streams_of (const SvChoice *choice, const SvCandidate *candidate, SvGapClass class)
 {
-  double late = 0;
-
-  for (guint i = 0; i < SV_N_GAP_CLASSES; i++)
-    {
-      double gap = (double)choice->demand->config->shortest_gaps[i] / KNL_MSEC;
-      double decoding_streams = candidate->load.decoding_streams[i];
+  double streams = candidate->load.decoding_streams[class];
 
-      if (i == SV_GAP_TIGHT && candidate->role == SV_ROLE_PACKED)
-        decoding_streams = MAX (decoding_streams, choice->packed_mean);
-      late += decoding_streams * ramp (pass_ms, GAP_LATE_START * gap, gap);
-    }
-  return late;
+  if (class == SV_GAP_TIGHT && candidate->role == SV_ROLE_PACKED)
+    return MAX (streams, choice->packed_mean);
+  return streams;
 }
 
 /* A number of parts into which a prefill may be split, with its consequences. */
 typedef struct
 {
   guint n;
-  double expected;     /* time to the first event, ms */
+  double expected; /* time to the first event, ms */
+  double delays; /* of the streams there: by the parts, and by gaps beyond what they tolerate, ms */
   double late_streams; /* streams that the parts make late */
 } Width;
 
-/* Cost, in late streams, of splitting the prefill into `width->n` parts at the first candidates.
- * Fills in the other fields of `width`. */
-static double
-cost_of_width (const SvChoice *choice, Width *width)
+/* Adds what a pass of `pass_ms` with the part does to the candidate's streams. Those that are only
+ * close to the gap that they tolerate are late in part. */
+static void
+add_harm (const SvChoice *choice, const SvCandidate *candidate, double pass_ms, Width *width)
+{
+  double part = choice->prefill_ms / width->n * candidate->pace;
+
+  for (guint i = 0; i < SV_N_GAP_CLASSES; i++)
+    {
+      double gap = (double)choice->demand->config->shortest_gaps[i] / KNL_MSEC;
+      double streams = streams_of (choice, candidate, i);
+
+      width->late_streams += streams * ramp (pass_ms, GAP_LATE_START * gap, gap);
+      width->delays += streams * (part + MAX (pass_ms - gap, 0));
+    }
+}
+
+/* Splits the prefill into `n` parts at the first candidates. */
+static Width
+width_of (const SvChoice *choice, guint n)
 {
-  double part = choice->prefill_ms / width->n;
-  double event_left = (double)MAX (choice->demand->event_left, KNL_MSEC) / KNL_MSEC;
-  double finish = 0;
-  double slowed = 0;
+  Width width = { .n = n };
 
-  for (guint i = 0; i < width->n; i++)
+  for (guint i = 0; i < n; i++)
     {
       const SvCandidate *candidate = sv_candidate_at (choice, i);
-      double pass_ms = candidate->prefill_left + part * candidate->pace + candidate->pass;
+      double pass_ms =
+          candidate->prefill_left + choice->prefill_ms / n * candidate->pace + candidate->pass;
 
-      finish = MAX (finish, pass_ms);
-      width->late_streams += late_streams (choice, candidate, pass_ms);
-      slowed +=
-          sv_load_decoding_streams (&candidate->load) * (part * candidate->pace / SLOWDOWN_MS);
+      width.expected = MAX (width.expected, pass_ms);
+      add_harm (choice, candidate, pass_ms, &width);
     }
-  width->expected = finish;
-  return width->late_streams + slowed + WAIT_COST * finish / event_left;
+  return width;
+}
+
+/* Cost of a width in ms: the delays of all callers, its own included. */
+static double
+cost_of_width (const Width *width)
+{
+  return width->expected + width->delays;
 }
 
 /*
@@ -237,26 +240,38 @@
   return n;
 }
 
+/* An endpoint more is used only if the first event comes sooner by it: slow and busy ones don't
+ * make the prompt wait for their parts. */
 static Width
 choose_width (const SvChoice *choice)
 {
   guint max_width = MIN (count_prefill_endpoints (choice), SV_MAX_HELPERS + 1);
-  Width best = { .n = max_width };
-  double min_cost = G_MAXDOUBLE;
+  Width best = width_of (choice, MIN (min_width (choice), max_width));
+  double shortest = best.expected;
 
-  for (guint n = min_width (choice); n <= max_width; n++)
+  for (guint n = best.n + 1; n <= max_width; n++)
     {
-      Width width = { .n = n };
-      double cost = cost_of_width (choice, &width);
+      Width width = width_of (choice, n);
 
-      if (cost >= min_cost)
+      if (width.expected >= shortest)
         continue;
-      min_cost = cost;
-      best = width;
+      shortest = width.expected;
+      if (cost_of_width (&width) < cost_of_width (&best))
+        best = width;
     }
   return best;
 }
 
+/* Time to the first event in ms once nothing else is read at the endpoints that may read it. */
+static double
+shortest_time (const SvChoice *choice)
+{
+  guint n = MIN (count_prefill_endpoints (choice), SV_MAX_HELPERS + 1);
+  const SvCandidate *first = sv_candidate_at (choice, 0);
+
+  return choice->prefill_ms / n * first->pace + first->pass;
+}
+
 /* Distributes the tokens that the first endpoint can't hold over the helpers. */
 static void
 spread_memory (const SvChoice *choice, SvPlacement *placement)
@@ -322,5 +337,6 @@
   placement->part = (KnlTime)(choice->prefill_ms / width.n * KNL_MSEC);
   placement->prefill = placement->part + (KnlTime)(mean_pass (choice, width.n) * KNL_MSEC);
   placement->expected = (KnlTime)(width.expected * KNL_MSEC);
+  placement->shortest = (KnlTime)(MIN (shortest_time (choice), width.expected) * KNL_MSEC);
   placement->late_streams = width.late_streams;
 }
--- a/serve/place_short.c
+++ b/serve/place_short.c
@@ -183,5 +183,6 @@
   /* By the declared figures: it is registered at each endpoint with the endpoint's pace. */
   placement->prefill =
       placement->part + (KnlTime)(EXTRA_PASSES * (first->pass / first->pace) * KNL_MSEC);
-  placement->expected = (KnlTime)((before + part_ms * first->pace) * KNL_MSEC);
+  placement->shortest = placement->expected =
+      (KnlTime)((before + part_ms * first->pace) * KNL_MSEC);
 }
