serve: prompts that wait know what they wait for

What callers saw: a long prompt was refused for the streams that it would delay, with 9 s left, while prefill was queued at its engines: with that done it would have delayed none. Others were refused since two prompts before them would take their instance's part of all engines for 3 s, while no other instance had any.

Cause: the room to come was taken from the request's own work, whatever was missing, and from an equal part of the engines also where requests are rare; a placement beside queued prefill counted as the best that there will be.

Change: what is missing comes first: memory, a slot, queued prefill (known), streams that would pause for too long (looked at once the prefill is done; they end within the time of an answer). How long a prompt can wait follows from the time that it takes once there is room. Prompts that delay others by less than a look are sent a look sooner, before longer ones of other instances. The reasons of refusals say what was missing; 'prefill-queued' and 'others-first' are new.

Tests: sv_room's rows have what is missing, in this order, and shorter prompts first.

--- a/include/serve/queue.h
+++ b/include/serve/queue.h
@@ -49,8 +49,8 @@
 /** What is declared of the service's engines. */
 typedef struct
 {
-  double engines;   /**< engine time a second that this instance may expect */
-  KnlTime turnover; /**< time of an answer: in it the load of the engines is renewed */
+  double engines[SV_N_LANES]; /**< engine time a second that this instance may expect */
+  KnlTime turnover;           /**< time of an answer: in it the load of the engines is renewed */
 } SvCapacity;
 
 /** Time from one look at the lane to the next. */
--- a/include/serve/room.h
+++ b/include/serve/room.h
@@ -4,9 +4,20 @@
 
 #include "serve/router.h"
 
-/** What the endpoints lack for the prompt, as the reason of a refusal; NULL: nothing. Queued
- * prefill isn't a lack: it is known when it ends. */
-const char *sv_room_lack (const SvPlacement *placement);
+typedef enum
+{
+  SV_LACK_NONE,
+  SV_LACK_MEMORY,
+  SV_LACK_SLOTS,
+  SV_LACK_PREFILL, /**< prefill is queued there, and ends at a known time */
+  SV_LACK_STREAMS, /**< running streams would pause for longer than their callers tolerate */
+} SvLack;
+
+/** What the endpoints lack first. */
+SvLack sv_room_lack (const SvPlacement *placement);
+
+/** Reason of a wait or a refusal; for SV_LACK_NONE, that others use the room. */
+const char *sv_lack_name (SvLack lack);
 
 /** Whether the prompt is to be sent if nobody precedes it; `longest`: how long it could wait. */
 gboolean sv_room_is_free (const SvPlacement *placement, KnlTime longest);
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -62,7 +62,7 @@
 
   self->kernel = kernel;
   self->func = func;
-  self->capacity = (SvCapacity){ .engines = 1, .turnover = KNL_SEC };
+  self->capacity = (SvCapacity){ .engines = { 1, 1 }, .turnover = KNL_SEC };
   for (guint i = 0; i < SV_N_LANES; i++)
     self->lanes[i] = (Lane){ .queue = self, .index = i, .waiters = g_sequence_new (NULL) };
   return self;
@@ -126,11 +126,11 @@
 static double
 rate_of (Lane *self, KnlTime work)
 {
-  const SvCapacity *declared = &self->queue->capacity;
-  double weight = MAX ((double)declared->turnover, (double)work / declared->engines);
+  double engines = self->queue->capacity.engines[self->index];
+  double weight = MAX ((double)self->queue->capacity.turnover, (double)work / engines);
 
   update (self);
-  return (self->served + declared->engines * weight) / (self->busy + weight);
+  return (self->served + engines * weight) / (self->busy + weight);
 }
 
 /* The same, less what goes to requests of higher ranks that are still to come. */
--- a/serve/room.c
+++ b/serve/room.c
@@ -10,21 +10,51 @@
  * not more callers than the one that it serves. */
 #define MAX_LATE_STREAMS 1.0
 
-const char *
+/* A prompt that delays others by less than a look is sent a look sooner: it goes before longer ones
+ * that wait for the same endpoints at other instances. */
+static KnlTime
+max_backlog (const SvPlacement *self)
+{
+  return self->part < MAX_BACKLOG ? 2 * MAX_BACKLOG : MAX_BACKLOG;
+}
+
+static gboolean
+delays_streams (const SvPlacement *self)
+{
+  return self->is_split && self->late_streams > MAX_LATE_STREAMS;
+}
+
+SvLack
 sv_room_lack (const SvPlacement *self)
 {
   if (self->lacks_memory)
-    return "no-memory";
+    return SV_LACK_MEMORY;
   if (self->free_slots == 0)
-    return "endpoints-full";
-  return self->is_split && self->late_streams > MAX_LATE_STREAMS ? "would-delay-streams" : NULL;
+    return SV_LACK_SLOTS;
+  if (self->is_split && self->backlog > max_backlog (self))
+    return SV_LACK_PREFILL;
+  return delays_streams (self) ? SV_LACK_STREAMS : SV_LACK_NONE;
 }
 
-/* A prompt that can't wait for the backlog of its endpoints waits for it there. */
+const char *
+sv_lack_name (SvLack lack)
+{
+  static const char *const names[] = {
+    [SV_LACK_NONE] = "others-first",           [SV_LACK_MEMORY] = "no-memory",
+    [SV_LACK_SLOTS] = "endpoints-full",        [SV_LACK_PREFILL] = "prefill-queued",
+    [SV_LACK_STREAMS] = "would-delay-streams",
+  };
+
+  return names[lack];
+}
+
+/* A prompt that can't wait for the prefill queued at its endpoints waits for it there. */
 gboolean
 sv_room_is_free (const SvPlacement *self, KnlTime longest)
 {
-  if (sv_room_lack (self) != NULL)
-    return FALSE;
-  return !self->is_split || self->backlog <= MAX_BACKLOG || longest < self->backlog;
+  SvLack lack = sv_room_lack (self);
+
+  if (lack == SV_LACK_PREFILL)
+    return longest < self->backlog && !delays_streams (self);
+  return lack == SV_LACK_NONE;
 }
--- a/serve/wait.c
+++ b/serve/wait.c
@@ -46,34 +46,69 @@
   return self->placement.is_split ? SV_LANE_LONG : SV_LANE_SHORT;
 }
 
+static KnlTime
+turnover_of (const SvRequest *self)
+{
+  double turnover = sv_model_turnover_ms (&self->service->engine) * KNL_MSEC;
+
+  return MAX ((KnlTime)turnover, KNL_MSEC);
+}
+
+/* Time until its endpoints have what they lack. Memory is freed, and streams that it would delay
+ * end, within the time of an answer. */
+static KnlTime
+lack_ends_in (const SvRequest *self)
+{
+  const SvPlacement *placement = &self->placement;
+  SvLack lack = sv_room_lack (placement);
+
+  if (placement->exceeds_memory)
+    return KNL_NEVER;
+  if (lack == SV_LACK_NONE)
+    return 0;
+  if (lack == SV_LACK_PREFILL)
+    return placement->backlog;
+  if (placement->is_split)
+    return turnover_of (self);
+  return sv_queue_time_for (sv_core_queue (self->core, self->service), &self->waiter,
+                            self->waiter.work);
+}
+
 static KnlTime
 room_in (const SvRequest *self, KnlTime ahead)
 {
-  SvQueue *queue = sv_core_queue (self->core, self->service);
-  KnlTime own = self->placement.is_split ? self->placement.backlog : 0;
+  KnlTime own = lack_ends_in (self);
 
-  if (self->placement.exceeds_memory)
+  if (own == KNL_NEVER)
     return KNL_NEVER;
-  if (sv_room_lack (&self->placement) != NULL)
-    own = MAX (own, sv_queue_time_for (queue, &self->waiter, self->waiter.work));
-  return own + sv_queue_time_for (queue, &self->waiter, ahead);
+  return own + sv_queue_time_for (sv_core_queue (self->core, self->service), &self->waiter, ahead);
 }
 
+/* `first`: expected time to the first event. */
 static PolWaitCase
-wait_case (const SvRequest *self)
+wait_case (const SvRequest *self, KnlTime first)
 {
   return (PolWaitCase){
     .event_left = sv_request_event_left (self),
     .left = until (self->deadline, sv_request_now (self)),
-    .first = self->placement.expected,
+    .first = first,
     .rest = self->placement.rest,
   };
 }
 
+/* How long it can wait for room. */
+static KnlTime
+longest_wait (const SvRequest *self)
+{
+  PolWaitCase due = wait_case (self, self->placement.shortest);
+
+  return pol_wait_longest (&due);
+}
+
 guint
 sv_request_urgency (const SvRequest *self)
 {
-  PolWaitCase due = wait_case (self);
+  PolWaitCase due = wait_case (self, self->placement.expected);
 
   return pol_wait_urgency (&due, sv_request_priority (self));
 }
@@ -110,13 +145,10 @@
           (gint64)sv_queue_length (sv_core_queue (self->core, self->service), lane_of (self)));
 }
 
-/* What it waits for; there may be room that one before it waits for. */
 static const char *
-missing_room (const SvPlacement *placement)
+missing_room (const SvRequest *self)
 {
-  const char *lack = sv_room_lack (placement);
-
-  return lack != NULL ? lack : "endpoints-full";
+  return sv_lack_name (sv_room_lack (&self->placement));
 }
 
 static void
@@ -131,9 +163,11 @@
 static Turn
 take_turn (SvRequest *self, KnlTime ahead, gboolean may_send)
 {
-  PolWaitCase due = wait_case (self);
+  const SvPlacement *placement = &self->placement;
+  gboolean has_room = may_send && sv_room_is_free (placement, longest_wait (self));
+  PolWaitCase due = wait_case (self, has_room ? placement->expected : placement->shortest);
 
-  due.has_room = may_send && sv_room_is_free (&self->placement, pol_wait_longest (&due));
+  due.has_room = has_room;
   due.room_in = room_in (self, ahead);
   switch (pol_wait_decide (&due))
     {
@@ -146,13 +180,13 @@
       return TURN_ENDED;
     case POL_WAIT_NO_ROOM:
       self->lacks_room = TRUE;
-      refuse (self, missing_room (&self->placement), &due);
+      refuse (self, missing_room (self), &due);
       return TURN_ENDED;
     case POL_WAIT_STAY:
       break;
     }
   if (self->waiter.place == NULL)
-    log_decision (self, "request-waits", missing_room (&self->placement), &due);
+    log_decision (self, "request-waits", missing_room (self), &due);
   return TURN_STAY;
 }
 
@@ -185,16 +219,18 @@
                    * KNL_MSEC);
 }
 
-/* Callers choose instances at random, so that each may expect an equal part of the engines' time.
- */
+/* Callers choose instances at random, so that each may expect an equal part of the slots that are
+ * left when all are taken. Long prompts are rare, and what others have placed of them is known as
+ * queued prefill: one that waits here may expect all the time of the engines after that. */
 static void
 update_capacity (const SvRequest *self, SvQueue *queue)
 {
   SvPeerLink *link = self->core->parts.link;
-  double turnover = sv_model_turnover_ms (&self->service->engine) * KNL_MSEC;
+  double engines = self->placement.engines;
   SvCapacity capacity = {
-    .engines = self->placement.engines / MAX (link->klass->n_instances (link), 1),
-    .turnover = MAX ((KnlTime)turnover, KNL_MSEC),
+    .engines = { [SV_LANE_SHORT] = engines / MAX (link->klass->n_instances (link), 1),
+                 [SV_LANE_LONG] = engines },
+    .turnover = turnover_of (self),
   };
 
   sv_queue_set_capacity (queue, &capacity);
@@ -203,8 +239,7 @@
 static void
 init_waiter (SvRequest *self, SvQueue *queue)
 {
-  PolWaitCase due = wait_case (self);
-  KnlTime longest = pol_wait_longest (&due);
+  KnlTime longest = longest_wait (self);
 
   self->waiter = (SvWaiter){
     .key = { .rank = sv_request_priority (self),
--- a/tests/unit/sv_queue_test.c
+++ b/tests/unit/sv_queue_test.c
@@ -45,7 +45,7 @@
 static void
 fixture_open (Fixture *self)
 {
-  static const SvCapacity capacity = { .engines = 2, .turnover = KNL_SEC };
+  static const SvCapacity capacity = { .engines = { 2, 2 }, .turnover = KNL_SEC };
 
   *self = (Fixture){ .clock = knl_paused_clock_new (),
                      .sent = g_array_new (FALSE, FALSE, sizeof (guint)) };
@@ -385,7 +385,7 @@
 static void
 play_burst (Burst *self, double load)
 {
-  static const SvCapacity capacity = { .engines = 3.0 / GATEWAYS, .turnover = SERVICE };
+  static const SvCapacity capacity = { .engines = { 3.0 / GATEWAYS }, .turnover = SERVICE };
   KnlTime step = (KnlTime)(KNL_SEC / (load * ROOM_PER_S));
 
   *self = (Burst){ .clock = knl_paused_clock_new () };
--- a/tests/unit/sv_room_test.c
+++ b/tests/unit/sv_room_test.c
@@ -9,7 +9,7 @@
   SvPlacement placement;
   KnlTime longest; /* how long it could wait */
   gboolean is_free;
-  const char *lack; /* NULL: nothing */
+  SvLack lack;
 } Row;
 
 static void
@@ -18,7 +18,7 @@
   for (guint i = 0; i < n; i++)
     {
       CU_ASSERT_EQUAL (sv_room_is_free (&rows[i].placement, rows[i].longest), rows[i].is_free);
-      CU_ASSERT_EQUAL (g_strcmp0 (sv_room_lack (&rows[i].placement), rows[i].lack), 0);
+      CU_ASSERT_EQUAL (sv_room_lack (&rows[i].placement), rows[i].lack);
     }
 }
 
@@ -38,11 +38,9 @@
 test_short_prompts_need_a_slot (void)
 {
   static const Row rows[] = {
-    { SHORT (1), 0, TRUE, NULL },
-    { SHORT (1), 9 * KNL_SEC, TRUE, NULL },
-    { SHORT (2), KNL_NEVER, TRUE, NULL },
-    { SHORT (0), 9 * KNL_SEC, FALSE, "endpoints-full" },
-    { SHORT (0), 0, FALSE, "endpoints-full" },
+    { SHORT (1), 0, TRUE, SV_LACK_NONE },         { SHORT (1), 9 * KNL_SEC, TRUE, SV_LACK_NONE },
+    { SHORT (2), KNL_NEVER, TRUE, SV_LACK_NONE }, { SHORT (0), 9 * KNL_SEC, FALSE, SV_LACK_SLOTS },
+    { SHORT (0), 0, FALSE, SV_LACK_SLOTS },
   };
 
   check (rows, G_N_ELEMENTS (rows));
@@ -54,13 +52,13 @@
 test_long_prompts_do_not_delay_streams (void)
 {
   static const Row rows[] = {
-    { LONG (1, 0, 0), 9 * KNL_SEC, TRUE, NULL },
-    { LONG (1, 1, 0), 9 * KNL_SEC, TRUE, NULL },
-    { LONG (1, 1, 0), 0, TRUE, NULL },
-    { LONG (1, 2, 0), 9 * KNL_SEC, FALSE, "would-delay-streams" },
-    { LONG (1, 2, 0), 0, FALSE, "would-delay-streams" },
-    { LONG (1, 4, 1 * KNL_SEC), 0, FALSE, "would-delay-streams" },
-    { LONG (0, 0, 0), 0, FALSE, "endpoints-full" },
+    { LONG (1, 0, 0), 9 * KNL_SEC, TRUE, SV_LACK_NONE },
+    { LONG (1, 1, 0), 9 * KNL_SEC, TRUE, SV_LACK_NONE },
+    { LONG (1, 1, 0), 0, TRUE, SV_LACK_NONE },
+    { LONG (1, 2, 0), 9 * KNL_SEC, FALSE, SV_LACK_STREAMS },
+    { LONG (1, 2, 0), 0, FALSE, SV_LACK_STREAMS },
+    { LONG (1, 4, 1 * KNL_SEC), 0, FALSE, SV_LACK_PREFILL },
+    { LONG (0, 0, 0), 0, FALSE, SV_LACK_SLOTS },
   };
 
   check (rows, G_N_ELEMENTS (rows));
@@ -72,11 +70,39 @@
 test_long_prompts_wait_for_queued_prefill (void)
 {
   static const Row rows[] = {
-    { LONG (1, 0, SV_LONG_LOOK_MAX), 9 * KNL_SEC, TRUE, NULL },
-    { LONG (1, 0, SV_LONG_LOOK_MAX + 1), 9 * KNL_SEC, FALSE, NULL },
-    { LONG (1, 0, 1 * KNL_SEC), 1 * KNL_SEC, FALSE, NULL },
-    { LONG (1, 0, 1 * KNL_SEC), 999 * KNL_MSEC, TRUE, NULL },
-    { LONG (1, 0, 1 * KNL_SEC), 0, TRUE, NULL },
+    { LONG (1, 0, SV_LONG_LOOK_MAX), 9 * KNL_SEC, TRUE, SV_LACK_NONE },
+    { LONG (1, 0, SV_LONG_LOOK_MAX + 1), 9 * KNL_SEC, FALSE, SV_LACK_PREFILL },
+    { LONG (1, 0, 1 * KNL_SEC), 1 * KNL_SEC, FALSE, SV_LACK_PREFILL },
+    { LONG (1, 0, 1 * KNL_SEC), 999 * KNL_MSEC, TRUE, SV_LACK_PREFILL },
+    { LONG (1, 0, 1 * KNL_SEC), 0, TRUE, SV_LACK_PREFILL },
+    { LONG (1, 2, 1 * KNL_SEC), 0, FALSE, SV_LACK_PREFILL },
+  };
+
+  check (rows, G_N_ELEMENTS (rows));
+}
+
+/* Guards against shorter prompts that come after the longest at other instances, which wait for the
+ * same endpoints. */
+static void
+test_shorter_prompts_are_sent_sooner (void)
+{
+  static const Row rows[] = {
+    { { .is_prompt = TRUE,
+        .is_split = TRUE,
+        .free_slots = 1,
+        .part = SV_LONG_LOOK_MAX - 1,
+        .backlog = 2 * SV_LONG_LOOK_MAX },
+      9 * KNL_SEC,
+      TRUE,
+      SV_LACK_NONE },
+    { { .is_prompt = TRUE,
+        .is_split = TRUE,
+        .free_slots = 1,
+        .part = SV_LONG_LOOK_MAX,
+        .backlog = 2 * SV_LONG_LOOK_MAX },
+      9 * KNL_SEC,
+      FALSE,
+      SV_LACK_PREFILL },
   };
 
   check (rows, G_N_ELEMENTS (rows));
@@ -91,11 +117,11 @@
     { { .is_prompt = TRUE, .is_split = TRUE, .free_slots = 1, .lacks_memory = TRUE },
       0,
       FALSE,
-      "no-memory" },
+      SV_LACK_MEMORY },
     { { .is_prompt = TRUE, .is_split = TRUE, .free_slots = 1, .lacks_memory = TRUE },
       9 * KNL_SEC,
       FALSE,
-      "no-memory" },
+      SV_LACK_MEMORY },
   };
 
   check (rows, G_N_ELEMENTS (rows));
@@ -105,6 +131,7 @@
   { "short prompts need a slot", test_short_prompts_need_a_slot },
   { "long prompts do not delay streams", test_long_prompts_do_not_delay_streams },
   { "long prompts wait for queued prefill", test_long_prompts_wait_for_queued_prefill },
+  { "shorter prompts are sent sooner", test_shorter_prompts_are_sent_sooner },
   { "memory is needed", test_memory_is_needed },
 };
 
