--- a/bench/policies.c
+++ b/bench/policies.c
@@ -20,9 +20,6 @@
 /* Callers leave when they have waited for this many times the objective. */
 #define PATIENCE 4
 
-/* Worth of a late answer as a fraction of that of an answer in time. */
-#define LATE_WORTH_FRACTION 0.25
-
 typedef struct Sim Sim;
 
 /** A kind of request, as the users specified it. */
@@ -31,19 +28,18 @@
   const char *name;
   const char *prefix;
   double per_second;
-  double phases[2]; /* factors of per_second in the phases of many short and many long prompts */
-  double prompt;    /* mean tokens */
-  double spread;    /* standard deviation of the prompt tokens divided by their mean */
-  double events;    /* mean number of events */
-  double worth;
+  double phases[2];  /* factors of per_second in the phases of many short and many long prompts */
+  double prompt;     /* mean tokens */
+  double spread;     /* standard deviation of the prompt tokens divided by their mean */
+  double events;     /* mean number of events */
   KnlTime objective; /* time to the first event */
   KnlTime gap;       /* objective of the longest gap between two events */
 } Kind;
 
 static const Kind kinds[BENCH_KINDS] = {
-  { "short", "/s/", 36.8, { 2.4, 0.36 }, 4960, 0.9, 33, 1.3, 300 * KNL_MSEC, 250 * KNL_MSEC },
-  { "middle", "/m/", 1.87, { 0.5, 1.3 }, 45000, 0.5, 20, 4.2, 1500 * KNL_MSEC, 600 * KNL_MSEC },
-  { "long", "/l/", 1.13, { 0.05, 2.9 }, 154000, 0.55, 16, 21, 3 * KNL_SEC, KNL_SEC },
+  { "short", "/s/", 36.8, { 2.4, 0.36 }, 4960, 0.9, 33, 300 * KNL_MSEC, 250 * KNL_MSEC },
+  { "middle", "/m/", 1.87, { 0.5, 1.3 }, 45000, 0.5, 20, 1500 * KNL_MSEC, 600 * KNL_MSEC },
+  { "long", "/l/", 1.13, { 0.05, 2.9 }, 154000, 0.55, 16, 3 * KNL_SEC, KNL_SEC },
 };
 
 const char *const bench_kind_names[BENCH_KINDS] = { "short", "middle", "long" };
@@ -108,8 +104,8 @@
   Instance *instances;
   GPtrArray *engines; /* FkPassEngine, indexed by the number that is its endpoint's id */
   guint64 next;
-  double offered_worth;
-  double earned;
+  guint submitted;
+  guint in_time;
 };
 
 static KnlTime
@@ -245,15 +241,13 @@
   KnlTime first = request->first_at - request->submitted_at;
   gboolean in_time =
       first <= request->kind->objective && request->longest_gap <= request->kind->gap;
-  double size = (double)request->prompt_tokens / request->kind->prompt;
-  double worth = request->kind->worth * (0.3 + 0.7 * size);
 
   sv_endpoint_charge (request->placement.first, &request->placement.load, -1);
   announce_load (request, NULL, NULL, 0);
   cm_histogram_record (&kind->first, (guint64)first);
   cm_histogram_record (&kind->max_gap, (guint64)request->longest_gap);
   kind->in_time += in_time;
-  sim->earned += in_time ? worth : LATE_WORTH_FRACTION * worth;
+  sim->in_time += in_time;
   sv_placement_clear (&request->placement);
   g_free (request);
 }
@@ -452,7 +446,6 @@
 arrive (Sim *self, const Kind *kind)
 {
   Request *request = g_new0 (Request, 1);
-  double worth;
 
   request->sim = self;
   request->kind = kind;
@@ -464,9 +457,8 @@
   request->events =
       (guint)CLAMP (draw_log_normal (self->rand, kind->events, 0.6), 2, 2.5 * kind->events);
   request->submitted_at = now_of (self);
-  worth = kind->worth * (0.3 + 0.7 * (double)request->prompt_tokens / kind->prompt);
   self->result->kinds[kind - kinds].submitted++;
-  self->offered_worth += worth;
+  self->submitted++;
   place (request);
 }
 
@@ -581,7 +573,7 @@
     prefill += fk_pass_engine_prefill_ms (g_ptr_array_index (sim.engines, i));
   result->busy = prefill / 1000 / options->seconds / options->engines;
   knl_paused_clock_advance (sim.clock, DRAIN_TIME);
-  result->earned = sim.offered_worth > 0 ? sim.earned / sim.offered_worth : 0;
+  result->in_time = sim.submitted > 0 ? (double)sim.in_time / sim.submitted : 0;
   sim_close (&sim);
   return TRUE;
 }
--- a/bench/policies.h
+++ b/bench/policies.h
@@ -35,8 +35,8 @@
 typedef struct
 {
   BenchKindResult kinds[BENCH_KINDS];
-  double earned; /**< fraction of the worth of all requests; late answers count a quarter */
-  double busy;   /**< fraction of the engines' time that went into prefill */
+  double in_time; /**< fraction of all requests */
+  double busy;    /**< fraction of the engines' time that went into prefill */
 } BenchPolicyResult;
 
 extern const char *const bench_kind_names[BENCH_KINDS];
--- a/bench/policies_main.c
+++ b/bench/policies_main.c
@@ -37,7 +37,7 @@
 static void
 run_seeds (const Flags *flags, const char *policy)
 {
-  double earned[MAX_SEEDS];
+  double all_in_time[MAX_SEEDS];
   double in_time[BENCH_KINDS][MAX_SEEDS];
   double first = 0;
   double busy = 0;
@@ -57,7 +57,7 @@
       BenchPolicyResult result;
 
       bench_policy_run (&options, &result);
-      earned[i] = result.earned;
+      all_in_time[i] = result.in_time;
       for (guint k = 0; k < BENCH_KINDS; k++)
         in_time[k][i] = (double)result.kinds[k].in_time / MAX (result.kinds[k].submitted, 1);
       first += (double)cm_histogram_quantile (&result.kinds[0].first, 0.95) / 1000 / n;
@@ -65,7 +65,7 @@
       bench_policy_result_clear (&result);
     }
   printf ("%-11s %2d instances, %3d ms:", policy, flags->instances, flags->delay_ms);
-  print_range (earned, n);
+  print_range (all_in_time, n);
   for (guint k = 0; k < BENCH_KINDS; k++)
     print_range (in_time[k], n);
   printf (" %6.0f %5.2f\n", first, busy);
@@ -102,8 +102,8 @@
       fprintf (stderr, "policy-bench: engines, instances and seconds must be 1 or more\n");
       return 2;
     }
-  printf ("%-32s %-22s %-22s %-22s %-22s %6s %5s\n", "", "earned of offered", "short in time",
-          "middle", "long", "p95 ms", "busy");
+  printf ("%-32s %-22s %-22s %-22s %-22s %6s %5s\n", "", "in time", "short in time", "middle",
+          "long", "p95 ms", "busy");
   for (const char *const *name = bench_policy_names (); *name != NULL; name++)
     {
       if (flags.policy == NULL || g_strcmp0 (flags.policy, *name) == 0)
