serve: a long prompt's harm is what its parts add

What callers saw: a long prompt waited for streams that were about to pause for too long by prefill queued before it, which it would have delayed little.

Cause: streams counted as late by the whole gap that they will have.

Change: by the difference that the part makes; delays of streams alike.

Tests: sv_pace's digest of placements changes with them.

--- a/serve/place_long.c
+++ b/serve/place_long.c
@@ -91,20 +91,23 @@
   double late_streams; /* streams that the parts make late */
 } Width;
 
-/* Adds what a pass of `pass_ms` with the part does to the candidate's streams. Those that are only
- * close to the gap that they tolerate are late in part. */
+/* Adds what the part does to the candidate's streams, whose gap it makes `after` ms long; it is
+ * `before` without it. Those that are only close to the gap that they tolerate are late in part. */
 static void
-add_harm (const SvChoice *choice, const SvCandidate *candidate, double pass_ms, Width *width)
+add_harm (const SvChoice *choice,
+          const SvCandidate *candidate,
+          double before,
+          double after,
+          Width *width)
 {
-  double part = choice->prefill_ms / width->n * candidate->pace;
-
   for (guint i = 0; i < SV_N_GAP_CLASSES; i++)
     {
       double gap = (double)choice->demand->config->shortest_gaps[i] / KNL_MSEC;
+      double start = GAP_LATE_START * gap;
       double streams = streams_of (choice, candidate, i);
 
-      width->late_streams += streams * ramp (pass_ms, GAP_LATE_START * gap, gap);
-      width->delays += streams * (part + MAX (pass_ms - gap, 0));
+      width->late_streams += streams * (ramp (after, start, gap) - ramp (before, start, gap));
+      width->delays += streams * (after - before + MAX (after - MAX (before, gap), 0));
     }
 }
 
@@ -117,11 +120,11 @@
   for (guint i = 0; i < n; i++)
     {
       const SvCandidate *candidate = sv_candidate_at (choice, i);
-      double pass_ms =
-          candidate->prefill_left + choice->prefill_ms / n * candidate->pace + candidate->pass;
+      double before = candidate->prefill_left + candidate->pass;
+      double after = before + choice->prefill_ms / n * candidate->pace;
 
-      width.expected = MAX (width.expected, pass_ms);
-      add_harm (choice, candidate, pass_ms, &width);
+      width.expected = MAX (width.expected, after);
+      add_harm (choice, candidate, before, after, &width);
     }
   return width;
 }
