serve: parts of long prompts don't come before the one that is read

Cause: endpoints read the newest part first, and a prompt was sent behind up to 90 ms of another's part, which then waited for all of the newer one. Each end of a short request woke the long lane, so that several instances found the same room at once.

Change: a part is sent when what is read there is done by the time that it arrives, or if it takes less than a look itself. Ends of requests wake the short lane only.

--- a/include/serve/queue.h
+++ b/include/serve/queue.h
@@ -77,8 +77,7 @@
 /** Gives all requests in the lane their turn now. */
 void sv_queue_look (SvQueue *queue, SvLane lane);
 
-/** Room may have been left just now: all lanes are looked at once the current events are handled.
- */
+/** A slot is free: the short lane is looked at once the current events are handled. */
 void sv_queue_wake (SvQueue *queue);
 
 /** A request has come that goes through the lane, whether it waits or not. */
--- a/serve/queue.c
+++ b/serve/queue.c
@@ -268,11 +268,10 @@
 void
 sv_queue_wake (SvQueue *self)
 {
-  for (guint i = 0; i < SV_N_LANES; i++)
-    {
-      if (!is_empty (&self->lanes[i]))
-        look_after (&self->lanes[i], 0);
-    }
+  Lane *lane = &self->lanes[SV_LANE_SHORT];
+
+  if (!is_empty (lane))
+    look_after (lane, 0);
 }
 
 void
--- a/serve/room.c
+++ b/serve/room.c
@@ -2,20 +2,23 @@
 
 #include "serve/queue.h"
 
-/* A long prompt is sent behind as much prefill as is done before the next look, so that no endpoint
- * runs dry meanwhile. What comes later waits here, where shorter prompts can go before it. */
-#define MAX_BACKLOG SV_LONG_LOOK_MAX
+/* A long prompt is sent behind as much prefill as is done until its part arrives and joins a pass.
+ * Endpoints read the newest part first: one that comes sooner delays the first event of the prompt
+ * that is being read. */
+#define ARRIVAL_TIME (30 * KNL_MSEC)
+
+/* A part that takes less than a look delays others by less than waiting for the next one costs its
+ * own caller: it is sent up to two looks sooner, before longer ones of other instances. */
+#define SHORT_PART (SV_LONG_LOOK_MAX)
 
 /* Running streams of other callers that a long prompt may make pause for longer than they tolerate:
  * not more callers than the one that it serves. */
 #define MAX_LATE_STREAMS 1.0
 
-/* A prompt that delays others by less than a look is sent a look sooner: it goes before longer ones
- * that wait for the same endpoints at other instances. */
 static KnlTime
 max_backlog (const SvPlacement *self)
 {
-  return self->part < MAX_BACKLOG ? 2 * MAX_BACKLOG : MAX_BACKLOG;
+  return self->part < SHORT_PART ? 2 * SV_LONG_LOOK_MAX : ARRIVAL_TIME;
 }
 
 static gboolean
