--- a/serve/queue.c
+++ b/serve/queue.c
@@ -17,8 +17,8 @@
  * long ones one that needs less memory may fit. */
 static const guint max_tries[SV_N_LANES] = { 1, 4 };
 
-/* Half-life of the lanes' rates, in times of an answer: within some of them the load of the engines has
- * changed, and in less there are too few answers. */
+/* Half-life of the lanes' rates, in times of an answer: within some of them the load of the engines
+ * has changed, and in less there are too few answers. */
 #define HALF_LIFE_TURNOVERS 4.0
 
 /* Ranks whose arrivals are told apart; less urgent ones count as the last. */
