--- a/http/client.c
+++ b/http/client.c
@@ -356,8 +356,16 @@
 
 /*
  * An answer without a length ends when its connection closes. A connection that is reset within the
- * answer differs from that by the error only, so just an orderly close completes the answer.
+ * answer differs from that by the error only, so just an orderly close completes the answer. A
+ * write that fails with the reset takes the socket's error: the read after it sees an end of
+ * stream, and both are reported in one event.
  */
+static gboolean
+is_orderly (short what)
+{
+  return (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == BEV_EVENT_EOF;
+}
+
 static void
 handle_close (Connection *self, gboolean orderly)
 {
@@ -389,7 +397,7 @@
   else if (!self->connected && !has_sent (self))
     fail (self, HT_FAIL_CONNECT);
   else
-    handle_close (self, (what & BEV_EVENT_EOF) != 0);
+    handle_close (self, is_orderly (what));
 }
 
 HtClient *
--- a/tests/fakes/scripted_endpoint.c
+++ b/tests/fakes/scripted_endpoint.c
@@ -4,12 +4,23 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "http/reader.h"
 
 #define LIMIT_BYTES 1000000
 
+/* Turns of the loop before an early answer's end or a reset: the other side has read the answer by
+ * then. */
+#define TURNS_BEFORE_END 8
+
+/* Of connections that aren't read, so that the rest of a large request stays with its sender, whose
+ * send buffer is sized by the segments. */
+#define SMALL_BUFFER_BYTES  16384
+#define SMALL_SEGMENT_BYTES 2048
+
 typedef struct
 {
   ScriptedEndpoint *endpoint;
@@ -17,6 +28,9 @@
   HtReader *reader;
   GString *late; /* of the answer before */
   gboolean closes;
+  gboolean resets;
+  struct event *end; /* NULL: the connection isn't about to end */
+  guint turns;       /* before it ends */
 } Link;
 
 struct ScriptedEndpoint
@@ -40,6 +54,8 @@
 {
   Link *self = data;
 
+  if (self->end != NULL)
+    event_free (self->end);
   bufferevent_free (self->stream);
   ht_reader_free (self->reader);
   g_string_free (self->late, TRUE);
@@ -55,11 +71,51 @@
   g_string_replace (bytes, "%ID", id != NULL ? id : "", 0);
 }
 
+static void
+reset (Link *self)
+{
+  static const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (bufferevent_getfd (self->stream), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+  g_hash_table_remove (self->endpoint->links, self);
+}
+
+static void
+on_turn (evutil_socket_t fd, short what, void *data)
+{
+  static const struct timeval now = { 0 };
+  Link *self = data;
+
+  if (--self->turns > 0)
+    evtimer_add (self->end, &now);
+  else if (self->resets)
+    reset (self);
+  else
+    shutdown (bufferevent_getfd (self->stream), SHUT_WR);
+}
+
+static void
+end_later (Link *self)
+{
+  static const struct timeval now = { 0 };
+
+  self->turns = TURNS_BEFORE_END;
+  self->end = evtimer_new (self->endpoint->base, on_turn, self);
+  evtimer_add (self->end, &now);
+}
+
+/* The row for the request that is `n`th, from 1. */
+static const ScriptedAnswer *
+row_of (const ScriptedEndpoint *self, guint n)
+{
+  return &self->script[MIN (n, self->n_script) - 1];
+}
+
 static void
 answer (Link *self)
 {
   ScriptedEndpoint *endpoint = self->endpoint;
-  const ScriptedAnswer *row = &endpoint->script[MIN (endpoint->n_requests, endpoint->n_script) - 1];
+  const ScriptedAnswer *row = row_of (endpoint, endpoint->n_requests);
   GString *bytes = g_string_new (self->late->str);
 
   append_answer (endpoint, row->bytes, bytes);
@@ -67,11 +123,36 @@
   g_string_free (bytes, TRUE);
   g_string_truncate (self->late, 0);
   append_answer (endpoint, row->late, self->late);
+  self->resets = row->resets;
+  if (row->resets || (row->is_early && row->closes))
+    {
+      end_later (self);
+      return;
+    }
   self->closes = row->closes;
   if (row->closes && evbuffer_get_length (bufferevent_get_output (self->stream)) == 0)
     g_hash_table_remove (endpoint->links, self);
 }
 
+static void
+answer_early (Link *self)
+{
+  ScriptedEndpoint *endpoint = self->endpoint;
+  struct evbuffer *input = bufferevent_get_input (self->stream);
+  gsize consumed;
+
+  ht_reader_feed (self->reader, (const char *)evbuffer_pullup (input, -1),
+                  evbuffer_get_length (input), &consumed);
+  evbuffer_drain (input, consumed);
+  if (!ht_reader_has_head (self->reader))
+    return;
+  bufferevent_disable (self->stream, EV_READ);
+  ht_message_free (endpoint->newest);
+  endpoint->newest = ht_reader_steal (self->reader);
+  endpoint->n_requests++;
+  answer (self);
+}
+
 static void
 on_readable (struct bufferevent *stream, void *data)
 {
@@ -80,6 +161,11 @@
   gsize length = evbuffer_get_length (input);
   gsize consumed = 0;
 
+  if (row_of (self->endpoint, self->endpoint->n_requests + 1)->is_early)
+    {
+      answer_early (self);
+      return;
+    }
   if (ht_reader_feed (self->reader, (const char *)evbuffer_pullup (input, -1), length, &consumed)
       == HT_READ_COMPLETE)
     {
@@ -131,6 +217,17 @@
   g_hash_table_add (self->links, link);
 }
 
+/* Accepted sockets inherit the sizes. */
+static void
+set_small_buffers (evutil_socket_t fd)
+{
+  const int buffer = SMALL_BUFFER_BYTES;
+  const int segment = SMALL_SEGMENT_BYTES;
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+  setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+}
+
 ScriptedEndpoint *
 scripted_endpoint_new (struct event_base *base, const ScriptedAnswer *script, guint n)
 {
@@ -146,6 +243,11 @@
   self->listener = evconnlistener_new_bind (base, on_accept, self, LEV_OPT_CLOSE_ON_FREE, -1,
                                             (struct sockaddr *)&address, sizeof address);
   g_assert_nonnull (self->listener);
+  for (guint i = 0; i < n; i++)
+    {
+      if (script[i].is_early)
+        set_small_buffers (evconnlistener_get_fd (self->listener));
+    }
   getsockname (evconnlistener_get_fd (self->listener), (struct sockaddr *)&address, &length);
   self->address = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
   return self;
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -20,6 +20,11 @@
   /** A second answer, sent when the next request arrives on the connection, before the answer to
    * that; %ID as above. NULL: none. */
   const char *late;
+  /** Sent as soon as the request's head has come; nothing more is read. */
+  gboolean is_early;
+  /** The connection is reset some turns of the loop later. Without it, and with `closes`, only the
+   * sending side of an early answer is shut down then. */
+  gboolean resets;
 } ScriptedAnswer;
 
 /** Answers from `script` of `n` rows, which must outlive the endpoint; the last row is repeated for
--- a/tests/unit/sv_fixture.c
+++ b/tests/unit/sv_fixture.c
@@ -1,6 +1,7 @@
 #include "sv_fixture.h"
 
 #include <event2/buffer.h>
+#include <signal.h>
 #include <string.h>
 
 #include "platform/dialect.h"
@@ -227,6 +228,7 @@
 {
   struct timeval limit = { .tv_sec = TEST_TIMEOUT_S };
 
+  signal (SIGPIPE, SIG_IGN);
   *self = (SvFixture){ .base = event_base_new (), .clock = knl_paused_clock_new () };
   self->test_timeout = evtimer_new (self->base, on_test_timeout, NULL);
   evtimer_add (self->test_timeout, &limit);
@@ -343,10 +345,17 @@
 void
 sv_fixture_request (SvFixture *self, const char *path)
 {
-  g_autofree char *request =
-      g_strdup_printf ("POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 4000\r\n"
-                       "Authorization: Bearer key\r\nContent-Length: 2\r\n\r\nhi",
-                       path);
+  sv_fixture_request_upload (self, path, 2);
+}
+
+void
+sv_fixture_request_upload (SvFixture *self, const char *path, gsize length)
+{
+  g_autofree char *body = g_strnfill (length - 1, 'i');
+  g_autofree char *request = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 4000\r\n"
+      "Authorization: Bearer key\r\nContent-Length: %" G_GSIZE_FORMAT "\r\n\r\nh%s",
+      path, length, body);
 
   g_string_truncate (self->received, 0);
   sv_fixture_send (self, request);
@@ -375,6 +384,30 @@
     }
 }
 
+static gboolean
+has_answer (const SvFixture *self)
+{
+  static const HtLimits limits = { 32768, 1 << 20 };
+  static const HtReaderEvents no_events = { 0 };
+  HtReader *reader = ht_reader_new (TRUE, &limits, &no_events, NULL);
+  gsize consumed;
+  gboolean is_whole = ht_reader_feed (reader, self->received->str, self->received->len, &consumed)
+                      == HT_READ_COMPLETE;
+
+  ht_reader_free (reader);
+  return is_whole;
+}
+
+void
+sv_fixture_wait_answer (SvFixture *self)
+{
+  while (!self->ended && !has_answer (self))
+    {
+      event_base_loop (self->base, EVLOOP_ONCE);
+      knl_kernel_run_due (self->kernel);
+    }
+}
+
 void
 sv_fixture_wait_requests (SvFixture *self, guint endpoint, guint n)
 {
--- a/tests/unit/sv_fixture.h
+++ b/tests/unit/sv_fixture.h
@@ -72,12 +72,18 @@
  */
 void sv_fixture_request (SvFixture *self, const char *path);
 
+/** The same with a body of `length` bytes. */
+void sv_fixture_request_upload (SvFixture *self, const char *path, gsize length);
+
 /** The same for a prompt of `tokens` tokens, with a deadline of 15 s. */
 void sv_fixture_request_prompt (SvFixture *self, const char *path, guint64 tokens);
 
 /** Runs the loop until the caller has received `text`, or its connection has ended. */
 void sv_fixture_wait_for (SvFixture *self, const char *text);
 
+/** Runs the loop until the caller has received a whole answer, or its connection has ended. */
+void sv_fixture_wait_answer (SvFixture *self);
+
 /** Runs the loop until the endpoint has received `n` requests. */
 void sv_fixture_wait_requests (SvFixture *self, guint endpoint, guint n);
 
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -12,8 +12,17 @@
 
 #define STEP (10 * KNL_MSEC)
 
-static const ScriptedAnswer good = { "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
-                                     FALSE };
+/* Larger than the buffers of both sockets of a connection that isn't read. */
+#define UPLOAD_BYTES ((gsize)512 << 10)
+
+#define UNFRAMED "HTTP/1.1 200 OK\r\n" SIGNED "\r\n"
+
+#define GOOD                                                                                       \
+  {                                                                                                \
+    "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood", FALSE                            \
+  }
+
+static const ScriptedAnswer good = GOOD;
 
 typedef struct
 {
@@ -195,6 +204,33 @@
     }
 }
 
+/* Guards against a part of a peer's answer that passes for the whole one: it comes without a length
+ * while the request is still being written, and the connection is reset. */
+static void
+test_early_resets_of_a_peer (void)
+{
+  static const ScriptedAnswer scripts[][2] = {
+    { GOOD, { .bytes = UNFRAMED "do", .is_early = TRUE, .resets = TRUE } },
+    { GOOD, { .bytes = UNFRAMED, .is_early = TRUE, .resets = TRUE } },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (scripts); i++)
+    {
+      Fixture fixture;
+
+      fixture_open (&fixture, scripts[i], 2);
+      lose_links (&fixture);
+      sv_fixture_request (&fixture.core, "/again/1");
+      advance (&fixture, 200 * KNL_MSEC);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "good"));
+      sv_fixture_request_upload (&fixture.core, "/again/2", UPLOAD_BYTES);
+      advance (&fixture, 200 * KNL_MSEC);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "HTTP/1.1 502"));
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 2);
+      fixture_close (&fixture);
+    }
+}
+
 /* Guards against a request that a second peer runs once more, because what an endpoint said after
  * it had run was taken for the first peer's refusal. */
 static void
@@ -489,6 +525,7 @@
   { "requests are passed on unchanged", test_requests_are_passed_on_unchanged },
   { "answers of a peer", test_answers_of_a_peer },
   { "torn heads of a peer", test_torn_heads_of_a_peer },
+  { "early resets of a peer", test_early_resets_of_a_peer },
   { "only refusals of a peer are passed on", test_only_refusals_of_a_peer_are_passed_on },
   { "a second peer needs a retry", test_a_second_peer_needs_a_retry },
   { "passed requests earn no retries", test_passed_requests_earn_no_retries },
--- a/tests/unit/torn_heads_test.c
+++ b/tests/unit/torn_heads_test.c
@@ -2,11 +2,9 @@
 
 #include <string.h>
 
-#include "endpoint/exchange.h"
-#include "platform/store.h"
+#include "links_fixture.h"
 #include "suite.h"
 #include "sv_fixture.h"
-#include "table/http.h"
 
 #define EVENT     "id: 1\ndata: a\n\n"
 #define ELSEWHERE "id: 1\ndata: e\n\n"
@@ -125,12 +123,6 @@
     }
 }
 
-static void
-on_stored (PlStatus status, PlAnswer **answer, gpointer data)
-{
-  *(PlStatus *)data = status;
-}
-
 /* Guards against a write that counts as done, or a row that counts as absent, on a part of the
  * store's head. */
 static void
@@ -142,98 +134,31 @@
         {
           g_autofree char *torn = g_strndup (heads[i], length);
           const ScriptedAnswer script = { torn, TRUE };
-          PlStatus read = PL_OK;
-          PlStatus written = PL_OK;
-          PlStore *store;
-          SvFixture fixture;
+          LinksStoreResult result = links_call_store (&script, 1, 2);
 
-          sv_fixture_open (&fixture);
-          sv_fixture_use_config (&fixture, 1, "key");
-          sv_fixture_add_endpoint (&fixture, &script, 1);
-          store = pl_store_new (fixture.kernel, fixture.client,
-                                scripted_endpoint_address (fixture.endpoints[0]));
-          pl_store_get_row (store, "t", "k", on_stored, &read);
-          pl_store_put (store, "t", "k", json_object (), 0, on_stored, &written);
-          while (read == PL_OK || written == PL_OK)
-            event_base_loop (fixture.base, EVLOOP_ONCE);
-          CU_ASSERT_EQUAL (read, PL_UNKNOWN);
-          CU_ASSERT_EQUAL (written, PL_UNKNOWN);
-          pl_store_free (store);
-          sv_fixture_close (&fixture);
+          CU_ASSERT_EQUAL (result.read, PL_UNKNOWN);
+          CU_ASSERT_EQUAL (result.written, PL_UNKNOWN);
         }
     }
 }
 
-static void
-on_data (EpExchange *exchange, struct evbuffer *data, gpointer user)
-{
-}
-
-static void
-on_end (EpExchange *exchange, EpExchangeEnd end, const char *detail, gpointer user)
-{
-  *(EpExchangeEnd *)user = end;
-}
-
-static void
-on_transacted (TbStatus status, guint64 version, gpointer data)
-{
-  *(TbStatus *)data = status;
-}
-
-static void
-wait_until_set (SvFixture *fixture, const guint *value, guint unset)
-{
-  while (*value == unset)
-    {
-      knl_kernel_run_due (fixture->kernel);
-      event_base_loop (fixture->base, EVLOOP_NONBLOCK);
-    }
-}
-
 /* Guards against the same on the links of the product's own interface, to engines, services and its
  * table. */
 static void
 test_own_interface (void)
 {
-  static const EpExchangeEvents events = { .on_data = on_data, .on_end = on_end };
-  const guint unset = 99;
-
   for (guint i = 0; i < G_N_ELEMENTS (heads); i++)
     {
       for (gsize length = 1; length < strlen (heads[i]); length++)
         {
           g_autofree char *torn = g_strndup (heads[i], length);
           const ScriptedAnswer script = { torn, TRUE };
-          EpExchangeStart start = { .method = "POST",
-                                    .path = "/",
-                                    .body = "hi",
-                                    .body_bytes = 2,
-                                    .connect_timeout = KNL_SEC,
-                                    .first_byte_timeout = KNL_SEC,
-                                    .idle_timeout = KNL_SEC };
-          const TbWrite write = { "k", "{}" };
-          const TbTransaction transaction = { .writes = &write, .n_writes = 1 };
-          guint end = unset;
-          guint status = unset;
-          TbTable *table;
-          SvFixture fixture;
+          LinksOwnResult result = links_call_own (&script, 2);
 
-          sv_fixture_open (&fixture);
-          sv_fixture_add_endpoint (&fixture, &script, 1);
-          start.address = scripted_endpoint_address (fixture.endpoints[0]);
-          table = tb_http_platform_new (fixture.kernel, fixture.base, start.address, KNL_SEC);
-          ep_exchange_start (fixture.kernel, fixture.base, &start, &events, &end);
-          tb_transact (table, &transaction, on_transacted, &status);
-          wait_until_set (&fixture, &end, unset);
-          wait_until_set (&fixture, &status, unset);
-          if (end != EP_EXCHANGE_CUT || status != TB_UNKNOWN)
-            fprintf (stderr, "'%s': end %u, status %u\n", torn, end, status);
-          CU_ASSERT_EQUAL (end, EP_EXCHANGE_CUT);
-          CU_ASSERT_EQUAL (status, TB_UNKNOWN);
-          tb_platform_free (table);
-          knl_kernel_run_due (fixture.kernel);
-          sv_fixture_close (&fixture);
+          if (result.end != EP_EXCHANGE_CUT || result.written != TB_UNKNOWN)
+            fprintf (stderr, "'%s': end %u, written %u\n", torn, result.end, result.written);
+          CU_ASSERT_EQUAL (result.end, EP_EXCHANGE_CUT);
+          CU_ASSERT_EQUAL (result.written, TB_UNKNOWN);
         }
     }
 }
