--- a/http/reader.c
+++ b/http/reader.c
@@ -177,6 +177,23 @@
   return encoding == NULL || g_ascii_strcasecmp (encoding, "chunked") == 0;
 }
 
+/* An interim (1xx) response, which the answer follows. */
+static gboolean
+is_interim (const HtReader *self)
+{
+  return self->reads_responses && self->message->status < 200;
+}
+
+/* Whether the message ends with its head, regardless of its framing fields. */
+static gboolean
+ends_with_head (const HtReader *self)
+{
+  return self->no_body || is_interim (self);
+}
+
+/* What http_parser takes for "no body follows". */
+#define SKIP_BODY 1
+
 static int
 on_head (http_parser *parser)
 {
@@ -198,14 +215,13 @@
   if (parser->content_length != G_MAXUINT64 && parser->content_length > self->limits.max_body_bytes)
     return -refuse (self, HT_READ_BODY_LARGE);
   self->head_done = TRUE;
-  self->until_close = self->reads_responses && !self->no_body && message->status >= 200
-                      && message->status != 204 && message->status != 304
-                      && parser->content_length == G_MAXUINT64 && (parser->flags & F_CHUNKED) == 0;
+  self->until_close = self->reads_responses && !ends_with_head (self) && message->status != 204
+                      && message->status != 304 && parser->content_length == G_MAXUINT64
+                      && (parser->flags & F_CHUNKED) == 0;
   message->ends_by_close = self->until_close;
-  if (self->events->head != NULL && !(self->reads_responses && message->status < 200)
-      && !self->events->head (message, self->data))
+  if (self->events->head != NULL && !is_interim (self) && !self->events->head (message, self->data))
     return -refuse (self, HT_READ_BAD);
-  return self->no_body ? 1 : 0;
+  return ends_with_head (self) ? SKIP_BODY : 0;
 }
 
 static int
@@ -332,8 +348,8 @@
   *consumed = http_parser_execute (&self->parser, &callbacks, bytes, length);
   self->message_bytes += *consumed;
   status = end_status (self, HTTP_PARSER_ERRNO (&self->parser) != HPE_OK);
-  /* Interim (1xx) responses are dropped; the answer is the next message on the stream. */
-  if (status == HT_READ_COMPLETE && self->reads_responses && self->message->status < 200)
+  /* Interim responses are dropped; the answer is the next message on the stream. */
+  if (status == HT_READ_COMPLETE && is_interim (self))
     {
       gsize more = 0;
 
--- /dev/null
+++ b/tests/unit/broken_heads_test.c
@@ -0,0 +1,120 @@
+/** Heads that are no answer's, whole or not, on each link. */
+
+#include <string.h>
+
+#include "links_fixture.h"
+#include "suite.h"
+#include "sv_fixture.h"
+
+#define ELSEWHERE "id: 1\ndata: e\n\n"
+#define OK        "HTTP/1.1 200 OK\r\n" SIGNED
+#define GOOD      OK "Content-Length: 4\r\n\r\ngood"
+#define JSON      "HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"version\":5}"
+
+static const ScriptedAnswer elsewhere = { OK "Content-Length: 15\r\n\r\n" ELSEWHERE, FALSE };
+
+static const char *const paths[] = { "/once-of-two/1", "/again/1", "/stream/1" };
+
+/* The caller's answer after an endpoint has sent `bytes`; `n_elsewhere` is set to the number of
+ * requests at a second endpoint. Free with g_free. */
+static char *
+answer_after (const char *path, const char *bytes, guint *n_elsewhere)
+{
+  const ScriptedAnswer script = { bytes, TRUE };
+  char *received;
+  SvFixture fixture;
+
+  sv_fixture_open (&fixture);
+  sv_fixture_use_config (&fixture, 1, "key");
+  sv_fixture_add_endpoint (&fixture, &script, 1);
+  sv_fixture_add_endpoint (&fixture, &elsewhere, 1);
+  sv_fixture_request (&fixture, path);
+  sv_fixture_wait_answer (&fixture);
+  received = g_strdup (fixture.received->str);
+  *n_elsewhere = scripted_endpoint_n_requests (fixture.endpoints[1]);
+  sv_fixture_close (&fixture);
+  return received;
+}
+
+/* On each route: a request that may run once fails, others are answered by another endpoint. */
+static void
+check_refused (const char *bytes)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      gboolean runs_once = strstr (paths[i], "once") != NULL;
+      const char *wanted = runs_once ? "HTTP/1.1 502" : ELSEWHERE;
+      guint n_elsewhere;
+      g_autofree char *received = answer_after (paths[i], bytes, &n_elsewhere);
+
+      if (strstr (received, wanted) == NULL)
+        fprintf (stderr, "%s after '%s': got %s\n", paths[i], bytes, received);
+      CU_ASSERT_PTR_NOT_NULL (strstr (received, wanted));
+      CU_ASSERT_EQUAL (n_elsewhere, !runs_once);
+    }
+}
+
+static void
+check_refused_by_store (const char *bytes)
+{
+  const ScriptedAnswer script = { bytes, TRUE };
+  LinksStoreResult result = links_call_store (&script, 1, 2);
+
+  if (result.read != PL_UNKNOWN || result.written != PL_UNKNOWN)
+    fprintf (stderr, "'%s': read %u, written %u\n", bytes, result.read, result.written);
+  CU_ASSERT_EQUAL (result.read, PL_UNKNOWN);
+  CU_ASSERT_EQUAL (result.written, PL_UNKNOWN);
+}
+
+/* Guards against a process that ends because of an interim answer with a body. It has none: what
+ * follows its head isn't an answer. */
+static void
+test_bodies_of_interim_answers (void)
+{
+  static const char *const interim[] = {
+    "HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\nabcd",
+    "HTTP/1.1 101 C\r\nContent-Length: 4\r\n\r\nabcd",
+    "HTTP/1.1 103 C\r\nContent-Length: 4\r\n\r\nabcd",
+    "HTTP/1.1 199 C\r\nContent-Length: 4\r\n\r\nabcd",
+    "HTTP/1.1 100 C\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (interim); i++)
+    {
+      g_autofree char *answer = g_strconcat (interim[i], GOOD, NULL);
+      g_autofree char *stored = g_strconcat (interim[i], JSON, NULL);
+
+      check_refused (interim[i]);
+      check_refused (answer);
+      check_refused_by_store (stored);
+    }
+}
+
+/* Guards against an answer that is lost behind interim ones: their framing fields mean nothing. */
+static void
+test_interim_answers (void)
+{
+  static const char *const answers[] = {
+    "HTTP/1.1 100 C\r\n\r\n" GOOD,
+    "HTTP/1.1 103 C\r\nLink: x\r\n\r\n" GOOD,
+    "HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\n" GOOD,
+    "HTTP/1.1 103 C\r\nContent-Length: 4\r\n\r\nHTTP/1.1 100 C\r\n\r\n" GOOD,
+    "HTTP/1.1 100 C\r\nTransfer-Encoding: chunked\r\n\r\n" GOOD,
+  };
+
+  for (guint i = 0; i < 2 * G_N_ELEMENTS (answers); i++)
+    {
+      guint n_elsewhere;
+      g_autofree char *received = answer_after (paths[i % 2], answers[i / 2], &n_elsewhere);
+
+      CU_ASSERT_PTR_NOT_NULL (strstr (received, "\r\n\r\ngood"));
+      CU_ASSERT_EQUAL (n_elsewhere, 0);
+    }
+}
+
+static const SuiteCase cases[] = {
+  { "bodies of interim answers", test_bodies_of_interim_answers },
+  { "interim answers", test_interim_answers },
+};
+
+SUITE_MAIN ("broken_heads", cases)
--- a/tests/unit/ht_reader_test.c
+++ b/tests/unit/ht_reader_test.c
@@ -58,6 +58,17 @@
     4 },
   { "interim first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
     HT_READ_COMPLETE, "ok", 0 },
+  { "interim with a length",
+    "HTTP/1.1 103 Early Hints\r\nContent-Length: 9\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    HT_READ_COMPLETE, "ok", 0 },
+  { "interim with a body",
+    "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nno"
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    HT_READ_BAD, NULL, 0 },
+  { "interim in chunks",
+    "HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n", HT_READ_BAD,
+    NULL, 0 },
   { "no body by status", "HTTP/1.1 204 No Content\r\n\r\n", HT_READ_COMPLETE, "", 0 },
   { "until close", "HTTP/1.1 200 OK\r\n\r\nabc", HT_READ_MORE, NULL, 0 },
   { "no answer", "\x01\x02garbage\r\n\r\n", HT_READ_BAD, NULL, 0 },
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -204,6 +204,32 @@
     }
 }
 
+/* Guards against a process that ends because of a peer's head that is no answer's, and one that is
+ * passed on. */
+static void
+test_broken_heads_of_a_peer (void)
+{
+  static const char *const paths[] = { "/once/1", "/again/1", "/stream/1" };
+  static const char *const heads[] = {
+    "HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\nabcd",
+    "HTTP/1.1 101 C\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (heads) * G_N_ELEMENTS (paths); i++)
+    {
+      const ScriptedAnswer script = { heads[i / G_N_ELEMENTS (paths)], TRUE };
+      Fixture fixture;
+
+      fixture_open (&fixture, &script, 1);
+      lose_links (&fixture);
+      sv_fixture_request (&fixture.core, paths[i % G_N_ELEMENTS (paths)]);
+      advance (&fixture, 200 * KNL_MSEC);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "HTTP/1.1 502"));
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.peer), 1);
+      fixture_close (&fixture);
+    }
+}
+
 /* Guards against a part of a peer's answer that passes for the whole one: it comes without a length
  * while the request is still being written, and the connection is reset. */
 static void
@@ -525,6 +551,7 @@
   { "requests are passed on unchanged", test_requests_are_passed_on_unchanged },
   { "answers of a peer", test_answers_of_a_peer },
   { "torn heads of a peer", test_torn_heads_of_a_peer },
+  { "broken heads of a peer", test_broken_heads_of_a_peer },
   { "early resets of a peer", test_early_resets_of_a_peer },
   { "only refusals of a peer are passed on", test_only_refusals_of_a_peer_are_passed_on },
   { "a second peer needs a retry", test_a_second_peer_needs_a_retry },
