--- a/http/reader.c
+++ b/http/reader.c
@@ -21,6 +21,7 @@
   gsize line_bytes;        /* in the current line of the head, without the line ending */
   char last_byte;          /* most recent byte of the head */
   guint n_spaces;          /* in the first line of the head */
+  guint n_status_digits;   /* of responses only */
   gboolean has_first_line; /* the head's first line has ended */
   gboolean has_empty_line; /* the empty line after the head has been seen */
   gboolean has_value;      /* a value has begun: the next name starts another field */
@@ -116,6 +117,36 @@
   return TRUE;
 }
 
+/* http_parser accepts a status of any number of digits, and reports its value only. */
+static void
+count_status_digits (HtReader *self, const char *bytes, gsize length)
+{
+  for (gsize i = 0; i < length && !self->has_first_line; i++)
+    {
+      char last = self->last_byte;
+
+      self->last_byte = bytes[i];
+      if (bytes[i] == '\n')
+        self->has_first_line = self->line_bytes > 0;
+      else
+        self->line_bytes += bytes[i] != '\r';
+      /* The version before the status and the reason after it are separated by spaces. */
+      self->n_spaces += bytes[i] == ' ' && last != ' ';
+      self->n_status_digits += self->n_spaces == 1 && g_ascii_isdigit (bytes[i]);
+    }
+}
+
+#define STATUS_DIGITS 3
+#define MIN_STATUS    100
+#define MAX_STATUS    599
+
+static gboolean
+has_valid_status (const HtReader *self)
+{
+  return self->n_status_digits == STATUS_DIGITS && self->message->status >= MIN_STATUS
+         && self->message->status <= MAX_STATUS;
+}
+
 static int
 on_url (http_parser *parser, const char *at, size_t length)
 {
@@ -208,6 +239,8 @@
     return -refuse (self, HT_READ_BAD);
   parser->upgrade = 0;
   message->status = parser->status_code;
+  if (self->reads_responses && !has_valid_status (self))
+    return -refuse (self, HT_READ_BAD);
   message->keep_alive = http_should_keep_alive (parser) != 0;
   message->supports_chunked = parser->http_minor > 0;
   g_strlcpy (message->method, http_method_str ((enum http_method)parser->method),
@@ -309,6 +342,7 @@
   self->has_first_line = self->has_empty_line = FALSE;
   self->line_bytes = 0;
   self->n_spaces = 0;
+  self->n_status_digits = 0;
   self->last_byte = '\0';
   self->refusal = HT_READ_MORE;
 }
@@ -345,6 +379,8 @@
       *consumed = length;
       return HT_READ_BAD;
     }
+  if (self->reads_responses)
+    count_status_digits (self, bytes, length);
   *consumed = http_parser_execute (&self->parser, &callbacks, bytes, length);
   self->message_bytes += *consumed;
   status = end_status (self, HTTP_PARSER_ERRNO (&self->parser) != HPE_OK);
--- a/include/http/reader.h
+++ b/include/http/reader.h
@@ -5,7 +5,7 @@
  * limits, and refuses messages that two parsers might frame differently: both Content-Length and
  * Transfer-Encoding, repeated framing fields, field names that aren't tokens, control characters;
  * in requests also lines that end without a carriage return, and more than two spaces in the first
- * line.
+ * line; in responses a status that isn't three digits from 100 to 599.
  */
 
 #include "http/message.h"
--- a/tests/unit/broken_heads_test.c
+++ b/tests/unit/broken_heads_test.c
@@ -112,9 +112,62 @@
     }
 }
 
+/* Guards against a head that is passed on as an answer although its status isn't one: the protocol
+ * has three digits, from 100 to 599. */
+static void
+test_statuses (void)
+{
+  static const char *const statuses[] = {
+    "000 N", "000",   "099 N",  "0 N",    "00 N",   "20 OK",  "2 00 OK", "0200 OK", "00200 OK",
+    "600 N", "999 N", "1000 N", "2000 N", "-200 N", "+200 N", "20x N",   "x N",     "",
+  };
+  static const char *const framings[] = {
+    "Content-Length: 4\r\n\r\ngood",
+    "Content-Length: 0\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+    "\r\n",
+    "\r\ngood",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (statuses) * G_N_ELEMENTS (framings); i++)
+    {
+      const char *status = statuses[i / G_N_ELEMENTS (framings)];
+      const char *framing = framings[i % G_N_ELEMENTS (framings)];
+      g_autofree char *answer = g_strconcat ("HTTP/1.1 ", status, "\r\n" SIGNED, framing, NULL);
+      g_autofree char *behind = g_strconcat ("HTTP/1.1 100 C\r\n\r\n", answer, NULL);
+      g_autofree char *stored =
+          g_strconcat ("HTTP/1.1 ", status, "\r\nContent-Length: 13\r\n\r\n{\"version\":5}", NULL);
+
+      check_refused (answer);
+      check_refused (behind);
+      check_refused_by_store (stored);
+    }
+}
+
+/* Guards against answers that are refused although their status is one. */
+static void
+test_known_statuses (void)
+{
+  static const char *const statuses[] = { "200 OK", "299 N", "404 N", "499 N", "599 N", "200" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (statuses); i++)
+    {
+      g_autofree char *answer = g_strconcat ("HTTP/1.1 ", statuses[i],
+                                             "\r\n" SIGNED "Content-Length: 4\r\n\r\ngood", NULL);
+      g_autofree char *wanted = g_strdup_printf ("HTTP/1.1 %.3s", statuses[i]);
+      guint n_elsewhere;
+      g_autofree char *received = answer_after (paths[0], answer, &n_elsewhere);
+
+      CU_ASSERT_PTR_NOT_NULL (strstr (received, wanted));
+      CU_ASSERT_PTR_NOT_NULL (strstr (received, "\r\n\r\ngood"));
+    }
+}
+
 static const SuiteCase cases[] = {
   { "bodies of interim answers", test_bodies_of_interim_answers },
   { "interim answers", test_interim_answers },
+  { "statuses", test_statuses },
+  { "known statuses", test_known_statuses },
 };
 
 SUITE_MAIN ("broken_heads", cases)
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -213,6 +213,9 @@
   static const char *const heads[] = {
     "HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\nabcd",
     "HTTP/1.1 101 C\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+    "HTTP/1.1 000 N\r\n" SIGNED "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 00200 N\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
+    "HTTP/1.1 999 N\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (heads) * G_N_ELEMENTS (paths); i++)
--- a/tests/unit/sv_reservation_test.c
+++ b/tests/unit/sv_reservation_test.c
@@ -169,6 +169,32 @@
   fixture_close (&fixture);
 }
 
+/* Guards against memory that counts as reserved on a head that is no answer's. */
+static void
+test_broken_heads_reserve_nothing (void)
+{
+  static const ScriptedAnswer accepted[] = { { ACCEPTED, FALSE } };
+  static const ScriptedAnswer broken[] = {
+    { "HTTP/1.1 00200 OK\r\nContent-Length: 11\r\n\r\n{\"free\":10}", TRUE },
+    { "HTTP/1.1 2 00 OK\r\nContent-Length: 11\r\n\r\n{\"free\":10}", TRUE },
+    { "HTTP/1.1 100 C\r\nContent-Length: 1\r\n\r\na" ACCEPTED, TRUE },
+    { "HTTP/1.1 200 OK\r\nX Foo: 1\r\nContent-Length: 11\r\n\r\n{\"free\":10}", TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (broken); i++)
+    {
+      const ScriptedAnswer *const scripts[2] = { accepted, &broken[i] };
+      Fixture fixture;
+
+      fixture_open (&fixture, scripts, 1);
+      reserve (&fixture);
+      run_until_verdict (&fixture);
+      CU_ASSERT_FALSE (fixture.verdict);
+      knl_paused_clock_advance (fixture.clock, 2 * HOLD);
+      fixture_close (&fixture);
+    }
+}
+
 /*
  * Guards against two faults. A prompt that needs memory of several engines waits until its caller
  * disconnects, and the memory stays reserved: an order gets no answer, and renewals sent before its
@@ -336,6 +362,7 @@
 
 static const SuiteCase cases[] = {
   { "a refusal releases all parts", test_refusal_releases_all_parts },
+  { "broken heads reserve nothing", test_broken_heads_reserve_nothing },
   { "an order without answer is a short lease", test_order_without_answer_is_a_short_lease },
   { "held memory is renewed", test_held_memory_is_renewed },
   { "a lease is not renewed after a restart", test_lease_is_not_renewed_after_restart },
