--- a/http/reader.c
+++ b/http/reader.c
@@ -219,7 +219,10 @@
 static gboolean
 ends_with_head (const HtReader *self)
 {
-  return self->no_body || is_interim (self);
+  if (!self->reads_responses)
+    return FALSE;
+  return self->no_body || is_interim (self) || self->message->status == HTTP_STATUS_NO_CONTENT
+         || self->message->status == HTTP_STATUS_NOT_MODIFIED;
 }
 
 /* What http_parser takes for "no body follows". */
@@ -248,9 +251,8 @@
   if (parser->content_length != G_MAXUINT64 && parser->content_length > self->limits.max_body_bytes)
     return -refuse (self, HT_READ_BODY_LARGE);
   self->head_done = TRUE;
-  self->until_close = self->reads_responses && !ends_with_head (self) && message->status != 204
-                      && message->status != 304 && parser->content_length == G_MAXUINT64
-                      && (parser->flags & F_CHUNKED) == 0;
+  self->until_close = self->reads_responses && !ends_with_head (self)
+                      && parser->content_length == G_MAXUINT64 && (parser->flags & F_CHUNKED) == 0;
   message->ends_by_close = self->until_close;
   if (self->events->head != NULL && !is_interim (self) && !self->events->head (message, self->data))
     return -refuse (self, HT_READ_BAD);
--- a/tests/unit/broken_heads_test.c
+++ b/tests/unit/broken_heads_test.c
@@ -163,11 +163,46 @@
     }
 }
 
+/* Guards against bytes that a caller takes for the beginning of its next answer: an answer that has
+ * no body by its status comes with a length, and bytes behind it. */
+static void
+test_statuses_without_a_body (void)
+{
+  static const char *const statuses[] = { "204 N", "304 N" };
+  static const char *const tails[] = {
+    "Content-Length: 4\r\n\r\ngood",
+    "Content-Length: 4\r\n\r\n",
+    "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+    "\r\ngood",
+    "\r\n",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (paths) * G_N_ELEMENTS (statuses) * G_N_ELEMENTS (tails); i++)
+    {
+      const char *status = statuses[i / G_N_ELEMENTS (paths) % G_N_ELEMENTS (statuses)];
+      const char *tail = tails[i / G_N_ELEMENTS (paths) / G_N_ELEMENTS (statuses)];
+      g_autofree char *answer = g_strconcat ("HTTP/1.1 ", status, "\r\n" SIGNED, tail, NULL);
+      g_autofree char *wanted = g_strdup_printf ("HTTP/1.1 %.3s", status);
+      guint n_elsewhere;
+      g_autofree char *received =
+          answer_after (paths[i % G_N_ELEMENTS (paths)], answer, &n_elsewhere);
+
+      if (!g_str_has_prefix (received, wanted) || !g_str_has_suffix (received, "\r\n\r\n"))
+        fprintf (stderr, "%s after '%s': got %s\n", paths[i % G_N_ELEMENTS (paths)], answer,
+                 received);
+      CU_ASSERT_TRUE (g_str_has_prefix (received, wanted));
+      CU_ASSERT_PTR_EQUAL (strstr (received, "\r\n\r\n"), g_strrstr (received, "\r\n\r\n"));
+      CU_ASSERT_TRUE (g_str_has_suffix (received, "\r\n\r\n"));
+      CU_ASSERT_EQUAL (n_elsewhere, 0);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "bodies of interim answers", test_bodies_of_interim_answers },
   { "interim answers", test_interim_answers },
   { "statuses", test_statuses },
   { "known statuses", test_known_statuses },
+  { "statuses without a body", test_statuses_without_a_body },
 };
 
 SUITE_MAIN ("broken_heads", cases)
--- a/tests/unit/ht_reader_test.c
+++ b/tests/unit/ht_reader_test.c
@@ -81,6 +81,11 @@
   { "empty lines first", "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", HT_READ_COMPLETE,
     "ok", 0 },
   { "no body by status", "HTTP/1.1 204 No Content\r\n\r\n", HT_READ_COMPLETE, "", 0 },
+  { "no body despite a length", "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\nokHTTP",
+    HT_READ_COMPLETE, "", 6 },
+  { "no body despite chunks",
+    "HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", HT_READ_COMPLETE, "",
+    5 },
   { "until close", "HTTP/1.1 200 OK\r\n\r\nabc", HT_READ_MORE, NULL, 0 },
   { "no answer", "\x01\x02garbage\r\n\r\n", HT_READ_BAD, NULL, 0 },
 };
