tests: broken lines in the heads of answers, on the platform's links

Nothing is passed on, and no misread framing field gives an answer another body. 20 lines; no code changes. The stand-in can send a NUL.

--- a/tests/fakes/scripted_endpoint.c
+++ b/tests/fakes/scripted_endpoint.c
@@ -66,9 +66,15 @@
 append_answer (const ScriptedEndpoint *self, const char *template, GString *bytes)
 {
   const char *id = ht_message_get (self->newest, "x-attempt-id");
+  char *nul;
 
   g_string_append (bytes, template != NULL ? template : "");
   g_string_replace (bytes, "%ID", id != NULL ? id : "", 0);
+  while ((nul = g_strstr_len (bytes->str, (gssize)bytes->len, "%NUL")) != NULL)
+    {
+      *nul = '\0';
+      g_string_erase (bytes, nul + 1 - bytes->str, strlen ("NUL"));
+    }
 }
 
 static void
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -13,7 +13,8 @@
 /** The scripted answer to one request. */
 typedef struct
 {
-  /** Sent unchanged, except that %ID is replaced by the request's X-Attempt-Id. NULL: nothing. */
+  /** Sent unchanged, except that %ID is replaced by the request's X-Attempt-Id, and %NUL by a NUL.
+   * NULL: nothing. */
   const char *bytes;
   /** The connection is closed afterwards. */
   gboolean closes;
--- a/tests/unit/broken_heads_test.c
+++ b/tests/unit/broken_heads_test.c
@@ -197,12 +197,66 @@
     }
 }
 
+/* Lines of a head that aren't a field: a blank, a control byte or nothing as the name, or a control
+ * byte in the value. */
+static const char *const broken_lines[] = {
+  "X Foo: 1\r\n",
+  "X-Foo : 1\r\n",
+  "X-Foo\t: 1\r\n",
+  "X\tFoo: 1\r\n",
+  "X%NULFoo: 1\r\n",
+  "X\001Foo: 1\r\n",
+  "X\013Foo: 1\r\n",
+  "X\177Foo: 1\r\n",
+  "X\200Foo: 1\r\n",
+  "X\rFoo: 1\r\n",
+  ": 1\r\n",
+  "X-Foo\r\n",
+  "X Foo\r\n",
+  "X Foo:\r\n",
+  "Content-Length : 4\r\n",
+  "Content Length: 4\r\n",
+  "Content-Length\t: 2\r\n",
+  "Transfer-Encoding : chunked\r\n",
+  "X-Foo: a\001b\r\n",
+  "X-Foo: a%NULb\r\n",
+};
+
+/* Guards against a broken line that is passed on, or that leaves the answer with another body than
+ * its endpoint's. */
+static void
+test_broken_lines (void)
+{
+  static const char *const rests[] = {
+    SIGNED "Content-Length: 4\r\n\r\ngood",
+    SIGNED "\r\ngood",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (broken_lines) * G_N_ELEMENTS (rests); i++)
+    {
+      const char *line = broken_lines[i / G_N_ELEMENTS (rests)];
+      g_autofree char *first =
+          g_strconcat ("HTTP/1.1 200 OK\r\n", line, rests[i % G_N_ELEMENTS (rests)], NULL);
+      g_autofree char *last = g_strconcat (OK "Content-Length: 4\r\n", line, "\r\ngood", NULL);
+      g_autofree char *failed =
+          g_strconcat ("HTTP/1.1 404 N\r\n" SIGNED "Content-Length: 4\r\n", line, "\r\ngood", NULL);
+      g_autofree char *stored = g_strconcat ("HTTP/1.1 200 OK\r\n", line,
+                                             "Content-Length: 13\r\n\r\n{\"version\":5}", NULL);
+
+      check_refused (first);
+      check_refused (last);
+      check_refused (failed);
+      check_refused_by_store (stored);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "bodies of interim answers", test_bodies_of_interim_answers },
   { "interim answers", test_interim_answers },
   { "statuses", test_statuses },
   { "known statuses", test_known_statuses },
   { "statuses without a body", test_statuses_without_a_body },
+  { "broken lines", test_broken_lines },
 };
 
 SUITE_MAIN ("broken_heads", cases)
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -216,6 +216,8 @@
     "HTTP/1.1 000 N\r\n" SIGNED "Content-Length: 0\r\n\r\n",
     "HTTP/1.1 00200 N\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
     "HTTP/1.1 999 N\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
+    "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length : 4\r\n\r\ngood",
+    "HTTP/1.1 200 OK\r\nX\001Foo: 1\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (heads) * G_N_ELEMENTS (paths); i++)
