--- a/ctl/http.c
+++ b/ctl/http.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include "common/settings.h"
+#include "http/answer_check.h"
 #include "kernel/event_runtime.h"
 
 /* Larger than the rows of 10,000 engines; bounds the memory used by an endless answer. */
@@ -42,7 +43,8 @@
   Batch *batch;
   const ClCall *call;
   ClReply *reply;
-  struct evhttp_connection *connection;
+  struct evhttp_connection *connection; /* NULL: the address is invalid */
+  HtAnswerCheck *check;                 /* of the connection */
   KnlTimerId timer;
   gboolean failed; /* after the connection was established */
 } Exchange;
@@ -66,6 +68,7 @@
   Batch *batch = exchange->batch;
 
   knl_timer_stop (batch->http->kernel, &exchange->timer);
+  ht_answer_check_free (exchange->check);
   if (exchange->connection != NULL)
     evhttp_connection_free (exchange->connection);
   g_free (exchange);
@@ -98,9 +101,15 @@
 {
   Exchange *exchange = data;
   ClReply *reply = exchange->reply;
+  gboolean has_status = request != NULL && evhttp_request_get_response_code (request) != 0;
   struct evbuffer *input;
 
-  if (request != NULL && evhttp_request_get_response_code (request) != 0)
+  if (has_status && !ht_answer_check_has_passed (exchange->check))
+    {
+      reply->state = CL_REPLY_LOST;
+      reply->problem = g_strdup ("the answer's head is not valid HTTP");
+    }
+  else if (has_status)
     {
       reply->state = CL_REPLY_ANSWERED;
       reply->status = evhttp_request_get_response_code (request);
@@ -186,6 +195,8 @@
       return;
     }
   exchange->connection = evhttp_connection_base_new (http->base, NULL, host, port);
+  exchange->check = ht_answer_check_new (
+      bufferevent_get_input (evhttp_connection_get_bufferevent (exchange->connection)));
   evhttp_connection_set_max_body_size (exchange->connection, MAX_ANSWER_BYTES);
   exchange->timer = knl_timer_start (http->kernel, exchange->call->timeout, on_limit, exchange);
   if (!exchange_send (exchange))
--- a/endpoint/exchange.c
+++ b/endpoint/exchange.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/settings.h"
+#include "http/answer_check.h"
 
 /* evhttp's own timeout must never fire: each phase of an exchange has its own timeout here. */
 #define EVHTTP_TIMEOUT_S 1000000
@@ -25,6 +26,7 @@
   gsize max_answer_bytes;
   struct evhttp_connection *connection;
   struct evhttp_request *request; /* owned by `connection` after evhttp_make_request() */
+  HtAnswerCheck *check;           /* NULL: the request could not be started */
   struct evkeyvalq *answer_headers;
   int status;
   gboolean sent;   /* bytes were handed to the connection */
@@ -38,6 +40,7 @@
 {
   knl_timer_stop (self->kernel, &self->timeout);
   knl_timer_stop (self->kernel, &self->deferred);
+  ht_answer_check_free (self->check);
   if (self->connection != NULL)
     evhttp_connection_free (self->connection);
   else if (self->request != NULL)
@@ -133,6 +136,11 @@
 
   if (self->closed)
     return;
+  if (!ht_answer_check_has_passed (self->check))
+    {
+      finish_incomplete (self, "bad-answer");
+      return;
+    }
   restart_timeout (self, self->idle_timeout);
   read_status (self, request);
   self->events->on_data (self, evhttp_request_get_input_buffer (request), self->user);
@@ -152,6 +160,11 @@
       finish_incomplete (self, self->sent ? "closed" : "unreachable");
       return;
     }
+  if (!ht_answer_check_has_passed (self->check))
+    {
+      finish_incomplete (self, "bad-answer");
+      return;
+    }
   read_status (self, request);
   remaining = evhttp_request_get_input_buffer (request);
   if (evbuffer_get_length (remaining) > 0)
@@ -176,6 +189,7 @@
       bufferevent_free (stream);
       return NULL;
     }
+  self->check = ht_answer_check_new (bufferevent_get_input (stream));
   evhttp_connection_set_timeout (connection, EVHTTP_TIMEOUT_S);
   evhttp_connection_set_retries (connection, 0);
   if (self->max_answer_bytes > 0)
--- a/table/http.c
+++ b/table/http.c
@@ -1,6 +1,7 @@
 #include "table/http.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -9,6 +10,7 @@
 
 #include "common/log.h"
 #include "common/settings.h"
+#include "http/answer_check.h"
 #include "table/codec.h"
 
 /* Further calls fail as unavailable, so that sockets don't accumulate while the store hangs. */
@@ -51,6 +53,7 @@
   } done;
   gpointer data;
   struct evhttp_connection *connection; /* NULL: the request could not be started */
+  HtAnswerCheck *check;                 /* of the connection */
   KnlTimerId timer;
   gboolean starting; /* evhttp_make_request() has not returned */
 } Call;
@@ -66,6 +69,13 @@
   g_ptr_array_set_size (http->finished, 0);
 }
 
+/* To be called while the connection exists. */
+static void
+end_check (Call *call)
+{
+  g_clear_pointer (&call->check, ht_answer_check_free);
+}
+
 /* Removes the call from the table; its connection is freed in a later iteration of the loop. */
 static void
 call_unlink (Call *call)
@@ -74,6 +84,7 @@
 
   g_hash_table_remove (http->calls, &call->id);
   knl_timer_stop (http->kernel, &call->timer);
+  end_check (call);
   if (call->connection == NULL)
     return;
   g_ptr_array_add (http->finished, call->connection);
@@ -174,6 +185,7 @@
   /* evhttp_make_request() itself calls back if the connection is refused immediately. */
   if (call->starting)
     {
+      end_check (call);
       g_ptr_array_add (call->platform->finished, call->connection);
       call->connection = NULL;
       return;
@@ -188,6 +200,11 @@
       call_finish (call, TB_UNAVAILABLE, NULL, 0);
       return;
     }
+  if (!ht_answer_check_has_passed (call->check))
+    {
+      call_finish (call, TB_UNKNOWN, NULL, 0);
+      return;
+    }
   buffer = evhttp_request_get_input_buffer (request);
   bytes = evbuffer_get_length (buffer);
   call_finish (call, status_of_code (code), (const char *)evbuffer_pullup (buffer, -1), bytes);
@@ -208,6 +225,7 @@
   if (begun)
     {
       cm_log (CM_LOG_NOTICE, "platform-call-timeout", "s", "address", call->platform->address);
+      end_check (call);
       evhttp_connection_free (call->connection);
       call->connection = NULL;
     }
@@ -222,6 +240,8 @@
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
 
   call->connection = evhttp_connection_base_new (http->events, NULL, http->host, http->port);
+  call->check = ht_answer_check_new (
+      bufferevent_get_input (evhttp_connection_get_bufferevent (call->connection)));
   evhttp_connection_set_max_body_size (call->connection, MAX_ANSWER_BYTES);
   evhttp_add_header (headers, "Host", http->address);
   evhttp_add_header (headers, "Connection", "close");
@@ -325,6 +345,7 @@
 
   if (call == NULL)
     return;
+  end_check (call);
   /* Freeing the connection frees its request too, which would call back into the freed call. */
   if (call->connection != NULL)
     evhttp_connection_free (call->connection);
--- a/tests/fakes/scripted_endpoint.c
+++ b/tests/fakes/scripted_endpoint.c
@@ -62,19 +62,28 @@
   g_free (self);
 }
 
-static void
-append_answer (const ScriptedEndpoint *self, const char *template, GString *bytes)
+GString *
+scripted_answer_bytes (const char *template, const char *id)
 {
-  const char *id = ht_message_get (self->newest, "x-attempt-id");
+  GString *bytes = g_string_new (template);
   char *nul;
 
-  g_string_append (bytes, template != NULL ? template : "");
   g_string_replace (bytes, "%ID", id != NULL ? id : "", 0);
   while ((nul = g_strstr_len (bytes->str, (gssize)bytes->len, "%NUL")) != NULL)
     {
       *nul = '\0';
       g_string_erase (bytes, nul + 1 - bytes->str, strlen ("NUL"));
     }
+  return bytes;
+}
+
+static void
+append_answer (const ScriptedEndpoint *self, const char *template, GString *bytes)
+{
+  GString *added = scripted_answer_bytes (template, ht_message_get (self->newest, "x-attempt-id"));
+
+  g_string_append_len (bytes, added->str, (gssize)added->len);
+  g_string_free (added, TRUE);
 }
 
 static void
--- a/tests/fakes/scripted_endpoint.h
+++ b/tests/fakes/scripted_endpoint.h
@@ -28,6 +28,9 @@
   gboolean resets;
 } ScriptedAnswer;
 
+/** The bytes that are sent for the `bytes` of a ScriptedAnswer; NULL is allowed for both. */
+GString *scripted_answer_bytes (const char *template, const char *id);
+
 /** Answers from `script` of `n` rows, which must outlive the endpoint; the last row is repeated for
  * all later requests. */
 ScriptedEndpoint *
--- a/tests/unit/broken_heads_test.c
+++ b/tests/unit/broken_heads_test.c
@@ -250,6 +250,87 @@
     }
 }
 
+/* Statuses of answers that aren't one, or not the one to the request. */
+static const char *const broken_statuses[] = {
+  "000 N",  "099 N",  "0 N",    "20 OK", "2 00 OK", "0200 OK", "00200 OK", "600 N", "999 N",
+  "1000 N", "-200 N", "+200 N", "20x N", "x N",     "",        "102 N",    "199 N",
+};
+
+static void
+check_refused_by_own (const char *bytes)
+{
+  const ScriptedAnswer script = { bytes, TRUE };
+  LinksOwnResult result = links_call_own (&script, 2);
+  ClReplyState replied = links_call_ctl (bytes);
+
+  if (result.end != EP_EXCHANGE_CUT || result.written != TB_UNKNOWN || replied != CL_REPLY_LOST)
+    fprintf (stderr, "'%s': end %u, status %d, written %u, replied %u\n", bytes, result.end,
+             result.status, result.written, replied);
+  CU_ASSERT_EQUAL (result.end, EP_EXCHANGE_CUT);
+  CU_ASSERT_EQUAL (result.written, TB_UNKNOWN);
+  CU_ASSERT_EQUAL (replied, CL_REPLY_LOST);
+}
+
+/* Guards against all of the above on the links of the product's own interface: to engines, services
+ * and its table, and of alderturnctl. */
+static void
+test_own_interface (void)
+{
+  static const char *const rests[] = {
+    "Content-Length: 13\r\n\r\n{\"version\":5}",
+    "\r\n{\"version\":5}",
+    "\r\n",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rests); i++)
+    {
+      for (guint j = 0; j < G_N_ELEMENTS (broken_statuses); j++)
+        {
+          g_autofree char *answer =
+              g_strconcat ("HTTP/1.1 ", broken_statuses[j], "\r\n", rests[i], NULL);
+
+          check_refused_by_own (answer);
+        }
+      for (guint j = 0; j < G_N_ELEMENTS (broken_lines); j++)
+        {
+          g_autofree char *answer =
+              g_strconcat ("HTTP/1.1 200 OK\r\n", broken_lines[j], rests[i], NULL);
+
+          check_refused_by_own (answer);
+        }
+    }
+  check_refused_by_own ("HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\nabcd" JSON);
+  check_refused_by_own ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 13\r\n\r\n"
+                        "{\"version\":5}");
+}
+
+/* Guards against answers that are refused there although their heads are sound. */
+static void
+test_own_interface_answers (void)
+{
+  static const ScriptedAnswer answers[] = {
+    { JSON, FALSE },
+    { "HTTP/1.1 100 C\r\n\r\n" JSON, FALSE },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "d\r\n{\"version\":5}\r\n0\r\n\r\n",
+      FALSE },
+    { JSON, TRUE },
+    { "HTTP/1.1 200 OK\r\n\r\n{\"version\":5}", TRUE },
+    { "HTTP/1.0 200 OK\r\nX-Foo: a b\r\n\r\n{\"version\":5}", TRUE },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      LinksOwnResult result = links_call_own (&answers[i], 2);
+
+      CU_ASSERT_EQUAL (result.end, EP_EXCHANGE_COMPLETE);
+      CU_ASSERT_EQUAL (result.status, 200);
+      CU_ASSERT_EQUAL (result.written, TB_OK);
+      if (answers[i].closes)
+        CU_ASSERT_EQUAL (links_call_ctl (answers[i].bytes), CL_REPLY_ANSWERED);
+    }
+}
+
 static const SuiteCase cases[] = {
   { "bodies of interim answers", test_bodies_of_interim_answers },
   { "interim answers", test_interim_answers },
@@ -257,6 +338,8 @@
   { "known statuses", test_known_statuses },
   { "statuses without a body", test_statuses_without_a_body },
   { "broken lines", test_broken_lines },
+  { "the product's own interface", test_own_interface },
+  { "its sound answers", test_own_interface_answers },
 };
 
 SUITE_MAIN ("broken_heads", cases)
--- a/tests/unit/links_fixture.c
+++ b/tests/unit/links_fixture.c
@@ -124,7 +124,7 @@
 typedef struct
 {
   int listener;
-  const char *bytes;
+  GString *answer;
 } CtlServer;
 
 /* The transport blocks in a loop of its own, so that its server has a thread. */
@@ -142,7 +142,7 @@
       n = read (fd, request + length, sizeof request - length);
       length += (gsize)MAX (n, 0);
     }
-  n = write (fd, self->bytes, strlen (self->bytes));
+  n = write (fd, self->answer->str, self->answer->len);
   close (fd);
   return GSIZE_TO_POINTER ((gsize)n);
 }
@@ -154,7 +154,7 @@
                                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t length = sizeof address;
   CtlServer server = { .listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0),
-                       .bytes = bytes };
+                       .answer = scripted_answer_bytes (bytes, NULL) };
   ClTransport *transport = cl_http_new ();
   ClReply *reply = NULL;
   ClCall call = { .path = "/", .timeout = 5 * KNL_SEC };
@@ -174,5 +174,6 @@
   cl_reply_free (reply);
   transport->klass->destroy (transport);
   close (server.listener);
+  g_string_free (server.answer, TRUE);
   return state;
 }
