tests: one copy of what makes a socket's buffers small

The stand-in that answers early had a second copy of the relay fixture's. No check changes; ht_unsent, ht_bodies, early_ends and sv_pass pass as before.

--- a/tests/fakes/scripted_endpoint.c
+++ b/tests/fakes/scripted_endpoint.c
@@ -4,11 +4,11 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
 #include "http/reader.h"
+#include "tests/fakes/small_buffers.h"
 
 #define LIMIT_BYTES 1000000
 
@@ -16,11 +16,6 @@
  * then. */
 #define TURNS_BEFORE_END 8
 
-/* Of connections that aren't read, so that the rest of a large request stays with its sender, whose
- * send buffer is sized by the segments. */
-#define SMALL_BUFFER_BYTES  16384
-#define SMALL_SEGMENT_BYTES 2048
-
 typedef struct
 {
   ScriptedEndpoint *endpoint;
@@ -232,17 +227,6 @@
   g_hash_table_add (self->links, link);
 }
 
-/* Accepted sockets inherit the sizes. */
-static void
-set_small_buffers (evutil_socket_t fd)
-{
-  const int buffer = SMALL_BUFFER_BYTES;
-  const int segment = SMALL_SEGMENT_BYTES;
-
-  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
-  setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
-}
-
 ScriptedEndpoint *
 scripted_endpoint_new (struct event_base *base, const ScriptedAnswer *script, guint n)
 {
@@ -261,7 +245,7 @@
   for (guint i = 0; i < n; i++)
     {
       if (script[i].is_early)
-        set_small_buffers (evconnlistener_get_fd (self->listener));
+        small_buffers_set (evconnlistener_get_fd (self->listener));
     }
   getsockname (evconnlistener_get_fd (self->listener), (struct sockaddr *)&address, &length);
   self->address = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
--- a/tests/unit/relay_fixture.c
+++ b/tests/unit/relay_fixture.c
@@ -9,15 +9,11 @@
 #include <sys/socket.h>
 
 #include "common/log.h"
+#include "tests/fakes/small_buffers.h"
 
 /* Time limit of a test, long enough that a slow machine doesn't exceed it. */
 #define TEST_TIMEOUT_S 20
 
-/* Small buffers and segments of the sockets that don't read, so that the unread bytes stay with the
- * sender: the kernel sizes its send buffer by the segments, which have 64 kB on loopback. */
-#define SMALL_BUFFER_BYTES  16384
-#define SMALL_SEGMENT_BYTES 2048
-
 /* The endpoint sends its answers in pieces of this size. */
 #define PIECE_BYTES 10000
 
@@ -49,16 +45,6 @@
 static const HtLimits limits = { 16384, MAX_BYTES };
 static const HtReaderEvents no_events = { 0 };
 
-static void
-set_small_buffers (evutil_socket_t fd)
-{
-  const int buffer = SMALL_BUFFER_BYTES;
-  const int segment = SMALL_SEGMENT_BYTES;
-
-  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
-  setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
-}
-
 static char
 byte_at (gsize position)
 {
@@ -159,8 +145,7 @@
   deaf.listener = evconnlistener_new_bind (self->base, on_deaf_accept, self, LEV_OPT_CLOSE_ON_FREE,
                                            -1, (struct sockaddr *)&address, sizeof address);
   g_assert_nonnull (deaf.listener);
-  /* Accepted sockets inherit the sizes. */
-  set_small_buffers (evconnlistener_get_fd (deaf.listener));
+  small_buffers_set (evconnlistener_get_fd (deaf.listener));
   getsockname (evconnlistener_get_fd (deaf.listener), (struct sockaddr *)&address, &length);
   g_free (self->endpoint_address);
   self->endpoint_address = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
@@ -455,7 +440,7 @@
   int length = sizeof peer;
   evutil_socket_t fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-  set_small_buffers (fd);
+  small_buffers_set (fd);
   caller->fixture = self;
   caller->reader = ht_reader_new (TRUE, &limits, &caller_reader_events, caller);
   caller->stream = bufferevent_socket_new (self->base, fd, BEV_OPT_CLOSE_ON_FREE);
