--- a/tests/unit/broken_heads_test.c
+++ b/tests/unit/broken_heads_test.c
@@ -66,19 +66,20 @@
   CU_ASSERT_EQUAL (result.written, PL_UNKNOWN);
 }
 
+/* Interim answers with bytes behind their heads. */
+static const char *const interim[] = {
+  "HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\nabcd",
+  "HTTP/1.1 101 C\r\nContent-Length: 4\r\n\r\nabcd",
+  "HTTP/1.1 103 C\r\nContent-Length: 4\r\n\r\nabcd",
+  "HTTP/1.1 199 C\r\nContent-Length: 4\r\n\r\nabcd",
+  "HTTP/1.1 100 C\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
+};
+
 /* Guards against a process that ends because of an interim answer with a body. It has none: what
  * follows its head isn't an answer. */
 static void
 test_bodies_of_interim_answers (void)
 {
-  static const char *const interim[] = {
-    "HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\nabcd",
-    "HTTP/1.1 101 C\r\nContent-Length: 4\r\n\r\nabcd",
-    "HTTP/1.1 103 C\r\nContent-Length: 4\r\n\r\nabcd",
-    "HTTP/1.1 199 C\r\nContent-Length: 4\r\n\r\nabcd",
-    "HTTP/1.1 100 C\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n",
-  };
-
   for (guint i = 0; i < G_N_ELEMENTS (interim); i++)
     {
       g_autofree char *answer = g_strconcat (interim[i], GOOD, NULL);
@@ -90,6 +91,36 @@
     }
 }
 
+/* Guards against broken heads that stand for the answer to a HEAD request, which has no body either
+ * way. */
+static void
+test_head_requests (void)
+{
+  static const char *const heads[] = {
+    "HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\nabcd",
+    "HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\n",
+    "HTTP/1.1 000 N\r\n" SIGNED "Content-Length: 4\r\n\r\n",
+    "HTTP/1.1 00200 N\r\n" SIGNED "Content-Length: 4\r\n\r\n",
+    "HTTP/1.1 600 N\r\n" SIGNED "\r\n",
+    "HTTP/1.1 200 OK\r\n" SIGNED "X Foo: 1\r\n\r\n",
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      const ScriptedAnswer script = { heads[i], TRUE };
+      SvFixture fixture;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      sv_fixture_add_endpoint (&fixture, &script, 1);
+      sv_fixture_send (&fixture, "HEAD /once/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
+                                 "Authorization: Bearer key\r\nX-Deadline-Ms: 4000\r\n\r\n");
+      sv_fixture_wait_for (&fixture, "\r\n\r\n");
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, "HTTP/1.1 502"));
+      sv_fixture_close (&fixture);
+    }
+}
+
 /* Guards against an answer that is lost behind interim ones: their framing fields mean nothing. */
 static void
 test_interim_answers (void)
@@ -112,15 +143,17 @@
     }
 }
 
+/* What isn't a status: not three digits, or not from 100 to 599. */
+static const char *const broken_statuses[] = {
+  "000 N", "000",   "099 N",  "0 N",    "00 N",   "20 OK",  "2 00 OK", "0200 OK", "00200 OK",
+  "600 N", "999 N", "1000 N", "2000 N", "-200 N", "+200 N", "20x N",   "x N",     "",
+};
+
 /* Guards against a head that is passed on as an answer although its status isn't one: the protocol
  * has three digits, from 100 to 599. */
 static void
 test_statuses (void)
 {
-  static const char *const statuses[] = {
-    "000 N", "000",   "099 N",  "0 N",    "00 N",   "20 OK",  "2 00 OK", "0200 OK", "00200 OK",
-    "600 N", "999 N", "1000 N", "2000 N", "-200 N", "+200 N", "20x N",   "x N",     "",
-  };
   static const char *const framings[] = {
     "Content-Length: 4\r\n\r\ngood",
     "Content-Length: 0\r\n\r\n",
@@ -129,18 +162,22 @@
     "\r\ngood",
   };
 
-  for (guint i = 0; i < G_N_ELEMENTS (statuses) * G_N_ELEMENTS (framings); i++)
+  for (guint i = 0; i < G_N_ELEMENTS (broken_statuses); i++)
     {
-      const char *status = statuses[i / G_N_ELEMENTS (framings)];
-      const char *framing = framings[i % G_N_ELEMENTS (framings)];
-      g_autofree char *answer = g_strconcat ("HTTP/1.1 ", status, "\r\n" SIGNED, framing, NULL);
-      g_autofree char *behind = g_strconcat ("HTTP/1.1 100 C\r\n\r\n", answer, NULL);
+      const char *status = broken_statuses[i];
       g_autofree char *stored =
           g_strconcat ("HTTP/1.1 ", status, "\r\nContent-Length: 13\r\n\r\n{\"version\":5}", NULL);
 
-      check_refused (answer);
-      check_refused (behind);
       check_refused_by_store (stored);
+      for (guint j = 0; j < G_N_ELEMENTS (framings); j++)
+        {
+          g_autofree char *answer =
+              g_strconcat ("HTTP/1.1 ", status, "\r\n" SIGNED, framings[j], NULL);
+          g_autofree char *behind = g_strconcat ("HTTP/1.1 100 C\r\n\r\n", answer, NULL);
+
+          check_refused (answer);
+          check_refused (behind);
+        }
     }
 }
 
@@ -232,35 +269,32 @@
     SIGNED "\r\ngood",
   };
 
-  for (guint i = 0; i < G_N_ELEMENTS (broken_lines) * G_N_ELEMENTS (rests); i++)
+  for (guint i = 0; i < G_N_ELEMENTS (broken_lines); i++)
     {
-      const char *line = broken_lines[i / G_N_ELEMENTS (rests)];
-      g_autofree char *first =
-          g_strconcat ("HTTP/1.1 200 OK\r\n", line, rests[i % G_N_ELEMENTS (rests)], NULL);
+      const char *line = broken_lines[i];
       g_autofree char *last = g_strconcat (OK "Content-Length: 4\r\n", line, "\r\ngood", NULL);
       g_autofree char *failed =
           g_strconcat ("HTTP/1.1 404 N\r\n" SIGNED "Content-Length: 4\r\n", line, "\r\ngood", NULL);
       g_autofree char *stored = g_strconcat ("HTTP/1.1 200 OK\r\n", line,
                                              "Content-Length: 13\r\n\r\n{\"version\":5}", NULL);
 
-      check_refused (first);
       check_refused (last);
       check_refused (failed);
       check_refused_by_store (stored);
+      for (guint j = 0; j < G_N_ELEMENTS (rests); j++)
+        {
+          g_autofree char *first = g_strconcat ("HTTP/1.1 200 OK\r\n", line, rests[j], NULL);
+
+          check_refused (first);
+        }
     }
 }
 
-/* Statuses of answers that aren't one, or not the one to the request. */
-static const char *const broken_statuses[] = {
-  "000 N",  "099 N",  "0 N",    "20 OK", "2 00 OK", "0200 OK", "00200 OK", "600 N", "999 N",
-  "1000 N", "-200 N", "+200 N", "20x N", "x N",     "",        "102 N",    "199 N",
-};
-
 static void
-check_refused_by_own (const char *bytes)
+check_refused_by_own_interface (const char *bytes)
 {
   const ScriptedAnswer script = { bytes, TRUE };
-  LinksOwnResult result = links_call_own (&script, 2);
+  LinksOwnInterfaceResult result = links_call_own_interface (&script, 2);
   ClReplyState replied = links_call_ctl (bytes);
 
   if (result.end != EP_EXCHANGE_CUT || result.written != TB_UNKNOWN || replied != CL_REPLY_LOST)
@@ -271,8 +305,8 @@
   CU_ASSERT_EQUAL (replied, CL_REPLY_LOST);
 }
 
-/* Guards against all of the above on the links of the product's own interface: to engines, services
- * and its table, and of alderturnctl. */
+/* Guards against broken heads that stand for answers on the product's own interface: of engines and
+ * services, of its table, and of the daemons that alderturnctl asks. */
 static void
 test_own_interface (void)
 {
@@ -289,22 +323,29 @@
           g_autofree char *answer =
               g_strconcat ("HTTP/1.1 ", broken_statuses[j], "\r\n", rests[i], NULL);
 
-          check_refused_by_own (answer);
+          check_refused_by_own_interface (answer);
         }
       for (guint j = 0; j < G_N_ELEMENTS (broken_lines); j++)
         {
           g_autofree char *answer =
               g_strconcat ("HTTP/1.1 200 OK\r\n", broken_lines[j], rests[i], NULL);
 
-          check_refused_by_own (answer);
+          check_refused_by_own_interface (answer);
         }
     }
-  check_refused_by_own ("HTTP/1.1 100 C\r\nContent-Length: 4\r\n\r\nabcd" JSON);
-  check_refused_by_own ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 13\r\n\r\n"
-                        "{\"version\":5}");
+  for (guint i = 0; i < G_N_ELEMENTS (interim); i++)
+    {
+      g_autofree char *answer = g_strconcat (interim[i], JSON, NULL);
+
+      check_refused_by_own_interface (interim[i]);
+      check_refused_by_own_interface (answer);
+    }
+  check_refused_by_own_interface (
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 13\r\n\r\n"
+      "{\"version\":5}");
 }
 
-/* Guards against answers that are refused there although their heads are sound. */
+/* Guards against answers with sound heads that are refused on the product's own interface. */
 static void
 test_own_interface_answers (void)
 {
@@ -321,7 +362,7 @@
 
   for (guint i = 0; i < G_N_ELEMENTS (answers); i++)
     {
-      LinksOwnResult result = links_call_own (&answers[i], 2);
+      LinksOwnInterfaceResult result = links_call_own_interface (&answers[i], 2);
 
       CU_ASSERT_EQUAL (result.end, EP_EXCHANGE_COMPLETE);
       CU_ASSERT_EQUAL (result.status, 200);
@@ -334,6 +375,7 @@
 static const SuiteCase cases[] = {
   { "bodies of interim answers", test_bodies_of_interim_answers },
   { "interim answers", test_interim_answers },
+  { "HEAD requests", test_head_requests },
   { "statuses", test_statuses },
   { "known statuses", test_known_statuses },
   { "statuses without a body", test_statuses_without_a_body },
--- a/tests/unit/early_ends_test.c
+++ b/tests/unit/early_ends_test.c
@@ -14,8 +14,12 @@
 
 #define UNFRAMED "HTTP/1.1 200 OK\r\n" SIGNED "\r\n"
 
-static const ScriptedAnswer good = { "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood",
-                                     FALSE };
+#define GOOD                                                                                       \
+  {                                                                                                \
+    "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 4\r\n\r\ngood", FALSE                            \
+  }
+
+static const ScriptedAnswer good = GOOD;
 static const ScriptedAnswer elsewhere = { "HTTP/1.1 200 OK\r\n" SIGNED
                                           "Content-Length: 15\r\n\r\n" ELSEWHERE,
                                           FALSE };
@@ -87,7 +91,8 @@
     }
 }
 
-/* Guards against the same in a stream that has begun: it goes on at another endpoint. */
+/* Guards against a stream that looks complete although its connection was reset behind a whole
+ * event, or within one: it goes on at another endpoint. */
 static void
 test_resets_of_streams (void)
 {
@@ -98,6 +103,46 @@
     }
 }
 
+/* Guards against a stream that looks complete although the endpoint that goes on with it resets the
+ * connection: no other endpoint is left, so it ends visibly. */
+static void
+test_resets_of_resumed_streams (void)
+{
+  static const ScriptedAnswer begins[] = {
+    GOOD,
+    { "HTTP/1.1 200 OK\r\n" SIGNED "Content-Length: 99\r\n\r\n" EVENT, TRUE },
+  };
+  static const char *const rests[] = { ELSEWHERE, ELSEWHERE "id: 3", "" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rests); i++)
+    {
+      g_autofree char *rest = g_strconcat (UNFRAMED, rests[i], NULL);
+      const ScriptedAnswer goes_on[] = {
+        { "HTTP/1.1 503 S\r\nX-Attempt-Id: %ID\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+          FALSE },
+        { .bytes = rest, .is_early = TRUE, .resets = TRUE },
+      };
+      SvFixture fixture;
+
+      sv_fixture_open (&fixture);
+      sv_fixture_use_config (&fixture, 1, "key");
+      sv_fixture_add_endpoint (&fixture, goes_on, 2);
+      sv_fixture_add_endpoint (&fixture, begins, 2);
+      /* Rejected by the first endpoint, whose connection is kept, and which isn't preferred then.
+       */
+      sv_fixture_request (&fixture, "/again/first");
+      sv_fixture_wait_for (&fixture, "good");
+      sv_fixture_request_upload (&fixture, "/stream/1", UPLOAD_BYTES);
+      sv_fixture_wait_answer (&fixture);
+      CU_ASSERT_TRUE (fixture.ended);
+      CU_ASSERT_PTR_NOT_NULL (strstr (fixture.received->str, EVENT));
+      CU_ASSERT_PTR_NULL (strstr (fixture.received->str, "\r\n0\r\n\r\n"));
+      CU_ASSERT_EQUAL (scripted_endpoint_n_requests (fixture.endpoints[0]), 2);
+      CU_ASSERT_STRING_EQUAL (scripted_endpoint_field (fixture.endpoints[0], "last-event-id"), "1");
+      sv_fixture_close (&fixture);
+    }
+}
+
 /* Guards against an answer that is lost because it is complete before its request: its endpoint has
  * ended it in order, or it has a length. */
 static void
@@ -146,7 +191,8 @@
     }
 }
 
-/* Guards against the same on the links of the product's own interface. */
+/* Guards against a part of an answer that passes for the whole one on the product's own interface:
+ * of an endpoint, and of the table. */
 static void
 test_own_interface (void)
 {
@@ -157,7 +203,7 @@
 
   for (guint i = 0; i < G_N_ELEMENTS (lengths); i++)
     {
-      LinksOwnResult result = links_call_own (&script, lengths[i]);
+      LinksOwnInterfaceResult result = links_call_own_interface (&script, lengths[i]);
 
       CU_ASSERT_EQUAL (result.end, EP_EXCHANGE_CUT);
       CU_ASSERT_EQUAL (result.written, TB_UNKNOWN);
@@ -167,6 +213,7 @@
 static const SuiteCase cases[] = {
   { "resets", test_resets },
   { "resets of streams", test_resets_of_streams },
+  { "resets of resumed streams", test_resets_of_resumed_streams },
   { "whole answers", test_whole_answers },
   { "the store", test_store },
   { "the product's own interface", test_own_interface },
--- a/tests/unit/links_fixture.c
+++ b/tests/unit/links_fixture.c
@@ -88,8 +88,8 @@
   *(guint *)data = status;
 }
 
-LinksOwnResult
-links_call_own (const ScriptedAnswer *script, gsize body_length)
+LinksOwnInterfaceResult
+links_call_own_interface (const ScriptedAnswer *script, gsize body_length)
 {
   static const EpExchangeEvents events = { .on_data = on_data, .on_end = on_end };
   g_autofree char *body = g_strnfill (body_length, 'h');
@@ -118,7 +118,7 @@
   tb_platform_free (table);
   knl_kernel_run_due (fixture.kernel);
   sv_fixture_close (&fixture);
-  return (LinksOwnResult){ .end = result.end, .status = result.status, .written = status };
+  return (LinksOwnInterfaceResult){ .end = result.end, .status = result.status, .written = status };
 }
 
 typedef struct
--- a/tests/unit/links_fixture.h
+++ b/tests/unit/links_fixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/** Calls on the links that don't carry callers' requests, each to a scripted endpoint of its own,
- * and what they end with. */
+/** Calls to the platform's store and on the product's own interface, each to a scripted endpoint of
+ * its own, and what they end with. */
 
 #include "ctl/transport.h"
 #include "endpoint/exchange.h"
@@ -24,10 +24,10 @@
   EpExchangeEnd end;
   int status; /**< of the exchange's answer */
   TbStatus written;
-} LinksOwnResult;
+} LinksOwnInterfaceResult;
 
 /** A call to an endpoint and a write to the table, on the product's own interface. */
-LinksOwnResult links_call_own (const ScriptedAnswer *script, gsize body_length);
+LinksOwnInterfaceResult links_call_own_interface (const ScriptedAnswer *script, gsize body_length);
 
 /** A query of alderturnctl that is answered with `bytes`, after which the connection is closed. */
 ClReplyState links_call_ctl (const char *bytes);
--- a/tests/unit/sv_pass_test.c
+++ b/tests/unit/sv_pass_test.c
@@ -262,6 +262,29 @@
     }
 }
 
+/* Guards against a stream that looks complete although its peer has reset the connection. */
+static void
+test_early_resets_of_streams_of_a_peer (void)
+{
+  static const ScriptedAnswer script[] = {
+    GOOD,
+    { .bytes = UNFRAMED "id: 1\ndata: a\n\n", .is_early = TRUE, .resets = TRUE },
+  };
+  Fixture fixture;
+
+  fixture_open (&fixture, script, 2);
+  lose_links (&fixture);
+  sv_fixture_request (&fixture.core, "/again/1");
+  advance (&fixture, 200 * KNL_MSEC);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "good"));
+  sv_fixture_request_upload (&fixture.core, "/stream/2", UPLOAD_BYTES);
+  advance (&fixture, 200 * KNL_MSEC);
+  CU_ASSERT_PTR_NOT_NULL (strstr (fixture.core.received->str, "data: a"));
+  CU_ASSERT_PTR_NULL (strstr (fixture.core.received->str, "\r\n0\r\n\r\n"));
+  CU_ASSERT_TRUE (fixture.core.ended);
+  fixture_close (&fixture);
+}
+
 /* Guards against a request that a second peer runs once more, because what an endpoint said after
  * it had run was taken for the first peer's refusal. */
 static void
@@ -558,6 +581,7 @@
   { "torn heads of a peer", test_torn_heads_of_a_peer },
   { "broken heads of a peer", test_broken_heads_of_a_peer },
   { "early resets of a peer", test_early_resets_of_a_peer },
+  { "early resets of streams of a peer", test_early_resets_of_streams_of_a_peer },
   { "only refusals of a peer are passed on", test_only_refusals_of_a_peer_are_passed_on },
   { "a second peer needs a retry", test_a_second_peer_needs_a_retry },
   { "passed requests earn no retries", test_passed_requests_earn_no_retries },
--- a/tests/unit/sv_reservation_test.c
+++ b/tests/unit/sv_reservation_test.c
@@ -169,9 +169,10 @@
   fixture_close (&fixture);
 }
 
-/* Guards against memory that counts as reserved on a head that is no answer's. */
+/* Guards against memory that counts as reserved on a head that is no answer's, or on an answer
+ * without a length whose connection was reset. */
 static void
-test_broken_heads_reserve_nothing (void)
+test_broken_answers_reserve_nothing (void)
 {
   static const ScriptedAnswer accepted[] = { { ACCEPTED, FALSE } };
   static const ScriptedAnswer broken[] = {
@@ -179,6 +180,8 @@
     { "HTTP/1.1 2 00 OK\r\nContent-Length: 11\r\n\r\n{\"free\":10}", TRUE },
     { "HTTP/1.1 100 C\r\nContent-Length: 1\r\n\r\na" ACCEPTED, TRUE },
     { "HTTP/1.1 200 OK\r\nX Foo: 1\r\nContent-Length: 11\r\n\r\n{\"free\":10}", TRUE },
+    { .bytes = "HTTP/1.1 200 OK\r\n\r\n{\"free\":10}", .resets = TRUE },
+    { .bytes = "HTTP/1.1 200 OK\r\n\r\n{\"free\":10}", .is_early = TRUE, .resets = TRUE },
   };
 
   for (guint i = 0; i < G_N_ELEMENTS (broken); i++)
@@ -362,7 +365,7 @@
 
 static const SuiteCase cases[] = {
   { "a refusal releases all parts", test_refusal_releases_all_parts },
-  { "broken heads reserve nothing", test_broken_heads_reserve_nothing },
+  { "broken answers reserve nothing", test_broken_answers_reserve_nothing },
   { "an order without answer is a short lease", test_order_without_answer_is_a_short_lease },
   { "held memory is renewed", test_held_memory_is_renewed },
   { "a lease is not renewed after a restart", test_lease_is_not_renewed_after_restart },
--- a/tests/unit/torn_heads_test.c
+++ b/tests/unit/torn_heads_test.c
@@ -153,7 +153,7 @@
         {
           g_autofree char *torn = g_strndup (heads[i], length);
           const ScriptedAnswer script = { torn, TRUE };
-          LinksOwnResult result = links_call_own (&script, 2);
+          LinksOwnInterfaceResult result = links_call_own_interface (&script, 2);
 
           if (result.end != EP_EXCHANGE_CUT || result.written != TB_UNKNOWN)
             fprintf (stderr, "'%s': end %u, written %u\n", torn, result.end, result.written);
