--- a/endpoint/exchange.c
+++ b/endpoint/exchange.c
@@ -26,7 +26,7 @@
   gsize max_answer_bytes;
   struct evhttp_connection *connection;
   struct evhttp_request *request; /* owned by `connection` after evhttp_make_request() */
-  HtAnswerCheck *check;           /* NULL: the request could not be started */
+  HtAnswerCheck *check;           /* of the connection */
   struct evkeyvalq *answer_headers;
   int status;
   gboolean sent;   /* bytes were handed to the connection */
--- a/http/reader.c
+++ b/http/reader.c
@@ -225,7 +225,7 @@
          || self->message->status == HTTP_STATUS_NOT_MODIFIED;
 }
 
-/* What http_parser takes for "no body follows". */
+/* Returned from the callback for a complete head, it makes http_parser end the message there. */
 #define SKIP_BODY 1
 
 static int
