serve: log the first confirmation, and peers' words of a newer configuration

Two lines, each at a change of what the instance believes: configuration-confirmed, once in a process, and newer-configuration-reported, once for each configuration that it lacks.

--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -1,5 +1,6 @@
 #include "serve/confirm.h"
 
+#include "common/log.h"
 #include "peers_internal.h"
 #include "serve/pending_configs.h"
 
@@ -293,10 +294,15 @@
 }
 
 static void
-note_config_reported (SvConfirm *self, guint64 version)
+note_config_reported (SvConfirm *self, const Peer *peer, guint64 version)
 {
-  sv_pending_configs_note (&self->pending_configs, self->events->version (self->data).version,
-                           version, knl_kernel_now (self->kernel));
+  guint64 own = self->events->version (self->data).version;
+  gboolean was_behind = sv_confirm_stale_since (self) != KNL_NEVER;
+
+  sv_pending_configs_note (&self->pending_configs, own, version, knl_kernel_now (self->kernel));
+  if (!was_behind && sv_confirm_stale_since (self) != KNL_NEVER)
+    cm_log (CM_LOG_NOTICE, "newer-configuration-reported", "s", "peer", peer->name, "i", "version",
+            (gint64)version, "i", "own", (gint64)own);
 }
 
 /* Handles the versions in a peer's heartbeat. Those of other cells matter only to instances that
@@ -311,7 +317,7 @@
 {
   SvConfirm *self = data;
 
-  note_config_reported (self, config.version);
+  note_config_reported (self, peer, config.version);
   if (!peer->is_in_cell && !sv_confirm_polls_store (self))
     return;
   if (is_behind (self, &self->endpoints, endpoints, self->events->endpoints_known (self->data))
@@ -322,7 +328,7 @@
 }
 
 static void
-handle_answer (SvConfirm *self, const Alderturn__Confirmation *reported)
+handle_answer (SvConfirm *self, const Peer *peer, const Alderturn__Confirmation *reported)
 {
   SvPosition newest = { reported->era, reported->version };
   SvPosition evacuations = { reported->era, reported->evacuations };
@@ -331,7 +337,7 @@
   if (self->stamp == 0 || reported->stamp != self->stamp)
     return;
   self->stamp = 0;
-  note_config_reported (self, reported->version);
+  note_config_reported (self, peer, reported->version);
   if (sv_position_compare ((SvPosition){ reported->era, reported->endpoints },
                            self->events->endpoints_known (self->data))
           == SV_POSITION_NEWER
@@ -358,7 +364,7 @@
 on_confirmation (const Peer *peer, const Alderturn__Confirmation *confirmation, gpointer data)
 {
   if (confirmation->version > 0)
-    handle_answer (data, confirmation);
+    handle_answer (data, peer, confirmation);
   else
     answer (data, peer, confirmation);
 }
--- a/serve/core.c
+++ b/serve/core.c
@@ -194,6 +194,10 @@
 void
 sv_core_confirm (SvCore *self, KnlTime requested_at)
 {
+  if (self->confirmed_at == -KNL_NEVER)
+    cm_log (CM_LOG_NOTICE, "configuration-confirmed", "i", "version",
+            self->config != NULL ? (gint64)self->config->version : (gint64)-1, "i", "age-us",
+            knl_kernel_now (self->parts.kernel) - requested_at);
   self->confirmed_at = MAX (self->confirmed_at, requested_at);
 }
 
