serve, gateway: the store confirms configurations only in eras that are trusted

Cause: an instance that starts took the store's first answer for a confirmation of the configuration in it. That answer proves that the configuration was read, not that it is the newest: the era may have begun with a loss.

Why it works: what was acknowledged longer ago than the bound for keys is known to everyone with a recent confirmation, and one of them, or what one of them has written in this era, is heard before the copy counts.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -143,9 +143,9 @@
   pl_mirror_notify (self->mirror);
   pl_feed_set_wait (self->config_feed, config_wait (self));
   /* Data from a peer may be old; sv_confirm finds out its age. */
-  if (self->peer_store == NULL && !sv_confirm_store_lost_config (self->confirm, at))
-    sv_core_confirm (self->core, at);
-  else if (self->peer_store != NULL)
+  if (self->peer_store == NULL)
+    sv_confirm_note_store (self->confirm, at);
+  else
     sv_confirm_note_config (self->confirm);
   sv_peers_set_ready (self->peers, gateway_is_ready (self));
 }
@@ -207,7 +207,10 @@
 static void
 confirm_note_confirmed (KnlTime at, gpointer data)
 {
-  sv_core_confirm (((Gateway *)data)->core, at);
+  Gateway *self = data;
+
+  sv_core_confirm (self->core, at);
+  sv_peers_set_ready (self->peers, gateway_is_ready (self));
 }
 
 static void
@@ -221,7 +224,7 @@
           self->peer_address != NULL ? self->peer_address : "", "s", "store",
           pl_status_name (status), "b", "is-confirmed", is_same);
   if (is_same && !sv_confirm_store_lost_config (self->confirm, self->probed_at))
-    sv_core_confirm (self->core, self->probed_at);
+    sv_confirm_note_store (self->confirm, self->probed_at);
   else if (status == PL_OK || status == PL_NOT_RETAINED)
     gateway_query_store (self);
 }
@@ -339,6 +342,7 @@
   .query_endpoints = confirm_query_endpoints,
   .config_last_seen_at = confirm_config_last_seen_at,
   .query_config = confirm_query_config,
+  .read_watermarks = gateway_read_watermarks,
 };
 
 static void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -67,6 +67,7 @@
   CmLogRateLimit contacts_log_limit;   /* the same of cells */
   CmLogRateLimit evacuation_log_limit; /* evacuation rows whose key names no zone */
   PlCall *member_call;
+  PlCall *watermarks_call; /* reads the rows of all cells for their watermarks */
   KnlTimerId member_timer;
   KnlTime poll_delay;       /* delay of the next read after a failed one */
   json_t *cell_row;         /* row of this instance's cell, as last read; NULL: none */
@@ -209,6 +210,25 @@
 /** Reads the cells' rows again, which the store may have lost, if this instance is a relay. */
 void gateway_reread_cells (Gateway *self);
 
+/* watermark.c */
+
+/** Notes the watermark of a cell's row, which may lack one. NULL: there is no row. Returns whether
+ * it has one. */
+gboolean gateway_note_watermark (Gateway *self, json_t *row);
+
+/** No row that was read has one, of all rows if the settings state a first start. */
+void gateway_note_no_watermark (Gateway *self);
+
+/** Reads the watermarks of all cells' rows; SvConfirmEvents.read_watermarks. */
+void gateway_read_watermarks (gpointer data);
+void gateway_stop_reading_watermarks (Gateway *self);
+
+/** Whether this instance has a watermark that the cell's row lacks. */
+gboolean gateway_is_watermark_unwritten (const Gateway *self);
+
+/** Adds the watermark to a row that replaces the cell's row. */
+void gateway_encode_watermark (const Gateway *self, json_t *row);
+
 /* quarantine.c */
 
 /** Adopts the quarantined segments in a cell's row; `is_start`: also those whose time isn't known.
--- a/gateway/instance.c
+++ b/gateway/instance.c
@@ -150,6 +150,7 @@
   knl_timer_stop (self->process.kernel, &self->flush_timer);
   gateway_stop_watching_era (self);
   gateway_stop_following (self);
+  gateway_stop_reading_watermarks (self);
   gateway_stop_membership (self);
   gateway_stop_quarantine_tests (self);
   if (self->peers != NULL)
--- a/gateway/members.c
+++ b/gateway/members.c
@@ -180,6 +180,7 @@
 
   self->contacts_written_at = knl_kernel_now (self->process.kernel);
   gateway_encode_quarantined (self, row);
+  gateway_encode_watermark (self, row);
   self->member_call = pl_store_put (self->store, PL_CELL_TABLE, self->member.zone, row,
                                     self->cell_row_version, on_written, self);
 }
@@ -262,6 +263,7 @@
 {
   Gateway *self = data;
   gboolean is_found = FALSE;
+  gboolean has_watermark = FALSE;
 
   self->member_call = NULL;
   if (status != PL_OK || *answer == NULL)
@@ -276,9 +278,12 @@
 
       pl_row_decode (g_ptr_array_index ((*answer)->rows, i), &row);
       is_found |= keep_cell_row (self, &row);
+      has_watermark |= gateway_note_watermark (self, row.value);
       json_decref (row.value);
     }
   gateway_adopt_quarantined (self, self->cell_row, TRUE);
+  if (!has_watermark)
+    gateway_note_no_watermark (self);
   if (is_found)
     join (self);
   else
@@ -298,8 +303,12 @@
       on_settled (self);
       return;
     }
-  self->member_call =
-      pl_store_get_row (self->store, PL_CELL_TABLE, self->member.zone, on_cell, self);
+  /* At a first start the table is small, and shows that there are no others. */
+  if (self->boot->is_first_start)
+    self->member_call = pl_store_get (self->store, PL_CELL_TABLE, NULL, on_cell, self);
+  else
+    self->member_call =
+        pl_store_get_row (self->store, PL_CELL_TABLE, self->member.zone, on_cell, self);
 }
 
 /* Contacts that don't answer this relay may be a part of the cell that doesn't know of it. */
@@ -345,6 +354,12 @@
          || now - self->contacts_written_at >= CELLS_INTERVAL;
 }
 
+static gboolean
+is_row_unwritten (const Gateway *self)
+{
+  return gateway_is_quarantine_unwritten (self) || gateway_is_watermark_unwritten (self);
+}
+
 static void
 on_cells (PlStatus status, PlAnswer **answer, gpointer data)
 {
@@ -367,11 +382,12 @@
       if (!keep_cell_row (self, &row))
         discover_other_cell (self, &row);
       gateway_adopt_quarantined (self, row.value, FALSE);
+      gateway_note_watermark (self, row.value);
       json_decref (row.value);
     }
   sv_peers_note_counted (self->peers);
   join_silent_contacts (self);
-  if (gateway_is_quarantine_unwritten (self) || may_replace_contacts (self))
+  if (is_row_unwritten (self) || may_replace_contacts (self))
     write_contacts (self);
   else
     schedule (self, REVIEW_INTERVAL, review);
@@ -396,7 +412,7 @@
   if (!sv_peers_is_relay (self->peers) && !sv_peers_is_substitute (self->peers))
     self->cells_read_at = 0;
   else if (self->cells_read_at == 0 || now - self->cells_read_at >= interval
-           || gateway_is_quarantine_unwritten (self))
+           || is_row_unwritten (self))
     {
       read_cells (self);
       return;
--- /dev/null
+++ b/gateway/watermark.c
@@ -0,0 +1,90 @@
+/** Watermarks in the rows of the cells: the era of the store, and the version of the configuration
+ * that was in use in it. A store that comes back from an older copy has no row with a watermark of
+ * its new era until an instance writes one that knows what was in use before. */
+
+#include "common/log.h"
+#include "gateway.h"
+
+gboolean
+gateway_note_watermark (Gateway *self, json_t *row)
+{
+  SvPosition watermark;
+
+  if (!pl_decode_watermark (row, &watermark))
+    return FALSE;
+  sv_confirm_note_watermark (self->confirm, watermark);
+  return TRUE;
+}
+
+/* Where one instance was ever confirmed, a row has a watermark a little later. */
+void
+gateway_note_no_watermark (Gateway *self)
+{
+  if (self->boot->is_first_start)
+    sv_confirm_note_first_start (self->confirm, self->era);
+}
+
+static void
+on_watermarks (PlStatus status, PlAnswer **answer, gpointer data)
+{
+  Gateway *self = data;
+  gboolean has_any = FALSE;
+
+  self->watermarks_call = NULL;
+  if (status != PL_OK || *answer == NULL)
+    {
+      cm_log (CM_LOG_NOTICE, "watermarks-not-read", "s", "status", pl_status_name (status));
+      return;
+    }
+  for (guint i = 0; i < (*answer)->rows->len; i++)
+    {
+      PlRow row;
+
+      pl_row_decode (g_ptr_array_index ((*answer)->rows, i), &row);
+      has_any |= gateway_note_watermark (self, row.value);
+      json_decref (row.value);
+    }
+  if (!has_any)
+    gateway_note_no_watermark (self);
+}
+
+void
+gateway_read_watermarks (gpointer data)
+{
+  Gateway *self = data;
+
+  if (self->watermarks_call == NULL)
+    self->watermarks_call = pl_store_get (self->store, PL_CELL_TABLE, NULL, on_watermarks, self);
+}
+
+void
+gateway_stop_reading_watermarks (Gateway *self)
+{
+  g_clear_pointer (&self->watermarks_call, pl_call_cancel);
+}
+
+static SvPosition
+written_watermark (const Gateway *self)
+{
+  SvPosition written = { 0 };
+
+  pl_decode_watermark (self->cell_row, &written);
+  return written;
+}
+
+/* Later configurations of the era are in the store itself. */
+gboolean
+gateway_is_watermark_unwritten (const Gateway *self)
+{
+  SvPosition own = sv_confirm_watermark (self->confirm);
+
+  return own.version > 0 && own.era > written_watermark (self).era;
+}
+
+void
+gateway_encode_watermark (const Gateway *self, json_t *row)
+{
+  SvPosition own = sv_confirm_watermark (self->confirm);
+
+  pl_encode_watermark (row, own.version > 0 ? own : written_watermark (self));
+}
--- a/include/platform/boot.h
+++ b/include/platform/boot.h
@@ -19,13 +19,14 @@
   char *passing_address;   /**< where peers pass requests on to this instance; NULL: nowhere */
   char *metrics_address;
   char *store_address;
-  guint16 passing_port;  /**< of `passing_address`; 0: none */
-  guint strength;        /**< CPU time available to the process, in thousandths of a core */
-  double link_rate;      /**< bytes a second of the machine's network link */
-  guint store_reads;     /**< store reads a second that all instances together may make */
-  gsize memory;          /**< bytes of memory available to the process; 0: not stated */
-  guint max_files;       /**< file descriptors that the process may open */
-  guint directory_ttl_s; /**< seconds for which callers may cache an answer of the directory */
+  guint16 passing_port;    /**< of `passing_address`; 0: none */
+  guint strength;          /**< CPU time available to the process, in thousandths of a core */
+  double link_rate;        /**< bytes a second of the machine's network link */
+  guint store_reads;       /**< store reads a second that all instances together may make */
+  gsize memory;            /**< bytes of memory available to the process; 0: not stated */
+  guint max_files;         /**< file descriptors that the process may open */
+  gboolean is_first_start; /**< no instance of the system has run before */
+  guint directory_ttl_s;   /**< seconds for which callers may cache an answer of the directory */
   SvBounds bounds;
 } PlBoot;
 
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -48,6 +48,13 @@
  * Returns their number; `since` is on the store's clock, 0: not given; the losses' times are 0. */
 guint pl_decode_quarantined (json_t *row, SvQuarantined *quarantined, guint max);
 
+/** Adds a watermark to a cell's row: the store's era, and the version of the configuration in use.
+ * Version 0: there is none. */
+void pl_encode_watermark (json_t *row, SvPosition watermark);
+
+/** Returns FALSE, and leaves `watermark` as it is, if the row has none. */
+gboolean pl_decode_watermark (json_t *row, SvPosition *watermark);
+
 /** Row with the tests of quarantines that all instances have made. */
 #define PL_TEST_TABLE "quarantine-tests"
 #define PL_TEST_KEY   "counts"
--- a/include/serve/confirm.h
+++ b/include/serve/confirm.h
@@ -40,6 +40,8 @@
   KnlTime (*config_last_seen_at) (gpointer data);
   /** A peer has a newer configuration, which should have reached this instance already. */
   void (*query_config) (gpointer data);
+  /** The watermarks in the cells' rows are to be read, and noted by sv_confirm_note_watermark(). */
+  void (*read_watermarks) (gpointer data);
 } SvConfirmEvents;
 
 /** `max_staleness`: maximum age of a confirmation that is relied on; KNL_NEVER: no requests are
@@ -59,6 +61,21 @@
  * queried at once. */
 void sv_confirm_note_config (SvConfirm *confirm);
 
+/** The store has answered that the configuration in use was the newest at the time `at`. It is
+ * confirmed if the store's era is trusted (see serve/era_check.h) and no newer configuration is
+ * known. */
+void sv_confirm_note_store (SvConfirm *confirm, KnlTime at);
+
+/** A cell's row states that a confirmed instance had that configuration in that era. */
+void sv_confirm_note_watermark (SvConfirm *confirm, SvPosition watermark);
+
+/** The system starts for the first time, and no row has a watermark in this era of the store. */
+void sv_confirm_note_first_start (SvConfirm *confirm, guint64 era);
+
+/** The watermark that this instance may write into its cell's row: its configuration and the
+ * store's era. Version 0: it isn't confirmed, or knows of a newer one. */
+SvPosition sv_confirm_watermark (const SvConfirm *confirm);
+
 /** Whether the store, in an answer for the time `at`, lacks a configuration that a peer had
  * reported before and whose version is higher than that in use. The store has then lost it, and
  * possibly the withdrawal of a key with it; the operator writes it again. */
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -1,8 +1,7 @@
 #include "serve/confirm.h"
 
 #include "common/log.h"
-#include "peers_internal.h"
-#include "serve/pending_configs.h"
+#include "confirm_internal.h"
 
 /* Fractions of the maximum age `max_staleness`: the interval of requests to peers, the age from
  * which they are sent, and the age from which the store is queried as well. A follower's
@@ -35,35 +34,6 @@
  * this, it has missed the update. */
 #define MAX_UPDATE_DELAY (300 * KNL_MSEC)
 
-/* A position that peers reported and that this instance hasn't reached. */
-typedef struct
-{
-  SvPosition reported;
-  KnlTime since;
-} UnreachedPosition;
-
-struct SvConfirm
-{
-  KnlKernel *kernel;
-  SvPeers *peers;
-  KnlTime max_staleness;
-  const SvConfirmEvents *events;
-  gpointer data;
-  KnlTimerId timer;
-  guint64 stamp;        /* of the pending request; 0: none */
-  KnlTime requested_at; /* time at which it was sent */
-  UnreachedPosition config;
-  UnreachedPosition evacuations;
-  UnreachedPosition endpoints;
-  KnlTime store_query_period; /* 0: the confirmation isn't old */
-  KnlTime next_store_query_at;
-  gboolean is_recheck_due;    /* the next timer sends a request whatever the age */
-  SvPosition proven;          /* was the newest at `proven_at`; version 0: none */
-  guint64 proven_evacuations; /* newest row of evacuated zones that was applied there by then */
-  KnlTime proven_at;
-  SvPendingConfigs pending_configs;
-};
-
 gboolean
 sv_confirm_polls_store (const SvConfirm *self)
 {
@@ -92,17 +62,24 @@
   return (KnlTime)(fraction * (double)self->max_staleness);
 }
 
+guint64
+sv_confirm_new_stamp (const SvConfirm *self)
+{
+  GRand *rand = knl_kernel_rand (self->kernel);
+
+  return ((guint64)g_rand_int (rand) << 32 | g_rand_int (rand)) | 1;
+}
+
 static void
 query_peer (SvConfirm *self, gboolean is_urgent)
 {
   const Peer *peer = choose_follower (self, is_urgent);
-  GRand *rand = knl_kernel_rand (self->kernel);
   Alderturn__Confirmation request = ALDERTURN__CONFIRMATION__INIT;
 
   if (peer == NULL)
     return;
   /* Never repeated, so that an answer can't be mistaken for that to a later request. */
-  self->stamp = ((guint64)g_rand_int (rand) << 32 | g_rand_int (rand)) | 1;
+  self->stamp = sv_confirm_new_stamp (self);
   self->requested_at = knl_kernel_now (self->kernel);
   request.stamp = self->stamp;
   sv_peers_send_confirmation (self->peers, peer, &request);
@@ -293,15 +270,15 @@
   return behind && is_feed_silent (self, self->events->config_last_seen_at (self->data));
 }
 
-static void
-note_config_reported (SvConfirm *self, const Peer *peer, guint64 version)
+void
+sv_confirm_note_reported (SvConfirm *self, const char *source, guint64 version)
 {
   guint64 own = self->events->version (self->data).version;
   gboolean was_behind = sv_confirm_stale_since (self) != KNL_NEVER;
 
   sv_pending_configs_note (&self->pending_configs, own, version, knl_kernel_now (self->kernel));
   if (!was_behind && sv_confirm_stale_since (self) != KNL_NEVER)
-    cm_log (CM_LOG_NOTICE, "newer-configuration-reported", "s", "peer", peer->name, "i", "version",
+    cm_log (CM_LOG_NOTICE, "newer-configuration-reported", "s", "source", source, "i", "version",
             (gint64)version, "i", "own", (gint64)own);
 }
 
@@ -317,7 +294,7 @@
 {
   SvConfirm *self = data;
 
-  note_config_reported (self, peer, config.version);
+  sv_confirm_note_reported (self, peer->name, config.version);
   if (!peer->is_in_cell && !sv_confirm_polls_store (self))
     return;
   if (is_behind (self, &self->endpoints, endpoints, self->events->endpoints_known (self->data))
@@ -337,7 +314,7 @@
   if (self->stamp == 0 || reported->stamp != self->stamp)
     return;
   self->stamp = 0;
-  note_config_reported (self, peer, reported->version);
+  sv_confirm_note_reported (self, peer->name, reported->version);
   if (sv_position_compare ((SvPosition){ reported->era, reported->endpoints },
                            self->events->endpoints_known (self->data))
           == SV_POSITION_NEWER
@@ -363,10 +340,10 @@
 static void
 on_confirmation (const Peer *peer, const Alderturn__Confirmation *confirmation, gpointer data)
 {
-  if (confirmation->version > 0)
-    handle_answer (data, peer, confirmation);
-  else
+  if (confirmation->version == 0)
     answer (data, peer, confirmation);
+  else if (!sv_confirm_handle_check_answer (data, peer, confirmation))
+    handle_answer (data, peer, confirmation);
 }
 
 void
@@ -394,6 +371,7 @@
   self->peers = peers;
   self->events = events;
   self->data = data;
+  sv_confirm_init_store (self);
   sv_peers_on_confirmation (peers, on_confirmation, on_versions, self);
   sv_confirm_set_max_staleness (self, max_staleness);
   return self;
@@ -405,6 +383,7 @@
   if (self == NULL)
     return;
   knl_timer_stop (self->kernel, &self->timer);
+  sv_confirm_clear_store (self);
   sv_peers_on_confirmation (self->peers, NULL, NULL, NULL);
   g_free (self);
 }
--- a/tests/fakes/gateway_fleet.c
+++ b/tests/fakes/gateway_fleet.c
@@ -74,6 +74,7 @@
     .memory = GF_MEMORY,
     .max_files = 1000,
     .directory_ttl_s = 5,
+    .is_first_start = self->size.is_first_start,
     .bounds = {
       .key_withdrawal = self->size.evacuation > 0 ? 4 * self->size.evacuation : 5 * KNL_SEC,
       .evacuation = self->size.evacuation,
--- a/tests/fakes/gateway_fleet.h
+++ b/tests/fakes/gateway_fleet.h
@@ -21,9 +21,10 @@
   guint n_instances;
   guint n_zones;
   guint n_endpoints;
-  guint strong_every; /**< every this many instances one is stronger; 0: none */
-  KnlTime evacuation; /**< bound for evacuations, four times as long for keys; 0: none */
-  guint side_every;   /**< every this many instances one uses GF_DOOR_SIDE; 0: none */
+  guint strong_every;      /**< every this many instances one is stronger; 0: none */
+  KnlTime evacuation;      /**< bound for evacuations, four times as long for keys; 0: none */
+  gboolean is_first_start; /**< as the settings state it */
+  guint side_every;        /**< every this many instances one uses GF_DOOR_SIDE; 0: none */
 } GfSize;
 
 typedef struct
--- a/tests/unit/confirm_fixture.c
+++ b/tests/unit/confirm_fixture.c
@@ -68,6 +68,12 @@
   ((ConfirmInstance *)data)->n_endpoint_queries++;
 }
 
+static void
+read_watermarks (gpointer data)
+{
+  ((ConfirmInstance *)data)->n_watermark_reads++;
+}
+
 static const SvConfirmEvents confirm_events = {
   .version = version,
   .config_known = config_known,
@@ -80,6 +86,7 @@
   .query_endpoints = query_endpoints,
   .config_last_seen_at = endpoints_last_seen_at,
   .query_config = query_store,
+  .read_watermarks = read_watermarks,
 };
 
 static const char *
--- a/tests/unit/confirm_fixture.h
+++ b/tests/unit/confirm_fixture.h
@@ -28,6 +28,7 @@
   KnlTime endpoints_last_seen_at;
   guint n_store_queries;
   guint n_endpoint_queries;
+  guint n_watermark_reads;
 } ConfirmInstance;
 
 typedef struct
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -809,7 +809,48 @@
     }
 }
 
+/* Guards against a row of a cell whose odd watermark is taken for one. */
+static void
+test_watermarks (void)
+{
+  static const struct
+  {
+    const char *row;
+    SvPosition expected; /* version 0: none */
+  } odd_rows[] = {
+    { "{\"watermark\":{\"era\":3,\"version\":7}}", { 3, 7 } },
+    { "{\"watermark\":{\"era\":0,\"version\":7}}", { 0 } },
+    { "{\"watermark\":{\"era\":3,\"version\":-7}}", { 0 } },
+    { "{\"watermark\":{\"era\":\"3\",\"version\":7}}", { 0 } },
+    { "{\"watermark\":{\"version\":7}}", { 0 } },
+    { "{\"watermark\":[3,7]}", { 0 } },
+    { "{\"contacts\":[]}", { 0 } },
+    { "[1]", { 0 } },
+  };
+  json_t *row = json_object ();
+  SvPosition watermark = { 0 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (odd_rows); i++)
+    {
+      json_t *value = json_loads (odd_rows[i].row, 0, NULL);
+      SvPosition read = { 0 };
+
+      CU_ASSERT_EQUAL (pl_decode_watermark (value, &read), odd_rows[i].expected.version > 0);
+      CU_ASSERT_EQUAL (read.era, odd_rows[i].expected.era);
+      CU_ASSERT_EQUAL (read.version, odd_rows[i].expected.version);
+      json_decref (value);
+    }
+  CU_ASSERT_FALSE (pl_decode_watermark (NULL, &watermark));
+  pl_encode_watermark (row, watermark);
+  CU_ASSERT_FALSE (pl_decode_watermark (row, &watermark));
+  pl_encode_watermark (row, (SvPosition){ .era = 4, .version = 9 });
+  CU_ASSERT (pl_decode_watermark (row, &watermark));
+  CU_ASSERT (watermark.era == 4 && watermark.version == 9);
+  json_decref (row);
+}
+
 static const SuiteCase cases[] = {
+  { "watermarks", test_watermarks },
   { "keys of evacuated zones", test_evacuation_keys },
   { "a configuration in pieces", test_config_in_pieces },
   { "unchanged routes are taken over", test_unchanged_routes_are_reused },
