serve, gateway: who starts learns of evacuated zones whose rows the store has lost

Cause: as for configurations, an instance that starts takes what the copy has. Those that ran before keep the zone evacuated for the bound, since the operator writes the row again, but tell others of it by a version alone, which is of an era that is over and names no zone. A confirmation therefore didn't bring the zones that the confirming instance keeps.

Change: confirmations, and the watermarks in the cells' rows, list the zones that are kept evacuated, each with the position of its row and the time that is left. The receiver merges them like rows that its own list has lost: only where the present era's list can't have them, never over a removal, and never for longer than the sender or the bound allows, so that a wrong or repeated report ends by itself.

Why it works: an instance that starts is confirmed by one of those that tell this, or by a watermark that has it, and sends nothing to any endpoint before.

--- a/gateway/watermark.c
+++ b/gateway/watermark.c
@@ -5,6 +5,22 @@
 #include "common/log.h"
 #include "gateway.h"
 
+static void
+note_evacuations (Gateway *self, json_t *row, guint64 era)
+{
+  SvEvacuation evacuations[SV_MAX_REPORTED_EVACUATIONS];
+  guint n = pl_decode_watermark_evacuations (row, evacuations, SV_MAX_REPORTED_EVACUATIONS);
+  KnlTime offset;
+
+  if (!pl_store_clock_offset (self->store, &offset))
+    return;
+  for (guint i = 0; i < n; i++)
+    {
+      evacuations[i].until -= offset;
+      sv_evacuations_note_reported (sv_fleet_evacuations (self->fleet), &evacuations[i], era);
+    }
+}
+
 gboolean
 gateway_note_watermark (Gateway *self, json_t *row)
 {
@@ -12,6 +28,7 @@
 
   if (!pl_decode_watermark (row, &watermark))
     return FALSE;
+  note_evacuations (self, row, watermark.era);
   sv_confirm_note_watermark (self->confirm, watermark);
   return TRUE;
 }
@@ -81,10 +98,38 @@
   return own.version > 0 && own.era > written_watermark (self).era;
 }
 
+/* The others are in the store itself. */
+static void
+encode_earlier_evacuations (const Gateway *self, json_t *row, guint64 era)
+{
+  SvEvacuation evacuations[SV_MAX_REPORTED_EVACUATIONS];
+  guint n_listed = sv_evacuations_list (sv_fleet_evacuations (self->fleet), evacuations,
+                                        SV_MAX_REPORTED_EVACUATIONS);
+  guint n = 0;
+  KnlTime offset;
+
+  if (!pl_store_clock_offset (self->store, &offset))
+    return;
+  for (guint i = 0; i < n_listed; i++)
+    {
+      if (evacuations[i].position.era >= era)
+        continue;
+      evacuations[n] = evacuations[i];
+      evacuations[n++].until += offset;
+    }
+  pl_encode_watermark_evacuations (row, evacuations, n);
+}
+
 void
 gateway_encode_watermark (const Gateway *self, json_t *row)
 {
   SvPosition own = sv_confirm_watermark (self->confirm);
 
-  pl_encode_watermark (row, own.version > 0 ? own : written_watermark (self));
+  if (sv_position_compare (own, written_watermark (self)) == SV_POSITION_OLDER)
+    {
+      pl_copy_watermark (row, self->cell_row);
+      return;
+    }
+  pl_encode_watermark (row, own);
+  encode_earlier_evacuations (self, row, own.era);
 }
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -55,6 +55,16 @@
 /** Returns FALSE, and leaves `watermark` as it is, if the row has none. */
 gboolean pl_decode_watermark (json_t *row, SvPosition *watermark);
 
+/** Copies the watermark of another row, if that has one; NULL: there is none. */
+void pl_copy_watermark (json_t *row, json_t *from);
+
+/** Adds evacuations to a row's watermark, if it has one; `until` is on the store's clock. */
+void pl_encode_watermark_evacuations (json_t *row, const SvEvacuation *evacuations, guint n);
+
+/** Reads at most `max` evacuations of a row's watermark; those without all fields are left out.
+ * Returns their number; the names are borrowed from `row`, `until` is on the store's clock. */
+guint pl_decode_watermark_evacuations (json_t *row, SvEvacuation *evacuations, guint max);
+
 /** Row with the tests of quarantines that all instances have made. */
 #define PL_TEST_TABLE "quarantine-tests"
 #define PL_TEST_KEY   "counts"
--- a/include/serve/evacuations.h
+++ b/include/serve/evacuations.h
@@ -6,7 +6,8 @@
  * The set is fed by the rows of the store. Each row and each list has a position; what is older
  * than the state already applied changes nothing. A complete list of the same era without a zone's
  * row ends its evacuation at once. A list of another era ends it after a delay, since the store may
- * have lost the row, and the operator writes it again.
+ * have lost the row, and the operator writes it again. An instance that starts in between learns of
+ * such evacuations from others.
  */
 
 #include "kernel/kernel.h"
@@ -25,6 +26,17 @@
   SvEvacuationFunc restored;
 } SvEvacuationEvents;
 
+/** An evacuation that an instance reports to others. */
+typedef struct
+{
+  const char *zone;
+  SvPosition position; /**< of its row */
+  KnlTime until;       /**< when it ends if the store has lost the row */
+} SvEvacuation;
+
+/** Maximum number of evacuations in a report. */
+#define SV_MAX_REPORTED_EVACUATIONS 16
+
 /** `events` must outlive the set. */
 SvEvacuations *
 sv_evacuations_new (KnlKernel *kernel, const SvEvacuationEvents *events, gpointer data);
@@ -47,6 +59,17 @@
 /** Ends the list, which is as of `position`, and applies it. */
 void sv_evacuations_end_list (SvEvacuations *evacuations, SvPosition position);
 
+/** Lists at most `max` evacuations of stores that state eras. Returns their number; the names are
+ * borrowed until the set changes. */
+guint sv_evacuations_list (const SvEvacuations *evacuations, SvEvacuation *list, guint max);
+
+/** Another instance, which knows the store's era `era`, has reported the evacuation. If its row may
+ * have been lost here, the zone is evacuated until `reported->until`, but no longer than the delay
+ * for restored zones. Returns whether the set has changed. */
+gboolean sv_evacuations_note_reported (SvEvacuations *evacuations,
+                                       const SvEvacuation *reported,
+                                       guint64 era);
+
 /** `zone` may be NULL. */
 gboolean sv_evacuations_has (const SvEvacuations *evacuations, const char *zone);
 
--- a/include/wire/datagram.pb-c.h
+++ b/include/wire/datagram.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Alderturn__PlacedRead Alderturn__PlacedRead;
 typedef struct Alderturn__Sender Alderturn__Sender;
 typedef struct Alderturn__Cell Alderturn__Cell;
+typedef struct Alderturn__Evacuation Alderturn__Evacuation;
 typedef struct Alderturn__Confirmation Alderturn__Confirmation;
 typedef struct Alderturn__CellMember Alderturn__CellMember;
 typedef struct Alderturn__EndpointCrash Alderturn__EndpointCrash;
@@ -219,6 +220,28 @@
     , 0, 0, 0,NULL, 0, 0 }
 
 
+/*
+ * A zone that the sender keeps evacuated.
+ */
+struct  Alderturn__Evacuation
+{
+  ProtobufCMessage base;
+  char *zone;
+  /*
+   * of the store, that the version of its row is of
+   */
+  uint64_t era;
+  uint64_t version;
+  /*
+   * until it ends if the row isn't written again, rounded down
+   */
+  uint32_t remaining_ms;
+};
+#define ALDERTURN__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&alderturn__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
 /*
  * Asks for a confirmation that a configuration is the newest, or gives one.
  */
@@ -249,10 +272,15 @@
    * newest revision among the rows of evacuated zones that the answerer has applied
    */
   uint64_t evacuations;
+  /*
+   * in answers; the store may have lost some of the rows
+   */
+  size_t n_evacuated;
+  Alderturn__Evacuation **evacuated;
 };
 #define ALDERTURN__CONFIRMATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&alderturn__confirmation__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -667,6 +695,25 @@
 void   alderturn__cell__free_unpacked
                      (Alderturn__Cell *message,
                       ProtobufCAllocator *allocator);
+/* Alderturn__Evacuation methods */
+void   alderturn__evacuation__init
+                     (Alderturn__Evacuation         *message);
+size_t alderturn__evacuation__get_packed_size
+                     (const Alderturn__Evacuation   *message);
+size_t alderturn__evacuation__pack
+                     (const Alderturn__Evacuation   *message,
+                      uint8_t             *out);
+size_t alderturn__evacuation__pack_to_buffer
+                     (const Alderturn__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Alderturn__Evacuation *
+       alderturn__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   alderturn__evacuation__free_unpacked
+                     (Alderturn__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Alderturn__Confirmation methods */
 void   alderturn__confirmation__init
                      (Alderturn__Confirmation         *message);
@@ -858,6 +905,9 @@
 typedef void (*Alderturn__Cell_Closure)
                  (const Alderturn__Cell *message,
                   void *closure_data);
+typedef void (*Alderturn__Evacuation_Closure)
+                 (const Alderturn__Evacuation *message,
+                  void *closure_data);
 typedef void (*Alderturn__Confirmation_Closure)
                  (const Alderturn__Confirmation *message,
                   void *closure_data);
@@ -897,6 +947,7 @@
 extern const ProtobufCMessageDescriptor alderturn__placed_read__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__sender__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__cell__descriptor;
+extern const ProtobufCMessageDescriptor alderturn__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__confirmation__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__cell_member__descriptor;
 extern const ProtobufCMessageDescriptor alderturn__endpoint_crash__descriptor;
--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -205,6 +205,7 @@
   KnlTime confirmed_at = self->events->confirmed_at (self->data);
   SvPosition own = self->events->version (self->data);
   SvPosition endpoints = self->events->endpoints (self->data);
+  EvacuationRows rows;
   Alderturn__Confirmation confirmation = ALDERTURN__CONFIRMATION__INIT;
   KnlTime age;
 
@@ -219,6 +220,7 @@
   confirmation.age_ms = (guint32)(age / KNL_MSEC + 1);
   confirmation.endpoints = endpoints.era == own.era ? endpoints.version : 0;
   confirmation.evacuations = sv_peers_evacuations (self->peers, own.era);
+  sv_confirm_add_evacuations (self, &confirmation, &rows);
   if (confirmation.version > 0)
     sv_peers_send_confirmation (self->peers, peer, &confirmation);
 }
@@ -315,6 +317,7 @@
     return;
   self->stamp = 0;
   sv_confirm_note_reported (self, peer->name, reported->version);
+  sv_confirm_note_evacuations (self, peer, reported);
   if (sv_position_compare ((SvPosition){ reported->era, reported->endpoints },
                            self->events->endpoints_known (self->data))
           == SV_POSITION_NEWER
--- a/serve/confirm_internal.h
+++ b/serve/confirm_internal.h
@@ -34,6 +34,7 @@
   guint64 proven_evacuations; /* newest row of evacuated zones that was applied there by then */
   KnlTime proven_at;
   SvPendingConfigs pending_configs;
+  CmLogRateLimit evacuations_log_limit; /* evacuations that don't fit into an answer */
   SvEraCheck era_check;
   guint64 check_stamp;     /* of the requests to peers by which the era is checked; 0: none */
   KnlTime check_asked_at;  /* when that stamp was chosen */
@@ -49,6 +50,25 @@
 /** Notes a reported configuration. `source`: the peer's name, or what else reports it. */
 void sv_confirm_note_reported (SvConfirm *confirm, const char *source, guint64 version);
 
+/* confirm_evacuations.c */
+
+/** Evacuations in a datagram, with the arrays that protobuf-c needs. */
+typedef struct
+{
+  Alderturn__Evacuation rows[SV_MAX_REPORTED_EVACUATIONS];
+  Alderturn__Evacuation *pointers[SV_MAX_REPORTED_EVACUATIONS];
+} EvacuationRows;
+
+/** Adds the zones that this instance keeps evacuated; `rows` must outlive the message. */
+void sv_confirm_add_evacuations (SvConfirm *confirm,
+                                 Alderturn__Confirmation *answer,
+                                 EvacuationRows *rows);
+
+/** Applies the evacuations in a peer's answer. */
+void sv_confirm_note_evacuations (SvConfirm *confirm,
+                                  const Peer *peer,
+                                  const Alderturn__Confirmation *answer);
+
 /* confirm_store.c */
 
 void sv_confirm_init_store (SvConfirm *confirm);
--- a/serve/confirm_store.c
+++ b/serve/confirm_store.c
@@ -70,6 +70,7 @@
   if (self->check_stamp == 0 || reported->stamp != self->check_stamp)
     return FALSE;
   sv_confirm_note_reported (self, peer->name, reported->version);
+  sv_confirm_note_evacuations (self, peer, reported);
   if (is_recent (self, proven_at))
     sv_era_check_prove (&self->era_check, sv_era_check_pending (&self->era_check), SV_ERA_PEER);
   return TRUE;
--- a/serve/evacuations.c
+++ b/serve/evacuations.c
@@ -80,19 +80,27 @@
   return !zone->is_evacuated && knl_kernel_now (self->kernel) - zone->changed_at > REMOVED_TTL;
 }
 
-/* Records that the row of the zone was changed at `position`. */
 static Zone *
-note_row (SvEvacuations *self, const char *name, SvPosition position)
+find_or_add (SvEvacuations *self, const char *name)
 {
-  Zone *zone;
+  Zone *zone = g_hash_table_lookup (self->zones, name);
 
-  g_hash_table_foreach_remove (self->zones, is_forgotten, self);
-  zone = g_hash_table_lookup (self->zones, name);
   if (zone == NULL)
     {
       zone = g_new0 (Zone, 1);
       g_hash_table_insert (self->zones, g_strdup (name), zone);
     }
+  return zone;
+}
+
+/* Records that the row of the zone was changed at `position`. */
+static Zone *
+note_row (SvEvacuations *self, const char *name, SvPosition position)
+{
+  Zone *zone;
+
+  g_hash_table_foreach_remove (self->zones, is_forgotten, self);
+  zone = find_or_add (self, name);
   zone->position = position;
   zone->changed_at = knl_kernel_now (self->kernel);
   zone->absent_from = (SvPosition){ 0 };
@@ -267,6 +275,72 @@
                                    on_restore_due, self);
 }
 
+guint
+sv_evacuations_list (const SvEvacuations *self, SvEvacuation *list, guint max)
+{
+  guint n = 0;
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, self->zones);
+  while (n < max && g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const Zone *zone = value;
+
+      if (!zone->is_evacuated || zone->position.era == 0)
+        continue;
+      list[n++] = (SvEvacuation){
+        .zone = name,
+        .position = zone->position,
+        .until = zone->absent_from.version > 0
+                     ? zone->restore_at
+                     : knl_kernel_now (self->kernel) + self->restore_delay,
+      };
+    }
+  return n;
+}
+
+/* Where the list of the present era was applied, it has the rows of that era. */
+static gboolean
+may_have_lost (const SvEvacuations *self, const SvEvacuation *reported)
+{
+  SvPosition present = self->list_as_of;
+  const Zone *zone = g_hash_table_lookup (self->zones, reported->zone);
+
+  if (reported->position.era == 0 || reported->position.version == 0
+      || (present.version > 0 && reported->position.era >= present.era))
+    return FALSE;
+  return zone == NULL || (!zone->is_evacuated && is_older (zone->position, reported->position));
+}
+
+/* Which list lacks the row of a reported evacuation; version 0: none is known. */
+static SvPosition
+reported_absence (const SvEvacuations *self, const SvEvacuation *reported, guint64 era)
+{
+  if (self->list_as_of.version > 0)
+    return self->list_as_of;
+  return (SvPosition){ .era = era, .version = era > reported->position.era };
+}
+
+gboolean
+sv_evacuations_note_reported (SvEvacuations *self, const SvEvacuation *reported, guint64 era)
+{
+  KnlTime now = knl_kernel_now (self->kernel);
+  Zone *zone;
+
+  if (self->restore_delay == 0 || reported->until <= now || !may_have_lost (self, reported))
+    return FALSE;
+  zone = find_or_add (self, reported->zone);
+  zone->position = reported->position;
+  zone->changed_at = now;
+  zone->absent_from = reported_absence (self, reported, era);
+  zone->restore_at = MIN (reported->until, now + self->restore_delay);
+  evacuate (self, reported->zone, zone);
+  schedule_restore (self);
+  return TRUE;
+}
+
 gboolean
 sv_evacuations_has (const SvEvacuations *self, const char *name)
 {
--- a/tests/unit/gw_evacuations_test.c
+++ b/tests/unit/gw_evacuations_test.c
@@ -125,12 +125,12 @@
 }
 
 static void
-fixture_open (Fixture *self)
+fixture_open_size (Fixture *self, const GfSize *fleet_size)
 {
   static const HtLimits limits = { 16384, 1 << 20 };
 
   *self = (Fixture){ 0 };
-  gf_fleet_open (&self->fleet, &size);
+  gf_fleet_open (&self->fleet, fleet_size);
   row_store_set_era (self->fleet.store, 0);
   self->client = ht_client_new (self->fleet.kernel, self->fleet.base, &limits, KNL_SEC);
   for (guint i = 0; i < N_ZONES; i++)
@@ -146,6 +146,12 @@
     CU_ASSERT (n_sent (self, i) > 0);
 }
 
+static void
+fixture_open (Fixture *self)
+{
+  fixture_open_size (self, &size);
+}
+
 static void
 fixture_close (Fixture *self)
 {
@@ -285,6 +291,107 @@
     }
 }
 
+static void
+kill_from (Fixture *self, guint first)
+{
+  for (guint i = first; i < self->fleet.size.n_instances; i++)
+    gf_fleet_kill (&self->fleet, i);
+}
+
+static void
+start_from (Fixture *self, guint first)
+{
+  for (guint i = first; i < self->fleet.size.n_instances; i++)
+    gf_fleet_start (&self->fleet, i);
+}
+
+/* Guards against requests to an evacuated zone by instances that start after the store has lost the
+ * row, and learn of the evacuation from others. */
+static void
+test_starts_after_a_lost_row (void)
+{
+  static const struct
+  {
+    GfSize size;
+    guint n_late; /* the last ones */
+    KnlTime start_after;
+    KnlTime written_again_after; /* their start */
+    guint n_further;             /* restorations that follow the first */
+  } rows[] = {
+    { { .n_instances = 2, .n_zones = 2 }, 1, 0, KNL_SEC, 0 },
+    { { .n_instances = 3, .n_zones = 3 }, 1, 0, KNL_SEC, 0 },
+    { { .n_instances = 12, .n_zones = 2 }, 1, 0, KNL_SEC, 0 },
+    { { .n_instances = 12, .n_zones = 2 }, 5, 0, KNL_SEC, 0 },
+    { { .n_instances = 12, .n_zones = 2 }, 10, 0, KNL_SEC, 0 },
+    { { .n_instances = 6, .n_zones = 3 }, 4, 600 * KNL_MSEC, 3 * KNL_SEC, 0 },
+    { { .n_instances = 6, .n_zones = 3 }, 2, 2 * KNL_SEC, 2 * KNL_SEC, 0 },
+    { { .n_instances = 6, .n_zones = 3 }, 2, 0, KNL_SEC, 1 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      GfSize fleet_size = rows[i].size;
+      guint first = fleet_size.n_instances - rows[i].n_late;
+      Fixture fixture;
+      guint64 before;
+
+      fleet_size.evacuation = BOUND;
+      fixture_open_size (&fixture, &fleet_size);
+      before = row_store_version (fixture.fleet.store);
+      kill_from (&fixture, first);
+      put_evacuation (&fixture, "z0", TRUE);
+      check_evacuated (&fixture);
+      mark (&fixture);
+      for (guint j = 0; j <= rows[i].n_further; j++)
+        {
+          row_store_restore (fixture.fleet.store, before);
+          gf_fleet_advance (&fixture.fleet, ASK_INTERVAL);
+        }
+      gf_fleet_advance (&fixture.fleet, rows[i].start_after);
+      start_from (&fixture, first);
+      run (&fixture, rows[i].written_again_after);
+      put_evacuation (&fixture, "z0", TRUE);
+      run (&fixture, 2 * BOUND);
+      CU_ASSERT_EQUAL (n_sent (&fixture, 0), 0);
+      CU_ASSERT (n_sent (&fixture, 1) > 0);
+      CU_ASSERT_EQUAL (gf_fleet_n_unready (&fixture.fleet), 0);
+      fixture_close (&fixture);
+    }
+}
+
+/* Guards against the same where the others have gone, and left a watermark alone; and against a
+ * zone that stays evacuated by it. */
+static void
+test_watermarks_have_lost_rows (void)
+{
+  static const GfSize sizes[] = {
+    { .n_instances = 3, .n_zones = 2, .evacuation = BOUND },
+    { .n_instances = 4, .n_zones = 4, .evacuation = BOUND },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      guint last = sizes[i].n_instances - 1;
+      Fixture fixture;
+      guint64 before;
+
+      fixture_open_size (&fixture, &sizes[i]);
+      before = row_store_version (fixture.fleet.store);
+      put_evacuation (&fixture, "z0", TRUE);
+      check_evacuated (&fixture);
+      mark (&fixture);
+      row_store_restore (fixture.fleet.store, before);
+      run (&fixture, PROPAGATION_TIME);
+      kill_from (&fixture, 0);
+      gf_fleet_start (&fixture.fleet, last);
+      run (&fixture, BOUND - PROPAGATION_TIME - ASK_INTERVAL);
+      CU_ASSERT_EQUAL (n_sent (&fixture, 0), 0);
+      CU_ASSERT (n_sent (&fixture, 1) > 0);
+      check_restored (&fixture);
+      fixture_close (&fixture);
+    }
+}
+
 /* Guards against requests that instances send when they resume after a freeze in which a zone was
  * evacuated, before they read the store's answers. */
 static void
@@ -434,6 +541,8 @@
   { "instances that start know it", test_instances_that_start_know_it },
   { "history gone", test_history_gone },
   { "a new era", test_new_era },
+  { "starts after a lost row", test_starts_after_a_lost_row },
+  { "watermarks have lost rows", test_watermarks_have_lost_rows },
   { "frozen instances", test_frozen_instances },
   { "nothing is sent unconfirmed", test_nothing_is_sent_unconfirmed },
   { "which zones", test_which_zones },
--- a/tests/unit/pl_decode_test.c
+++ b/tests/unit/pl_decode_test.c
@@ -849,8 +849,58 @@
   json_decref (row);
 }
 
+/* Guards against odd evacuations in a watermark, and against its loss when another instance writes
+ * the row. */
+static void
+test_evacuations_in_watermarks (void)
+{
+  static const char *const odd_rows[] = {
+    "{\"era\":1,\"version\":3,\"untilMs\":9}",
+    "{\"zone\":\"\",\"era\":1,\"version\":3,\"untilMs\":9}",
+    "{\"zone\":7,\"era\":1,\"version\":3,\"untilMs\":9}",
+    "{\"zone\":\"a\",\"era\":0,\"version\":3,\"untilMs\":9}",
+    "{\"zone\":\"a\",\"era\":1,\"version\":-3,\"untilMs\":9}",
+    "\"a\"",
+  };
+  const SvEvacuation written[] = {
+    { .zone = "a", .position = { 1, 3 }, .until = 9 * KNL_SEC },
+    { .zone = "b", .position = { 2, 4 }, .until = 8 * KNL_SEC },
+  };
+  SvEvacuation read[2];
+  json_t *row = json_object ();
+  json_t *copy = json_object ();
+
+  for (guint i = 0; i < G_N_ELEMENTS (odd_rows); i++)
+    {
+      g_autofree char *text = g_strdup_printf ("{\"watermark\":{\"evacuated\":[%s]}}", odd_rows[i]);
+      json_t *value = json_loads (text, 0, NULL);
+
+      CU_ASSERT_EQUAL (pl_decode_watermark_evacuations (value, read, 2), 0);
+      json_decref (value);
+    }
+  CU_ASSERT_EQUAL (pl_decode_watermark_evacuations (NULL, read, 2), 0);
+  pl_encode_watermark_evacuations (row, written, 2);
+  CU_ASSERT_EQUAL (pl_decode_watermark_evacuations (row, read, 2), 0);
+  pl_copy_watermark (copy, row);
+  pl_encode_watermark (row, (SvPosition){ .era = 4, .version = 9 });
+  pl_encode_watermark_evacuations (row, written, 2);
+  pl_copy_watermark (copy, row);
+  CU_ASSERT_EQUAL (pl_decode_watermark_evacuations (copy, read, 1), 1);
+  CU_ASSERT_EQUAL (pl_decode_watermark_evacuations (copy, read, 2), 2);
+  for (guint i = 0; i < G_N_ELEMENTS (written); i++)
+    {
+      CU_ASSERT_STRING_EQUAL (read[i].zone, written[i].zone);
+      CU_ASSERT_EQUAL (read[i].position.era, written[i].position.era);
+      CU_ASSERT_EQUAL (read[i].position.version, written[i].position.version);
+      CU_ASSERT_EQUAL (read[i].until, written[i].until);
+    }
+  json_decref (row);
+  json_decref (copy);
+}
+
 static const SuiteCase cases[] = {
   { "watermarks", test_watermarks },
+  { "evacuations in watermarks", test_evacuations_in_watermarks },
   { "keys of evacuated zones", test_evacuation_keys },
   { "a configuration in pieces", test_config_in_pieces },
   { "unchanged routes are taken over", test_unchanged_routes_are_reused },
--- a/tests/unit/sv_confirm_zones_test.c
+++ b/tests/unit/sv_confirm_zones_test.c
@@ -152,6 +152,51 @@
   confirm_fixture_close (&fixture);
 }
 
+/* Guards against an instance that relies on the store although that has lost the row of a zone
+ * which others keep evacuated. */
+static void
+test_kept_evacuations_come_with_the_confirmation (void)
+{
+  static const struct
+  {
+    KnlTime age; /* of the others' confirmations */
+    gboolean is_known;
+  } rows[] = { { KNL_SEC, TRUE }, { MAX_STALENESS + KNL_SEC, FALSE } };
+
+  for (guint i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      ConfirmFixture fixture;
+      ConfirmInstance *asker;
+      KnlTime at;
+
+      confirm_fixture_open (&fixture);
+      asker = &fixture.instances[0];
+      at = knl_kernel_now (fixture.kernel);
+      for (guint j = 0; j < INSTANCES; j++)
+        {
+          ConfirmInstance *instance = &fixture.instances[j];
+          SvEvacuations *evacuations = sv_fleet_evacuations (instance->fleet);
+
+          sv_evacuations_set_restore_delay (evacuations, MAX_STALENESS);
+          if (instance != asker)
+            evacuate (instance, (SvPosition){ 1, 30 });
+          sv_evacuations_begin_list (evacuations);
+          sv_evacuations_end_list (evacuations, (SvPosition){ 2, 20 });
+          instance->era = 2;
+          instance->config_known = 20;
+          instance->confirmed_at = at - rows[i].age;
+        }
+      asker->confirmed_at = -KNL_NEVER;
+      sv_confirm_note_store (asker->confirm, at);
+      for (guint j = 0; j < 5 && asker->confirmed_at < at; j++)
+        confirm_fixture_advance (&fixture, STEP, FALSE);
+      CU_ASSERT_EQUAL (asker->confirmed_at >= at, rows[i].is_known);
+      CU_ASSERT_EQUAL (sv_evacuations_has (sv_fleet_evacuations (asker->fleet), "z"),
+                       rows[i].is_known);
+      confirm_fixture_close (&fixture);
+    }
+}
+
 /* Guards against a bound that becomes shorter while the process runs, and after which this instance
  * asks for confirmations as rarely as before. */
 static void
@@ -177,6 +222,8 @@
   { "a shorter bound", test_shorter_bound },
   { "missed evacuations confirm nothing", test_missed_evacuations_confirm_nothing },
   { "a proof waits for its evacuations", test_a_proof_waits_for_its_evacuations },
+  { "kept evacuations come with the confirmation",
+    test_kept_evacuations_come_with_the_confirmation },
   { "missed evacuations are requested", test_missed_evacuations_are_requested },
   { "other zones tell of evacuations", test_other_zones_tell_of_evacuations },
 };
--- a/tests/unit/sv_evacuations_test.c
+++ b/tests/unit/sv_evacuations_test.c
@@ -15,7 +15,8 @@
   REMOVE,
   BEGIN,
   END,
-  WAIT, /* `version` is the time in ms */
+  WAIT,   /* `version` is the time in ms */
+  REPORT, /* by another instance */
 } Operation;
 
 typedef struct
@@ -24,6 +25,8 @@
   const char *zone;
   SvPosition position;
   const char *evacuated; /* zones of "abc" that are in the set afterwards; NULL: end of the steps */
+  guint64 era;           /* of the reporting instance */
+  KnlTime remaining;     /* as reported */
 } Step;
 
 typedef struct
@@ -180,6 +183,60 @@
       { PUT, "b", { 1, 8 }, "b" } },
     { 1, 8 },
     "aAb" },
+  { "a reported evacuation whose row is lost counts until its end",
+    { { BEGIN, NULL, { 0 }, "" },
+      { END, NULL, { 2, 7 }, "" },
+      { REPORT, "a", { 1, 50 }, "a", 2, 3 * KNL_SEC },
+      { WAIT, NULL, { 0, 2999 }, "a" },
+      { WAIT, NULL, { 0, 1 }, "" } },
+    { 0 },
+    "aA" },
+  { "it lasts no longer than the delay, and later lists and reports don't extend it",
+    { { BEGIN, NULL, { 0 }, "" },
+      { END, NULL, { 2, 7 }, "" },
+      { REPORT, "a", { 1, 50 }, "a", 2, 60 * KNL_SEC },
+      { WAIT, NULL, { 0, 3000 }, "a" },
+      { REPORT, "a", { 1, 50 }, "a", 2, 5 * KNL_SEC },
+      { BEGIN, NULL, { 0 }, "a" },
+      { END, NULL, { 2, 8 }, "a" },
+      { WAIT, NULL, { 0, 2000 }, "" } },
+    { 0 },
+    "aA" },
+  { "it lasts on when its row is written again, and ends when that is removed",
+    { { BEGIN, NULL, { 0 }, "" },
+      { END, NULL, { 2, 7 }, "" },
+      { REPORT, "a", { 1, 50 }, "a", 2, KNL_SEC },
+      { PUT, "a", { 2, 8 }, "a" },
+      { WAIT, NULL, { 0, 6000 }, "a" },
+      { REMOVE, "a", { 2, 9 }, "" },
+      { REPORT, "a", { 1, 50 }, "", 2, KNL_SEC } },
+    { 2, 9 },
+    "aA" },
+  { "one that is reported before the first list",
+    { { REPORT, "a", { 1, 50 }, "a", 2, 3 * KNL_SEC },
+      { REPORT, "b", { 1, 51 }, "ab", 1, 3 * KNL_SEC },
+      { BEGIN, NULL, { 0 }, "ab" },
+      { END, NULL, { 2, 7 }, "ab" },
+      { WAIT, NULL, { 0, 3000 }, "b" },
+      { WAIT, NULL, { 0, 2000 }, "" } },
+    { 0 },
+    NULL },
+  { "the same, where the list is of the era of the row",
+    { { REPORT, "a", { 2, 50 }, "a", 2, 3 * KNL_SEC },
+      { BEGIN, NULL, { 0 }, "a" },
+      { END, NULL, { 2, 70 }, "" } },
+    { 0 },
+    "aA" },
+  { "one whose row the present list would have is none",
+    { { BEGIN, NULL, { 0 }, "" },
+      { END, NULL, { 2, 70 }, "" },
+      { REPORT, "a", { 2, 50 }, "", 2, 3 * KNL_SEC },
+      { REPORT, "a", { 3, 50 }, "", 3, 3 * KNL_SEC },
+      { REPORT, "a", { 0, 50 }, "", 2, 3 * KNL_SEC },
+      { REPORT, "a", { 1, 0 }, "", 2, 3 * KNL_SEC },
+      { REPORT, "a", { 1, 50 }, "", 2, 0 } },
+    { 0 },
+    "" },
 };
 
 typedef struct
@@ -224,6 +281,16 @@
   knl_paused_clock_free (self->clock);
 }
 
+static void
+report (Fixture *self, const Step *step)
+{
+  SvEvacuation reported = { .zone = step->zone,
+                            .position = step->position,
+                            .until = knl_kernel_now (self->kernel) + step->remaining };
+
+  sv_evacuations_note_reported (self->set, &reported, step->era);
+}
+
 static void
 run_step (Fixture *self, const Step *step)
 {
@@ -244,6 +311,9 @@
     case WAIT:
       knl_paused_clock_advance (self->clock, (KnlTime)step->position.version * KNL_MSEC);
       break;
+    case REPORT:
+      report (self, step);
+      break;
     }
 }
 
@@ -302,6 +372,7 @@
 static void
 test_no_delay (void)
 {
+  static const Step reported = { REPORT, "a", { 1, 50 }, "", 2, KNL_SEC };
   Fixture fixture;
 
   fixture_open (&fixture);
@@ -311,10 +382,43 @@
   sv_evacuations_end_list (fixture.set, (SvPosition){ 2, 7 });
   CU_ASSERT_FALSE (sv_evacuations_has (fixture.set, "a"));
   CU_ASSERT_FALSE (sv_evacuations_has (fixture.set, NULL));
+  report (&fixture, &reported);
+  CU_ASSERT_FALSE (sv_evacuations_has (fixture.set, "a"));
+  fixture_close (&fixture);
+}
+
+/* Guards against evacuations that others keep, and that aren't reported to them. */
+static void
+test_what_is_listed (void)
+{
+  SvEvacuation list[3];
+  Fixture fixture;
+  KnlTime now;
+
+  fixture_open (&fixture);
+  now = knl_kernel_now (fixture.kernel);
+  sv_evacuations_put (fixture.set, "a", (SvPosition){ 1, 50 });
+  sv_evacuations_put (fixture.set, "b", (SvPosition){ 1, 51 });
+  sv_evacuations_remove (fixture.set, "b", (SvPosition){ 1, 52 });
+  CU_ASSERT_EQUAL (sv_evacuations_list (fixture.set, list, 3), 1);
+  CU_ASSERT_STRING_EQUAL (list[0].zone, "a");
+  CU_ASSERT (list[0].position.era == 1 && list[0].position.version == 50);
+  CU_ASSERT_EQUAL (list[0].until, now + RESTORE_DELAY);
+  sv_evacuations_begin_list (fixture.set);
+  sv_evacuations_end_list (fixture.set, (SvPosition){ 2, 7 });
+  knl_paused_clock_advance (fixture.clock, KNL_SEC);
+  CU_ASSERT_EQUAL (sv_evacuations_list (fixture.set, list, 3), 1);
+  CU_ASSERT_EQUAL (list[0].until, now + RESTORE_DELAY);
+  sv_evacuations_put (fixture.set, "b", (SvPosition){ 2, 8 });
+  CU_ASSERT_EQUAL (sv_evacuations_list (fixture.set, list, 3), 2);
+  CU_ASSERT_EQUAL (sv_evacuations_list (fixture.set, list, 1), 1);
+  sv_evacuations_put (fixture.set, "c", (SvPosition){ 0, 9 });
+  CU_ASSERT_EQUAL (sv_evacuations_list (fixture.set, list, 3), 2);
   fixture_close (&fixture);
 }
 
 static const SuiteCase cases[] = {
+  { "what is listed", test_what_is_listed },
   { "rows and lists", test_rows_and_lists },
   { "no delay after a new era", test_no_delay },
 };
--- a/wire/datagram.pb-c.c
+++ b/wire/datagram.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &alderturn__cell__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   alderturn__evacuation__init
+                     (Alderturn__Evacuation         *message)
+{
+  static const Alderturn__Evacuation init_value = ALDERTURN__EVACUATION__INIT;
+  *message = init_value;
+}
+size_t alderturn__evacuation__get_packed_size
+                     (const Alderturn__Evacuation *message)
+{
+  assert(message->base.descriptor == &alderturn__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t alderturn__evacuation__pack
+                     (const Alderturn__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &alderturn__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t alderturn__evacuation__pack_to_buffer
+                     (const Alderturn__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &alderturn__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Alderturn__Evacuation *
+       alderturn__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Alderturn__Evacuation *)
+     protobuf_c_message_unpack (&alderturn__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   alderturn__evacuation__free_unpacked
+                     (Alderturn__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &alderturn__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   alderturn__confirmation__init
                      (Alderturn__Confirmation         *message)
 {
@@ -1261,7 +1306,84 @@
   (ProtobufCMessageInit) alderturn__cell__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor alderturn__confirmation__field_descriptors[6] =
+static const ProtobufCFieldDescriptor alderturn__evacuation__field_descriptors[4] =
+{
+  {
+    "zone",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Evacuation, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "era",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Evacuation, era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Evacuation, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "remaining_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Alderturn__Evacuation, remaining_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned alderturn__evacuation__field_indices_by_name[] = {
+  1,   /* field[1] = era */
+  3,   /* field[3] = remaining_ms */
+  2,   /* field[2] = version */
+  0,   /* field[0] = zone */
+};
+static const ProtobufCIntRange alderturn__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor alderturn__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "alderturn.Evacuation",
+  "Evacuation",
+  "Alderturn__Evacuation",
+  "alderturn",
+  sizeof(Alderturn__Evacuation),
+  4,
+  alderturn__evacuation__field_descriptors,
+  alderturn__evacuation__field_indices_by_name,
+  1,  alderturn__evacuation__number_ranges,
+  (ProtobufCMessageInit) alderturn__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor alderturn__confirmation__field_descriptors[7] =
 {
   {
     "stamp",
@@ -1335,11 +1457,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Alderturn__Confirmation, n_evacuated),
+    offsetof(Alderturn__Confirmation, evacuated),
+    &alderturn__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned alderturn__confirmation__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   3,   /* field[3] = endpoints */
   4,   /* field[4] = era */
+  6,   /* field[6] = evacuated */
   5,   /* field[5] = evacuations */
   0,   /* field[0] = stamp */
   1,   /* field[1] = version */
@@ -1347,7 +1482,7 @@
 static const ProtobufCIntRange alderturn__confirmation__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor alderturn__confirmation__descriptor =
 {
@@ -1357,7 +1492,7 @@
   "Alderturn__Confirmation",
   "alderturn",
   sizeof(Alderturn__Confirmation),
-  6,
+  7,
   alderturn__confirmation__field_descriptors,
   alderturn__confirmation__field_indices_by_name,
   1,  alderturn__confirmation__number_ranges,
