tests: an instance that starts keeps a verdict that the store has lost

Verdicts on segments stand in the cells' rows, which an older copy lacks. They are handled already: peers tell all that they keep when they first hear an instance, and no request is taken before its configuration is confirmed.

--- a/tests/unit/gw_quarantine_test.c
+++ b/tests/unit/gw_quarantine_test.c
@@ -14,6 +14,9 @@
 
 #define START_TIME (3 * KNL_SEC)
 
+/* Interval at which an instance that starts is looked at. */
+#define START_STEP (2 * KNL_MSEC)
+
 /* Requests that may be let through to find out, of all together. */
 #define MAX_LET_THROUGH 3
 
@@ -268,6 +271,55 @@
   gf_fleet_close (&fleet);
 }
 
+/* Returns how many requests the instance lets through from its readiness on. */
+static guint
+count_let_through_when_ready (GfFleet *fleet, guint i, KnlTime time)
+{
+  guint n = 0;
+
+  for (KnlTime passed = 0; passed < time; passed += START_STEP)
+    {
+      gf_fleet_advance (fleet, START_STEP);
+      if (gateway_is_ready (&fleet->instances[i].gateway))
+        n += lets_through (fleet, i, SERVICE, SEGMENT);
+    }
+  return n;
+}
+
+/* Guards against an instance that starts after the store has lost a verdict, and lets requests
+ * through whose verdict the others keep. */
+static void
+test_lost_verdicts_are_told_at_the_start (void)
+{
+  static const GfSize sizes[] = {
+    { .n_instances = 2, .n_zones = 1, .n_endpoints = 3 },
+    { .n_instances = 3, .n_zones = 3, .n_endpoints = 3 },
+    { .n_instances = 12, .n_zones = 2, .n_endpoints = 3 },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      guint last = sizes[i].n_instances - 1;
+      GfFleet fleet;
+      guint64 copy;
+
+      gf_fleet_open (&fleet, &sizes[i]);
+      row_store_set_era (fleet.store, 0);
+      gf_fleet_start_all (&fleet, 0);
+      gf_fleet_settle (&fleet, START_TIME);
+      gf_fleet_advance (&fleet, START_TIME);
+      gf_fleet_kill (&fleet, last);
+      copy = row_store_version (fleet.store);
+      convict (&fleet, 0, SERVICE, SEGMENT);
+      gf_fleet_advance (&fleet, VERDICT_TIME);
+      row_store_restore (fleet.store, copy);
+      gf_fleet_start (&fleet, last);
+      CU_ASSERT_EQUAL (count_let_through_when_ready (&fleet, last, START_TIME), 0);
+      CU_ASSERT (gateway_is_ready (&fleet.instances[last].gateway));
+      gf_fleet_close (&fleet);
+    }
+}
+
 /* Guards against a verdict that has ended and begins again, as it still stands in a row. */
 static void
 test_ended_verdicts_are_not_read_again (void)
@@ -292,6 +344,7 @@
   { "tests outlive the verdict", test_tests_outlive_the_verdict },
   { "verdicts reach parted instances", test_verdicts_reach_parted_instances },
   { "rows keep verdicts of others", test_rows_keep_verdicts_of_others },
+  { "lost verdicts are told at the start", test_lost_verdicts_are_told_at_the_start },
   { "ended verdicts are not read again", test_ended_verdicts_are_not_read_again },
 };
 
