serve: a reported configuration that the store goes on lacking counts as lost after 30 s

Callers would see 503 (keys-not-confirmed, configuration-not-in-force) for as long as any peer reports a version that is in no store: one that an older copy has lost and nobody writes again, or a wrong one. Read and played in a unit test; no play with real processes showed it.

Cause: a report is to bind for 30 s, but heartbeats repeat it, and each repetition began the time anew.

Change: while newer versions are reported, answers of the store, and confirmations by peers, that the configuration in use is the newest are timed. After 30 s of them in one era the reported versions count as lost (logged as newer-configuration-lost), and further reports are ignored.

--- a/serve/confirm.c
+++ b/serve/confirm.c
@@ -284,6 +284,20 @@
             (gint64)version, "i", "own", (gint64)own);
 }
 
+void
+sv_confirm_note_newest (SvConfirm *self, KnlTime at)
+{
+  SvPosition own = self->events->version (self->data);
+
+  /* A configuration may have been written after that. */
+  if (sv_confirm_stale_since (self) != KNL_NEVER && !sv_confirm_store_lost_config (self, at))
+    return;
+  if (sv_pending_configs_note_confirmed (&self->pending_configs, own,
+                                         knl_kernel_now (self->kernel)))
+    cm_log (CM_LOG_WARNING, "newer-configuration-lost", "i", "version",
+            (gint64)self->pending_configs.lost, "i", "own", (gint64)own.version);
+}
+
 /* Handles the versions in a peer's heartbeat. Those of other cells matter only to instances that
  * poll the store: the others learn of them within their cell, and so don't all query the store at
  * once. */
@@ -326,6 +340,8 @@
   /* The same version in another era may be a different configuration. */
   if (newest.era == own.era && newest.version >= own.version)
     {
+      if (newest.version == own.version)
+        sv_confirm_note_newest (self, self->requested_at - (KnlTime)reported->age_ms * KNL_MSEC);
       self->proven = newest;
       self->proven_evacuations = reported->evacuations;
       self->proven_at = self->requested_at - (KnlTime)reported->age_ms * KNL_MSEC;
--- a/serve/confirm_internal.h
+++ b/serve/confirm_internal.h
@@ -50,6 +50,10 @@
 /** Notes a reported configuration. `source`: the peer's name, or what else reports it. */
 void sv_confirm_note_reported (SvConfirm *confirm, const char *source, guint64 version);
 
+/** Notes that the configuration in use was the store's newest one at the time `at`, by the store or
+ * by a peer that it had confirmed. */
+void sv_confirm_note_newest (SvConfirm *confirm, KnlTime at);
+
 /* confirm_evacuations.c */
 
 /** Evacuations in a datagram, with the arrays that protobuf-c needs. */
--- a/serve/confirm_store.c
+++ b/serve/confirm_store.c
@@ -119,6 +119,7 @@
   guint64 era = self->events->config_known (self->data).era;
 
   self->store_at = at;
+  sv_confirm_note_newest (self, at);
   if (has_recent_confirmation (self))
     sv_era_check_prove (&self->era_check, era, SV_ERA_OWN);
   use_watermark (self, era);
--- a/serve/pending_configs.c
+++ b/serve/pending_configs.c
@@ -3,7 +3,8 @@
 #include <string.h>
 
 /* A configuration that the store lost is written again within seconds. One that no peer has
- * reported for this long counts as lost for good, and keys that it withdrew are valid again. */
+ * reported for this long, or that the store was seen to lack for this long, counts as lost for
+ * good, and keys that it withdrew are valid again. */
 #define PENDING_TTL (30 * KNL_SEC)
 
 static gboolean
@@ -26,7 +27,7 @@
 void
 sv_pending_configs_note (SvPendingConfigs *self, guint64 own, guint64 version, KnlTime now)
 {
-  if (version <= own)
+  if (version <= MAX (own, self->lost))
     return;
   if (is_expired (self, now))
     self->n = 0;
@@ -48,6 +49,27 @@
   self->n++;
 }
 
+gboolean
+sv_pending_configs_note_confirmed (SvPendingConfigs *self, SvPosition own, KnlTime now)
+{
+  if (sv_pending_configs_since (self, own.version, now) == KNL_NEVER)
+    {
+      self->confirmed = (SvPosition){ 0 };
+      return FALSE;
+    }
+  /* Another era may have begun with another copy. */
+  if (self->confirmed.era != own.era || self->confirmed.version != own.version)
+    {
+      self->confirmed = own;
+      self->refuted_since = now;
+    }
+  if (now - self->refuted_since <= PENDING_TTL)
+    return FALSE;
+  self->lost = self->rows[self->n - 1].version;
+  self->n = 0;
+  return TRUE;
+}
+
 KnlTime
 sv_pending_configs_since (const SvPendingConfigs *self, guint64 own, KnlTime now)
 {
--- a/tests/unit/sv_confirm_store_test.c
+++ b/tests/unit/sv_confirm_store_test.c
@@ -130,6 +130,61 @@
   confirm_fixture_close (&fixture);
 }
 
+/* Guards against a version that a peer reports for good, although no store has it, and that keeps
+ * the others from being confirmed; and against a lost one that is forgotten too early. */
+static void
+test_reports_that_the_store_refutes (void)
+{
+  static const struct
+  {
+    KnlTime own_age; /* of the last confirmation */
+    KnlTime peer_age;
+    gboolean reads_store;
+    KnlTime binds_for; /* at least */
+  } reports[] = {
+    { NEVER, RECENT, TRUE, 29 * KNL_SEC },
+    { RECENT, NEVER, TRUE, 29 * KNL_SEC },
+    { NEVER, RECENT, FALSE, 29 * KNL_SEC },
+  };
+
+  for (guint i = 0; i < G_N_ELEMENTS (reports); i++)
+    {
+      ConfirmFixture fixture;
+      ConfirmInstance *asker;
+      KnlTime stale_for = 0;
+      KnlTime at;
+
+      confirm_fixture_open (&fixture);
+      prepare (&fixture, &rows[1], NULL);
+      asker =
+          reports[i].reads_store ? &fixture.instances[0] : confirm_fixture_non_follower (&fixture);
+      set_age (&fixture, asker, reports[i].own_age);
+      sv_peers_set_versions (fixture.instances[1].peers, VERSION + 99, (SvPosition){ 0 });
+      confirm_fixture_advance (&fixture, KNL_SEC, FALSE);
+      at = knl_kernel_now (fixture.kernel);
+      CU_ASSERT (sv_confirm_stale_since (asker->confirm) != KNL_NEVER);
+      while (sv_confirm_stale_since (asker->confirm) != KNL_NEVER && stale_for < 60 * KNL_SEC)
+        {
+          for (guint j = 0; j < INSTANCES; j++)
+            if (&fixture.instances[j] != asker)
+              set_age (&fixture, &fixture.instances[j], reports[i].peer_age);
+          if (reports[i].reads_store)
+            sv_confirm_note_store (asker->confirm, knl_kernel_now (fixture.kernel));
+          confirm_fixture_advance (&fixture, STEP, FALSE);
+          stale_for = knl_kernel_now (fixture.kernel) - at;
+        }
+      CU_ASSERT (stale_for >= reports[i].binds_for);
+      CU_ASSERT (stale_for < 35 * KNL_SEC);
+      confirm_fixture_advance (&fixture, 10 * KNL_SEC, FALSE);
+      CU_ASSERT_EQUAL (sv_confirm_stale_since (asker->confirm), KNL_NEVER);
+      if (reports[i].reads_store)
+        sv_confirm_note_store (asker->confirm, knl_kernel_now (fixture.kernel));
+      confirm_fixture_advance (&fixture, WAIT_TIME, FALSE);
+      CU_ASSERT (is_confirmed (asker, at + 30 * KNL_SEC));
+      confirm_fixture_close (&fixture);
+    }
+}
+
 /* Guards against a watermark of an instance that doesn't know the newest configuration itself. */
 static void
 test_who_writes_watermarks (void)
@@ -172,6 +227,7 @@
 static const SuiteCase cases[] = {
   { "when the store confirms", test_when_the_store_confirms },
   { "each era is checked", test_each_era_is_checked },
+  { "reports that the store refutes", test_reports_that_the_store_refutes },
   { "who writes watermarks", test_who_writes_watermarks },
 };
 
