serve: only some of a cell ask other cells and the store for watermarks at once

After an outage that is longer than a confirmation is relied on, no instance has a recent one; if the store then states a new era, all of a cell asked all relays each 50 ms and read the cells' rows each 250 ms until the era was trusted (2 s at most). By the design's size that would be 68,000 questions a second at each relay (3,400 instances, 20 a second; worked out, not played).

Change: of a cell with more than eight instances each asks beyond the cell with the probability that makes it eight at once; who learns something is confirmed and tells the others, who go on asking in the cell.

--- a/serve/confirm_store.c
+++ b/serve/confirm_store.c
@@ -5,6 +5,10 @@
 /* Instances of its cell that one whose era isn't trusted asks at once. */
 #define MAX_ASKED 8
 
+/* Instances of a cell that ask the relays of other cells, and read the watermarks, at once. After
+ * an outage all of a cell would; who learns something tells the others. */
+#define MAX_ASKING_OUTSIDE 8
+
 /* How long answers to a request are waited for before the next one has another stamp: their age is
  * counted from the first request with it. */
 #define STAMP_TTL (500 * KNL_MSEC)
@@ -36,6 +40,15 @@
   self->events->confirm (self->store_at, self->data);
 }
 
+static gboolean
+asks_outside (const SvConfirm *self)
+{
+  guint n = sv_peers_n_alive_in_cell (self->peers) + 1;
+
+  return n <= MAX_ASKING_OUTSIDE
+         || g_rand_int_range (knl_kernel_rand (self->kernel), 0, (gint32)n) < MAX_ASKING_OUTSIDE;
+}
+
 /* Asks some of the cell in turn, as those that have started together with this instance have
  * nothing to tell, and the relays of all other cells. */
 static void
@@ -54,7 +67,8 @@
     }
   for (guint i = 0; i < MIN (alive->len, MAX_ASKED); i++)
     g_ptr_array_add (asked, g_ptr_array_index (alive, self->next_asked++ % alive->len));
-  sv_cells_add_relays (self->peers, asked);
+  if (asks_outside (self))
+    sv_cells_add_relays (self->peers, asked);
   request.stamp = self->check_stamp;
   for (guint i = 0; i < asked->len; i++)
     sv_peers_send_confirmation (self->peers, g_ptr_array_index (asked, i), &request);
@@ -143,7 +157,8 @@
 {
   const SvConfirm *self = data;
 
-  self->events->read_watermarks (self->data);
+  if (asks_outside (self))
+    self->events->read_watermarks (self->data);
 }
 
 static const SvEraCheckEvents era_check_events = {
--- a/tests/unit/sv_confirm_store_test.c
+++ b/tests/unit/sv_confirm_store_test.c
@@ -107,6 +107,31 @@
     }
 }
 
+/* Guards against a store that all instances of a cell ask again and again after an outage, as none
+ * has a recent confirmation. */
+static void
+test_some_read_watermarks (void)
+{
+  static const guint max_readers = 8;
+  static const KnlTime read_interval = 250 * KNL_MSEC;
+  ConfirmFixture fixture;
+  guint n_reads = 0;
+
+  confirm_fixture_open (&fixture);
+  prepare (&fixture, &rows[7], NULL);
+  for (guint i = 0; i < INSTANCES; i++)
+    sv_confirm_note_store (fixture.instances[i].confirm, knl_kernel_now (fixture.kernel));
+  confirm_fixture_advance (&fixture, WAIT_TIME, FALSE);
+  for (guint i = 0; i < INSTANCES; i++)
+    {
+      CU_ASSERT (is_confirmed (&fixture.instances[i], 100 * KNL_SEC));
+      n_reads += fixture.instances[i].n_watermark_reads;
+    }
+  CU_ASSERT (n_reads > 0);
+  CU_ASSERT (n_reads <= max_readers * WAIT_TIME / read_interval);
+  confirm_fixture_close (&fixture);
+}
+
 /* Guards against an era that counts as trusted because an earlier one did. */
 static void
 test_each_era_is_checked (void)
@@ -226,6 +251,7 @@
 
 static const SuiteCase cases[] = {
   { "when the store confirms", test_when_the_store_confirms },
+  { "some read watermarks", test_some_read_watermarks },
   { "each era is checked", test_each_era_is_checked },
   { "reports that the store refutes", test_reports_that_the_store_refutes },
   { "who writes watermarks", test_who_writes_watermarks },
