serve: the log says how long a trusted era was waited for; a test of lost answers

store-era-trusted had after-us 0 where the wait had run out (by timeout): the check no longer counted as in progress there. Nothing else changes.

--- a/serve/era_check.c
+++ b/serve/era_check.c
@@ -80,8 +80,7 @@
 void
 sv_era_check_prove (SvEraCheck *self, guint64 era, SvEraProof proof)
 {
-  KnlTime waited =
-      sv_era_check_pending (self) == era ? knl_kernel_now (self->kernel) - self->begun_at : 0;
+  KnlTime waited = self->era == era ? knl_kernel_now (self->kernel) - self->begun_at : 0;
 
   if (sv_era_check_is_trusted (self, era))
     return;
--- a/tests/unit/sv_confirm_store_test.c
+++ b/tests/unit/sv_confirm_store_test.c
@@ -132,6 +132,38 @@
   confirm_fixture_close (&fixture);
 }
 
+/* Guards against an instance that relies on the store because the first answers of all others were
+ * lost, or because these had just started, too. */
+static void
+test_first_answers_are_lost (void)
+{
+  static const guint64 peer_versions[] = { VERSION, VERSION + 2 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (peer_versions); i++)
+    {
+      Row row = { .peer_age = NEVER, .peer_version = peer_versions[i], .era = ERA };
+      ConfirmFixture fixture;
+      ConfirmInstance *asker;
+      KnlTime at;
+
+      confirm_fixture_open (&fixture);
+      asker = &fixture.instances[0];
+      prepare (&fixture, &row, asker);
+      set_age (&fixture, asker, NEVER);
+      at = knl_kernel_now (fixture.kernel);
+      sv_confirm_note_store (asker->confirm, at);
+      confirm_fixture_advance (&fixture, ANSWER_TIME, FALSE);
+      CU_ASSERT (!is_confirmed (asker, at));
+      for (guint j = 1; j < INSTANCES; j++)
+        set_age (&fixture, &fixture.instances[j], RECENT);
+      confirm_fixture_advance (&fixture, ANSWER_TIME, FALSE);
+      CU_ASSERT_EQUAL (is_confirmed (asker, at), peer_versions[i] == VERSION);
+      confirm_fixture_advance (&fixture, WAIT_TIME, FALSE);
+      CU_ASSERT_EQUAL (is_confirmed (asker, at), peer_versions[i] == VERSION);
+      confirm_fixture_close (&fixture);
+    }
+}
+
 /* Guards against an era that counts as trusted because an earlier one did. */
 static void
 test_each_era_is_checked (void)
@@ -252,6 +284,7 @@
 static const SuiteCase cases[] = {
   { "when the store confirms", test_when_the_store_confirms },
   { "some read watermarks", test_some_read_watermarks },
+  { "first answers are lost", test_first_answers_are_lost },
   { "each era is checked", test_each_era_is_checked },
   { "reports that the store refutes", test_reports_that_the_store_refutes },
   { "who writes watermarks", test_who_writes_watermarks },
