--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -216,7 +216,8 @@
  * it has one. */
 gboolean gateway_note_watermark (Gateway *self, json_t *row);
 
-/** No row that was read has one, of all rows if the settings state a first start. */
+/** No row that was read has a watermark. If the settings state a first start, these were all rows,
+ * so that no instance was ever confirmed. */
 void gateway_note_no_watermark (Gateway *self);
 
 /** Reads the watermarks of all cells' rows; SvConfirmEvents.read_watermarks. */
--- a/gateway/watermark.c
+++ b/gateway/watermark.c
@@ -33,7 +33,7 @@
   return TRUE;
 }
 
-/* Where one instance was ever confirmed, a row has a watermark a little later. */
+/* A row has a watermark soon after the first instance was confirmed. */
 void
 gateway_note_no_watermark (Gateway *self)
 {
