serve, gateway: instances become ready no sooner than before, and without eras nothing is held back

Also, a reported newer configuration kept an instance without a recent confirmation unconfirmed where the store states no eras, so where no restoration can be told; there the former rule holds again: an answer from before the report counts.

Evidence: gw_restore, gw_evacuations, gw_members, gw_quarantine, sv_confirm, sv_confirm_store and sv_confirm_zones pass as before.

--- a/gateway/follow.c
+++ b/gateway/follow.c
@@ -207,10 +207,7 @@
 static void
 confirm_note_confirmed (KnlTime at, gpointer data)
 {
-  Gateway *self = data;
-
-  sv_core_confirm (self->core, at);
-  sv_peers_set_ready (self->peers, gateway_is_ready (self));
+  sv_core_confirm (((Gateway *)data)->core, at);
 }
 
 static void
--- a/serve/confirm_store.c
+++ b/serve/confirm_store.c
@@ -25,17 +25,23 @@
   return is_recent (self, self->events->confirmed_at (self->data));
 }
 
-/* Without a recent confirmation, the order in which the store and a peer have answered says nothing
- * of which of them knows more. */
+/* Where the store may have been restored, and without a recent confirmation, the order in which the
+ * store and a peer have answered says nothing of which of them knows more. */
+static gboolean
+is_config_lost (const SvConfirm *self, guint64 era)
+{
+  if (era == 0 || has_recent_confirmation (self))
+    return sv_confirm_store_lost_config (self, self->store_at);
+  return sv_confirm_stale_since (self) != KNL_NEVER;
+}
+
 static void
 confirm_by_store (SvConfirm *self)
 {
-  gboolean is_lost = has_recent_confirmation (self)
-                         ? sv_confirm_store_lost_config (self, self->store_at)
-                         : sv_confirm_stale_since (self) != KNL_NEVER;
+  guint64 era = self->events->config_known (self->data).era;
 
-  if (self->store_at == -KNL_NEVER || is_lost
-      || !sv_era_check_is_trusted (&self->era_check, self->events->config_known (self->data).era))
+  if (self->store_at == -KNL_NEVER || is_config_lost (self, era)
+      || !sv_era_check_is_trusted (&self->era_check, era))
     return;
   self->events->confirm (self->store_at, self->data);
 }
